--- a/src/balsamloft/main.cpp
+++ b/src/balsamloft/main.cpp
@@ -58,6 +58,7 @@
   balsamloft status                   the instance and the fleet
   balsamloft endpoints                endpoints as the instance sees them
   balsamloft explain REQUEST-ID       why a request went where it went
+  balsamloft placement                what free engines hold, and why
   balsamloft drain                    stop the instance gracefully
 
 Exit codes: 0 done, 1 usage, 2 invalid document or settings, 3 conflict with
@@ -99,8 +100,10 @@
     int status(const std::string &);
     int endpoints(const std::string &);
     int explain(const std::string &request);
+    int placement(const std::string &);
     int drain(const std::string &);
 
+    int showLines(const std::optional<AdminAnswer> &answer);
     int apply(std::string_view section, const std::string &file);
     boost::json::object proposal() const;
     int showOutcome(const std::optional<AdminAnswer> &answer, std::string_view place);
@@ -123,6 +126,7 @@
     {{"status"}, &Commands::status, false},
     {{"endpoints"}, &Commands::endpoints, false},
     {{"explain"}, &Commands::explain, true},
+    {{"placement"}, &Commands::placement, false},
     {{"drain"}, &Commands::drain, false},
 };
 
@@ -249,8 +253,7 @@
     for (const auto &problem : body.at("problems").as_array()) {
         const std::string value = plainText(problem.at("value"));
         std::cerr << place << ": " << plainText(problem.at("path")) << ": "
-                  << (value.empty() ? "" : value + ": ") << plainText(problem.at("advice"))
-                  << '\n';
+                  << (value.empty() ? "" : value + ": ") << plainText(problem.at("advice")) << '\n';
     }
     for (const auto &path : body.at("conflicts").as_array())
         std::cerr << "changed by another: " << plainText(path) << '\n';
@@ -263,8 +266,8 @@
 
 int Commands::showConfig(const std::string &version)
 {
-    const auto answer
-        = m_client.get("/admin/v1/config" + (version.empty() ? "" : "?version=" + version));
+    const auto answer =
+        m_client.get("/admin/v1/config" + (version.empty() ? "" : "?version=" + version));
     const int code = check(answer);
     if (code == ExitOk)
         printJson(answer->body);
@@ -328,7 +331,7 @@
     if (const auto *members = answer->body.if_contains("members"))
         std::cout << '\n'
                   << renderTable(members->as_array(),
-                                 {"name", "domain", "state", "version", "heard_ms_ago"});
+                                 {"name", "domain", "state", "version", "lags", "heard_ms_ago"});
     return code;
 }
 
@@ -342,14 +345,23 @@
         printJson(answer->body);
     else
         std::cout << renderTable(answer->body.at("endpoints").as_array(),
-                                 {"name", "domain", "address", "slots", "own", "others",
-                                  "step_us", "leaving", "ejected"});
+                                 {"name", "domain", "address", "slots", "own", "others", "step_us",
+                                  "leaving", "ejected"});
     return code;
 }
 
 int Commands::explain(const std::string &request)
 {
-    const auto answer = m_client.get("/admin/v1/explain?request=" + request);
+    return showLines(m_client.get("/admin/v1/explain?request=" + request));
+}
+
+int Commands::placement(const std::string &)
+{
+    return showLines(m_client.get("/admin/v1/placement"));
+}
+
+int Commands::showLines(const std::optional<AdminAnswer> &answer)
+{
     const int code = check(answer);
     if (code != ExitOk)
         return code;
@@ -359,6 +371,9 @@
     }
     for (const auto &line : answer->body.at("lines").as_array())
         std::cout << plainText(line) << '\n';
+    const auto *holder = answer->body.if_contains("holder");
+    if (holder && !answer->body.at("holds_lease").as_bool())
+        std::cout << "the lease is held by " << plainText(*holder) << "; ask that instance\n";
     return code;
 }
 
--- a/src/balsamloft/output.cpp
+++ b/src/balsamloft/output.cpp
@@ -48,8 +48,9 @@
         fields[item.key()].second = plainText(item.value());
     for (const auto &[name, values] : fields) {
         if (values.first != values.second)
-            text += "~ " + path + "." + name + ": " + (values.first.empty() ? "(none)" : values.first)
-                + " -> " + (values.second.empty() ? "(none)" : values.second) + "\n";
+            text += "~ " + path + "." + name + ": "
+                    + (values.first.empty() ? "(none)" : values.first) + " -> "
+                    + (values.second.empty() ? "(none)" : values.second) + "\n";
     }
 }
 
@@ -84,9 +85,9 @@
     for (const json::value &item : changes) {
         const json::object &change = item.as_object();
         text += member(change, "version") + "  " + timeText(change.at("accepted_at").as_int64())
-            + "  " + member(change, "author") + "  " + member(change, "summary") + "  ("
-            + std::to_string(change.at("edits").as_array().size()) + " entries, id "
-            + member(change, "id") + ")\n";
+                + "  " + member(change, "author") + "  " + member(change, "summary") + "  ("
+                + std::to_string(change.at("edits").as_array().size()) + " entries, id "
+                + member(change, "id") + ")\n";
         if (withEdits)
             text += renderEdits(change.at("edits").as_array());
     }
--- a/src/balsamloftd/adminserver.cpp
+++ b/src/balsamloftd/adminserver.cpp
@@ -85,8 +85,8 @@
 
 json::object changeJson(const ConfigChange &change)
 {
-    return {{"version", change.version},  {"id", change.id},
-            {"author", change.author},    {"summary", change.summary},
+    return {{"version", change.version},        {"id", change.id},
+            {"author", change.author},          {"summary", change.summary},
             {"accepted_at", change.acceptedAt}, {"digest", change.digest},
             {"edits", editsJson(change.edits)}};
 }
@@ -198,6 +198,7 @@
     {"GET", "/admin/v1/status", &AdminServer::status},
     {"GET", "/admin/v1/endpoints", &AdminServer::endpoints},
     {"GET", "/admin/v1/explain", &AdminServer::explain},
+    {"GET", "/admin/v1/placement", &AdminServer::placement},
     {"POST", "/admin/v1/drain", &AdminServer::drain},
 };
 
@@ -218,7 +219,8 @@
     const auto value = exchange->request()[http::field::authorization];
     const std::string_view text(value.data(), value.size());
     return text.starts_with(BearerPrefix)
-        && sha256Hex(text.substr(BearerPrefix.size())) == m_control.settings().operatorTokenSha256;
+           && sha256Hex(text.substr(BearerPrefix.size()))
+                  == m_control.settings().operatorTokenSha256;
 }
 
 void AdminServer::handle(const HttpExchangePtr &exchange)
@@ -322,8 +324,8 @@
 {
     json::error_code error;
     const json::value body = json::parse(exchange->request().body(), error);
-    const json::value *version
-        = !error && body.is_object() ? body.get_object().if_contains("version") : nullptr;
+    const json::value *version =
+        !error && body.is_object() ? body.get_object().if_contains("version") : nullptr;
     if (!version || !version->is_int64() || version->get_int64() < 0)
         return respondError(exchange, http::status::bad_request, "invalid",
                             "\"version\" must be the version to go back to");
@@ -357,6 +359,27 @@
     respond(exchange, http::status::ok, {{"edits", editsJson(diffEntries(*before, *after, ""))}});
 }
 
+json::array AdminServer::membersJson() const
+{
+    const Time now = steadyNow();
+    const ConfigHead &own = m_control.configuration().head();
+    json::array members;
+    members.push_back({{"name", m_control.settings().name},
+                       {"domain", m_control.settings().domain},
+                       {"state", "alive"},
+                       {"version", own.version},
+                       {"lags", false},
+                       {"heard_ms_ago", 0}});
+    for (const auto &[name, member] : m_control.membership().members())
+        members.push_back({{"name", name},
+                           {"domain", member.news.domain},
+                           {"state", toString(member.news.state)},
+                           {"version", member.head.version},
+                           {"lags", member.head.version < own.version},
+                           {"heard_ms_ago", (now - member.heardAt).count() / 1000}});
+    return members;
+}
+
 void AdminServer::status(const HttpExchangePtr &exchange)
 {
     const ConfigKeeper &keeper = m_control.configuration();
@@ -368,7 +391,10 @@
              {"ready", m_control.ready()},
              {"platform_reachable", keeper.platformReachable()},
              {"forks_seen", keeper.forksSeen()},
-             {"claims_unsettled", m_control.unsettledClaims()}});
+             {"claims_unsettled", m_control.unsettledClaims()},
+             {"holds_placement_lease", m_control.lease().holds(steadyNow())},
+             {"placement_lease_holder", m_control.lease().seenHolder()},
+             {"members", membersJson()}});
 }
 
 void AdminServer::endpoints(const HttpExchangePtr &exchange)
@@ -401,8 +427,8 @@
     if (!parts || parts->worker >= m_control.workers().size())
         return respondError(exchange, http::status::bad_request, "invalid",
                             "request= must be the value of a Balsamloft-Request-Id");
-    const std::string own
-        = m_control.settings().name + "-" + std::to_string(m_control.incarnation());
+    const std::string own =
+        m_control.settings().name + "-" + std::to_string(m_control.incarnation());
     if (parts->instance != own)
         return respondError(exchange, http::status::not_found, "other_instance",
                             "that request was handled by " + parts->instance + ", this is " + own);
@@ -420,6 +446,17 @@
         });
 }
 
+void AdminServer::placement(const HttpExchangePtr &exchange)
+{
+    json::array lines;
+    for (const std::string &line : m_control.explainPlacement())
+        lines.emplace_back(line);
+    respond(exchange, http::status::ok,
+            {{"holds_lease", m_control.lease().holds(steadyNow())},
+             {"holder", m_control.lease().seenHolder()},
+             {"lines", std::move(lines)}});
+}
+
 void AdminServer::drain(const HttpExchangePtr &exchange)
 {
     respond(exchange, http::status::ok, {{"draining", true}});
--- a/src/balsamloftd/adminserver.h
+++ b/src/balsamloftd/adminserver.h
@@ -42,7 +42,9 @@
     void status(const HttpExchangePtr &exchange);
     void endpoints(const HttpExchangePtr &exchange);
     void explain(const HttpExchangePtr &exchange);
+    void placement(const HttpExchangePtr &exchange);
     void drain(const HttpExchangePtr &exchange);
+    boost::json::array membersJson() const;
 
     bool readProposal(const boost::json::object &body, const HttpExchangePtr &exchange,
                       ConfigProposal &proposal) const;
--- a/src/balsamloftd/controlplane.cpp
+++ b/src/balsamloftd/controlplane.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace asio = boost::asio;
 
 namespace balsamloft {
@@ -12,6 +14,10 @@
 
 constexpr Duration LongestSleep {1'000'000};
 constexpr Duration SettleCheckInterval {10'000};
+constexpr Duration SecondInterval {1'000'000};
+constexpr Duration ListInterval {5'000'000};
+constexpr double DemandSmoothing = 0.3;
+constexpr std::size_t MaxChangesPerMessage = 100;
 
 ConfigKeeperSettings keeperSettings(const DaemonSettings &settings)
 {
@@ -27,6 +33,32 @@
     return result;
 }
 
+MembershipSettings membershipSettings(const DaemonSettings &settings, std::uint64_t incarnation)
+{
+    MembershipSettings result;
+    result.name = settings.name;
+    result.domain = settings.domain;
+    result.incarnation = incarnation;
+    result.seeds = settings.seeds;
+    result.address = settings.peerAdvertise;
+    return result;
+}
+
+LeaseSettings leaseSettings(const DaemonSettings &settings, std::uint64_t incarnation)
+{
+    LeaseSettings result;
+    result.key = "placement/" + settings.domain;
+    result.holder = settings.name + "/" + std::to_string(incarnation);
+    return result;
+}
+
+PlacementKeeperSettings placementSettings(const DaemonSettings &settings)
+{
+    PlacementKeeperSettings result;
+    result.domain = settings.domain;
+    return result;
+}
+
 } // namespace
 
 WallMillis wallNow()
@@ -44,6 +76,11 @@
     , m_platform(makeHttpPlatform(m_context, {settings.platform, settings.platformTimeout}))
     , m_config(keeperSettings(settings), seed)
     , m_claims(claimSettings(settings, incarnation))
+    , m_peers(m_context, [this](PeerMessage message) { received(std::move(message)); })
+    , m_membership(membershipSettings(settings, incarnation), seed ^ 0x5bd1e995U)
+    , m_lease(leaseSettings(settings, incarnation))
+    , m_placement(placementSettings(settings))
+    , m_engineClient(m_context)
     , m_admin(std::make_unique<AdminServer>(*this))
 {
 }
@@ -56,8 +93,12 @@
 bool ControlPlane::start(std::vector<TrafficWorker *> workers, Reason &reason)
 {
     m_workers = std::move(workers);
-    if (!m_admin->listen(m_settings.adminListen, reason))
+    if (!m_admin->listen(m_settings.adminListen, reason)
+        || !m_peers.listen(m_settings.peerListen, reason))
         return false;
+    // Known only now where the port was left to the system.
+    if (m_settings.peerAdvertise.empty())
+        m_membership.setAddress(m_peers.address());
     asio::post(m_context, [this] { tick(); });
     m_thread = std::thread([this] { m_context.run(); });
     return true;
@@ -93,6 +134,27 @@
     });
 }
 
+void ControlPlane::endpointSaysLeaving(std::string endpoint)
+{
+    asio::post(m_context, [this, endpoint = std::move(endpoint)] {
+        MembershipActions actions;
+        m_membership.endpointSaysLeaving(endpoint, actions);
+        perform(actions);
+    });
+}
+
+void ControlPlane::leave()
+{
+    asio::post(m_context, [this] {
+        MembershipActions actions;
+        m_membership.leave(steadyNow(), actions);
+        perform(actions);
+        LeaseActions leaseActions;
+        m_lease.release(steadyNow(), leaseActions);
+        perform(leaseActions);
+    });
+}
+
 void ControlPlane::collectMetrics(std::function<void(std::string)> callback)
 {
     struct Collection
@@ -124,6 +186,12 @@
         {"balsamloft_config_version", m_config.head().version},
         {"balsamloft_config_forks_total", m_config.forksSeen()},
         {"balsamloft_platform_reachable", m_config.platformReachable() ? 1U : 0U},
+        {"balsamloft_members_live", m_membership.liveCount()},
+        {"balsamloft_false_suspicions_total", m_membership.falseSuspicions()},
+        {"balsamloft_peer_bytes_sent_total", m_peers.bytesSent()},
+        {"balsamloft_peer_bytes_received_total", m_peers.bytesReceived()},
+        {"balsamloft_lease_held", m_lease.holds(steadyNow()) ? 1U : 0U},
+        {"balsamloft_placement_loads_total", m_placement.loadsOrdered()},
         {"balsamloft_claims_pending", m_claims.pending()},
         {"balsamloft_claims_unsettled", m_claims.unsettled()},
         {"balsamloft_claims_written_total", m_claims.claimsWritten()},
@@ -174,129 +242,148 @@
     ClaimActions claimActions;
     m_claims.tick(now, claimActions);
     perform(claimActions);
+    MembershipActions membershipActions;
+    m_membership.tick(now, membershipActions);
+    perform(membershipActions);
+    LeaseActions leaseActions;
+    m_lease.tick(now, leaseActions);
+    perform(leaseActions);
+    if (now >= m_nextList) {
+        m_nextList = now + ListInterval;
+        readInstanceList();
+    }
+    if (now >= m_nextSecond) {
+        m_nextSecond = now + SecondInterval;
+        collectDemand();
+        if (m_lease.holds(now))
+            observeEngines();
+        tickPlacement(now);
+    }
     schedule();
 }
 
-void ControlPlane::schedule()
+void ControlPlane::readInstanceList()
 {
-    Time at = steadyNow() + LongestSleep;
-    if (const auto next = m_config.nextWakeup())
-        at = std::min(at, *next);
-    if (const auto next = m_claims.nextWakeup())
-        at = std::min(at, *next);
-    m_timer.expires_at(at);
-    m_timer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            tick();
+    m_platform->listInstances([this](const std::optional<std::vector<ListedInstance>> &list) {
+        if (!list)
+            return;
+        MembershipActions actions;
+        m_membership.listed(*list, steadyNow(), actions);
+        perform(actions);
     });
 }
 
-void ControlPlane::perform(ConfigActions &actions)
-{
-    for (ConfigAction &action : actions)
-        std::visit([this](auto &specific) { (*this)(specific); }, action);
-    if (!actions.empty())
-        schedule();
-}
-
-void ControlPlane::perform(ClaimActions &actions)
+void ControlPlane::collectDemand()
 {
-    for (ClaimAction &action : actions)
-        std::visit([this](auto &specific) { (*this)(specific); }, action);
-    schedule();
+    struct Collection
+    {
+        std::map<std::string, double> totals;
+        std::size_t missing = 0;
+    };
+    auto collection = std::make_shared<Collection>();
+    collection->missing = m_workers.size();
+    for (TrafficWorker *worker : m_workers) {
+        worker->demand([this, collection](const std::map<std::string, double> &totals) {
+            asio::post(m_context, [this, collection, totals] {
+                for (const auto &[name, total] : totals)
+                    collection->totals[name] += total;
+                if (--collection->missing == 0)
+                    demandCollected(collection->totals, steadyNow());
+            });
+        });
+    }
 }
 
-void ControlPlane::operator()(ReadConfigHead &action)
+void ControlPlane::demandCollected(const std::map<std::string, double> &totals, Time now)
 {
-    m_platform->read(std::string(ConfigTable), std::string(HeadKey),
-                     [this, id = action.id](const ReadOutcome &outcome) {
-                         ConfigActions actions;
-                         m_config.headRead(id, outcome, steadyNow(), actions);
-                         perform(actions);
-                     });
+    const std::chrono::duration<double> elapsed = now - m_demandAt;
+    m_demandAt = now;
+    std::vector<Demand> demand;
+    for (const auto &[name, total] : totals) {
+        const double sample = (total - m_demandTotals[name]) / std::max(0.1, elapsed.count());
+        double &rate = m_demandRates[name];
+        rate += DemandSmoothing * (sample - rate);
+        if (rate > 0.01)
+            demand.push_back({name, rate});
+    }
+    m_demandTotals = totals;
+    std::sort(demand.begin(), demand.end(),
+              [](const Demand &a, const Demand &b) { return a.rate > b.rate; });
+    m_membership.setDemand(std::move(demand));
+    const auto fractions = m_membership.limitFractions(now);
+    // The parts of one instance are split evenly between its traffic threads.
+    const auto threads = static_cast<double>(m_workers.size());
+    for (TrafficWorker *worker : m_workers) {
+        LimitFractions parts;
+        for (const auto &[team, fraction] : fractions)
+            parts[team] = fraction / threads;
+        worker->setLimitFractions(m_membership.defaultFraction() / threads, std::move(parts));
+    }
 }
 
-void ControlPlane::operator()(ScanConfigChanges &action)
+void ControlPlane::received(PeerMessage message)
 {
-    m_platform->scan(std::string(ChangeTable), changeKey(action.after), action.limit,
-                     [this, id = action.id](const ScanOutcome &outcome) {
-                         ConfigActions actions;
-                         m_config.changesScanned(id, outcome, steadyNow(), actions);
-                         perform(actions);
-                     });
+    const Time now = steadyNow();
+    ConfigActions configActions;
+    Reason reason;
+    switch (message.kind) {
+    case PeerMessage::Kind::ConfigRequest:
+        answerConfigRequest(message);
+        break;
+    case PeerMessage::Kind::ConfigChanges: {
+        std::vector<ConfigChange> changes;
+        for (const std::string &text : message.changes) {
+            if (auto change = changeFromJson(text, reason))
+                changes.push_back(std::move(*change));
+        }
+        m_config.peerChanges(changes, now, configActions);
+        break;
+    }
+    case PeerMessage::Kind::ConfigWhole:
+        if (const auto snapshot = snapshotFromJson(message.snapshot, reason))
+            m_config.peerSnapshot(*snapshot, now, configActions);
+        break;
+    default: {
+        MembershipActions actions;
+        m_membership.received(message, now, actions);
+        perform(actions);
+        break;
+    }
+    }
+    m_config.peerHead(message.from.address, message.head, now, configActions);
+    perform(configActions);
 }
 
-void ControlPlane::operator()(ReadConfigSnapshot &action)
+void ControlPlane::answerConfigRequest(const PeerMessage &request)
 {
-    m_platform->getObject(std::string(SnapshotObject),
-                          [this, id = action.id](const std::optional<std::string> &content) {
-                              ConfigActions actions;
-                              m_config.snapshotRead(id, content, steadyNow(), actions);
-                              perform(actions);
-                          });
+    PeerMessage answer;
+    answer.from = m_membership.self();
+    answer.head = m_config.head();
+    const auto changes = m_config.changesAfter(request.after);
+    if (changes && changes->size() <= MaxChangesPerMessage) {
+        answer.kind = PeerMessage::Kind::ConfigChanges;
+        for (const ConfigChange &change : *changes)
+            answer.changes.push_back(toJson(change));
+    } else {
+        answer.kind = PeerMessage::Kind::ConfigWhole;
+        answer.snapshot = toJson(m_config.snapshot());
+    }
+    m_peers.send(request.from.address, answer);
 }
 
-void ControlPlane::operator()(WriteConfigSnapshot &action)
+void ControlPlane::schedule()
 {
-    m_platform->putObject(std::string(SnapshotObject), std::move(action.content), [](bool written) {
-        if (!written)
-            log(LogLevel::Warning, "config", "the snapshot could not be written");
+    Time at = steadyNow() + LongestSleep;
+    if (const auto next = m_config.nextWakeup())
+        at = std::min(at, *next);
+    if (const auto next = m_claims.nextWakeup())
+        at = std::min(at, *next);
+    at = std::min({at, m_membership.nextWakeup(), m_lease.nextWakeup()});
+    m_timer.expires_at(at);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            tick();
     });
 }
 
-void ControlPlane::operator()(AskPeerForConfig &)
-{
-}
-
-void ControlPlane::operator()(CommitConfig &action)
-{
-    m_platform->transact(std::move(action.transaction),
-                         [this, id = action.id](const TransactionOutcome &outcome) {
-                             ConfigActions actions;
-                             m_config.commitDone(id, outcome, steadyNow(), actions);
-                             perform(actions);
-                         });
-}
-
-void ControlPlane::operator()(InstallConfig &action)
-{
-    const ConfigHead &head = action.config->head();
-    log(LogLevel::Info, "config", "in force",
-        {{"version", std::to_string(head.version)}, {"digest", head.digest.substr(0, 12)}});
-    for (TrafficWorker *worker : m_workers)
-        worker->installConfig(action.config);
-}
-
-void ControlPlane::operator()(ProposalDecided &action)
-{
-    const auto node = m_proposals.extract(action.id);
-    if (!node.empty())
-        node.mapped()(std::move(action.outcome));
-}
-
-void ControlPlane::operator()(ClaimTransact &action)
-{
-    m_platform->transact(std::move(action.transaction),
-                         [this, id = action.id](const TransactionOutcome &outcome) {
-                             ClaimActions actions;
-                             m_claims.transactionDone(id, outcome, steadyNow(), actions);
-                             perform(actions);
-                         });
-}
-
-void ControlPlane::operator()(ClaimRead &action)
-{
-    m_platform->read(std::string(ClaimTable), action.key,
-                     [this, id = action.id](const ReadOutcome &outcome) {
-                         ClaimActions actions;
-                         m_claims.readDone(id, outcome, steadyNow(), actions);
-                         perform(actions);
-                     });
-}
-
-void ControlPlane::operator()(ClaimDecided &action)
-{
-    m_workers[action.owner.worker]->claimAnswered(action.owner.request, std::move(action.answer));
-}
-
 } // namespace balsamloft
--- a/src/balsamloftd/controlplane.h
+++ b/src/balsamloftd/controlplane.h
@@ -1,5 +1,6 @@
 /// \file
-/// The control thread: configuration, claims, and what operators ask.
+/// The control thread: configuration, membership, claims, the lease on
+/// placement, and what operators ask.
 
 #pragma once
 
@@ -8,6 +9,10 @@
 
 #include <balsamloft/configkeeper.h>
 #include <balsamloft/httpplatform.h>
+#include <balsamloft/lease.h>
+#include <balsamloft/membership.h>
+#include <balsamloft/peersocket.h>
+#include <balsamloft/placementkeeper.h>
 
 namespace balsamloft {
 
@@ -31,8 +36,12 @@
 
     void startClaim(std::uint32_t worker, StartClaim claim) override;
     void settleClaim(std::uint32_t worker, SettleClaim settle) override;
+    void endpointSaysLeaving(std::string endpoint) override;
     void collectMetrics(std::function<void(std::string)> callback) override;
 
+    /// Says to peers that this instance is leaving, and gives up its lease.
+    void leave();
+
     /// Calls \a callback once no claim waits for the platform any more, or
     /// \a patience has passed.
     void whenSettled(Duration patience, std::function<void()> callback);
@@ -41,6 +50,10 @@
 
     void propose(ConfigProposal proposal, std::function<void(ProposalOutcome)> callback);
     const ConfigKeeper &configuration() const { return m_config; }
+    const Membership &membership() const { return m_membership; }
+    const LeaseKeeper &lease() const { return m_lease; }
+    std::vector<std::string> explainPlacement() const { return m_placement.explain(); }
+    const std::string &peerAddress() const { return m_peers.address(); }
     const DaemonSettings &settings() const { return m_settings; }
     std::span<TrafficWorker *const> workers() const { return m_workers; }
     boost::asio::io_context &context() { return m_context; }
@@ -53,10 +66,21 @@
 private:
     void perform(ConfigActions &actions);
     void perform(ClaimActions &actions);
+    void perform(MembershipActions &actions);
+    void perform(LeaseActions &actions);
     void schedule();
     void tick();
     void checkSettled(Time until, const std::function<void()> &callback);
     void renderControlMetrics(std::string &text) const;
+    void received(PeerMessage message);
+    void answerConfigRequest(const PeerMessage &request);
+    void readInstanceList();
+    void collectDemand();
+    void demandCollected(const std::map<std::string, double> &totals, Time now);
+    void observeEngines();
+    void tickPlacement(Time now);
+    void sendOrder(const SendOrder &order);
+    void proposePlacement(ProposePlacement &proposal);
 
     // One for each kind of action.
     void operator()(ReadConfigHead &action);
@@ -70,6 +94,11 @@
     void operator()(ClaimTransact &action);
     void operator()(ClaimRead &action);
     void operator()(ClaimDecided &action);
+    void operator()(SendToPeer &action);
+    void operator()(SetEndpointLeaving &action);
+    void operator()(MemberChanged &action);
+    void operator()(ReadLease &action);
+    void operator()(WriteLease &action);
 
     DaemonSettings m_settings;
     std::uint64_t m_incarnation;
@@ -79,6 +108,18 @@
     std::unique_ptr<Platform> m_platform;
     ConfigKeeper m_config;
     ClaimKeeper m_claims;
+    PeerSocket m_peers;
+    Membership m_membership;
+    LeaseKeeper m_lease;
+    PlacementKeeper m_placement;
+    HttpClient m_engineClient;
+    ConfigPtr m_inForce;
+    std::map<std::string, double> m_demandTotals;
+    std::map<std::string, double> m_demandRates;
+    Time m_demandAt {};
+    Time m_nextSecond {};
+    Time m_nextList {};
+    std::uint64_t m_proposalNumber = 0;
     std::unique_ptr<AdminServer> m_admin;
     std::vector<TrafficWorker *> m_workers;
     std::map<std::string, std::function<void(ProposalOutcome)>> m_proposals;
--- a/src/balsamloftd/log.cpp
+++ b/src/balsamloftd/log.cpp
@@ -64,13 +64,13 @@
     leastLevel = least;
     instanceName = instance;
     boost::log::add_common_attributes();
-    boost::log::add_console_log(
-        std::cerr, boost::log::keywords::auto_flush = true,
-        boost::log::keywords::format
-        = (expressions::stream << expressions::format_date_time<boost::posix_time::ptime>(
-               "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                               << " " << expressions::attr<LogLevel>("Severity") << " "
-                               << expressions::smessage));
+    boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true,
+                                boost::log::keywords::format =
+                                    (expressions::stream
+                                     << expressions::format_date_time<boost::posix_time::ptime>(
+                                            "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                     << " " << expressions::attr<LogLevel>("Severity") << " "
+                                     << expressions::smessage));
 }
 
 bool logEnabled(LogLevel level)
--- a/src/balsamloftd/main.cpp
+++ b/src/balsamloftd/main.cpp
@@ -16,8 +16,14 @@
 constexpr int ExitUsage = 2;
 constexpr int ExitStart = 1;
 constexpr Duration SettlePatience {2'000'000};
+constexpr Duration FarewellTime {100'000};
 constexpr std::string_view Part = "daemon";
 
+std::string portOf(const std::string &address)
+{
+    return address.substr(address.rfind(':') + 1);
+}
+
 /// Starts the threads, waits for the signal to stop, and stops gracefully.
 class Daemon
 {
@@ -52,7 +58,8 @@
     {
         log(LogLevel::Info, Part, "listening",
             {{"callers", std::to_string(m_workers.front()->port())},
-             {"admin", std::to_string(m_control.adminPort())}});
+             {"admin", std::to_string(m_control.adminPort())},
+             {"peers", portOf(m_control.peerAddress())}});
         waitForSignal();
         m_context.run();
         for (const auto &worker : m_workers)
@@ -94,6 +101,7 @@
         log(LogLevel::Info, Part, "stopping: not ready from now on");
         for (const auto &worker : m_workers)
             worker->startDrain();
+        m_control.leave();
         // The balancer needs time to see that the instance is not ready; it
         // must not meet a closed port before.
         m_timer.expires_after(m_settings.drainGrace);
@@ -116,7 +124,11 @@
     void settleAndStop()
     {
         log(LogLevel::Info, Part, "nothing in flight any more");
-        m_control.whenSettled(SettlePatience, [this] { m_context.stop(); });
+        m_control.whenSettled(SettlePatience, [this] {
+            // Time for the last messages to leave.
+            m_timer.expires_after(FarewellTime);
+            m_timer.async_wait([this](boost::system::error_code) { m_context.stop(); });
+        });
     }
 
     DaemonSettings m_settings;
--- a/src/balsamloftd/metrics.cpp
+++ b/src/balsamloftd/metrics.cpp
@@ -35,8 +35,8 @@
             break;
         char label[32];
         std::snprintf(label, sizeof label, "quantile=\"%g\"", quantile);
-        const double value = accumulators::quantile(
-            m_set, accumulators::quantile_probability = quantile);
+        const double value =
+            accumulators::quantile(m_set, accumulators::quantile_probability = quantile);
         renderSample(base, std::string(labels) + comma + label, value, text);
     }
     renderSample(base + "_count", labels, static_cast<double>(count), text);
--- a/src/balsamloftd/metrics.h
+++ b/src/balsamloftd/metrics.h
@@ -24,9 +24,9 @@
     void render(std::string_view name, std::string_view labels, std::string &text) const;
 
 private:
-    using Statistics = boost::accumulators::stats<
-        boost::accumulators::tag::extended_p_square_quantile, boost::accumulators::tag::count,
-        boost::accumulators::tag::sum>;
+    using Statistics =
+        boost::accumulators::stats<boost::accumulators::tag::extended_p_square_quantile,
+                                   boost::accumulators::tag::count, boost::accumulators::tag::sum>;
     boost::accumulators::accumulator_set<double, Statistics> m_set;
 };
 
@@ -49,7 +49,6 @@
 };
 
 /// Appends one sample.
-void renderSample(std::string_view name, std::string_view labels, double value,
-                  std::string &text);
+void renderSample(std::string_view name, std::string_view labels, double value, std::string &text);
 
 } // namespace balsamloft
--- a/src/balsamloftd/settings.cpp
+++ b/src/balsamloftd/settings.cpp
@@ -11,12 +11,10 @@
 DEFINE_string(listen, "127.0.0.1:8080", "IP:port for callers");
 DEFINE_string(admin_listen, "127.0.0.1:8081", "IP:port for operators");
 DEFINE_string(peer_listen, "127.0.0.1:8082", "IP:port for other instances");
-DEFINE_string(peer_advertise, "",
-              "IP:port that other instances connect to; empty: as peer_listen");
+DEFINE_string(peer_advertise, "", "IP:port that other instances connect to; empty: as peer_listen");
 DEFINE_string(seeds, "", "peer addresses to begin with, separated by commas");
 DEFINE_string(platform, "", "IP:port of the platform's services (required)");
-DEFINE_string(operator_token_sha256, "",
-              "hex SHA-256 of the operators' token (required)");
+DEFINE_string(operator_token_sha256, "", "hex SHA-256 of the operators' token (required)");
 DEFINE_int32(traffic_threads, 1, "number of threads for traffic, 1 to 64");
 DEFINE_int32(drain_grace_ms, 2000,
              "how long a planned stop answers \"not ready\" before it accepts no connections");
@@ -68,9 +66,9 @@
     }
     void range(const std::string &flag, std::int64_t value, std::int64_t least, std::int64_t most)
     {
-        require(value >= least && value <= most,
-                "--" + flag + ": " + std::to_string(value) + " must be from "
-                    + std::to_string(least) + " to " + std::to_string(most));
+        require(value >= least && value <= most, "--" + flag + ": " + std::to_string(value)
+                                                     + " must be from " + std::to_string(least)
+                                                     + " to " + std::to_string(most));
     }
     const std::string &text() const { return m_text; }
 
--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -56,6 +56,16 @@
     }
 }
 
+/// Whether the body of a health answer says that the endpoint is leaving.
+bool saysLeaving(const std::string &body)
+{
+    json::error_code error;
+    const json::value value = json::parse(body, error);
+    const json::value *leaving =
+        !error && value.is_object() ? value.get_object().if_contains("leaving") : nullptr;
+    return leaving && leaving->is_bool() && leaving->get_bool();
+}
+
 } // namespace
 
 Time steadyNow()
@@ -167,7 +177,8 @@
     asio::post(m_context, [this, callback = std::move(callback)] {
         std::string text;
         m_metrics.render(m_router, m_settings.index, text);
-        renderSample("balsamloft_callers_connected", "worker=\"" + std::to_string(m_settings.index) + "\"",
+        renderSample("balsamloft_callers_connected",
+                     "worker=\"" + std::to_string(m_settings.index) + "\"",
                      static_cast<double>(m_server.connections()), text);
         callback(std::move(text));
     });
@@ -192,18 +203,22 @@
     });
 }
 
-void TrafficWorker::demand(std::function<void(std::map<std::string, std::uint64_t>)> callback)
+void TrafficWorker::demand(std::function<void(std::map<std::string, double>)> callback)
 {
     asio::post(m_context, [this, callback = std::move(callback)] {
-        const auto &demand = m_router.limits().demand();
-        callback({demand.begin(), demand.end()});
+        std::map<std::string, double> totals;
+        for (const auto &[team, requests] : m_router.limits().demand())
+            totals["team/" + team] = static_cast<double>(requests);
+        for (const auto &[model, tokens] : m_router.modelDemand())
+            totals["model/" + model] = tokens;
+        callback(std::move(totals));
     });
 }
 
 std::string TrafficWorker::globalId(RequestId id) const
 {
     return m_settings.requestPrefix + "-" + std::to_string(m_settings.index) + "-"
-        + std::to_string(id);
+           + std::to_string(id);
 }
 
 void TrafficWorker::handle(const HttpExchangePtr &exchange)
@@ -310,14 +325,14 @@
     const auto it = m_waiting.find(step.ref.request);
     if (it == m_waiting.end())
         return;
-    WireStep wire {it->second.id, step.ref,       step.prefill,  step.firstStage,
+    WireStep wire {it->second.id,  step.ref,       step.prefill,  step.firstStage,
                    step.lastStage, step.lastToken, step.priority, std::move(step.input)};
     const StepRef ref = step.ref;
-    it->second.outgoing = m_client.send(
-        m_router.loads().state(step.endpoint).address,
-        engineRequest(http::verb::post, "/v1/step", toJson(wire)),
-        options(ref.request, ref.attempt, step.deadline),
-        [this, ref](HttpResult result) { stepReturned(ref, std::move(result)); });
+    it->second.outgoing =
+        m_client.send(m_router.loads().state(step.endpoint).address,
+                      engineRequest(http::verb::post, "/v1/step", toJson(wire)),
+                      options(ref.request, ref.attempt, step.deadline),
+                      [this, ref](HttpResult result) { stepReturned(ref, std::move(result)); });
 }
 
 void TrafficWorker::stepReturned(const StepRef &ref, HttpResult result)
@@ -368,11 +383,9 @@
     request.set("Balsamloft-Request-Id", it->second.id);
     const RequestId id = call.request;
     const std::uint32_t attempt = call.attempt;
-    it->second.outgoing
-        = m_client.send(address, std::move(request), options(id, attempt, call.deadline),
-                        [this, id, attempt](HttpResult result) {
-                            callReturned(id, attempt, std::move(result));
-                        });
+    it->second.outgoing = m_client.send(
+        address, std::move(request), options(id, attempt, call.deadline),
+        [this, id, attempt](HttpResult result) { callReturned(id, attempt, std::move(result)); });
 }
 
 void TrafficWorker::callReturned(RequestId id, std::uint32_t attempt, HttpResult result)
@@ -504,14 +517,20 @@
     probeOptions.timeout = m_settings.probeTimeout;
     probeOptions.freshConnection = true;
     const EndpointId endpoint = probe.endpoint;
-    m_client.send(m_router.loads().state(endpoint).address,
-                  engineRequest(http::verb::get, "/v1/health", {}), probeOptions,
-                  [this, endpoint](const HttpResult &result) {
-                      Actions actions;
-                      m_router.probeFinished(endpoint, result.response.has_value(), steadyNow(),
-                                             actions);
-                      perform(actions);
-                  });
+    m_client.send(
+        m_router.loads().state(endpoint).address, engineRequest(http::verb::get, "/v1/health", {}),
+        probeOptions, [this, endpoint](const HttpResult &result) {
+            Actions actions;
+            const bool alive = result.response.has_value();
+            m_router.probeFinished(endpoint, alive, alive && saysLeaving(result.response->body()),
+                                   steadyNow(), actions);
+            perform(actions);
+        });
+}
+
+void TrafficWorker::operator()(NoteLeaving &note)
+{
+    m_control.endpointSaysLeaving(m_router.loads().state(note.endpoint).name);
 }
 
 void TrafficWorker::operator()(CloseConnections &close)
--- a/src/balsamloftd/trafficworker.h
+++ b/src/balsamloftd/trafficworker.h
@@ -27,6 +27,8 @@
     virtual void startClaim(std::uint32_t worker, StartClaim claim) = 0;
     virtual void settleClaim(std::uint32_t worker, SettleClaim settle) = 0;
 
+    virtual void endpointSaysLeaving(std::string endpoint) = 0;
+
     /// Asks for the metrics of the whole process.
     virtual void collectMetrics(std::function<void(std::string)> callback) = 0;
 };
@@ -72,7 +74,10 @@
 
     /// State of the endpoints as this thread sees it.
     void endpoints(std::function<void(std::vector<EndpointState>)> callback);
-    void demand(std::function<void(std::map<std::string, std::uint64_t>)> callback);
+
+    /// What was asked for since the start: requests by "team/NAME" and tokens
+    /// by "model/NAME".
+    void demand(std::function<void(std::map<std::string, double>)> callback);
     void stop();
 
 private:
@@ -106,6 +111,7 @@
     void operator()(SettleClaim &settle);
     void operator()(ProbeEndpoint &probe);
     void operator()(CloseConnections &close);
+    void operator()(NoteLeaving &note);
 
     void stepReturned(const StepRef &ref, HttpResult result);
     void callReturned(RequestId id, std::uint32_t attempt, HttpResult result);
--- a/src/fakes/enginemodel.cpp
+++ b/src/fakes/enginemodel.cpp
@@ -35,8 +35,8 @@
 std::uint64_t runLayers(std::uint64_t activation, const LayerRange &layers)
 {
     for (std::uint32_t layer = layers.begin; layer < layers.end; ++layer)
-        activation = hashText({reinterpret_cast<const char *>(&activation), sizeof activation},
-                              layer + 1);
+        activation =
+            hashText({reinterpret_cast<const char *>(&activation), sizeof activation}, layer + 1);
     return activation;
 }
 
@@ -126,7 +126,7 @@
         m_prefixHits += hit ? 1 : 0;
         if (!hit)
             prefill = m_settings.prefillPerToken
-                * static_cast<std::int64_t>(step.input.size() / BytesPerToken + 1);
+                      * static_cast<std::int64_t>(step.input.size() / BytesPerToken + 1);
     }
     m_due.emplace(now + m_settings.stepTime + prefill, Due {ticket, std::move(step), hit});
 }
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -4,6 +4,7 @@
 //   POST /v1/cancel     {"request", "attempt"}
 //   GET  /v1/health
 //   POST /v1/orders     {"fencing", "model", "layers", "version"}
+//   GET  /v1/state      what it holds
 //   GET  /control/log   what was executed
 //   POST /control/faults {"leaving", "mute", "cross", "hold"}
 
@@ -25,6 +26,7 @@
 DEFINE_int32(queue, 2, "sequences accepted beyond the batch");
 DEFINE_int32(step_us, 2000, "duration of a step in microseconds");
 DEFINE_int32(prefill_us, 20, "duration of prefill per token in microseconds");
+DEFINE_int32(load_ms, 100, "how long an order to load takes in milliseconds");
 DEFINE_bool(checks_fencing, false, "refuse orders with an old fencing number");
 DEFINE_bool(keep_log, true, "keep the log of all executed steps");
 
@@ -38,8 +40,10 @@
 {
 public:
     explicit FakeEngine(boost::asio::io_context &context)
-        : m_model(settings())
+        : m_settings(settings())
+        , m_model(m_settings)
         , m_timer(context)
+        , m_loadTimer(context)
     {
     }
 
@@ -53,7 +57,9 @@
         if (path == "/v1/orders")
             return order(exchange);
         if (path == "/v1/health")
-            return respondJson(exchange, 200, {{"ok", true}});
+            return respondJson(exchange, 200, {{"ok", true}, {"leaving", m_model.load().leaving}});
+        if (path == "/v1/state")
+            return respondJson(exchange, 200, stateJson());
         if (path == "/control/log")
             return respondJson(exchange, 200, logJson());
         if (path == "/control/faults")
@@ -88,9 +94,8 @@
         auto wire = wireStepFromJson(exchange->request().body(), reason);
         if (!wire)
             return respondJson(exchange, 400, {{"error", reason}});
-        EngineStep engineStep {wire->ref,        wire->request,   wire->prefill,
-                               wire->firstStage, wire->lastStage, wire->lastToken,
-                               wire->priority,   wire->input};
+        EngineStep engineStep {wire->ref,       wire->request,   wire->prefill,  wire->firstStage,
+                               wire->lastStage, wire->lastToken, wire->priority, wire->input};
         const std::uint64_t ticket = m_model.submit(std::move(engineStep), now());
         m_pending.emplace(ticket, Pending {exchange, wire->request});
         advance();
@@ -179,8 +184,43 @@
             return respondJson(exchange, 412,
                                {{"error", "old fencing number"}, {"fencing", m_fencing}});
         m_fencing = std::max(m_fencing, number);
-        m_assigned = body;
         respondJson(exchange, 200, {{"ok", true}});
+        load(body);
+    }
+
+    /// Takes up what an order says, after the time that loading takes.
+    void load(const json::object &order)
+    {
+        const json::value *model = order.if_contains("model");
+        const json::value *layers = order.if_contains("layers");
+        if (!model || !model->is_string())
+            return;
+        EngineSettings next = m_settings;
+        next.model = std::string(model->get_string());
+        next.layers = {};
+        if (layers && layers->is_array() && layers->get_array().size() == 2)
+            next.layers = {layers->at(0).to_number<std::uint32_t>(),
+                           layers->at(1).to_number<std::uint32_t>()};
+        if (next.model == m_settings.model && next.layers == m_settings.layers)
+            return;
+        m_settings = next;
+        m_loading = true;
+        ++m_loads;
+        m_loadTimer.expires_after(std::chrono::milliseconds(FLAGS_load_ms));
+        m_loadTimer.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            m_model = EngineModel(m_settings);
+            m_loading = false;
+        });
+    }
+
+    json::object stateJson() const
+    {
+        return {{"model", m_settings.model},
+                {"layers", {m_settings.layers.begin, m_settings.layers.end}},
+                {"loading", m_loading},
+                {"fencing", m_fencing}};
     }
 
     json::value logJson() const
@@ -194,7 +234,7 @@
                              {"output", record.output}});
         return {{"steps", std::move(steps)},
                 {"orders", m_orders},
-                {"assigned", m_assigned},
+                {"loads", m_loads},
                 {"cancels", m_cancels},
                 {"running", m_model.load().running}};
     }
@@ -211,14 +251,17 @@
         respondJson(exchange, 200, {{"ok", true}});
     }
 
+    EngineSettings m_settings; ///< as ordered last
     EngineModel m_model;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_loadTimer;
     std::map<std::uint64_t, Pending> m_pending;
     std::vector<HttpExchangePtr> m_silent;
     std::vector<std::pair<Pending, EngineOutcome>> m_crossed;
     json::array m_orders;
-    json::object m_assigned;
     std::int64_t m_fencing = 0;
+    std::uint64_t m_loads = 0;
+    bool m_loading = false;
     std::uint64_t m_cancels = 0;
     int m_mute = 0; ///< answers that are swallowed from now on
     int m_cross = 0; ///< answers that are swapped in pairs from now on
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -94,9 +94,8 @@
             return respondJson(exchange, 200, {{"ok", true}});
         json::array conflicts;
         for (const RowCheck &conflict : outcome.conflicts)
-            conflicts.push_back({{"table", conflict.table},
-                                 {"key", conflict.key},
-                                 {"version", conflict.version}});
+            conflicts.push_back(
+                {{"table", conflict.table}, {"key", conflict.key}, {"version", conflict.version}});
         respondJson(exchange, 409, {{"conflicts", std::move(conflicts)}});
     }
 
@@ -163,8 +162,8 @@
     {
         const json::object body = bodyObject(exchange);
         if (path == "/control/instances") {
-            m_lists[now() + std::chrono::milliseconds(FLAGS_list_lag_ms)]
-                = body.at("instances").as_array();
+            m_lists[now() + std::chrono::milliseconds(FLAGS_list_lag_ms)] =
+                body.at("instances").as_array();
         } else if (path == "/control/faults") {
             if (const json::value *down = body.if_contains("down"))
                 m_down = down->as_bool();
@@ -177,9 +176,9 @@
             if (const json::value *old = body.if_contains("old_objects"))
                 m_serveOldObjects = old->as_bool();
         } else if (path == "/control/stats") {
-            return respondJson(exchange, 200,
-                               {{"transactions", m_tables.transactions()},
-                                {"reads", m_tables.reads()}});
+            return respondJson(
+                exchange, 200,
+                {{"transactions", m_tables.transactions()}, {"reads", m_tables.reads()}});
         }
         respondJson(exchange, 200, {{"ok", true}});
     }
--- a/src/fakes/fake_service.cpp
+++ b/src/fakes/fake_service.cpp
@@ -52,8 +52,8 @@
                                 {"key", std::string(request["Idempotency-Key"])},
                                 {"body", request.body()}};
         m_calls.push_back(call);
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_context,
-                                                                 Duration(FLAGS_work_us));
+        auto timer =
+            std::make_shared<boost::asio::steady_timer>(m_context, Duration(FLAGS_work_us));
         timer->async_wait([this, timer, exchange, call](boost::system::error_code) {
             if (m_dropAnswers > 0) {
                 --m_dropAnswers;
--- a/src/fakes/routerharness.cpp
+++ b/src/fakes/routerharness.cpp
@@ -32,9 +32,8 @@
             {Router(m_settings.router, m_settings.seed + i * 7919), ClaimKeeper(claims), {}});
     }
     for (std::size_t i = 0; i < m_routers.size(); ++i)
-        withRouter(i, [&](Router &router, Actions &actions) {
-            router.setConfig(config, m_now, actions);
-        });
+        withRouter(
+            i, [&](Router &router, Actions &actions) { router.setConfig(config, m_now, actions); });
     // Endpoints are named e0, e1, ... after the engines.
     const LoadView &loads = m_routers.front().router.loads();
     m_engineOf.resize(loads.size());
@@ -100,8 +99,7 @@
         ClaimActions claimActions;
         woken.claims.tick(m_now, claimActions);
         perform(router, claimActions);
-        withRouter(router,
-                   [&](Router &target, Actions &actions) { target.tick(m_now, actions); });
+        withRouter(router, [&](Router &target, Actions &actions) { target.tick(m_now, actions); });
     });
 }
 
@@ -288,11 +286,11 @@
     const std::size_t index = m_engineOf[probe.endpoint];
     const HarnessEngine &engine = m_engines[index];
     const bool alive = !engine.killed && !engine.frozen;
-    const Duration delay
-        = engine.frozen ? m_settings.probeTimeout : 2 * latency(index);
-    at(m_now + delay, [this, router, endpoint = probe.endpoint, alive] {
+    const Duration delay = engine.frozen ? m_settings.probeTimeout : 2 * latency(index);
+    const bool leaving = engine.model.load().leaving;
+    at(m_now + delay, [this, router, endpoint = probe.endpoint, alive, leaving] {
         withRouter(router, [&](Router &target, Actions &actions) {
-            target.probeFinished(endpoint, alive, m_now, actions);
+            target.probeFinished(endpoint, alive, leaving, m_now, actions);
         });
     });
 }
@@ -336,31 +334,28 @@
         const EngineSettings &engine = engines[i];
         const std::string name = "e" + std::to_string(i);
         const double speed = 10'000.0 / static_cast<double>(engine.stepTime.count());
-        put("inventory/endpoints/" + name,
-            {{"name", name},
-             {"address", "127.0.0.1:" + std::to_string(10'000 + i)},
-             {"domain", "d"},
-             {"model", model},
-             {"version", "1"},
-             {"layers", {engine.layers.begin, engine.layers.end}},
-             {"slots", engine.slots},
-             {"speed", speed}});
+        put("inventory/endpoints/" + name, {{"name", name},
+                                            {"address", "127.0.0.1:" + std::to_string(10'000 + i)},
+                                            {"domain", "d"},
+                                            {"model", model},
+                                            {"version", "1"},
+                                            {"layers", {engine.layers.begin, engine.layers.end}},
+                                            {"slots", engine.slots},
+                                            {"speed", speed}});
     }
     put("rules/models/" + std::string(model),
         {{"name", model}, {"layers", layers}, {"non_idempotent", nonIdempotent}});
-    put("rules/teams/team",
-        {{"name", "team"},
-         {"token_sha256", sha256Hex("team")},
-         {"share", extraTeams.empty() ? 0.5 : 0.01},
-         {"max_priority", "alert"}});
+    put("rules/teams/team", {{"name", "team"},
+                             {"token_sha256", sha256Hex("team")},
+                             {"share", extraTeams.empty() ? 0.5 : 0.01},
+                             {"max_priority", "alert"}});
     for (const Team &team : extraTeams)
-        put("rules/teams/" + team.name,
-            {{"name", team.name},
-             {"token_sha256", sha256Hex(team.name)},
-             {"share", team.share},
-             {"max_priority", toString(team.maxPriority)},
-             {"requests_per_s", team.requestsPerSecond},
-             {"max_concurrent", team.maxConcurrent}});
+        put("rules/teams/" + team.name, {{"name", team.name},
+                                         {"token_sha256", sha256Hex(team.name)},
+                                         {"share", team.share},
+                                         {"max_priority", toString(team.maxPriority)},
+                                         {"requests_per_s", team.requestsPerSecond},
+                                         {"max_concurrent", team.maxConcurrent}});
     std::vector<Problem> problems;
     ConfigPtr config = compileConfig(entries, {1, "digest"}, problems);
     if (!config)
--- a/src/include/balsamloft/actions.h
+++ b/src/include/balsamloft/actions.h
@@ -205,9 +205,15 @@
     EndpointId endpoint = NoEndpoint;
 };
 
-using Action = std::variant<SendStep, CancelAttempt, SendCall, EmitToken, FinishRequest,
-                            RefuseRequest, StartClaim, SettleClaim, ProbeEndpoint,
-                            CloseConnections>;
+/// The endpoint has said that it is shutting down: let the others know.
+struct NoteLeaving
+{
+    EndpointId endpoint = NoEndpoint;
+};
+
+using Action =
+    std::variant<SendStep, CancelAttempt, SendCall, EmitToken, FinishRequest, RefuseRequest,
+                 StartClaim, SettleClaim, ProbeEndpoint, CloseConnections, NoteLeaving>;
 
 using Actions = std::vector<Action>;
 
--- a/src/include/balsamloft/claims.h
+++ b/src/include/balsamloft/claims.h
@@ -29,7 +29,7 @@
     std::uint32_t worker = 0;
     RequestId request = 0;
 
-    auto operator<=>(const ClaimOwner &) const = default;
+    auto operator<=>(const ClaimOwner &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Actions of a ClaimKeeper.
--- a/src/include/balsamloft/config.h
+++ b/src/include/balsamloft/config.h
@@ -63,6 +63,8 @@
     std::uint32_t slots = 1; ///< requests executed at the same time
     double speed = 1; ///< relative work rate, above zero
     bool checksFencing = false; ///< refuses orders with an old fencing number
+    bool placeable = false; ///< the inventory leaves its model to placement
+    std::string replica; ///< engines placed together; empty unless placed
 };
 
 /// A model that callers can name.
@@ -206,6 +208,9 @@
 /// As parseInventory(), for a JSON rules document.
 std::optional<ConfigEntries> parseRules(std::string_view text, std::vector<Problem> &problems);
 
+/// Prefix of the entries that placement writes: what each free engine holds.
+inline constexpr std::string_view PlacementSection = "placement/";
+
 /// Checks \a entries as a whole and builds the look-ups. Returns nullptr and
 /// fills \a problems when an entry is malformed, dangling or contradicting.
 ConfigPtr compileConfig(const ConfigEntries &entries, ConfigHead head,
--- a/src/include/balsamloft/configkeeper.h
+++ b/src/include/balsamloft/configkeeper.h
@@ -111,9 +111,9 @@
     ProposalOutcome outcome;
 };
 
-using ConfigAction = std::variant<ReadConfigHead, ScanConfigChanges, ReadConfigSnapshot,
-                                  WriteConfigSnapshot, AskPeerForConfig, CommitConfig,
-                                  InstallConfig, ProposalDecided>;
+using ConfigAction =
+    std::variant<ReadConfigHead, ScanConfigChanges, ReadConfigSnapshot, WriteConfigSnapshot,
+                 AskPeerForConfig, CommitConfig, InstallConfig, ProposalDecided>;
 using ConfigActions = std::vector<ConfigAction>;
 
 inline constexpr std::string_view ConfigTable = "config";
@@ -188,8 +188,7 @@
     void tryProposal(Time now, ConfigActions &actions);
     std::optional<ConfigEdits> proposedEdits(const ConfigProposal &proposal,
                                              ProposalOutcome &outcome) const;
-    bool rebase(ConfigEdits &edits, ProposalOutcome &outcome,
-                std::uint64_t baseVersion) const;
+    bool rebase(ConfigEdits &edits, ProposalOutcome &outcome, std::uint64_t baseVersion) const;
     void commit(Pending &pending, ConfigEdits edits, Time now, ConfigActions &actions);
     void decideUndone(Time now, ConfigActions &actions);
     void decide(ProposalOutcome outcome, Time now, ConfigActions &actions);
--- a/src/include/balsamloft/loadview.h
+++ b/src/include/balsamloft/loadview.h
@@ -45,6 +45,7 @@
     double speed = 1;
     bool configured = false; ///< in the configuration in force
     bool leaving = false; ///< known to be shutting down: no new work
+    bool saidLeaving = false; ///< it said so itself; asked again by probes
     std::uint32_t own = 0; ///< requests this instance has there
     std::uint32_t others = 0; ///< requests of other instances, at the last report
     Time reportedAt {};
@@ -73,6 +74,9 @@
     /// The endpoint said that it has no room: believed full for a report's lifetime.
     void refusedBusy(EndpointId id, Time now);
     void setLeaving(EndpointId id, bool leaving);
+
+    /// What the endpoint says of itself, in an answer or to a probe.
+    void saysLeaving(EndpointId id, bool leaving);
     void succeeded(EndpointId id);
 
     /// Counts a failure; returns true when it ejects the endpoint. \a silent
--- a/src/include/balsamloft/router.h
+++ b/src/include/balsamloft/router.h
@@ -27,6 +27,7 @@
     double silenceFactor = 6; ///< multiple of the expected step time
     std::uint32_t patience = 4; ///< silent periods granted to what cannot be repeated
     Duration retryBackoff {50'000};
+    Duration leavingCheck {5'000'000}; ///< between probes of endpoints that said they leave
     Duration pumpInterval {20'000}; ///< queues are looked at this often at least
     std::uint32_t reservedSlots = 0; ///< kept free at each endpoint for alerts
     LoadSettings load;
@@ -50,6 +51,9 @@
     std::uint64_t tokens = 0;
 };
 
+/// Tokens asked of each model since the process started, refused ones included.
+using ModelDemand = std::map<std::string, double>;
+
 /// Decides on every request of one traffic thread. It does no I/O: commands
 /// take an event and the present time and append the actions to carry out.
 /// Not thread-safe.
@@ -71,17 +75,17 @@
 
     void submit(Request request, Time now, Actions &actions);
     void claimAnswered(RequestId request, const ClaimAnswer &answer, Time now, Actions &actions);
-    void stepAnswered(const StepRef &awaited, const StepAnswer &answer, Time now,
-                      Actions &actions);
+    void stepAnswered(const StepRef &awaited, const StepAnswer &answer, Time now, Actions &actions);
 
     /// The step \a awaited failed. \a load holds the endpoint's report if it sent one.
-    void stepFailed(const StepRef &awaited, FailureKind kind,
-                    const std::optional<LoadReport> &load, Time now, Actions &actions);
+    void stepFailed(const StepRef &awaited, FailureKind kind, const std::optional<LoadReport> &load,
+                    Time now, Actions &actions);
     void callAnswered(RequestId request, std::uint32_t attempt, Answer answer, Time now,
                       Actions &actions);
     void callFailed(RequestId request, std::uint32_t attempt, FailureKind kind, Time now,
                     Actions &actions);
-    void probeFinished(EndpointId endpoint, bool alive, Time now, Actions &actions);
+    /// A probe was answered (\a alive), or not; \a leaving as the answer says.
+    void probeFinished(EndpointId endpoint, bool alive, bool leaving, Time now, Actions &actions);
     void callerGone(RequestId request, Time now, Actions &actions);
 
     /// Lets time pass: call it at nextWakeup() or later.
@@ -105,6 +109,7 @@
     std::size_t queued() const;
     bool ready() const; ///< holds a configuration and is not draining
     const ConfigPtr &config() const;
+    ModelDemand modelDemand() const;
 
     /// Why the request went where it went, one line per decision, oldest
     /// first. Empty when it is not, or no longer, remembered.
--- a/src/include/balsamloft/routing.h
+++ b/src/include/balsamloft/routing.h
@@ -104,8 +104,8 @@
 
     /// Fills \a chain with stages that cover all layers once, of one version,
     /// each with room for one more request. Returns false when there is none.
-    bool choose(const RouteTable &table, const LoadView &loads, const RouteQuery &query,
-                Time now, Chain &chain);
+    bool choose(const RouteTable &table, const LoadView &loads, const RouteQuery &query, Time now,
+                Chain &chain);
 
     /// Forgets latencies worked out from an earlier configuration.
     void setConfig(const Config &config, const LoadView &loads);
--- a/src/include/balsamloft/types.h
+++ b/src/include/balsamloft/types.h
@@ -44,7 +44,7 @@
     std::uint32_t begin = 0;
     std::uint32_t end = 0;
 
-    auto operator<=>(const LayerRange &) const = default;
+    auto operator<=>(const LayerRange &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Hash that lets string-keyed maps be searched by string_view.
--- a/src/libbalsamloft/actions.cpp
+++ b/src/libbalsamloft/actions.cpp
@@ -64,8 +64,8 @@
 
 bool provesNotRun(FailureKind kind)
 {
-    return kind == FailureKind::NotSent || kind == FailureKind::Busy
-        || kind == FailureKind::Leaving || kind == FailureKind::StateLost;
+    return kind == FailureKind::NotSent || kind == FailureKind::Busy || kind == FailureKind::Leaving
+           || kind == FailureKind::StateLost;
 }
 
 } // namespace balsamloft
--- a/src/libbalsamloft/claims.cpp
+++ b/src/libbalsamloft/claims.cpp
@@ -15,8 +15,8 @@
 constexpr std::uint32_t LongestBackoffShift = 8;
 constexpr std::uint64_t FirstVersion = 1;
 
-std::string finishedValue(const std::string &nonce, const std::string &digest,
-                          const Answer &answer, bool keepBody)
+std::string finishedValue(const std::string &nonce, const std::string &digest, const Answer &answer,
+                          bool keepBody)
 {
     return json::serialize(json::object {{"nonce", nonce},
                                          {"digest", digest},
@@ -46,15 +46,14 @@
 {
 }
 
-void ClaimKeeper::claim(ClaimOwner owner, const StartClaim &start, Time now,
-                        ClaimActions &actions)
+void ClaimKeeper::claim(ClaimOwner owner, const StartClaim &start, Time now, ClaimActions &actions)
 {
     Claim &claim = m_claims[owner];
     claim.owner = owner;
     // The digest bounds the key's length and keeps its content out of the table.
     claim.rowKey = start.team + "/" + sha256Hex(start.key);
     claim.nonce = m_settings.instance + "/" + std::to_string(owner.worker) + "/"
-        + std::to_string(owner.request);
+                  + std::to_string(owner.request);
     claim.contentDigest = start.contentDigest;
     claim.deadline = std::min(start.deadline, now + m_settings.patience);
     m_queue.push_back(owner);
@@ -120,7 +119,8 @@
         transaction.writes.push_back(
             {std::string(ClaimTable), it->second.rowKey, claimedValue(it->second)});
     }
-    for (std::size_t i = 0; i < m_settles.size() && transaction.writes.size() < m_settings.batchSize;) {
+    for (std::size_t i = 0;
+         i < m_settles.size() && transaction.writes.size() < m_settings.batchSize;) {
         Settle &settle = m_settles[i];
         const auto same = [&](const RowCheck &check) { return check.key == settle.rowKey; };
         if (settle.retryAt > now
@@ -176,8 +176,7 @@
     }
 }
 
-void ClaimKeeper::conflicted(Batch batch, const TransactionOutcome &outcome,
-                             ClaimActions &actions)
+void ClaimKeeper::conflicted(Batch batch, const TransactionOutcome &outcome, ClaimActions &actions)
 {
     const auto inConflict = [&](const std::string &key) {
         return std::any_of(outcome.conflicts.begin(), outcome.conflicts.end(),
--- a/src/libbalsamloft/configchain.cpp
+++ b/src/libbalsamloft/configchain.cpp
@@ -33,8 +33,8 @@
         edits.push_back({{"path", edit.path},
                          {"before", optionalText(edit.before)},
                          {"after", optionalText(edit.after)}});
-    return {{"version", change.version},   {"id", change.id},
-            {"author", change.author},     {"summary", change.summary},
+    return {{"version", change.version},        {"id", change.id},
+            {"author", change.author},          {"summary", change.summary},
             {"accepted_at", change.acceptedAt}, {"edits", std::move(edits)}};
 }
 
@@ -80,8 +80,8 @@
     ConfigEntries result = entries;
     for (const ConfigEdit &edit : edits) {
         const auto it = result.find(edit.path);
-        const bool matches = edit.before ? it != result.end() && it->second == *edit.before
-                                         : it == result.end();
+        const bool matches =
+            edit.before ? it != result.end() && it->second == *edit.before : it == result.end();
         if (!matches) {
             reason = edit.path + ": is not as the change expects";
             return false;
--- a/src/libbalsamloft/configkeeper.cpp
+++ b/src/libbalsamloft/configkeeper.cpp
@@ -98,8 +98,7 @@
         return;
     }
     // The row's version is the configuration's: each commit writes it once.
-    const std::uint64_t newest
-        = outcome.kind == ReadOutcome::Kind::Found ? outcome.row.version : 0;
+    const std::uint64_t newest = outcome.kind == ReadOutcome::Kind::Found ? outcome.row.version : 0;
     if (newest > m_head.version)
         return fetchFrom(newest, actions);
     if (m_proposalWaitsForHead) {
@@ -170,8 +169,8 @@
         ++m_forksSeen;
     if (head.version <= m_head.version)
         return;
-    const bool waiting
-        = m_askedPeerFor >= head.version && now - m_askedPeerAt < m_settings.peerTimeout;
+    const bool waiting =
+        m_askedPeerFor >= head.version && now - m_askedPeerAt < m_settings.peerTimeout;
     if (waiting)
         return;
     m_askedPeerFor = head.version;
--- a/src/libbalsamloft/configparse.cpp
+++ b/src/libbalsamloft/configparse.cpp
@@ -66,8 +66,8 @@
         if (!items)
             continue;
         for (std::size_t i = 0; i < items->size(); ++i) {
-            const std::string itemPath
-                = place + "." + std::string(section.list) + "[" + std::to_string(i) + "]";
+            const std::string itemPath =
+                place + "." + std::string(section.list) + "[" + std::to_string(i) + "]";
             const json::object *object = (*items)[i].if_object();
             if (!object) {
                 problems.push_back({itemPath, "", "must be an object"});
@@ -102,7 +102,7 @@
     unsigned number = 0;
     const auto parsed = std::from_chars(port.data(), port.data() + port.size(), number);
     return !error && parsed.ec == std::errc {} && parsed.ptr == port.data() + port.size()
-        && number > 0 && number < 65536;
+           && number > 0 && number < 65536;
 }
 
 } // namespace
@@ -133,6 +133,9 @@
     void parseModel(ObjectReader &reader);
     void parseService(ObjectReader &reader);
     void parseTeam(ObjectReader &reader);
+    void parsePlacement(ObjectReader &reader);
+    void applyPlacements();
+    static std::optional<LayerRange> readLayers(ObjectReader &reader);
 
     void checkDomain(const std::string &place, const std::string &domain);
     void checkEndpoints();
@@ -149,6 +152,17 @@
         Parser parser;
     };
     static const ParserRow s_parsers[];
+
+    /// What placement has decided for one engine.
+    struct Placed
+    {
+        std::string engine;
+        std::string model;
+        std::string version;
+        std::string replica;
+        LayerRange layers;
+    };
+    std::vector<Placed> m_placed;
 };
 
 const ConfigCompiler::ParserRow ConfigCompiler::s_parsers[] = {
@@ -160,6 +174,7 @@
     {"rules/models/", &ConfigCompiler::parseModel},
     {"rules/services/", &ConfigCompiler::parseService},
     {"rules/teams/", &ConfigCompiler::parseTeam},
+    {PlacementSection, &ConfigCompiler::parsePlacement},
 };
 
 void ConfigCompiler::addEntry(const std::string &path, const std::string &text)
@@ -233,19 +248,33 @@
         endpoint.model = reader.text("model");
         endpoint.version = reader.text("version");
         endpoint.checksFencing = reader.boolean("checks_fencing", false);
-        const json::array *layers = reader.array("layers");
-        if (layers && layers->size() == 2 && (*layers)[0].is_int64() && (*layers)[1].is_int64()
-            && (*layers)[0].get_int64() >= 0 && (*layers)[1].get_int64() > (*layers)[0].get_int64()
-            && (*layers)[1].get_int64() <= static_cast<std::int64_t>(MaxCount))
-            endpoint.layers = {static_cast<std::uint32_t>((*layers)[0].get_int64()),
-                               static_cast<std::uint32_t>((*layers)[1].get_int64())};
-        else if (layers || !endpoint.model.empty())
-            reader.problem("layers", "must be [first, one past the last], for example [0, 16]");
+        const auto layers = readLayers(reader);
+        endpoint.layers = layers.value_or(LayerRange {});
+        endpoint.placeable = endpoint.model.empty();
+        if (!layers && !endpoint.placeable)
+            reader.problem("layers", "is required with a model, for example [0, 16]");
     }
     index("e/", endpoint.name, m_config.m_endpoints.size());
     m_config.m_endpoints.push_back(std::move(endpoint));
 }
 
+std::optional<LayerRange> ConfigCompiler::readLayers(ObjectReader &reader)
+{
+    const json::array *layers = reader.array("layers");
+    if (!layers)
+        return std::nullopt;
+    const auto bound = [&](std::size_t i) {
+        const json::value *value = i < layers->size() ? &(*layers)[i] : nullptr;
+        return value && value->is_int64() ? value->get_int64() : -1;
+    };
+    if (layers->size() != 2 || bound(0) < 0 || bound(1) <= bound(0)
+        || bound(1) > static_cast<std::int64_t>(MaxCount)) {
+        reader.problem("layers", "must be [first, one past the last], for example [0, 16]");
+        return LayerRange {};
+    }
+    return LayerRange {static_cast<std::uint32_t>(bound(0)), static_cast<std::uint32_t>(bound(1))};
+}
+
 void ConfigCompiler::parseLink(ObjectReader &reader)
 {
     Link link;
@@ -312,8 +341,8 @@
     else if (priority != "normal")
         reader.problem("max_priority", "must be \"alert\", \"normal\" or \"batch\"");
     team.requestsPerSecond = reader.number("requests_per_s", 0, 0, MaxRate);
-    team.maxConcurrent
-        = static_cast<std::uint32_t>(reader.number("max_concurrent", 0, 0, MaxCount));
+    team.maxConcurrent =
+        static_cast<std::uint32_t>(reader.number("max_concurrent", 0, 0, MaxCount));
     index("t/", team.name, m_config.m_teams.size());
     index("k/", team.tokenSha256, m_config.m_teams.size());
     m_config.m_teams.push_back(std::move(team));
@@ -348,9 +377,9 @@
             m_problems.push_back(
                 {place + ".model", endpoint.model, "must be a model of the rules"});
         else if (endpoint.layers.end > model->layers)
-            m_problems.push_back({place + ".layers", std::to_string(endpoint.layers.end),
-                                  "must end at or before the model's "
-                                      + std::to_string(model->layers) + " layers"});
+            m_problems.push_back(
+                {place + ".layers", std::to_string(endpoint.layers.end),
+                 "must end at or before the model's " + std::to_string(model->layers) + " layers"});
     }
 }
 
@@ -390,8 +419,38 @@
                                   "is another team's token; each team needs its own"});
     }
     if (sum > 1 + ShareTolerance)
-        m_problems.push_back({"rules/teams", std::to_string(sum),
-                              "the shares of all teams must sum to at most 1"});
+        m_problems.push_back(
+            {"rules/teams", std::to_string(sum), "the shares of all teams must sum to at most 1"});
+}
+
+void ConfigCompiler::parsePlacement(ObjectReader &reader)
+{
+    Placed placed;
+    placed.engine = reader.requiredText("engine");
+    placed.model = reader.requiredText("model");
+    placed.version = reader.text("version");
+    placed.replica = reader.text("replica");
+    placed.layers = readLayers(reader).value_or(LayerRange {});
+    m_placed.push_back(std::move(placed));
+}
+
+void ConfigCompiler::applyPlacements()
+{
+    for (Placed &placed : m_placed) {
+        const auto it = m_config.m_index.find("e/" + placed.engine);
+        // An engine that the operators have taken out, or given a model of
+        // their own: their word goes first, and must not be refused for this.
+        if (it == m_config.m_index.end() || !m_config.m_endpoints[it->second].placeable)
+            continue;
+        const Model *model = m_config.model(placed.model);
+        if (!model || placed.layers.end > model->layers)
+            continue;
+        Endpoint &endpoint = m_config.m_endpoints[it->second];
+        endpoint.model = std::move(placed.model);
+        endpoint.version = std::move(placed.version);
+        endpoint.replica = std::move(placed.replica);
+        endpoint.layers = placed.layers;
+    }
 }
 
 void ConfigCompiler::crossCheck()
@@ -411,6 +470,7 @@
     checkEndpoints();
     checkLayerCover();
     checkTeams();
+    applyPlacements();
 }
 
 std::string Problem::text() const
--- a/src/libbalsamloft/configproposals.cpp
+++ b/src/libbalsamloft/configproposals.cpp
@@ -31,7 +31,11 @@
                                         "is not a version within the history kept here"});
             return std::nullopt;
         }
-        return diffEntries(m_entries, *target, "");
+        // What the operators wrote goes back; what engines hold now does not.
+        ConfigEdits edits = diffEntries(m_entries, *target, "inventory/");
+        for (ConfigEdit &edit : diffEntries(m_entries, *target, "rules/"))
+            edits.push_back(std::move(edit));
+        return edits;
     }
     if (!proposal.entries)
         return proposal.edits;
@@ -165,8 +169,7 @@
         return decide(std::move(accepted), now, actions);
     }
     // Lost or not, the chain knows: read the head, then look for the id.
-    pending.uncertain
-        = pending.uncertain || outcome.kind == TransactionOutcome::Kind::Unknown;
+    pending.uncertain = pending.uncertain || outcome.kind == TransactionOutcome::Kind::Unknown;
     if (++pending.tries > m_settings.maxRebases
         || outcome.kind == TransactionOutcome::Kind::NotCommitted) {
         return decideUndone(now, actions);
--- a/src/libbalsamloft/jsonreader.cpp
+++ b/src/libbalsamloft/jsonreader.cpp
@@ -53,8 +53,8 @@
     json::value value = json::parse(text, error, {}, options);
     if (error) {
         reason = error == json::error::too_deep
-            ? "nested deeper than " + std::to_string(MaxJsonDepth) + " levels"
-            : "not valid JSON: " + error.message();
+                     ? "nested deeper than " + std::to_string(MaxJsonDepth) + " levels"
+                     : "not valid JSON: " + error.message();
         return std::nullopt;
     }
     return value;
@@ -116,7 +116,7 @@
             return number;
     }
     problem(key, "must be a number from " + json::serialize(json::value(least)) + " to "
-                + json::serialize(json::value(most)));
+                     + json::serialize(json::value(most)));
     return fallback;
 }
 
--- /dev/null
+++ b/src/libbalsamloft/lease.cpp
@@ -0,0 +1,160 @@
+#include <balsamloft/lease.h>
+
+#include "jsonreader.h"
+
+namespace json = boost::json;
+
+namespace balsamloft {
+
+namespace {
+
+struct LeaseRow
+{
+    std::string holder; ///< empty: released
+    std::uint64_t fencing = 0;
+};
+
+std::string toJson(const LeaseRow &row)
+{
+    return json::serialize(json::object {{"holder", row.holder}, {"fencing", row.fencing}});
+}
+
+LeaseRow rowFromJson(std::string_view text)
+{
+    Reason reason;
+    LeaseRow row;
+    const auto value = parseJson(text, reason);
+    if (!value || !value->is_object())
+        return row;
+    const json::value *holder = value->get_object().if_contains("holder");
+    const json::value *fencing = value->get_object().if_contains("fencing");
+    if (holder && holder->is_string())
+        row.holder = std::string(holder->get_string());
+    if (fencing && fencing->is_int64())
+        row.fencing = static_cast<std::uint64_t>(fencing->get_int64());
+    return row;
+}
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(LeaseSettings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+void LeaseKeeper::lose()
+{
+    m_holding = false;
+    m_heldUntil = Time {};
+}
+
+void LeaseKeeper::tick(Time now, LeaseActions &actions)
+{
+    if (m_holding && now >= m_heldUntil)
+        lose();
+    if (now < m_nextTick)
+        return;
+    m_nextTick = now + m_settings.renewEvery;
+    if (m_holding && !m_write)
+        return write(m_rowVersion, m_fencing, false, now, actions);
+    m_readId = m_nextId++;
+    actions.push_back(ReadLease {m_readId, m_settings.key});
+}
+
+void LeaseKeeper::write(std::uint64_t version, std::uint64_t fencing, bool release, Time now,
+                        LeaseActions &actions)
+{
+    m_write = Write {m_nextId++, version + 1, fencing, now, release};
+    Transaction transaction;
+    transaction.checks.push_back({std::string(LeaseTable), m_settings.key, version});
+    transaction.writes.push_back({std::string(LeaseTable), m_settings.key,
+                                  toJson({release ? "" : m_settings.holder, fencing})});
+    actions.push_back(WriteLease {m_write->id, std::move(transaction)});
+}
+
+void LeaseKeeper::granted(const Write &write)
+{
+    m_rowVersion = write.version;
+    m_write.reset();
+    if (write.release)
+        return;
+    if (!m_holding || write.fencing != m_fencing)
+        m_acquiredAt = write.sentAt;
+    m_holding = true;
+    m_fencing = write.fencing;
+    m_seenHolder = m_settings.holder;
+    // Counted from before the write left. Counted from the answer, a slow
+    // answer would stretch the lease beyond what others wait.
+    m_heldUntil = write.sentAt + m_settings.duration;
+}
+
+void LeaseKeeper::writeDone(std::uint64_t id, const TransactionOutcome &outcome, Time now,
+                            LeaseActions &actions)
+{
+    if (!m_write || m_write->id != id)
+        return;
+    const Write write = *m_write;
+    switch (outcome.kind) {
+    case TransactionOutcome::Kind::Committed:
+        granted(write);
+        break;
+    case TransactionOutcome::Kind::Conflict:
+        m_write.reset();
+        lose();
+        break;
+    case TransactionOutcome::Kind::NotCommitted:
+        m_write.reset();
+        break;
+    case TransactionOutcome::Kind::Unknown:
+        // Settled by reading: the row shows whether it took effect.
+        m_readId = m_nextId++;
+        actions.push_back(ReadLease {m_readId, m_settings.key});
+        break;
+    }
+    if (m_holding && now >= m_heldUntil)
+        lose();
+}
+
+void LeaseKeeper::readDone(std::uint64_t id, const ReadOutcome &outcome, Time now,
+                           LeaseActions &actions)
+{
+    if (id != m_readId || outcome.kind == ReadOutcome::Kind::Unavailable)
+        return;
+    const bool found = outcome.kind == ReadOutcome::Kind::Found;
+    const LeaseRow row = found ? rowFromJson(outcome.row.value) : LeaseRow {};
+    const std::uint64_t version = found ? outcome.row.version : 0;
+    if (version != m_seenVersion || m_seenAt == Time {}) {
+        m_seenVersion = version;
+        m_seenAt = now;
+    }
+    m_seenHolder = row.holder;
+    if (m_write) {
+        const Write pending = *m_write;
+        if (version == pending.version && row.holder == m_settings.holder
+            && row.fencing == pending.fencing)
+            return granted(pending);
+        m_write.reset();
+        if (version > pending.version || row.holder != m_settings.holder)
+            lose();
+    }
+    if (m_holding)
+        return;
+    const bool free = !found || row.holder.empty();
+    // Nobody may have renewed while this process did not look, so its own
+    // pauses only make it wait longer.
+    const bool lapsed = now - m_seenAt >= m_settings.duration + m_settings.margin;
+    if (free || lapsed)
+        write(version, row.fencing + 1, false, now, actions);
+}
+
+void LeaseKeeper::release(Time now, LeaseActions &actions)
+{
+    if (!holds(now))
+        return;
+    m_holding = false;
+    m_heldUntil = Time {};
+    m_write.reset();
+    write(m_rowVersion, m_fencing, true, now, actions);
+}
+
+} // namespace balsamloft
--- a/src/libbalsamloft/loadview.cpp
+++ b/src/libbalsamloft/loadview.cpp
@@ -62,11 +62,12 @@
     if (report.stepTime > Duration::zero()) {
         const auto sample = static_cast<double>(report.stepTime.count());
         const auto old = static_cast<double>(state.stepTime.count());
-        state.stepTime = Duration(static_cast<std::int64_t>(old > 0 ? smoothed(old, sample) : sample));
+        state.stepTime =
+            Duration(static_cast<std::int64_t>(old > 0 ? smoothed(old, sample) : sample));
     }
-    // Leaving is sticky here: a late report from before the notice must not
-    // bring the endpoint back. Only the membership can, through setLeaving().
-    state.leaving = state.leaving || report.leaving;
+    // Sticky: a late report from before the notice must not bring the endpoint
+    // back. Only a probe answered later can.
+    state.saidLeaving = state.saidLeaving || report.leaving;
 }
 
 void LoadView::refusedBusy(EndpointId id, Time now)
@@ -81,6 +82,11 @@
     m_states[id].leaving = leaving;
 }
 
+void LoadView::saysLeaving(EndpointId id, bool leaving)
+{
+    m_states[id].saidLeaving = leaving;
+}
+
 void LoadView::succeeded(EndpointId id)
 {
     EndpointState &state = m_states[id];
@@ -95,8 +101,8 @@
     if (!silent && state.consecutiveFailures < m_settings.failuresToEject)
         return false;
     const std::uint32_t shift = std::min(state.ejections, LongestBackoffShift);
-    const Duration backoff
-        = std::min(m_settings.firstEjection * (1 << shift), m_settings.longestEjection);
+    const Duration backoff =
+        std::min(m_settings.firstEjection * (1 << shift), m_settings.longestEjection);
     if (state.ejectedUntil < now)
         ++state.ejections;
     state.ejectedUntil = std::max(state.ejectedUntil, now + backoff);
@@ -137,7 +143,7 @@
 bool LoadView::usable(EndpointId id, Time now) const
 {
     const EndpointState &state = m_states[id];
-    return state.configured && !state.leaving && !ejected(id, now);
+    return state.configured && !state.leaving && !state.saidLeaving && !ejected(id, now);
 }
 
 } // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/orders.cpp
@@ -0,0 +1,91 @@
+#include <balsamloft/orders.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+OrderKeeper::OrderKeeper(OrderSettings settings)
+    : m_settings(settings)
+{
+}
+
+void OrderKeeper::want(Assignment assignment, bool checksFencing)
+{
+    Wanted &wanted = m_wanted[assignment.engine];
+    if (wanted.assignment == assignment)
+        return;
+    wanted.assignment = std::move(assignment);
+    wanted.checksFencing = checksFencing;
+    wanted.sent = false;
+}
+
+void OrderKeeper::forget(const std::string &engine)
+{
+    m_wanted.erase(engine);
+}
+
+void OrderKeeper::observed(const ObservedEngine &engine)
+{
+    const auto it = m_wanted.find(engine.engine);
+    if (it != m_wanted.end())
+        it->second.seen = engine;
+}
+
+bool OrderKeeper::matches(const Wanted &wanted)
+{
+    return wanted.seen && !wanted.seen->loading && wanted.seen->model == wanted.assignment.model
+        && (wanted.assignment.model.empty() || wanted.seen->layers == wanted.assignment.layers);
+}
+
+void OrderKeeper::tick(bool holds, std::uint64_t fencing, Time acquiredAt, Time now,
+                       OrderActions &actions)
+{
+    // The lease is looked at in the same step as the order is made: a holder
+    // that was paused past its lease finds out here and says nothing.
+    if (!holds)
+        return;
+    // An engine that checks the number refuses what the last holder still has
+    // under way. One that does not check would take it, even after ours; so it
+    // gets nothing before the old lease and the last order must be over.
+    const bool oldOrdersOver
+        = fencing == 1 || now - acquiredAt >= m_settings.leaseDuration + m_settings.transit;
+    for (auto &[name, wanted] : m_wanted) {
+        if (matches(wanted) || (!wanted.checksFencing && !oldOrdersOver))
+            continue;
+        if (wanted.sent && now - wanted.sentAt < m_settings.repeatAfter)
+            continue;
+        wanted.sent = true;
+        wanted.sentAt = now;
+        ++m_ordersSent;
+        actions.push_back({name, fencing, wanted.assignment});
+    }
+}
+
+bool OrderKeeper::settled(const std::string &engine) const
+{
+    const auto it = m_wanted.find(engine);
+    return it != m_wanted.end() && matches(it->second);
+}
+
+std::uint32_t OrderKeeper::loading() const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_wanted.begin(), m_wanted.end(), [](const auto &item) {
+            return !item.second.assignment.model.empty() && !matches(item.second);
+        }));
+}
+
+std::vector<std::string> OrderKeeper::unsettled() const
+{
+    std::vector<std::string> lines;
+    for (const auto &[name, wanted] : m_wanted) {
+        if (matches(wanted))
+            continue;
+        const std::string seen = wanted.seen ? wanted.seen->model : "unknown";
+        lines.push_back(name + ": wanted " + wanted.assignment.model + ", holds "
+                        + (seen.empty() ? "nothing" : seen));
+    }
+    return lines;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/placementkeeper.cpp
@@ -0,0 +1,212 @@
+#include <balsamloft/placementkeeper.h>
+
+#include "jsonreader.h"
+
+#include <algorithm>
+
+namespace json = boost::json;
+
+namespace balsamloft {
+
+namespace {
+
+constexpr std::size_t MaxNotes = 50;
+
+std::string entryPath(std::string_view engine)
+{
+    return std::string(PlacementSection) + std::string(engine);
+}
+
+} // namespace
+
+std::string placementEntry(const Assignment &assignment)
+{
+    return canonicalJson(json::object {{"engine", assignment.engine},
+                                       {"model", assignment.model},
+                                       {"version", assignment.version},
+                                       {"replica", assignment.replica},
+                                       {"layers", {assignment.layers.begin, assignment.layers.end}}});
+}
+
+PlacementKeeper::PlacementKeeper(PlacementKeeperSettings settings)
+    : m_settings(std::move(settings))
+    , m_placement(m_settings.placement)
+    , m_orders(m_settings.orders)
+{
+}
+
+std::vector<std::string> PlacementKeeper::placeableEngines(const Config &config,
+                                                           std::string_view domain)
+{
+    std::vector<std::string> names;
+    for (const Endpoint &endpoint : config.endpoints()) {
+        if (endpoint.placeable && endpoint.domain == domain)
+            names.push_back(endpoint.name);
+    }
+    return names;
+}
+
+void PlacementKeeper::note(const std::string &line)
+{
+    if (m_notes.size() >= MaxNotes)
+        m_notes.erase(m_notes.begin());
+    m_notes.push_back(line);
+}
+
+void PlacementKeeper::tick(const Config &config, const ConfigEntries &entries,
+                           const LeaseView &lease, const DemandFunction &demand, Time now,
+                           OrderActions &orders, std::vector<ProposePlacement> &proposals)
+{
+    if (!lease.holds) {
+        m_loading.clear();
+        m_unloading.clear();
+        m_fencing = 0;
+        return;
+    }
+    m_fencing = lease.fencing;
+    if (now - m_plannedAt >= m_settings.planInterval) {
+        m_plannedAt = now;
+        startSteps(config, demand, now);
+    }
+    assertAll(config, now);
+    m_orders.tick(lease.holds, lease.fencing, lease.acquiredAt, now, orders);
+    if (m_proposing)
+        return;
+    proposeLoaded(entries, proposals);
+    if (proposals.empty())
+        proposeUnload(entries, proposals);
+    m_proposing = !proposals.empty();
+}
+
+void PlacementKeeper::startSteps(const Config &config, const DemandFunction &demand, Time now)
+{
+    std::vector<PlacementEngine> engines;
+    std::vector<Assignment> current;
+    for (const Endpoint &endpoint : config.endpoints()) {
+        if (!endpoint.placeable || endpoint.domain != m_settings.domain)
+            continue;
+        const Accelerator *accelerator = config.accelerator(endpoint.accelerator);
+        const bool busy
+            = m_unloading.contains(endpoint.name) || m_routedAway.contains(endpoint.name);
+        engines.push_back({endpoint.name, accelerator ? accelerator->memoryGigabytes : 0,
+                           endpoint.speed, !busy});
+        if (!endpoint.model.empty() && !m_unloading.contains(endpoint.name))
+            current.push_back({endpoint.name, endpoint.model, endpoint.version, endpoint.layers,
+                               endpoint.replica});
+    }
+    for (const auto &[replica, loading] : m_loading) {
+        for (const Assignment &part : loading.parts) {
+            const auto same = [&](const Assignment &other) { return other.engine == part.engine; };
+            if (std::none_of(current.begin(), current.end(), same))
+                current.push_back(part);
+        }
+    }
+    std::vector<PlacementModel> models;
+    for (const Model &model : config.models())
+        models.push_back({model.name, model.version, model.layers, model.weightGigabytes,
+                          model.scaleToZero, demand(model.name)});
+    const auto steps = m_placement.plan(engines, models, current, m_orders.loading(), now);
+    for (const PlacementStep &step : steps) {
+        note(step.reason);
+        if (!step.assignments.front().model.empty()) {
+            m_loading[step.assignments.front().replica] = {step.assignments, step.reason};
+            m_loadsOrdered += step.assignments.size();
+            continue;
+        }
+        m_loading.erase(step.assignments.front().replica);
+        for (const Assignment &part : step.assignments)
+            m_unloading[part.engine] = step.reason;
+    }
+}
+
+void PlacementKeeper::assertAll(const Config &config, Time now)
+{
+    std::map<std::string, Assignment> wanted;
+    for (const Endpoint &endpoint : config.endpoints()) {
+        if (!endpoint.placeable || endpoint.domain != m_settings.domain)
+            continue;
+        Assignment assignment {endpoint.name, endpoint.model, endpoint.version, endpoint.layers,
+                               endpoint.replica};
+        if (endpoint.model.empty())
+            assignment = {endpoint.name, {}, {}, {}, {}};
+        wanted[endpoint.name] = assignment;
+        if (!endpoint.model.empty())
+            m_routedAway.erase(endpoint.name);
+    }
+    for (const auto &[replica, loading] : m_loading) {
+        for (const Assignment &part : loading.parts)
+            wanted[part.engine] = part;
+    }
+    for (const auto &[name, assignment] : wanted) {
+        const Endpoint &endpoint = *config.endpoint(name);
+        const auto away = m_routedAway.find(name);
+        // Instances that have not heard yet may still send it work: it keeps
+        // what it holds until the change must be in force everywhere.
+        if (assignment.model.empty() && away != m_routedAway.end()) {
+            if (now - away->second < m_settings.routeAwayTime)
+                continue;
+            m_routedAway.erase(away);
+        }
+        m_orders.want(assignment, endpoint.checksFencing);
+    }
+}
+
+void PlacementKeeper::proposeLoaded(const ConfigEntries &entries,
+                                    std::vector<ProposePlacement> &proposals)
+{
+    for (auto it = m_loading.begin(); it != m_loading.end(); ++it) {
+        const std::vector<Assignment> &parts = it->second.parts;
+        const bool inForce = std::all_of(parts.begin(), parts.end(), [&](const Assignment &part) {
+            const auto entry = entries.find(entryPath(part.engine));
+            return entry != entries.end() && entry->second == placementEntry(part);
+        });
+        if (inForce) {
+            m_loading.erase(it);
+            return;
+        }
+        const bool loaded = std::all_of(parts.begin(), parts.end(), [&](const Assignment &part) {
+            return m_orders.settled(part.engine);
+        });
+        if (!loaded)
+            continue;
+        ProposePlacement proposal {{}, it->second.reason};
+        for (const Assignment &part : parts) {
+            const auto before = entries.find(entryPath(part.engine));
+            ConfigEdit edit {entryPath(part.engine), std::nullopt, placementEntry(part)};
+            if (before != entries.end())
+                edit.before = before->second;
+            proposal.edits.push_back(std::move(edit));
+        }
+        proposals.push_back(std::move(proposal));
+        return;
+    }
+}
+
+void PlacementKeeper::proposeUnload(const ConfigEntries &entries,
+                                    std::vector<ProposePlacement> &proposals)
+{
+    ProposePlacement proposal;
+    for (auto it = m_unloading.begin(); it != m_unloading.end();) {
+        const auto entry = entries.find(entryPath(it->first));
+        if (entry == entries.end()) {
+            m_routedAway.try_emplace(it->first, m_plannedAt);
+            it = m_unloading.erase(it);
+            continue;
+        }
+        proposal.edits.push_back({entry->first, entry->second, std::nullopt});
+        proposal.summary = it->second;
+        ++it;
+    }
+    if (!proposal.edits.empty())
+        proposals.push_back(std::move(proposal));
+}
+
+std::vector<std::string> PlacementKeeper::explain() const
+{
+    std::vector<std::string> lines = m_notes;
+    for (std::string &line : m_orders.unsettled())
+        lines.push_back(std::move(line));
+    return lines;
+}
+
+} // namespace balsamloft
--- a/src/libbalsamloft/router.cpp
+++ b/src/libbalsamloft/router.cpp
@@ -33,8 +33,7 @@
     m_impl->submit(std::move(request), now, actions);
 }
 
-void Router::claimAnswered(RequestId request, const ClaimAnswer &answer, Time now,
-                           Actions &actions)
+void Router::claimAnswered(RequestId request, const ClaimAnswer &answer, Time now, Actions &actions)
 {
     m_impl->claimAnswered(request, answer, now, actions);
 }
@@ -63,9 +62,10 @@
     m_impl->callFailed(request, attempt, kind, now, actions);
 }
 
-void Router::probeFinished(EndpointId endpoint, bool alive, Time now, Actions &actions)
+void Router::probeFinished(EndpointId endpoint, bool alive, bool leaving, Time now,
+                           Actions &actions)
 {
-    m_impl->probeFinished(endpoint, alive, now, actions);
+    m_impl->probeFinished(endpoint, alive, leaving, now, actions);
 }
 
 void Router::callerGone(RequestId request, Time now, Actions &actions)
@@ -123,11 +123,27 @@
     return m_impl->m_config;
 }
 
+ModelDemand Router::modelDemand() const
+{
+    return m_impl->modelDemand();
+}
+
 std::vector<std::string> Router::explain(RequestId request) const
 {
     return m_impl->m_trace.lines(request);
 }
 
+ModelDemand Router::Impl::modelDemand() const
+{
+    constexpr std::string_view Prefix = "model/";
+    ModelDemand demand;
+    for (const auto &[key, target] : m_targets) {
+        if (key.starts_with(Prefix) && target.askedTokens > 0)
+            demand[key.substr(Prefix.size())] = target.askedTokens;
+    }
+    return demand;
+}
+
 std::size_t Router::Impl::queued() const
 {
     std::size_t sum = 0;
--- a/src/libbalsamloft/router_test.cpp
+++ b/src/libbalsamloft/router_test.cpp
@@ -51,7 +51,8 @@
 /// ran exactly once, in order, according to the engines' own logs.
 void checkLayers(RouterHarness &harness, const CallerRecord &record)
 {
-    std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<std::pair<Time, LayerRange>>> runs;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<std::pair<Time, LayerRange>>>
+        runs;
     std::map<std::pair<std::uint32_t, std::uint32_t>, std::string> outputs;
     for (std::size_t i = 0; i < harness.engineCount(); ++i) {
         for (const ExecutionRecord &entry : harness.engine(i).model.log()) {
--- a/src/libbalsamloft/routeradmission.cpp
+++ b/src/libbalsamloft/routeradmission.cpp
@@ -13,8 +13,6 @@
 
 constexpr std::size_t TraceCapacity = 8192;
 constexpr std::size_t PrefixBytes = 256; ///< of the prompt, for cache affinity
-constexpr std::size_t BytesPerToken = 4; ///< rough, for estimates only
-constexpr double DrainWindowMicros = 5e6;
 constexpr double LeastShare = 1e-6;
 constexpr Duration ShortestRetryAfter {100'000};
 constexpr Duration LongestRetryAfter {60'000'000};
@@ -24,20 +22,19 @@
 {
     const PathRule *best = nullptr;
     for (const PathRule &rule : service.paths) {
-        if (path.starts_with(rule.prefix)
-            && (!best || rule.prefix.size() > best->prefix.size()))
+        if (path.starts_with(rule.prefix) && (!best || rule.prefix.size() > best->prefix.size()))
             best = &rule;
     }
     return best && best->nonIdempotent;
 }
 
+} // namespace
+
 std::uint32_t promptTokens(const Request &request)
 {
     return static_cast<std::uint32_t>(request.prompt.size() / BytesPerToken + 1);
 }
 
-} // namespace
-
 Router::Impl::Impl(RouterSettings settings, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_loads(m_settings.load)
@@ -67,16 +64,18 @@
     for (auto &[key, target] : m_targets)
         target.table = RouteTable {};
     for (const Model &model : m_config->models())
-        m_targets[targetKey(TargetKind::Model, model.name)].table
-            = RouteTable::forModel(*m_config, model, m_loads, m_settings.domain);
+        m_targets[targetKey(TargetKind::Model, model.name)].table =
+            RouteTable::forModel(*m_config, model, m_loads, m_settings.domain);
     for (const Service &service : m_config->services())
-        m_targets[targetKey(TargetKind::Service, service.name)].table
-            = RouteTable::forService(*m_config, service, m_loads, m_settings.domain);
+        m_targets[targetKey(TargetKind::Service, service.name)].table =
+            RouteTable::forService(*m_config, service, m_loads, m_settings.domain);
 
     std::vector<RequestId> orphans;
     for (const auto &[id, flight] : m_flights) {
         if (flight.state == FlightState::Queued
-            && m_targets[targetKey(flight.request.kind, flight.request.target)].table.versions().empty())
+            && m_targets[targetKey(flight.request.kind, flight.request.target)]
+                   .table.versions()
+                   .empty())
             orphans.push_back(id);
     }
     for (const RequestId id : orphans)
@@ -101,7 +100,7 @@
     if (!service)
         return Denial {RefusalCode::UnknownService, "there is no service " + request.target};
     request.nonIdempotent = request.nonIdempotent || !request.idempotentMethod
-        || ruledNonIdempotent(*service, request.path);
+                            || ruledNonIdempotent(*service, request.path);
     return std::nullopt;
 }
 
@@ -114,9 +113,8 @@
                        std::max(ShortestRetryAfter, m_limits.retryAfter(team, now))};
     case TeamLimits::Verdict::ConcurrencyExceeded: {
         const auto target = m_targets.find(targetKey(request.kind, request.target));
-        const Duration service = target == m_targets.end()
-            ? Duration::zero()
-            : expectedService(target->second, request);
+        const Duration service =
+            target == m_targets.end() ? Duration::zero() : expectedService(target->second, request);
         return Denial {RefusalCode::ConcurrencyLimited,
                        "team " + request.team + " has too many requests running",
                        std::max(ShortestRetryAfter, service)};
@@ -142,8 +140,7 @@
         return 0;
     const auto sinceLast = static_cast<double>((now - target.finishedAt).count());
     const auto sinceFirst = static_cast<double>((now - target.firstFinishAt).count());
-    const double observed
-        = DrainWindowMicros * (1 - std::exp(-sinceFirst / DrainWindowMicros));
+    const double observed = DrainWindowMicros * (1 - std::exp(-sinceFirst / DrainWindowMicros));
     if (observed < DrainWindowMicros / 100)
         return 0; // too early to tell
     return target.finishedCost * std::exp(-sinceLast / DrainWindowMicros) / observed;
@@ -156,8 +153,8 @@
     const double rate = drainRate(target, now);
     if (ahead <= 0 || rate <= 0)
         return Duration::zero();
-    const double micros
-        = std::min(ahead / rate, static_cast<double>(LongestRetryAfter.count()) * 10);
+    const double micros =
+        std::min(ahead / rate, static_cast<double>(LongestRetryAfter.count()) * 10);
     return Duration(static_cast<std::int64_t>(micros));
 }
 
@@ -166,16 +163,15 @@
     return std::uniform_real_distribution<double>(0.8, 1.2)(m_random);
 }
 
-std::optional<Router::Impl::Denial>
-Router::Impl::checkDeadline(const Target &target, const Flight &flight, const Team &team,
-                            Time now) const
+std::optional<Router::Impl::Denial> Router::Impl::checkDeadline(const Target &target,
+                                                                const Flight &flight,
+                                                                const Team &team, Time now) const
 {
     const Request &request = flight.request;
     if (target.table.versions().empty())
         return Denial {RefusalCode::NoEndpoint, "no endpoint serves " + request.target,
                        RetryAfterNotReady};
-    const Duration wait
-        = expectedWait(target, request, std::max(LeastShare, team.share), now);
+    const Duration wait = expectedWait(target, request, std::max(LeastShare, team.share), now);
     if (target.queue.size() >= m_settings.maxQueued)
         return Denial {RefusalCode::QueueFull, "the queue for " + request.target + " is full",
                        std::clamp(wait, ShortestRetryAfter, LongestRetryAfter)};
@@ -192,10 +188,12 @@
     const RequestId id = request.id;
     const auto deny = [&](Denial denial) {
         ++m_counters.refusedNotRun;
-        m_trace.add(id, now, "refused: " + std::string(toString(denial.code)) + ": " + denial.message);
+        m_trace.add(id, now,
+                    "refused: " + std::string(toString(denial.code)) + ": " + denial.message);
         const Duration retryAfter(
             static_cast<std::int64_t>(static_cast<double>(denial.retryAfter.count()) * jitter()));
-        actions.push_back(RefuseRequest {id, denial.code, std::move(denial.message), Ran::No, retryAfter});
+        actions.push_back(
+            RefuseRequest {id, denial.code, std::move(denial.message), Ran::No, retryAfter});
     };
     if (m_draining)
         return deny({RefusalCode::Draining, "this instance is shutting down", ShortestRetryAfter});
@@ -206,6 +204,8 @@
         return deny({RefusalCode::InvalidRequest, "there is no team " + request.team});
     if (auto denial = applyRules(request))
         return deny(std::move(*denial));
+    Target &target = m_targets[targetKey(request.kind, request.target)];
+    target.askedTokens += request.maxTokens * target.lengthRatio;
     request.priority = std::max(request.priority, team->maxPriority);
     if (auto denial = checkLimits(request, *team, now))
         return deny(std::move(*denial));
@@ -214,13 +214,13 @@
     flight.request = std::move(request);
     flight.submittedAt = now;
     flight.cost = std::max<double>(1, flight.request.maxTokens);
-    Target &target = m_targets[targetKey(flight.request.kind, flight.request.target)];
     if (auto denial = checkDeadline(target, flight, *team, now)) {
         m_limits.finished(team->name);
         m_flights.erase(id);
         return deny(std::move(*denial));
     }
-    m_trace.add(id, now, "queued as " + std::string(toString(flight.request.priority)) + " behind "
+    m_trace.add(id, now,
+                "queued as " + std::string(toString(flight.request.priority)) + " behind "
                     + std::to_string(target.queue.size()) + " others");
     enqueue(flight, false, now);
     pump(target, now, actions);
@@ -231,17 +231,20 @@
     Target &target = targetOf(flight);
     flight.state = FlightState::Queued;
     const Team *team = m_config->team(flight.request.team);
-    QueueItem item {flight.request.id,       flight.request.team,
+    QueueItem item {flight.request.id,
+                    flight.request.team,
                     team ? std::max(LeastShare, team->share) : LeastShare,
-                    flight.request.priority, flight.request.deadline, flight.cost};
+                    flight.request.priority,
+                    flight.request.deadline,
+                    flight.cost};
     if (resumed)
         target.queue.pushResumed(std::move(item));
     else
         target.queue.push(std::move(item));
     // The latest moment at which it can start and still be whole in time. A
     // request that has begun is given until its deadline.
-    const Duration service
-        = flight.tokens.empty() ? expectedService(target, flight.request) : Duration::zero();
+    const Duration service =
+        flight.tokens.empty() ? expectedService(target, flight.request) : Duration::zero();
     setTimer(flight, std::max(now, flight.request.deadline - service));
     m_pumpAt = m_pumpAt == Time {} ? now + m_settings.pumpInterval : m_pumpAt;
 }
@@ -302,8 +305,8 @@
         // since: the deadline is looked at again before anything is sent.
         if (now >= flight->request.deadline)
             return refuse(*flight, RefusalCode::DeadlineExceeded,
-                          "the deadline passed before the key was claimed", ShortestRetryAfter,
-                          now, actions);
+                          "the deadline passed before the key was claimed", ShortestRetryAfter, now,
+                          actions);
         return startAttempt(*flight, now, actions);
     case ClaimAnswer::Kind::Finished: {
         Answer kept = answer.answer;
--- a/src/libbalsamloft/routerattempts.cpp
+++ b/src/libbalsamloft/routerattempts.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr double SmoothingWeight = 0.1;
-constexpr double DrainWindowMicros = 5e6;
-constexpr std::size_t BytesPerToken = 4;
 
 void smooth(double &value, double sample)
 {
@@ -81,7 +79,7 @@
     std::string route;
     for (const Stage &stage : flight.chain)
         route += (route.empty() ? "" : " > ") + m_loads.state(stage.endpoint).name
-            + (stage.byAffinity ? " (prefix)" : "");
+                 + (stage.byAffinity ? " (prefix)" : "");
     m_trace.add(flight.request.id, now,
                 "attempt " + std::to_string(flight.attempt) + " to " + route + ", load "
                     + std::to_string(m_loads.estimatedLoad(flight.chain.front().endpoint, now)));
@@ -101,19 +99,16 @@
     if (flight.request.kind == TargetKind::Service)
         return m_settings.callFloor;
     const EndpointState &state = m_loads.state(flight.chain[flight.stage].endpoint);
-    const double expected
-        = micros(state.stepTime > Duration::zero() ? state.stepTime
-                                                   : m_settings.routing.defaultStepTime);
+    const double expected = micros(
+        state.stepTime > Duration::zero() ? state.stepTime : m_settings.routing.defaultStepTime);
     if (!flight.prefillPass)
         return std::max(m_settings.stepFloor,
                         Duration(static_cast<std::int64_t>(m_settings.silenceFactor * expected)));
-    const double promptTokens
-        = static_cast<double>(flight.request.prompt.size() / BytesPerToken + flight.tokens.size() + 1);
-    const double prefill
-        = promptTokens * micros(m_settings.routing.prefillPerToken) / state.speed;
-    return std::max(m_settings.prefillFloor,
-                    Duration(static_cast<std::int64_t>(m_settings.silenceFactor
-                                                       * (expected + prefill))));
+    const auto inputTokens =
+        static_cast<double>(promptTokens(flight.request) + flight.tokens.size());
+    const double prefill = inputTokens * micros(m_settings.routing.prefillPerToken) / state.speed;
+    return std::max(m_settings.prefillFloor, Duration(static_cast<std::int64_t>(
+                                                 m_settings.silenceFactor * (expected + prefill))));
 }
 
 void Router::Impl::sendStep(Flight &flight, std::string input, Time now, Actions &actions)
@@ -141,8 +136,9 @@
 {
     Flight *flight = find(awaited.request);
     const bool current = flight && flight->state == FlightState::Running
-        && flight->attempt == awaited.attempt && flight->tokens.size() == awaited.position
-        && flight->chain[flight->stage].layers == awaited.layers;
+                         && flight->attempt == awaited.attempt
+                         && flight->tokens.size() == awaited.position
+                         && flight->chain[flight->stage].layers == awaited.layers;
     // An attempt that was given up on may still answer. Using the answer would
     // put a token into the stream twice, or at a wrong place.
     if (!current) {
@@ -156,7 +152,7 @@
         return stepFailed(awaited, FailureKind::Broken, std::nullopt, now, actions);
     }
     const Stage &stage = flight->chain[flight->stage];
-    m_loads.reported(stage.endpoint, answer.load, now);
+    reported(stage.endpoint, answer.load, now, actions);
     m_loads.succeeded(stage.endpoint);
     if (stage.byAffinity && flight->prefillPass && flight->stage == 0)
         m_loads.affinityOutcome(stage.endpoint, answer.prefixHit);
--- a/src/libbalsamloft/routerfailures.cpp
+++ b/src/libbalsamloft/routerfailures.cpp
@@ -18,12 +18,13 @@
 {
     Flight *flight = find(awaited.request);
     const bool current = flight && flight->state == FlightState::Running
-        && flight->attempt == awaited.attempt && flight->tokens.size() == awaited.position
-        && flight->chain[flight->stage].layers == awaited.layers;
+                         && flight->attempt == awaited.attempt
+                         && flight->tokens.size() == awaited.position
+                         && flight->chain[flight->stage].layers == awaited.layers;
     if (!current)
         return;
     if (load)
-        m_loads.reported(flight->chain[flight->stage].endpoint, *load, now);
+        reported(flight->chain[flight->stage].endpoint, *load, now, actions);
     attemptFailed(*flight, kind, now, actions);
 }
 
@@ -50,7 +51,7 @@
         m_loads.refusedBusy(endpoint, now);
         break;
     case FailureKind::Leaving:
-        m_loads.setLeaving(endpoint, true);
+        reported(endpoint, {0, 0, {}, true}, now, actions);
         break;
     case FailureKind::StateLost:
         break;
@@ -147,9 +148,36 @@
     setTimer(flight, std::min(flight.request.deadline, now + silenceAfter(flight)));
 }
 
-void Router::Impl::probeFinished(EndpointId endpoint, bool alive, Time now, Actions &actions)
+void Router::Impl::reported(EndpointId endpoint, const LoadReport &load, Time now, Actions &actions)
+{
+    const bool wasLeaving = m_loads.state(endpoint).saidLeaving;
+    m_loads.reported(endpoint, load, now);
+    if (wasLeaving || !load.leaving)
+        return;
+    actions.push_back(NoteLeaving {endpoint});
+    if (m_leavingCheckAt == Time {})
+        m_leavingCheckAt = now + m_settings.leavingCheck;
+}
+
+void Router::Impl::checkLeaving(Time now, Actions &actions)
+{
+    m_leavingCheckAt = Time {};
+    for (EndpointId id = 0; id < m_loads.size(); ++id) {
+        const EndpointState &state = m_loads.state(id);
+        if (!state.saidLeaving || !state.configured)
+            continue;
+        // A new process may have taken its place. A probe is no work.
+        probe(id, actions);
+        m_leavingCheckAt = now + m_settings.leavingCheck;
+    }
+}
+
+void Router::Impl::probeFinished(EndpointId endpoint, bool alive, bool leaving, Time now,
+                                 Actions &actions)
 {
     m_probing.erase(endpoint);
+    if (alive)
+        m_loads.saysLeaving(endpoint, leaving);
     if (alive) {
         // A new connection works, so an old one that was silent is to blame:
         // something on the way has lost track of it. Others may be as dead.
@@ -160,8 +188,8 @@
     m_loads.probed(endpoint, false, now);
     std::vector<RequestId> stuck;
     for (const auto &[id, flight] : m_flights) {
-        if (flight.state == FlightState::Running
-            && flight.chain[flight.stage].endpoint == endpoint && flight.silentPeriods > 0)
+        if (flight.state == FlightState::Running && flight.chain[flight.stage].endpoint == endpoint
+            && flight.silentPeriods > 0)
             stuck.push_back(id);
     }
     for (const RequestId id : stuck) {
@@ -188,8 +216,8 @@
     }
     case FlightState::Claiming:
         return refuse(flight, RefusalCode::ClaimUnavailable,
-                      "the deadline passed while the key was being claimed", RetryAfterFailure,
-                      now, actions);
+                      "the deadline passed while the key was being claimed", RetryAfterFailure, now,
+                      actions);
     case FlightState::Running:
         if (!expired)
             return overdue(flight, now, actions);
@@ -216,6 +244,8 @@
         m_timers.erase(m_timers.begin());
         timerFired(flight, now, actions);
     }
+    if (m_leavingCheckAt != Time {} && m_leavingCheckAt <= now)
+        checkLeaving(now, actions);
     if (m_pumpAt != Time {} && m_pumpAt <= now)
         pumpAll(now, actions);
 }
@@ -225,8 +255,10 @@
     std::optional<Time> next;
     if (!m_timers.empty())
         next = m_timers.begin()->timer;
-    if (m_pumpAt != Time {})
-        next = next ? std::min(*next, m_pumpAt) : m_pumpAt;
+    for (const Time at : {m_pumpAt, m_leavingCheckAt}) {
+        if (at != Time {})
+            next = next ? std::min(*next, at) : at;
+    }
     return next;
 }
 
@@ -234,7 +266,7 @@
 {
     const auto it = m_flights.find(id);
     return it != m_flights.end() && it->second.state == FlightState::Running
-        && it->second.attempt == attempt && now < it->second.request.deadline;
+           && it->second.attempt == attempt && now < it->second.request.deadline;
 }
 
 } // namespace balsamloft
--- a/src/libbalsamloft/routerimpl.h
+++ b/src/libbalsamloft/routerimpl.h
@@ -11,6 +11,15 @@
 
 namespace balsamloft {
 
+/// Window over which the drain rate of a target is averaged.
+inline constexpr double DrainWindowMicros = 5e6;
+
+/// Rough length of a token, for estimates only.
+inline constexpr std::size_t BytesPerToken = 4;
+
+/// Returns a rough count of the tokens of the prompt, at least 1.
+std::uint32_t promptTokens(const Request &request);
+
 /// Where a request is on its way.
 enum class FlightState : std::uint8_t { Queued, Claiming, Running, Backoff };
 
@@ -54,6 +63,7 @@
     double finishedCost = 0; ///< decayed, to estimate the drain rate
     Time finishedAt {};
     Time firstFinishAt {};
+    double askedTokens = 0; ///< since the start, refused requests included
     double tokenMicros = 0; ///< smoothed time between tokens
     double firstTokenMicros = 0; ///< smoothed time from dispatch to the first token
     double lengthRatio = 1; ///< smoothed share of max_tokens that is really generated
@@ -75,8 +85,7 @@
     void dispatch(Flight &flight, const Chain &chain, Time now, Actions &actions);
     void startAttempt(Flight &flight, Time now, Actions &actions);
     void sendStep(Flight &flight, std::string input, Time now, Actions &actions);
-    void stepAnswered(const StepRef &awaited, const StepAnswer &answer, Time now,
-                      Actions &actions);
+    void stepAnswered(const StepRef &awaited, const StepAnswer &answer, Time now, Actions &actions);
     void callAnswered(RequestId id, std::uint32_t attempt, Answer answer, Time now,
                       Actions &actions);
     void finish(Flight &flight, Answer answer, Time now, Actions &actions);
@@ -85,11 +94,11 @@
 
     // Failures (routerfailures.cpp)
     void attemptFailed(Flight &flight, FailureKind kind, Time now, Actions &actions);
-    void stepFailed(const StepRef &awaited, FailureKind kind,
-                    const std::optional<LoadReport> &load, Time now, Actions &actions);
+    void stepFailed(const StepRef &awaited, FailureKind kind, const std::optional<LoadReport> &load,
+                    Time now, Actions &actions);
     void callFailed(RequestId id, std::uint32_t attempt, FailureKind kind, Time now,
                     Actions &actions);
-    void probeFinished(EndpointId endpoint, bool alive, Time now, Actions &actions);
+    void probeFinished(EndpointId endpoint, bool alive, bool leaving, Time now, Actions &actions);
     void callerGone(RequestId id, Time now, Actions &actions);
     void tick(Time now, Actions &actions);
 
@@ -98,6 +107,7 @@
     bool maySend(RequestId id, std::uint32_t attempt, Time now) const;
     Duration expectedService(const Target &target, const Request &request) const;
     std::size_t queued() const;
+    ModelDemand modelDemand() const;
     std::size_t inFlight() const { return m_flights.size(); }
 
     RouterSettings m_settings;
@@ -152,6 +162,8 @@
     void overdue(Flight &flight, Time now, Actions &actions);
     void timerFired(Flight &flight, Time now, Actions &actions);
     void probe(EndpointId endpoint, Actions &actions);
+    void reported(EndpointId endpoint, const LoadReport &load, Time now, Actions &actions);
+    void checkLeaving(Time now, Actions &actions);
 
     static std::string targetKey(TargetKind kind, std::string_view name);
 
@@ -162,6 +174,7 @@
     Chain m_chain; ///< scratch
     std::minstd_rand m_random;
     Time m_pumpAt {};
+    Time m_leavingCheckAt {}; ///< unset while no endpoint has said that it leaves
 };
 
 } // namespace balsamloft
--- a/src/libbalsamloft/routing.cpp
+++ b/src/libbalsamloft/routing.cpp
@@ -37,8 +37,8 @@
     for (std::size_t i = 0; i < group.members.size(); ++i) {
         const double weight = group.cumulativeWeight[i] - previous;
         previous = group.cumulativeWeight[i];
-        const auto points
-            = std::max(MinPoints, static_cast<std::size_t>(PointsPerMeanWeight * weight / mean));
+        const auto points =
+            std::max(MinPoints, static_cast<std::size_t>(PointsPerMeanWeight * weight / mean));
         const std::string &name = loads.state(group.members[i]).name;
         for (std::size_t point = 0; point < points; ++point)
             group.ring.emplace_back(ringPoint(name, point), static_cast<std::uint32_t>(i));
@@ -143,9 +143,8 @@
                                  const RouteQuery &query, Time now, Chain &chain)
 {
     static constexpr PickFunction Pickers[] = {
-        &ChainChooser::pickDefault,     &ChainChooser::pickRandom,
-        &ChainChooser::pickRoundRobin,  &ChainChooser::pickLeastLoaded,
-        &ChainChooser::pickBestOfTwo,
+        &ChainChooser::pickDefault,     &ChainChooser::pickRandom,    &ChainChooser::pickRoundRobin,
+        &ChainChooser::pickLeastLoaded, &ChainChooser::pickBestOfTwo,
     };
     const PickFunction pick = Pickers[static_cast<std::size_t>(m_settings.policy)];
 
@@ -197,19 +196,19 @@
 bool ChainChooser::mayUse(const Decision &decision, EndpointId id) const
 {
     return id != decision.query.avoid && decision.loads.usable(id, decision.now)
-        && hasRoom(decision, id);
+           && hasRoom(decision, id);
 }
 
 double ChainChooser::cost(const Decision &decision, EndpointId id, bool byAffinity) const
 {
     const EndpointState &state = decision.loads.state(id);
-    const Duration stepTime
-        = state.stepTime > Duration::zero() ? state.stepTime : m_settings.defaultStepTime;
+    const Duration stepTime =
+        state.stepTime > Duration::zero() ? state.stepTime : m_settings.defaultStepTime;
     const double missRate = byAffinity ? 1 - state.prefixHitRate : 1;
     const double prefill = static_cast<double>(m_settings.prefillPerToken.count())
-        * decision.query.promptTokens * missRate / state.speed;
-    const double load
-        = static_cast<double>(decision.loads.estimatedLoad(id, decision.now)) / state.slots;
+                           * decision.query.promptTokens * missRate / state.speed;
+    const double load =
+        static_cast<double>(decision.loads.estimatedLoad(id, decision.now)) / state.slots;
     const double compute = (static_cast<double>(stepTime.count()) + prefill) * (1 + load);
     return compute + 2.0 * static_cast<double>(m_latency[id].count());
 }
@@ -219,8 +218,8 @@
     std::uniform_real_distribution<double> distribution(0, group.cumulativeWeight.back());
     const auto it = std::upper_bound(group.cumulativeWeight.begin(), group.cumulativeWeight.end(),
                                      distribution(m_random));
-    const auto index = std::min<std::size_t>(it - group.cumulativeWeight.begin(),
-                                             group.members.size() - 1);
+    const auto index =
+        std::min<std::size_t>(it - group.cumulativeWeight.begin(), group.members.size() - 1);
     return group.members[index];
 }
 
@@ -239,14 +238,14 @@
     std::size_t ejected = 0;
     for (const EndpointId id : members)
         ejected += decision.loads.ejected(id, decision.now) ? 1 : 0;
-    const auto allowed = static_cast<std::size_t>(
-        decision.loads.settings().ejectableFraction * static_cast<double>(members.size()));
+    const auto allowed = static_cast<std::size_t>(decision.loads.settings().ejectableFraction
+                                                  * static_cast<double>(members.size()));
     if (ejected <= allowed)
         return {};
     for (std::size_t i = 0; i < members.size(); ++i) {
         const EndpointId id = members[(offset + i) % members.size()];
         const EndpointState &state = decision.loads.state(id);
-        if (id != decision.query.avoid && state.configured && !state.leaving
+        if (id != decision.query.avoid && state.configured && !state.leaving && !state.saidLeaving
             && hasRoom(decision, id))
             return {id, cost(decision, id, false), false};
     }
@@ -289,8 +288,9 @@
 {
     const auto &ring = decision.group.ring;
     const double bound = m_settings.affinityOverload * (meanLoadRatio(decision) + 0.1);
-    auto it = std::lower_bound(ring.begin(), ring.end(),
-                               std::pair<std::uint64_t, std::uint32_t> {decision.query.prefixHash, 0});
+    auto it =
+        std::lower_bound(ring.begin(), ring.end(),
+                         std::pair<std::uint64_t, std::uint32_t> {decision.query.prefixHash, 0});
     EndpointId previous = NoEndpoint;
     for (std::size_t tries = 0, walked = 0; tries < RingTries && walked < ring.size(); ++walked) {
         if (it == ring.end())
@@ -302,7 +302,7 @@
         previous = id;
         ++tries;
         const double load = static_cast<double>(decision.loads.estimatedLoad(id, decision.now))
-            / decision.loads.state(id).slots;
+                            / decision.loads.state(id).slots;
         if (mayUse(decision, id) && load <= bound)
             return {id, cost(decision, id, true), true};
     }
@@ -321,8 +321,8 @@
     // gives way by itself where caches are too small or events were lost. A
     // pick that costs no more than an ordinary one also keeps caches warm.
     return drawn.endpoint == NoEndpoint || owner.cost <= drawn.cost * m_settings.affinityOverload
-        ? owner
-        : drawn;
+               ? owner
+               : drawn;
 }
 
 ChainChooser::Pick ChainChooser::pickRandom(const Decision &decision)
--- a/src/libbalsamloft/teamlimits.cpp
+++ b/src/libbalsamloft/teamlimits.cpp
@@ -38,9 +38,8 @@
     if (team.requestsPerSecond > 0) {
         const double rate = team.requestsPerSecond * part;
         const std::chrono::duration<double> elapsed = now - usage.refilledAt;
-        usage.tokens = usage.started
-            ? std::min(burst(rate), usage.tokens + elapsed.count() * rate)
-            : burst(rate);
+        usage.tokens = usage.started ? std::min(burst(rate), usage.tokens + elapsed.count() * rate)
+                                     : burst(rate);
         usage.started = true;
         usage.refilledAt = now;
         if (usage.tokens < 1)
--- a/src/libplatform/httpplatform.cpp
+++ b/src/libplatform/httpplatform.cpp
@@ -31,8 +31,7 @@
 {
     json::array checks;
     for (const RowCheck &check : transaction.checks)
-        checks.push_back(
-            {{"table", check.table}, {"key", check.key}, {"version", check.version}});
+        checks.push_back({{"table", check.table}, {"key", check.key}, {"version", check.version}});
     json::array writes;
     for (const RowWrite &write : transaction.writes)
         writes.push_back({{"table", write.table},
@@ -84,7 +83,8 @@
     void read(std::string table, std::string key,
               std::function<void(ReadOutcome)> callback) override
     {
-        send(http::verb::post, "/v1/read", json::serialize(json::object {{"table", table}, {"key", key}}),
+        send(http::verb::post, "/v1/read",
+             json::serialize(json::object {{"table", table}, {"key", key}}),
              [callback](const HttpResult &result) {
                  guarded(callback, ReadOutcome {}, [&] {
                      if (parsedBody(result, 404))
@@ -135,8 +135,8 @@
         });
     }
 
-    void listInstances(
-        std::function<void(std::optional<std::vector<ListedInstance>>)> callback) override
+    void
+    listInstances(std::function<void(std::optional<std::vector<ListedInstance>>)> callback) override
     {
         using List = std::optional<std::vector<ListedInstance>>;
         send(http::verb::get, "/v1/instances", {}, [callback](const HttpResult &result) {
--- a/src/libweb/callerapi.cpp
+++ b/src/libweb/callerapi.cpp
@@ -115,8 +115,8 @@
     call.request.kind = TargetKind::Model;
     call.request.target = std::string(model->get_string());
     call.request.prompt = std::string(prompt->get_string());
-    call.request.maxTokens = maxTokens ? static_cast<std::uint32_t>(maxTokens->get_int64())
-                                       : limits.defaultMaxTokens;
+    call.request.maxTokens =
+        maxTokens ? static_cast<std::uint32_t>(maxTokens->get_int64()) : limits.defaultMaxTokens;
     call.stream = stream && stream->get_bool();
     return std::nullopt;
 }
@@ -143,14 +143,15 @@
 bool isIdempotent(http::verb method)
 {
     return method == http::verb::get || method == http::verb::head || method == http::verb::put
-        || method == http::verb::delete_ || method == http::verb::options;
+           || method == http::verb::delete_ || method == http::verb::options;
 }
 
 bool isOwnHeader(std::string_view name)
 {
     return name.size() >= OwnHeaderPrefix.size()
-        && std::equal(OwnHeaderPrefix.begin(), OwnHeaderPrefix.end(), name.begin(),
-                      [](char a, char b) { return a == std::tolower(static_cast<unsigned char>(b)); });
+           && std::equal(
+               OwnHeaderPrefix.begin(), OwnHeaderPrefix.end(), name.begin(),
+               [](char a, char b) { return a == std::tolower(static_cast<unsigned char>(b)); });
 }
 
 std::optional<CallerError> readServiceCall(const HttpRequest &http, std::string_view target,
@@ -185,14 +186,22 @@
 };
 
 constexpr CodeStatus Statuses[] = {
-    {RefusalCode::NotReady, 503},           {RefusalCode::Draining, 503},
-    {RefusalCode::UnknownModel, 404},       {RefusalCode::UnknownService, 404},
-    {RefusalCode::InvalidRequest, 400},     {RefusalCode::RateLimited, 429},
-    {RefusalCode::ConcurrencyLimited, 429}, {RefusalCode::QueueFull, 503},
-    {RefusalCode::DeadlineUnmeetable, 503}, {RefusalCode::DeadlineExceeded, 504},
-    {RefusalCode::NoEndpoint, 503},         {RefusalCode::EndpointFailed, 502},
-    {RefusalCode::RetriesExhausted, 502},   {RefusalCode::ClaimUnavailable, 503},
-    {RefusalCode::DuplicateInProgress, 409}, {RefusalCode::KeyReused, 422},
+    {RefusalCode::NotReady, 503},
+    {RefusalCode::Draining, 503},
+    {RefusalCode::UnknownModel, 404},
+    {RefusalCode::UnknownService, 404},
+    {RefusalCode::InvalidRequest, 400},
+    {RefusalCode::RateLimited, 429},
+    {RefusalCode::ConcurrencyLimited, 429},
+    {RefusalCode::QueueFull, 503},
+    {RefusalCode::DeadlineUnmeetable, 503},
+    {RefusalCode::DeadlineExceeded, 504},
+    {RefusalCode::NoEndpoint, 503},
+    {RefusalCode::EndpointFailed, 502},
+    {RefusalCode::RetriesExhausted, 502},
+    {RefusalCode::ClaimUnavailable, 503},
+    {RefusalCode::DuplicateInProgress, 409},
+    {RefusalCode::KeyReused, 422},
     {RefusalCode::CallerGone, 499},
 };
 
@@ -231,8 +240,8 @@
     call.request.team = team->name;
     if (auto error = readHeaders(http, limits, now, call.request))
         return *error;
-    auto error = completion ? readCompletion(http, limits, call)
-                            : readServiceCall(http, target, call);
+    auto error =
+        completion ? readCompletion(http, limits, call) : readServiceCall(http, target, call);
     if (error)
         return *error;
     if (!call.request.key.empty())
@@ -243,11 +252,9 @@
 
 HttpResponse errorResponse(const CallerError &error)
 {
-    const json::object body {{"error",
-                              {{"code", error.code},
-                               {"message", error.message},
-                               {"ran", "no"},
-                               {"retry_after_ms", 0}}}};
+    const json::object body {
+        {"error",
+         {{"code", error.code}, {"message", error.message}, {"ran", "no"}, {"retry_after_ms", 0}}}};
     auto response = jsonResponse(static_cast<http::status>(error.status), json::serialize(body));
     if (error.status == 401)
         response.set(http::field::www_authenticate, "Bearer");
@@ -266,8 +273,8 @@
 
 HttpResponse refusalResponse(const RefuseRequest &refusal)
 {
-    auto response
-        = jsonResponse(static_cast<http::status>(statusOf(refusal.code)), refusalJson(refusal));
+    auto response =
+        jsonResponse(static_cast<http::status>(statusOf(refusal.code)), refusalJson(refusal));
     if (statusOf(refusal.code) == 499)
         response.reason("Client Closed Request");
     if (refusal.retryAfter > Duration::zero()) {
@@ -280,13 +287,13 @@
 std::string tokenEvent(std::string_view id, std::string_view model, std::string_view text)
 {
     return eventPrefix(id, model) + json::serialize(json::string(text))
-        + R"(,"finish_reason":null}]})" + "\n\n";
+           + R"(,"finish_reason":null}]})" + "\n\n";
 }
 
 std::string endEvents(std::string_view id, std::string_view model, std::string_view finishReason)
 {
     return eventPrefix(id, model) + R"("","finish_reason":")" + std::string(finishReason)
-        + R"("}]})" + "\n\ndata: [DONE]\n\n";
+           + R"("}]})" + "\n\ndata: [DONE]\n\n";
 }
 
 std::string errorEvent(const RefuseRequest &refusal)
@@ -297,15 +304,13 @@
 std::string completionBody(std::string_view id, std::string_view model, const Answer &answer,
                            std::string_view finishReason)
 {
-    return json::serialize(
-        json::object {{"id", id},
-                      {"object", "text_completion"},
-                      {"model", model},
-                      {"choices",
-                       json::array {json::object {{"index", 0},
-                                                  {"text", answer.body},
-                                                  {"finish_reason", finishReason}}}},
-                      {"usage", {{"completion_tokens", answer.tokens}}}});
+    return json::serialize(json::object {
+        {"id", id},
+        {"object", "text_completion"},
+        {"model", model},
+        {"choices", json::array {json::object {
+                        {"index", 0}, {"text", answer.body}, {"finish_reason", finishReason}}}},
+        {"usage", {{"completion_tokens", answer.tokens}}}});
 }
 
 } // namespace balsamloft
--- a/src/libweb/enginewire.cpp
+++ b/src/libweb/enginewire.cpp
@@ -68,17 +68,16 @@
 std::string toJson(const WireStepAnswer &wire)
 {
     const StepAnswer &answer = wire.answer;
-    return json::serialize(
-        json::object {{"request", wire.request},
-                      {"step", refJson(answer.ref)},
-                      {"output", answer.output},
-                      {"end", answer.end},
-                      {"prefix_hit", answer.prefixHit},
-                      {"load",
-                       {{"running", answer.load.running},
-                        {"waiting", answer.load.waiting},
-                        {"step_us", answer.load.stepTime.count()},
-                        {"leaving", answer.load.leaving}}}});
+    return json::serialize(json::object {{"request", wire.request},
+                                         {"step", refJson(answer.ref)},
+                                         {"output", answer.output},
+                                         {"end", answer.end},
+                                         {"prefix_hit", answer.prefixHit},
+                                         {"load",
+                                          {{"running", answer.load.running},
+                                           {"waiting", answer.load.waiting},
+                                           {"step_us", answer.load.stepTime.count()},
+                                           {"leaving", answer.load.leaving}}}});
 }
 
 std::optional<WireStep> wireStepFromJson(std::string_view input, Reason &reason)
--- a/src/libweb/flagsetup.cpp
+++ b/src/libweb/flagsetup.cpp
@@ -16,9 +16,8 @@
     std::vector<gflags::CommandLineFlagInfo> all;
     gflags::GetAllFlags(&all);
     std::erase_if(all, [&](const gflags::CommandLineFlagInfo &flag) {
-        return std::none_of(programFiles.begin(), programFiles.end(), [&](const std::string &file) {
-            return flag.filename.ends_with(file);
-        });
+        return std::none_of(programFiles.begin(), programFiles.end(),
+                            [&](const std::string &file) { return flag.filename.ends_with(file); });
     });
     return all;
 }
@@ -45,12 +44,12 @@
     if (!gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
         return true;
     reason = std::string(source) + ": \"" + value + "\" is not a valid " + flag.type + " for "
-        + flag.description;
+             + flag.description;
     return false;
 }
 
-bool readEnvironment(std::string_view prefix,
-                     const std::vector<gflags::CommandLineFlagInfo> &flags, Reason &reason)
+bool readEnvironment(std::string_view prefix, const std::vector<gflags::CommandLineFlagInfo> &flags,
+                     Reason &reason)
 {
     for (char **entry = environ; *entry; ++entry) {
         const std::string_view text(*entry);
@@ -135,7 +134,7 @@
         text += "      " + flag.description + "\n";
     }
     text += "\nEach flag can also be set by a variable: " + std::string(environmentPrefix)
-        + "NAME, with the flag's name in capitals.\n";
+            + "NAME, with the flag's name in capitals.\n";
     return text;
 }
 
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -57,8 +57,8 @@
 class HttpClient::Call : public HttpCall, public std::enable_shared_from_this<HttpClient::Call>
 {
 public:
-    Call(std::shared_ptr<Shared> shared, std::string address, HttpRequest request,
-         Options options, Callback callback)
+    Call(std::shared_ptr<Shared> shared, std::string address, HttpRequest request, Options options,
+         Callback callback)
         : m_shared(std::move(shared))
         , m_address(std::move(address))
         , m_request(std::move(request))
@@ -244,8 +244,7 @@
 void HttpClient::closeExpired(Time now)
 {
     for (auto &[address, idle] : m_shared->idle) {
-        while (!idle.empty()
-               && now - idle.front()->idleSince > m_shared->settings.idleLifetime)
+        while (!idle.empty() && now - idle.front()->idleSince > m_shared->settings.idleLifetime)
             idle.pop_front();
     }
 }
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -104,7 +104,10 @@
         m_answered = true;
         m_session->respond(std::move(response));
     }
-    void beginStream(HttpResponse response) override { m_session->beginStream(std::move(response)); }
+    void beginStream(HttpResponse response) override
+    {
+        m_session->beginStream(std::move(response));
+    }
     bool write(std::string_view data) override { return m_session->write(data); }
     void endStream() override
     {
@@ -330,8 +333,7 @@
     m_stream.close();
 }
 
-HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings,
-                       HttpHandler handler)
+HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
     : m_shared(std::make_shared<Shared>())
     , m_acceptor(context)
 {
@@ -376,8 +378,7 @@
 
 void HttpServer::accept()
 {
-    m_acceptor.async_accept([this, shared = m_shared](beast::error_code error,
-                                                      tcp::socket socket) {
+    m_acceptor.async_accept([this, shared = m_shared](beast::error_code error, tcp::socket socket) {
         if (error == asio::error::operation_aborted || shared->stopping)
             return;
         if (!error && shared->sessions.size() < shared->settings.maxConnections) {
