--- a/src/balsamloftd/controlplane.cpp
+++ b/src/balsamloftd/controlplane.cpp
@@ -16,6 +16,8 @@
 constexpr Duration SettleCheckInterval {10'000};
 constexpr Duration SecondInterval {1'000'000};
 constexpr Duration ListInterval {5'000'000};
+constexpr int LeaseRenewals = 3; ///< in the time of one lease
+constexpr int LeaseMarginParts = 9;
 constexpr double DemandSmoothing = 0.3;
 constexpr std::size_t MaxChangesPerMessage = 100;
 
@@ -48,6 +50,9 @@
 {
     LeaseSettings result;
     result.key = "placement/" + settings.domain;
+    result.duration = settings.lease;
+    result.renewEvery = settings.lease / LeaseRenewals;
+    result.margin = settings.lease / LeaseMarginParts;
     result.holder = settings.name + "/" + std::to_string(incarnation);
     return result;
 }
@@ -56,6 +61,8 @@
 {
     PlacementKeeperSettings result;
     result.domain = settings.domain;
+    result.routeAwayTime = settings.routeAway;
+    result.orders.leaseDuration = settings.lease;
     return result;
 }
 
--- a/src/balsamloftd/settings.cpp
+++ b/src/balsamloftd/settings.cpp
@@ -20,6 +20,9 @@
              "how long a planned stop answers \"not ready\" before it accepts no connections");
 DEFINE_int32(config_poll_ms, 5000, "how often the platform is asked for changes, at least 100");
 DEFINE_int32(platform_timeout_ms, 2000, "how long the platform may take to answer");
+DEFINE_int32(lease_ms, 9000, "duration of the lease on placement, at least 300");
+DEFINE_int32(route_away_ms, 15000,
+             "how long an engine keeps its model once it is not routed to any more");
 DEFINE_string(log_level, "info", "least level logged: debug, info, warning or error");
 DEFINE_int64(random_seed, 0, "seed of the random generators; 0: from the system");
 DEFINE_int32(default_deadline_ms, 60000, "deadline of requests that state none");
@@ -127,6 +130,8 @@
     checker.range("traffic_threads", FLAGS_traffic_threads, 1, 64);
     checker.range("drain_grace_ms", FLAGS_drain_grace_ms, 0, Hour);
     checker.range("config_poll_ms", FLAGS_config_poll_ms, 100, Hour);
+    checker.range("lease_ms", FLAGS_lease_ms, 300, Hour);
+    checker.range("route_away_ms", FLAGS_route_away_ms, 0, Hour);
     checker.range("platform_timeout_ms", FLAGS_platform_timeout_ms, 10, Hour);
     checker.range("default_deadline_ms", FLAGS_default_deadline_ms, 1, Hour);
     checker.range("longest_deadline_ms", FLAGS_longest_deadline_ms, 1, Hour);
@@ -197,6 +202,8 @@
     settings.drainGrace = millis(FLAGS_drain_grace_ms);
     settings.configPoll = millis(FLAGS_config_poll_ms);
     settings.platformTimeout = millis(FLAGS_platform_timeout_ms);
+    settings.lease = millis(FLAGS_lease_ms);
+    settings.routeAway = millis(FLAGS_route_away_ms);
     settings.logLevel = *logLevel(FLAGS_log_level);
     settings.seed = static_cast<std::uint64_t>(FLAGS_random_seed);
     settings.server.maxHeaderBytes = static_cast<std::uint32_t>(FLAGS_max_header_bytes);
--- a/src/balsamloftd/settings.h
+++ b/src/balsamloftd/settings.h
@@ -29,6 +29,8 @@
     Duration drainGrace {};
     Duration configPoll {};
     Duration platformTimeout {};
+    Duration lease {};
+    Duration routeAway {};
     LogLevel logLevel = LogLevel::Info;
     std::uint64_t seed = 0; ///< of the random generators; 0: from the system
     HttpServerSettings server;
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -7,7 +7,7 @@
 //   GET  /v1/instances
 //   POST /control/instances {"instances": [...]}
 //   POST /control/faults    {"down": bool, "lose_answers": N, "delay_ms": N,
-//                            "old_objects": bool}
+//                            "hold_answers_ms": N, "old_objects": bool}
 //   GET  /control/stats
 
 #include "fakeprocess.h"
@@ -90,6 +90,18 @@
             --m_loseAnswers;
             return exchange->abort();
         }
+        if (m_holdAnswers == Duration::zero())
+            return answerTransaction(exchange, outcome);
+        // The write has taken effect; only its answer is late.
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_holdAnswers);
+        timer->async_wait([timer, exchange, outcome](boost::system::error_code) {
+            answerTransaction(exchange, outcome);
+        });
+    }
+
+    static void answerTransaction(const HttpExchangePtr &exchange,
+                                  const TransactionOutcome &outcome)
+    {
         if (outcome.kind == TransactionOutcome::Kind::Committed)
             return respondJson(exchange, 200, {{"ok", true}});
         json::array conflicts;
@@ -173,12 +185,15 @@
                 m_loseFrom = std::string(from->as_string());
             if (const json::value *delay = body.if_contains("delay_ms"))
                 m_delay = std::chrono::milliseconds(delay->to_number<int>());
+            if (const json::value *hold = body.if_contains("hold_answers_ms"))
+                m_holdAnswers = std::chrono::milliseconds(hold->to_number<int>());
             if (const json::value *old = body.if_contains("old_objects"))
                 m_serveOldObjects = old->as_bool();
         } else if (path == "/control/stats") {
             return respondJson(
                 exchange, 200,
-                {{"transactions", m_tables.transactions()}, {"reads", m_tables.reads()}});
+                {{"transactions", m_tables.transactions()},
+                                {"claims", m_tables.rows("claims")}, {"reads", m_tables.reads()}});
         }
         respondJson(exchange, 200, {{"ok", true}});
     }
@@ -191,6 +206,7 @@
     std::map<Time, json::array> m_lists; ///< not shown yet
     std::string m_loseFrom; ///< only answers to writes of this table are lost
     Duration m_delay {};
+    Duration m_holdAnswers {};
     int m_loseAnswers = 0;
     bool m_down = false;
     bool m_serveOldObjects = false;
--- a/src/fakes/tablemodel.h
+++ b/src/fakes/tablemodel.h
@@ -63,6 +63,7 @@
         return outcome;
     }
 
+    std::size_t rows(const std::string &table) { return m_tables[table].size(); }
     std::uint64_t transactions() const { return m_transactions; }
     std::uint64_t reads() const { return m_reads; }
 
