A wrong address is refused with its reason

Cause: the reason was put into the line before the address was parsed: the order in which arguments are evaluated is the compiler's choice, and g++ takes the last first. The daemon said "--listen: " and nothing more. Change: parse first, then build the line.

--- a/src/balsamloftd/settings.cpp
+++ b/src/balsamloftd/settings.cpp
@@ -65,7 +65,8 @@
     void address(const std::string &flag, const std::string &value)
     {
         Reason reason;
-        require(parseAddress(value, reason).has_value(), "--" + flag + ": " + reason);
+        const bool valid = parseAddress(value, reason).has_value();
+        require(valid, "--" + flag + ": " + reason);
     }
     void range(const std::string &flag, std::int64_t value, std::int64_t least, std::int64_t most)
     {
