--- a/src/balsamloftd/adminserver.cpp
+++ b/src/balsamloftd/adminserver.cpp
@@ -401,7 +401,6 @@
 {
     m_control.workers().front()->endpoints([this, exchange](std::vector<EndpointState> states) {
         boost::asio::post(m_control.context(), [exchange, states = std::move(states)] {
-            const Time now = steadyNow();
             json::array result;
             for (const EndpointState &state : states) {
                 if (!state.configured)
@@ -414,7 +413,7 @@
                                   {"others", state.others},
                                   {"step_us", state.stepTime.count()},
                                   {"leaving", state.leaving},
-                                  {"ejected", state.ejectedUntil > now}});
+                                  {"ejected", state.ejected}});
             }
             respond(exchange, http::status::ok, {{"endpoints", std::move(result)}});
         });
--- a/src/balsamloftd/controlplacement.cpp
+++ b/src/balsamloftd/controlplacement.cpp
@@ -45,8 +45,7 @@
         return;
     for (const std::string &name :
          PlacementKeeper::placeableEngines(*m_inForce, m_settings.domain)) {
-        HttpRequest request(
-            http::verb::get, "/v1/state", 11);
+        HttpRequest request(http::verb::get, "/v1/state", 11);
         HttpClient::Options options;
         options.timeout = EngineTimeout;
         m_engineClient.send(m_inForce->endpoint(name)->address, std::move(request), options,
@@ -81,14 +80,13 @@
     if (!endpoint)
         return;
     const LayerRange &layers = order.wanted.layers;
-    HttpRequest request(
-        http::verb::post, "/v1/orders", 11);
+    HttpRequest request(http::verb::post, "/v1/orders", 11);
     request.set(http::field::content_type, "application/json");
-    request.body() = boost::json::serialize(
-        boost::json::object {{"fencing", order.fencing},
-                             {"model", order.wanted.model},
-                             {"version", order.wanted.version},
-                             {"layers", {layers.begin, layers.end}}});
+    request.body() =
+        boost::json::serialize(boost::json::object {{"fencing", order.fencing},
+                                                    {"model", order.wanted.model},
+                                                    {"version", order.wanted.version},
+                                                    {"layers", {layers.begin, layers.end}}});
     HttpClient::Options options;
     options.timeout = EngineTimeout;
     // The lease is looked at once more when the connection is up and the bytes
@@ -107,7 +105,7 @@
 {
     ConfigProposal change;
     change.id = "placement/" + m_settings.name + "/" + std::to_string(m_incarnation) + "/"
-        + std::to_string(++m_proposalNumber);
+                + std::to_string(++m_proposalNumber);
     change.author = "placement of " + m_settings.domain;
     change.summary = std::move(proposal.summary);
     change.edits = std::move(proposal.edits);
--- a/src/balsamloftd/settings.cpp
+++ b/src/balsamloftd/settings.cpp
@@ -35,7 +35,6 @@
 DEFINE_int32(request_timeout_ms, 15000, "how long a caller may take to send a request");
 DEFINE_int32(write_timeout_ms, 15000, "how long a caller may take to read what is written");
 DEFINE_int32(max_queued, 10000, "most requests that wait, per model or service and thread");
-DEFINE_int32(reserved_slots, 0, "slots kept free at each endpoint for alerts");
 DEFINE_int32(max_attempts, 6, "most attempts at one request");
 DEFINE_int32(step_floor_ms, 400, "least time before a step counts as silent");
 DEFINE_bool(check, false, "check the settings and exit");
@@ -144,7 +143,6 @@
     checker.range("request_timeout_ms", FLAGS_request_timeout_ms, 10, Hour);
     checker.range("write_timeout_ms", FLAGS_write_timeout_ms, 10, Hour);
     checker.range("max_queued", FLAGS_max_queued, 1, Large);
-    checker.range("reserved_slots", FLAGS_reserved_slots, 0, Large);
     checker.range("max_attempts", FLAGS_max_attempts, 1, 100);
     checker.range("step_floor_ms", FLAGS_step_floor_ms, 1, Hour);
 }
@@ -219,7 +217,6 @@
     settings.router.maxQueued = static_cast<std::size_t>(FLAGS_max_queued);
     settings.router.maxTokens = static_cast<std::uint32_t>(FLAGS_max_tokens);
     settings.router.maxAttempts = static_cast<std::uint32_t>(FLAGS_max_attempts);
-    settings.router.reservedSlots = static_cast<std::uint32_t>(FLAGS_reserved_slots);
     settings.router.stepFloor = millis(FLAGS_step_floor_ms);
     return settings;
 }
--- a/src/bench/policy_bench.cpp
+++ b/src/bench/policy_bench.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr const char *PolicyNames[]
-    = {"default", "random", "round robin", "least loaded", "best of two"};
+constexpr const char *PolicyNames[] = {"default", "random", "round robin", "least loaded",
+                                       "best of two"};
 
 LoadScenario fleetOf(bool large)
 {
@@ -101,7 +101,7 @@
     ->ArgsProduct({{0, 3, 4}, {90, 150}, {1}})
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
-BENCHMARK(alerts)->ArgName("reserved")->Arg(0)->Arg(1)->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK(alerts)->ArgName("kept")->Arg(0)->Arg(1)->Iterations(1)->Unit(benchmark::kMillisecond);
 BENCHMARK(fairness)->ArgName("teams")->Arg(10)->Arg(390)->Iterations(1)->Unit(
     benchmark::kMillisecond);
 BENCHMARK(prefixes)->ArgName("policy")->Arg(0)->Arg(1)->Arg(4)->Iterations(1)->Unit(
--- a/src/bench/scenarios.cpp
+++ b/src/bench/scenarios.cpp
@@ -32,19 +32,18 @@
 /// Tokens per second that the engines can do.
 double capacity(std::span<const EngineSettings> engines)
 {
-    return std::accumulate(engines.begin(), engines.end(), 0.0,
-                           [](double sum, const EngineSettings &engine) {
-                               return sum + engine.slots * 1e6
-                                   / static_cast<double>(engine.stepTime.count());
-                           });
+    return std::accumulate(
+        engines.begin(), engines.end(), 0.0, [](double sum, const EngineSettings &engine) {
+            return sum + engine.slots * 1e6 / static_cast<double>(engine.stepTime.count());
+        });
 }
 
 double percentile(std::vector<double> &values, double fraction)
 {
     if (values.empty())
         return 0;
-    const auto index = static_cast<std::size_t>(
-        fraction * static_cast<double>(values.size() - 1) + 0.5);
+    const auto index =
+        static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1) + 0.5);
     std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
                      values.end());
     return values[index];
@@ -97,6 +96,13 @@
     return request;
 }
 
+/// A length between half of \a mean and half more. Requests of one length
+/// would stay in step for ever, and end in waves that no real load has.
+std::uint32_t around(std::uint32_t mean, std::mt19937_64 &random)
+{
+    return std::uniform_int_distribution<std::uint32_t>(mean / 2, mean + mean / 2)(random);
+}
+
 /// Tokens in [from, to) of requests that were answered whole.
 double usefulTokens(const RouterHarness &harness, Time from, Time to, Priority priority)
 {
@@ -120,14 +126,13 @@
     settings.reportLag = scenario.reportLag;
     settings.seed = scenario.seed;
     settings.router.routing.policy = scenario.policy;
-    settings.router.reservedSlots = scenario.reservedSlots;
     RouterHarness harness(settings, harnessConfig("model", 1, engines), engines);
     const Time start = harness.now();
     const Time end = start + scenario.length;
     const double perSecond = scenario.load * capacity(engines) / scenario.tokens;
     std::uint64_t number = 0;
-    const Arrivals arrivals(harness, perSecond, end, scenario.seed, [&](std::mt19937_64 &) {
-        Request request = baseRequest(harness, scenario.tokens, scenario.deadline);
+    const Arrivals arrivals(harness, perSecond, end, scenario.seed, [&](std::mt19937_64 &random) {
+        Request request = baseRequest(harness, around(scenario.tokens, random), scenario.deadline);
         request.prompt = "p" + std::to_string(number++);
         return request;
     });
@@ -136,12 +141,13 @@
     LoadFigures figures;
     const std::chrono::duration<double> window = end - start - WarmUp;
     figures.usefulFraction = usefulTokens(harness, start + WarmUp, end, Priority::Normal)
-        / (capacity(engines) * window.count());
+                             / (capacity(engines) * window.count());
     std::vector<double> times;
     std::uint64_t bounces = 0;
     for (const auto &[id, record] : harness.records()) {
         if (record.answer)
-            times.push_back(std::chrono::duration<double>(record.endedAt - record.submittedAt).count());
+            times.push_back(
+                std::chrono::duration<double>(record.endedAt - record.submittedAt).count());
     }
     for (std::size_t i = 0; i < scenario.routers; ++i) {
         const RouterCounters &counters = harness.router(i).counters();
@@ -157,7 +163,7 @@
     return figures;
 }
 
-AlertFigures runAlerts(std::uint32_t reservedSlots, double load, std::uint64_t seed)
+AlertFigures runAlerts(std::uint32_t alertEndpoints, double load, std::uint64_t seed)
 {
     std::vector<EngineSettings> engines(10);
     for (EngineSettings &engine : engines) {
@@ -170,8 +176,8 @@
     settings.routers = 8;
     settings.seed = seed;
     settings.reportLag = Duration(200'000);
-    settings.router.reservedSlots = reservedSlots;
-    RouterHarness harness(settings, harnessConfig("model", 1, engines), engines);
+    RouterHarness harness(settings, harnessConfig("model", 1, engines, {}, false, alertEndpoints),
+                          engines);
     const auto alert = [&](std::mt19937_64 &) {
         Request request = baseRequest(harness, 5, std::chrono::seconds(5));
         request.priority = Priority::Alert;
@@ -184,8 +190,8 @@
             if (record.request.priority != Priority::Alert || record.submittedAt < from)
                 continue;
             const Duration wait = record.tokens.empty()
-                ? Duration(std::chrono::seconds(5))
-                : record.tokens.front().first - record.submittedAt;
+                                      ? Duration(std::chrono::seconds(5))
+                                      : record.tokens.front().first - record.submittedAt;
             steps.push_back(static_cast<double>(wait.count()) / 20'000.0);
         }
         return steps;
@@ -201,19 +207,19 @@
     const Time start = harness.now();
     const Time end = start + std::chrono::seconds(15);
     std::uint64_t number = 0;
-    const Arrivals batch(harness, load * capacity(engines) / 64, end, seed + 1,
-                         [&](std::mt19937_64 &) {
-                             Request request = baseRequest(harness, 64, std::chrono::seconds(20));
-                             request.priority = Priority::Batch;
-                             request.prompt = "b" + std::to_string(number++);
-                             return request;
-                         });
+    const Arrivals batch(
+        harness, load * capacity(engines) / 64, end, seed + 1, [&](std::mt19937_64 &random) {
+            Request request = baseRequest(harness, around(64, random), std::chrono::seconds(20));
+            request.priority = Priority::Batch;
+            request.prompt = "b" + std::to_string(number++);
+            return request;
+        });
     const Arrivals alerts(harness, 40, end, seed + 2, alert);
     harness.run(end + std::chrono::seconds(20));
     auto busy = stepsToFirst(start + std::chrono::seconds(4));
     figures.p99Steps = percentile(busy, 0.99);
-    figures.batchFraction
-        = usefulTokens(harness, start + std::chrono::seconds(4), end, Priority::Batch)
+    figures.batchFraction =
+        usefulTokens(harness, start + std::chrono::seconds(4), end, Priority::Batch)
         / (capacity(engines) * 11);
     return figures;
 }
@@ -272,13 +278,13 @@
             continue;
         offered += counts.first;
         answered += counts.second;
-        figures.worstModestLoss
-            = std::max(figures.worstModestLoss, 1 - counts.second / counts.first);
+        figures.worstModestLoss =
+            std::max(figures.worstModestLoss, 1 - counts.second / counts.first);
     }
     figures.modestLoss = 1 - answered / offered;
     figures.greedyFraction = byTeam["t0"].second / (answered + byTeam["t0"].second);
-    figures.usefulFraction = usefulTokens(harness, start + WarmUp, end, Priority::Normal)
-        / (capacity(engines) * 18);
+    figures.usefulFraction =
+        usefulTokens(harness, start + WarmUp, end, Priority::Normal) / (capacity(engines) * 18);
     return figures;
 }
 
@@ -399,12 +405,12 @@
         if (record.attempts > 1)
             gaps.push_back(longest);
     }
-    std::uint64_t attempts = 0;
+    double retries = 0;
     for (std::size_t i = 0; i < settings.routers; ++i)
-        attempts += harness.router(i).counters().dispatched;
+        retries += static_cast<double>(harness.router(i).counters().retries);
     const auto count = static_cast<double>(harness.records().size());
     figures.whole = whole / count;
-    figures.amplification = static_cast<double>(attempts) / count;
+    figures.amplification = 1 + retries / count;
     figures.hit = gaps.size();
     figures.medianMillis = percentile(gaps, 0.5);
     figures.worstMillis = percentile(gaps, 1);
--- a/src/bench/scenarios.h
+++ b/src/bench/scenarios.h
@@ -20,7 +20,6 @@
     Duration length {10'000'000};
     Duration deadline {10'000'000};
     std::uint32_t tokens = 32;
-    std::uint32_t reservedSlots = 0;
     std::uint64_t seed = 1;
 };
 
@@ -46,7 +45,7 @@
     double batchFraction = 0; ///< useful batch tokens, of what the engines could do
 };
 
-AlertFigures runAlerts(std::uint32_t reservedSlots, double load, std::uint64_t seed);
+AlertFigures runAlerts(std::uint32_t alertEndpoints, double load, std::uint64_t seed);
 
 /// One greedy team among others that stay within their share.
 struct FairnessFigures
@@ -77,7 +76,7 @@
     double worstMillis = 0;
     double prefillMillis = 0; ///< of the new attempt, included in the above
     double whole = 0; ///< of the requests, answered whole
-    double amplification = 0; ///< attempts by request
+    double amplification = 0; ///< attempts that may have run, by request
     std::size_t hit = 0; ///< requests that had to resume
 };
 
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -190,10 +190,10 @@
             if (const json::value *old = body.if_contains("old_objects"))
                 m_serveOldObjects = old->as_bool();
         } else if (path == "/control/stats") {
-            return respondJson(
-                exchange, 200,
-                {{"transactions", m_tables.transactions()},
-                                {"claims", m_tables.rows("claims")}, {"reads", m_tables.reads()}});
+            return respondJson(exchange, 200,
+                               {{"transactions", m_tables.transactions()},
+                                {"claims", m_tables.rows("claims")},
+                                {"reads", m_tables.reads()}});
         }
         respondJson(exchange, 200, {{"ok", true}});
     }
--- a/src/fakes/routerharness.cpp
+++ b/src/fakes/routerharness.cpp
@@ -325,7 +325,7 @@
 
 ConfigPtr harnessConfig(std::string_view model, std::uint32_t layers,
                         std::span<const EngineSettings> engines, std::span<const Team> extraTeams,
-                        bool nonIdempotent)
+                        bool nonIdempotent, std::uint32_t alertEndpoints)
 {
     ConfigEntries entries;
     const auto put = [&](const std::string &path, const json::object &object) {
@@ -345,8 +345,10 @@
                                             {"slots", engine.slots},
                                             {"speed", speed}});
     }
-    put("rules/models/" + std::string(model),
-        {{"name", model}, {"layers", layers}, {"non_idempotent", nonIdempotent}});
+    put("rules/models/" + std::string(model), {{"name", model},
+                                               {"layers", layers},
+                                               {"non_idempotent", nonIdempotent},
+                                               {"alert_endpoints", alertEndpoints}});
     put("rules/teams/team", {{"name", "team"},
                              {"token_sha256", sha256Hex("team")},
                              {"share", extraTeams.empty() ? 0.5 : 0.01},
--- a/src/fakes/routerharness.h
+++ b/src/fakes/routerharness.h
@@ -158,6 +158,7 @@
 /// \a layers layers, one team "team" with share 0.5 and more teams as named.
 ConfigPtr harnessConfig(std::string_view model, std::uint32_t layers,
                         std::span<const EngineSettings> engines,
-                        std::span<const Team> extraTeams = {}, bool nonIdempotent = false);
+                        std::span<const Team> extraTeams = {}, bool nonIdempotent = false,
+                        std::uint32_t alertEndpoints = 0);
 
 } // namespace balsamloft::fakes
--- a/src/include/balsamloft/config.h
+++ b/src/include/balsamloft/config.h
@@ -76,6 +76,7 @@
     double weightGigabytes = 0;
     bool nonIdempotent = false; ///< every request to it runs at most once
     bool scaleToZero = false; ///< may be unloaded everywhere when idle
+    std::uint32_t alertEndpoints = 0; ///< of each layer range, kept for alerts
 };
 
 /// Idempotence of the paths of a service below a prefix.
--- a/src/include/balsamloft/loadview.h
+++ b/src/include/balsamloft/loadview.h
@@ -54,15 +54,19 @@
     std::uint32_t ownPeak = 0; ///< most own ones in the present half of the report window
     std::uint32_t ownPeakBefore = 0; ///< the same in the half before
     Time peakSince {};
+    double ownMean = 0; ///< own ones, averaged over the time a report may lag
+    Time ownMeanAt {};
+    double othersLikely = 0; ///< others' at the last report, neither way in doubt
     Time reportedAt {};
     std::uint32_t window = 0; ///< own requests known to fit, while paused
     Time pausedUntil {}; ///< set by "no room"
     std::uint32_t busyInRow = 0; ///< for the length of the pause
     Duration stepTime {}; ///< smoothed; zero until the first report
-    double prefixHitRate = 0; ///< smoothed share of affinity picks that hit
+    double prefixHitRate = 0.3; ///< smoothed share of affinity picks that hit; a guess at first
     std::uint32_t consecutiveFailures = 0;
     std::uint32_t ejections = 0; ///< consecutive, for the backoff
-    Time ejectedUntil {};
+    bool ejected = false; ///< until a probe is answered
+    Time probeAt {}; ///< when it is to be asked again
 };
 
 /// The endpoints known to one instance. Commands change it; queries are const.
@@ -77,7 +81,7 @@
     void setConfig(const Config &config);
 
     void dispatched(EndpointId id, Time now);
-    void released(EndpointId id);
+    void released(EndpointId id, Time now);
     void reported(EndpointId id, const LoadReport &report, Time now);
 
     /// The endpoint said that it has no room. Until a pause is over this
@@ -111,17 +115,21 @@
     /// others while the report is fresh enough to be believed.
     std::uint32_t estimatedLoad(EndpointId id, Time now) const;
 
-    /// Returns whether one more request fits beside \a reserved free slots.
-    /// \a beyond slots may be overcommitted, for what the endpoint puts first.
-    bool hasRoom(EndpointId id, std::uint32_t reserved, std::uint32_t beyond, Time now) const;
+    /// The same with what is probable of others, to compare endpoints.
+    double likelyLoad(EndpointId id, Time now) const;
+
+    /// Returns whether one more request fits.  beyond slots may be
+    /// overcommitted, for what the endpoint puts first.
+    bool hasRoom(EndpointId id, std::uint32_t beyond, Time now) const;
 
     /// Returns whether the endpoint may get new work, room aside.
-    bool usable(EndpointId id, Time now) const;
+    bool usable(EndpointId id) const;
 
-    bool ejected(EndpointId id, Time now) const { return m_states[id].ejectedUntil > now; }
+    bool ejected(EndpointId id) const { return m_states[id].ejected; }
 
 private:
     void notePeak(EndpointState &state, Time now) const;
+    void changeOwn(EndpointState &state, int change, Time now) const;
 
     LoadSettings m_settings;
     std::deque<EndpointState> m_states;
--- a/src/include/balsamloft/orders.h
+++ b/src/include/balsamloft/orders.h
@@ -54,8 +54,7 @@
 
     /// Appends the orders that are due. \a holds and \a fencing are of the
     /// lease, read now; \a acquiredAt is when it was acquired.
-    void tick(bool holds, std::uint64_t fencing, Time acquiredAt, Time now,
-              OrderActions &actions);
+    void tick(bool holds, std::uint64_t fencing, Time acquiredAt, Time now, OrderActions &actions);
 
     // Queries
 
--- a/src/include/balsamloft/placement.h
+++ b/src/include/balsamloft/placement.h
@@ -98,8 +98,7 @@
                                     std::span<const PlacementEngine> engines,
                                     std::span<const Assignment> current) const;
     std::optional<PlacementStep> grow(const PlacementModel &model,
-                                      std::vector<PlacementEngine> &free,
-                                      std::string reason);
+                                      std::vector<PlacementEngine> &free, std::string reason);
     static PlacementStep shrink(const Replica &replica, std::string reason);
     double rateOf(const Replica &replica, std::span<const PlacementEngine> engines,
                   std::uint32_t layers) const;
--- a/src/include/balsamloft/placementkeeper.h
+++ b/src/include/balsamloft/placementkeeper.h
@@ -60,8 +60,7 @@
     // Queries
 
     /// Names of the engines that are to be asked what they hold.
-    static std::vector<std::string> placeableEngines(const Config &config,
-                                                     std::string_view domain);
+    static std::vector<std::string> placeableEngines(const Config &config, std::string_view domain);
 
     /// Recent steps with their reasons, and what engines do not show yet.
     std::vector<std::string> explain() const;
--- a/src/include/balsamloft/router.h
+++ b/src/include/balsamloft/router.h
@@ -27,9 +27,8 @@
     double silenceFactor = 6; ///< multiple of the expected step time
     std::uint32_t patience = 4; ///< silent periods granted to what cannot be repeated
     Duration retryBackoff {50'000};
-    Duration leavingCheck {5'000'000}; ///< between probes of endpoints that said they leave
+    Duration endpointCheck {1'000'000}; ///< between looks at who is to be probed again
     Duration pumpInterval {20'000}; ///< queues are looked at this often at least
-    std::uint32_t reservedSlots = 0; ///< kept free at each endpoint for alerts
     LoadSettings load;
     RoutingSettings routing;
     RetryBudgetSettings retry;
--- a/src/include/balsamloft/routing.h
+++ b/src/include/balsamloft/routing.h
@@ -7,6 +7,7 @@
 
 #include <boost/container/static_vector.hpp>
 
+#include <array>
 #include <random>
 #include <span>
 #include <vector>
@@ -35,7 +36,8 @@
 struct RoutingSettings
 {
     RoutingPolicy policy = RoutingPolicy::Default;
-    double affinityOverload = 1.25; ///< an affinity pick may be this much above the mean load
+    double affinityFullness = 0.95; ///< of its slots, up to which an owner is preferred
+    double affinityTolerance = 3; ///< how much dearer an owner that always hits may seem
     Duration defaultStepTime {30'000}; ///< of an endpoint that has not reported yet
     Duration prefillPerToken {200}; ///< of an endpoint of speed 1, over all layers
     std::uint32_t alertOvercommit = 2; ///< alerts sent to a full endpoint, which puts them first
@@ -47,7 +49,6 @@
     Priority priority = Priority::Normal;
     std::uint64_t prefixHash = 0; ///< zero: no affinity wanted
     std::uint32_t promptTokens = 0;
-    std::uint32_t reservedSlots = 0; ///< kept free at each endpoint for alerts
     EndpointId avoid = NoEndpoint; ///< skipped while there is another way
     double tokens = 0; ///< expected to be generated
     Duration timeLeft = Duration::max(); ///< to the deadline
@@ -65,6 +66,7 @@
         std::vector<EndpointId> members;
         std::vector<double> cumulativeWeight; ///< of members, for draws by weight
         std::vector<std::pair<std::uint64_t, std::uint32_t>> ring; ///< hash to member
+        std::vector<EndpointId> forAlerts; ///< members that only alerts may use
     };
 
     /// The groups that hold one version.
@@ -93,7 +95,7 @@
     void add(const Endpoint &endpoint, const LoadView &loads, const LayerRange &layers,
              std::uint32_t modelLayers);
     void finish(const Config &config, const LoadView &loads, std::string_view domain,
-                std::string_view wantedVersion);
+                std::string_view wantedVersion, std::uint32_t alertEndpoints);
 
     std::vector<VersionGroups> m_versions;
     std::uint32_t m_totalSlots = 0;
@@ -141,7 +143,9 @@
     Pick pickRoundRobin(const Decision &decision);
     Pick pickLeastLoaded(const Decision &decision);
     Pick pickBestOfTwo(const Decision &decision);
-    Pick pickByRing(const Decision &decision) const;
+    Pick pickKept(const Decision &decision) const;
+    Pick pickByRing(const Decision &decision);
+    std::size_t ownersOf(std::uint64_t prefixHash, std::size_t members);
     EndpointId drawByWeight(const RouteTable::Group &group);
     Pick scan(const Decision &decision);
 
@@ -149,12 +153,13 @@
     bool inTime(const Decision &decision, EndpointId id) const;
     bool mayUse(const Decision &decision, EndpointId id) const;
     double cost(const Decision &decision, EndpointId id, bool byAffinity) const;
-    double meanLoadRatio(const Decision &decision) const;
 
     RoutingSettings m_settings;
     std::string m_domain;
     std::minstd_rand m_random;
     std::size_t m_roundRobin = 0;
+    std::array<std::uint32_t, 4096> m_prefixCounts {}; ///< recent requests, by hash
+    std::uint32_t m_prefixTotal = 0;
     std::vector<Duration> m_latency; ///< one way, by EndpointId
     std::vector<double> m_bestCost; ///< scratch, by layer boundary
     std::vector<std::pair<std::size_t, Pick>> m_bestPick; ///< scratch: group and pick
--- a/src/libbalsamloft/configparse.cpp
+++ b/src/libbalsamloft/configparse.cpp
@@ -298,6 +298,8 @@
         reader.problem("layers", "must be at least 1");
     model.weightGigabytes = reader.number("weight_gb", 0, 0, MaxCount);
     model.nonIdempotent = reader.boolean("non_idempotent", false);
+    model.alertEndpoints =
+        static_cast<std::uint32_t>(reader.number("alert_endpoints", 0, 0, MaxCount));
     model.scaleToZero = reader.boolean("scale_to_zero", false);
     index("m/", model.name, m_config.m_models.size());
     m_config.m_models.push_back(std::move(model));
--- a/src/libbalsamloft/loadview.cpp
+++ b/src/libbalsamloft/loadview.cpp
@@ -1,6 +1,8 @@
 #include <balsamloft/loadview.h>
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace balsamloft {
 
@@ -54,16 +56,24 @@
 
 void LoadView::dispatched(EndpointId id, Time now)
 {
-    EndpointState &state = m_states[id];
-    ++state.own;
-    notePeak(state, now);
+    changeOwn(m_states[id], 1, now);
 }
 
-void LoadView::released(EndpointId id)
+void LoadView::released(EndpointId id, Time now)
 {
-    EndpointState &state = m_states[id];
-    if (state.own > 0)
-        --state.own;
+    if (m_states[id].own > 0)
+        changeOwn(m_states[id], -1, now);
+}
+
+void LoadView::changeOwn(EndpointState &state, int change, Time now) const
+{
+    const std::chrono::duration<double> elapsed = now - state.ownMeanAt;
+    const std::chrono::duration<double> window = m_settings.reportLag;
+    const double weight = 1 - std::exp(-elapsed.count() / window.count());
+    state.ownMean += weight * (state.own - state.ownMean);
+    state.ownMeanAt = now;
+    state.own = static_cast<std::uint32_t>(static_cast<int>(state.own) + change);
+    notePeak(state, now);
 }
 
 void LoadView::reported(EndpointId id, const LoadReport &report, Time now)
@@ -77,6 +87,9 @@
     notePeak(state, now);
     const std::uint32_t own = std::max(state.ownPeak, state.ownPeakBefore);
     state.others = total > own ? total - own : 0;
+    // To compare endpoints neither error is better than the other.
+    changeOwn(state, 0, now);
+    state.othersLikely = std::max(0.0, total - state.ownMean);
     state.reportedAt = now;
     if (report.stepTime > Duration::zero()) {
         const auto sample = static_cast<double>(report.stepTime.count());
@@ -97,8 +110,8 @@
     EndpointState &state = m_states[id];
     const std::uint32_t shift = std::min(state.busyInRow++, LongestBackoffShift);
     state.window = state.own > 0 ? state.own - 1 : 0; // the one refused is still counted
-    state.pausedUntil
-        = now + std::min(m_settings.firstBusyPause * (1 << shift), m_settings.longestBusyPause);
+    state.pausedUntil =
+        now + std::min(m_settings.firstBusyPause * (1 << shift), m_settings.longestBusyPause);
 }
 
 void LoadView::accepted(EndpointId id)
@@ -106,13 +119,19 @@
     m_states[id].busyInRow = 0;
 }
 
-bool LoadView::hasRoom(EndpointId id, std::uint32_t reserved, std::uint32_t beyond,
-                       Time now) const
+double LoadView::likelyLoad(EndpointId id, Time now) const
+{
+    const EndpointState &state = m_states[id];
+    const bool fresh = now - state.reportedAt < m_settings.reportLifetime;
+    return state.own + (fresh ? state.othersLikely : 0);
+}
+
+bool LoadView::hasRoom(EndpointId id, std::uint32_t beyond, Time now) const
 {
     const EndpointState &state = m_states[id];
     if (now < state.pausedUntil && beyond == 0)
         return state.own < state.window;
-    return estimatedLoad(id, now) + std::min(reserved, state.slots - 1) < state.slots + beyond;
+    return estimatedLoad(id, now) < state.slots + beyond;
 }
 
 void LoadView::setLeaving(EndpointId id, bool leaving)
@@ -130,6 +149,7 @@
     EndpointState &state = m_states[id];
     state.consecutiveFailures = 0;
     state.ejections = 0;
+    state.ejected = false;
 }
 
 bool LoadView::failed(EndpointId id, bool silent, Time now)
@@ -141,10 +161,11 @@
     const std::uint32_t shift = std::min(state.ejections, LongestBackoffShift);
     const Duration backoff =
         std::min(m_settings.firstEjection * (1 << shift), m_settings.longestEjection);
-    if (state.ejectedUntil < now)
-        ++state.ejections;
-    state.ejectedUntil = std::max(state.ejectedUntil, now + backoff);
-    return true;
+    // Only a probe ends it: with time alone, callers' requests would be what
+    // finds out, again and again, that it is still gone.
+    ++state.ejections;
+    state.probeAt = std::max(state.probeAt, now + backoff);
+    return !std::exchange(state.ejected, true);
 }
 
 void LoadView::probed(EndpointId id, bool alive, Time now)
@@ -154,7 +175,8 @@
         failed(id, true, now);
         return;
     }
-    state.ejectedUntil = Time {};
+    state.ejected = false;
+    state.probeAt = Time {};
     state.consecutiveFailures = 0;
 }
 
@@ -178,10 +200,10 @@
     return state.own + state.others;
 }
 
-bool LoadView::usable(EndpointId id, Time now) const
+bool LoadView::usable(EndpointId id) const
 {
     const EndpointState &state = m_states[id];
-    return state.configured && !state.leaving && !state.saidLeaving && !ejected(id, now);
+    return state.configured && !state.leaving && !state.saidLeaving && !state.ejected;
 }
 
 } // namespace balsamloft
--- a/src/libbalsamloft/membership.cpp
+++ b/src/libbalsamloft/membership.cpp
@@ -125,9 +125,8 @@
         probeNext(now, actions);
         if (m_periods++ % m_settings.healEvery == 0)
             healOne(actions);
-        std::erase_if(m_favours, [&](const auto &item) {
-            return now - item.second.at > FavourLifetime;
-        });
+        std::erase_if(m_favours,
+                      [&](const auto &item) { return now - item.second.at > FavourLifetime; });
     }
     m_nextWakeup = m_nextPeriod;
     if (m_probe && !m_probe->helpersAsked)
@@ -207,7 +206,7 @@
     }
     std::erase_if(m_members, [&](const auto &item) {
         return item.second.news.state == MemberState::Dead
-            && now - item.second.changedAt >= m_settings.forgetDead;
+               && now - item.second.changedAt >= m_settings.forgetDead;
     });
 }
 
@@ -263,8 +262,8 @@
     }
     case PeerMessage::Kind::PingRequest: {
         m_favours[++m_sequence] = {incoming.from.address, incoming.sequence, now};
-        actions.push_back(SendToPeer {incoming.target.address,
-                                      message(PeerMessage::Kind::Ping, m_sequence)});
+        actions.push_back(
+            SendToPeer {incoming.target.address, message(PeerMessage::Kind::Ping, m_sequence)});
         break;
     }
     default:
@@ -320,9 +319,8 @@
         return true;
     }
     Member &member = it->second;
-    const bool newer
-        = std::pair(news.incarnation, news.state)
-        > std::pair(member.news.incarnation, member.news.state);
+    const bool newer = std::pair(news.incarnation, news.state)
+                       > std::pair(member.news.incarnation, member.news.state);
     if (!newer)
         return false;
     const bool changed = news.state != member.news.state || news.address != member.news.address;
@@ -340,8 +338,8 @@
 {
     auto [it, added] = m_endpoints.try_emplace(news.name, EndpointNews {news.name, 0, false});
     EndpointNews &known = it->second;
-    const bool newer
-        = std::pair(news.generation, news.leaving) > std::pair(known.generation, known.leaving);
+    const bool newer =
+        std::pair(news.generation, news.leaving) > std::pair(known.generation, known.leaving);
     if (!newer)
         return;
     const bool changed = news.leaving != known.leaving;
--- a/src/libbalsamloft/orders.cpp
+++ b/src/libbalsamloft/orders.cpp
@@ -34,7 +34,7 @@
 bool OrderKeeper::matches(const Wanted &wanted)
 {
     return wanted.seen && !wanted.seen->loading && wanted.seen->model == wanted.assignment.model
-        && (wanted.assignment.model.empty() || wanted.seen->layers == wanted.assignment.layers);
+           && (wanted.assignment.model.empty() || wanted.seen->layers == wanted.assignment.layers);
 }
 
 void OrderKeeper::tick(bool holds, std::uint64_t fencing, Time acquiredAt, Time now,
@@ -47,8 +47,8 @@
     // An engine that checks the number refuses what the last holder still has
     // under way. One that does not check would take it, even after ours; so it
     // gets nothing before the old lease and the last order must be over.
-    const bool oldOrdersOver
-        = fencing == 1 || now - acquiredAt >= m_settings.leaseDuration + m_settings.transit;
+    const bool oldOrdersOver =
+        fencing == 1 || now - acquiredAt >= m_settings.leaseDuration + m_settings.transit;
     for (auto &[name, wanted] : m_wanted) {
         if (matches(wanted) || (!wanted.checksFencing && !oldOrdersOver))
             continue;
--- a/src/libbalsamloft/placement.cpp
+++ b/src/libbalsamloft/placement.cpp
@@ -10,8 +10,9 @@
 
 const PlacementEngine *findEngine(std::span<const PlacementEngine> engines, std::string_view name)
 {
-    const auto it = std::find_if(engines.begin(), engines.end(),
-                                 [&](const PlacementEngine &engine) { return engine.name == name; });
+    const auto it =
+        std::find_if(engines.begin(), engines.end(),
+                     [&](const PlacementEngine &engine) { return engine.name == name; });
     return it == engines.end() ? nullptr : &*it;
 }
 
@@ -57,8 +58,11 @@
     for (std::size_t i = 0; i < engines.size(); ++i) {
         if (counts[i] == 0)
             continue;
-        parts.push_back({engines[i].name, model.name, model.version,
-                         {begin, begin + counts[i]}, std::string(replica)});
+        parts.push_back({engines[i].name,
+                         model.name,
+                         model.version,
+                         {begin, begin + counts[i]},
+                         std::string(replica)});
         begin += counts[i];
     }
     return parts;
@@ -72,8 +76,7 @@
         const PlacementEngine *engine = findEngine(engines, part.engine);
         if (!engine || layers == 0)
             return 0;
-        const double share
-            = static_cast<double>(part.layers.end - part.layers.begin) / layers;
+        const double share = static_cast<double>(part.layers.end - part.layers.begin) / layers;
         slowest = std::max(slowest, share / engine->speed);
     }
     return slowest > 0 ? m_settings.tokensPerSpeed / slowest : 0;
@@ -108,8 +111,7 @@
 }
 
 std::optional<PlacementStep> Placement::grow(const PlacementModel &model,
-                                             std::vector<PlacementEngine> &free,
-                                             std::string reason)
+                                             std::vector<PlacementEngine> &free, std::string reason)
 {
     // The fastest engines first, and as few as hold the model: each further
     // stage adds a hop to every token.
@@ -123,9 +125,8 @@
             continue;
         ++m_nextReplica;
         std::erase_if(free, [&](const PlacementEngine &engine) {
-            return std::any_of(parts->begin(), parts->end(), [&](const Assignment &part) {
-                return part.engine == engine.name;
-            });
+            return std::any_of(parts->begin(), parts->end(),
+                               [&](const Assignment &part) { return part.engine == engine.name; });
         });
         return PlacementStep {std::move(*parts), std::move(reason)};
     }
@@ -186,7 +187,7 @@
             state.lowSince = now;
 
         const bool zeroAllowed = model->scaleToZero && state.idleSince
-            && now - *state.idleSince >= m_settings.idleBeforeZero;
+                                 && now - *state.idleSince >= m_settings.idleBeforeZero;
         const bool neverWanted = model->scaleToZero && model->demand <= 0;
         if (broken && (!whole.empty() || zeroAllowed || free.empty())) {
             // Never the last one that works, but a broken one holds engines
@@ -201,7 +202,8 @@
             }
         } else if (!whole.empty() && model->demand > m_settings.scaleUpAbove * rate) {
             if (loading < m_settings.maxLoads) {
-                if (auto step = grow(*model, free, model->name + ": demand is near the rate held")) {
+                if (auto step =
+                        grow(*model, free, model->name + ": demand is near the rate held")) {
                     steps.push_back(std::move(*step));
                     ++loading;
                 }
--- a/src/libbalsamloft/placementkeeper.cpp
+++ b/src/libbalsamloft/placementkeeper.cpp
@@ -21,11 +21,12 @@
 
 std::string placementEntry(const Assignment &assignment)
 {
-    return canonicalJson(json::object {{"engine", assignment.engine},
-                                       {"model", assignment.model},
-                                       {"version", assignment.version},
-                                       {"replica", assignment.replica},
-                                       {"layers", {assignment.layers.begin, assignment.layers.end}}});
+    return canonicalJson(
+        json::object {{"engine", assignment.engine},
+                      {"model", assignment.model},
+                      {"version", assignment.version},
+                      {"replica", assignment.replica},
+                      {"layers", {assignment.layers.begin, assignment.layers.end}}});
 }
 
 PlacementKeeper::PlacementKeeper(PlacementKeeperSettings settings)
@@ -86,10 +87,10 @@
         if (!endpoint.placeable || endpoint.domain != m_settings.domain)
             continue;
         const Accelerator *accelerator = config.accelerator(endpoint.accelerator);
-        const bool busy
-            = m_unloading.contains(endpoint.name) || m_routedAway.contains(endpoint.name);
-        engines.push_back({endpoint.name, accelerator ? accelerator->memoryGigabytes : 0,
-                           endpoint.speed, !busy});
+        const bool busy =
+            m_unloading.contains(endpoint.name) || m_routedAway.contains(endpoint.name);
+        engines.push_back(
+            {endpoint.name, accelerator ? accelerator->memoryGigabytes : 0, endpoint.speed, !busy});
         if (!endpoint.model.empty() && !m_unloading.contains(endpoint.name))
             current.push_back({endpoint.name, endpoint.model, endpoint.version, endpoint.layers,
                                endpoint.replica});
--- a/src/libbalsamloft/routeradmission.cpp
+++ b/src/libbalsamloft/routeradmission.cpp
@@ -56,6 +56,8 @@
     m_loads.setConfig(*m_config);
     m_chooser.setConfig(*m_config, m_loads);
     rebuildTargets(now, actions);
+    if (m_endpointCheckAt == Time {})
+        m_endpointCheckAt = now + m_settings.endpointCheck;
     pumpAll(now, actions);
 }
 
@@ -253,15 +255,13 @@
 {
     RouteQuery query;
     query.priority = flight.request.priority;
-    query.reservedSlots = m_settings.reservedSlots;
     query.avoid = flight.avoid;
     query.timeLeft = flight.request.deadline - now;
     if (flight.request.kind == TargetKind::Model) {
         const std::string_view prompt = flight.request.prompt;
         const std::string_view prefix = prompt.substr(0, PrefixBytes);
         query.prefixHash = XXH3_64bits(prefix.data(), prefix.size());
-        const double left
-            = flight.request.maxTokens - static_cast<double>(flight.tokens.size());
+        const double left = flight.request.maxTokens - static_cast<double>(flight.tokens.size());
         query.tokens = std::max(1.0, left * target.lengthRatio);
         query.promptTokens = promptTokens(flight.request);
     }
--- a/src/libbalsamloft/routerattempts.cpp
+++ b/src/libbalsamloft/routerattempts.cpp
@@ -214,10 +214,10 @@
     target.finishedAt = now;
 }
 
-void Router::Impl::release(Flight &flight)
+void Router::Impl::release(Flight &flight, Time now)
 {
     for (const Stage &stage : flight.chain)
-        m_loads.released(stage.endpoint);
+        m_loads.released(stage.endpoint, now);
     flight.chain.clear();
 }
 
@@ -250,7 +250,7 @@
         noteFinished(target, flight.cost, now);
     if (flight.claimed)
         actions.push_back(SettleClaim {id, ClaimEnd::Finished, answer});
-    release(flight);
+    release(flight, now);
     remove(flight);
     actions.push_back(FinishRequest {id, std::move(answer)});
     pump(target, now, actions);
@@ -270,7 +270,7 @@
         actions.push_back(
             SettleClaim {id, ran == Ran::No ? ClaimEnd::NotRun : ClaimEnd::Unknown, {}});
     target.queue.remove(id);
-    release(flight);
+    release(flight, now);
     remove(flight);
     actions.push_back(RefuseRequest {id, code, std::move(message), ran, retryAfter});
     pump(target, now, actions);
--- a/src/libbalsamloft/routerfailures.cpp
+++ b/src/libbalsamloft/routerfailures.cpp
@@ -72,7 +72,7 @@
     flight.avoid = endpoint;
     cancelStages(flight, nothingRan || kind == FailureKind::NotSent ? endpoint : NoEndpoint,
                  actions);
-    release(flight);
+    release(flight, now);
     if (nothingRan)
         return sendElsewhere(flight, kind, now, actions);
     retryOrRefuse(flight, kind, now, actions);
@@ -155,20 +155,18 @@
     if (wasLeaving || !load.leaving)
         return;
     actions.push_back(NoteLeaving {endpoint});
-    if (m_leavingCheckAt == Time {})
-        m_leavingCheckAt = now + m_settings.leavingCheck;
 }
 
-void Router::Impl::checkLeaving(Time now, Actions &actions)
+void Router::Impl::checkEndpoints(Time now, Actions &actions)
 {
-    m_leavingCheckAt = Time {};
+    m_endpointCheckAt = now + m_settings.endpointCheck;
     for (EndpointId id = 0; id < m_loads.size(); ++id) {
         const EndpointState &state = m_loads.state(id);
-        if (!state.saidLeaving || !state.configured)
-            continue;
-        // A new process may have taken its place. A probe is no work.
-        probe(id, actions);
-        m_leavingCheckAt = now + m_settings.leavingCheck;
+        // One that said that it is leaving may have been replaced by a new
+        // process. A probe is no work.
+        const bool due = state.ejected ? state.probeAt <= now : state.saidLeaving;
+        if (due && state.configured)
+            probe(id, actions);
     }
 }
 
@@ -244,8 +242,8 @@
         m_timers.erase(m_timers.begin());
         timerFired(flight, now, actions);
     }
-    if (m_leavingCheckAt != Time {} && m_leavingCheckAt <= now)
-        checkLeaving(now, actions);
+    if (m_config && m_endpointCheckAt <= now)
+        checkEndpoints(now, actions);
     if (m_pumpAt != Time {} && m_pumpAt <= now)
         pumpAll(now, actions);
 }
@@ -255,7 +253,7 @@
     std::optional<Time> next;
     if (!m_timers.empty())
         next = m_timers.begin()->timer;
-    for (const Time at : {m_pumpAt, m_leavingCheckAt}) {
+    for (const Time at : {m_pumpAt, m_endpointCheckAt}) {
         if (at != Time {})
             next = next ? std::min(*next, at) : at;
     }
--- a/src/libbalsamloft/routerimpl.h
+++ b/src/libbalsamloft/routerimpl.h
@@ -150,7 +150,7 @@
     void setTimer(Flight &flight, Time at);
     Duration silenceAfter(const Flight &flight) const;
     void tokenDone(Flight &flight, const StepAnswer &answer, Time now, Actions &actions);
-    void release(Flight &flight);
+    void release(Flight &flight, Time now);
     void cancelStages(const Flight &flight, EndpointId except, Actions &actions) const;
     void remove(Flight &flight);
     static void noteFinished(Target &target, double cost, Time now);
@@ -163,7 +163,7 @@
     void timerFired(Flight &flight, Time now, Actions &actions);
     void probe(EndpointId endpoint, Actions &actions);
     void reported(EndpointId endpoint, const LoadReport &load, Time now, Actions &actions);
-    void checkLeaving(Time now, Actions &actions);
+    void checkEndpoints(Time now, Actions &actions);
 
     static std::string targetKey(TargetKind kind, std::string_view name);
 
@@ -174,7 +174,7 @@
     Chain m_chain; ///< scratch
     std::minstd_rand m_random;
     Time m_pumpAt {};
-    Time m_leavingCheckAt {}; ///< unset while no endpoint has said that it leaves
+    Time m_endpointCheckAt {};
 };
 
 } // namespace balsamloft
--- a/src/libbalsamloft/routing.cpp
+++ b/src/libbalsamloft/routing.cpp
@@ -13,7 +13,15 @@
 constexpr double PointsPerMeanWeight = 32;
 constexpr std::size_t MinPoints = 4;
 constexpr int DrawTries = 4;
-constexpr std::size_t RingTries = 3;
+constexpr double SpareSteps = 2; ///< left for the first token and the way back
+constexpr double SpareTime = 1.1; ///< left for steps that take longer than usual
+constexpr int AlertDraws = 16;
+constexpr double StepsUntilSlotFree = 4; // rough, at a full endpoint
+constexpr std::size_t MaxOwners = 16; ///< of one prefix
+constexpr std::size_t SpareOwners = 2; ///< looked at when the owners are full
+constexpr double OwnersPerFairShare = 4; ///< for demand of one member's fair share
+constexpr std::uint32_t PrefixWindow = 8192; ///< requests over which demand is counted
+constexpr std::size_t AlertSeed = 0xa1e27;
 constexpr double ScaleOfRemoteWeight = 30'000; // microseconds: one usual step
 
 std::uint64_t ringPoint(std::string_view name, std::size_t point)
@@ -29,6 +37,22 @@
     return state.speed * state.slots * ScaleOfRemoteWeight / (ScaleOfRemoteWeight + roundTrip);
 }
 
+/// Sets the endpoints aside that only alerts may use. Every instance picks the
+/// same ones without a message. Slots kept free at each endpoint would depend
+/// on reports that lag: several instances fill the same free slot at once.
+void keepForAlerts(RouteTable::Group &group, const LoadView &loads, std::uint32_t count)
+{
+    if (group.members.size() < 2)
+        return;
+    std::vector<EndpointId> order = group.members;
+    std::sort(order.begin(), order.end(), [&](EndpointId a, EndpointId b) {
+        return ringPoint(loads.state(a).name, AlertSeed)
+               < ringPoint(loads.state(b).name, AlertSeed);
+    });
+    order.resize(std::min<std::size_t>(count, order.size() - 1));
+    group.forAlerts = std::move(order);
+}
+
 void buildRing(RouteTable::Group &group, const LoadView &loads)
 {
     const double total = group.cumulativeWeight.back();
@@ -59,13 +83,13 @@
     auto group = std::find_if(version->groups.begin(), version->groups.end(),
                               [&](const Group &candidate) { return candidate.layers == layers; });
     if (group == version->groups.end())
-        group = version->groups.insert(version->groups.end(), Group {layers, {}, {}, {}});
+        group = version->groups.insert(version->groups.end(), Group {layers, {}, {}, {}, {}});
     group->members.push_back(loads.find(endpoint.name));
     m_totalSlots += endpoint.slots;
 }
 
 void RouteTable::finish(const Config &config, const LoadView &loads, std::string_view domain,
-                        std::string_view wantedVersion)
+                        std::string_view wantedVersion, std::uint32_t alertEndpoints)
 {
     for (VersionGroups &version : m_versions) {
         std::sort(version.groups.begin(), version.groups.end(),
@@ -78,6 +102,7 @@
                 group.cumulativeWeight.push_back(sum);
             }
             buildRing(group, loads);
+            keepForAlerts(group, loads, alertEndpoints);
         }
     }
     // A version that the rules want but no chain holds yet must not take the
@@ -95,7 +120,7 @@
         if (endpoint.kind == EndpointKind::Engine && endpoint.model == model.name)
             table.add(endpoint, loads, endpoint.layers, model.layers);
     }
-    table.finish(config, loads, domain, model.version);
+    table.finish(config, loads, domain, model.version, model.alertEndpoints);
     return table;
 }
 
@@ -107,7 +132,7 @@
         if (endpoint.kind == EndpointKind::Service && endpoint.service == service.name)
             table.add(endpoint, loads, {0, 1}, 1);
     }
-    table.finish(config, loads, domain, {});
+    table.finish(config, loads, domain, {}, 0);
     return table;
 }
 
@@ -188,20 +213,24 @@
 bool ChainChooser::hasRoom(const Decision &decision, EndpointId id) const
 {
     const bool alert = decision.query.priority == Priority::Alert;
-    return decision.loads.hasRoom(id, alert ? 0 : decision.query.reservedSlots,
-                                  alert ? m_settings.alertOvercommit : 0, decision.now);
+    return decision.loads.hasRoom(id, alert ? m_settings.alertOvercommit : 0, decision.now);
 }
 
 bool ChainChooser::inTime(const Decision &decision, EndpointId id) const
 {
     const auto step = static_cast<double>(decision.loads.state(id).stepTime.count());
-    return step * decision.query.tokens <= static_cast<double>(decision.query.timeLeft.count());
+    return step * (decision.query.tokens + SpareSteps) * SpareTime
+           <= static_cast<double>(decision.query.timeLeft.count());
 }
 
 bool ChainChooser::mayUse(const Decision &decision, EndpointId id) const
 {
-    return id != decision.query.avoid && decision.loads.usable(id, decision.now)
-           && hasRoom(decision, id) && inTime(decision, id);
+    const bool kept =
+        decision.query.priority != Priority::Alert
+        && std::find(decision.group.forAlerts.begin(), decision.group.forAlerts.end(), id)
+               != decision.group.forAlerts.end();
+    return !kept && id != decision.query.avoid && decision.loads.usable(id) && hasRoom(decision, id)
+           && inTime(decision, id);
 }
 
 double ChainChooser::cost(const Decision &decision, EndpointId id, bool byAffinity) const
@@ -212,10 +241,13 @@
     const double missRate = byAffinity ? 1 - state.prefixHitRate : 1;
     const double prefill = static_cast<double>(m_settings.prefillPerToken.count())
                            * decision.query.promptTokens * missRate / state.speed;
-    const double load =
-        static_cast<double>(decision.loads.estimatedLoad(id, decision.now)) / state.slots;
+    const double present = decision.loads.likelyLoad(id, decision.now);
+    const double load = present / state.slots;
     const double compute = (static_cast<double>(stepTime.count()) + prefill) * (1 + load);
-    return compute + 2.0 * static_cast<double>(m_latency[id].count());
+    // Beyond the slots it waits for one to come free.
+    const double ahead = std::max(0.0, present - state.slots + 1);
+    const double wait = ahead * StepsUntilSlotFree * static_cast<double>(stepTime.count());
+    return compute + wait + 2.0 * static_cast<double>(m_latency[id].count());
 }
 
 EndpointId ChainChooser::drawByWeight(const RouteTable::Group &group)
@@ -242,7 +274,7 @@
     // that a burst of failures cannot eject the whole fleet.
     std::size_t ejected = 0;
     for (const EndpointId id : members)
-        ejected += decision.loads.ejected(id, decision.now) ? 1 : 0;
+        ejected += decision.loads.ejected(id) ? 1 : 0;
     const auto allowed = static_cast<std::size_t>(decision.loads.settings().ejectableFraction
                                                   * static_cast<double>(members.size()));
     if (ejected <= allowed)
@@ -259,9 +291,13 @@
 
 ChainChooser::Pick ChainChooser::pickBestOfTwo(const Decision &decision)
 {
+    // Alerts look further: they are few, and what they must not do is wait.
+    const bool alert = decision.query.priority == Priority::Alert;
+    const int tries = alert ? AlertDraws : DrawTries;
+    const int wanted = alert ? AlertDraws : 2;
     Pick best;
     int found = 0;
-    for (int attempt = 0; attempt < DrawTries && found < 2; ++attempt) {
+    for (int attempt = 0; attempt < tries && found < wanted; ++attempt) {
         const EndpointId id = drawByWeight(decision.group);
         if (!mayUse(decision, id))
             continue;
@@ -273,61 +309,94 @@
     return best.endpoint == NoEndpoint ? scan(decision) : best;
 }
 
-double ChainChooser::meanLoadRatio(const Decision &decision) const
+std::size_t ChainChooser::ownersOf(std::uint64_t prefixHash, std::size_t members)
 {
-    // A small sample at evenly spaced members is enough for a bound, and
-    // keeps the decision's cost independent of the group's size.
-    constexpr std::size_t Sample = 8;
-    const auto &members = decision.group.members;
-    const std::size_t stride = std::max<std::size_t>(1, members.size() / Sample);
-    double load = 0;
-    double slots = 0;
-    for (std::size_t i = 0; i < members.size(); i += stride) {
-        load += decision.loads.estimatedLoad(members[i], decision.now);
-        slots += decision.loads.state(members[i]).slots;
+    if (m_prefixTotal >= PrefixWindow) {
+        m_prefixTotal = 0;
+        for (std::uint32_t &count : m_prefixCounts)
+            m_prefixTotal += count /= 2;
     }
-    return load / slots;
+    ++m_prefixTotal;
+    std::uint32_t &count = m_prefixCounts[prefixHash % m_prefixCounts.size()];
+    ++count;
+    const double share = static_cast<double>(count) / m_prefixTotal;
+    const auto owners =
+        1 + static_cast<std::size_t>(share * static_cast<double>(members) * OwnersPerFairShare);
+    return std::min(owners, MaxOwners);
 }
 
-ChainChooser::Pick ChainChooser::pickByRing(const Decision &decision) const
+ChainChooser::Pick ChainChooser::pickByRing(const Decision &decision)
 {
     const auto &ring = decision.group.ring;
-    const double bound = m_settings.affinityOverload * (meanLoadRatio(decision) + 0.1);
-    auto it =
-        std::lower_bound(ring.begin(), ring.end(),
-                         std::pair<std::uint64_t, std::uint32_t> {decision.query.prefixHash, 0});
-    EndpointId previous = NoEndpoint;
-    for (std::size_t tries = 0, walked = 0; tries < RingTries && walked < ring.size(); ++walked) {
+    const std::size_t owners = ownersOf(decision.query.prefixHash, decision.group.members.size());
+    const std::pair<std::uint64_t, std::uint32_t> first {decision.query.prefixHash, 0};
+    auto it = std::lower_bound(ring.begin(), ring.end(), first);
+    boost::container::static_vector<EndpointId, MaxOwners + SpareOwners> seen;
+    Pick best;
+    bool bestInBound = false;
+    for (std::size_t walked = 0; walked < ring.size(); ++walked) {
+        // A prefix in great demand has several owners and uses the least
+        // loaded; others have one, and go on to the next only when it is full.
+        const bool enough = seen.size() >= owners && bestInBound;
+        if (enough || seen.size() == owners + SpareOwners)
+            break;
         if (it == ring.end())
             it = ring.begin();
         const EndpointId id = decision.group.members[it->second];
         ++it;
-        if (id == previous)
+        if (std::find(seen.begin(), seen.end(), id) != seen.end())
+            continue;
+        seen.push_back(id);
+        if (!mayUse(decision, id))
             continue;
-        previous = id;
-        ++tries;
-        const double load = static_cast<double>(decision.loads.estimatedLoad(id, decision.now))
-                            / decision.loads.state(id).slots;
-        if (mayUse(decision, id) && load <= bound)
-            return {id, cost(decision, id, true), true};
+        const Pick pick {id, cost(decision, id, true), true};
+        const bool inBound = decision.loads.likelyLoad(id, decision.now)
+                             <= m_settings.affinityFullness * decision.loads.state(id).slots;
+        if (best.endpoint == NoEndpoint
+            || std::pair(!inBound, pick.cost) < std::pair(!bestInBound, best.cost)) {
+            best = pick;
+            bestInBound = inBound;
+        }
     }
-    return {};
+    return best;
+}
+
+ChainChooser::Pick ChainChooser::pickKept(const Decision &decision) const
+{
+    Pick best;
+    for (const EndpointId id : decision.group.forAlerts) {
+        // Without overcommitment: a full one is no better than any other.
+        if (!decision.loads.usable(id) || id == decision.query.avoid
+            || !decision.loads.hasRoom(id, 0, decision.now))
+            continue;
+        const double expected = cost(decision, id, false);
+        if (best.endpoint == NoEndpoint || expected < best.cost)
+            best = {id, expected, false};
+    }
+    return best;
 }
 
 ChainChooser::Pick ChainChooser::pickDefault(const Decision &decision)
 {
+    if (decision.query.priority == Priority::Alert) {
+        const Pick kept = pickKept(decision);
+        if (kept.endpoint != NoEndpoint)
+            return kept;
+    }
     const Pick drawn = pickBestOfTwo(decision);
-    if (decision.query.prefixHash == 0 || decision.group.layers.begin != 0)
+    const bool affinity = decision.query.prefixHash != 0 && decision.group.layers.begin == 0
+                          && decision.query.priority != Priority::Alert;
+    if (!affinity)
         return drawn;
     const Pick owner = pickByRing(decision);
     if (owner.endpoint == NoEndpoint)
         return drawn;
+    const double tolerance =
+        1 + m_settings.affinityTolerance * decision.loads.state(owner.endpoint).prefixHitRate;
     // The owner's cost counts the cache hits it has really had, so affinity
     // gives way by itself where caches are too small or events were lost. A
     // pick that costs no more than an ordinary one also keeps caches warm.
-    return drawn.endpoint == NoEndpoint || owner.cost <= drawn.cost * m_settings.affinityOverload
-               ? owner
-               : drawn;
+    return drawn.endpoint == NoEndpoint || owner.cost <= drawn.cost * tolerance ? owner : drawn;
 }
 
 ChainChooser::Pick ChainChooser::pickRandom(const Decision &decision)
--- a/src/libpeer/peersocket.cpp
+++ b/src/libpeer/peersocket.cpp
@@ -152,8 +152,8 @@
     if (!parseAddress(address, reason))
         return;
     const std::string bytes = encodePeerMessage(message);
-    const auto sent
-        = connection(address).socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    const auto sent =
+        connection(address).socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
     if (sent)
         m_bytesSent += bytes.size();
 }
--- a/testsuite/bad-input/bad_input_test.cpp
+++ b/testsuite/bad-input/bad_input_test.cpp
@@ -50,7 +50,7 @@
 {
     return "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer t\r\n"
            "Content-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
+           + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 void checkWorks(Fleet &fleet)
@@ -66,9 +66,9 @@
 {
     Fleet fleet;
     fleet.startChains(1);
-    fleet.startDaemon("i1", "a",
-                      {"--max_body_bytes=10000", "--max_header_bytes=2000",
-                       "--request_timeout_ms=500"});
+    fleet.startDaemon(
+        "i1", "a",
+        {"--max_body_bytes=10000", "--max_header_bytes=2000", "--request_timeout_ms=500"});
     fleet.configure();
     const std::string address = fleet.daemon("i1").callers;
     const std::string good = completionBody("m", "x", 3);
--- a/testsuite/claims/claims_test.cpp
+++ b/testsuite/claims/claims_test.cpp
@@ -40,8 +40,8 @@
     std::vector<Call> calls;
     for (int i = 0; i < 10; ++i) {
         for (const auto *daemon : {"i1", "i2"})
-            calls.push_back({fleet.daemon(daemon).callers, "x",
-                             Fleet::team("key-" + std::to_string(i)), Path});
+            calls.push_back(
+                {fleet.daemon(daemon).callers, "x", Fleet::team("key-" + std::to_string(i)), Path});
     }
     const auto replies = sendAll(calls);
     CHECK(executed(fleet) == 10);
@@ -51,8 +51,8 @@
         CHECK((first.status == 200 || second.status == 200));
         for (const Reply *reply : {&first, &second}) {
             const bool answered = reply->status == 200;
-            const bool duplicate
-                = reply->errorCode() == "duplicate_in_progress" && reply->ran() == "unknown";
+            const bool duplicate =
+                reply->errorCode() == "duplicate_in_progress" && reply->ran() == "unknown";
             CHECK((answered || duplicate));
         }
     }
@@ -97,7 +97,8 @@
     CHECK(executed(fleet) == 0);
 }
 
-TEST_CASE("an instance frozen between claim and dispatch wakes up late", "[process][claims][failure]")
+TEST_CASE("an instance frozen between claim and dispatch wakes up late",
+          "[process][claims][failure]")
 {
     // The caller is told that its deadline has passed and that nothing ran.
     // The instance is paused after the claim was sent and wakes up after the
@@ -166,8 +167,7 @@
     Fleet fleet;
     startFleet(fleet);
     CHECK(callWithKey(fleet, "i1", "k").status == 200);
-    const Reply other
-        = send(fleet.daemon("i2").callers, "POST", Path, "other", Fleet::team("k"));
+    const Reply other = send(fleet.daemon("i2").callers, "POST", Path, "other", Fleet::team("k"));
     CHECK(other.status == 422);
     CHECK(other.errorCode() == "key_reused");
     CHECK(executed(fleet) == 1);
--- a/testsuite/command-line/command_line_test.cpp
+++ b/testsuite/command-line/command_line_test.cpp
@@ -32,8 +32,8 @@
     fleet.startDaemon("i1");
     fleet.configure();
     const Daemon &daemon = fleet.daemon("i1");
-    const Reply reply = send(daemon.callers, "POST", "/v1/completions",
-                             completionBody("m", "x", 3), Fleet::team());
+    const Reply reply =
+        send(daemon.callers, "POST", "/v1/completions", completionBody("m", "x", 3), Fleet::team());
     REQUIRE(reply.status == 200);
     std::string output;
     CHECK(fleet.cli(daemon, {"explain", reply.headers.at("Balsamloft-Request-Id")}, &output) == 0);
--- a/testsuite/common/fleet.cpp
+++ b/testsuite/common/fleet.cpp
@@ -138,8 +138,8 @@
 
 Fleet::Fleet()
 {
-    std::string pattern
-        = (std::filesystem::temp_directory_path() / "balsamloft-test-XXXXXX").string();
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "balsamloft-test-XXXXXX").string();
     m_directory = ::mkdtemp(pattern.data());
     m_platform = std::make_unique<Process>("fake_platform", std::vector<std::string> {});
     m_platformAddress = m_platform->waitFor("listening on ([0-9.:]+)");
@@ -153,15 +153,13 @@
             "--model=" + (shape.placeable ? "" : shape.model),
             "--layer_begin=" + std::to_string(shape.placeable ? 0 : shape.layers.begin),
             "--layer_end=" + std::to_string(shape.placeable ? 0 : shape.layers.end),
-            "--slots=" + std::to_string(shape.slots), "--step_us=" + std::to_string(shape.stepMicros),
+            "--slots=" + std::to_string(shape.slots),
+            "--step_us=" + std::to_string(shape.stepMicros),
             std::string("--checks_fencing=") + (shape.checksFencing ? "true" : "false")});
     m_addresses[name] = process->waitFor("listening on ([0-9.:]+)");
-    json::object entry {{"name", name},
-                        {"address", m_addresses[name]},
-                        {"domain", shape.domain},
-                        {"slots", shape.slots},
-                        {"accelerator", "card"},
-                        {"checks_fencing", shape.checksFencing}};
+    json::object entry {{"name", name},           {"address", m_addresses[name]},
+                        {"domain", shape.domain}, {"slots", shape.slots},
+                        {"accelerator", "card"},  {"checks_fencing", shape.checksFencing}};
     if (!shape.placeable) {
         entry["model"] = shape.model;
         entry["version"] = "1";
@@ -201,17 +199,16 @@
     std::string seeds;
     for (const auto &[other, daemon] : m_daemons)
         seeds += (seeds.empty() ? "" : ",") + daemon.peers;
-    std::vector<std::string> arguments {
-        "--name=" + name,
-        "--domain=" + domain,
-        "--listen=127.0.0.1:0",
-        "--admin_listen=127.0.0.1:0",
-        "--peer_listen=127.0.0.1:0",
-        "--platform=" + m_platformAddress,
-        "--seeds=" + seeds,
-        "--operator_token_sha256=" + sha256Hex(OperatorToken),
-        "--drain_grace_ms=100",
-        "--random_seed=7"};
+    std::vector<std::string> arguments {"--name=" + name,
+                                        "--domain=" + domain,
+                                        "--listen=127.0.0.1:0",
+                                        "--admin_listen=127.0.0.1:0",
+                                        "--peer_listen=127.0.0.1:0",
+                                        "--platform=" + m_platformAddress,
+                                        "--seeds=" + seeds,
+                                        "--operator_token_sha256=" + sha256Hex(OperatorToken),
+                                        "--drain_grace_ms=100",
+                                        "--random_seed=7"};
     arguments.insert(arguments.end(), flags.begin(), flags.end());
     Daemon &daemon = m_daemons[name];
     daemon.process = std::make_unique<Process>("balsamloftd", arguments);
@@ -234,18 +231,17 @@
 
 json::object Fleet::rules() const
 {
-    return {{"models",
-             json::array {json::object {
-                 {"name", "m"}, {"version", "1"}, {"layers", Layers}, {"weight_gb", 48}}}},
-            {"services",
-             json::array {json::object {
-                 {"name", "s"},
-                 {"paths", json::array {json::object {{"prefix", "/once"}, {"non_idempotent", true}}}}}}},
-            {"teams",
-             json::array {json::object {{"name", "t"},
-                                        {"token_sha256", sha256Hex("t")},
-                                        {"share", 0.5},
-                                        {"max_priority", "alert"}}}}};
+    return {
+        {"models", json::array {json::object {
+                       {"name", "m"}, {"version", "1"}, {"layers", Layers}, {"weight_gb", 48}}}},
+        {"services", json::array {json::object {
+                         {"name", "s"},
+                         {"paths", json::array {json::object {{"prefix", "/once"},
+                                                              {"non_idempotent", true}}}}}}},
+        {"teams", json::array {json::object {{"name", "t"},
+                                             {"token_sha256", sha256Hex("t")},
+                                             {"share", 0.5},
+                                             {"max_priority", "alert"}}}}};
 }
 
 std::string Fleet::file(const std::string &name, const json::value &document)
@@ -255,13 +251,11 @@
     return path;
 }
 
-int Fleet::cli(const Daemon &daemon, const std::vector<std::string> &arguments,
-               std::string *output)
+int Fleet::cli(const Daemon &daemon, const std::vector<std::string> &arguments, std::string *output)
 {
     std::vector<std::string> all {"--admin=" + daemon.admin};
     all.insert(all.end(), arguments.begin(), arguments.end());
-    Process process("balsamloft", all,
-                    {std::string("BALSAMLOFT_OPERATOR_TOKEN=") + OperatorToken});
+    Process process("balsamloft", all, {std::string("BALSAMLOFT_OPERATOR_TOKEN=") + OperatorToken});
     const int code = process.wait();
     if (output)
         *output = process.output();
@@ -284,8 +278,8 @@
         const std::string metrics = send(daemon.callers, "GET", "/metrics").body;
         const auto at = metrics.find(wanted);
         return at != std::string::npos
-            && std::strtoull(metrics.c_str() + at + wanted.size(), nullptr, 10) >= version
-            && send(daemon.callers, "GET", "/readyz").status == 200;
+               && std::strtoull(metrics.c_str() + at + wanted.size(), nullptr, 10) >= version
+               && send(daemon.callers, "GET", "/readyz").status == 200;
     });
 }
 
--- a/testsuite/common/process.h
+++ b/testsuite/common/process.h
@@ -29,7 +29,8 @@
 
     void signal(int number);
 
-    /// Waits for the end of the process and its output, and returns the exit code (128 + signal if killed).
+    /// Waits for the end of the process and its output, and returns the exit code (128 + signal if
+    /// killed).
     int wait();
     bool running();
     std::string output() const;
--- a/testsuite/configuration/configuration_test.cpp
+++ b/testsuite/configuration/configuration_test.cpp
@@ -22,8 +22,8 @@
 /// Whether the instance knows the token of team \a name.
 bool knowsTeam(const Daemon &daemon, const std::string &name)
 {
-    const Reply reply = send(daemon.callers, "GET", "/services/nope/x", {},
-                             {{"Authorization", "Bearer " + name}});
+    const Reply reply =
+        send(daemon.callers, "GET", "/services/nope/x", {}, {{"Authorization", "Bearer " + name}});
     return reply.status != 401;
 }
 
@@ -51,10 +51,9 @@
     const auto rules = fleet.rules();
     const auto apply = [&](const Daemon &daemon, const json::object &document,
                            const std::string &name, std::string *output = nullptr) {
-        return fleet.cli(daemon,
-                         {"rules", "apply", fleet.file(name, document), "--base=2",
-                          "--author=" + name},
-                         output);
+        return fleet.cli(
+            daemon, {"rules", "apply", fleet.file(name, document), "--base=2", "--author=" + name},
+            output);
     };
     CHECK(apply(first, withTeam(rules, "x", 0.1), "one.json") == 0);
     CHECK(apply(second, withTeam(rules, "y", 0.1), "two.json") == 0);
@@ -107,9 +106,7 @@
               .status
           == 200);
     fleet.faults(fleet.platform(), {{"down", false}});
-    CHECK(waitUntil([&] {
-        return fleet.cli(fleet.daemon("i1"), {"rules", "apply", file}) == 0;
-    }));
+    CHECK(waitUntil([&] { return fleet.cli(fleet.daemon("i1"), {"rules", "apply", file}) == 0; }));
 }
 
 TEST_CASE("an instance cut off from the platform follows its peers", "[process][failure]")
@@ -128,8 +125,7 @@
     CHECK(waitUntil([&] { return knowsTeam(fleet.daemon("i2"), "x"); }));
 }
 
-TEST_CASE("all instances of a domain are replaced while the platform is down",
-          "[process][failure]")
+TEST_CASE("all instances of a domain are replaced while the platform is down", "[process][failure]")
 {
     // Callers of the domain are served again without the platform: the new
     // instances are not ready before they hold a configuration, and get it
--- a/testsuite/failing-stages/failing_stages_test.cpp
+++ b/testsuite/failing-stages/failing_stages_test.cpp
@@ -79,7 +79,7 @@
             waitUntil([&] {
                 const auto metrics = send(fleet.daemon("i1").callers, "GET", "/metrics").body;
                 return metrics.find("balsamloft_ejections_total{worker=\"0\"} 0")
-                    == std::string::npos;
+                       == std::string::npos;
             });
             fleet.endpoint("e01").signal(SIGCONT);
         });
--- a/testsuite/lease/lease_test.cpp
+++ b/testsuite/lease/lease_test.cpp
@@ -43,7 +43,7 @@
     return send(fleet.daemon(daemon).callers, "POST", "/v1/completions",
                 completionBody("m", "x", 3), Fleet::team())
                .status
-        == 200;
+           == 200;
 }
 
 } // namespace
@@ -75,9 +75,7 @@
         fleet.startDaemon("i2", "a", ShortLease);
         fleet.configure();
         REQUIRE(waitUntil([&] { return served(fleet, "i1"); }));
-        REQUIRE(waitUntil([&] {
-            return holds(fleet.daemon("i1")) || holds(fleet.daemon("i2"));
-        }));
+        REQUIRE(waitUntil([&] { return holds(fleet.daemon("i1")) || holds(fleet.daemon("i2")); }));
         const std::string first = holds(fleet.daemon("i1")) ? "i1" : "i2";
         const std::string second = first == "i1" ? "i2" : "i1";
         fleet.daemon(first).process->signal(SIGSTOP);
--- a/testsuite/leaving-endpoint/leaving_endpoint_test.cpp
+++ b/testsuite/leaving-endpoint/leaving_endpoint_test.cpp
@@ -11,10 +11,8 @@
 
 boost::json::array listOf(const std::string &leaving, int generation)
 {
-    return {boost::json::object {{"name", leaving},
-                                 {"peer_address", ""},
-                                 {"generation", generation},
-                                 {"leaving", true}}};
+    return {boost::json::object {
+        {"name", leaving}, {"peer_address", ""}, {"generation", generation}, {"leaving", true}}};
 }
 
 /// Whether the instance knows that the endpoint is leaving.
--- a/testsuite/planned-stop/planned_stop_test.cpp
+++ b/testsuite/planned-stop/planned_stop_test.cpp
@@ -56,8 +56,8 @@
     REQUIRE(fleet.cli(fleet.daemon("i1"), {"drain"}) == 0);
     CHECK(waitUntil([&] { return send(callers, "GET", "/readyz").status == 503; }));
     CHECK(send(callers, "GET", "/healthz").status == 200);
-    const Reply reply
-        = send(callers, "POST", "/v1/completions", completionBody("m", "x", 3), Fleet::team());
+    const Reply reply =
+        send(callers, "POST", "/v1/completions", completionBody("m", "x", 3), Fleet::team());
     CHECK(reply.errorCode() == "draining");
     CHECK(reply.ran() == "no");
 }
--- a/testsuite/settings/settings_test.cpp
+++ b/testsuite/settings/settings_test.cpp
@@ -94,8 +94,8 @@
 {
     Process fake("fake_platform", {});
     const std::string taken = fake.waitFor("listening on ([0-9.:]+)");
-    const Outcome outcome = run({"--listen=127.0.0.1:0", "--admin_listen=127.0.0.1:0",
-                                 "--peer_listen=" + taken});
+    const Outcome outcome =
+        run({"--listen=127.0.0.1:0", "--admin_listen=127.0.0.1:0", "--peer_listen=" + taken});
     CHECK(outcome.code == 1);
     CHECK(contains(outcome.output, "cannot listen on " + taken));
 }
--- a/testsuite/whole-answers/whole_answers_test.cpp
+++ b/testsuite/whole-answers/whole_answers_test.cpp
@@ -28,8 +28,7 @@
     const auto steps = fleet.steps();
     for (int i = 0; i < 200; ++i) {
         const std::string prompt = "prompt " + std::to_string(i);
-        const std::string expected
-            = fakes::expectedCompletion("m", Fleet::Layers, prompt, 20);
+        const std::string expected = fakes::expectedCompletion("m", Fleet::Layers, prompt, 20);
         REQUIRE(replies[i].status == 200);
         REQUIRE(replies[i].text() == expected);
         REQUIRE((i % 2 != 0 || replies[i].streamDone()));
