What is too late for every free endpoint no longer holds up the queue

Cause: a request that no endpoint could finish in time stayed at the head of the queue until its own timer: the two margins differed by 76 ms. Ruled out: the shares in the queue (virtual times were right in the trace). Change: if there is room but only too late, it is refused at once; a guard keeps refusals from pumping recursively. Bounds on the policy run as tests.

--- /dev/null
+++ b/src/bench/decision_test.cpp
@@ -0,0 +1,19 @@
+#include "decision.h"
+
+#include <catch2/catch.hpp>
+
+using namespace balsamloft::bench;
+
+TEST_CASE("a routing decision allocates nothing in the steady state", "[policy]")
+{
+    for (const bool staged : {false, true}) {
+        DecisionBench bench(790, staged);
+        REQUIRE(bench.decide());
+        const std::uint64_t before = allocations();
+        for (int i = 0; i < 1000; ++i) {
+            if (!bench.decide())
+                FAIL("no chain");
+        }
+        CHECK(allocations() == before);
+    }
+}
--- a/src/libbalsamloft/routeradmission.cpp
+++ b/src/libbalsamloft/routeradmission.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace balsamloft {
 
@@ -269,11 +270,29 @@
 }
 
 void Router::Impl::pump(Target &target, Time now, Actions &actions)
+{
+    // Refusing from in here would pump again, as deep as the queue is long.
+    if (std::exchange(m_pumping, true))
+        return;
+    pumpOnce(target, now, actions);
+    m_pumping = false;
+}
+
+void Router::Impl::pumpOnce(Target &target, Time now, Actions &actions)
 {
     while (const QueueItem *item = target.queue.front()) {
         Flight &flight = *find(item->request);
-        if (!m_chooser.choose(target.table, m_loads, routeQuery(target, flight, now), now, m_chain))
-            return;
+        RouteQuery query = routeQuery(target, flight, now);
+        if (!m_chooser.choose(target.table, m_loads, query, now, m_chain)) {
+            // Is there room, only too late for this one? Then it must not hold
+            // up those behind it until its own time is over.
+            query.timeLeft = Duration::max();
+            if (!m_chooser.choose(target.table, m_loads, query, now, m_chain))
+                return;
+            refuse(flight, RefusalCode::DeadlineUnmeetable, "the deadline can no longer be met",
+                   ShortestRetryAfter, now, actions);
+            continue;
+        }
         target.queue.pop();
         dispatch(flight, m_chain, now, actions);
     }
--- a/src/libbalsamloft/routerimpl.h
+++ b/src/libbalsamloft/routerimpl.h
@@ -136,6 +136,7 @@
     std::optional<Denial> checkLimits(const Request &request, const Team &team, Time now);
     std::optional<Denial> checkDeadline(const Target &target, const Flight &flight,
                                         const Team &team, Time now) const;
+    void pumpOnce(Target &target, Time now, Actions &actions);
     void rebuildTargets(Time now, Actions &actions);
     void enqueue(Flight &flight, bool resumed, Time now);
     Duration expectedWait(const Target &target, const Request &request, double share,
@@ -174,6 +175,7 @@
     Chain m_chain; ///< scratch
     std::minstd_rand m_random;
     Time m_pumpAt {};
+    bool m_pumping = false;
     Time m_endpointCheckAt {};
 };
 
