Two sides of a healed partition find each other again

Cause: after a partition each side held the other for dead. A message from the other side says "alive" at the incarnation that was declared dead, which does not count; nobody told the sender, so nobody refuted, and the fleet stayed split (20 and 4 of 24 instances) until restarts. Ruled out: lost probes of the healing kind (they arrived); gossip of the dead (they are not passed on to those who do not know them, and need not be). Change: whoever hears from one it holds for suspect or dead says so in its answer; the one concerned refutes with a higher incarnation.

--- a/src/bench/decision_bench.cpp
+++ b/src/bench/decision_bench.cpp
@@ -19,7 +19,9 @@
 
 } // namespace
 
-BENCHMARK(decision)->ArgNames({"endpoints", "staged"})->ArgsProduct({{10, 33, 100, 330, 790}, {0, 1}});
+BENCHMARK(decision)
+    ->ArgNames({"endpoints", "staged"})
+    ->ArgsProduct({{10, 33, 100, 330, 790}, {0, 1}});
 
 int main(int argc, char **argv)
 {
--- /dev/null
+++ b/src/fakes/controlharness.cpp
@@ -0,0 +1,300 @@
+#include "controlharness.h"
+
+#include <balsamloft/peersocket.h>
+
+#include <algorithm>
+
+namespace balsamloft::fakes {
+
+namespace {
+
+constexpr Duration TickInterval {100'000};
+constexpr std::size_t MaxChangesPerMessage = 100;
+constexpr std::size_t SeedCount = 4;
+
+} // namespace
+
+ControlHarness::ControlHarness(ControlHarnessSettings settings)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+{
+    for (std::size_t i = 0; i < m_settings.nodes; ++i)
+        addNode();
+}
+
+std::size_t ControlHarness::addNode()
+{
+    const std::size_t index = m_nodes.size();
+    const std::string name = "node-" + std::to_string(index);
+    const std::string address
+        = "10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1) + ":8082";
+    MembershipSettings membership = m_settings.membership;
+    membership.name = name;
+    membership.address = address;
+    membership.domain = "domain-" + std::to_string(index % 6);
+    membership.incarnation = static_cast<std::uint64_t>(m_now.time_since_epoch().count());
+    for (std::size_t i = 0; i < SeedCount && index > 0; ++i)
+        membership.seeds.push_back(m_nodes[m_random() % index].address);
+    m_nodes.push_back({name, address, ConfigKeeper(m_settings.config, m_random()),
+                       Membership(membership, m_random())});
+    start(index);
+    return index;
+}
+
+void ControlHarness::start(std::size_t node)
+{
+    // Instances do not start in step.
+    const Duration offset(static_cast<std::int64_t>(m_random() % 1'000'000));
+    at(m_now + offset, [this, node] { tick(node); });
+}
+
+void ControlHarness::at(Time at, std::function<void()> action)
+{
+    m_events.push_back({std::max(at, m_now), m_order++, std::move(action)});
+    std::push_heap(m_events.begin(), m_events.end(), Later());
+}
+
+void ControlHarness::run(Time until)
+{
+    while (!m_events.empty() && m_events.front().at <= until) {
+        std::pop_heap(m_events.begin(), m_events.end(), Later());
+        const Event event = std::move(m_events.back());
+        m_events.pop_back();
+        m_now = event.at;
+        event.action();
+    }
+    m_now = until;
+}
+
+std::optional<Duration> ControlHarness::timeToVersion(std::uint64_t version, Duration limit)
+{
+    const Time start = m_now;
+    const auto held = [&] {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const ControlNode &node) {
+            return !node.alive || node.installed >= version;
+        });
+    };
+    while (!held()) {
+        if (m_now - start >= limit)
+            return std::nullopt;
+        runFor(TickInterval);
+    }
+    return m_now - start;
+}
+
+void ControlHarness::tick(std::size_t index)
+{
+    ControlNode &node = m_nodes[index];
+    if (!node.alive)
+        return;
+    if (m_settings.polling || node.installed == 0 || !node.outcomes.empty()) {
+        ConfigActions actions;
+        node.config.tick(m_now, actions);
+        perform(index, actions);
+    }
+    if (m_settings.gossip) {
+        MembershipActions actions;
+        node.membership.tick(m_now, actions);
+        perform(index, actions);
+    }
+    at(m_now + TickInterval, [this, index] { tick(index); });
+}
+
+bool ControlHarness::reachable(std::size_t node) const
+{
+    return !platformDown && m_nodes[node].platformReachable;
+}
+
+std::size_t ControlHarness::byAddress(const std::string &address) const
+{
+    const auto it = std::find_if(m_nodes.begin(), m_nodes.end(), [&](const ControlNode &node) {
+        return node.address == address;
+    });
+    return static_cast<std::size_t>(it - m_nodes.begin());
+}
+
+void ControlHarness::send(std::size_t from, const std::string &address, PeerMessage message)
+{
+    ControlNode &sender = m_nodes[from];
+    sender.bytesSent += encodePeerMessage(message).size();
+    ++sender.messagesSent;
+    const std::size_t to = byAddress(address);
+    if (to == m_nodes.size() || m_nodes[to].side != sender.side)
+        return;
+    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_settings.loss)
+        return;
+    at(m_now + m_settings.latency,
+       [this, to, message = std::move(message)] { deliver(to, message); });
+}
+
+void ControlHarness::deliver(std::size_t to, const PeerMessage &message)
+{
+    ControlNode &node = m_nodes[to];
+    if (!node.alive)
+        return;
+    ConfigActions configActions;
+    Reason reason;
+    switch (message.kind) {
+    case PeerMessage::Kind::ConfigRequest: {
+        PeerMessage answer;
+        answer.from = node.membership.self();
+        answer.head = node.config.head();
+        const auto changes = node.config.changesAfter(message.after);
+        if (changes && changes->size() <= MaxChangesPerMessage) {
+            answer.kind = PeerMessage::Kind::ConfigChanges;
+            for (const ConfigChange &change : *changes)
+                answer.changes.push_back(toJson(change));
+        } else {
+            answer.kind = PeerMessage::Kind::ConfigWhole;
+            answer.snapshot = toJson(node.config.snapshot());
+        }
+        send(to, message.from.address, std::move(answer));
+        break;
+    }
+    case PeerMessage::Kind::ConfigChanges: {
+        std::vector<ConfigChange> changes;
+        for (const std::string &text : message.changes) {
+            if (auto change = changeFromJson(text, reason))
+                changes.push_back(std::move(*change));
+        }
+        node.config.peerChanges(changes, m_now, configActions);
+        break;
+    }
+    case PeerMessage::Kind::ConfigWhole:
+        if (const auto snapshot = snapshotFromJson(message.snapshot, reason))
+            node.config.peerSnapshot(*snapshot, m_now, configActions);
+        break;
+    default: {
+        MembershipActions actions;
+        node.membership.received(message, m_now, actions);
+        perform(to, actions);
+        break;
+    }
+    }
+    node.config.peerHead(message.from.address, message.head, m_now, configActions);
+    perform(to, configActions);
+}
+
+void ControlHarness::perform(std::size_t index, MembershipActions &actions)
+{
+    for (MembershipAction &action : actions) {
+        if (auto *message = std::get_if<SendToPeer>(&action))
+            send(index, message->address, std::move(message->message));
+        else if (auto *changed = std::get_if<MemberChanged>(&action))
+            m_nodes[index].memberStates[changed->news.name] = changed->news.state;
+        else if (auto *leaving = std::get_if<SetEndpointLeaving>(&action))
+            m_nodes[index].endpointsLeaving[leaving->endpoint] = leaving->leaving;
+    }
+}
+
+void ControlHarness::perform(std::size_t index, ConfigActions &actions)
+{
+    ControlNode &node = m_nodes[index];
+    const auto answer = [this, index](auto function) {
+        at(m_now + m_settings.tableLatency, [this, index, function] {
+            if (!m_nodes[index].alive)
+                return;
+            ConfigActions next;
+            function(m_nodes[index].config, next);
+            perform(index, next);
+        });
+    };
+    for (ConfigAction &action : actions) {
+        if (const auto *read = std::get_if<ReadConfigHead>(&action)) {
+            ++node.platformReads;
+            answer([this, index, id = read->id](ConfigKeeper &keeper, ConfigActions &next) {
+                ReadOutcome outcome;
+                if (reachable(index))
+                    outcome = m_tables.read(std::string(ConfigTable), std::string(HeadKey));
+                keeper.headRead(id, outcome, m_now, next);
+            });
+        } else if (const auto *scan = std::get_if<ScanConfigChanges>(&action)) {
+            ++node.platformReads;
+            answer([this, index, scan = *scan](ConfigKeeper &keeper, ConfigActions &next) {
+                ScanOutcome outcome;
+                if (reachable(index))
+                    outcome = m_tables.scan(std::string(ChangeTable), changeKey(scan.after),
+                                            scan.limit);
+                keeper.changesScanned(scan.id, outcome, m_now, next);
+            });
+        } else if (const auto *whole = std::get_if<ReadConfigSnapshot>(&action)) {
+            answer([this, index, id = whole->id](ConfigKeeper &keeper, ConfigActions &next) {
+                std::optional<std::string> content;
+                if (reachable(index) && m_objects.contains(std::string(SnapshotObject)))
+                    content = m_objects[std::string(SnapshotObject)];
+                keeper.snapshotRead(id, content, m_now, next);
+            });
+        } else if (auto *write = std::get_if<WriteConfigSnapshot>(&action)) {
+            if (reachable(index))
+                m_objects[std::string(SnapshotObject)] = std::move(write->content);
+        } else if (auto *ask = std::get_if<AskPeerForConfig>(&action)) {
+            PeerMessage request;
+            request.kind = PeerMessage::Kind::ConfigRequest;
+            request.from = node.membership.self();
+            request.head = node.config.head();
+            request.after = ask->after;
+            send(index, ask->peer, std::move(request));
+        } else if (auto *commit = std::get_if<CommitConfig>(&action)) {
+            answer([this, index, commit = *commit](ConfigKeeper &keeper, ConfigActions &next) {
+                TransactionOutcome outcome {TransactionOutcome::Kind::NotCommitted, {}};
+                if (reachable(index))
+                    outcome = m_tables.transact(commit.transaction);
+                if (reachable(index) && loseAnswers > 0) {
+                    --loseAnswers;
+                    outcome = {};
+                }
+                keeper.commitDone(commit.id, outcome, m_now, next);
+            });
+        } else if (auto *install = std::get_if<InstallConfig>(&action)) {
+            const ConfigHead &head = install->config->head();
+            node.regressions += head.version < node.installed ? 1 : 0;
+            node.installed = head.version;
+            node.installedAt.try_emplace(head.version, m_now);
+            node.membership.setHead(head);
+        } else if (auto *decided = std::get_if<ProposalDecided>(&action)) {
+            node.outcomes[decided->id] = std::move(decided->outcome);
+        }
+    }
+}
+
+void ControlHarness::propose(std::size_t index, ConfigProposal proposal)
+{
+    ConfigActions actions;
+    m_nodes[index].config.propose(std::move(proposal), 0, m_now, actions);
+    perform(index, actions);
+}
+
+ConfigProposal ControlHarness::teamProposal(const std::string &id, const std::string &team,
+                                            double share)
+{
+    ConfigProposal proposal;
+    proposal.id = id;
+    proposal.author = "test";
+    const std::string text = R"({"name":")" + team + R"(","share":)" + std::to_string(share)
+        + R"(,"token_sha256":")" + sha256Hex(team) + R"("})";
+    proposal.edits.push_back({"rules/teams/" + team, std::nullopt, text});
+    return proposal;
+}
+
+void ControlHarness::saysLeaving(std::size_t index, const std::string &endpoint)
+{
+    MembershipActions actions;
+    m_nodes[index].membership.endpointSaysLeaving(endpoint, actions);
+    perform(index, actions);
+}
+
+void ControlHarness::listed(std::size_t index, const std::vector<ListedInstance> &list)
+{
+    MembershipActions actions;
+    m_nodes[index].membership.listed(list, m_now, actions);
+    perform(index, actions);
+}
+
+void ControlHarness::leave(std::size_t index)
+{
+    MembershipActions actions;
+    m_nodes[index].membership.leave(m_now, actions);
+    perform(index, actions);
+}
+
+} // namespace balsamloft::fakes
--- /dev/null
+++ b/src/fakes/controlharness.h
@@ -0,0 +1,122 @@
+/// \file
+/// Drives ConfigKeepers and Memberships of several instances in virtual time,
+/// over a table that can be cut off and messages that can be lost.
+
+#pragma once
+
+#include "tablemodel.h"
+
+#include <balsamloft/configkeeper.h>
+#include <balsamloft/membership.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+
+namespace balsamloft::fakes {
+
+/// Settings of a ControlHarness.
+struct ControlHarnessSettings
+{
+    std::size_t nodes = 8;
+    double loss = 0; ///< share of peer messages that are lost
+    bool gossip = true; ///< memberships run and carry configuration heads
+    bool polling = true; ///< heads are read from the platform
+    Duration latency {1'000};
+    Duration tableLatency {3'000};
+    MembershipSettings membership;
+    ConfigKeeperSettings config;
+    std::uint64_t seed = 1;
+};
+
+/// One instance of the harness.
+struct ControlNode
+{
+    std::string name;
+    std::string address;
+    ConfigKeeper config;
+    Membership membership;
+    bool alive = true;
+    bool platformReachable = true;
+    std::uint32_t side = 0; ///< of a partition; messages pass within a side only
+    std::uint64_t installed = 0; ///< highest version put in force
+    std::uint64_t regressions = 0; ///< times that a lower version was put in force
+    std::map<std::uint64_t, Time> installedAt;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t messagesSent = 0;
+    std::uint64_t platformReads = 0;
+    std::map<std::string, ProposalOutcome> outcomes;
+    std::map<std::string, MemberState> memberStates;
+    std::map<std::string, bool> endpointsLeaving;
+};
+
+/// The driver.
+class ControlHarness
+{
+public:
+    explicit ControlHarness(ControlHarnessSettings settings);
+
+    void run(Time until);
+    void runFor(Duration duration) { run(m_now + duration); }
+    void at(Time at, std::function<void()> action);
+
+    /// Adds an instance that knows a few others as its seeds. Returns its index.
+    std::size_t addNode();
+    void kill(std::size_t node) { m_nodes[node].alive = false; }
+    void propose(std::size_t node, ConfigProposal proposal);
+
+    /// A proposal that puts one entry "rules/teams/NAME".
+    static ConfigProposal teamProposal(const std::string &id, const std::string &team,
+                                       double share);
+    void saysLeaving(std::size_t node, const std::string &endpoint);
+    void listed(std::size_t node, const std::vector<ListedInstance> &list);
+    void leave(std::size_t node);
+
+    /// Runs until all living nodes hold \a version, or \a limit has passed.
+    /// Returns how long that took; nothing when it did not happen.
+    std::optional<Duration> timeToVersion(std::uint64_t version, Duration limit);
+
+    Time now() const { return m_now; }
+    ControlNode &node(std::size_t index) { return m_nodes[index]; }
+    std::size_t size() const { return m_nodes.size(); }
+    TableModel &tables() { return m_tables; }
+    std::map<std::string, std::string> &objects() { return m_objects; }
+
+    bool platformDown = false; // NOLINT(readability-identifier-naming): a fault to switch on
+    int loseAnswers = 0; // NOLINT(readability-identifier-naming): a fault to switch on
+
+private:
+    struct Event
+    {
+        Time at;
+        std::uint64_t order;
+        std::function<void()> action;
+    };
+    struct Later
+    {
+        bool operator()(const Event &a, const Event &b) const
+        {
+            return std::pair(a.at, a.order) > std::pair(b.at, b.order);
+        }
+    };
+
+    void start(std::size_t node);
+    void tick(std::size_t node);
+    void send(std::size_t from, const std::string &address, PeerMessage message);
+    void deliver(std::size_t to, const PeerMessage &message);
+    void perform(std::size_t node, ConfigActions &actions);
+    void perform(std::size_t node, MembershipActions &actions);
+    bool reachable(std::size_t node) const;
+    std::size_t byAddress(const std::string &address) const;
+
+    ControlHarnessSettings m_settings;
+    std::deque<ControlNode> m_nodes;
+    std::mt19937_64 m_random;
+    std::vector<Event> m_events; ///< a heap
+    TableModel m_tables;
+    std::map<std::string, std::string> m_objects;
+    Time m_now {std::chrono::seconds(1)};
+    std::uint64_t m_order = 0;
+};
+
+} // namespace balsamloft::fakes
--- a/src/include/balsamloft/membership.h
+++ b/src/include/balsamloft/membership.h
@@ -144,6 +144,7 @@
     bool apply(const MemberNews &news, Time now, MembershipActions &actions);
     void apply(const EndpointNews &news, MembershipActions &actions);
     void refute(const MemberNews &news);
+    bool attachDoubt(const MemberNews &from, PeerMessage &reply) const;
     void setState(Member &member, MemberState state, Time now, MembershipActions &actions);
     PeerMessage message(PeerMessage::Kind kind, std::uint64_t sequence);
     void attachNews(PeerMessage &message);
--- a/src/libbalsamloft/membership.cpp
+++ b/src/libbalsamloft/membership.cpp
@@ -238,6 +238,7 @@
     switch (incoming.kind) {
     case PeerMessage::Kind::Ping: {
         PeerMessage ack = message(PeerMessage::Kind::Ack, incoming.sequence);
+        attachDoubt(incoming.from, ack);
         if (incoming.knownMembers < m_members.size() / 2) {
             // Someone new, or back after long: the whole list at once.
             ack.members.clear();
@@ -252,6 +253,11 @@
     case PeerMessage::Kind::Ack: {
         if (m_probe && m_probe->sequence == incoming.sequence)
             m_probe.reset();
+        PeerMessage doubt = message(PeerMessage::Kind::Ping, m_sequence + 1);
+        if (attachDoubt(incoming.from, doubt)) {
+            ++m_sequence;
+            actions.push_back(SendToPeer {incoming.from.address, std::move(doubt)});
+        }
         const auto favour = m_favours.find(incoming.sequence);
         if (favour == m_favours.end())
             break;
@@ -271,6 +277,21 @@
     }
 }
 
+bool Membership::attachDoubt(const MemberNews &from, PeerMessage &reply) const
+{
+    // One that speaks is alive, but its word does not go before news of the
+    // same incarnation: it has to be told what is said of it, to refute it.
+    // After a partition heals, two sides would else stay dead to each other.
+    const auto it = m_members.find(from.name);
+    if (it == m_members.end() || it->second.news.incarnation < from.incarnation)
+        return false;
+    const MemberState state = it->second.news.state;
+    if (state != MemberState::Dead && state != MemberState::Suspect)
+        return false;
+    reply.members.push_back(it->second.news);
+    return true;
+}
+
 void Membership::heard(const PeerMessage &incoming, Time now, MembershipActions &actions)
 {
     apply(incoming.from, now, actions);
