--- /dev/null
+++ b/scripts/safeguards.py
@@ -0,0 +1,150 @@
+#!/usr/bin/env python3
+"""Takes safeguards out, one at a time, and shows that a test then fails.
+
+Works on a copy of the tree, so that nothing here is touched:
+
+    scripts/safeguards.py [--only NAME] [--work DIRECTORY]
+
+Prints a line for each safeguard; ends with 1 if a test passed without it.
+"""
+import argparse
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+# Name, file, text, replacement, programs to build, CTest name of the proof.
+SAFEGUARDS = [
+    ("echo of a step", "src/libbalsamloft/routerattempts.cpp",
+     "if (answer.ref != awaited) {", "if (false) {",
+     "router_test: crossed answers reach nobody"),
+    ("late answers dropped", "src/libbalsamloft/routerattempts.cpp",
+     "if (!current) {", "if (!flight || flight->state != FlightState::Running) {",
+     "router_test: a frozen stage: late answers of a given up attempt are dropped"),
+    ("non-idempotent never sent again", "src/libbalsamloft/routerfailures.cpp",
+     "if (flight.request.nonIdempotent)\n", "if (false)\n",
+     "router_test: a request marked non-idempotent is never sent again"),
+    ("resume after a failure", "src/libbalsamloft/routerfailures.cpp",
+     "if (flight.retries + 1 >= m_settings.maxAttempts)", "if (true)",
+     "router_test: a killed stage: the stream goes on elsewhere, unbroken"),
+    ("refused connection proves not run", "src/libbalsamloft/routerfailures.cpp",
+     "const bool nothingRan = provesNotRun(kind)", "const bool nothingRan = false && provesNotRun(kind)",
+     "router_test: a refused connection proves that nothing ran"),
+    ("leaving endpoints skipped", "src/libbalsamloft/loadview.cpp",
+     "state.configured && !state.leaving && ", "state.configured && ",
+     "router_test: a leaving endpoint gets no new work, whatever late reports say"),
+    ("own nonce recognised", "src/libbalsamloft/claims.cpp",
+     "if (memberText(object, \"nonce\") == claim.nonce) {", "if (false) {",
+     "router_test: the answer to a claim is lost: it is settled by reading"),
+    ("condition on the claim", "src/libbalsamloft/claims.cpp",
+     "transaction.checks.push_back(\n            {std::string(ClaimTable), it->second.rowKey, it->second.version});",
+     "",
+     "router_test: one key sent through two instances runs once"),
+    ("versions of a key only rise", "src/libbalsamloft/claims.cpp",
+     "settle.value = json::serialize(json::object {{\"state\", FreeState}});", "",
+     "property_test: a key is executed at most once, whatever the table does"),
+    ("change found by its id", "src/libbalsamloft/configproposals.cpp",
+     "if (it == m_history.end())\n        return false;", "return false;",
+     "control_test: the answer to a commit is lost"),
+    ("clash of edits", "src/libbalsamloft/configproposals.cpp",
+     "if (!outcome.conflicts.empty()) {", "if (false) {",
+     "control_test: two operators race: of clashing edits one is refused"),
+    ("unknown is not undone", "src/libbalsamloft/configproposals.cpp",
+     "m_proposals.front().uncertain ? ProposalOutcome::Kind::Unknown",
+     "false ? ProposalOutcome::Kind::Unknown",
+     "control_test: the answer is lost and the platform goes down"),
+    ("never down a version", "src/libbalsamloft/configkeeper.cpp",
+     "if (snapshot.head.version <= m_head.version)\n        return;", "",
+     "configkeeper_test: an old snapshot changes nothing"),
+    ("doubt is told to whom it concerns", "src/libbalsamloft/membership.cpp",
+     "reply.members.push_back(it->second.news);\n    return true;", "return false;",
+     "control_test: a domain cut off from platform and peers, then healed"),
+    ("leaving beats older news", "src/libbalsamloft/membership.cpp",
+     "if (!newer)\n        return;\n    const bool changed = news.leaving", "const bool changed = news.leaving",
+     "control_test: leaving beats older news, and a new generation comes back"),
+    ("suspicion lasts as the fleet needs", "src/libbalsamloft/membership.cpp",
+     "return std::max(m_settings.suspicion, Duration(static_cast<std::int64_t>(micros)));",
+     "return Duration(static_cast<std::int64_t>(micros) / 20);",
+     "control_test: a dead member is noticed, a slow message is no death"),
+    ("lease counted from before the write", "src/libbalsamloft/lease.cpp",
+     "m_heldUntil = write.sentAt + m_settings.duration;",
+     "m_heldUntil = write.sentAt + 2 * m_settings.duration;",
+     "lease_test: a holder that is cut off loses the lease before another has it"),
+    ("no order without the lease", "src/libbalsamloft/orders.cpp",
+     "if (!holds)\n        return;", "",
+     "lease_test: without the lease nothing is ordered"),
+    ("old orders run out", "src/libbalsamloft/orders.cpp",
+     "(!wanted.checksFencing && !oldOrdersOver)", "false",
+     "lease_test: a new holder lets old orders run out at engines that do not check"),
+    ("ejection", "src/libbalsamloft/loadview.cpp",
+     " && !state.ejected;", ";",
+     "policy_test: recovery: streams go on, soon and with little extra work"),
+    ("\"no room\" goes before reports", "src/libbalsamloft/loadview.cpp",
+     "if (now < state.pausedUntil && beyond == 0)", "if (false)",
+     "policy_test: engines are kept busy at and beyond saturation"),
+    ("too late does not hold up the queue", "src/libbalsamloft/routeradmission.cpp",
+     "query.timeLeft = Duration::max();", "return;",
+     "policy_test: a greedy team takes nothing from those within their share"),
+    ("silence is noticed", "src/libbalsamloft/routerfailures.cpp",
+     "if (!expired)\n            return overdue(flight, now, actions);",
+     "if (!expired)\n            return setTimer(flight, flight.request.deadline);",
+     "testsuite: connections that go silent while new ones work"),
+    ("caller gone cancels", "src/libbalsamloft/routerfailures.cpp",
+     "if (Flight *flight = find(id))\n        refuse(*flight, RefusalCode::CallerGone",
+     "if (Flight *flight = nullptr)\n        refuse(*flight, RefusalCode::CallerGone",
+     "testsuite: a caller that goes away in mid-stream: its work is cancelled"),
+    ("a stop waits for what is in flight", "src/libweb/httpserver.cpp",
+     "session->closeIfIdle();", "session->closeNow();",
+     "testsuite: SIGTERM under full load cuts nothing"),
+    ("deadline looked at again", "src/libbalsamloft/routeradmission.cpp",
+     "if (now >= flight->request.deadline)", "if (false)",
+     "testsuite: an instance frozen between claim and dispatch wakes up late"),
+]
+
+
+def run(command, cwd):
+    return subprocess.run(command, cwd=cwd, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+                          text=True)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--only", help="name of one safeguard")
+    parser.add_argument("--work", help="directory for the copy, kept afterwards")
+    arguments = parser.parse_args()
+    root = pathlib.Path(__file__).resolve().parent.parent
+    work = pathlib.Path(arguments.work or tempfile.mkdtemp(prefix="safeguards-"))
+    tree = work / "tree"
+    if not tree.exists():
+        shutil.copytree(root, tree, ignore=shutil.ignore_patterns("build*", ".git"))
+    run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja"], tree)
+    survived = 0
+    for name, file, text, replacement, proof in SAFEGUARDS:
+        if arguments.only and arguments.only != name:
+            continue
+        path = tree / file
+        original = path.read_text()
+        if original.count(text) != 1:
+            print(f"NOT APPLIED  {name}: the text is there {original.count(text)} times")
+            survived += 1
+            continue
+        path.write_text(original.replace(text, replacement))
+        target, case = proof.split(": ", 1)
+        built = run(["cmake", "--build", "build", "--target", target], tree)
+        if built.returncode != 0:
+            verdict = "NOT BUILT"
+        else:
+            tested = run(["timeout", "300", "build/bin/" + target, case.replace(",", "\\,")], tree)
+            nothing = "No test cases matched" in tested.stdout or "No tests ran" in tested.stdout
+            verdict = "NO TEST" if nothing else "passes still" if tested.returncode == 0 else "fails"
+        survived += verdict != "fails"
+        print(f"{verdict:12} {name}: {proof}", flush=True)
+        path.write_text(original)
+    if not arguments.work:
+        shutil.rmtree(work)
+    print(f"{survived} safeguards without a failing test")
+    return 1 if survived else 0
+
+
+sys.exit(main())
--- a/src/libbalsamloft/config_test.cpp
+++ b/src/libbalsamloft/config_test.cpp
@@ -35,7 +35,7 @@
 {
     return std::any_of(problems.begin(), problems.end(), [&](const Problem &problem) {
         return problem.path.find(path) != std::string::npos
-            && problem.advice.find(advice) != std::string::npos;
+               && problem.advice.find(advice) != std::string::npos;
     });
 }
 
@@ -44,7 +44,7 @@
 std::string engine(const std::string &fields)
 {
     return R"({"domains":[{"name":"d"}],"endpoints":[{"name":"e","address":"10.0.0.1:1","domain":"d",)"
-        + fields + "}]}";
+           + fields + "}]}";
 }
 
 } // namespace
--- a/src/libbalsamloft/membership.cpp
+++ b/src/libbalsamloft/membership.cpp
@@ -130,8 +130,8 @@
     }
     m_nextWakeup = m_nextPeriod;
     if (m_probe && m_probe->steps < 2)
-        m_nextWakeup = std::min(m_nextWakeup,
-                                m_probe->sentAt + (m_probe->steps + 1) * m_settings.ackTimeout);
+        m_nextWakeup =
+            std::min(m_nextWakeup, m_probe->sentAt + (m_probe->steps + 1) * m_settings.ackTimeout);
 }
 
 void Membership::probeNext(Time now, MembershipActions &actions)
@@ -202,8 +202,8 @@
     // A refutation has to reach everyone who heard the suspicion. News takes
     // about log2 of the fleet in periods, so a fixed time that suits eight
     // instances declares the living dead among hundreds.
-    const double periods
-        = m_settings.suspicionFactor * std::log2(static_cast<double>(m_members.size()) + 2);
+    const double periods =
+        m_settings.suspicionFactor * std::log2(static_cast<double>(m_members.size()) + 2);
     const double micros = periods * static_cast<double>(m_settings.period.count());
     return std::max(m_settings.suspicion, Duration(static_cast<std::int64_t>(micros)));
 }
