--- a/src/include/balsamloft/loadview.h
+++ b/src/include/balsamloft/loadview.h
@@ -58,6 +58,8 @@
     Time ownMeanAt {};
     double othersLikely = 0; ///< others' at the last report, neither way in doubt
     Time reportedAt {};
+    double roundTripMicros = 0; ///< smoothed, seen on the way there and back
+    Time roundTripAt {};
     std::uint32_t window = 0; ///< own requests known to fit, while paused
     Time pausedUntil {}; ///< set by "no room"
     std::uint32_t busyInRow = 0; ///< for the length of the pause
@@ -104,6 +106,9 @@
     void probed(EndpointId id, bool alive, Time now);
     void affinityOutcome(EndpointId id, bool hit);
 
+    /// A step took \a roundTrip longer than the endpoint says it worked on it.
+    void observedRoundTrip(EndpointId id, Duration roundTrip, Time now);
+
     // Queries
 
     EndpointId find(std::string_view name) const;
@@ -118,6 +123,10 @@
     /// The same with what is probable of others, to compare endpoints.
     double likelyLoad(EndpointId id, Time now) const;
 
+    /// The round trip seen lately, fading with time: a link that was slow is
+    /// tried again. Zero when none was seen.
+    Duration roundTrip(EndpointId id, Time now) const;
+
     /// Returns whether one more request fits.  beyond slots may be
     /// overcommitted, for what the endpoint puts first.
     bool hasRoom(EndpointId id, std::uint32_t beyond, Time now) const;
--- a/src/libbalsamloft/loadview.cpp
+++ b/src/libbalsamloft/loadview.cpp
@@ -10,6 +10,7 @@
 
 constexpr double SmoothingWeight = 0.2;
 constexpr std::uint32_t LongestBackoffShift = 10;
+constexpr double RoundTripMemorySeconds = 10;
 
 double smoothed(double old, double sample)
 {
@@ -186,6 +187,22 @@
     state.prefixHitRate = smoothed(state.prefixHitRate, hit ? 1 : 0);
 }
 
+void LoadView::observedRoundTrip(EndpointId id, Duration roundTrip, Time now)
+{
+    EndpointState &state = m_states[id];
+    const auto sample = static_cast<double>(std::max(Duration::zero(), roundTrip).count());
+    state.roundTripMicros = smoothed(state.roundTripMicros, sample);
+    state.roundTripAt = now;
+}
+
+Duration LoadView::roundTrip(EndpointId id, Time now) const
+{
+    const EndpointState &state = m_states[id];
+    const std::chrono::duration<double> age = now - state.roundTripAt;
+    return Duration(static_cast<std::int64_t>(state.roundTripMicros
+                                              * std::exp(-age.count() / RoundTripMemorySeconds)));
+}
+
 EndpointId LoadView::find(std::string_view name) const
 {
     const auto it = m_byName.find(name);
--- a/src/libbalsamloft/router_test.cpp
+++ b/src/libbalsamloft/router_test.cpp
@@ -213,6 +213,39 @@
     CHECK(record.endedAt - record.submittedAt < std::chrono::seconds(10));
 }
 
+TEST_CASE("a link that degrades is avoided, and tried again later", "[router][failure]")
+{
+    // Callers see whole streams, for a while slower ones. The link to one of
+    // two like engines becomes a hundred times slower without any error; the
+    // inventory does not know it, the round trips of steps show it.
+    std::vector<EngineSettings> engines(2);
+    for (EngineSettings &engine : engines)
+        engine.layers = {0, Layers};
+    auto harness = makeHarness(engines);
+    const auto shareOfFirst = [&](int count) {
+        const auto before = harness.engine(0).model.prefills();
+        for (int i = 0; i < count; ++i) {
+            harness.submit(0,
+                           completion(harness, "p" + std::to_string(harness.records().size()), 10));
+            harness.runFor(std::chrono::milliseconds(40));
+        }
+        return static_cast<double>(harness.engine(0).model.prefills() - before) / count;
+    };
+    CHECK(shareOfFirst(100) > 0.3);
+    harness.engine(0).extraLatency = Duration(20'000);
+    shareOfFirst(20);
+    CHECK(shareOfFirst(100) < 0.15);
+    harness.engine(0).extraLatency = Duration(0);
+    harness.runFor(std::chrono::seconds(60));
+    shareOfFirst(40);
+    CHECK(shareOfFirst(100) > 0.3);
+    harness.runFor(std::chrono::seconds(10));
+    for (const auto &[id, record] : harness.records()) {
+        REQUIRE(record.answer);
+        CHECK(record.answer->body == expected(record));
+    }
+}
+
 TEST_CASE("a leaving endpoint gets no new work, whatever late reports say", "[router][failure]")
 {
     // Callers see nothing. An endpoint says in an answer that it is leaving;
--- a/src/libbalsamloft/routerattempts.cpp
+++ b/src/libbalsamloft/routerattempts.cpp
@@ -156,6 +156,9 @@
     m_loads.succeeded(stage.endpoint);
     if (flight->prefillPass)
         m_loads.accepted(stage.endpoint);
+    else if (answer.load.stepTime > Duration::zero())
+        m_loads.observedRoundTrip(stage.endpoint, now - flight->stepSentAt - answer.load.stepTime,
+                                  now);
     if (stage.byAffinity && flight->prefillPass && flight->stage == 0)
         m_loads.affinityOutcome(stage.endpoint, answer.prefixHit);
     flight->silentPeriods = 0;
--- a/src/libbalsamloft/routing.cpp
+++ b/src/libbalsamloft/routing.cpp
@@ -247,7 +247,9 @@
     // Beyond the slots it waits for one to come free.
     const double ahead = std::max(0.0, present - state.slots + 1);
     const double wait = ahead * StepsUntilSlotFree * static_cast<double>(stepTime.count());
-    return compute + wait + 2.0 * static_cast<double>(m_latency[id].count());
+    // The inventory knows the link as it should be; steps show how it is.
+    const Duration way = std::max(2 * m_latency[id], decision.loads.roundTrip(id, decision.now));
+    return compute + wait + static_cast<double>(way.count());
 }
 
 EndpointId ChainChooser::drawByWeight(const RouteTable::Group &group)
