Exchange of the configuration decided in the core; scripts and cases share what is the same

Cause: whether a peer gets changes or the whole was decided in the daemon and again in the harness: a decision that had leaked, twice.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -6,23 +6,7 @@
 bin="${1:-build}/bin"
 count=${COUNT:-8}
 seconds=${SECONDS_MEASURED:-30}
-work=$(mktemp -d)
-pids=()
-cleanup() {
-    kill "${pids[@]}" 2>/dev/null || true
-    wait 2>/dev/null || true
-    rm -rf "$work"
-}
-trap cleanup EXIT
-
-wait_for() {
-    for _ in $(seq 600); do
-        grep -oE -m1 "$2" "$1" 2>/dev/null && return
-        sleep 0.05
-    done
-    cat "$1" >&2
-    exit 1
-}
+. scripts/common.sh
 
 python3 - "$work" <<'PY'
 import hashlib, json, sys
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -5,23 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin="${1:-build}/bin"
-work=$(mktemp -d)
-pids=()
-cleanup() {
-    kill "${pids[@]}" 2>/dev/null || true
-    wait 2>/dev/null || true
-    rm -rf "$work"
-}
-trap cleanup EXIT
-
-wait_for() {
-    for _ in $(seq 600); do
-        grep -oE -m1 "$2" "$1" 2>/dev/null && return
-        sleep 0.05
-    done
-    cat "$1" >&2
-    exit 1
-}
+. scripts/common.sh
 
 "$bin/fake_platform" > "$work/platform" 2>&1 & pids+=($!)
 platform=$(wait_for "$work/platform" '127\.0\.0\.1:[0-9]+')
--- a/src/balsamloftd/controlactions.cpp
+++ b/src/balsamloftd/controlactions.cpp
@@ -71,12 +71,7 @@
 
 void ControlPlane::operator()(AskPeerForConfig &action)
 {
-    PeerMessage request;
-    request.kind = PeerMessage::Kind::ConfigRequest;
-    request.from = m_membership.self();
-    request.head = m_config.head();
-    request.after = action.after;
-    m_peers.send(action.peer, request);
+    m_peers.send(action.peer, makeConfigRequest(m_config, m_membership.self(), action.after));
 }
 
 void ControlPlane::operator()(SendToPeer &action)
--- a/src/balsamloftd/controlplane.cpp
+++ b/src/balsamloftd/controlplane.cpp
@@ -18,7 +18,6 @@
 constexpr int LeaseRenewals = 3; ///< in the time of one lease
 constexpr int LeaseMarginParts = 9;
 constexpr double DemandSmoothing = 0.3;
-constexpr std::size_t MaxChangesPerMessage = 100;
 
 ConfigKeeperSettings keeperSettings(const DaemonSettings &settings)
 {
@@ -332,23 +331,14 @@
 {
     const Time now = steadyNow();
     ConfigActions configActions;
-    Reason reason;
     switch (message.kind) {
     case PeerMessage::Kind::ConfigRequest:
-        answerConfigRequest(message);
+        m_peers.send(message.from.address,
+                     makeConfigAnswer(m_config, m_membership.self(), message.after));
         break;
-    case PeerMessage::Kind::ConfigChanges: {
-        std::vector<ConfigChange> changes;
-        for (const std::string &text : message.changes) {
-            if (auto change = changeFromJson(text, reason))
-                changes.push_back(std::move(*change));
-        }
-        m_config.peerChanges(changes, now, configActions);
-        break;
-    }
+    case PeerMessage::Kind::ConfigChanges:
     case PeerMessage::Kind::ConfigWhole:
-        if (const auto snapshot = snapshotFromJson(message.snapshot, reason))
-            m_config.peerSnapshot(*snapshot, now, configActions);
+        takeConfigAnswer(m_config, message, now, configActions);
         break;
     default: {
         MembershipActions actions;
@@ -361,23 +351,6 @@
     perform(configActions);
 }
 
-void ControlPlane::answerConfigRequest(const PeerMessage &request)
-{
-    PeerMessage answer;
-    answer.from = m_membership.self();
-    answer.head = m_config.head();
-    const auto changes = m_config.changesAfter(request.after);
-    if (changes && changes->size() <= MaxChangesPerMessage) {
-        answer.kind = PeerMessage::Kind::ConfigChanges;
-        for (const ConfigChange &change : *changes)
-            answer.changes.push_back(toJson(change));
-    } else {
-        answer.kind = PeerMessage::Kind::ConfigWhole;
-        answer.snapshot = toJson(m_config.snapshot());
-    }
-    m_peers.send(request.from.address, answer);
-}
-
 void ControlPlane::schedule()
 {
     Time at = steadyNow() + LongestSleep;
--- a/src/balsamloftd/controlplane.h
+++ b/src/balsamloftd/controlplane.h
@@ -7,7 +7,7 @@
 #include "settings.h"
 #include "trafficworker.h"
 
-#include <balsamloft/configkeeper.h>
+#include <balsamloft/configexchange.h>
 #include <balsamloft/httpplatform.h>
 #include <balsamloft/lease.h>
 #include <balsamloft/membership.h>
@@ -73,7 +73,6 @@
     void checkSettled(Time until, const std::function<void()> &callback);
     void renderControlMetrics(std::string &text) const;
     void received(PeerMessage message);
-    void answerConfigRequest(const PeerMessage &request);
     void readInstanceList();
     void collectDemand();
     void demandCollected(const std::map<std::string, double> &totals, Time now);
--- a/src/fakes/controlharness.h
+++ b/src/fakes/controlharness.h
@@ -6,7 +6,7 @@
 
 #include "tablemodel.h"
 
-#include <balsamloft/configkeeper.h>
+#include <balsamloft/configexchange.h>
 #include <balsamloft/membership.h>
 
 #include <deque>
