A change without a version is refused

Cause: a missing version was read as 0 and accepted; written out again it did not parse. Change: a change without a version of at least 1 is refused with its reason.

--- a/src/libbalsamloft/configchain.cpp
+++ b/src/libbalsamloft/configchain.cpp
@@ -165,6 +165,8 @@
         change.edits.push_back(
             {*path, optionalText(*edit, "before"), optionalText(*edit, "after")});
     }
+    if (change.version == 0)
+        reader.problem("version", "is required, at least 1");
     if (!problems.empty()) {
         reason = problems.front().text();
         return std::nullopt;
