The case of the caller gone is not ended by the deadline

Cause: with the cancellation taken out the case still passed, since the default deadline of 60 s cancelled the work within the two minutes that it waits. Change: the request states the longest deadline.

--- a/testsuite/bad-input/bad_input_test.cpp
+++ b/testsuite/bad-input/bad_input_test.cpp
@@ -48,8 +48,9 @@
 
 std::string rawCompletion(const std::string &body)
 {
+    // The longest deadline, so that it is not what ends the request.
     return "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer t\r\n"
-           "Content-Length: "
+           "Balsamloft-Deadline-Ms: 600000\r\nContent-Length: "
            + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
