--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -106,7 +106,10 @@
      "testsuite: SIGTERM under full load cuts nothing"),
     ("deadline looked at again", "src/libbalsamloft/routeradmission.cpp",
      "if (now >= flight->request.deadline)", "if (false)",
-     "testsuite: an instance frozen between claim and dispatch wakes up late"),
+     "router_test: a paused process does not send what is past its deadline"),
+    ("asked again before the bytes leave", "src/libbalsamloft/routerfailures.cpp",
+     "&& now < it->second.request.deadline;", ";",
+     "router_test: a paused process does not send what is past its deadline"),
 ]
 
 
--- a/src/libbalsamloft/property_test.cpp
+++ b/src/libbalsamloft/property_test.cpp
@@ -235,8 +235,9 @@
         for (std::size_t i = 0; i < 5; ++i) {
             for (const auto &[id, outcome] : harness.node(i).outcomes) {
                 const auto &history = harness.node(0).config.history();
+                const std::string &told = id;
                 const bool there = std::any_of(history.begin(), history.end(),
-                                               [&](const auto &c) { return c.id == id; });
+                                               [&](const auto &c) { return c.id == told; });
                 if (outcome.kind == ProposalOutcome::Kind::Accepted)
                     RC_ASSERT(there);
                 else if (outcome.kind != ProposalOutcome::Kind::Unknown)
--- a/src/libbalsamloft/router_test.cpp
+++ b/src/libbalsamloft/router_test.cpp
@@ -355,3 +355,52 @@
     CHECK(harness.record(again).answer);
     CHECK(harness.router(0).counters().dispatched == 1);
 }
+
+TEST_CASE("a paused process does not send what is past its deadline", "[router][claims][failure]")
+{
+    // The caller is told "not run", and that is true. The process is stopped
+    // while a claim is under way and wakes up after the deadline, before any
+    // timer of its own has fired: the claim's answer comes first.
+    std::vector<EngineSettings> engines(1);
+    engines[0].layers = {0, Layers};
+    Router router({.domain = "d"}, 1);
+    Actions actions;
+    const Time start(std::chrono::seconds(1));
+    router.setConfig(harnessConfig("model", Layers, engines), start, actions);
+    Request request;
+    request.id = 1;
+    request.target = "model";
+    request.team = "team";
+    request.prompt = "p";
+    request.maxTokens = 3;
+    request.key = "k";
+    request.deadline = start + std::chrono::seconds(1);
+    router.submit(request, start, actions);
+    REQUIRE(std::holds_alternative<StartClaim>(actions.back()));
+    actions.clear();
+    router.claimAnswered(1, {ClaimAnswer::Kind::Won, {}}, start + std::chrono::seconds(9), actions);
+    bool freed = false;
+    bool refused = false;
+    for (const Action &action : actions) {
+        CHECK_FALSE(std::holds_alternative<SendStep>(action));
+        if (const auto *settle = std::get_if<SettleClaim>(&action))
+            freed = settle->end == ClaimEnd::NotRun;
+        if (const auto *refuse = std::get_if<RefuseRequest>(&action))
+            refused = refuse->ran == Ran::No;
+    }
+    CHECK(freed);
+    CHECK(refused);
+
+    // Paused between the decision and the bytes: asked again before they leave.
+    request.id = 2;
+    request.key.clear();
+    request.deadline = start + std::chrono::seconds(20);
+    actions.clear();
+    router.submit(request, start + std::chrono::seconds(10), actions);
+    REQUIRE(std::holds_alternative<SendStep>(actions.back()));
+    CHECK(router.maySend(2, 1, start + std::chrono::seconds(11)));
+    CHECK_FALSE(router.maySend(2, 1, start + std::chrono::seconds(21)));
+    CHECK_FALSE(router.maySend(2, 2, start + std::chrono::seconds(11)));
+    router.callerGone(2, start + std::chrono::seconds(12), actions);
+    CHECK_FALSE(router.maySend(2, 1, start + std::chrono::seconds(13)));
+}
--- a/testsuite/common/fleet.cpp
+++ b/testsuite/common/fleet.cpp
@@ -246,7 +246,7 @@
 
 std::string Fleet::file(const std::string &name, const json::value &document)
 {
-    const std::string path = m_directory + "/" + name;
+    std::string path = m_directory + "/" + name;
     std::ofstream(path) << json::serialize(document);
     return path;
 }
--- a/testsuite/failing-stages/failing_stages_test.cpp
+++ b/testsuite/failing-stages/failing_stages_test.cpp
@@ -31,7 +31,7 @@
                          completionBody("m", "prompt " + std::to_string(i), Tokens, true),
                          Fleet::team()});
     std::thread breaker;
-    const auto replies = sendAll(calls, [&] {
+    auto replies = sendAll(calls, [&] {
         breaker = std::thread([&] {
             waitUntil([&] { return fleet.log(engine).at("steps").as_array().size() > 30; });
             fault();
