One place for reading a request's path, query and token, and for the clock

Cause: the monotonic clock of the adapters stood in four files, the reading of a query parameter in two, of the bearer token and the path in three; two functions (RouteTable::totalSlots, HttpClient::idleConnections) had no caller. Change: libweb's httprequest serves the daemon, the callers' interface, the operators' interface and the stand-ins; the unused functions are gone. Ruled out: one template for the four perform() of the control thread (they differ in whether they schedule), and joining like-shaped test set-ups, whose faults and assertions differ.

--- a/src/balsamloftd/adminserver.cpp
+++ b/src/balsamloftd/adminserver.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::size_t DefaultHistoryLimit = 50;
 
 HttpServerSettings adminSettings()
@@ -37,26 +36,9 @@
     respond(exchange, status, {{"error", {{"code", code}, {"message", message}}}});
 }
 
-std::string_view pathOf(const HttpExchangePtr &exchange)
-{
-    const auto target = exchange->request().target();
-    return std::string_view(target.data(), target.size()).substr(0, target.find('?'));
-}
-
 std::string_view query(const HttpExchangePtr &exchange, std::string_view name)
 {
-    const auto target = exchange->request().target();
-    std::string_view rest(target.data(), target.size());
-    const auto mark = rest.find('?');
-    rest = mark == std::string_view::npos ? "" : rest.substr(mark + 1);
-    while (!rest.empty()) {
-        const auto end = std::min(rest.find('&'), rest.size());
-        const std::string_view pair = rest.substr(0, end);
-        if (pair.starts_with(name) && pair.substr(name.size()).starts_with('='))
-            return pair.substr(name.size() + 1);
-        rest.remove_prefix(std::min(end + 1, rest.size()));
-    }
-    return {};
+    return queryParameter(exchange->request(), name);
 }
 
 std::optional<std::uint64_t> number(std::string_view text)
@@ -216,11 +198,8 @@
 
 bool AdminServer::authorized(const HttpExchangePtr &exchange) const
 {
-    const auto value = exchange->request()[http::field::authorization];
-    const std::string_view text(value.data(), value.size());
-    return text.starts_with(BearerPrefix)
-           && sha256Hex(text.substr(BearerPrefix.size()))
-                  == m_control.settings().operatorTokenSha256;
+    const auto token = bearerToken(exchange->request());
+    return token && sha256Hex(*token) == m_control.settings().operatorTokenSha256;
 }
 
 void AdminServer::handle(const HttpExchangePtr &exchange)
@@ -231,7 +210,7 @@
     const auto method = exchange->request().method_string();
     bool pathKnown = false;
     for (const Route &route : s_routes) {
-        if (route.path != pathOf(exchange))
+        if (route.path != targetPath(exchange->request()))
             continue;
         pathKnown = true;
         if (route.method == std::string_view(method.data(), method.size()))
--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -68,11 +68,6 @@
 
 } // namespace
 
-Time steadyNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 TrafficWorker::TrafficWorker(WorkerSettings settings, ControlLink &control, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_control(control)
@@ -223,8 +218,7 @@
 
 void TrafficWorker::handle(const HttpExchangePtr &exchange)
 {
-    const auto target = exchange->request().target();
-    const std::string_view path(target.data(), target.size());
+    const std::string_view path = targetPath(exchange->request());
     if (path == "/healthz")
         return exchange->respond(jsonResponse(http::status::ok, R"({"ok":true})"));
     if (path == "/readyz") {
--- a/src/balsamloftd/trafficworker.h
+++ b/src/balsamloftd/trafficworker.h
@@ -9,6 +9,7 @@
 #include <balsamloft/callerapi.h>
 #include <balsamloft/claims.h>
 #include <balsamloft/httpclient.h>
+#include <balsamloft/httprequest.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -135,7 +136,4 @@
     std::thread m_thread;
 };
 
-/// The present monotonic time, for the adapters.
-Time steadyNow();
-
 } // namespace balsamloft
--- a/src/fakes/fakeprocess.cpp
+++ b/src/fakes/fakeprocess.cpp
@@ -1,5 +1,7 @@
 #include "fakeprocess.h"
 
+#include <balsamloft/httprequest.h>
+
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
@@ -41,31 +43,12 @@
 
 std::string_view targetPath(const HttpExchangePtr &exchange)
 {
-    const auto target = exchange->request().target();
-    const std::string_view view(target.data(), target.size());
-    return view.substr(0, view.find('?'));
-}
-
-std::string queryParameter(const HttpExchangePtr &exchange, std::string_view name)
-{
-    const auto target = exchange->request().target();
-    std::string_view query(target.data(), target.size());
-    const auto mark = query.find('?');
-    query = mark == std::string_view::npos ? "" : query.substr(mark + 1);
-    while (!query.empty()) {
-        const auto end = query.find('&');
-        const std::string_view pair = query.substr(0, end);
-        const auto equals = pair.find('=');
-        if (pair.substr(0, equals) == name && equals != std::string_view::npos)
-            return std::string(pair.substr(equals + 1));
-        query = end == std::string_view::npos ? "" : query.substr(end + 1);
-    }
-    return {};
+    return balsamloft::targetPath(exchange->request());
 }
 
 Time now()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    return steadyNow();
 }
 
 } // namespace balsamloft::fakes
--- a/src/fakes/fakeprocess.h
+++ b/src/fakes/fakeprocess.h
@@ -24,9 +24,6 @@
 /// Returns the request's target without the query.
 std::string_view targetPath(const HttpExchangePtr &exchange);
 
-/// Returns a query parameter, or an empty text.
-std::string queryParameter(const HttpExchangePtr &exchange, std::string_view name);
-
 /// Returns the present monotonic time.
 Time now();
 
--- a/src/fakes/load_tool.cpp
+++ b/src/fakes/load_tool.cpp
@@ -7,6 +7,7 @@
 #include <balsamloft/enginewire.h>
 #include <balsamloft/flagsetup.h>
 #include <balsamloft/httpclient.h>
+#include <balsamloft/httprequest.h>
 
 #include <boost/beast/http/field.hpp>
 #include <boost/json.hpp>
@@ -30,11 +31,6 @@
 
 namespace {
 
-Time clockNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 HttpRequest post(std::string_view path, std::string body)
 {
     HttpRequest request(http::verb::post, {path.data(), path.size()}, 11);
@@ -65,14 +61,14 @@
 
     void start()
     {
-        m_startedAt = clockNow();
+        m_startedAt = steadyNow();
         for (int i = 0; i < FLAGS_streams; ++i)
             next();
     }
 
     int report()
     {
-        const std::chrono::duration<double> elapsed = clockNow() - m_startedAt;
+        const std::chrono::duration<double> elapsed = steadyNow() - m_startedAt;
         std::sort(m_perToken.begin(), m_perToken.end());
         const double median = m_perToken.empty() ? 0 : m_perToken[m_perToken.size() / 2];
         const double tokens = static_cast<double>(m_perToken.size()) * FLAGS_tokens;
@@ -105,7 +101,7 @@
             auto direct = std::make_shared<Direct>();
             direct->request = id;
             direct->input = id;
-            direct->startedAt = clockNow();
+            direct->startedAt = steadyNow();
             return step(direct);
         }
         HttpRequest request =
@@ -115,7 +111,7 @@
                                                              {"max_tokens", FLAGS_tokens},
                                                              {"stream", true}}));
         request.set(http::field::authorization, "Bearer " + FLAGS_token);
-        const Time startedAt = clockNow();
+        const Time startedAt = steadyNow();
         m_client.send(FLAGS_daemon, std::move(request), {.timeout = std::chrono::minutes(10)},
                       [this, startedAt](const HttpResult &result) {
                           const bool whole =
@@ -162,7 +158,7 @@
     void finished(Time startedAt, bool whole)
     {
         if (whole)
-            m_perToken.push_back(static_cast<double>((clockNow() - startedAt).count())
+            m_perToken.push_back(static_cast<double>((steadyNow() - startedAt).count())
                                  / FLAGS_tokens);
         else
             ++m_failed;
--- a/src/include/balsamloft/httpclient.h
+++ b/src/include/balsamloft/httpclient.h
@@ -78,8 +78,6 @@
     /// Closes the kept connections that have been idle for too long.
     void closeExpired(Time now);
 
-    std::size_t idleConnections() const;
-
 private:
     struct Shared;
     class Call;
--- a/src/include/balsamloft/routing.h
+++ b/src/include/balsamloft/routing.h
@@ -88,9 +88,6 @@
     /// The wanted version first.
     std::span<const VersionGroups> versions() const { return m_versions; }
 
-    /// Returns the total number of slots of all endpoints.
-    std::uint32_t totalSlots() const { return m_totalSlots; }
-
 private:
     void add(const Endpoint &endpoint, const LoadView &loads, const LayerRange &layers,
              std::uint32_t modelLayers);
@@ -98,7 +95,6 @@
                 std::string_view wantedVersion, std::uint32_t alertEndpoints);
 
     std::vector<VersionGroups> m_versions;
-    std::uint32_t m_totalSlots = 0;
 };
 
 /// Makes the choice. Holds scratch space, so that a choice allocates nothing.
--- a/src/libbalsamloft/routing.cpp
+++ b/src/libbalsamloft/routing.cpp
@@ -85,7 +85,6 @@
     if (group == version->groups.end())
         group = version->groups.insert(version->groups.end(), Group {layers, {}, {}, {}, {}});
     group->members.push_back(loads.find(endpoint.name));
-    m_totalSlots += endpoint.slots;
 }
 
 void RouteTable::finish(const Config &config, const LoadView &loads, std::string_view domain,
--- a/src/libweb/callerapi.cpp
+++ b/src/libweb/callerapi.cpp
@@ -1,6 +1,7 @@
 #include <balsamloft/callerapi.h>
 
 #include <balsamloft/config.h>
+#include <balsamloft/httprequest.h>
 
 #include <boost/beast/http/field.hpp>
 #include <boost/json.hpp>
@@ -18,7 +19,6 @@
 constexpr std::size_t MaxJsonDepth = 8;
 constexpr std::string_view CompletionsPath = "/v1/completions";
 constexpr std::string_view ServicesPrefix = "/services/";
-constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::string_view OwnHeaderPrefix = "balsamloft-";
 
 using Headers = HttpRequest::header_type;
@@ -32,10 +32,8 @@
 
 const Team *findTeam(const HttpRequest &request, const Config &config)
 {
-    const std::string_view value = header(request, "Authorization");
-    if (!value.starts_with(BearerPrefix))
-        return nullptr;
-    return config.teamByToken(sha256Hex(value.substr(BearerPrefix.size())));
+    const auto token = bearerToken(request);
+    return token ? config.teamByToken(sha256Hex(*token)) : nullptr;
 }
 
 std::optional<std::int64_t> parseNumber(std::string_view text)
@@ -228,7 +226,7 @@
                        Time now)
 {
     const std::string_view target(http.target().data(), http.target().size());
-    const std::string_view path = target.substr(0, target.find('?'));
+    const std::string_view path = targetPath(http);
     const bool completion = path == CompletionsPath;
     if (!completion && !path.starts_with(ServicesPrefix))
         return CallerError {404, "not_found", "there is nothing at this path"};
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -1,5 +1,7 @@
 #include <balsamloft/httpclient.h>
 
+#include <balsamloft/httprequest.h>
+
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -14,11 +16,6 @@
 
 namespace {
 
-Time steadyNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 struct Connection
 {
     explicit Connection(asio::io_context &context)
@@ -249,12 +246,4 @@
     }
 }
 
-std::size_t HttpClient::idleConnections() const
-{
-    std::size_t sum = 0;
-    for (const auto &[address, idle] : m_shared->idle)
-        sum += idle.size();
-    return sum;
-}
-
 } // namespace balsamloft
