--- a/src/balsamloftd/controlplane.cpp
+++ b/src/balsamloftd/controlplane.cpp
@@ -50,6 +50,7 @@
     result.key = "placement/" + settings.domain;
     result.duration = settings.lease;
     result.renewEvery = settings.lease / LeaseRenewals;
+    result.pollEvery = result.renewEvery;
     result.margin = settings.lease / LeaseMarginParts;
     result.holder = settings.name + "/" + std::to_string(incarnation);
     return result;
--- /dev/null
+++ b/src/entry/decisionlog.cpp
@@ -0,0 +1,136 @@
+#include "decisionlog.h"
+
+#include <boost/json.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+
+namespace json = boost::json;
+namespace sinks = boost::log::sinks;
+
+namespace balsamloft {
+
+namespace {
+
+constexpr std::size_t MostBuffered = 256 * 1024;
+/// A pipe that poll() calls writable takes this much without blocking.
+constexpr std::size_t SureWrite = 4096;
+
+std::atomic<std::uint64_t> droppedLines {0};
+
+/// Gathers lines up to a bound, and writes only what cannot block: a reader
+/// that stops reading must not hold up a request.
+class BoundedBackend : public sinks::basic_formatted_sink_backend<char, sinks::synchronized_feeding>
+{
+public:
+    // NOLINTNEXTLINE(readability-identifier-naming): name set by the library
+    void consume(const boost::log::record_view & /*record*/, const std::string &line)
+    {
+        if (m_text.size() + line.size() + 1 > MostBuffered) {
+            droppedLines += 1;
+            return;
+        }
+        m_text += line;
+        m_text += '\n';
+        if (m_text.size() >= SureWrite)
+            write(SureWrite);
+    }
+
+    void flushAll() { write(1); }
+
+private:
+    void write(std::size_t least)
+    {
+        while (m_text.size() >= least && !m_text.empty()) {
+            pollfd ready {STDOUT_FILENO, POLLOUT, 0};
+            if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
+                return;
+            const auto count =
+                ::write(STDOUT_FILENO, m_text.data(), std::min(m_text.size(), SureWrite));
+            if (count <= 0)
+                return;
+            m_text.erase(0, static_cast<std::size_t>(count));
+        }
+    }
+
+    std::string m_text;
+};
+
+using BoundedSink = sinks::synchronous_sink<BoundedBackend>;
+
+boost::shared_ptr<BoundedSink> &sink()
+{
+    static boost::shared_ptr<BoundedSink> instance = boost::make_shared<BoundedSink>();
+    return instance;
+}
+
+std::string &commonFields()
+{
+    static std::string fields;
+    return fields;
+}
+
+void append(std::string &line, const LogValue &value)
+{
+    if (const auto *text = std::get_if<std::string_view>(&value))
+        line += json::serialize(json::string_view(text->data(), text->size()));
+    else if (const auto *number = std::get_if<std::int64_t>(&value))
+        line += std::to_string(*number);
+    else if (const auto *flag = std::get_if<bool>(&value))
+        line += *flag ? "true" : "false";
+    else
+        line += json::serialize(json::value(std::get<double>(value)));
+}
+
+} // namespace
+
+void setUpDecisionLog(std::string_view name, std::string_view domain)
+{
+    commonFields() = ",\"instance\":" + json::serialize(json::string_view(name))
+                     + ",\"domain\":" + json::serialize(json::string_view(domain));
+    sink()->set_formatter(
+        [](const boost::log::record_view &record, boost::log::formatting_ostream &stream) {
+            if (const auto line = record["Message"].extract<std::string>())
+                stream << line.get();
+        });
+    boost::log::core::get()->add_sink(sink());
+}
+
+void logDecision(std::string_view part, std::string_view event,
+                 std::initializer_list<LogField> fields)
+{
+    using namespace std::chrono;
+    thread_local boost::log::sources::logger logger;
+    const auto wall = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+    const auto steady = duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+    std::string line = "{\"at\":" + std::to_string(wall) + ",\"up\":" + std::to_string(steady)
+                       + ",\"part\":\"" + std::string(part) + "\",\"event\":\"" + std::string(event)
+                       + "\"";
+    for (const LogField &field : fields) {
+        line.append(",\"").append(field.name).append("\":");
+        append(line, field.value);
+    }
+    line += commonFields() + "}";
+    BOOST_LOG(logger) << line;
+}
+
+void flushDecisionLog()
+{
+    sink()->locked_backend()->flushAll();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return droppedLines;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/httpmessage.cpp
@@ -0,0 +1,231 @@
+#include "httpmessage.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace balsamloft {
+
+bool sameName(std::string_view left, std::string_view right)
+{
+    return boost::beast::iequals(left, right);
+}
+
+std::optional<std::string_view> MessageHead::find(std::string_view name) const
+{
+    for (const HeaderField &field : fields)
+        if (sameName(field.name, name))
+            return field.value;
+    return std::nullopt;
+}
+
+bool isConnectionField(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> Names {
+        "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "TE",
+        "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",     "Expect"};
+    return std::any_of(Names.begin(), Names.end(),
+                       [&](std::string_view each) { return sameName(each, name); });
+}
+
+std::vector<std::string> connectionFields(const MessageHead &head)
+{
+    std::vector<std::string> names;
+    for (const HeaderField &field : head.fields)
+        if (sameName(field.name, "Connection"))
+            for (const auto token : http::token_list {field.value})
+                names.emplace_back(token);
+    return names;
+}
+
+namespace {
+
+/// What both kinds of parser gather.
+struct Gathered
+{
+    MessageHead head;
+    std::string body;
+    bool headDone = false;
+};
+
+template<bool IsRequest>
+class Parser : public http::basic_parser<IsRequest>
+{
+public:
+    explicit Parser(Gathered &gathered)
+        : m_gathered(gathered)
+    {
+    }
+
+private:
+    // The names of these functions are Beast's.
+    // NOLINTBEGIN(readability-identifier-naming)
+    void on_request_impl(http::verb /*verb*/, boost::beast::string_view method,
+                         boost::beast::string_view target, int version, error_code &error) override
+    {
+        m_gathered.head.method = std::string(method);
+        m_gathered.head.target = std::string(target);
+        if (version != 11)
+            error = http::error::bad_version;
+    }
+    void on_response_impl(int code, boost::beast::string_view /*reason*/, int /*version*/,
+                          error_code & /*error*/) override
+    {
+        m_gathered.head.status = code;
+    }
+    void on_field_impl(http::field /*field*/, boost::beast::string_view name,
+                       boost::beast::string_view value, error_code & /*error*/) override
+    {
+        // Fields after the body are no part of the head: taken as such, they
+        // would set what only the head may say.
+        if (!m_gathered.headDone)
+            m_gathered.head.fields.push_back({std::string(name), std::string(value)});
+    }
+    void on_header_impl(error_code & /*error*/) override { m_gathered.headDone = true; }
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+                           error_code & /*error*/) override
+    {
+    }
+    std::size_t on_body_impl(boost::beast::string_view bytes, error_code & /*error*/) override
+    {
+        m_gathered.body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    void on_chunk_header_impl(std::uint64_t /*size*/, boost::beast::string_view /*extensions*/,
+                              error_code & /*error*/) override
+    {
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, boost::beast::string_view bytes,
+                                   error_code & /*error*/) override
+    {
+        m_gathered.body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    void on_finish_impl(error_code & /*error*/) override { }
+    // NOLINTEND(readability-identifier-naming)
+
+    Gathered &m_gathered;
+};
+
+} // namespace
+
+struct MessageReader::Impl
+{
+    explicit Impl(Kind messageKind)
+        : kind(messageKind)
+    {
+    }
+
+    Kind kind;
+    Gathered gathered;
+    Parser<true> request {gathered};
+    Parser<false> response {gathered};
+    Failure failure = Failure::None;
+    bool begun = false;
+
+    template<typename Function>
+    auto withParser(Function function)
+    {
+        return kind == Kind::Request ? function(request) : function(response);
+    }
+
+    void failed(const error_code &error)
+    {
+        failure = error == http::error::header_limit ? Failure::HeaderTooLarge
+                  : error == http::error::body_limit ? Failure::BodyTooLarge
+                                                     : Failure::Malformed;
+    }
+};
+
+MessageReader::MessageReader(Kind kind, MessageLimits limits)
+    : m_impl(std::make_unique<Impl>(kind))
+{
+    m_impl->withParser([&](auto &parser) {
+        parser.eager(true);
+        parser.header_limit(limits.headerBytes);
+        parser.body_limit(limits.bodyBytes);
+    });
+}
+
+MessageReader::~MessageReader() = default;
+MessageReader::MessageReader(MessageReader &&) noexcept = default;
+MessageReader &MessageReader::operator=(MessageReader &&) noexcept = default;
+
+std::size_t MessageReader::take(std::string_view bytes)
+{
+    Impl &impl = *m_impl;
+    impl.begun = impl.begun || !bytes.empty();
+    std::size_t taken = 0;
+    return impl.withParser([&](auto &parser) {
+        while (taken < bytes.size() && !parser.is_done() && impl.failure == Failure::None) {
+            error_code error;
+            const std::size_t count =
+                parser.put(boost::asio::buffer(bytes.data() + taken, bytes.size() - taken), error);
+            taken += count;
+            if (error == http::error::need_more || (!error && count == 0))
+                break;
+            if (error)
+                impl.failed(error);
+        }
+        return taken;
+    });
+}
+
+void MessageReader::ended()
+{
+    Impl &impl = *m_impl;
+    impl.withParser([&](auto &parser) {
+        if (parser.is_done())
+            return;
+        error_code error;
+        if (parser.got_some())
+            parser.put_eof(error);
+        else
+            error = http::error::end_of_stream;
+        if (error)
+            impl.failed(error);
+    });
+}
+
+bool MessageReader::headDone() const
+{
+    return m_impl->gathered.headDone;
+}
+
+bool MessageReader::done() const
+{
+    return m_impl->withParser([](auto &parser) { return parser.is_done(); });
+}
+
+MessageReader::Failure MessageReader::failure() const
+{
+    return m_impl->failure;
+}
+
+bool MessageReader::begun() const
+{
+    return m_impl->begun;
+}
+
+bool MessageReader::keepAlive() const
+{
+    return m_impl->withParser(
+        [](auto &parser) { return parser.keep_alive() && !parser.need_eof(); });
+}
+
+std::string &MessageReader::body()
+{
+    return m_impl->gathered.body;
+}
+
+MessageHead &MessageReader::head()
+{
+    return m_impl->gathered.head;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,136 @@
+/// \file
+/// `balsamloft-entry`: an entry instance that forwards whole requests.
+
+#include "control.h"
+#include "decisionlog.h"
+#include "settings.h"
+#include "textserver.h"
+#include "trafficfront.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <iostream>
+#include <thread>
+
+namespace asio = boost::asio;
+
+namespace balsamloft {
+
+namespace {
+
+constexpr int CannotListen = 3;
+
+/// The threads of the process and what they serve.
+class Entry
+{
+public:
+    explicit Entry(EntrySettings settings)
+        : m_settings(std::move(settings))
+        , m_protocol(makeEntryProtocol())
+        , m_front(m_traffic, m_settings, *m_protocol, m_state)
+        , m_control(m_controlContext, m_settings, *m_protocol, m_state, events())
+        , m_readiness(m_traffic,
+                      [this](std::string_view) {
+                          return m_front.ready() ? TextAnswer {200, "ready\n"}
+                                                 : TextAnswer {503, "not ready\n"};
+                      })
+        , m_metrics(m_traffic,
+                    [this](std::string_view) {
+                        return TextAnswer {200, m_front.metrics()};
+                    })
+        , m_signals(m_traffic, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    int run()
+    {
+        Reason reason;
+        if (!m_front.listen(reason) || !m_readiness.listen(m_settings.readiness, reason)
+            || (!m_settings.metrics.empty() && !m_metrics.listen(m_settings.metrics, reason))) {
+            logDecision("entry", "cannot start", {{"reason", std::string_view(reason)}});
+            flushDecisionLog();
+            return CannotListen;
+        }
+        logDecision("entry", "started",
+                    {{"callers", std::string_view(m_settings.callers)},
+                     {"store", std::string_view(m_settings.store)}});
+        waitForSignal();
+        std::thread control([this] {
+            m_control.start();
+            m_controlContext.run();
+        });
+        m_traffic.run();
+        m_controlContext.stop();
+        control.join();
+        logDecision("entry", "ended", {});
+        flushDecisionLog();
+        return 0;
+    }
+
+private:
+    ControlEvents events()
+    {
+        ControlEvents events;
+        events.table = [this](RouteTablePtr table) {
+            asio::post(m_traffic, [this, table] { m_front.setTable(table); });
+        };
+        events.fleet = [this](FleetPtr fleet) {
+            asio::post(m_traffic, [this, fleet] { m_front.setFleet(fleet); });
+        };
+        events.sharers = [this](double sharers) {
+            asio::post(m_traffic, [this, sharers] { m_front.setSharers(sharers); });
+        };
+        return events;
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int number) {
+            if (error)
+                return;
+            if (number == SIGHUP)
+                logDecision("entry", "settings are read at the start only", {});
+            else
+                stop();
+            waitForSignal();
+        });
+    }
+
+    void stop()
+    {
+        if (m_state.stopping.exchange(true))
+            return;
+        logDecision("entry", "stopping", {});
+        asio::post(m_controlContext, [this] { m_control.stop([] {}); });
+        m_front.stop([this] { m_traffic.stop(); });
+    }
+
+    EntrySettings m_settings;
+    EntryState m_state;
+    asio::io_context m_traffic {1};
+    asio::io_context m_controlContext {1};
+    std::unique_ptr<EntryProtocol> m_protocol;
+    TrafficFront m_front;
+    Control m_control;
+    TextServer m_readiness;
+    TextServer m_metrics;
+    asio::signal_set m_signals;
+};
+
+} // namespace
+
+} // namespace balsamloft
+
+int main(int argc, char **argv)
+{
+    balsamloft::Reason reason;
+    auto settings = balsamloft::readEntrySettings(argc, argv, reason);
+    if (!settings) {
+        std::cerr << "balsamloft-entry: " << reason << "\n";
+        return balsamloft::BadSettings;
+    }
+    balsamloft::setUpDecisionLog(settings->name, settings->domain);
+    return balsamloft::Entry(std::move(*settings)).run();
+}
--- /dev/null
+++ b/src/entry/onecall.cpp
@@ -0,0 +1,81 @@
+#include "onecall.h"
+
+#include "clock.h"
+
+namespace balsamloft {
+
+OneCall::OneCall(EnginePool &pool, ExchangeSettings settings, std::string request, Duration within,
+                 Callback callback)
+    : m_timer(pool.context())
+    , m_within(within)
+    , m_callback(std::move(callback))
+    , m_exchange(std::make_shared<Exchange>(pool, std::move(settings), std::move(request)))
+{
+}
+
+void OneCall::start()
+{
+    m_exchange->start(*this, steadyNow());
+    m_timer.expires_after(m_within);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (error || self->m_over)
+            return;
+        self->m_exchange->cancel();
+        self->finish();
+    });
+}
+
+void OneCall::cancel()
+{
+    m_over = true;
+    m_timer.cancel();
+    m_exchange->cancel();
+}
+
+bool OneCall::maySend()
+{
+    m_outcome.left = true;
+    return true;
+}
+
+bool OneCall::headArrived(MessageReader & /*answer*/)
+{
+    return false;
+}
+
+void OneCall::bodyArrived(MessageReader & /*answer*/) { }
+
+void OneCall::exchangeFailed(AttemptFailure /*failure*/)
+{
+    finish();
+}
+
+void OneCall::answerWhole(MessageReader &answer)
+{
+    m_outcome.status = answer.head().status;
+    m_outcome.body = std::move(answer.body());
+    finish();
+}
+
+void OneCall::finish()
+{
+    if (std::exchange(m_over, true))
+        return;
+    const auto self = shared_from_this();
+    m_timer.cancel();
+    m_callback(std::move(m_outcome));
+}
+
+std::string callText(std::string_view method, std::string_view target, std::string_view host,
+                     std::string_view body)
+{
+    std::string text;
+    text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host);
+    text += "\r\n";
+    if (!body.empty())
+        text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+                + "\r\n";
+    return text.append("\r\n").append(body);
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/onecall.h
@@ -0,0 +1,54 @@
+/// \file
+/// One call to another process, with a time limit.
+
+#pragma once
+
+#include "enginepool.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace balsamloft {
+
+/// What became of a call.
+struct CallOutcome
+{
+    int status = 0; ///< 0: no answer
+    std::string body;
+    bool left = false; ///< it may have arrived
+};
+
+/// Sends one request, and gives the whole answer, or none, to a callback.
+class OneCall : public std::enable_shared_from_this<OneCall>, private ExchangeOwner
+{
+public:
+    using Callback = std::function<void(CallOutcome)>;
+
+    OneCall(EnginePool &pool, ExchangeSettings settings, std::string request, Duration within,
+            Callback callback);
+
+    void start();
+
+    /// The callback is not called any more.
+    void cancel();
+
+private:
+    bool maySend() override;
+    bool headArrived(MessageReader &answer) override;
+    void bodyArrived(MessageReader &answer) override;
+    void exchangeFailed(AttemptFailure failure) override;
+    void answerWhole(MessageReader &answer) override;
+    void finish();
+
+    boost::asio::steady_timer m_timer;
+    Duration m_within;
+    Callback m_callback;
+    std::shared_ptr<Exchange> m_exchange;
+    CallOutcome m_outcome;
+    bool m_over = false;
+};
+
+/// The text of a call, as HTTP/1.1. An empty \a body is not sent.
+std::string callText(std::string_view method, std::string_view target, std::string_view host,
+                     std::string_view body);
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/settings.h
@@ -0,0 +1,37 @@
+/// \file
+/// Settings of `balsamloft-entry`, from flags and environment variables.
+
+#pragma once
+
+#include <balsamloft/types.h>
+
+#include <optional>
+#include <string>
+
+namespace balsamloft {
+
+/// Checked settings of an entry instance that forwards whole requests.
+struct EntrySettings
+{
+    std::string name;
+    std::string domain;
+    std::string callers; ///< "IP:port" to listen at
+    std::string readiness; ///< "IP:port" to listen at
+    std::string metrics; ///< "IP:port" to listen at; empty: none
+    std::string store; ///< "IP:port"
+    Duration revocation {}; ///< a withdrawn key is refused everywhere after this time
+    Duration drain {}; ///< a leaving endpoint gets nothing new after this time
+    Duration grace {}; ///< from the signal to stop to the end
+    double retryRatio = 0; ///< repeats over requests, all instances together
+    double retrySlack = 0; ///< repeats beyond the ratio in a window, all instances together
+    bool logAll = false; ///< log requests that went well, too
+};
+
+/// Exit code of a process whose settings cannot be used.
+inline constexpr int BadSettings = 2;
+
+/// Reads flags and environment; nothing, and a reason, when a value is missing
+/// or malformed.
+std::optional<EntrySettings> readEntrySettings(int argc, char **argv, Reason &reason);
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/sockets.h
@@ -0,0 +1,24 @@
+/// \file
+/// Options of TCP sockets.
+
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace balsamloft {
+
+/// Sets what every connection needs: no delay of small writes, and an end to
+/// writes that are not acknowledged, since a peer behind a partition never
+/// resets the connection.
+void setSocketOptions(boost::asio::ip::tcp::socket &socket);
+
+/// The endpoint that "IP:port" names, or nothing.
+std::optional<boost::asio::ip::tcp::endpoint> endpointFromText(std::string_view text);
+
+/// Whether a connection that should be idle is open and has nothing to read.
+bool isQuiet(boost::asio::ip::tcp::socket &socket);
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/textserver.h
@@ -0,0 +1,41 @@
+/// \file
+/// Answers short questions of operators and the balancer.
+
+#pragma once
+
+#include "httpmessage.h"
+
+#include <balsamloft/types.h>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+
+namespace balsamloft {
+
+/// Status and text of an answer.
+struct TextAnswer
+{
+    int status = 200;
+    std::string text;
+};
+
+/// Listens at an address, and answers each GET by a function.
+class TextServer
+{
+public:
+    using Answer = std::function<TextAnswer(std::string_view target)>;
+
+    TextServer(boost::asio::io_context &context, Answer answer);
+
+    /// \return whether the address could be listened at.
+    bool listen(const std::string &address, Reason &reason);
+
+private:
+    void accept();
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Answer m_answer;
+};
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/trafficfront.cpp
@@ -0,0 +1,297 @@
+#include "trafficfront.h"
+
+#include "callersession.h"
+#include "clock.h"
+#include "decisionlog.h"
+#include "sockets.h"
+
+#include <boost/asio/post.hpp>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace balsamloft {
+
+namespace {
+
+constexpr auto BusyTick = std::chrono::milliseconds(50);
+constexpr auto IdleTick = std::chrono::milliseconds(400);
+constexpr Duration PruneEvery {1'000'000};
+constexpr Duration AnswerWithin {300'000}; ///< of an engine that is asked for its state
+/// From the signal to stop: the balancer has noticed, and sends nobody new.
+constexpr Duration BalancerNotices {3'000'000};
+/// From the signal to stop: a stream begun later might outlive the process.
+constexpr Duration LastStream {3'000'000};
+constexpr Duration StopMargin {400'000};
+/// Keys are refused this long before they might have been withdrawn.
+constexpr Duration KeyMargin {400'000};
+/// An instance whose knowledge is older says that it is not ready.
+constexpr double ReadyShare = 0.55;
+
+RelaySettings relaySettings(const EntrySettings &settings)
+{
+    RelaySettings relay;
+    relay.domain = settings.domain;
+    relay.seed = std::hash<std::string> {}(settings.name);
+    relay.budget.perRequest = settings.retryRatio * 0.75;
+    relay.budget.perSecond = 0;
+    relay.budget.most = settings.retrySlack / 10;
+    return relay;
+}
+
+} // namespace
+
+TrafficFront::TrafficFront(asio::io_context &context, const EntrySettings &settings,
+                           const EntryProtocol &protocol, EntryState &state)
+    : m_context(context)
+    , m_settings(settings)
+    , m_protocol(protocol)
+    , m_state(state)
+    , m_acceptor(context)
+    , m_timer(context)
+    , m_pool(context)
+    , m_relay(relaySettings(settings))
+    , m_fleet(std::make_shared<FleetSnapshot>())
+{
+}
+
+TrafficFront::~TrafficFront() = default;
+
+bool TrafficFront::listen(Reason &reason)
+{
+    const auto address = endpointFromText(m_settings.callers);
+    boost::system::error_code error;
+    m_acceptor.open(address->protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(*address, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        reason = "cannot listen at " + m_settings.callers + ": " + error.message();
+        return false;
+    }
+    accept();
+    armTimer();
+    return true;
+}
+
+void TrafficFront::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error) {
+            auto session = std::make_shared<CallerSession>(*this, std::move(socket));
+            m_sessions.insert(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+void TrafficFront::armTimer()
+{
+    m_timer.expires_after(m_relay.flights() > 0 || m_stopping ? BusyTick : IdleTick);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            tick();
+    });
+}
+
+void TrafficFront::tick()
+{
+    const Time now = steadyNow();
+    RelayActions actions;
+    m_relay.tick(now, actions);
+    run(std::move(actions));
+    const std::vector<std::shared_ptr<CallerSession>> sessions(m_sessions.begin(),
+                                                               m_sessions.end());
+    for (const auto &session : sessions)
+        session->tick(now);
+    if (now - m_prunedAt >= PruneEvery) {
+        m_prunedAt = now;
+        m_pool.prune(*m_fleet, now);
+    }
+    if (m_stopping)
+        finishStop();
+    flushDecisionLog();
+    armTimer();
+}
+
+void TrafficFront::setTable(RouteTablePtr table)
+{
+    m_table = std::move(table);
+}
+
+void TrafficFront::setFleet(FleetPtr fleet)
+{
+    m_fleet = fleet;
+    RelayActions actions;
+    m_relay.follow(std::move(fleet), steadyNow(), actions);
+    run(std::move(actions));
+}
+
+void TrafficFront::setSharers(double sharers)
+{
+    m_relay.setSharers(sharers);
+}
+
+bool TrafficFront::keysFresh() const
+{
+    return m_state.keyAge(bootNow()) < m_settings.revocation - KeyMargin;
+}
+
+bool TrafficFront::ready() const
+{
+    const Duration age = m_state.keyAge(bootNow());
+    return m_table && m_state.fleetKnown && !m_stopping
+           && age < Duration(static_cast<std::int64_t>(m_settings.revocation.count() * ReadyShare));
+}
+
+bool TrafficFront::takesStreams(Time now) const
+{
+    return !m_stopping || now - m_stopAt < LastStream;
+}
+
+void TrafficFront::attach(FlightId flight, std::shared_ptr<CallerSession> session)
+{
+    m_flights[flight] = std::move(session);
+}
+
+void TrafficFront::detach(FlightId flight)
+{
+    m_flights.erase(flight);
+}
+
+void TrafficFront::closed(CallerSession &session)
+{
+    m_sessions.erase(session.shared_from_this());
+}
+
+void TrafficFront::askEngine(const AskEngine &ask)
+{
+    if (m_questions.contains(ask.endpoint))
+        return;
+    ExchangeSettings settings;
+    settings.endpoint = ask.endpoint;
+    settings.address = ask.address;
+    settings.freshConnection = true;
+    auto question = std::make_shared<OneCall>(
+        m_pool, std::move(settings), callText("GET", m_protocol.reportTarget(), ask.address, {}),
+        AnswerWithin, [this, endpoint = ask.endpoint](const CallOutcome &outcome) {
+            engineAnswered(endpoint, outcome);
+        });
+    m_questions[ask.endpoint] = question;
+    question->start();
+}
+
+void TrafficFront::engineAnswered(const std::string &endpoint, const CallOutcome &outcome)
+{
+    m_questions.erase(endpoint);
+    RelayActions actions;
+    Reason reason;
+    const auto report = m_protocol.report(outcome.body, reason);
+    if (outcome.status != 200 || !report) {
+        logDecision(
+            "engine", "silent",
+            {{"endpoint", std::string_view(endpoint)}, {"status", std::int64_t(outcome.status)}});
+        if (outcome.status == 0)
+            m_relay.reportFailed(endpoint, steadyNow(), actions);
+        return run(std::move(actions));
+    }
+    std::string stalled;
+    for (const std::string &each : report->stalledAt)
+        stalled += (stalled.empty() ? "" : ",") + each;
+    logDecision("engine", "reported",
+                {{"endpoint", std::string_view(endpoint)},
+                 {"pace", report->pace},
+                 {"stalled_at", std::string_view(stalled)}});
+    m_relay.reported(endpoint, report->stalledAt, report->pace, steadyNow(), actions);
+    run(std::move(actions));
+}
+
+void TrafficFront::run(RelayActions actions)
+{
+    const auto sessionOf = [this](FlightId flight) -> std::shared_ptr<CallerSession> {
+        const auto it = m_flights.find(flight);
+        return it == m_flights.end() ? nullptr : it->second;
+    };
+    for (const RelayAction &action : actions) {
+        if (const auto *ask = std::get_if<AskEngine>(&action)) {
+            askEngine(*ask);
+        } else if (const auto *send = std::get_if<SendWhole>(&action)) {
+            if (const auto session = sessionOf(send->flight))
+                session->sendAttempt(*send);
+        } else if (const auto *abandon = std::get_if<AbandonAttempt>(&action)) {
+            if (const auto session = sessionOf(abandon->flight))
+                session->abandonAttempt();
+        } else if (const auto *pass = std::get_if<PassAnswer>(&action)) {
+            if (const auto session = sessionOf(pass->flight))
+                session->passAnswer();
+        } else if (const auto *end = std::get_if<EndFlight>(&action)) {
+            if (const auto session = sessionOf(end->flight))
+                session->endFlight(*end);
+        }
+    }
+}
+
+void TrafficFront::stop(std::function<void()> stopped)
+{
+    if (m_stopping)
+        return;
+    m_stopping = true;
+    m_stopAt = steadyNow();
+    m_stopped = std::move(stopped);
+}
+
+void TrafficFront::finishStop()
+{
+    const Time now = steadyNow();
+    if (now - m_stopAt < BalancerNotices)
+        return;
+    const std::vector<std::shared_ptr<CallerSession>> sessions(m_sessions.begin(),
+                                                               m_sessions.end());
+    for (const auto &session : sessions)
+        session->closeIfIdle();
+    if (m_sessions.empty() || now - m_stopAt >= m_settings.grace - StopMargin) {
+        m_acceptor.close();
+        if (m_stopped)
+            std::exchange(m_stopped, nullptr)();
+    }
+}
+
+std::string TrafficFront::metrics() const
+{
+    const RelayCounts &counts = m_relay.counts();
+    std::string text;
+    const auto sample = [&](std::string_view name, std::uint64_t value) {
+        text += "balsamloft_" + std::string(name) + " " + std::to_string(value) + "\n";
+    };
+    sample("requests_total", counts.submitted);
+    sample("requests_passed_total", counts.passed);
+    sample("requests_not_run_total", counts.notRun);
+    sample("requests_failed_total", counts.failed);
+    sample("requests_timed_out_total", counts.timedOut);
+    sample("streams_cut_short_total", counts.cutShort);
+    sample("requests_resent_total", counts.resent);
+    sample("retry_budget_spent_total", counts.budgetSpent);
+    sample("requests_open", m_relay.flights());
+    sample("caller_connections", m_sessions.size());
+    sample("endpoint_connections_opened_total", m_pool.opened);
+    sample("endpoints", m_fleet->endpoints.size());
+    sample("configuration_version", m_table ? m_table->version() : 0);
+    sample("key_age_ms",
+           static_cast<std::uint64_t>(std::max<std::int64_t>(
+               0, std::min(m_state.keyAge(bootNow()), Duration(1'000'000'000)).count() / 1000)));
+    sample("store_calls_total", m_state.storeCalls);
+    sample("store_failures_total", m_state.storeFailures);
+    sample("orders_total", m_state.ordersGiven);
+    sample("bad_rows_total", m_state.badRows);
+    sample("lease_held", m_state.holdsLease ? 1 : 0);
+    sample("log_lines_dropped_total", droppedLogLines());
+    return text;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/trafficfront.h
@@ -0,0 +1,90 @@
+/// \file
+/// Callers' connections, and the relay that decides on their requests.
+
+#pragma once
+
+#include "entrystate.h"
+#include "onecall.h"
+#include "settings.h"
+
+#include <balsamloft/entryprotocol.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <set>
+
+namespace balsamloft {
+
+class CallerSession;
+
+/// Serves callers on one thread.
+class TrafficFront
+{
+public:
+    TrafficFront(boost::asio::io_context &context, const EntrySettings &settings,
+                 const EntryProtocol &protocol, EntryState &state);
+    ~TrafficFront();
+
+    /// \return whether the address could be listened at.
+    bool listen(Reason &reason);
+
+    // Commands, on the traffic thread
+
+    void setTable(RouteTablePtr table);
+    void setFleet(FleetPtr fleet);
+    void setSharers(double sharers);
+
+    /// Takes no new work after a while, and calls \a stopped once all is done.
+    void stop(std::function<void()> stopped);
+    void run(RelayActions actions);
+
+    // For sessions
+
+    const RouteTablePtr &table() const { return m_table; }
+    const EntryProtocol &protocol() const { return m_protocol; }
+    const EntrySettings &settings() const { return m_settings; }
+    EnginePool &pool() { return m_pool; }
+    Relay &relay() { return m_relay; }
+    bool stopping() const { return m_stopping; }
+
+    /// Whether new streams are still begun: late ones would outlive the process.
+    bool takesStreams(Time now) const;
+
+    /// Whether keys are known recently enough to admit a request with one.
+    bool keysFresh() const;
+
+    /// Whether the balancer should send callers here.
+    bool ready() const;
+    void attach(FlightId flight, std::shared_ptr<CallerSession> session);
+    void detach(FlightId flight);
+    void closed(CallerSession &session);
+    std::string metrics() const;
+
+private:
+    void accept();
+    void tick();
+    void armTimer();
+    void askEngine(const AskEngine &ask);
+    void engineAnswered(const std::string &endpoint, const CallOutcome &outcome);
+    void finishStop();
+
+    boost::asio::io_context &m_context;
+    const EntrySettings &m_settings;
+    const EntryProtocol &m_protocol;
+    EntryState &m_state;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_timer;
+    EnginePool m_pool;
+    Relay m_relay;
+    RouteTablePtr m_table;
+    FleetPtr m_fleet;
+    std::unordered_map<FlightId, std::shared_ptr<CallerSession>> m_flights;
+    std::set<std::shared_ptr<CallerSession>> m_sessions;
+    std::map<std::string, std::shared_ptr<OneCall>> m_questions; ///< by endpoint
+    bool m_stopping = false;
+    Time m_stopAt {};
+    Time m_prunedAt {};
+    std::function<void()> m_stopped;
+};
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/include/balsamloft/enginebook.h
@@ -0,0 +1,93 @@
+/// \file
+/// What one instance believes of endpoints: its own work on them, their health
+/// and their pace, each with its age.
+
+#pragma once
+
+#include <balsamloft/enginefleet.h>
+#include <balsamloft/routetable.h>
+
+#include <map>
+#include <string>
+
+namespace balsamloft {
+
+/// Settings of an EngineBook.
+struct EngineBookSettings
+{
+    Duration suspicion {4'000'000}; ///< a silent endpoint is left out this long
+    Duration shortage {150'000}; ///< an endpoint without room is left out this long
+    Duration paceValid {3'000'000}; ///< a report of slowness is believed this long
+    Duration failureHalfLife {3'000'000};
+};
+
+/// Belief about one endpoint.
+struct EngineBelief
+{
+    std::uint32_t streams = 0; ///< own requests on it
+    double tokenLayers = 0; ///< KV memory that they need, in tokens times layers
+    Time suspectUntil {};
+    Time shortUntil {};
+    double pace = 1; ///< over 1: slower than its kind
+    Time paceUntil {};
+    double failures = 0; ///< decaying count of failed requests
+    double answers = 0; ///< decaying count of all requests
+    Time decayedAt {};
+    std::uint32_t firstOf = 0; ///< own requests that entered the engines here
+};
+
+/// Beliefs about all endpoints. Endpoints are named by id: what was believed of
+/// one process does not hold for the next one at its address.
+class EngineBook
+{
+public:
+    explicit EngineBook(EngineBookSettings settings = {});
+
+    // Commands
+
+    /// Forgets endpoints that are not in \a fleet and hold no own work.
+    void follow(const FleetSnapshot &fleet);
+    void started(const std::string &id, double tokenLayers, bool first);
+    void ended(const std::string &id, double tokenLayers, bool first);
+
+    /// The endpoint did not answer or broke off.
+    void suspect(const std::string &id, Time now);
+
+    /// The endpoint answered: it is alive.
+    void cleared(const std::string &id);
+
+    /// The endpoint had no room, and said so.
+    void outOfRoom(const std::string &id, Time now);
+    void paced(const std::string &id, double pace, Time now);
+    void finished(const std::string &id, bool failed, Time now);
+
+    /// The endpoint in \a domain said that \a running requests entered there.
+    void loadSeen(const std::string &id, const std::string &domain, std::uint32_t running);
+
+    /// How many instances are believed to send work to a domain's engines.
+    void setSharers(double sharers) { m_sharers = sharers; }
+
+    // Queries
+
+    const EngineBelief *find(std::string_view id) const;
+    bool suspected(std::string_view id, Time now) const;
+    bool usable(std::string_view id, Time now) const;
+
+    /// All work in \a domain over own work there: other instances' work cannot
+    /// be seen, but engines say how much entered in all.
+    double scale(const std::string &domain) const;
+
+    /// Share of failed requests of late, between 0 and 1.
+    double failureShare(std::string_view id, Time now) const;
+
+private:
+    EngineBelief &belief(const std::string &id) { return m_beliefs[id]; }
+    double decay(const EngineBelief &belief, Time now) const;
+
+    EngineBookSettings m_settings;
+    std::map<std::string, EngineBelief, std::less<>> m_beliefs;
+    std::map<std::string, double> m_scales;
+    double m_sharers = 3;
+};
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/include/balsamloft/enginefleet.h
@@ -0,0 +1,104 @@
+/// \file
+/// The endpoints as the platform lists them, through outages of the list.
+
+#pragma once
+
+#include <balsamloft/types.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamloft {
+
+/// One process of an endpoint. A restart is a new one with a new id.
+struct FleetEndpoint
+{
+    std::string id;
+    std::string service;
+    std::string address; ///< "IP:port"; used again by others once this one is gone
+    std::string domain;
+    std::string kind; ///< of accelerator; empty for plain services
+    std::uint32_t slots = 1;
+    bool draining = false;
+    LayerRange layers; ///< held; empty: none
+    std::uint64_t orders = 0; ///< accepted since its start
+    bool busy = false; ///< an order is in progress
+
+    bool operator==(const FleetEndpoint &) const = default;
+};
+
+/// The endpoints at one moment. Immutable.
+struct FleetSnapshot
+{
+    std::uint64_t number = 0; ///< rises with each snapshot of a process
+    std::vector<FleetEndpoint> endpoints;
+
+    const FleetEndpoint *find(std::string_view id) const;
+    const FleetEndpoint *atAddress(std::string_view address) const;
+};
+
+using FleetPtr = std::shared_ptr<const FleetSnapshot>;
+
+/// Settings of a FleetKeeper.
+struct FleetSettings
+{
+    /// Entries that vanished in an outage of the list come back within this time.
+    Duration regain {2'000'000};
+    /// The list counts as unreachable when it was not read for this long.
+    Duration stale {1'500'000};
+};
+
+/// Follows the list of endpoints. It forgets an entry at once when the list is
+/// well, but after an outage only once the entry had time to come back: entries
+/// lapse while the list is down although their endpoints live.
+class FleetKeeper
+{
+public:
+    explicit FleetKeeper(FleetSettings settings = {});
+
+    // Commands
+
+    /// The whole list, as read at \a now.
+    void listed(std::vector<FleetEndpoint> endpoints, Time now);
+
+    /// One entry was written.
+    void changed(FleetEndpoint endpoint, Time now);
+
+    /// One entry was dropped.
+    void dropped(std::string_view id, Time now);
+
+    /// The list answered at \a now, whether or not anything had changed.
+    void heard(Time now);
+
+    /// Forgets what had its time to come back.
+    void tick(Time now);
+
+    // Queries
+
+    /// Whether endpoints changed since the last snapshot.
+    bool dirty() const { return m_dirty; }
+    FleetPtr snapshot();
+    bool known() const { return m_known; }
+
+private:
+    struct Entry
+    {
+        FleetEndpoint endpoint;
+        std::optional<Time> forgetAt; ///< vanished; set only around an outage
+    };
+
+    void vanished(std::map<std::string, Entry, std::less<>>::iterator it, Time now);
+
+    FleetSettings m_settings;
+    std::map<std::string, Entry, std::less<>> m_entries;
+    bool m_known = false;
+    bool m_dirty = false;
+    Time m_heardAt {};
+    Time m_outageOverAt {}; ///< when the list answered again after an outage
+    std::uint64_t m_number = 0;
+};
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/include/balsamloft/entryprotocol.h
@@ -0,0 +1,119 @@
+/// \file
+/// What an entry instance speaks with callers, endpoints and the platform's
+/// store, as names, formats and calls. An implementation decides nothing.
+
+#pragma once
+
+#include <balsamloft/layerplanner.h>
+#include <balsamloft/pathchooser.h>
+#include <balsamloft/platform.h>
+
+#include <memory>
+#include <span>
+
+namespace balsamloft {
+
+/// Header names. Compared without regard to case.
+struct HeaderNames
+{
+    std::string_view requestId;
+    std::string_view deadline; ///< milliseconds that the sender will wait
+    std::string_view key; ///< of a team; never passed on
+    std::string_view team; ///< set here, whatever a caller sent
+    std::string_view expectedEndpoint; ///< id that the receiver must have
+    std::string_view path; ///< engines that a request passes through
+    std::string_view urgency;
+    std::string_view expectedVersion;
+    std::string_view tokenCount; ///< "prompt,answer at most"
+    std::string_view lengthHint; ///< expected tokens of the answer
+    std::string_view lastEvent; ///< a stream goes on after this event
+    std::string_view seal; ///< mark of an endpoint's answer
+    std::string_view notExecuted; ///< the endpoint did not run the request
+    std::string_view endpointId;
+    std::string_view load; ///< "running,waiting,slots"
+    std::string_view atAddress; ///< engine at fault
+};
+
+/// A call to the store or to an engine.
+struct OutgoingCall
+{
+    std::string method;
+    std::string target;
+    std::string body; ///< empty: none
+};
+
+/// A row as the store answers it.
+struct StoreRow
+{
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+    bool dropped = false;
+};
+
+/// What the store answered.
+struct StoreReply
+{
+    enum class Kind : std::uint8_t {
+        Done,
+        Conflict, ///< a condition did not hold: nothing was written
+        HistoryGone, ///< changes since then are no longer known: read anew
+        NotDone, ///< turned away: nothing was done
+        Failed, ///< an answer that says nothing
+    };
+    Kind kind = Kind::Failed;
+    std::vector<StoreRow> rows;
+    std::uint64_t version = 0; ///< of the newest row
+    std::int64_t storeMs = 0; ///< the store's steady clock
+    bool more = false;
+};
+
+/// What an engine says of itself.
+struct EngineReport
+{
+    LayerRange layers;
+    bool busy = false;
+    std::uint64_t orders = 0;
+    double pace = 1;
+    std::vector<std::string> stalledAt; ///< addresses that do not answer it
+};
+
+/// How an engine answered an order.
+enum class OrderReply : std::uint8_t { Taken, Refused, Unknown };
+
+/// Names, formats and calls. Functions that read return nothing and leave a
+/// reason when what they read is malformed.
+class EntryProtocol
+{
+public:
+    virtual ~EntryProtocol() = default;
+
+    virtual const HeaderNames &headers() const = 0;
+    virtual std::string_view readinessTarget() const = 0;
+    virtual std::string_view configurationTable() const = 0;
+    virtual std::string_view configurationKey() const = 0;
+    virtual std::string_view endpointTable() const = 0;
+    virtual OutgoingCall read(std::string_view table, std::string_view from) const = 0;
+    virtual OutgoingCall watch(std::string_view table, std::uint64_t after,
+                               Duration wait) const = 0;
+    virtual OutgoingCall commit(const Transaction &transaction) const = 0;
+    virtual StoreReply reply(int status, std::string_view body) const = 0;
+
+    /// \a leftOut: reasons for entries that could not be taken over.
+    virtual RouteTablePtr routeTable(std::string_view text, std::vector<Reason> &leftOut,
+                                     Reason &reason) const = 0;
+    virtual std::optional<FleetEndpoint> endpoint(std::string_view id, std::string_view text,
+                                                  Reason &reason) const = 0;
+
+    virtual std::string_view reportTarget() const = 0;
+    virtual std::optional<EngineReport> report(std::string_view body, Reason &reason) const = 0;
+    virtual OutgoingCall order(const LayerOrder &order, std::uint64_t expectedOrders,
+                               std::uint64_t fencing) const = 0;
+    virtual OrderReply orderReply(int status) const = 0;
+    virtual std::string pathText(std::span<const PathPart> path) const = 0;
+};
+
+/// The protocol of the platform that this program is built for.
+std::unique_ptr<EntryProtocol> makeEntryProtocol();
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/include/balsamloft/layerplanner.h
@@ -0,0 +1,117 @@
+/// \file
+/// Which layers each engine is to hold.
+
+#pragma once
+
+#include <balsamloft/enginefleet.h>
+#include <balsamloft/routetable.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamloft {
+
+/// Settings of a LayerPlanner.
+struct LayerPlannerSettings
+{
+    double leastRoom = 0.12; ///< share of a domain's memory kept for requests
+    double leastEngineRoom = 0.06; ///< share of each engine's memory kept for requests
+    double freeEngineRoom = 0.15; ///< the same for an engine added to a working plan
+    Duration settle {600'000}; ///< no new engine for so long before the first plan
+    Duration gapGrace {700'000}; ///< how long a gap may mend itself
+    Duration thinGrace {6'000'000}; ///< the same where one copy is left
+    Duration orderLife {13'000'000}; ///< an order without an answer may act for so long
+    double leastGain = 60; ///< of a move that mends no gap
+};
+
+/// An order to hold a range of layers, and the reason.
+struct LayerOrder
+{
+    std::string endpoint; ///< id
+    std::string address;
+    LayerRange layers;
+    std::string reason;
+};
+
+/// Decides which engines hold which layers, from what they hold now: it keeps
+/// no plan of its own, so another instance can go on at any moment. Time is an
+/// argument; nothing is sent here.
+class LayerPlanner
+{
+public:
+    explicit LayerPlanner(LayerPlannerSettings settings = {});
+
+    // Commands
+
+    /// The orders to give now for the engines of \a service.
+    std::vector<LayerOrder> plan(const FleetSnapshot &fleet, const RoutedService &service,
+                                 Time now);
+
+    /// The engine took the order, or may have taken it.
+    void ordered(const LayerOrder &order, Time now);
+
+    /// The engine did not take the order.
+    void refused(const std::string &endpoint, Time now);
+
+    // Queries
+
+    std::size_t pending() const { return m_pending.size(); }
+
+private:
+    struct Pending
+    {
+        LayerRange layers;
+        Time since {};
+        std::uint64_t ordersSeen = 0;
+        bool refused = false;
+    };
+
+    /// An engine as the plan sees it.
+    struct Engine
+    {
+        const FleetEndpoint *endpoint = nullptr;
+        const AcceleratorKind *kind = nullptr;
+        LayerRange layers; ///< held, or ordered
+        bool movable = true;
+
+        std::uint32_t most(const LayeredModel &model, double room) const;
+    };
+
+    /// Engines that together are to hold the model: a domain's, or those of
+    /// several domains that are too small alone.
+    struct Group
+    {
+        std::string name;
+        std::vector<Engine> engines;
+    };
+
+    /// What was seen of a group, to wait before acting.
+    struct Watch
+    {
+        std::size_t engines = 0;
+        Time changedAt {};
+        std::optional<Time> gapSince;
+        std::optional<Time> thinSince;
+    };
+
+    std::vector<Group> groups(const FleetSnapshot &fleet, const RoutedService &service, Time now);
+    std::vector<Engine> engines(const FleetSnapshot &fleet, const RoutedService &service, Time now);
+    static std::vector<LayerOrder> tile(Group &group, const LayeredModel &model,
+                                        const LayerPlannerSettings &settings,
+                                        std::string_view reason);
+    void placeFree(Group &group, const LayeredModel &model, std::vector<LayerOrder> &orders);
+    void mend(Group &group, const LayeredModel &model, Watch &watch, Time now,
+              std::vector<LayerOrder> &orders);
+    bool bestMove(Group &group, const LayeredModel &model, double leastGain,
+                  std::vector<LayerOrder> &orders, std::string_view reason);
+    static double cost(const Group &group, const LayeredModel &model);
+    static std::vector<std::uint32_t> copies(const Group &group, const LayeredModel &model);
+
+    LayerPlannerSettings m_settings;
+    std::map<std::string, Pending, std::less<>> m_pending;
+    std::map<std::string, Watch, std::less<>> m_watches;
+};
+
+} // namespace balsamloft
--- a/src/include/balsamloft/lease.h
+++ b/src/include/balsamloft/lease.h
@@ -16,6 +16,7 @@
     std::string holder; ///< unique to this process, not only to its name
     Duration duration {9'000'000};
     Duration renewEvery {3'000'000};
+    Duration pollEvery {3'000'000}; ///< how often those that do not hold it look
     Duration margin {1'000'000}; ///< waited beyond the duration before a takeover
 };
 
@@ -72,7 +73,7 @@
     struct Write
     {
         std::uint64_t id = 0;
-        std::uint64_t version = 0; ///< of the row, once written
+        std::uint64_t base = 0; ///< version of the row that it replaces
         std::uint64_t fencing = 0;
         Time sentAt {};
         bool release = false;
@@ -80,7 +81,7 @@
 
     void write(std::uint64_t version, std::uint64_t fencing, bool release, Time now,
                LeaseActions &actions);
-    void granted(const Write &write);
+    void granted(const Write &write, std::uint64_t version);
     void lose();
 
     LeaseSettings m_settings;
--- /dev/null
+++ b/src/include/balsamloft/pathchooser.h
@@ -0,0 +1,70 @@
+/// \file
+/// Chooses the engines that a whole request passes through.
+
+#pragma once
+
+#include <balsamloft/enginebook.h>
+
+#include <random>
+#include <set>
+
+namespace balsamloft {
+
+/// One engine of a path and the layers that it runs.
+struct PathPart
+{
+    std::string endpoint; ///< id
+    std::string address;
+    LayerRange layers;
+
+    bool operator==(const PathPart &) const = default;
+};
+
+/// Engines that run every layer once and in order.
+struct EnginePath
+{
+    std::vector<PathPart> parts;
+    std::string domain; ///< of the first engine
+    double gapMs = 0; ///< expected between two events
+    double firstMs = 0; ///< expected until the first event
+    double fullness = 0; ///< of the engine with the least room; over 1: none left
+};
+
+/// Settings of a PathChooser.
+struct PathSettings
+{
+    double hopMs = 0.6; ///< added to each token by each further engine
+    double otherDomain = 1.15; ///< factor on paths in another domain than the caller's
+    double otherDomainMs = 40;
+    double crossingMs = 5'000; ///< cost of a change of domain inside a path: activations are large
+    double noise = 0.1; ///< instances that see the same loads must not choose the same path
+    double fullWeight = 4; ///< how dear a nearly full engine is
+};
+
+/// What a request needs.
+struct PathQuery
+{
+    std::string_view domain; ///< of the instance
+    std::uint32_t promptTokens = 0;
+    std::uint32_t answerTokens = 0; ///< expected
+    const std::set<std::string> *without = nullptr; ///< ids not to be used
+};
+
+/// Chooses paths by the time that a request will take, from the published
+/// times of the engines, own and estimated other work, room and pace.
+class PathChooser
+{
+public:
+    explicit PathChooser(PathSettings settings = {});
+
+    /// The cheapest path over engines of \a service in \a fleet, or nothing when
+    /// no engines cover the layers.
+    std::optional<EnginePath> choose(const FleetSnapshot &fleet, const RoutedService &service,
+                                     const EngineBook &book, const PathQuery &query, Time now,
+                                     std::mt19937_64 &random) const;
+
+private:
+    PathSettings m_settings;
+};
+
+} // namespace balsamloft
--- a/src/include/balsamloft/platform.h
+++ b/src/include/balsamloft/platform.h
@@ -12,7 +12,7 @@
 
 namespace balsamloft {
 
-/// One row of a table. Each write of a row raises its version by one.
+/// One row of a table. Each write of a row raises its version.
 struct TableRow
 {
     std::string key;
@@ -54,6 +54,7 @@
     };
     Kind kind = Kind::Unknown;
     std::vector<RowCheck> conflicts; ///< failed checks, with the versions found
+    std::uint64_t version = 0; ///< of the rows written, once committed; 0: one more than before
 };
 
 /// What a read found.
--- /dev/null
+++ b/src/include/balsamloft/relay.h
@@ -0,0 +1,247 @@
+/// \file
+/// Decides on requests that are forwarded whole: to which endpoint or along
+/// which path of engines, whether again, and how each ends.
+
+#pragma once
+
+#include <balsamloft/pathchooser.h>
+#include <balsamloft/retrybudget.h>
+
+#include <unordered_map>
+#include <variant>
+
+namespace balsamloft {
+
+/// A request as the core sees it; its bytes stay with the caller of the core.
+struct RelayRequest
+{
+    std::string id;
+    RouteTablePtr table; ///< the version that decides this request
+    const Route *route = nullptr; ///< in \a table
+    std::uint32_t service = 0; ///< index in \a table
+    Duration timeLeft {}; ///< what the caller will wait
+    std::uint32_t promptTokens = 0;
+    std::uint32_t answerTokens = 0; ///< expected
+};
+
+using FlightId = std::uint64_t;
+
+/// How an attempt failed below the answer.
+enum class AttemptFailure : std::uint8_t {
+    NotSent, ///< no byte left: nothing ran
+    Broken, ///< reset or closed early: it may have run
+    Garbled, ///< bytes that are no answer, or another request's answer
+};
+
+/// The head of an endpoint's answer, as far as decisions need it.
+struct AnswerHead
+{
+    int status = 0;
+    bool notExecuted = false; ///< the endpoint promises that it did not run the request
+    bool sealed = false; ///< bears the mark of an endpoint that ran the request
+    std::string_view atAddress; ///< the engine at fault, when another one than asked
+    std::optional<std::uint32_t> running; ///< requests at the endpoint
+};
+
+// Actions
+
+/// Send the request, or the rest of its stream, to an endpoint.
+struct SendWhole
+{
+    FlightId flight = 0;
+    std::uint32_t attempt = 0;
+    std::string endpoint; ///< id
+    std::string address;
+    std::vector<PathPart> path; ///< empty: that endpoint alone
+    Duration timeLeft {};
+    std::optional<std::uint64_t> afterEvent; ///< go on after this event
+    bool freshConnection = false;
+    std::string reason; ///< why this one, for the log
+};
+
+/// Give an attempt up: close its connection, drop what still comes.
+struct AbandonAttempt
+{
+    FlightId flight = 0;
+    std::uint32_t attempt = 0;
+};
+
+/// Give the caller the endpoint's answer as it is. The flight has ended.
+struct PassAnswer
+{
+    FlightId flight = 0;
+};
+
+/// How a flight ends without an endpoint's answer.
+enum class FlightEnd : std::uint8_t {
+    NotRun, ///< a promise: nothing ran, nothing will
+    Failed, ///< it may have run
+    TimedOut, ///< it may have run; its time is over
+    CutShort, ///< events were passed already: the answer must not look complete
+};
+
+/// Refuse the request, or break its answer off. The flight has ended.
+struct EndFlight
+{
+    FlightId flight = 0;
+    FlightEnd end = FlightEnd::NotRun;
+    Duration retryAfter {}; ///< when to come back; only for NotRun
+    std::string reason;
+};
+
+/// Ask an engine which requests stall, at which engine, and how fast it is.
+struct AskEngine
+{
+    std::string endpoint;
+    std::string address;
+};
+
+using RelayAction = std::variant<SendWhole, AbandonAttempt, PassAnswer, EndFlight, AskEngine>;
+using RelayActions = std::vector<RelayAction>;
+
+/// Settings of a Relay.
+struct RelaySettings
+{
+    std::string domain; ///< of this instance
+    RetryBudgetSettings budget; ///< for each service
+    Duration silence {250'000}; ///< shortest pause after which an engine is asked
+    double silenceGaps = 4; ///< or so many expected pauses
+    Duration askAgain {350'000}; ///< between two questions to one engine
+    Duration brokenPause {120'000}; ///< a stream through a suspected engine that paused this long
+    Duration giveUpPause {1'200'000}; ///< pause after which a stream is moved without proof
+    Duration resumeWithin {1'700'000}; ///< callers leave after a longer pause
+    Duration callSilence {400'000}; ///< an idempotent call is then tried elsewhere
+    double holdShare = 0.12; ///< of the target latency that a request waits for a path
+    Duration pauseLived {300'000}; ///< a longer time between ticks was not lived through
+    Duration comeBack {700'000}; ///< told to those that are refused
+    std::uint32_t sparesSends = 2; ///< sends beyond the attempts, after proof that nothing ran
+    std::uint64_t seed = 1;
+};
+
+/// Counters of a Relay, for metrics.
+struct RelayCounts
+{
+    std::uint64_t submitted = 0;
+    std::uint64_t passed = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t timedOut = 0;
+    std::uint64_t cutShort = 0;
+    std::uint64_t resent = 0;
+    std::uint64_t budgetSpent = 0;
+};
+
+/// The state machine of all whole requests of one instance. No I/O: events and
+/// the present time go in, actions come out.
+class Relay
+{
+public:
+    explicit Relay(RelaySettings settings);
+
+    // Commands
+
+    FlightId submit(RelayRequest request, Time now, RelayActions &actions);
+    void attemptFailed(FlightId id, std::uint32_t attempt, AttemptFailure failure, Time now,
+                       RelayActions &actions);
+
+    /// The head of a stream's answer, or the whole answer to a call.
+    /// \return whether a stream's events may be passed on.
+    bool answered(FlightId id, std::uint32_t attempt, const AnswerHead &head, Time now,
+                  RelayActions &actions);
+
+    /// Whole events went to the caller; \a lastEvent is the id of the last one.
+    void eventsPassed(FlightId id, std::uint32_t attempt, std::optional<std::uint64_t> lastEvent,
+                      Time now);
+
+    /// The engine ended the stream as complete.
+    void streamEnded(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions);
+    void callerGone(FlightId id, Time now, RelayActions &actions);
+
+    /// An engine answered AskEngine: \a stalledAt are addresses of engines that
+    /// do not answer it.
+    void reported(const std::string &endpoint, const std::vector<std::string> &stalledAt,
+                  double pace, Time now, RelayActions &actions);
+    void reportFailed(const std::string &endpoint, Time now, RelayActions &actions);
+    void follow(FleetPtr fleet, Time now, RelayActions &actions);
+    void tick(Time now, RelayActions &actions);
+    void setSharers(double sharers) { m_book.setSharers(sharers); }
+
+    // Queries
+
+    /// Whether the request may still be sent: asked again right before its bytes
+    /// leave, since a process may have been paused in between.
+    bool maySend(FlightId id, std::uint32_t attempt, Time now) const;
+    /// The last event of the flight that went to the caller.
+    std::optional<std::uint64_t> lastEvent(FlightId id) const;
+    std::size_t flights() const { return m_flights.size(); }
+    const RelayCounts &counts() const { return m_counts; }
+    const EngineBook &book() const { return m_book; }
+
+private:
+    enum class State : std::uint8_t { Waiting, Sent, Streaming };
+
+    struct Flight
+    {
+        RelayRequest request;
+        State state = State::Waiting;
+        Time submittedAt {};
+        Time deadline {};
+        Time waitingSince {};
+        std::uint32_t attempt = 0; ///< number of the present one
+        std::uint32_t sends = 0;
+        std::vector<std::string> ranAt; ///< endpoints that may have run it
+        std::vector<PathPart> path;
+        std::string endpoint; ///< first engine or plain endpoint
+        std::string domain;
+        Time sentAt {};
+        Time progressAt {}; ///< last event, or the send
+        Duration expectedGap {};
+        Duration expectedFirst {};
+        bool passing = false; ///< events went to the caller
+        std::optional<std::uint64_t> lastEvent;
+        std::set<std::string> avoid; ///< endpoints that failed it
+        std::string lastReason;
+    };
+
+    using FlightMap = std::unordered_map<FlightId, Flight>;
+
+    Flight *current(FlightId id, std::uint32_t attempt);
+    const RoutedService &service(const Flight &flight) const;
+    RetryBudget &budget(const Flight &flight);
+    void dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    bool choosePath(Flight &flight, Time now, SendWhole &send);
+    bool chooseEndpoint(Flight &flight, Time now, SendWhole &send);
+    double endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> *avoid,
+                        Time now);
+    void sent(Flight &flight, const SendWhole &send, Time now);
+    void release(Flight &flight);
+    void again(FlightId id, Flight &flight, bool ran, const std::string &culprit,
+               std::string reason, Time now, RelayActions &actions);
+    bool mayRunAgain(const Flight &flight) const;
+    void end(FlightId id, FlightEnd how, std::string reason, RelayActions &actions);
+    void rejected(FlightId id, Flight &flight, const AnswerHead &head, Time now,
+                  RelayActions &actions);
+    void watch(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void watchStream(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void giveUpWaiting(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void recover(FlightId id, Flight &flight, std::string reason, Time now, RelayActions &actions);
+    void ask(const std::string &endpoint, Time now, RelayActions &actions);
+    void forgiveLostTime(Time now);
+    bool throughSuspect(const Flight &flight, Time now) const;
+    double ownNeed(const Flight &flight, const PathPart &part) const;
+    std::vector<FlightId> flightIds() const;
+
+    RelaySettings m_settings;
+    std::mt19937_64 m_random;
+    PathChooser m_chooser;
+    EngineBook m_book;
+    FleetPtr m_fleet;
+    FlightMap m_flights;
+    std::map<std::string, RetryBudget, std::less<>> m_budgets;
+    std::map<std::string, Time, std::less<>> m_askedAt;
+    Time m_lastTick {};
+    FlightId m_nextFlight = 1;
+    RelayCounts m_counts;
+};
+
+} // namespace balsamloft
--- a/src/include/balsamloft/retrybudget.h
+++ b/src/include/balsamloft/retrybudget.h
@@ -13,6 +13,7 @@
     double perRequest = 0.1; ///< retries earned by each first attempt
     double perSecond = 1; ///< retries earned by time alone, for idle instances
     double most = 100; ///< retries that can be saved up
+    double initial = -1; ///< saved up at the start; negative: the most
 };
 
 /// A token bucket filled by first attempts. Without it a failure of many
--- /dev/null
+++ b/src/libbalsamloft/enginebook.cpp
@@ -0,0 +1,128 @@
+#include <balsamloft/enginebook.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamloft {
+
+namespace {
+
+/// Weight of one reading in the average of a domain's scale.
+constexpr double ScaleWeight = 0.1;
+constexpr double MostScale = 40;
+
+} // namespace
+
+EngineBook::EngineBook(EngineBookSettings settings)
+    : m_settings(settings)
+{
+}
+
+void EngineBook::follow(const FleetSnapshot &fleet)
+{
+    std::erase_if(m_beliefs, [&](const auto &each) {
+        return each.second.streams == 0 && !fleet.find(each.first);
+    });
+}
+
+void EngineBook::started(const std::string &id, double tokenLayers, bool first)
+{
+    EngineBelief &each = belief(id);
+    each.streams += 1;
+    each.tokenLayers += tokenLayers;
+    each.firstOf += first ? 1 : 0;
+}
+
+void EngineBook::ended(const std::string &id, double tokenLayers, bool first)
+{
+    EngineBelief &each = belief(id);
+    each.streams -= std::min(each.streams, 1U);
+    each.tokenLayers = each.streams == 0 ? 0 : std::max(0.0, each.tokenLayers - tokenLayers);
+    each.firstOf -= first ? std::min(each.firstOf, 1U) : 0;
+}
+
+void EngineBook::suspect(const std::string &id, Time now)
+{
+    belief(id).suspectUntil = now + m_settings.suspicion;
+}
+
+void EngineBook::cleared(const std::string &id)
+{
+    const auto it = m_beliefs.find(id);
+    if (it != m_beliefs.end())
+        it->second.suspectUntil = Time {};
+}
+
+void EngineBook::outOfRoom(const std::string &id, Time now)
+{
+    belief(id).shortUntil = now + m_settings.shortage;
+}
+
+void EngineBook::paced(const std::string &id, double pace, Time now)
+{
+    EngineBelief &each = belief(id);
+    each.pace = std::max(1.0, pace);
+    each.paceUntil = now + m_settings.paceValid;
+}
+
+double EngineBook::decay(const EngineBelief &belief, Time now) const
+{
+    const std::chrono::duration<double> elapsed = now - belief.decayedAt;
+    const std::chrono::duration<double> half = m_settings.failureHalfLife;
+    return std::exp2(-std::max(0.0, elapsed.count()) / half.count());
+}
+
+void EngineBook::finished(const std::string &id, bool failed, Time now)
+{
+    EngineBelief &each = belief(id);
+    const double kept = decay(each, now);
+    each.decayedAt = now;
+    each.failures = each.failures * kept + (failed ? 1 : 0);
+    each.answers = each.answers * kept + 1;
+}
+
+void EngineBook::loadSeen(const std::string &id, const std::string &domain, std::uint32_t running)
+{
+    const EngineBelief *each = find(id);
+    if (!each || each->firstOf == 0)
+        return;
+    const double ratio = std::clamp(static_cast<double>(running) / each->firstOf, 1.0, MostScale);
+    const auto [it, fresh] = m_scales.try_emplace(domain, m_sharers);
+    it->second += ScaleWeight * (ratio - it->second);
+}
+
+const EngineBelief *EngineBook::find(std::string_view id) const
+{
+    const auto it = m_beliefs.find(id);
+    return it == m_beliefs.end() ? nullptr : &it->second;
+}
+
+bool EngineBook::suspected(std::string_view id, Time now) const
+{
+    const EngineBelief *each = find(id);
+    return each && now < each->suspectUntil;
+}
+
+bool EngineBook::usable(std::string_view id, Time now) const
+{
+    const EngineBelief *each = find(id);
+    return !each || (now >= each->suspectUntil && now >= each->shortUntil);
+}
+
+double EngineBook::scale(const std::string &domain) const
+{
+    const auto it = m_scales.find(domain);
+    return it == m_scales.end() ? m_sharers : it->second;
+}
+
+double EngineBook::failureShare(std::string_view id, Time now) const
+{
+    const EngineBelief *each = find(id);
+    if (!each)
+        return 0;
+    // Two good answers are assumed, so that one failure alone says little.
+    const double kept = decay(*each, now);
+    return each->failures * kept / (each->answers * kept + 2);
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/enginefleet.cpp
@@ -0,0 +1,107 @@
+#include <balsamloft/enginefleet.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+const FleetEndpoint *FleetSnapshot::find(std::string_view id) const
+{
+    const auto it = std::find_if(endpoints.begin(), endpoints.end(),
+                                 [&](const auto &each) { return each.id == id; });
+    return it == endpoints.end() ? nullptr : &*it;
+}
+
+const FleetEndpoint *FleetSnapshot::atAddress(std::string_view address) const
+{
+    const FleetEndpoint *found = nullptr;
+    for (const FleetEndpoint &each : endpoints)
+        if (each.address == address && (!found || found->draining))
+            found = &each;
+    return found;
+}
+
+FleetKeeper::FleetKeeper(FleetSettings settings)
+    : m_settings(settings)
+{
+}
+
+void FleetKeeper::heard(Time now)
+{
+    if (m_known && now - m_heardAt > m_settings.stale)
+        m_outageOverAt = now;
+    m_heardAt = now;
+}
+
+void FleetKeeper::listed(std::vector<FleetEndpoint> endpoints, Time now)
+{
+    heard(now);
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        const auto next = std::next(it);
+        const bool still = std::any_of(endpoints.begin(), endpoints.end(),
+                                       [&](const auto &each) { return each.id == it->first; });
+        if (!still)
+            vanished(it, now);
+        it = next;
+    }
+    for (FleetEndpoint &each : endpoints)
+        changed(std::move(each), now);
+    m_known = true;
+}
+
+void FleetKeeper::changed(FleetEndpoint endpoint, Time now)
+{
+    heard(now);
+    Entry &entry = m_entries[endpoint.id];
+    entry.forgetAt.reset();
+    // Leaving is never taken back: a late, older entry must not bring new work
+    // to an endpoint that is about to exit.
+    endpoint.draining = endpoint.draining || entry.endpoint.draining;
+    if (entry.endpoint == endpoint)
+        return;
+    entry.endpoint = std::move(endpoint);
+    m_dirty = true;
+}
+
+void FleetKeeper::dropped(std::string_view id, Time now)
+{
+    heard(now);
+    const auto it = m_entries.find(id);
+    if (it != m_entries.end())
+        vanished(it, now);
+}
+
+void FleetKeeper::vanished(std::map<std::string, Entry, std::less<>>::iterator it, Time now)
+{
+    // While the list was down, entries of the living lapsed too. Forgetting
+    // them at once would leave nothing to route to, so they keep the time in
+    // which the living write themselves down again; what is missing then, is
+    // gone. One that was leaving has nothing to come back for.
+    const bool outage = m_outageOverAt != Time {} && now - m_outageOverAt < m_settings.regain;
+    if (outage && !it->second.endpoint.draining) {
+        if (!it->second.forgetAt)
+            it->second.forgetAt = m_outageOverAt + m_settings.regain;
+        return;
+    }
+    m_entries.erase(it);
+    m_dirty = true;
+}
+
+void FleetKeeper::tick(Time now)
+{
+    const auto erased = std::erase_if(m_entries, [&](const auto &each) {
+        return each.second.forgetAt && now >= *each.second.forgetAt;
+    });
+    m_dirty = m_dirty || erased > 0;
+}
+
+FleetPtr FleetKeeper::snapshot()
+{
+    auto snapshot = std::make_shared<FleetSnapshot>();
+    snapshot->number = ++m_number;
+    for (const auto &[id, entry] : m_entries)
+        snapshot->endpoints.push_back(entry.endpoint);
+    m_dirty = false;
+    return snapshot;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/eventsplitter.cpp
@@ -0,0 +1,60 @@
+#include <balsamloft/eventsplitter.h>
+
+#include <charconv>
+
+namespace balsamloft {
+
+namespace {
+
+/// Length of the first event of \a text with its blank line; 0: not whole yet.
+std::size_t eventLength(std::string_view text)
+{
+    const std::size_t plain = text.find("\n\n");
+    const std::size_t carriage = text.find("\r\n\r\n");
+    if (carriage != std::string_view::npos && (plain == std::string_view::npos || carriage < plain))
+        return carriage + 4;
+    return plain == std::string_view::npos ? 0 : plain + 2;
+}
+
+std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with("id:"))
+            continue;
+        line.remove_prefix(3);
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc {})
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::size_t EventSplitter::add(std::string_view bytes, std::optional<std::uint64_t> after,
+                               std::string &whole)
+{
+    m_rest.append(bytes);
+    std::string_view rest = m_rest;
+    std::size_t count = 0;
+    for (std::size_t length = eventLength(rest); length > 0; length = eventLength(rest)) {
+        const std::string_view event = rest.substr(0, length);
+        rest.remove_prefix(length);
+        const std::optional<std::uint64_t> id = eventId(event);
+        if (id && after && *id <= *after)
+            continue;
+        if (id)
+            m_lastId = id;
+        whole.append(event);
+        count += 1;
+    }
+    m_rest.erase(0, m_rest.size() - rest.size());
+    return count;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -0,0 +1,370 @@
+#include <balsamloft/layerplanner.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace balsamloft {
+
+namespace {
+
+/// Cost of a layer that nobody holds, and of one that one engine holds.
+constexpr double GapCost = 1000;
+constexpr double SingleCost = 20;
+/// Cost of a layer whose holders have room for nothing; falls with their room.
+constexpr double FullCost = 60;
+/// Cost of loading one layer: time, and a share of the weight store.
+constexpr double LoadCost = 0.4;
+/// Engine room to fall back on when a domain cannot hold the model otherwise.
+constexpr double BareRoom = 0.02;
+constexpr int MostMoves = 12;
+
+std::uint32_t length(LayerRange range)
+{
+    return range.end - range.begin;
+}
+
+std::uint32_t overlap(LayerRange left, LayerRange right)
+{
+    const std::uint32_t begin = std::max(left.begin, right.begin);
+    const std::uint32_t end = std::min(left.end, right.end);
+    return end > begin ? end - begin : 0;
+}
+
+} // namespace
+
+LayerPlanner::LayerPlanner(LayerPlannerSettings settings)
+    : m_settings(settings)
+{
+}
+
+std::uint32_t LayerPlanner::Engine::most(const LayeredModel &model, double room) const
+{
+    const double layers = kind->sizeMegabytes * (1 - room) / std::max(1.0, model.layerMegabytes);
+    return static_cast<std::uint32_t>(std::min<double>(model.layers, std::floor(layers)));
+}
+
+void LayerPlanner::ordered(const LayerOrder &order, Time now)
+{
+    m_pending[order.endpoint] = Pending {order.layers, now, 0, false};
+}
+
+void LayerPlanner::refused(const std::string &endpoint, Time now)
+{
+    const auto it = m_pending.find(endpoint);
+    if (it != m_pending.end())
+        it->second = Pending {it->second.layers, now, 0, true};
+}
+
+std::vector<LayerPlanner::Engine> LayerPlanner::engines(const FleetSnapshot &fleet,
+                                                        const RoutedService &service, Time now)
+{
+    // An order without an answer may be carried out seconds later: until then
+    // the engine counts as holding what it was told, and is told nothing else.
+    constexpr Duration RefusedFor {1'000'000};
+    std::erase_if(m_pending, [&](const auto &each) {
+        const FleetEndpoint *endpoint = fleet.find(each.first);
+        const Pending &pending = each.second;
+        return !endpoint || (!endpoint->busy && endpoint->layers == pending.layers)
+               || now - pending.since >= (pending.refused ? RefusedFor : m_settings.orderLife);
+    });
+    std::vector<Engine> found;
+    for (const FleetEndpoint &each : fleet.endpoints) {
+        const AcceleratorKind *kind = service.model->kind(each.kind);
+        if (each.service != service.name || each.draining || !kind)
+            continue;
+        Engine engine {&each, kind, each.layers, !each.busy};
+        const auto pending = m_pending.find(each.id);
+        if (pending != m_pending.end()) {
+            engine.movable = false;
+            if (!pending->second.refused)
+                engine.layers = pending->second.layers;
+        }
+        found.push_back(engine);
+    }
+    return found;
+}
+
+std::vector<LayerPlanner::Group> LayerPlanner::groups(const FleetSnapshot &fleet,
+                                                      const RoutedService &service, Time now)
+{
+    std::map<std::string, Group> domains;
+    for (Engine &each : engines(fleet, service, now)) {
+        Group &group = domains[each.endpoint->domain];
+        group.name = each.endpoint->domain;
+        group.engines.push_back(each);
+    }
+    std::vector<Group> groups;
+    Group pooled {"pooled", {}};
+    for (auto &[name, group] : domains) {
+        std::uint32_t layers = 0;
+        for (const Engine &each : group.engines)
+            layers += each.most(*service.model, BareRoom);
+        if (layers >= service.model->layers)
+            groups.push_back(std::move(group));
+        else
+            pooled.engines.insert(pooled.engines.end(), group.engines.begin(), group.engines.end());
+    }
+    if (!pooled.engines.empty())
+        groups.push_back(std::move(pooled));
+    return groups;
+}
+
+std::vector<std::uint32_t> LayerPlanner::copies(const Group &group, const LayeredModel &model)
+{
+    std::vector<std::uint32_t> copies(model.layers, 0);
+    for (const Engine &each : group.engines)
+        for (std::uint32_t layer = each.layers.begin;
+             layer < std::min(each.layers.end, model.layers); ++layer)
+            copies[layer] += 1;
+    return copies;
+}
+
+double LayerPlanner::cost(const Group &group, const LayeredModel &model)
+{
+    std::vector<std::uint32_t> copies(model.layers, 0);
+    std::vector<double> streams(model.layers, 0);
+    const double usual = std::max(1U, model.usualPrompt + model.usualAnswer);
+    for (const Engine &each : group.engines) {
+        const std::uint32_t end = std::min(each.layers.end, model.layers);
+        if (end <= each.layers.begin)
+            continue;
+        const double room = model.room(*each.kind, length(each.layers));
+        const double fits = room / length(each.layers) / usual;
+        for (std::uint32_t layer = each.layers.begin; layer < end; ++layer) {
+            copies[layer] += 1;
+            streams[layer] += fits;
+        }
+    }
+    double cost = 0;
+    for (std::uint32_t layer = 0; layer < model.layers; ++layer)
+        cost += (copies[layer] == 0   ? GapCost
+                 : copies[layer] == 1 ? SingleCost
+                                      : 0)
+                + FullCost / (1 + streams[layer]);
+    return cost;
+}
+
+namespace {
+
+/// Splits \a layers in proportion to \a sizes, none above its \a most; empty
+/// when they do not fit.
+std::vector<std::uint32_t> split(std::uint32_t layers, const std::vector<double> &sizes,
+                                 const std::vector<std::uint32_t> &most)
+{
+    const double total = std::accumulate(sizes.begin(), sizes.end(), 0.0);
+    if (std::accumulate(most.begin(), most.end(), 0U) < layers || total <= 0)
+        return {};
+    std::vector<std::uint32_t> counts(sizes.size());
+    std::uint32_t given = 0;
+    for (std::size_t i = 0; i < sizes.size(); ++i) {
+        counts[i] =
+            std::min(most[i], static_cast<std::uint32_t>(std::floor(layers * sizes[i] / total)));
+        given += counts[i];
+    }
+    for (; given < layers; ++given) {
+        // The next layer goes where the room for requests stays largest.
+        std::size_t best = sizes.size();
+        for (std::size_t i = 0; i < sizes.size(); ++i)
+            if (counts[i] < most[i]
+                && (best == sizes.size()
+                    || (counts[i] + 1) / sizes[i] < (counts[best] + 1) / sizes[best]))
+                best = i;
+        counts[best] += 1;
+    }
+    return counts;
+}
+
+} // namespace
+
+std::vector<LayerOrder> LayerPlanner::tile(Group &group, const LayeredModel &model,
+                                           const LayerPlannerSettings &settings,
+                                           std::string_view reason)
+{
+    std::vector<Engine *> engines;
+    double total = 0;
+    for (Engine &each : group.engines) {
+        engines.push_back(&each);
+        total += each.kind->sizeMegabytes;
+    }
+    // Fast engines together: a path is as slow as the sum of its parts, and the
+    // fast path then carries most requests.
+    std::stable_sort(engines.begin(), engines.end(), [](const Engine *left, const Engine *right) {
+        return std::tie(left->kind->pace, left->layers.begin, left->endpoint->id)
+               < std::tie(right->kind->pace, right->layers.begin, right->endpoint->id);
+    });
+    const double whole = model.layers * model.layerMegabytes;
+    auto count = static_cast<std::size_t>(total * (1 - settings.leastRoom) / whole);
+    for (count = std::max<std::size_t>(1, count); count > 0; --count) {
+        const double room = count == 1 ? BareRoom : settings.leastEngineRoom;
+        std::vector<std::vector<Engine *>> bins(count);
+        double before = 0;
+        for (Engine *each : engines) {
+            const double middle = before + each->kind->sizeMegabytes / 2;
+            before += each->kind->sizeMegabytes;
+            bins[std::min(count - 1, static_cast<std::size_t>(middle / total * count))].push_back(
+                each);
+        }
+        std::vector<LayerOrder> orders;
+        bool fits = true;
+        for (std::vector<Engine *> &bin : bins) {
+            std::vector<double> sizes;
+            std::vector<std::uint32_t> most;
+            for (const Engine *each : bin) {
+                sizes.push_back(each->kind->sizeMegabytes);
+                most.push_back(each->most(model, room));
+            }
+            const std::vector<std::uint32_t> counts = split(model.layers, sizes, most);
+            fits = fits && !counts.empty();
+            std::uint32_t next = 0;
+            for (std::size_t i = 0; i < counts.size(); ++i) {
+                const LayerRange range {next, next + counts[i]};
+                next = range.end;
+                if (counts[i] > 0 && bin[i]->endpoint->layers != range && bin[i]->movable)
+                    orders.push_back({bin[i]->endpoint->id, bin[i]->endpoint->address, range,
+                                      std::string(reason)});
+            }
+        }
+        if (fits)
+            return orders;
+    }
+    return {};
+}
+
+void LayerPlanner::placeFree(Group &group, const LayeredModel &model,
+                             std::vector<LayerOrder> &orders)
+{
+    std::vector<Engine *> free;
+    for (Engine &each : group.engines)
+        if (each.movable && length(each.layers) == 0)
+            free.push_back(&each);
+    std::sort(free.begin(), free.end(), [](const Engine *left, const Engine *right) {
+        return std::tie(right->kind->sizeMegabytes, left->endpoint->id)
+               < std::tie(left->kind->sizeMegabytes, right->endpoint->id);
+    });
+    for (Engine *each : free) {
+        const std::uint32_t count = each->most(model, m_settings.freeEngineRoom);
+        if (count == 0)
+            continue;
+        LayerRange best;
+        double bestCost = 0;
+        for (std::uint32_t begin = 0; begin + count <= model.layers; ++begin) {
+            each->layers = {begin, begin + count};
+            const double now = cost(group, model);
+            if (length(best) == 0 || now < bestCost) {
+                best = each->layers;
+                bestCost = now;
+            }
+        }
+        each->layers = best;
+        orders.push_back(
+            {each->endpoint->id, each->endpoint->address, best, "an engine that holds nothing"});
+    }
+}
+
+bool LayerPlanner::bestMove(Group &group, const LayeredModel &model, double leastGain,
+                            std::vector<LayerOrder> &orders, std::string_view reason)
+{
+    const double before = cost(group, model);
+    Engine *mover = nullptr;
+    LayerRange target;
+    double bestCost = before - leastGain;
+    for (Engine &each : group.engines) {
+        if (!each.movable)
+            continue;
+        const LayerRange held = each.layers;
+        each.layers = {};
+        const std::vector<std::uint32_t> others = copies(group, model);
+        const std::uint32_t most = each.most(model, m_settings.leastEngineRoom);
+        const std::uint32_t usual = each.most(model, m_settings.freeEngineRoom);
+        const auto consider = [&](LayerRange range) {
+            for (std::uint32_t layer = held.begin; layer < held.end; ++layer)
+                if (others[layer] == 0 && (layer < range.begin || layer >= range.end))
+                    return;
+            each.layers = range;
+            const double loads = length(range) - overlap(range, held);
+            const double now = cost(group, model) + LoadCost * loads;
+            if (now >= bestCost)
+                return;
+            bestCost = now;
+            mover = &each;
+            target = range;
+        };
+        for (std::uint32_t begin = 0; usual > 0 && begin + usual <= model.layers; ++begin)
+            consider({begin, begin + usual});
+        for (std::uint32_t more = 1; length(held) + more <= most; ++more) {
+            if (held.begin >= more)
+                consider({held.begin - more, held.end});
+            if (held.end + more <= model.layers)
+                consider({held.begin, held.end + more});
+        }
+        each.layers = held;
+    }
+    if (!mover)
+        return false;
+    mover->layers = target;
+    mover->movable = false;
+    orders.push_back({mover->endpoint->id, mover->endpoint->address, target, std::string(reason)});
+    return true;
+}
+
+void LayerPlanner::mend(Group &group, const LayeredModel &model, Watch &watch, Time now,
+                        std::vector<LayerOrder> &orders)
+{
+    const auto least = [&] {
+        const std::vector<std::uint32_t> counts = copies(group, model);
+        return counts.empty() ? 0 : *std::min_element(counts.begin(), counts.end());
+    };
+    if (least() > 0) {
+        watch.gapSince.reset();
+    } else if (!watch.gapSince) {
+        watch.gapSince = now;
+    } else if (now - *watch.gapSince >= m_settings.gapGrace) {
+        for (int moves = 0; moves < MostMoves && least() == 0; ++moves)
+            if (!bestMove(group, model, GapCost / 2, orders, "nobody holds these layers"))
+                break;
+        if (least() == 0) {
+            const bool waits = std::any_of(group.engines.begin(), group.engines.end(),
+                                           [](const Engine &each) { return !each.movable; });
+            if (!waits)
+                orders = tile(group, model, m_settings, "the model no longer fits as it lies");
+        }
+    }
+    if (least() != 1) {
+        watch.thinSince.reset();
+    } else if (!watch.thinSince) {
+        watch.thinSince = now;
+    } else if (now - *watch.thinSince >= m_settings.thinGrace) {
+        watch.thinSince = now;
+        bestMove(group, model, m_settings.leastGain, orders, "one copy is left of these layers");
+    }
+}
+
+std::vector<LayerOrder> LayerPlanner::plan(const FleetSnapshot &fleet, const RoutedService &service,
+                                           Time now)
+{
+    std::vector<LayerOrder> orders;
+    if (!service.model || service.model->layers == 0)
+        return orders;
+    for (Group &group : groups(fleet, service, now)) {
+        Watch &watch = m_watches[service.name + "/" + group.name];
+        if (watch.engines != group.engines.size()) {
+            watch.engines = group.engines.size();
+            watch.changedAt = now;
+        }
+        const bool empty = std::all_of(group.engines.begin(), group.engines.end(),
+                                       [](const Engine &each) { return length(each.layers) == 0; });
+        std::vector<LayerOrder> wanted;
+        if (empty) {
+            if (now - watch.changedAt >= m_settings.settle)
+                wanted = tile(group, *service.model, m_settings, "no engine holds anything yet");
+        } else {
+            placeFree(group, *service.model, wanted);
+            mend(group, *service.model, watch, now, wanted);
+        }
+        orders.insert(orders.end(), wanted.begin(), wanted.end());
+    }
+    return orders;
+}
+
+} // namespace balsamloft
--- a/src/libbalsamloft/lease.cpp
+++ b/src/libbalsamloft/lease.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+const std::string NoHolder;
+
 struct LeaseRow
 {
     std::string holder; ///< empty: released
@@ -54,7 +56,7 @@
         lose();
     if (now < m_nextTick)
         return;
-    m_nextTick = now + m_settings.renewEvery;
+    m_nextTick = now + (m_holding ? m_settings.renewEvery : m_settings.pollEvery);
     if (m_holding && !m_write)
         return write(m_rowVersion, m_fencing, false, now, actions);
     m_readId = m_nextId++;
@@ -64,7 +66,7 @@
 void LeaseKeeper::write(std::uint64_t version, std::uint64_t fencing, bool release, Time now,
                         LeaseActions &actions)
 {
-    m_write = Write {m_nextId++, version + 1, fencing, now, release};
+    m_write = Write {m_nextId++, version, fencing, now, release};
     Transaction transaction;
     transaction.checks.push_back({std::string(LeaseTable), m_settings.key, version});
     transaction.writes.push_back({std::string(LeaseTable), m_settings.key,
@@ -72,9 +74,9 @@
     actions.push_back(WriteLease {m_write->id, std::move(transaction)});
 }
 
-void LeaseKeeper::granted(const Write &write)
+void LeaseKeeper::granted(const Write &write, std::uint64_t version)
 {
-    m_rowVersion = write.version;
+    m_rowVersion = version;
     m_write.reset();
     if (write.release)
         return;
@@ -96,7 +98,7 @@
     const Write write = *m_write;
     switch (outcome.kind) {
     case TransactionOutcome::Kind::Committed:
-        granted(write);
+        granted(write, outcome.version ? outcome.version : write.base + 1);
         break;
     case TransactionOutcome::Kind::Conflict:
         m_write.reset();
@@ -130,11 +132,13 @@
     m_seenHolder = row.holder;
     if (m_write) {
         const Write pending = *m_write;
-        if (version == pending.version && row.holder == m_settings.holder
-            && row.fencing == pending.fencing)
-            return granted(pending);
+        // The name of the holder is this process's alone, so a newer row that
+        // bears it is the write in doubt, or the release in doubt bears none.
+        const std::string &wanted = pending.release ? NoHolder : m_settings.holder;
+        if (version != pending.base && row.holder == wanted && row.fencing == pending.fencing)
+            return granted(pending, version);
         m_write.reset();
-        if (version > pending.version || row.holder != m_settings.holder)
+        if (version != pending.base || row.holder != m_settings.holder)
             lose();
     }
     if (m_holding)
--- /dev/null
+++ b/src/libbalsamloft/pathchooser.cpp
@@ -0,0 +1,256 @@
+#include <balsamloft/pathchooser.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace balsamloft {
+
+namespace {
+
+constexpr double NoCost = std::numeric_limits<double>::infinity();
+
+/// An engine that may be part of a path, with its times per layer.
+struct Candidate
+{
+    const FleetEndpoint *endpoint = nullptr;
+    double readMs = 0; ///< to read the prompt, for each layer
+    double passMs = 0; ///< a pass (one event), for each layer
+    double factor = 1; ///< dearer when nearly full
+    double fullness = 0;
+};
+
+/// A cheapest way to have run the layers before a cut.
+struct Step
+{
+    double cost = NoCost;
+    std::size_t fromCut = 0;
+    std::size_t candidate = 0;
+};
+
+/// The search over one set of engines: a table of the cheapest ways to each
+/// cut, for each engine that may run the last layers before it.
+class Search
+{
+public:
+    Search(std::vector<Candidate> candidates, const LayeredModel &model, double passes,
+           double hopCost, double crossingCost)
+        : m_candidates(std::move(candidates))
+        , m_model(model)
+        , m_passes(passes)
+        , m_hopCost(hopCost)
+        , m_crossingCost(crossingCost)
+    {
+        collectCuts();
+    }
+
+    /// Cost of the cheapest path; infinite when there is none. \a whole: engines
+    /// run all layers from where they begin, so that none can come twice.
+    double run(bool whole)
+    {
+        const std::size_t engines = m_candidates.size();
+        m_table.assign(m_cuts.size() * engines, Step {});
+        for (std::size_t cut = 0; cut + 1 < m_cuts.size(); ++cut)
+            for (std::size_t engine = 0; engine < engines; ++engine)
+                extend(cut, engine, whole);
+        return finish();
+    }
+
+    /// The parts of the path found, in order; empty when an engine comes twice.
+    std::vector<std::pair<std::size_t, LayerRange>> parts() const
+    {
+        std::vector<std::pair<std::size_t, LayerRange>> parts;
+        std::set<std::size_t> seen;
+        std::size_t cut = m_cuts.size() - 1;
+        std::size_t engine = m_last;
+        while (cut > 0) {
+            const Step &step = m_table[cut * m_candidates.size() + engine];
+            if (!seen.insert(engine).second)
+                return {};
+            parts.push_back({engine, {m_cuts[step.fromCut], m_cuts[cut]}});
+            cut = step.fromCut;
+            engine = step.candidate;
+        }
+        std::reverse(parts.begin(), parts.end());
+        return parts;
+    }
+
+    const Candidate &candidate(std::size_t index) const { return m_candidates[index]; }
+
+private:
+    void collectCuts()
+    {
+        m_cuts = {0, m_model.layers};
+        for (const Candidate &each : m_candidates) {
+            m_cuts.push_back(each.endpoint->layers.begin);
+            m_cuts.push_back(std::min(each.endpoint->layers.end, m_model.layers));
+        }
+        std::sort(m_cuts.begin(), m_cuts.end());
+        m_cuts.erase(std::unique(m_cuts.begin(), m_cuts.end()), m_cuts.end());
+    }
+
+    /// Cheapest way to be at \a cut before \a engine goes on.
+    Step arrive(std::size_t cut, std::size_t engine) const
+    {
+        Step best;
+        if (cut == 0) {
+            best.cost = 0;
+            return best;
+        }
+        const std::size_t engines = m_candidates.size();
+        for (std::size_t last = 0; last < engines; ++last) {
+            const Step &step = m_table[cut * engines + last];
+            if (step.cost == NoCost || last == engine)
+                continue;
+            const bool crossing =
+                m_candidates[last].endpoint->domain != m_candidates[engine].endpoint->domain;
+            const double cost = step.cost + m_hopCost + (crossing ? m_crossingCost : 0);
+            if (cost < best.cost)
+                best = {cost, cut, last};
+        }
+        return best;
+    }
+
+    void extend(std::size_t cut, std::size_t engine, bool whole)
+    {
+        const Candidate &each = m_candidates[engine];
+        const LayerRange held = each.endpoint->layers;
+        if (m_cuts[cut] < held.begin || m_cuts[cut] >= held.end)
+            return;
+        const Step before = arrive(cut, engine);
+        if (before.cost == NoCost)
+            return;
+        for (std::size_t to = cut + 1; to < m_cuts.size() && m_cuts[to] <= held.end; ++to) {
+            if (whole && m_cuts[to] != std::min(held.end, m_model.layers))
+                continue;
+            const double layers = m_cuts[to] - m_cuts[cut];
+            const double cost =
+                before.cost + layers * each.factor * (2 * each.readMs + m_passes * each.passMs);
+            Step &step = m_table[to * m_candidates.size() + engine];
+            if (cost < step.cost)
+                step = {cost, cut, before.candidate};
+        }
+    }
+
+    double finish()
+    {
+        const std::size_t engines = m_candidates.size();
+        const std::size_t end = (m_cuts.size() - 1) * engines;
+        double best = NoCost;
+        for (std::size_t engine = 0; engine < engines; ++engine)
+            if (m_table[end + engine].cost < best) {
+                best = m_table[end + engine].cost;
+                m_last = engine;
+            }
+        return best;
+    }
+
+    std::vector<Candidate> m_candidates;
+    const LayeredModel &m_model;
+    double m_passes;
+    double m_hopCost;
+    double m_crossingCost;
+    std::vector<std::uint32_t> m_cuts;
+    std::vector<Step> m_table;
+    std::size_t m_last = 0;
+};
+
+/// The engines that may be used now, with their times under the work on them.
+std::vector<Candidate> candidates(const FleetSnapshot &fleet, const RoutedService &service,
+                                  const EngineBook &book, const PathQuery &query, Time now,
+                                  double fullWeight)
+{
+    const LayeredModel &model = *service.model;
+    std::vector<Candidate> found;
+    for (const FleetEndpoint &each : fleet.endpoints) {
+        const AcceleratorKind *kind = model.kind(each.kind);
+        if (each.service != service.name || each.draining || !kind
+            || each.layers.end <= each.layers.begin || !book.usable(each.id, now))
+            continue;
+        if (query.without && query.without->contains(each.id))
+            continue;
+        const EngineBelief *belief = book.find(each.id);
+        const double scale = book.scale(each.domain);
+        const double streams = 1 + (belief ? belief->streams * scale : 0);
+        const double pace = kind->pace * (belief && now < belief->paceUntil ? belief->pace : 1);
+        const double context = (model.usualPrompt + model.usualAnswer / 2.0) / 1000;
+        const double step =
+            model.stepMs + streams * (model.perSequenceMs + context * model.contextMsPerK);
+        const std::uint32_t held = each.layers.end - each.layers.begin;
+        const double need = static_cast<double>(query.promptTokens + query.answerTokens) * held;
+        const double room = std::max(1.0, model.room(*kind, held));
+        Candidate candidate;
+        candidate.endpoint = &each;
+        candidate.fullness = ((belief ? belief->tokenLayers * scale : 0) + need) / room;
+        candidate.readMs = query.promptTokens / std::max(0.001, model.readTokensPerMs)
+                           * kind->readFactor / model.layers;
+        candidate.passMs = model.stride * step * pace / model.layers;
+        candidate.factor = 1 + fullWeight * std::pow(std::min(candidate.fullness, 3.0), 4)
+                           + 2 * book.failureShare(each.id, now);
+        found.push_back(candidate);
+    }
+    return found;
+}
+
+} // namespace
+
+PathChooser::PathChooser(PathSettings settings)
+    : m_settings(settings)
+{
+}
+
+std::optional<EnginePath> PathChooser::choose(const FleetSnapshot &fleet,
+                                              const RoutedService &service, const EngineBook &book,
+                                              const PathQuery &query, Time now,
+                                              std::mt19937_64 &random) const
+{
+    const LayeredModel &model = *service.model;
+    const double passes =
+        std::max(1.0, static_cast<double>(query.answerTokens) / std::max(1U, model.stride));
+    const double hopCost = m_settings.hopMs * passes;
+    std::uniform_real_distribution<double> noise(1 - m_settings.noise, 1 + m_settings.noise);
+    std::vector<Candidate> all =
+        candidates(fleet, service, book, query, now, m_settings.fullWeight);
+    for (Candidate &each : all)
+        each.factor *= noise(random);
+
+    std::map<std::string_view, std::vector<Candidate>> domains;
+    for (const Candidate &each : all)
+        domains[each.endpoint->domain].push_back(each);
+    std::optional<Search> best;
+    double bestCost = NoCost;
+    const auto attempt = [&](std::vector<Candidate> engines, double factor, double added) {
+        Search search(std::move(engines), model, passes, hopCost, m_settings.crossingMs);
+        double cost = search.run(false);
+        if (cost != NoCost && search.parts().empty())
+            cost = search.run(true);
+        if (cost == NoCost || search.parts().empty() || cost * factor + added >= bestCost)
+            return;
+        bestCost = cost * factor + added;
+        best.emplace(std::move(search));
+    };
+    for (auto &[domain, engines] : domains) {
+        const bool own = domain == query.domain;
+        attempt(std::move(engines), own ? 1 : m_settings.otherDomain,
+                own ? 0 : m_settings.otherDomainMs);
+    }
+    if (!best)
+        attempt(std::move(all), m_settings.otherDomain, m_settings.otherDomainMs);
+    if (!best)
+        return std::nullopt;
+
+    EnginePath path;
+    for (const auto &[index, layers] : best->parts()) {
+        const Candidate &each = best->candidate(index);
+        path.parts.push_back({each.endpoint->id, each.endpoint->address, layers});
+        const double count = layers.end - layers.begin;
+        path.gapMs += count * each.passMs + m_settings.hopMs;
+        path.firstMs += count * each.readMs;
+        path.fullness = std::max(path.fullness, each.fullness);
+    }
+    path.firstMs += path.gapMs;
+    path.domain = fleet.find(path.parts.front().endpoint)->domain;
+    return path;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/readfreshness.cpp
@@ -0,0 +1,19 @@
+#include <balsamloft/readfreshness.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+void ReadFreshness::answered(Time sentAt, Time arrivedAt, std::int64_t storeMs)
+{
+    const Time storeTime {Duration(storeMs * 1000)};
+    if (storeMs < m_lastStoreMs)
+        clockLost();
+    m_lastStoreMs = storeMs;
+    const Duration offset = sentAt - storeTime;
+    m_offset = m_offset ? std::max(*m_offset, offset) : offset;
+    const Time madeAt = std::clamp(storeTime + *m_offset, sentAt, std::max(sentAt, arrivedAt));
+    m_knownAt = m_knownAt ? std::max(*m_knownAt, madeAt) : madeAt;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/relay.cpp
@@ -0,0 +1,377 @@
+#include <balsamloft/relay.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+namespace {
+
+/// Statuses with which an endpoint refuses before it runs anything.
+constexpr int Misdirected = 421;
+constexpr int FirstServerError = 500;
+
+/// A refusal that took this long was no lack of room: the engine at fault is dead.
+constexpr Duration StallRefusal {1'000'000};
+
+} // namespace
+
+Relay::Relay(RelaySettings settings)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+    , m_fleet(std::make_shared<FleetSnapshot>())
+{
+}
+
+const RoutedService &Relay::service(const Flight &flight) const
+{
+    return flight.request.table->services()[flight.request.service];
+}
+
+RetryBudget &Relay::budget(const Flight &flight)
+{
+    return m_budgets.try_emplace(service(flight).name, m_settings.budget).first->second;
+}
+
+Relay::Flight *Relay::current(FlightId id, std::uint32_t attempt)
+{
+    const auto it = m_flights.find(id);
+    return it == m_flights.end() || it->second.attempt != attempt
+                   || it->second.state == State::Waiting
+               ? nullptr
+               : &it->second;
+}
+
+std::vector<FlightId> Relay::flightIds() const
+{
+    std::vector<FlightId> ids;
+    ids.reserve(m_flights.size());
+    for (const auto &[id, flight] : m_flights)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+FlightId Relay::submit(RelayRequest request, Time now, RelayActions &actions)
+{
+    const FlightId id = m_nextFlight++;
+    Flight &flight = m_flights[id];
+    flight.request = std::move(request);
+    flight.submittedAt = now;
+    flight.waitingSince = now;
+    flight.deadline = now + std::min(flight.request.timeLeft, flight.request.route->timeout);
+    m_counts.submitted += 1;
+    budget(flight).requestStarted();
+    dispatch(id, flight, now, actions);
+    return id;
+}
+
+double Relay::ownNeed(const Flight &flight, const PathPart &part) const
+{
+    return static_cast<double>(flight.request.promptTokens + flight.request.answerTokens)
+           * (part.layers.end - part.layers.begin);
+}
+
+bool Relay::choosePath(Flight &flight, Time now, SendWhole &send)
+{
+    PathQuery query;
+    query.domain = m_settings.domain;
+    query.promptTokens = flight.request.promptTokens;
+    query.answerTokens = flight.request.answerTokens;
+    query.without = &flight.avoid;
+    auto path = m_chooser.choose(*m_fleet, service(flight), m_book, query, now, m_random);
+    if (!path && !flight.avoid.empty()) {
+        // Rather an engine that failed it once than none at all.
+        query.without = nullptr;
+        path = m_chooser.choose(*m_fleet, service(flight), m_book, query, now, m_random);
+    }
+    if (!path) {
+        flight.lastReason = "no path over all layers";
+        return false;
+    }
+    if (path->fullness > 1) {
+        flight.lastReason = "no room on any path";
+        return false;
+    }
+    send.endpoint = path->parts.front().endpoint;
+    send.address = path->parts.front().address;
+    send.path = std::move(path->parts);
+    flight.domain = path->domain;
+    flight.expectedGap = Duration(static_cast<std::int64_t>(path->gapMs * 1000));
+    flight.expectedFirst = Duration(static_cast<std::int64_t>(path->firstMs * 1000));
+    return true;
+}
+
+double Relay::endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> *avoid,
+                           Time now)
+{
+    const EngineBelief *belief = m_book.find(endpoint.id);
+    std::uniform_real_distribution<double> noise(0, 0.1);
+    double cost = noise(m_random) + 4 * m_book.failureShare(endpoint.id, now);
+    if (belief)
+        cost += static_cast<double>(belief->streams) / std::max(1U, endpoint.slots)
+                * m_book.scale(endpoint.domain);
+    if (endpoint.domain != m_settings.domain)
+        cost += 0.4;
+    if (!m_book.usable(endpoint.id, now))
+        cost += 10;
+    if (avoid->contains(endpoint.id))
+        cost += 20;
+    return cost;
+}
+
+bool Relay::chooseEndpoint(Flight &flight, Time now, SendWhole &send)
+{
+    const FleetEndpoint *best = nullptr;
+    double bestCost = 0;
+    for (const FleetEndpoint &each : m_fleet->endpoints) {
+        if (each.service != service(flight).name || each.draining)
+            continue;
+        const double cost = endpointCost(each, &flight.avoid, now);
+        if (!best || cost < bestCost) {
+            best = &each;
+            bestCost = cost;
+        }
+    }
+    if (!best || flight.avoid.contains(best->id)) {
+        flight.lastReason = best ? "all endpoints failed it" : "no endpoint";
+        return false;
+    }
+    send.endpoint = best->id;
+    send.address = best->address;
+    flight.domain = best->domain;
+    return true;
+}
+
+void Relay::sent(Flight &flight, const SendWhole &send, Time now)
+{
+    flight.state = State::Sent;
+    flight.sends += 1;
+    flight.endpoint = send.endpoint;
+    flight.path = send.path;
+    flight.sentAt = now;
+    flight.progressAt = now;
+    if (send.path.empty())
+        m_book.started(send.endpoint, 0, true);
+    for (const PathPart &part : send.path)
+        m_book.started(part.endpoint, ownNeed(flight, part), part.endpoint == send.endpoint);
+}
+
+void Relay::release(Flight &flight)
+{
+    if (flight.state == State::Waiting)
+        return;
+    if (flight.path.empty())
+        m_book.ended(flight.endpoint, 0, true);
+    for (const PathPart &part : flight.path)
+        m_book.ended(part.endpoint, ownNeed(flight, part), part.endpoint == flight.endpoint);
+    flight.path.clear();
+    flight.state = State::Waiting;
+}
+
+void Relay::dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    if (now >= flight.deadline)
+        return end(id,
+                   flight.passing         ? FlightEnd::CutShort
+                   : flight.ranAt.empty() ? FlightEnd::NotRun
+                                          : FlightEnd::TimedOut,
+                   "no time left", actions);
+    SendWhole send;
+    const bool layered = service(flight).model.has_value();
+    if (!(layered ? choosePath(flight, now, send) : chooseEndpoint(flight, now, send)))
+        return;
+    send.flight = id;
+    send.attempt = ++flight.attempt;
+    send.timeLeft = flight.deadline - now;
+    send.afterEvent = flight.lastEvent;
+    send.freshConnection = !flight.request.route->idempotent();
+    send.reason = flight.sends == 0 ? "first attempt" : flight.lastReason;
+    sent(flight, send, now);
+    actions.push_back(std::move(send));
+}
+
+bool Relay::mayRunAgain(const Flight &flight) const
+{
+    if (!flight.request.route->idempotent())
+        return false;
+    // Endpoints that are gone do not count: what they ran is lost in any case.
+    const auto alive =
+        std::count_if(flight.ranAt.begin(), flight.ranAt.end(),
+                      [&](const std::string &each) { return m_fleet->find(each) != nullptr; });
+    return static_cast<std::uint32_t>(alive) < flight.request.route->maxAttempts;
+}
+
+void Relay::again(FlightId id, Flight &flight, bool ran, const std::string &culprit,
+                  std::string reason, Time now, RelayActions &actions)
+{
+    flight.avoid.insert(culprit);
+    if (ran
+        && std::find(flight.ranAt.begin(), flight.ranAt.end(), flight.endpoint)
+               == flight.ranAt.end())
+        flight.ranAt.push_back(flight.endpoint);
+    release(flight);
+    flight.waitingSince = now;
+    flight.lastReason = reason;
+    const FlightEnd how = flight.passing         ? FlightEnd::CutShort
+                          : flight.ranAt.empty() ? FlightEnd::NotRun
+                                                 : FlightEnd::Failed;
+    if (!flight.ranAt.empty() && !mayRunAgain(flight))
+        return end(id, how, std::move(reason), actions);
+    if (flight.sends >= flight.request.route->maxAttempts + m_settings.sparesSends)
+        return end(id, how, reason + "; sent often enough", actions);
+    if (!budget(flight).withdraw(now)) {
+        m_counts.budgetSpent += 1;
+        return end(id, how, reason + "; no budget to send it again", actions);
+    }
+    m_counts.resent += 1;
+    dispatch(id, flight, now, actions);
+}
+
+void Relay::end(FlightId id, FlightEnd how, std::string reason, RelayActions &actions)
+{
+    const auto it = m_flights.find(id);
+    if (it == m_flights.end())
+        return;
+    release(it->second);
+    Duration wait {};
+    if (how == FlightEnd::NotRun) {
+        // Spread, so that those refused together do not come back together.
+        std::uniform_real_distribution<double> spread(0.6, 1.4);
+        wait = Duration(static_cast<std::int64_t>(m_settings.comeBack.count() * spread(m_random)));
+    }
+    std::uint64_t RelayCounts::*const counters[] = {&RelayCounts::notRun, &RelayCounts::failed,
+                                                    &RelayCounts::timedOut, &RelayCounts::cutShort};
+    m_counts.*counters[static_cast<std::size_t>(how)] += 1;
+    m_flights.erase(it);
+    actions.push_back(EndFlight {id, how, wait, std::move(reason)});
+}
+
+void Relay::attemptFailed(FlightId id, std::uint32_t attempt, AttemptFailure failure, Time now,
+                          RelayActions &actions)
+{
+    Flight *flight = current(id, attempt);
+    if (!flight)
+        return;
+    m_book.finished(flight->endpoint, true, now);
+    switch (failure) {
+    case AttemptFailure::NotSent:
+        m_book.suspect(flight->endpoint, now);
+        return again(id, *flight, false, flight->endpoint, "not reached: " + flight->endpoint, now,
+                     actions);
+    case AttemptFailure::Broken:
+        return again(id, *flight, true, flight->endpoint, "broken off by " + flight->endpoint, now,
+                     actions);
+    case AttemptFailure::Garbled:
+        return again(id, *flight, true, flight->endpoint, "bad answer of " + flight->endpoint, now,
+                     actions);
+    }
+}
+
+void Relay::rejected(FlightId id, Flight &flight, const AnswerHead &head, Time now,
+                     RelayActions &actions)
+{
+    const FleetEndpoint *atFault = head.atAddress.empty() ? m_fleet->find(flight.endpoint)
+                                                          : m_fleet->atAddress(head.atAddress);
+    const std::string culprit = atFault ? atFault->id : flight.endpoint;
+    const bool dead = now - flight.sentAt >= StallRefusal;
+    if (dead || (head.status == Misdirected && flight.path.empty()))
+        m_book.suspect(culprit, now);
+    else
+        m_book.outOfRoom(culprit, now);
+    std::string reason = "refused by " + culprit + " with " + std::to_string(head.status);
+    again(id, flight, false, culprit, std::move(reason), now, actions);
+}
+
+bool Relay::answered(FlightId id, std::uint32_t attempt, const AnswerHead &head, Time now,
+                     RelayActions &actions)
+{
+    Flight *flight = current(id, attempt);
+    if (!flight)
+        return false;
+    m_book.cleared(flight->endpoint);
+    if (head.running && !flight->path.empty())
+        m_book.loadSeen(flight->endpoint, flight->domain, *head.running);
+    if (head.notExecuted || head.status == Misdirected) {
+        rejected(id, *flight, head, now, actions);
+        return false;
+    }
+    if (!head.sealed) {
+        m_book.finished(flight->endpoint, true, now);
+        again(id, *flight, true, flight->endpoint, "unsealed answer of " + flight->endpoint, now,
+              actions);
+        return false;
+    }
+    const bool failed = head.status >= FirstServerError;
+    const bool stream = flight->request.route->kind == RequestKind::Stream;
+    m_book.finished(flight->endpoint, failed, now);
+    if (failed && mayRunAgain(*flight) && flight->request.route->maxAttempts > 1
+        && flight->sends < flight->request.route->maxAttempts) {
+        actions.push_back(AbandonAttempt {id, attempt});
+        again(id, *flight, true, flight->endpoint, "failure of " + flight->endpoint, now, actions);
+        return false;
+    }
+    if (stream && !failed) {
+        flight->state = State::Streaming;
+        return true;
+    }
+    release(*flight);
+    m_flights.erase(id);
+    m_counts.passed += 1;
+    actions.push_back(PassAnswer {id});
+    return false;
+}
+
+void Relay::eventsPassed(FlightId id, std::uint32_t attempt, std::optional<std::uint64_t> lastEvent,
+                         Time now)
+{
+    Flight *flight = current(id, attempt);
+    if (!flight)
+        return;
+    flight->passing = true;
+    flight->progressAt = now;
+    if (lastEvent)
+        flight->lastEvent = lastEvent;
+}
+
+void Relay::streamEnded(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions)
+{
+    Flight *flight = current(id, attempt);
+    if (!flight)
+        return;
+    (void)now;
+    release(*flight);
+    m_flights.erase(id);
+    m_counts.passed += 1;
+    actions.push_back(PassAnswer {id});
+}
+
+void Relay::callerGone(FlightId id, Time now, RelayActions &actions)
+{
+    const auto it = m_flights.find(id);
+    if (it == m_flights.end())
+        return;
+    (void)now;
+    const std::uint32_t attempt = it->second.attempt;
+    const bool sent = it->second.state != State::Waiting;
+    release(it->second);
+    m_flights.erase(it);
+    if (sent)
+        actions.push_back(AbandonAttempt {id, attempt});
+}
+
+std::optional<std::uint64_t> Relay::lastEvent(FlightId id) const
+{
+    const auto it = m_flights.find(id);
+    return it == m_flights.end() ? std::nullopt : it->second.lastEvent;
+}
+
+bool Relay::maySend(FlightId id, std::uint32_t attempt, Time now) const
+{
+    const auto it = m_flights.find(id);
+    if (it == m_flights.end() || it->second.attempt != attempt || now >= it->second.deadline)
+        return false;
+    const FleetEndpoint *endpoint = m_fleet->find(it->second.endpoint);
+    return endpoint && !endpoint->draining;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -0,0 +1,143 @@
+// The part of Relay that notices silence, and what is done about it.
+
+#include <balsamloft/relay.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+bool Relay::throughSuspect(const Flight &flight, Time now) const
+{
+    if (flight.path.empty())
+        return m_book.suspected(flight.endpoint, now);
+    return std::any_of(flight.path.begin(), flight.path.end(), [&](const PathPart &part) {
+        return m_book.suspected(part.endpoint, now) || !m_fleet->find(part.endpoint);
+    });
+}
+
+void Relay::ask(const std::string &endpoint, Time now, RelayActions &actions)
+{
+    const auto [it, fresh] = m_askedAt.try_emplace(endpoint, now);
+    if (!fresh && now - it->second < m_settings.askAgain)
+        return;
+    it->second = now;
+    if (const FleetEndpoint *found = m_fleet->find(endpoint))
+        actions.push_back(AskEngine {endpoint, found->address});
+}
+
+void Relay::reported(const std::string &endpoint, const std::vector<std::string> &stalledAt,
+                     double pace, Time now, RelayActions &actions)
+{
+    m_book.cleared(endpoint);
+    m_book.paced(endpoint, pace, now);
+    for (const std::string &address : stalledAt)
+        if (const FleetEndpoint *found = m_fleet->atAddress(address))
+            m_book.suspect(found->id, now);
+    tick(now, actions);
+}
+
+void Relay::reportFailed(const std::string &endpoint, Time now, RelayActions &actions)
+{
+    m_book.suspect(endpoint, now);
+    tick(now, actions);
+}
+
+void Relay::follow(FleetPtr fleet, Time now, RelayActions &actions)
+{
+    m_fleet = std::move(fleet);
+    m_book.follow(*m_fleet);
+    std::erase_if(m_askedAt, [&](const auto &each) { return !m_fleet->find(each.first); });
+    tick(now, actions);
+}
+
+/// A process that stood still finds all its streams silent for that long. The
+/// silence was its own: charged to the engines, it would eject all of them.
+void Relay::forgiveLostTime(Time now)
+{
+    const Duration lost = now - m_lastTick;
+    if (m_lastTick != Time {} && lost > m_settings.pauseLived)
+        for (auto &[id, flight] : m_flights) {
+            flight.sentAt += std::min(lost, now - flight.sentAt);
+            flight.progressAt += std::min(lost, now - flight.progressAt);
+        }
+    m_lastTick = m_flights.empty() ? Time {} : now;
+}
+
+void Relay::tick(Time now, RelayActions &actions)
+{
+    forgiveLostTime(now);
+    for (const FlightId id : flightIds()) {
+        const auto it = m_flights.find(id);
+        if (it != m_flights.end())
+            watch(id, it->second, now, actions);
+    }
+}
+
+void Relay::watch(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    if (now >= flight.deadline) {
+        if (flight.state != State::Waiting) {
+            flight.ranAt.push_back(flight.endpoint);
+            actions.push_back(AbandonAttempt {id, flight.attempt});
+        }
+        const FlightEnd how = flight.passing         ? FlightEnd::CutShort
+                              : flight.ranAt.empty() ? FlightEnd::NotRun
+                                                     : FlightEnd::TimedOut;
+        return end(id, how, "its time is over", actions);
+    }
+    if (flight.state == State::Waiting)
+        return giveUpWaiting(id, flight, now, actions);
+    if (service(flight).model)
+        return watchStream(id, flight, now, actions);
+    if (flight.request.route->idempotent() && now - flight.sentAt >= m_settings.callSilence
+        && flight.sends < flight.request.route->maxAttempts && mayRunAgain(flight))
+        recover(id, flight, "no answer of " + flight.endpoint, now, actions);
+}
+
+void Relay::giveUpWaiting(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    dispatch(id, flight, now, actions);
+    const auto it = m_flights.find(id);
+    if (it == m_flights.end() || it->second.state != State::Waiting)
+        return;
+    const Duration waited = now - flight.waitingSince;
+    const auto hold = Duration(static_cast<std::int64_t>(
+        static_cast<double>(flight.request.route->targetLatency.count()) * m_settings.holdShare));
+    const bool over = flight.passing || !flight.ranAt.empty()
+                          ? now - flight.progressAt >= m_settings.resumeWithin
+                          : waited >= hold;
+    if (!over)
+        return;
+    const FlightEnd how = flight.passing         ? FlightEnd::CutShort
+                          : flight.ranAt.empty() ? FlightEnd::NotRun
+                                                 : FlightEnd::Failed;
+    std::string reason = flight.lastReason;
+    end(id, how, std::move(reason), actions);
+}
+
+void Relay::recover(FlightId id, Flight &flight, std::string reason, Time now,
+                    RelayActions &actions)
+{
+    actions.push_back(AbandonAttempt {id, flight.attempt});
+    const std::string culprit = flight.endpoint;
+    again(id, flight, true, culprit, std::move(reason), now, actions);
+}
+
+void Relay::watchStream(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    const Duration pause = now - flight.progressAt;
+    const Duration expected =
+        flight.state == State::Streaming ? flight.expectedGap : flight.expectedFirst;
+    const bool suspected = throughSuspect(flight, now);
+    const bool idempotent = flight.request.route->idempotent();
+    if (idempotent && suspected && pause >= m_settings.brokenPause + expected)
+        return recover(id, flight, "an engine of its path does not answer", now, actions);
+    if (idempotent && pause >= m_settings.giveUpPause + expected)
+        return recover(id, flight, "stands still", now, actions);
+    const auto patience =
+        Duration(static_cast<std::int64_t>(expected.count() * m_settings.silenceGaps));
+    if (pause >= std::max(m_settings.silence, patience))
+        ask(flight.endpoint, now, actions);
+}
+
+} // namespace balsamloft
--- a/src/libbalsamloft/retrybudget.cpp
+++ b/src/libbalsamloft/retrybudget.cpp
@@ -6,7 +6,7 @@
 
 RetryBudget::RetryBudget(RetryBudgetSettings settings)
     : m_settings(settings)
-    , m_balance(settings.most)
+    , m_balance(settings.initial < 0 ? settings.most : settings.initial)
 {
 }
 
--- /dev/null
+++ b/src/libbalsamloft/routetable.cpp
@@ -0,0 +1,117 @@
+#include <balsamloft/routetable.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+const AcceleratorKind *LayeredModel::kind(std::string_view name) const
+{
+    for (const AcceleratorKind &each : kinds)
+        if (each.name == name)
+            return &each;
+    return nullptr;
+}
+
+double LayeredModel::room(const AcceleratorKind &kind, std::uint32_t held) const
+{
+    const double left = kind.sizeMegabytes - layerMegabytes * held;
+    const double perTokenLayer = bytesPerToken / std::max(1U, layers);
+    return perTokenLayer <= 0 ? 0 : std::max(0.0, left * 1e6 / perTokenLayer);
+}
+
+const Route *RouteTable::match(std::string_view host, std::string_view path) const
+{
+    const auto it = m_hosts.find(host);
+    if (it == m_hosts.end())
+        return nullptr;
+    for (const std::uint32_t index : it->second)
+        if (path.starts_with(m_routes[index].prefix))
+            return &m_routes[index];
+    return nullptr;
+}
+
+const RoutedTeam *RouteTable::team(std::string_view key) const
+{
+    const auto it = m_keys.find(key);
+    return it == m_keys.end() ? nullptr : &m_teams[it->second];
+}
+
+std::uint32_t RouteTable::target(const Route &route, std::string_view requestId) const
+{
+    double total = 0;
+    for (const RouteTarget &each : route.targets)
+        total += each.weight;
+    const double unit =
+        static_cast<double>(XXH3_64bits(requestId.data(), requestId.size()) >> 11U) * 0x1p-53;
+    double left = unit * total;
+    for (const RouteTarget &each : route.targets) {
+        left -= each.weight;
+        if (left < 0)
+            return each.service;
+    }
+    return route.targets.back().service;
+}
+
+RouteTableBuilder::RouteTableBuilder(std::uint64_t version)
+    : m_table(std::make_shared<RouteTable>())
+{
+    m_table->m_version = version;
+}
+
+RouteTableBuilder &RouteTableBuilder::service(RoutedService service)
+{
+    m_table->m_services.push_back(std::move(service));
+    return *this;
+}
+
+RouteTableBuilder &RouteTableBuilder::route(Route route,
+                                            std::vector<std::pair<std::string, double>> targets)
+{
+    m_pending.emplace_back(std::move(route), std::move(targets));
+    return *this;
+}
+
+RouteTableBuilder &RouteTableBuilder::team(RoutedTeam team, const std::vector<std::string> &keys)
+{
+    const auto index = static_cast<std::uint32_t>(m_table->m_teams.size());
+    m_table->m_teams.push_back(std::move(team));
+    for (const std::string &key : keys)
+        m_table->m_keys.emplace(key, index);
+    return *this;
+}
+
+RouteTableBuilder &RouteTableBuilder::limits(CallerLimits limits)
+{
+    m_table->m_limits = limits;
+    return *this;
+}
+
+RouteTablePtr RouteTableBuilder::build()
+{
+    RouteTable &table = *m_table;
+    for (auto &[route, targets] : m_pending) {
+        for (const auto &[name, weight] : targets) {
+            const auto found = std::find_if(table.m_services.begin(), table.m_services.end(),
+                                            [&](const auto &each) { return each.name == name; });
+            if (found != table.m_services.end() && weight > 0)
+                route.targets.push_back(
+                    {static_cast<std::uint32_t>(found - table.m_services.begin()), weight});
+        }
+        if (route.targets.empty()) {
+            m_leftOut.push_back("route " + route.name + ": no known service");
+            continue;
+        }
+        table.m_hosts[route.host].push_back(static_cast<std::uint32_t>(table.m_routes.size()));
+        table.m_routes.push_back(std::move(route));
+    }
+    m_pending.clear();
+    for (auto &[host, indexes] : table.m_hosts)
+        std::stable_sort(indexes.begin(), indexes.end(), [&](auto left, auto right) {
+            return table.m_routes[left].prefix.size() > table.m_routes[right].prefix.size();
+        });
+    return m_table;
+}
+
+} // namespace balsamloft
