--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -302,7 +302,7 @@
     const Time now = steadyNow();
     // A key may have been withdrawn while the request waited for a connection,
     // or while this process stood still.
-    const bool keyed = !m_key.empty();
+    const bool keyed = !m_key.empty() && !m_streamBegun;
     const RouteTablePtr &table = m_front.table();
     if (keyed && (!m_front.keysFresh() || !table->team(m_key))) {
         RelayActions actions;
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// A path that this instance believes fuller than that is not tried. Its view of
+/// others' work is rough, and engines refuse what they have no room for.
+constexpr double MostFullness = 3;
+
 /// Statuses with which an endpoint refuses before it runs anything.
 constexpr int Misdirected = 421;
 constexpr int FirstServerError = 500;
@@ -88,7 +92,7 @@
         flight.lastReason = "no path over all layers";
         return false;
     }
-    if (path->fullness > 1) {
+    if (path->fullness > MostFullness) {
         flight.lastReason = "no room on any path";
         return false;
     }
@@ -314,6 +318,12 @@
         flight->state = State::Streaming;
         return true;
     }
+    // The caller has the head and events of an earlier attempt: a failure after
+    // them can only be shown by breaking off.
+    if (flight->passing) {
+        end(id, FlightEnd::CutShort, "failure of " + flight->endpoint, actions);
+        return false;
+    }
     release(*flight);
     m_flights.erase(id);
     m_counts.passed += 1;
