Engines that go on refusing are left alone longer; room weighs more in placement

The repeats spent the budget, and streams were cut for want of it. Ruled out: leaving engines alone (the refusals came from engines in place).

--- a/src/include/balsamloft/enginebook.h
+++ b/src/include/balsamloft/enginebook.h
@@ -17,6 +17,7 @@
 {
     Duration suspicion {4'000'000}; ///< a silent endpoint is left out this long
     Duration shortage {150'000}; ///< an endpoint without room is left out this long
+    Duration mostShortage {2'400'000}; ///< doubled with each refusal in a row, up to this
     Duration paceValid {3'000'000}; ///< a report of slowness is believed this long
     Duration failureHalfLife {3'000'000};
 };
@@ -28,6 +29,7 @@
     double tokenLayers = 0; ///< KV memory that they need, in tokens times layers
     Time suspectUntil {};
     Time shortUntil {};
+    std::uint32_t shortages = 0; ///< refusals in a row
     double pace = 1; ///< over 1: slower than its kind
     Time paceUntil {};
     double failures = 0; ///< decaying count of failed requests
@@ -56,8 +58,12 @@
     /// The endpoint answered: it is alive.
     void cleared(const std::string &id);
 
-    /// The endpoint had no room, and said so.
+    /// The endpoint refused for want of room, or of a part that it gave up. One
+    /// that goes on refusing is left alone for longer and longer: each refusal
+    /// costs one of the few repeats.
     void outOfRoom(const std::string &id, Time now);
+    /// A request ran through the endpoint.
+    void hadRoom(const std::string &id);
     void paced(const std::string &id, double pace, Time now);
     void finished(const std::string &id, bool failed, Time now);
 
--- a/src/libbalsamloft/enginebook.cpp
+++ b/src/libbalsamloft/enginebook.cpp
@@ -55,7 +55,23 @@
 
 void EngineBook::outOfRoom(const std::string &id, Time now)
 {
-    belief(id).shortUntil = now + m_settings.shortage;
+    EngineBelief &each = belief(id);
+    // Requests sent together are refused together: that is one refusal.
+    if (now < each.shortUntil)
+        return;
+    if (now - each.shortUntil > m_settings.mostShortage)
+        each.shortages = 0;
+    const auto pause = std::min(m_settings.mostShortage,
+                                m_settings.shortage * (1 << std::min(each.shortages, 5U)));
+    each.shortages += 1;
+    each.shortUntil = now + pause;
+}
+
+void EngineBook::hadRoom(const std::string &id)
+{
+    const auto it = m_beliefs.find(id);
+    if (it != m_beliefs.end())
+        it->second.shortages = 0;
 }
 
 void EngineBook::paced(const std::string &id, double pace, Time now)
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -10,9 +10,11 @@
 
 /// Cost of a layer that nobody holds, and of one that one engine holds.
 constexpr double GapCost = 1000;
-constexpr double SingleCost = 20;
+constexpr double SingleCost = 6;
 /// Cost of a layer whose holders have room for nothing; falls with their room.
-constexpr double FullCost = 60;
+constexpr double FullCost = 100;
+/// Requests at once that halve that cost.
+constexpr double FullHalved = 8;
 /// Cost of loading one layer: time, and a share of the weight store.
 constexpr double LoadCost = 0.4;
 /// Engine room to fall back on when a domain cannot hold the model otherwise.
@@ -141,7 +143,7 @@
         cost += (copies[layer] == 0   ? GapCost
                  : copies[layer] == 1 ? SingleCost
                                       : 0)
-                + FullCost / (1 + streams[layer]);
+                + FullCost / (1 + streams[layer] / FullHalved);
     return cost;
 }
 
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -315,6 +315,8 @@
         return false;
     }
     if (stream && !failed) {
+        for (const PathPart &part : flight->path)
+            m_book.hadRoom(part.endpoint);
         flight->state = State::Streaming;
         return true;
     }
