--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 # The generated files are committed; only those who change the .proto need protoc.
 proto:
-	@protoc -I src/libpeer --cpp_out=src/libpeer src/libpeer/peer.proto
+	@protoc -I src/libpeer --cpp_out=src/libpeer src/libpeer/peer.proto src/libpeer/entrynews.proto
 
 check-proto:
 	@scripts/check-proto.sh
--- a/scripts/check-proto.sh
+++ b/scripts/check-proto.sh
@@ -5,10 +5,10 @@
 [ -f src/libpeer/peer.proto ] || exit 0
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-protoc -I src/libpeer --cpp_out="$out" src/libpeer/peer.proto
-for file in peer.pb.h peer.pb.cc; do
+protoc -I src/libpeer --cpp_out="$out" src/libpeer/peer.proto src/libpeer/entrynews.proto
+for file in peer.pb.h peer.pb.cc entrynews.pb.h entrynews.pb.cc; do
     cmp "$out/$file" "src/libpeer/$file" || {
-        echo "src/libpeer/$file does not match peer.proto: run make proto" >&2
+        echo "src/libpeer/$file does not match its .proto: run make proto" >&2
         exit 1
     }
 done
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -16,25 +16,52 @@
 
 constexpr auto TickEvery = std::chrono::milliseconds(150);
 constexpr Duration CallWithin {900'000};
-constexpr Duration EngineWithin {600'000};
-constexpr Duration MembersEvery {4'000'000};
-constexpr std::int64_t MemberLifeMs = 13'000;
-constexpr std::string_view MemberPrefix = "instance/";
+constexpr Duration EngineWithin {450'000};
+constexpr Duration WriteEvery {10'000'000};
+constexpr Duration CountEvery {2'000'000};
+constexpr Duration AskEnginesEvery {1'000'000};
+/// How long another instance is read from after the store failed.
+constexpr Duration StoreAvoided {1'500'000};
+constexpr std::int64_t InstanceLifeMs = 24'000;
+constexpr std::uint32_t MissesToSilence = 2;
+constexpr std::string_view InstanceTable = "instances";
 
-FollowerSettings configurationSettings(const EntryProtocol &protocol)
+FollowerSettings followerSettings(NewsTable table)
 {
     FollowerSettings settings;
-    settings.table = std::string(protocol.configurationTable());
+    switch (table) {
+    case NewsTable::Configuration:
+        settings.table = "configuration";
+        break;
+    case NewsTable::Endpoints:
+        settings.table = "endpoints";
+        settings.storeWait = Duration(1'200'000);
+        settings.pace = Duration(250'000);
+        settings.peerPace = Duration(100'000);
+        break;
+    case NewsTable::Instances:
+        settings.table = "instances";
+        settings.storeWait = Duration(10'000'000);
+        settings.peerWait = Duration(10'000'000);
+        settings.pace = Duration(5'000'000);
+        settings.peerPace = Duration(4'000'000);
+        settings.retry = Duration(1'000'000);
+        break;
+    }
     return settings;
 }
 
-FollowerSettings endpointSettings(const EntryProtocol &protocol)
+std::string_view tableName(const EntryProtocol &protocol, NewsTable table)
 {
-    FollowerSettings settings;
-    settings.table = std::string(protocol.endpointTable());
-    settings.wait = Duration(1'000'000);
-    settings.pace = Duration(300'000);
-    return settings;
+    switch (table) {
+    case NewsTable::Configuration:
+        return protocol.configurationTable();
+    case NewsTable::Endpoints:
+        return protocol.endpointTable();
+    case NewsTable::Instances:
+        break;
+    }
+    return InstanceTable;
 }
 
 LeaseSettings leaseSettings(const EntrySettings &settings)
@@ -44,7 +71,7 @@
     lease.holder = settings.name + "/" + std::to_string(bootNow().time_since_epoch().count());
     lease.duration = Duration(2'400'000);
     lease.renewEvery = Duration(800'000);
-    lease.pollEvery = Duration(1'500'000);
+    lease.pollEvery = Duration(1'000'000);
     lease.margin = Duration(300'000);
     return lease;
 }
@@ -59,36 +86,107 @@
     , m_state(state)
     , m_events(std::move(events))
     , m_timer(context)
-    , m_configuration(
-          context, settings.store, protocol, state, configurationSettings(protocol),
-          {[this](const auto &rows) { configurationRows(rows); },
-           [this](const auto &rows) { configurationRows(rows); },
-           [this](const StoreAnswer &answer) {
-               m_freshness.answered(answer.sentAt, answer.arrivedAt, answer.reply.storeMs);
-               if (m_table)
-                   m_state.keysKnownAt = m_freshness.knownAt()->time_since_epoch().count();
-           }})
-    , m_endpoints(context, settings.store, protocol, state, endpointSettings(protocol),
-                  {[this](const auto &rows) { endpointRows(rows, true); },
-                   [this](const auto &rows) { endpointRows(rows, false); },
-                   [this](const StoreAnswer & /*answer*/) {
-                       m_fleet.heard(steadyNow());
-                       tellFleet();
-                   }})
+    , m_server(context)
+    , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.store, protocol, state)
     , m_engines(context)
     , m_fleetNow(std::make_shared<FleetSnapshot>())
     , m_lease(leaseSettings(settings))
 {
+    for (std::size_t i = 0; i < NewsTableCount; ++i) {
+        const auto table = static_cast<NewsTable>(i);
+        m_storeSources[i] = std::make_unique<StoreSource>(context, settings.store, protocol, state,
+                                                          std::string(tableName(protocol, table)));
+        m_followers[i] =
+            std::make_unique<TableFollower>(context, followerSettings(table), tableEvents(table));
+    }
+}
+
+bool Control::listen(Reason &reason)
+{
+    return m_server.listen(m_settings.peers, reason);
 }
 
 void Control::start()
 {
-    m_configuration.start();
-    m_endpoints.start();
+    for (const auto &follower : m_followers)
+        follower->start();
     tick();
 }
 
+TableEvents Control::tableEvents(NewsTable table)
+{
+    const auto rows = [this, table](const std::vector<StoreRow> &changed, bool whole) {
+        if (table == NewsTable::Configuration)
+            configurationRows(changed);
+        else if (table == NewsTable::Endpoints)
+            endpointRows(changed, whole);
+    };
+    TableEvents events;
+    events.whole = [this, table, rows](const auto &all, std::uint64_t version) {
+        m_server.state(table).copy.replace(all, version);
+        rows(all, true);
+    };
+    events.changed = [this, table, rows](const auto &changed, std::uint64_t version) {
+        m_server.state(table).copy.change(changed, version);
+        rows(changed, false);
+    };
+    events.heard = [this, table](const TableAnswer &answer) { heard(table, answer); };
+    events.source = [this, table]() -> TableSource & { return source(table); };
+    events.failed = [this](const TableSource &failed) { sourceFailed(failed); };
+    return events;
+}
+
+bool Control::readsStore() const
+{
+    return !m_directory.reader(steadyNow());
+}
+
+TableSource &Control::source(NewsTable table)
+{
+    const Time now = steadyNow();
+    const auto index = static_cast<std::size_t>(table);
+    const PeerInstance *peer = m_directory.reader(now);
+    if (!peer && now < m_storeBadUntil)
+        peer = m_directory.substitute(now);
+    if (!peer)
+        return *m_storeSources[index];
+    auto &known = m_peerSources[index][peer->name + "@" + peer->address];
+    if (!known)
+        known = std::make_unique<PeerSource>(m_context, *peer, index);
+    return *known;
+}
+
+void Control::sourceFailed(const TableSource &source)
+{
+    const Time now = steadyNow();
+    if (source.peer().empty())
+        m_storeBadUntil = now + StoreAvoided;
+    else
+        m_directory.failed(source.peer(), now);
+}
+
+void Control::heard(NewsTable table, const TableAnswer &answer)
+{
+    NewsState &state = m_server.state(table);
+    if (answer.knownAt)
+        state.knownAt = std::max(state.knownAt, *answer.knownAt);
+    state.storeMs = std::max(state.storeMs, answer.reply.storeMs);
+    if (table == NewsTable::Configuration && m_table)
+        m_state.keysKnownAt = state.knownAt.time_since_epoch().count();
+    if (table == NewsTable::Endpoints) {
+        m_fleet.heard(steadyNow());
+        tellFleet();
+        if (!answer.engines.empty())
+            m_events.engines(answer.engines);
+    }
+    if (table == NewsTable::Instances) {
+        m_storeOffset = Duration(answer.reply.storeMs * 1000) - bootNow().time_since_epoch();
+        countInstances();
+    }
+    m_server.changed(table);
+}
+
 void Control::configurationRows(const std::vector<StoreRow> &rows)
 {
     for (const StoreRow &row : rows) {
@@ -161,13 +259,14 @@
     m_fleet.tick(steadyNow());
     tellFleet();
     LeaseActions actions;
-    if (!m_stopping)
+    // Only those who read from the store contend: the others would add calls.
+    if (!m_stopping && (m_lease.holds(now) || readsStore()))
         m_lease.tick(now, actions);
     leaseActions(std::move(actions));
-    if (!m_stopping && now - m_membersAt >= MembersEvery && m_lease.holds(now))
-        readInstances(std::nullopt);
-    if (!m_stopping && m_storeOffset && now - m_writtenAt >= MembersEvery)
+    if (!m_stopping && m_storeOffset && now - m_writtenAt >= WriteEvery)
         writeInstance(false, nullptr);
+    if (m_storeOffset && now - m_countedAt >= CountEvery)
+        countInstances();
     const bool held = m_lease.holds(now);
     if (held != std::exchange(m_held, held))
         logDecision("lease", held ? "gained" : "lost",
@@ -175,6 +274,8 @@
     m_state.holdsLease = held;
     if (held && !m_stopping)
         place(steadyNow());
+    askEngines(steadyNow());
+    tellEngines();
     m_timer.expires_after(TickEvery);
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
@@ -185,98 +286,97 @@
 void Control::leaseActions(LeaseActions actions)
 {
     for (LeaseAction &action : actions) {
-        if (const auto *read = std::get_if<ReadLease>(&action)) {
-            readInstances(read->id);
-            continue;
-        }
-        auto &write = std::get<WriteLease>(action);
-        m_channel.call(m_protocol.commit(write.transaction), CallWithin,
-                       [this, id = write.id](const StoreAnswer &answer) {
-                           TransactionOutcome outcome;
-                           outcome.version = answer.reply.version;
-                           switch (answer.reply.kind) {
-                           case StoreReply::Kind::Done:
-                               outcome.kind = TransactionOutcome::Kind::Committed;
-                               break;
-                           case StoreReply::Kind::Conflict:
-                               outcome.kind = TransactionOutcome::Kind::Conflict;
-                               break;
-                           case StoreReply::Kind::NotDone:
-                               outcome.kind = TransactionOutcome::Kind::NotCommitted;
-                               break;
-                           default:
-                               outcome.kind = answer.left ? TransactionOutcome::Kind::Unknown
-                                                          : TransactionOutcome::Kind::NotCommitted;
-                           }
-                           LeaseActions more;
-                           m_lease.writeDone(id, outcome, bootNow(), more);
-                           leaseActions(std::move(more));
-                       });
+        if (const auto *read = std::get_if<ReadLease>(&action))
+            readLease(read->id);
+        else
+            writeLease(std::move(std::get<WriteLease>(action)));
     }
 }
 
-void Control::readInstances(std::optional<std::uint64_t> leaseRead)
+void Control::readLease(std::uint64_t id)
 {
-    m_membersAt = bootNow();
-    m_channel.call(
-        m_protocol.read(LeaseTable, {}), CallWithin,
-        [this, leaseRead](const StoreAnswer &answer) { instancesArrived(answer, leaseRead); });
+    m_channel.call(m_protocol.read(LeaseTable, {}), CallWithin,
+                   [this, id](const StoreAnswer &answer) {
+                       ReadOutcome outcome;
+                       if (answer.reply.kind == StoreReply::Kind::Done) {
+                           outcome.kind = ReadOutcome::Kind::Missing;
+                           for (const StoreRow &row : answer.reply.rows)
+                               if (row.key == "placement") {
+                                   outcome.kind = ReadOutcome::Kind::Found;
+                                   outcome.row = {row.key, row.version, row.value};
+                               }
+                       }
+                       LeaseActions actions;
+                       m_lease.readDone(id, outcome, bootNow(), actions);
+                       leaseActions(std::move(actions));
+                   });
 }
 
-void Control::instancesArrived(const StoreAnswer &answer, std::optional<std::uint64_t> leaseRead)
+void Control::writeLease(WriteLease write)
 {
-    const Time now = bootNow();
-    ReadOutcome outcome;
-    if (answer.reply.kind == StoreReply::Kind::Done) {
-        m_storeOffset = Duration(answer.reply.storeMs * 1000) - now.time_since_epoch();
-        outcome.kind = ReadOutcome::Kind::Missing;
-        for (const StoreRow &row : answer.reply.rows)
-            if (row.key == "placement") {
-                outcome.kind = ReadOutcome::Kind::Found;
-                outcome.row = {row.key, row.version, row.value};
-            }
-        countInstances(answer.reply.rows, answer.reply.storeMs);
-    }
-    if (!leaseRead)
-        return;
-    LeaseActions actions;
-    m_lease.readDone(*leaseRead, outcome, now, actions);
-    leaseActions(std::move(actions));
+    m_channel.call(m_protocol.commit(write.transaction), CallWithin,
+                   [this, id = write.id](const StoreAnswer &answer) {
+                       TransactionOutcome outcome;
+                       outcome.version = answer.reply.version;
+                       switch (answer.reply.kind) {
+                       case StoreReply::Kind::Done:
+                           outcome.kind = TransactionOutcome::Kind::Committed;
+                           break;
+                       case StoreReply::Kind::Conflict:
+                           outcome.kind = TransactionOutcome::Kind::Conflict;
+                           break;
+                       case StoreReply::Kind::NotDone:
+                           outcome.kind = TransactionOutcome::Kind::NotCommitted;
+                           break;
+                       default:
+                           outcome.kind = answer.left ? TransactionOutcome::Kind::Unknown
+                                                      : TransactionOutcome::Kind::NotCommitted;
+                       }
+                       LeaseActions more;
+                       m_lease.writeDone(id, outcome, bootNow(), more);
+                       leaseActions(std::move(more));
+                   });
 }
 
-void Control::countInstances(const std::vector<StoreRow> &rows, std::int64_t storeMs)
+void Control::countInstances()
 {
-    double sharers = 0;
-    for (const StoreRow &row : rows) {
-        if (!row.key.starts_with(MemberPrefix))
-            continue;
+    const Time now = bootNow();
+    m_countedAt = now;
+    const std::int64_t storeMs = (now.time_since_epoch() + *m_storeOffset).count() / 1000;
+    std::vector<PeerInstance> instances;
+    for (const StoreRow &row : m_server.state(NewsTable::Instances).copy.all()) {
         boost::system::error_code error;
         const json::value value = json::parse(row.value, error);
         const json::object *object = error ? nullptr : value.if_object();
         const json::value *domain = object ? object->if_contains("domain") : nullptr;
+        const json::value *peer = object ? object->if_contains("peer") : nullptr;
         const json::value *seen = object ? object->if_contains("seen_ms") : nullptr;
-        if (domain && seen && domain->is_string() && seen->is_int64()
-            && domain->get_string() == m_settings.domain
-            && storeMs - seen->get_int64() < MemberLifeMs)
-            sharers += 1;
+        if (domain && peer && seen && domain->is_string() && peer->is_string() && seen->is_int64()
+            && storeMs - seen->get_int64() < InstanceLifeMs)
+            instances.push_back(
+                {row.key, std::string(domain->get_string()), std::string(peer->get_string())});
     }
-    sharers = std::max(1.0, sharers);
-    if (sharers == std::exchange(m_sharers, sharers))
+    if (instances == m_instances)
         return;
-    logDecision("instances", "counted", {{"in_domain", std::int64_t(sharers)}});
-    m_events.sharers(sharers);
+    m_instances = instances;
+    m_directory.replace(std::move(instances));
+    logDecision("instances", "counted",
+                {{"in_domain", std::int64_t(m_directory.inDomain())},
+                 {"all", std::int64_t(m_directory.count())}});
+    m_events.instances(m_directory.inDomain(), m_directory.count());
 }
 
 void Control::writeInstance(bool leaving, std::function<void()> done)
 {
     m_writtenAt = bootNow();
     RowWrite write;
-    write.table = std::string(LeaseTable);
-    write.key = std::string(MemberPrefix) + m_settings.name;
+    write.table = std::string(InstanceTable);
+    write.key = m_settings.name;
     if (!leaving) {
         const Duration storeTime = m_writtenAt.time_since_epoch() + *m_storeOffset;
-        write.value = json::serialize(
-            json::object {{"domain", m_settings.domain}, {"seen_ms", storeTime.count() / 1000}});
+        write.value = json::serialize(json::object {{"domain", m_settings.domain},
+                                                    {"peer", m_settings.peers},
+                                                    {"seen_ms", storeTime.count() / 1000}});
     }
     Transaction transaction;
     transaction.writes.push_back(std::move(write));
@@ -287,6 +387,61 @@
                    });
 }
 
+/// One instance of each domain asks the engines there, and tells the others.
+void Control::askEngines(Time now)
+{
+    if (now - m_enginesAskedAt < AskEnginesEvery || !readsStore() || !m_table)
+        return;
+    m_enginesAskedAt = now;
+    std::erase_if(m_asked, [&](const auto &each) { return !m_fleetNow->find(each.first); });
+    for (const FleetEndpoint &each : m_fleetNow->endpoints) {
+        if (each.domain != m_settings.domain || each.layers.end <= each.layers.begin)
+            continue;
+        engineCall(
+            each.id, each.address, {"GET", std::string(m_protocol.reportTarget()), {}},
+            [this, id = each.id](const CallOutcome &outcome) { engineAnswered(id, outcome); });
+    }
+}
+
+void Control::engineAnswered(const std::string &id, const CallOutcome &outcome)
+{
+    Reason reason;
+    const auto report = m_protocol.report(outcome.body, reason);
+    const bool answered = outcome.status == 200 && report;
+    AskedEngine &asked = m_asked[id];
+    asked.misses = outcome.status == 0 ? asked.misses + 1 : 0;
+    if (asked.misses == MissesToSilence)
+        logDecision("engine", "silent", {{"endpoint", std::string_view(id)}});
+    asked.state.id = id;
+    asked.state.at = steadyNow();
+    if (answered) {
+        asked.state.used = report->used;
+        asked.state.active = report->active;
+        asked.state.pace = report->pace;
+    }
+    m_askedDirty = true;
+}
+
+void Control::tellEngines()
+{
+    if (!std::exchange(m_askedDirty, false))
+        return;
+    std::vector<EngineState> states;
+    std::size_t silent = 0;
+    for (const auto &[id, asked] : m_asked) {
+        states.push_back(asked.state);
+        states.back().silent = asked.misses >= MissesToSilence;
+        silent += states.back().silent ? 1 : 0;
+    }
+    // When most engines seem silent it is this instance that does not hear: it
+    // is slow or cut off. Told on, that would leave a whole domain without paths.
+    if (silent * 2 > states.size())
+        for (EngineState &state : states)
+            state.silent = false;
+    m_server.setEngines(states);
+    m_events.engines(std::move(states));
+}
+
 void Control::place(Time now)
 {
     if (!m_table || !m_fleet.known())
@@ -299,15 +454,15 @@
     }
 }
 
-void Control::engineCall(const LayerOrder &order, const OutgoingCall &call,
-                         OneCall::Callback callback)
+void Control::engineCall(const std::string &endpoint, const std::string &address,
+                         const OutgoingCall &call, OneCall::Callback callback)
 {
     ExchangeSettings settings;
-    settings.endpoint = order.endpoint;
-    settings.address = order.address;
+    settings.endpoint = endpoint;
+    settings.address = address;
     std::make_shared<OneCall>(m_engines, std::move(settings),
-                              callText(call.method, call.target, order.address, call.body),
-                              EngineWithin, std::move(callback))
+                              callText(call.method, call.target, address, call.body), EngineWithin,
+                              std::move(callback))
         ->start();
 }
 
@@ -316,7 +471,7 @@
     m_planner.ordered(order, steadyNow());
     // Its present state is read first: the list is a second or two old, and an
     // order is bound to the number of orders that the engine accepted so far.
-    engineCall(order, {"GET", std::string(m_protocol.reportTarget()), {}},
+    engineCall(order.endpoint, order.address, {"GET", std::string(m_protocol.reportTarget()), {}},
                [this, order](const CallOutcome &outcome) {
                    Reason reason;
                    const auto report = m_protocol.report(outcome.body, reason);
@@ -333,7 +488,8 @@
     if (!m_lease.holds(bootNow()))
         return orderOutcome(order, OrderReply::Refused, 0);
     m_state.ordersGiven += 1;
-    engineCall(order, m_protocol.order(order, expectedOrders, m_lease.fencing()),
+    engineCall(order.endpoint, order.address,
+               m_protocol.order(order, expectedOrders, m_lease.fencing()),
                [this, order](const CallOutcome &outcome) {
                    const OrderReply reply =
                        outcome.status == 0
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -4,12 +4,13 @@
 
 #pragma once
 
+#include "peerserver.h"
 #include "settings.h"
 #include "tablefollower.h"
 
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/lease.h>
-#include <balsamloft/readfreshness.h>
+#include <balsamloft/peerdirectory.h>
 
 #include <functional>
 
@@ -20,7 +21,8 @@
 {
     std::function<void(RouteTablePtr)> table;
     std::function<void(FleetPtr)> fleet;
-    std::function<void(double)> sharers; ///< instances in this one's domain
+    std::function<void(std::size_t inDomain, std::size_t all)> instances; ///< how many there are
+    std::function<void(std::vector<EngineState>)> engines;
 };
 
 /// Follows the store, and places layers.
@@ -30,26 +32,44 @@
     Control(boost::asio::io_context &context, const EntrySettings &settings,
             const EntryProtocol &protocol, EntryState &state, ControlEvents events);
 
+    /// \return whether the address for other instances could be listened at.
+    bool listen(Reason &reason);
     void start();
 
     /// Gives the lease back and leaves the list of instances, then calls \a done.
     void stop(std::function<void()> done);
 
 private:
+    /// What an engine answered last, and how often it did not since.
+    struct AskedEngine
+    {
+        EngineState state;
+        std::uint32_t misses = 0;
+    };
+
+    TableEvents tableEvents(NewsTable table);
+    TableSource &source(NewsTable table);
+    void sourceFailed(const TableSource &source);
+    void heard(NewsTable table, const TableAnswer &answer);
+    bool readsStore() const;
     void configurationRows(const std::vector<StoreRow> &rows);
     void endpointRows(const std::vector<StoreRow> &rows, bool whole);
     void tellFleet();
     void tick();
     void leaseActions(LeaseActions actions);
-    void readInstances(std::optional<std::uint64_t> leaseRead);
-    void instancesArrived(const StoreAnswer &answer, std::optional<std::uint64_t> leaseRead);
-    void countInstances(const std::vector<StoreRow> &rows, std::int64_t storeMs);
+    void readLease(std::uint64_t id);
+    void writeLease(WriteLease write);
+    void countInstances();
     void writeInstance(bool leaving, std::function<void()> done);
+    void askEngines(Time now);
+    void engineAnswered(const std::string &id, const CallOutcome &outcome);
+    void tellEngines();
     void place(Time now);
     void giveOrder(const LayerOrder &order);
     void sendOrder(const LayerOrder &order, std::uint64_t expectedOrders);
     void orderOutcome(const LayerOrder &order, OrderReply reply, int status);
-    void engineCall(const LayerOrder &order, const OutgoingCall &call, OneCall::Callback callback);
+    void engineCall(const std::string &endpoint, const std::string &address,
+                    const OutgoingCall &call, OneCall::Callback callback);
 
     boost::asio::io_context &m_context;
     const EntrySettings &m_settings;
@@ -57,21 +77,27 @@
     EntryState &m_state;
     ControlEvents m_events;
     boost::asio::steady_timer m_timer;
-    TableFollower m_configuration;
-    TableFollower m_endpoints;
+    PeerServer m_server;
+    PeerDirectory m_directory;
+    std::array<std::unique_ptr<StoreSource>, NewsTableCount> m_storeSources;
+    std::array<std::map<std::string, std::unique_ptr<PeerSource>>, NewsTableCount> m_peerSources;
+    std::array<std::unique_ptr<TableFollower>, NewsTableCount> m_followers;
+    std::map<std::string, AskedEngine> m_asked; ///< by id
+    bool m_askedDirty = false;
+    Time m_enginesAskedAt {};
+    Time m_storeBadUntil {};
     StoreChannel m_channel;
     EnginePool m_engines;
-    ReadFreshness m_freshness;
     FleetKeeper m_fleet;
     FleetPtr m_fleetNow;
     RouteTablePtr m_table;
     std::uint64_t m_tableRow = 0; ///< version of the row in force
+    std::vector<PeerInstance> m_instances; ///< as counted last
     LeaseKeeper m_lease;
     LayerPlanner m_planner;
-    Time m_membersAt {};
+    Time m_countedAt {};
     Time m_writtenAt {};
     std::optional<Duration> m_storeOffset; ///< store's time minus own time
-    double m_sharers = 0;
     bool m_stopping = false;
     bool m_held = false;
 };
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -32,13 +32,13 @@
         , m_front(m_traffic, m_settings, *m_protocol, m_state)
         , m_control(m_controlContext, m_settings, *m_protocol, m_state, events())
         , m_readiness(m_traffic,
-                      [this](std::string_view) {
-                          return m_front.ready() ? TextAnswer {200, "ready\n"}
-                                                 : TextAnswer {503, "not ready\n"};
+                      [this](std::string_view, const TextServer::Reply &reply) {
+                          reply(m_front.ready() ? TextAnswer {200, "ready\n"}
+                                                : TextAnswer {503, "not ready\n"});
                       })
         , m_metrics(m_traffic,
-                    [this](std::string_view) {
-                        return TextAnswer {200, m_front.metrics()};
+                    [this](std::string_view, const TextServer::Reply &reply) {
+                        reply({200, m_front.metrics()});
                     })
         , m_signals(m_traffic, SIGTERM, SIGINT, SIGHUP)
     {
@@ -48,6 +48,7 @@
     {
         Reason reason;
         if (!m_front.listen(reason) || !m_readiness.listen(m_settings.readiness, reason)
+            || !m_control.listen(reason)
             || (!m_settings.metrics.empty() && !m_metrics.listen(m_settings.metrics, reason))) {
             logDecision("entry", "cannot start", {{"reason", std::string_view(reason)}});
             flushDecisionLog();
@@ -79,8 +80,12 @@
         events.fleet = [this](FleetPtr fleet) {
             asio::post(m_traffic, [this, fleet] { m_front.setFleet(fleet); });
         };
-        events.sharers = [this](double sharers) {
-            asio::post(m_traffic, [this, sharers] { m_front.setSharers(sharers); });
+        events.instances = [this](std::size_t inDomain, std::size_t all) {
+            asio::post(m_traffic, [this, inDomain, all] { m_front.setInstances(inDomain, all); });
+        };
+        events.engines = [this](std::vector<EngineState> engines) {
+            asio::post(m_traffic,
+                       [this, engines = std::move(engines)] { m_front.enginesSeen(engines); });
         };
         return events;
     }
--- /dev/null
+++ b/src/entry/peerserver.cpp
@@ -0,0 +1,139 @@
+#include "peerserver.h"
+
+#include "../libpeer/entrynews.pb.h"
+#include "clock.h"
+
+#include <charconv>
+
+namespace balsamloft {
+
+namespace {
+
+constexpr auto ExpireEvery = std::chrono::milliseconds(100);
+constexpr std::string_view Prefix = "/news/";
+
+std::uint64_t milliseconds(Time time)
+{
+    return static_cast<std::uint64_t>(time.time_since_epoch().count() / 1000);
+}
+
+/// Reads numbers that slashes separate.
+template<std::size_t Count>
+bool readNumbers(std::string_view text, std::array<std::uint64_t, Count> &numbers)
+{
+    for (std::uint64_t &number : numbers) {
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (parsed.ec != std::errc {})
+            return false;
+        text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()));
+        if (text.starts_with('/'))
+            text.remove_prefix(1);
+    }
+    return text.empty();
+}
+
+} // namespace
+
+std::string newsTarget(std::size_t table, std::uint64_t after, Duration wait)
+{
+    return std::string(Prefix) + std::to_string(table) + "/" + std::to_string(after) + "/"
+           + std::to_string(wait.count() / 1000);
+}
+
+PeerServer::PeerServer(boost::asio::io_context &context)
+    : m_server(context, [this](std::string_view target,
+                               TextServer::Reply reply) { asked(target, std::move(reply)); })
+    , m_timer(context)
+{
+}
+
+bool PeerServer::listen(const std::string &address, Reason &reason)
+{
+    return m_server.listen(address, reason);
+}
+
+void PeerServer::asked(std::string_view target, TextServer::Reply reply)
+{
+    std::array<std::uint64_t, 3> numbers {};
+    if (!target.starts_with(Prefix) || !readNumbers(target.substr(Prefix.size()), numbers)
+        || numbers[0] >= NewsTableCount)
+        return reply({404, {}});
+    const auto [table, after, waitMs] = numbers;
+    const NewsState &state = m_states[table];
+    if (!state.copy.known())
+        return reply({503, {}});
+    if (state.copy.version() > after || after == 0 || waitMs == 0)
+        return reply({200, news(table, after)});
+    m_waiters.push_back({table, after, steadyNow() + Duration(waitMs * 1000), std::move(reply)});
+    if (!std::exchange(m_timing, true))
+        expire();
+}
+
+std::string PeerServer::news(std::size_t table, std::uint64_t after) const
+{
+    const NewsState &state = m_states[table];
+    wire::TableNews news;
+    auto rows = after == 0 ? std::nullopt : state.copy.since(after);
+    news.set_whole(!rows);
+    for (const StoreRow &row : rows ? *rows : state.copy.all()) {
+        wire::NewsRow &each = *news.add_rows();
+        each.set_key(row.key);
+        each.set_value(row.value);
+        each.set_version(row.version);
+        each.set_dropped(row.dropped);
+    }
+    news.set_version(state.copy.version());
+    news.set_clock_ms(milliseconds(bootNow()));
+    news.set_known_ms(milliseconds(state.knownAt));
+    news.set_store_ms(static_cast<std::uint64_t>(state.storeMs));
+    if (table == static_cast<std::size_t>(NewsTable::Endpoints))
+        for (const EngineState &engine : m_engines) {
+            wire::EngineNews &each = *news.add_engines();
+            each.set_id(engine.id);
+            each.set_used(engine.used);
+            each.set_active(engine.active);
+            each.set_pace(engine.pace);
+            each.set_silent(engine.silent);
+            each.set_age_ms(static_cast<std::uint64_t>(
+                std::max<std::int64_t>(0, (steadyNow() - engine.at).count() / 1000)));
+        }
+    return news.SerializeAsString();
+}
+
+void PeerServer::changed(NewsTable table)
+{
+    const auto index = static_cast<std::size_t>(table);
+    std::vector<Waiter> ready;
+    std::erase_if(m_waiters, [&](Waiter &each) {
+        const bool now = each.table == index && m_states[index].copy.version() > each.after;
+        if (now)
+            ready.push_back(std::move(each));
+        return now;
+    });
+    for (Waiter &each : ready)
+        each.reply({200, news(each.table, each.after)});
+}
+
+void PeerServer::expire()
+{
+    const Time now = steadyNow();
+    std::vector<Waiter> over;
+    std::erase_if(m_waiters, [&](Waiter &each) {
+        const bool expired = now >= each.until;
+        if (expired)
+            over.push_back(std::move(each));
+        return expired;
+    });
+    for (Waiter &each : over)
+        each.reply({200, news(each.table, each.after)});
+    m_timing = !m_waiters.empty();
+    if (!m_timing)
+        return;
+    m_timer.expires_after(ExpireEvery);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            expire();
+    });
+}
+
+} // namespace balsamloft
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -10,6 +10,7 @@
 DEFINE_string(domain, "", "failure domain of this instance");
 DEFINE_string(listen, "", "IP:port at which callers connect");
 DEFINE_string(ready_listen, "", "IP:port at which the balancer asks whether to send callers");
+DEFINE_string(peer_listen, "", "IP:port at which other instances ask for news");
 DEFINE_string(metrics_listen, "", "IP:port of the metrics; empty: none");
 DEFINE_string(store, "", "IP:port of the platform's store");
 DEFINE_double(revocation_ms, 5000, "a withdrawn key is refused everywhere after this time");
@@ -73,6 +74,7 @@
     }
     if (!checked("listen", FLAGS_listen, false, reason)
         || !checked("ready_listen", FLAGS_ready_listen, false, reason)
+        || !checked("peer_listen", FLAGS_peer_listen, false, reason)
         || !checked("store", FLAGS_store, false, reason)
         || !checked("metrics_listen", FLAGS_metrics_listen, true, reason)
         || !positive("revocation_ms", FLAGS_revocation_ms, reason)
@@ -84,6 +86,7 @@
     settings.domain = FLAGS_domain;
     settings.callers = FLAGS_listen;
     settings.readiness = FLAGS_ready_listen;
+    settings.peers = FLAGS_peer_listen;
     settings.metrics = FLAGS_metrics_listen;
     settings.store = FLAGS_store;
     settings.revocation = milliseconds(FLAGS_revocation_ms);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -17,6 +17,7 @@
     std::string domain;
     std::string callers; ///< "IP:port" to listen at
     std::string readiness; ///< "IP:port" to listen at
+    std::string peers; ///< "IP:port" at which other instances ask
     std::string metrics; ///< "IP:port" to listen at; empty: none
     std::string store; ///< "IP:port"
     Duration revocation {}; ///< a withdrawn key is refused everywhere after this time
--- a/src/entry/tablefollower.cpp
+++ b/src/entry/tablefollower.cpp
@@ -5,20 +5,17 @@
 
 namespace balsamloft {
 
-TableFollower::TableFollower(boost::asio::io_context &context, const std::string &address,
-                             const EntryProtocol &protocol, EntryState &state,
-                             FollowerSettings settings, TableEvents events)
-    : m_protocol(protocol)
-    , m_settings(std::move(settings))
+TableFollower::TableFollower(boost::asio::io_context &context, FollowerSettings settings,
+                             TableEvents events)
+    : m_settings(std::move(settings))
     , m_events(std::move(events))
-    , m_channel(context, address, protocol, state)
     , m_timer(context)
 {
 }
 
 void TableFollower::start()
 {
-    readPage({});
+    watch();
 }
 
 void TableFollower::later(Duration pause, std::function<void()> what)
@@ -30,79 +27,99 @@
     });
 }
 
-void TableFollower::lost(std::string_view why)
+void TableFollower::lost(const TableSource &source)
 {
     m_failures += 1;
+    m_events.failed(source);
     if (std::exchange(m_well, false))
         logDecision("store", "lost",
-                    {{"table", std::string_view(m_settings.table)}, {"reason", why}});
+                    {{"table", std::string_view(m_settings.table)},
+                     {"from", source.peer().empty() ? std::string_view("store")
+                                                    : std::string_view(source.peer())}});
 }
 
-void TableFollower::regained()
+void TableFollower::regained(const TableSource &source)
 {
-    if (!std::exchange(m_well, true))
-        logDecision("store", "regained",
+    if (!std::exchange(m_well, true) || m_lastPeer != source.peer())
+        logDecision("store", "read from",
                     {{"table", std::string_view(m_settings.table)},
+                     {"from", source.peer().empty() ? std::string_view("store")
+                                                    : std::string_view(source.peer())},
                      {"failures", std::int64_t(m_failures)}});
+    m_lastPeer = source.peer();
     m_failures = 0;
 }
 
-void TableFollower::readPage(const std::string &from)
+void TableFollower::watch()
+{
+    TableSource &source = m_events.source();
+    if (m_version == 0)
+        return readPage({}, source);
+    const Duration wait = source.peer().empty() ? m_settings.storeWait : m_settings.peerWait;
+    source.watch(m_version, wait, [this, &source](TableAnswer answer) {
+        changesArrived(std::move(answer), source);
+    });
+}
+
+void TableFollower::readPage(const std::string &from, TableSource &source)
 {
     if (from.empty())
         m_pages.clear();
-    m_channel.call(m_protocol.read(m_settings.table, from), m_settings.answerWithin,
-                   [this, from](StoreAnswer answer) { pageArrived(std::move(answer), from); });
+    source.read(from, [this, from, &source](TableAnswer answer) {
+        pageArrived(std::move(answer), from, source);
+    });
 }
 
-void TableFollower::pageArrived(StoreAnswer answer, const std::string &from)
+void TableFollower::pageArrived(TableAnswer answer, const std::string &from, TableSource &source)
 {
     if (answer.reply.kind != StoreReply::Kind::Done) {
-        lost("not read");
-        return later(m_settings.retry, [this] { readPage({}); });
+        lost(source);
+        return later(m_settings.retry, [this] { watch(); });
     }
-    regained();
+    regained(source);
     if (from.empty())
         m_firstVersion = answer.reply.version;
     for (StoreRow &row : answer.reply.rows)
         if (m_pages.empty() || m_pages.back().key < row.key)
             m_pages.push_back(std::move(row));
     if (answer.reply.more && !m_pages.empty() && m_pages.back().key != from)
-        return readPage(m_pages.back().key);
+        return readPage(m_pages.back().key, source);
     // Changes made while the pages were read come again; that does no harm.
     m_version = m_firstVersion;
-    m_events.whole(m_pages);
+    m_events.whole(m_pages, m_version);
     m_pages.clear();
     m_events.heard(answer);
     watch();
 }
 
-void TableFollower::watch()
-{
-    m_channel.call(m_protocol.watch(m_settings.table, m_version, m_settings.wait),
-                   m_settings.wait + m_settings.answerWithin,
-                   [this](StoreAnswer answer) { changesArrived(std::move(answer)); });
-}
-
-void TableFollower::changesArrived(StoreAnswer answer)
+void TableFollower::changesArrived(TableAnswer answer, const TableSource &source)
 {
     switch (answer.reply.kind) {
-    case StoreReply::Kind::Done:
-        regained();
-        if (!answer.reply.rows.empty())
-            m_events.changed(answer.reply.rows);
+    case StoreReply::Kind::Done: {
+        regained(source);
+        const bool news = !answer.reply.rows.empty();
         m_version = std::max(m_version, answer.reply.version);
+        if (answer.whole)
+            m_events.whole(answer.reply.rows, m_version);
+        else if (news)
+            m_events.changed(answer.reply.rows, m_version);
         m_events.heard(answer);
-        if (m_settings.pace > Duration {} && !answer.reply.rows.empty())
-            return later(m_settings.pace, [this] { watch(); });
+        const Duration pace = source.peer().empty() ? m_settings.pace : m_settings.peerPace;
+        if (pace > Duration {} && news)
+            return later(pace, [this] { watch(); });
         return watch();
+    }
     case StoreReply::Kind::HistoryGone:
         logDecision("store", "history gone", {{"table", std::string_view(m_settings.table)}});
-        return readPage({});
+        m_version = 0;
+        return watch();
     default:
-        lost("no changes heard");
-        // Read anew: what was missed may not be in the history any more.
-        return later(m_settings.retry, [this] { readPage({}); });
+        lost(source);
+        // The store is read anew: what was missed may not be in its history any
+        // more. Another instance's copy says itself how far back it reaches.
+        if (source.peer().empty())
+            m_version = 0;
+        return source.peer().empty() ? later(m_settings.retry, [this] { watch(); }) : watch();
     }
 }
 
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -1,9 +1,9 @@
 /// \file
-/// Follows one table of the store: reads it whole, then waits for changes.
+/// Follows one table: reads it whole, then waits for changes.
 
 #pragma once
 
-#include "storechannel.h"
+#include "tablesource.h"
 
 namespace balsamloft {
 
@@ -11,52 +11,56 @@
 struct TableEvents
 {
     /// The whole table as of one moment.
-    std::function<void(const std::vector<StoreRow> &rows)> whole;
-    std::function<void(const std::vector<StoreRow> &rows)> changed;
+    std::function<void(const std::vector<StoreRow> &rows, std::uint64_t version)> whole;
+    std::function<void(const std::vector<StoreRow> &rows, std::uint64_t version)> changed;
 
-    /// The store answered: what was told is complete as of some moment in
-    /// between. After whole() or changed().
-    std::function<void(const StoreAnswer &answer)> heard;
+    /// There was an answer: what was told is complete as of its knownAt. After
+    /// whole() or changed().
+    std::function<void(const TableAnswer &answer)> heard;
+
+    /// Where to read from next.
+    std::function<TableSource &()> source;
+
+    /// A source failed.
+    std::function<void(const TableSource &source)> failed;
 };
 
 /// Settings of a TableFollower.
 struct FollowerSettings
 {
-    std::string table;
-    Duration wait {1'500'000}; ///< how long the store holds a call while nothing changes
-    Duration answerWithin {700'000}; ///< beyond that, the call has failed
-    Duration retry {250'000}; ///< pause after a failure
-    Duration pace {0}; ///< shortest time between two calls
+    std::string table; ///< for the log
+    Duration storeWait {1'500'000}; ///< how long the store holds a call while nothing changes
+    Duration peerWait {700'000}; ///< how long another instance does
+    Duration retry {250'000}; ///< pause after the store failed
+    Duration pace {0}; ///< shortest time between two calls when there are changes
+    Duration peerPace {0};
 };
 
 /// Keeps a copy of a table up to date with few calls.
 class TableFollower
 {
 public:
-    TableFollower(boost::asio::io_context &context, const std::string &address,
-                  const EntryProtocol &protocol, EntryState &state, FollowerSettings settings,
-                  TableEvents events);
+    TableFollower(boost::asio::io_context &context, FollowerSettings settings, TableEvents events);
 
     void start();
 
 private:
-    void readPage(const std::string &from);
-    void pageArrived(StoreAnswer answer, const std::string &from);
+    void readPage(const std::string &from, TableSource &source);
+    void pageArrived(TableAnswer answer, const std::string &from, TableSource &source);
     void watch();
-    void changesArrived(StoreAnswer answer);
+    void changesArrived(TableAnswer answer, const TableSource &source);
     void later(Duration pause, std::function<void()> what);
-    void lost(std::string_view why);
-    void regained();
+    void lost(const TableSource &source);
+    void regained(const TableSource &source);
 
-    const EntryProtocol &m_protocol;
     FollowerSettings m_settings;
     TableEvents m_events;
-    StoreChannel m_channel;
     boost::asio::steady_timer m_timer;
     std::vector<StoreRow> m_pages;
     std::uint64_t m_firstVersion = 0;
-    std::uint64_t m_version = 0;
+    std::uint64_t m_version = 0; ///< 0: read anew
     bool m_well = true;
+    std::string m_lastPeer;
     std::uint32_t m_failures = 0;
 };
 
--- /dev/null
+++ b/src/entry/tablesource.cpp
@@ -0,0 +1,120 @@
+#include "tablesource.h"
+
+#include "../libpeer/entrynews.pb.h"
+#include "clock.h"
+#include "peerserver.h"
+
+namespace balsamloft {
+
+namespace {
+
+/// Beyond the time that was asked to wait, a call has failed.
+constexpr Duration StoreWithin {700'000};
+constexpr Duration PeerWithin {450'000};
+/// An instance whose knowledge is older than this is no source.
+constexpr Duration MostAge {2'200'000};
+
+} // namespace
+
+StoreSource::StoreSource(boost::asio::io_context &context, const std::string &address,
+                         const EntryProtocol &protocol, EntryState &state, std::string table)
+    : m_protocol(protocol)
+    , m_table(std::move(table))
+    , m_channel(context, address, protocol, state)
+{
+}
+
+void StoreSource::read(const std::string &from, Callback callback)
+{
+    m_channel.call(m_protocol.read(m_table, from), StoreWithin,
+                   [this, callback = std::move(callback)](StoreAnswer answer) {
+                       pass(std::move(answer), callback);
+                   });
+}
+
+void StoreSource::watch(std::uint64_t after, Duration wait, Callback callback)
+{
+    m_channel.call(m_protocol.watch(m_table, after, wait), wait + StoreWithin,
+                   [this, callback = std::move(callback)](StoreAnswer answer) {
+                       pass(std::move(answer), callback);
+                   });
+}
+
+void StoreSource::pass(StoreAnswer answer, const Callback &callback)
+{
+    TableAnswer result;
+    if (answer.reply.kind == StoreReply::Kind::Done) {
+        m_freshness.answered(answer.sentAt, answer.arrivedAt, answer.reply.storeMs);
+        result.knownAt = m_freshness.knownAt();
+    }
+    result.reply = std::move(answer.reply);
+    callback(std::move(result));
+}
+
+PeerSource::PeerSource(boost::asio::io_context &context, PeerInstance peer, std::size_t table)
+    : m_pool(context)
+    , m_peer(std::move(peer))
+    , m_table(table)
+{
+}
+
+PeerSource::~PeerSource()
+{
+    if (m_call)
+        m_call->cancel();
+}
+
+void PeerSource::read(const std::string & /*from*/, Callback callback)
+{
+    ask(0, Duration {}, std::move(callback));
+}
+
+void PeerSource::watch(std::uint64_t after, Duration wait, Callback callback)
+{
+    ask(after, wait, std::move(callback));
+}
+
+void PeerSource::ask(std::uint64_t after, Duration wait, Callback callback)
+{
+    ExchangeSettings settings;
+    settings.endpoint = m_peer.name;
+    settings.address = m_peer.address;
+    const Time sentAt = bootNow();
+    m_call = std::make_shared<OneCall>(
+        m_pool, std::move(settings),
+        callText("GET", newsTarget(m_table, after, wait), m_peer.address, {}), wait + PeerWithin,
+        [this, sentAt, callback = std::move(callback)](const CallOutcome &outcome) {
+            callback(decode(outcome, sentAt));
+        });
+    m_call->start();
+}
+
+TableAnswer PeerSource::decode(const CallOutcome &outcome, Time sentAt)
+{
+    TableAnswer answer;
+    wire::TableNews news;
+    if (outcome.status != 200 || !news.ParseFromString(outcome.body))
+        return answer;
+    const Time now = bootNow();
+    // The other's clock bounds its answer as the store's does; what it knows is
+    // older than the answer by its own account.
+    m_freshness.answered(sentAt, now, static_cast<std::int64_t>(news.clock_ms()));
+    const auto age = Duration((news.clock_ms() - news.known_ms()) * 1000);
+    answer.knownAt = *m_freshness.knownAt() - age;
+    if (now - *answer.knownAt > MostAge)
+        return answer;
+    answer.reply.kind = StoreReply::Kind::Done;
+    answer.reply.version = news.version();
+    answer.reply.storeMs = static_cast<std::int64_t>(news.store_ms());
+    answer.whole = news.whole();
+    for (const wire::NewsRow &row : news.rows())
+        answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
+    const Time steady = steadyNow();
+    for (const wire::EngineNews &engine : news.engines())
+        answer.engines.push_back({engine.id(), engine.used(), engine.active(), engine.pace(),
+                                  engine.silent(),
+                                  steady - Duration(engine.age_ms() * 1000) - (now - sentAt) / 8});
+    return answer;
+}
+
+} // namespace balsamloft
--- a/src/entry/textserver.cpp
+++ b/src/entry/textserver.cpp
@@ -42,8 +42,13 @@
             return;
         if (!m_request.done())
             return read();
-        const TextAnswer answer = m_answer(m_request.head().target);
         m_keep = m_request.keepAlive();
+        m_answer(m_request.head().target,
+                 [self = shared_from_this()](const TextAnswer &answer) { self->write(answer); });
+    }
+
+    void write(const TextAnswer &answer)
+    {
         m_out =
             "HTTP/1.1 " + std::to_string(answer.status) + " " + (answer.status == 200 ? "OK" : "No")
             + "\r\nContent-Type: text/plain\r\n" + (m_keep ? "" : "Connection: close\r\n")
--- a/src/entry/textserver.h
+++ b/src/entry/textserver.h
@@ -1,5 +1,5 @@
 /// \file
-/// Answers short questions of operators and the balancer.
+/// Answers short questions of operators, the balancer and other instances.
 
 #pragma once
 
@@ -24,7 +24,10 @@
 class TextServer
 {
 public:
-    using Answer = std::function<TextAnswer(std::string_view target)>;
+    using Reply = std::function<void(TextAnswer)>;
+
+    /// Answers a question by calling its reply, at once or later on this thread.
+    using Answer = std::function<void(std::string_view target, Reply reply)>;
 
     TextServer(boost::asio::io_context &context, Answer answer);
 
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -33,9 +33,10 @@
     RelaySettings relay;
     relay.domain = settings.domain;
     relay.seed = std::hash<std::string> {}(settings.name);
-    relay.budget.perRequest = settings.retryRatio * 0.75;
-    relay.budget.perSecond = 0;
-    relay.budget.most = settings.retrySlack / 10;
+    // A part of what is allowed stays unused: instances come and go, and each
+    // counts them a little late.
+    relay.retryRatio = settings.retryRatio * 0.75;
+    relay.retrySlack = settings.retrySlack * 0.75;
     return relay;
 }
 
@@ -133,9 +134,16 @@
     run(std::move(actions));
 }
 
-void TrafficFront::setSharers(double sharers)
+void TrafficFront::setInstances(std::size_t inDomain, std::size_t all)
 {
-    m_relay.setSharers(sharers);
+    m_relay.setInstances(inDomain, all);
+}
+
+void TrafficFront::enginesSeen(const std::vector<EngineState> &engines)
+{
+    RelayActions actions;
+    m_relay.enginesSeen(engines, steadyNow(), actions);
+    run(std::move(actions));
 }
 
 bool TrafficFront::keysFresh() const
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -32,7 +32,8 @@
 
     void setTable(RouteTablePtr table);
     void setFleet(FleetPtr fleet);
-    void setSharers(double sharers);
+    void setInstances(std::size_t inDomain, std::size_t all);
+    void enginesSeen(const std::vector<EngineState> &engines);
 
     /// Takes no new work after a while, and calls \a stopped once all is done.
     void stop(std::function<void()> stopped);
--- a/src/include/balsamloft/enginebook.h
+++ b/src/include/balsamloft/enginebook.h
@@ -20,6 +20,18 @@
     Duration mostShortage {2'400'000}; ///< doubled with each refusal in a row, up to this
     Duration paceValid {3'000'000}; ///< a report of slowness is believed this long
     Duration failureHalfLife {3'000'000};
+    Duration reportValid {2'500'000}; ///< a report of load is believed this long
+};
+
+/// What an engine said of itself, or that it did not answer.
+struct EngineState
+{
+    std::string id;
+    double used = 0; ///< KV memory in use, in tokens times layers
+    std::uint32_t active = 0; ///< requests that run on it, of all instances
+    double pace = 1;
+    bool silent = false;
+    Time at {}; ///< when it was so
 };
 
 /// Belief about one endpoint.
@@ -36,6 +48,18 @@
     double answers = 0; ///< decaying count of all requests
     Time decayedAt {};
     std::uint32_t firstOf = 0; ///< own requests that entered the engines here
+    Time reportedAt {}; ///< never: the beginning of time
+    double reportedUsed = 0;
+    std::uint32_t reportedActive = 0;
+    double ownUsedThen = 0; ///< own work when it was reported
+    std::uint32_t ownStreamsThen = 0;
+};
+
+/// All work on an endpoint, as far as it can be known.
+struct EngineLoad
+{
+    double used = 0; ///< KV memory, in tokens times layers
+    double streams = 0;
 };
 
 /// Beliefs about all endpoints. Endpoints are named by id: what was believed of
@@ -70,6 +94,9 @@
     /// The endpoint in \a domain said that \a running requests entered there.
     void loadSeen(const std::string &id, const std::string &domain, std::uint32_t running);
 
+    /// An engine's state, as this instance or another one asked for it.
+    void reported(const EngineState &state, Time now);
+
     /// How many instances are believed to send work to a domain's engines.
     void setSharers(double sharers) { m_sharers = sharers; }
 
@@ -83,6 +110,10 @@
     /// be seen, but engines say how much entered in all.
     double scale(const std::string &domain) const;
 
+    /// Work on an engine in \a domain: what it last said and what came since, or
+    /// own work scaled when it said nothing of late.
+    EngineLoad load(std::string_view id, const std::string &domain, Time now) const;
+
     /// Share of failed requests of late, between 0 and 1.
     double failureShare(std::string_view id, Time now) const;
 
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -7,6 +7,7 @@
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/pathchooser.h>
 #include <balsamloft/platform.h>
+#include <balsamloft/tablecopy.h>
 
 #include <memory>
 #include <span>
@@ -42,15 +43,6 @@
     std::string body; ///< empty: none
 };
 
-/// A row as the store answers it.
-struct StoreRow
-{
-    std::string key;
-    std::string value;
-    std::uint64_t version = 0;
-    bool dropped = false;
-};
-
 /// What the store answered.
 struct StoreReply
 {
@@ -75,6 +67,8 @@
     bool busy = false;
     std::uint64_t orders = 0;
     double pace = 1;
+    double used = 0; ///< KV memory that cannot yield, in tokens times layers
+    std::uint32_t active = 0; ///< requests that run on it
     std::vector<std::string> stalledAt; ///< addresses that do not answer it
 };
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -103,7 +103,8 @@
 struct RelaySettings
 {
     std::string domain; ///< of this instance
-    RetryBudgetSettings budget; ///< for each service
+    double retryRatio = 0.15; ///< repeats for each request of this instance
+    double retrySlack = 20; ///< repeats beyond that in a window, all instances together
     Duration silence {250'000}; ///< shortest pause after which an engine is asked
     double silenceGaps = 4; ///< or so many expected pauses
     Duration askAgain {350'000}; ///< between two questions to one engine
@@ -164,7 +165,12 @@
     void reportFailed(const std::string &endpoint, Time now, RelayActions &actions);
     void follow(FleetPtr fleet, Time now, RelayActions &actions);
     void tick(Time now, RelayActions &actions);
-    void setSharers(double sharers) { m_book.setSharers(sharers); }
+
+    /// States of engines, as this or another instance asked for them.
+    void enginesSeen(const std::vector<EngineState> &states, Time now, RelayActions &actions);
+
+    /// How many instances share the endpoints of this domain, and in all.
+    void setInstances(std::size_t inDomain, std::size_t all);
 
     // Queries
 
@@ -237,7 +243,8 @@
     EngineBook m_book;
     FleetPtr m_fleet;
     FlightMap m_flights;
-    std::map<std::string, RetryBudget, std::less<>> m_budgets;
+    std::map<std::string, RetryBudget, std::less<>> m_budgets; ///< by service
+    std::size_t m_instances = 8; ///< until it is known
     std::map<std::string, Time, std::less<>> m_askedAt;
     Time m_lastTick {};
     FlightId m_nextFlight = 1;
--- /dev/null
+++ b/src/include/balsamloft/tablecopy.h
@@ -0,0 +1,61 @@
+/// \file
+/// A copy of one of the store's tables, from which other instances are told.
+
+#pragma once
+
+#include <balsamloft/types.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamloft {
+
+/// A row as the store answers it.
+struct StoreRow
+{
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+    bool dropped = false;
+
+    bool operator==(const StoreRow &) const = default;
+};
+
+/// Rows with their versions, and which were dropped since a version. The
+/// versions are the store's, so one who follows a copy may change to another
+/// copy, or to the store, and go on from the same version.
+class TableCopy
+{
+public:
+    // Commands
+
+    /// The whole table as of \a version. Rows that it lacks count as dropped.
+    void replace(const std::vector<StoreRow> &rows, std::uint64_t version);
+
+    /// Rows that were written or dropped, up to \a version.
+    void change(const std::vector<StoreRow> &rows, std::uint64_t version);
+
+    // Queries
+
+    bool known() const { return m_known; }
+    std::uint64_t version() const { return m_version; }
+
+    /// Rows that exist.
+    std::vector<StoreRow> all() const;
+
+    /// Changes after the version \a after, oldest first; nothing when the copy
+    /// does not reach back that far.
+    std::optional<std::vector<StoreRow>> since(std::uint64_t after) const;
+
+private:
+    void forgetDropped();
+
+    std::map<std::string, StoreRow, std::less<>> m_rows;
+    bool m_known = false;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_reachesBackTo = 0;
+};
+
+} // namespace balsamloft
--- a/src/libbalsamloft/enginebook.cpp
+++ b/src/libbalsamloft/enginebook.cpp
@@ -131,6 +131,37 @@
     return it == m_scales.end() ? m_sharers : it->second;
 }
 
+void EngineBook::reported(const EngineState &state, Time now)
+{
+    if (state.silent)
+        return suspect(state.id, now);
+    EngineBelief &each = belief(state.id);
+    if (state.at <= each.reportedAt)
+        return;
+    paced(state.id, state.pace, now);
+    each.reportedAt = state.at;
+    each.reportedUsed = state.used;
+    each.reportedActive = state.active;
+    each.ownUsedThen = each.tokenLayers;
+    each.ownStreamsThen = each.streams;
+}
+
+EngineLoad EngineBook::load(std::string_view id, const std::string &domain, Time now) const
+{
+    const EngineBelief *each = find(id);
+    if (!each)
+        return {};
+    const double others = scale(domain);
+    if (now - each->reportedAt > m_settings.reportValid)
+        return {each->tokenLayers * others, each->streams * others};
+    const double newUsed = std::max(0.0, each->tokenLayers - each->ownUsedThen);
+    const double newStreams = each->streams > each->ownStreamsThen
+                                  ? static_cast<double>(each->streams - each->ownStreamsThen)
+                                  : 0;
+    return {std::max(each->tokenLayers, each->reportedUsed + newUsed * others),
+            std::max<double>(each->streams, each->reportedActive + newStreams * others)};
+}
+
 double EngineBook::failureShare(std::string_view id, Time now) const
 {
     const EngineBelief *each = find(id);
--- a/src/libbalsamloft/pathchooser.cpp
+++ b/src/libbalsamloft/pathchooser.cpp
@@ -170,8 +170,8 @@
         if (query.without && query.without->contains(each.id))
             continue;
         const EngineBelief *belief = book.find(each.id);
-        const double scale = book.scale(each.domain);
-        const double streams = 1 + (belief ? belief->streams * scale : 0);
+        const EngineLoad load = book.load(each.id, each.domain, now);
+        const double streams = 1 + load.streams;
         const double pace = kind->pace * (belief && now < belief->paceUntil ? belief->pace : 1);
         const double context = (model.usualPrompt + model.usualAnswer / 2.0) / 1000;
         const double step =
@@ -181,7 +181,7 @@
         const double room = std::max(1.0, model.room(*kind, held));
         Candidate candidate;
         candidate.endpoint = &each;
-        candidate.fullness = ((belief ? belief->tokenLayers * scale : 0) + need) / room;
+        candidate.fullness = (load.used + need) / room;
         candidate.readMs = query.promptTokens / std::max(0.001, model.readTokensPerMs)
                            * kind->readFactor / model.layers;
         candidate.passMs = model.stride * step * pace / model.layers;
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -33,7 +33,25 @@
 
 RetryBudget &Relay::budget(const Flight &flight)
 {
-    return m_budgets.try_emplace(service(flight).name, m_settings.budget).first->second;
+    const std::string &name = service(flight).name;
+    const auto it = m_budgets.find(name);
+    if (it != m_budgets.end())
+        return it->second;
+    RetryBudgetSettings settings;
+    settings.perRequest = m_settings.retryRatio;
+    settings.perSecond = 0;
+    settings.most = m_settings.retrySlack / static_cast<double>(m_instances);
+    // An earlier process of this instance may just have spent its share.
+    settings.initial = settings.most / 3;
+    return m_budgets.try_emplace(name, settings).first->second;
+}
+
+void Relay::setInstances(std::size_t inDomain, std::size_t all)
+{
+    m_book.setSharers(static_cast<double>(inDomain));
+    m_instances = std::max<std::size_t>(1, all);
+    for (auto &[name, budget] : m_budgets)
+        budget.setMost(m_settings.retrySlack / static_cast<double>(m_instances));
 }
 
 Relay::Flight *Relay::current(FlightId id, std::uint32_t attempt)
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -36,6 +36,14 @@
     tick(now, actions);
 }
 
+void Relay::enginesSeen(const std::vector<EngineState> &states, Time now, RelayActions &actions)
+{
+    for (const EngineState &state : states)
+        if (m_fleet->find(state.id))
+            m_book.reported(state, now);
+    tick(now, actions);
+}
+
 void Relay::reportFailed(const std::string &endpoint, Time now, RelayActions &actions)
 {
     m_book.suspect(endpoint, now);
