--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -172,6 +172,7 @@
     if (answer.knownAt)
         state.knownAt = std::max(state.knownAt, *answer.knownAt);
     state.storeMs = std::max(state.storeMs, answer.reply.storeMs);
+    state.direct = answer.direct;
     if (table == NewsTable::Configuration && m_table)
         m_state.keysKnownAt = state.knownAt.time_since_epoch().count();
     if (table == NewsTable::Endpoints) {
@@ -417,6 +418,7 @@
     if (answered) {
         asked.state.used = report->used;
         asked.state.active = report->active;
+        asked.state.queued = report->queued;
         asked.state.pace = report->pace;
     }
     m_askedDirty = true;
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -60,7 +60,9 @@
         return reply({404, {}});
     const auto [table, after, waitMs] = numbers;
     const NewsState &state = m_states[table];
-    if (!state.copy.known())
+    // What came from another instance is not told on: two that read from each
+    // other would each take the other's old knowledge for news.
+    if (!state.copy.known() || !state.direct)
         return reply({503, {}});
     if (state.copy.version() > after || after == 0 || waitMs == 0)
         return reply({200, news(table, after)});
@@ -92,6 +94,7 @@
             each.set_id(engine.id);
             each.set_used(engine.used);
             each.set_active(engine.active);
+            each.set_queued(engine.queued);
             each.set_pace(engine.pace);
             each.set_silent(engine.silent);
             each.set_age_ms(static_cast<std::uint64_t>(
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -28,6 +28,7 @@
     TableCopy copy;
     Time knownAt {}; ///< on the clock that counts suspension; never: the beginning of time
     std::int64_t storeMs = 0; ///< the store's clock when it last answered
+    bool direct = false; ///< the last answer was the store's own
 };
 
 /// Answers questions for news, at once or when there is some. HTTP as elsewhere
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -46,6 +46,7 @@
     if (answer.reply.kind == StoreReply::Kind::Done) {
         m_freshness.answered(answer.sentAt, answer.arrivedAt, answer.reply.storeMs);
         result.knownAt = m_freshness.knownAt();
+        result.direct = true;
     }
     result.reply = std::move(answer.reply);
     callback(std::move(result));
@@ -111,8 +112,8 @@
         answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
     const Time steady = steadyNow();
     for (const wire::EngineNews &engine : news.engines())
-        answer.engines.push_back({engine.id(), engine.used(), engine.active(), engine.pace(),
-                                  engine.silent(),
+        answer.engines.push_back({engine.id(), engine.used(), engine.active(), engine.queued(),
+                                  engine.pace(), engine.silent(),
                                   steady - Duration(engine.age_ms() * 1000) - (now - sentAt) / 8});
     return answer;
 }
--- a/src/entry/tablesource.h
+++ b/src/entry/tablesource.h
@@ -16,6 +16,7 @@
     StoreReply reply;
     bool whole = false; ///< the rows are all of the table, in answer to a watch
     std::optional<Time> knownAt; ///< complete as of then; on the clock that counts suspension
+    bool direct = false; ///< the store's own answer
     std::vector<EngineState> engines; ///< told along by another instance
 };
 
--- a/src/include/balsamloft/enginebook.h
+++ b/src/include/balsamloft/enginebook.h
@@ -29,6 +29,7 @@
     std::string id;
     double used = 0; ///< KV memory in use, in tokens times layers
     std::uint32_t active = 0; ///< requests that run on it, of all instances
+    std::uint32_t queued = 0; ///< requests that wait there
     double pace = 1;
     bool silent = false;
     Time at {}; ///< when it was so
@@ -51,6 +52,7 @@
     Time reportedAt {}; ///< never: the beginning of time
     double reportedUsed = 0;
     std::uint32_t reportedActive = 0;
+    std::uint32_t reportedQueued = 0;
     double ownUsedThen = 0; ///< own work when it was reported
     std::uint32_t ownStreamsThen = 0;
 };
@@ -60,6 +62,8 @@
 {
     double used = 0; ///< KV memory, in tokens times layers
     double streams = 0;
+    double queued = 0; ///< requests that wait for room
+    bool reported = false; ///< the engine said so of late; else it is an estimate
 };
 
 /// Beliefs about all endpoints. Endpoints are named by id: what was believed of
--- a/src/include/balsamloft/layerplanner.h
+++ b/src/include/balsamloft/layerplanner.h
@@ -21,9 +21,9 @@
     double freeEngineRoom = 0.15; ///< the same for an engine added to a working plan
     Duration settle {600'000}; ///< no new engine for so long before the first plan
     Duration gapGrace {700'000}; ///< how long a gap may mend itself
-    Duration thinGrace {6'000'000}; ///< the same where one copy is left
+    Duration moveEvery {2'500'000}; ///< between two moves that mend no gap
     Duration orderLife {13'000'000}; ///< an order without an answer may act for so long
-    double leastGain = 60; ///< of a move that mends no gap
+    double leastGain = 120; ///< of a move that mends no gap
 };
 
 /// An order to hold a range of layers, and the reason.
@@ -93,7 +93,7 @@
         std::size_t engines = 0;
         Time changedAt {};
         std::optional<Time> gapSince;
-        std::optional<Time> thinSince;
+        Time movedAt {};
     };
 
     std::vector<Group> groups(const FleetSnapshot &fleet, const RoutedService &service, Time now);
--- a/src/include/balsamloft/pathchooser.h
+++ b/src/include/balsamloft/pathchooser.h
@@ -28,6 +28,7 @@
     double gapMs = 0; ///< expected between two events
     double firstMs = 0; ///< expected until the first event
     double fullness = 0; ///< of the engine with the least room; over 1: none left
+    bool full = false; ///< an engine of it has no room, by its own word or by far
 };
 
 /// Settings of a PathChooser.
@@ -39,6 +40,8 @@
     double crossingMs = 5'000; ///< cost of a change of domain inside a path: activations are large
     double noise = 0.1; ///< instances that see the same loads must not choose the same path
     double fullWeight = 4; ///< how dear a nearly full engine is
+    double mostReported = 1.05; ///< fullness by an engine's own word up to which it is used
+    double mostEstimated = 3; ///< the same where only own work is known
 };
 
 /// What a request needs.
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -109,10 +109,12 @@
     double silenceGaps = 4; ///< or so many expected pauses
     Duration askAgain {350'000}; ///< between two questions to one engine
     Duration brokenPause {120'000}; ///< a stream through a suspected engine that paused this long
+    Duration giveUpStart {1'700'000}; ///< after which a request that has not begun is moved
     Duration giveUpPause {1'200'000}; ///< pause after which a stream is moved without proof
     Duration resumeWithin {1'700'000}; ///< callers leave after a longer pause
     Duration callSilence {400'000}; ///< an idempotent call is then tried elsewhere
-    double holdShare = 0.12; ///< of the target latency that a request waits for a path
+    double holdCalls = 0.12; ///< share of the target latency that a call waits for an endpoint
+    double holdStreams = 1.6; ///< the same for a stream that waits for a path
     Duration pauseLived {300'000}; ///< a longer time between ticks was not lived through
     Duration comeBack {700'000}; ///< told to those that are refused
     std::uint32_t sparesSends = 2; ///< sends beyond the attempts, after proof that nothing ran
--- a/src/libbalsamloft/enginebook.cpp
+++ b/src/libbalsamloft/enginebook.cpp
@@ -142,6 +142,7 @@
     each.reportedAt = state.at;
     each.reportedUsed = state.used;
     each.reportedActive = state.active;
+    each.reportedQueued = state.queued;
     each.ownUsedThen = each.tokenLayers;
     each.ownStreamsThen = each.streams;
 }
@@ -153,13 +154,14 @@
         return {};
     const double others = scale(domain);
     if (now - each->reportedAt > m_settings.reportValid)
-        return {each->tokenLayers * others, each->streams * others};
+        return {each->tokenLayers * others, each->streams * others, 0, false};
     const double newUsed = std::max(0.0, each->tokenLayers - each->ownUsedThen);
     const double newStreams = each->streams > each->ownStreamsThen
                                   ? static_cast<double>(each->streams - each->ownStreamsThen)
                                   : 0;
     return {std::max(each->tokenLayers, each->reportedUsed + newUsed * others),
-            std::max<double>(each->streams, each->reportedActive + newStreams * others)};
+            std::max<double>(each->streams, each->reportedActive + newStreams * others),
+            static_cast<double>(each->reportedQueued), true};
 }
 
 double EngineBook::failureShare(std::string_view id, Time now) const
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -332,14 +332,12 @@
                 orders = tile(group, model, m_settings, "the model no longer fits as it lies");
         }
     }
-    if (least() != 1) {
-        watch.thinSince.reset();
-    } else if (!watch.thinSince) {
-        watch.thinSince = now;
-    } else if (now - *watch.thinSince >= m_settings.thinGrace) {
-        watch.thinSince = now;
-        bestMove(group, model, m_settings.leastGain, orders, "one copy is left of these layers");
-    }
+    if (watch.movedAt == Time {})
+        watch.movedAt = now;
+    if (now - watch.movedAt < m_settings.moveEvery || least() == 0)
+        return;
+    watch.movedAt = now;
+    bestMove(group, model, m_settings.leastGain, orders, "few copies or little room here");
 }
 
 std::vector<LayerOrder> LayerPlanner::plan(const FleetSnapshot &fleet, const RoutedService &service,
--- a/src/libbalsamloft/pathchooser.cpp
+++ b/src/libbalsamloft/pathchooser.cpp
@@ -18,6 +18,7 @@
     double passMs = 0; ///< a pass (one event), for each layer
     double factor = 1; ///< dearer when nearly full
     double fullness = 0;
+    bool full = false;
 };
 
 /// A cheapest way to have run the layers before a cut.
@@ -158,7 +159,7 @@
 /// The engines that may be used now, with their times under the work on them.
 std::vector<Candidate> candidates(const FleetSnapshot &fleet, const RoutedService &service,
                                   const EngineBook &book, const PathQuery &query, Time now,
-                                  double fullWeight)
+                                  const PathSettings &settings)
 {
     const LayeredModel &model = *service.model;
     std::vector<Candidate> found;
@@ -181,11 +182,19 @@
         const double room = std::max(1.0, model.room(*kind, held));
         Candidate candidate;
         candidate.endpoint = &each;
-        candidate.fullness = (load.used + need) / room;
+        // What runs goes on growing; what waits takes its place first.
+        const double growth = load.reported
+                                  ? (load.streams * model.usualAnswer / 2
+                                     + load.queued * (model.usualPrompt + model.usualAnswer))
+                                        * held
+                                  : 0;
+        candidate.fullness = (load.used + growth + need) / room;
+        candidate.full =
+            candidate.fullness > (load.reported ? settings.mostReported : settings.mostEstimated);
         candidate.readMs = query.promptTokens / std::max(0.001, model.readTokensPerMs)
                            * kind->readFactor / model.layers;
         candidate.passMs = model.stride * step * pace / model.layers;
-        candidate.factor = 1 + fullWeight * std::pow(std::min(candidate.fullness, 3.0), 4)
+        candidate.factor = 1 + settings.fullWeight * std::pow(std::min(candidate.fullness, 3.0), 4)
                            + 2 * book.failureShare(each.id, now);
         found.push_back(candidate);
     }
@@ -209,8 +218,7 @@
         std::max(1.0, static_cast<double>(query.answerTokens) / std::max(1U, model.stride));
     const double hopCost = m_settings.hopMs * passes;
     std::uniform_real_distribution<double> noise(1 - m_settings.noise, 1 + m_settings.noise);
-    std::vector<Candidate> all =
-        candidates(fleet, service, book, query, now, m_settings.fullWeight);
+    std::vector<Candidate> all = candidates(fleet, service, book, query, now, m_settings);
     for (Candidate &each : all)
         each.factor *= noise(random);
 
@@ -247,6 +255,7 @@
         path.gapMs += count * each.passMs + m_settings.hopMs;
         path.firstMs += count * each.readMs;
         path.fullness = std::max(path.fullness, each.fullness);
+        path.full = path.full || each.full;
     }
     path.firstMs += path.gapMs;
     path.domain = fleet.find(path.parts.front().endpoint)->domain;
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// A path that this instance believes fuller than that is not tried. Its view of
-/// others' work is rough, and engines refuse what they have no room for.
-constexpr double MostFullness = 3;
-
 /// Statuses with which an endpoint refuses before it runs anything.
 constexpr int Misdirected = 421;
 constexpr int FirstServerError = 500;
@@ -110,7 +106,7 @@
         flight.lastReason = "no path over all layers";
         return false;
     }
-    if (path->fullness > MostFullness) {
+    if (path->full) {
         flight.lastReason = "no room on any path";
         return false;
     }
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -110,7 +110,8 @@
         return;
     const Duration waited = now - flight.waitingSince;
     const auto hold = Duration(static_cast<std::int64_t>(
-        static_cast<double>(flight.request.route->targetLatency.count()) * m_settings.holdShare));
+        static_cast<double>(flight.request.route->targetLatency.count())
+        * (service(flight).model ? m_settings.holdStreams : m_settings.holdCalls)));
     const bool over = flight.passing || !flight.ranAt.empty()
                           ? now - flight.progressAt >= m_settings.resumeWithin
                           : waited >= hold;
@@ -140,7 +141,11 @@
     const bool idempotent = flight.request.route->idempotent();
     if (idempotent && suspected && pause >= m_settings.brokenPause + expected)
         return recover(id, flight, "an engine of its path does not answer", now, actions);
-    if (idempotent && pause >= m_settings.giveUpPause + expected)
+    // One that has not begun may wait its turn at a busy engine; moved, it
+    // would wait again elsewhere, and cost a repeat.
+    const Duration most =
+        flight.state == State::Streaming ? m_settings.giveUpPause : m_settings.giveUpStart;
+    if (idempotent && pause >= most + expected)
         return recover(id, flight, "stands still", now, actions);
     const auto patience =
         Duration(static_cast<std::int64_t>(expected.count() * m_settings.silenceGaps));
