--- a/src/include/balsamloft/layerplanner.h
+++ b/src/include/balsamloft/layerplanner.h
@@ -16,7 +16,8 @@
 /// Settings of a LayerPlanner.
 struct LayerPlannerSettings
 {
-    double leastRoom = 0.12; ///< share of a domain's memory kept for requests
+    double coverRoom = 0.4; ///< memory of a whole copy beyond the model, over the model's
+    double leastCoverRoom = 0.12; ///< the same for the last copy
     double leastEngineRoom = 0.06; ///< share of each engine's memory kept for requests
     double freeEngineRoom = 0.15; ///< the same for an engine added to a working plan
     Duration settle {600'000}; ///< no new engine for so long before the first plan
@@ -101,6 +102,11 @@
     static std::vector<LayerOrder> tile(Group &group, const LayeredModel &model,
                                         const LayerPlannerSettings &settings,
                                         std::string_view reason);
+    static std::vector<std::vector<Engine *>> coversOf(const std::vector<Engine *> &engines,
+                                                       double whole,
+                                                       const LayerPlannerSettings &settings);
+    static void layOut(const std::vector<Engine *> &cover, const LayeredModel &model, double room,
+                       std::string_view reason, std::vector<LayerOrder> &orders);
     void placeFree(Group &group, const LayeredModel &model, std::vector<LayerOrder> &orders);
     void mend(Group &group, const LayeredModel &model, Watch &watch, Time now,
               std::vector<LayerOrder> &orders);
--- a/src/include/balsamloft/pathchooser.h
+++ b/src/include/balsamloft/pathchooser.h
@@ -40,7 +40,7 @@
     double crossingMs = 5'000; ///< cost of a change of domain inside a path: activations are large
     double noise = 0.1; ///< instances that see the same loads must not choose the same path
     double fullWeight = 4; ///< how dear a nearly full engine is
-    double mostReported = 1.05; ///< fullness by an engine's own word up to which it is used
+    double mostReported = 2; ///< fullness by an engine's own word up to which it is used
     double mostEstimated = 3; ///< the same where only own work is known
 };
 
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -19,6 +19,8 @@
 constexpr double LoadCost = 0.4;
 /// Engine room to fall back on when a domain cannot hold the model otherwise.
 constexpr double BareRoom = 0.02;
+/// A slower engine keeps each request longer, so its room serves fewer.
+constexpr double ReferencePace = 6;
 constexpr int MostMoves = 12;
 
 std::uint32_t length(LayerRange range)
@@ -132,7 +134,8 @@
         if (end <= each.layers.begin)
             continue;
         const double room = model.room(*each.kind, length(each.layers));
-        const double fits = room / length(each.layers) / usual;
+        const double fits =
+            room / length(each.layers) / usual * std::min(1.0, ReferencePace / each.kind->pace);
         for (std::uint32_t layer = each.layers.begin; layer < end; ++layer) {
             copies[layer] += 1;
             streams[layer] += fits;
@@ -184,53 +187,66 @@
                                            std::string_view reason)
 {
     std::vector<Engine *> engines;
-    double total = 0;
-    for (Engine &each : group.engines) {
+    engines.reserve(group.engines.size());
+    for (Engine &each : group.engines)
         engines.push_back(&each);
-        total += each.kind->sizeMegabytes;
-    }
     // Fast engines together: a path is as slow as the sum of its parts, and the
     // fast path then carries most requests.
     std::stable_sort(engines.begin(), engines.end(), [](const Engine *left, const Engine *right) {
         return std::tie(left->kind->pace, left->layers.begin, left->endpoint->id)
                < std::tie(right->kind->pace, right->layers.begin, right->endpoint->id);
     });
-    const double whole = model.layers * model.layerMegabytes;
-    auto count = static_cast<std::size_t>(total * (1 - settings.leastRoom) / whole);
-    for (count = std::max<std::size_t>(1, count); count > 0; --count) {
-        const double room = count == 1 ? BareRoom : settings.leastEngineRoom;
-        std::vector<std::vector<Engine *>> bins(count);
-        double before = 0;
-        for (Engine *each : engines) {
-            const double middle = before + each->kind->sizeMegabytes / 2;
-            before += each->kind->sizeMegabytes;
-            bins[std::min(count - 1, static_cast<std::size_t>(middle / total * count))].push_back(
-                each);
-        }
-        std::vector<LayerOrder> orders;
-        bool fits = true;
-        for (std::vector<Engine *> &bin : bins) {
-            std::vector<double> sizes;
-            std::vector<std::uint32_t> most;
-            for (const Engine *each : bin) {
-                sizes.push_back(each->kind->sizeMegabytes);
-                most.push_back(each->most(model, room));
-            }
-            const std::vector<std::uint32_t> counts = split(model.layers, sizes, most);
-            fits = fits && !counts.empty();
-            std::uint32_t next = 0;
-            for (std::size_t i = 0; i < counts.size(); ++i) {
-                const LayerRange range {next, next + counts[i]};
-                next = range.end;
-                if (counts[i] > 0 && bin[i]->endpoint->layers != range && bin[i]->movable)
-                    orders.push_back({bin[i]->endpoint->id, bin[i]->endpoint->address, range,
-                                      std::string(reason)});
-            }
-        }
-        if (fits)
-            return orders;
+    std::vector<std::vector<Engine *>> covers =
+        coversOf(engines, model.layers * model.layerMegabytes, settings);
+    std::vector<LayerOrder> orders;
+    for (const std::vector<Engine *> &cover : covers)
+        layOut(cover, model, covers.size() == 1 ? BareRoom : settings.leastEngineRoom, reason,
+               orders);
+    return orders;
+}
+
+/// Engines, fastest first, cut into covers that keep room for requests. What is
+/// left over and cannot hold the model stays out, to double single layers.
+std::vector<std::vector<LayerPlanner::Engine *>>
+LayerPlanner::coversOf(const std::vector<Engine *> &engines, double whole,
+                       const LayerPlannerSettings &settings)
+{
+    std::vector<std::vector<Engine *>> covers;
+    std::vector<Engine *> cover;
+    double held = 0;
+    for (Engine *each : engines) {
+        cover.push_back(each);
+        held += each->kind->sizeMegabytes;
+        if (held < whole * (1 + settings.coverRoom))
+            continue;
+        covers.push_back(std::move(cover));
+        cover.clear();
+        held = 0;
+    }
+    if (!cover.empty() && (covers.empty() || held >= whole * (1 + settings.leastCoverRoom)))
+        covers.push_back(std::move(cover));
+    return covers;
+}
+
+void LayerPlanner::layOut(const std::vector<Engine *> &cover, const LayeredModel &model,
+                          double room, std::string_view reason, std::vector<LayerOrder> &orders)
+{
+    std::vector<double> sizes;
+    std::vector<std::uint32_t> most;
+    for (const Engine *each : cover) {
+        sizes.push_back(each->kind->sizeMegabytes);
+        most.push_back(each->most(model, room));
+    }
+    const std::vector<std::uint32_t> counts = split(model.layers, sizes, most);
+    std::uint32_t next = 0;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        const LayerRange range {next, next + counts[i]};
+        next = range.end;
+        cover[i]->layers = range;
+        if (counts[i] > 0 && cover[i]->endpoint->layers != range && cover[i]->movable)
+            orders.push_back(
+                {cover[i]->endpoint->id, cover[i]->endpoint->address, range, std::string(reason)});
     }
-    return {};
 }
 
 void LayerPlanner::placeFree(Group &group, const LayeredModel &model,
@@ -358,6 +374,8 @@
         if (empty) {
             if (now - watch.changedAt >= m_settings.settle)
                 wanted = tile(group, *service.model, m_settings, "no engine holds anything yet");
+            if (!wanted.empty())
+                placeFree(group, *service.model, wanted);
         } else {
             placeFree(group, *service.model, wanted);
             mend(group, *service.model, watch, now, wanted);
