News between instances is young, or read from the store directly

Ruled out: the leaving entry lost in a feed (the trace shows none). Change: knowledge older than 1.35 s is no source; after a failed source the store itself is read for 2.5 s; who loses the store tells nobody.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -20,6 +20,8 @@
 constexpr Duration WriteEvery {10'000'000};
 constexpr Duration CountEvery {2'000'000};
 constexpr Duration AskEnginesEvery {1'000'000};
+/// How long the store is read after another instance failed as a source.
+constexpr Duration DirectAfterFailure {2'500'000};
 /// How long another instance is read from after the store failed.
 constexpr Duration StoreAvoided {1'500'000};
 constexpr std::int64_t InstanceLifeMs = 24'000;
@@ -35,7 +37,6 @@
         break;
     case NewsTable::Endpoints:
         settings.table = "endpoints";
-        settings.storeWait = Duration(1'200'000);
         settings.pace = Duration(250'000);
         settings.peerPace = Duration(100'000);
         break;
@@ -146,7 +147,7 @@
 {
     const Time now = steadyNow();
     const auto index = static_cast<std::size_t>(table);
-    const PeerInstance *peer = m_directory.reader(now);
+    const PeerInstance *peer = now < m_directUntil ? nullptr : m_directory.reader(now);
     if (!peer && now < m_storeBadUntil)
         peer = m_directory.substitute(now);
     if (!peer)
@@ -160,10 +161,16 @@
 void Control::sourceFailed(const TableSource &source)
 {
     const Time now = steadyNow();
-    if (source.peer().empty())
+    if (source.peer().empty()) {
         m_storeBadUntil = now + StoreAvoided;
-    else
-        m_directory.failed(source.peer(), now);
+        for (std::size_t i = 0; i < NewsTableCount; ++i)
+            m_server.setDirect(static_cast<NewsTable>(i), false);
+        return;
+    }
+    // Then from the store itself for a while: whoever comes next in the order
+    // probably read from the same one.
+    m_directory.failed(source.peer(), now);
+    m_directUntil = now + DirectAfterFailure;
 }
 
 void Control::heard(NewsTable table, const TableAnswer &answer)
@@ -172,7 +179,7 @@
     if (answer.knownAt)
         state.knownAt = std::max(state.knownAt, *answer.knownAt);
     state.storeMs = std::max(state.storeMs, answer.reply.storeMs);
-    state.direct = answer.direct;
+    m_server.setDirect(table, answer.direct);
     if (table == NewsTable::Configuration && m_table)
         m_state.keysKnownAt = state.knownAt.time_since_epoch().count();
     if (table == NewsTable::Endpoints) {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -86,6 +86,7 @@
     bool m_askedDirty = false;
     Time m_enginesAskedAt {};
     Time m_storeBadUntil {};
+    Time m_directUntil {};
     StoreChannel m_channel;
     EnginePool m_engines;
     FleetKeeper m_fleet;
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -103,6 +103,22 @@
     return news.SerializeAsString();
 }
 
+void PeerServer::setDirect(NewsTable table, bool direct)
+{
+    const auto index = static_cast<std::size_t>(table);
+    if (!std::exchange(m_states[index].direct, direct) || direct)
+        return;
+    std::vector<Waiter> waiting;
+    std::erase_if(m_waiters, [&](Waiter &each) {
+        if (each.table != index)
+            return false;
+        waiting.push_back(std::move(each));
+        return true;
+    });
+    for (Waiter &each : waiting)
+        each.reply({503, {}});
+}
+
 void PeerServer::changed(NewsTable table)
 {
     const auto index = static_cast<std::size_t>(table);
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -45,6 +45,10 @@
     /// The table changed: answers those who wait for that.
     void changed(NewsTable table);
 
+    /// Whether the last answer about the table was the store's own. Others are
+    /// told nothing while it was not.
+    void setDirect(NewsTable table, bool direct);
+
     /// States of engines that are told along with the endpoints.
     void setEngines(std::vector<EngineState> engines) { m_engines = std::move(engines); }
 
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -29,8 +29,8 @@
 struct FollowerSettings
 {
     std::string table; ///< for the log
-    Duration storeWait {1'500'000}; ///< how long the store holds a call while nothing changes
-    Duration peerWait {700'000}; ///< how long another instance does
+    Duration storeWait {700'000}; ///< how long the store holds a call while nothing changes
+    Duration peerWait {400'000}; ///< how long another instance does
     Duration retry {250'000}; ///< pause after the store failed
     Duration pace {0}; ///< shortest time between two calls when there are changes
     Duration peerPace {0};
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -9,10 +9,12 @@
 namespace {
 
 /// Beyond the time that was asked to wait, a call has failed.
-constexpr Duration StoreWithin {700'000};
-constexpr Duration PeerWithin {450'000};
-/// An instance whose knowledge is older than this is no source.
-constexpr Duration MostAge {2'200'000};
+constexpr Duration StoreWithin {500'000};
+constexpr Duration PeerWithin {300'000};
+/// An instance whose knowledge is older than this is no source: a leaving
+/// endpoint must be known of two seconds after the store does, also when the
+/// instance that is read from has lost the store without noticing yet.
+constexpr Duration MostAge {1'350'000};
 
 } // namespace
 
