--- /dev/null
+++ b/src/fakes/standinprotocol.cpp
@@ -0,0 +1,233 @@
+// A protocol of the project's own for `balsamloft-entry`, so that its tests need
+// neither the platform nor the platform's names.
+
+#include <balsamloft/entryprotocol.h>
+
+#include <boost/json.hpp>
+
+namespace json = boost::json;
+
+namespace balsamloft {
+
+namespace {
+
+std::string text(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+std::int64_t number(const json::object &object, std::string_view name, std::int64_t otherwise = 0)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_int64() ? value->get_int64() : otherwise;
+}
+
+std::optional<json::object> parsed(std::string_view body, Reason &reason)
+{
+    boost::system::error_code error;
+    json::value value = json::parse(body, error);
+    if (error || !value.is_object()) {
+        reason = "no JSON object";
+        return std::nullopt;
+    }
+    return std::move(value.get_object());
+}
+
+LayerRange range(const json::object &object)
+{
+    const json::value *value = object.if_contains("layers");
+    if (!value || !value->is_array() || value->get_array().size() != 2)
+        return {};
+    return {value->get_array()[0].to_number<std::uint32_t>(),
+            value->get_array()[1].to_number<std::uint32_t>()};
+}
+
+class StandinProtocol : public EntryProtocol
+{
+public:
+    const HeaderNames &headers() const override
+    {
+        static constexpr HeaderNames Names {
+            .requestId = "Request-Id",
+            .deadline = "Deadline-Ms",
+            .key = "Team-Key",
+            .team = "Team",
+            .expectedEndpoint = "Endpoint-Id",
+            .path = "Engine-Path",
+            .urgency = "Urgency",
+            .expectedVersion = "Weights-Version",
+            .tokenCount = "Tokens",
+            .lengthHint = "Length-Hint",
+            .lastEvent = "Last-Event-Id",
+            .seal = "Seal",
+            .notExecuted = "Not-Run",
+            .endpointId = "Endpoint",
+            .load = "Load",
+            .atAddress = "At-Fault",
+        };
+        return Names;
+    }
+    std::string_view readinessTarget() const override { return "/ready"; }
+    std::string_view configurationTable() const override { return "configuration"; }
+    std::string_view configurationKey() const override { return "current"; }
+    std::string_view endpointTable() const override { return "endpoints"; }
+
+    OutgoingCall read(std::string_view table, std::string_view /*from*/) const override
+    {
+        return {"GET", "/table/" + std::string(table), {}};
+    }
+    OutgoingCall watch(std::string_view table, std::uint64_t after, Duration wait) const override
+    {
+        return {"GET",
+                "/changes/" + std::string(table) + "/" + std::to_string(after) + "/"
+                    + std::to_string(wait.count() / 1000),
+                {}};
+    }
+    OutgoingCall commit(const Transaction &transaction) const override
+    {
+        json::array checks;
+        for (const RowCheck &check : transaction.checks)
+            checks.push_back(
+                {{"table", check.table}, {"key", check.key}, {"version", check.version}});
+        json::array writes;
+        for (const RowWrite &write : transaction.writes)
+            writes.push_back({{"table", write.table},
+                              {"key", write.key},
+                              {"value", write.value.value_or("")},
+                              {"drop", !write.value}});
+        return {"POST", "/commit",
+                json::serialize(json::object {{"checks", checks}, {"writes", writes}})};
+    }
+
+    StoreReply reply(int status, std::string_view body) const override
+    {
+        StoreReply reply;
+        reply.kind = status == 200   ? StoreReply::Kind::Done
+                     : status == 409 ? StoreReply::Kind::Conflict
+                     : status == 410 ? StoreReply::Kind::HistoryGone
+                     : status == 503 ? StoreReply::Kind::NotDone
+                                     : StoreReply::Kind::Failed;
+        Reason reason;
+        const auto object = parsed(body, reason);
+        if (!object)
+            return reply;
+        reply.version = static_cast<std::uint64_t>(number(*object, "version"));
+        reply.storeMs = number(*object, "clock_ms");
+        if (const json::value *rows = object->if_contains("rows"))
+            for (const json::value &row : rows->as_array())
+                reply.rows.push_back(
+                    {text(row.as_object(), "key"), text(row.as_object(), "value"),
+                     static_cast<std::uint64_t>(number(row.as_object(), "version")),
+                     row.as_object().at("dropped").as_bool()});
+        return reply;
+    }
+
+    RouteMapPtr routeTable(std::string_view body, std::vector<Reason> &leftOut,
+                           Reason &reason) const override
+    {
+        const auto object = parsed(body, reason);
+        if (!object)
+            return nullptr;
+        RouteMapBuilder builder(static_cast<std::uint64_t>(number(*object, "version")));
+        for (const json::value &value : object->at("services").as_array()) {
+            const json::object &service = value.as_object();
+            RoutedService each {text(service, "name"), 0, std::nullopt};
+            if (const auto layers = number(service, "layers")) {
+                LayeredModel model;
+                model.layers = static_cast<std::uint32_t>(layers);
+                model.layerMegabytes = 1000;
+                model.bytesPerToken = 10'000.0 * model.layers;
+                model.stepMs = 1;
+                model.readTokensPerMs = 100;
+                model.stride = 3;
+                model.usualPrompt = 100;
+                model.usualAnswer = 50;
+                model.kinds = {{"card", 1000.0 * model.layers + 4000, 1, 1}};
+                each.model = model;
+            }
+            builder.service(std::move(each));
+        }
+        for (const json::value &value : object->at("routes").as_array()) {
+            const json::object &entry = value.as_object();
+            Route route;
+            route.name = text(entry, "name");
+            route.host = text(entry, "host");
+            route.prefix = text(entry, "prefix");
+            const std::string kind = text(entry, "kind");
+            route.kind = kind == "safe"     ? RequestKind::Safe
+                         : kind == "unsafe" ? RequestKind::Unsafe
+                                            : RequestKind::Stream;
+            route.timeout = Duration(number(entry, "timeout_ms", 30'000) * 1000);
+            route.targetLatency = Duration(500'000);
+            route.maxAttempts = static_cast<std::uint32_t>(number(entry, "attempts", 2));
+            route.resumable = true;
+            builder.route(std::move(route), {{text(entry, "service"), 1}});
+        }
+        for (const auto &team : object->at("keys").as_object())
+            builder.team({std::string(team.value().as_string()), std::nullopt},
+                         {std::string(team.key())});
+        RouteMapPtr map = builder.build();
+        leftOut = builder.leftOut();
+        return map;
+    }
+
+    std::optional<FleetEndpoint> endpoint(std::string_view id, std::string_view body,
+                                          Reason &reason) const override
+    {
+        const auto object = parsed(body, reason);
+        if (!object)
+            return std::nullopt;
+        FleetEndpoint endpoint;
+        endpoint.id = std::string(id);
+        endpoint.service = text(*object, "service");
+        endpoint.address = text(*object, "address");
+        endpoint.domain = text(*object, "domain");
+        endpoint.kind = text(*object, "kind");
+        endpoint.slots = 8;
+        endpoint.draining = text(*object, "state") == "leaving";
+        endpoint.layers = range(*object);
+        return endpoint;
+    }
+
+    std::string_view reportTarget() const override { return "/state"; }
+    std::optional<EngineReport> report(std::string_view body, Reason &reason) const override
+    {
+        const auto object = parsed(body, reason);
+        if (!object)
+            return std::nullopt;
+        EngineReport report;
+        report.layers = range(*object);
+        report.orders = static_cast<std::uint64_t>(number(*object, "orders"));
+        return report;
+    }
+    OutgoingCall order(const LayerOrder &order, std::uint64_t expectedOrders,
+                       std::uint64_t fencing) const override
+    {
+        return {"POST", "/hold",
+                json::serialize(json::object {{"from", order.layers.begin},
+                                              {"to", order.layers.end},
+                                              {"orders", expectedOrders},
+                                              {"fencing", fencing}})};
+    }
+    OrderReply orderReply(int status) const override
+    {
+        return status == 200 ? OrderReply::Taken : OrderReply::Refused;
+    }
+    std::string pathText(std::span<const PathPart> path) const override
+    {
+        std::string result;
+        for (const PathPart &part : path)
+            result += (result.empty() ? "" : ">") + part.endpoint;
+        return result;
+    }
+};
+
+} // namespace
+
+std::unique_ptr<EntryProtocol> makeEntryProtocol()
+{
+    return std::make_unique<StandinProtocol>();
+}
+
+} // namespace balsamloft
