--- /dev/null
+++ b/src/balsamloft/logreport.cpp
@@ -0,0 +1,178 @@
+#include "logreport.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <regex>
+
+namespace json = boost::json;
+
+namespace balsamloft {
+
+namespace {
+
+/// How far around a request what the instance believed is shown.
+constexpr std::int64_t AroundMs = 2000;
+constexpr std::size_t MostAround = 20;
+constexpr std::size_t BarWidth = 50;
+constexpr std::int64_t FirstRefusal = 400;
+
+std::string text(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+std::int64_t number(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_int64() ? value->get_int64() : 0;
+}
+
+std::string bar(std::size_t count, std::size_t most)
+{
+    return std::string(most == 0 ? 0 : (count * BarWidth + most - 1) / most, '#');
+}
+
+bool wentWell(const LogLine &line)
+{
+    return line.outcome == "passed" && line.status < FirstRefusal;
+}
+
+} // namespace
+
+std::string causeOf(const LogLine &line)
+{
+    // Ids differ in each line; what they did does not.
+    static const std::regex id("[a-z]+-[0-9a-f]{6,}");
+    const std::string reason = std::regex_replace(line.reason, id, "an endpoint");
+    if (line.outcome == "passed" && line.status >= FirstRefusal)
+        return "the endpoint answered " + std::to_string(line.status);
+    if (line.outcome == "passed")
+        return "late";
+    if (line.outcome == "refused" && (line.status == 401 || line.status == 404))
+        return "the configuration in force does not allow it: " + reason;
+    if (line.outcome == "refused" && line.status == 503)
+        return "refused, not run: " + reason;
+    if (line.outcome == "refused")
+        return "failed, it may have run (" + std::to_string(line.status) + "): " + reason;
+    if (line.outcome == "cut short")
+        return "stream broken off: " + reason;
+    return line.outcome + (reason.empty() ? "" : ": " + reason);
+}
+
+void LogReport::read(std::istream &stream)
+{
+    std::string whole;
+    while (std::getline(stream, whole)) {
+        const std::size_t brace = whole.find('{');
+        boost::system::error_code error;
+        json::value value;
+        if (brace != std::string::npos)
+            value = json::parse(whole.substr(brace), error);
+        if (brace == std::string::npos || error || !value.is_object()) {
+            m_unreadable += 1;
+            continue;
+        }
+        const json::object &object = value.get_object();
+        LogLine line;
+        line.wallMs = number(object, "at");
+        line.upMs = number(object, "up");
+        line.instance = text(object, "instance");
+        line.domain = text(object, "domain");
+        line.part = text(object, "part");
+        line.event = text(object, "event");
+        line.request = text(object, "request");
+        line.outcome = text(object, "outcome");
+        line.reason = text(object, "reason");
+        line.trail = text(object, "trail");
+        line.status = number(object, "status");
+        line.durationMs = number(object, "ms");
+        line.text = whole.substr(brace);
+        m_lines.push_back(std::move(line));
+    }
+    order();
+}
+
+void LogReport::order()
+{
+    // The time of day may jump on an instance; its steady clock does not. The
+    // median of the difference is right unless the clock was wrong most of the
+    // time. A restart begins a new steady clock, so the sign of a start parts them.
+    std::map<std::string, std::vector<std::int64_t>> offsets;
+    for (const LogLine &line : m_lines)
+        offsets[line.instance].push_back(line.wallMs - line.upMs);
+    for (auto &[instance, values] : offsets)
+        std::nth_element(values.begin(), values.begin() + values.size() / 2, values.end());
+    for (LogLine &line : m_lines) {
+        const auto &values = offsets[line.instance];
+        line.atMs = line.upMs + values[values.size() / 2];
+    }
+    std::stable_sort(m_lines.begin(), m_lines.end(), [](const LogLine &left, const LogLine &right) {
+        return left.atMs < right.atMs;
+    });
+}
+
+std::string LogReport::explain(std::string_view request) const
+{
+    std::string result;
+    for (const LogLine &line : m_lines) {
+        if (line.request != request)
+            continue;
+        result += "cause: " + causeOf(line) + "\n";
+        result += "at " + line.instance + " (" + line.domain + "), after "
+                  + std::to_string(line.durationMs) + " ms\n";
+        if (!line.trail.empty())
+            result += "what happened: " + line.trail + "\n";
+        result += line.text + "\n";
+        result += "what the instance believed around that time:\n";
+        std::size_t shown = 0;
+        for (const LogLine &other : m_lines)
+            if (other.instance == line.instance && other.request.empty()
+                && other.atMs >= line.atMs - line.durationMs - AroundMs
+                && other.atMs <= line.atMs + AroundMs / 4 && shown++ < MostAround)
+                result +=
+                    "  " + std::to_string(other.atMs - line.atMs) + " ms  " + other.text + "\n";
+    }
+    return result;
+}
+
+std::string LogReport::summary() const
+{
+    std::map<std::string, std::size_t> causes;
+    std::map<std::string, std::size_t> domains;
+    std::map<std::int64_t, std::size_t> seconds;
+    std::size_t ended = 0;
+    for (const LogLine &line : m_lines) {
+        if (line.event != "ended")
+            continue;
+        ended += 1;
+        if (wentWell(line) && causeOf(line) != "late")
+            continue;
+        causes[causeOf(line)] += 1;
+        if (wentWell(line))
+            continue;
+        domains[line.domain] += 1;
+        seconds[(line.atMs - m_lines.front().atMs) / 1000] += 1;
+    }
+    std::vector<std::pair<std::size_t, std::string>> sorted;
+    for (const auto &[cause, count] : causes)
+        sorted.emplace_back(count, cause);
+    std::sort(sorted.rbegin(), sorted.rend());
+    std::string result = std::to_string(ended) + " requests logged\n\ncauses\n";
+    for (const auto &[count, cause] : sorted)
+        result += "  " + std::to_string(count) + "  " + cause + "\n";
+    result += "\nnot served, by domain\n";
+    for (const auto &[domain, count] : domains)
+        result += "  " + std::to_string(count) + "  " + domain + "\n";
+    result += "\nnot served, by second\n";
+    std::size_t most = 0;
+    for (const auto &[second, count] : seconds)
+        most = std::max(most, count);
+    for (const auto &[second, count] : seconds)
+        result += "  " + std::to_string(second) + "  " + bar(count, most) + " "
+                  + std::to_string(count) + "\n";
+    return result;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/balsamloft/logreport_test.cpp
@@ -0,0 +1,72 @@
+#include "logreport.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace balsamloft;
+
+namespace {
+
+std::string line(int at, int up, const std::string &instance, const std::string &more)
+{
+    return "{\"at\":" + std::to_string(at) + ",\"up\":" + std::to_string(up) + ",\"instance\":\""
+           + instance + "\",\"domain\":\"d\"," + more + "}\n";
+}
+
+} // namespace
+
+TEST_CASE("a failed request is explained, cause first, from mixed lines")
+{
+    std::stringstream log;
+    log << "   12.3 entry-1 "
+        << line(1000, 1000, "entry-1", R"("part":"store","event":"lost","table":"configuration")")
+        << "no json at all\n"
+        << line(
+               2000, 2000, "entry-1",
+               R"("part":"request","event":"ended","request":"r1","outcome":"refused","status":503,"reason":"keys too old","ms":2)")
+        << line(
+               2100, 2100, "entry-2",
+               R"("part":"request","event":"ended","request":"r2","outcome":"passed","status":200)");
+    LogReport report;
+    report.read(log);
+    CHECK(report.lines() == 3);
+    CHECK(report.unreadable() == 1);
+    const std::string text = report.explain("r1");
+    CHECK(text.starts_with("cause: refused, not run: keys too old\nat entry-1 (d), after 2 ms\n"));
+    CHECK(text.find("\"event\":\"lost\"") != std::string::npos);
+    CHECK(report.explain("r3").empty());
+}
+
+// The time of day of one instance jumps by an hour for a moment. Its lines must
+// still stand where they belong.
+TEST_CASE("lines are in order although a clock jumps")
+{
+    std::stringstream log;
+    log << line(5000, 100, "a", R"("part":"x","event":"one")")
+        << line(5200, 300, "a", R"("part":"x","event":"three")")
+        << line(
+               3605300, 400, "a",
+               R"("part":"request","event":"ended","request":"r","outcome":"refused","status":503,"reason":"no path over all layers")")
+        << line(5500, 600, "a", R"("part":"x","event":"five")")
+        << line(5100, 900, "b", R"("part":"x","event":"two")");
+    LogReport report;
+    report.read(log);
+    const std::string text = report.explain("r");
+    CHECK(text.find("-100 ms") != std::string::npos); // "three" stood right before
+    CHECK(text.find("3600") == std::string::npos);
+}
+
+TEST_CASE("causes are counted without the ids in them")
+{
+    std::stringstream log;
+    for (const char *id : {"i-0a1b2c3d4e", "i-99aabbccdd"})
+        log << line(
+            1, 1, "a",
+            R"("part":"request","event":"ended","request":"r","outcome":"cut short","status":200,"reason":"broken off by )"
+                + std::string(id) + "\"");
+    LogReport report;
+    report.read(log);
+    CHECK(report.summary().find("2  stream broken off: broken off by an endpoint")
+          != std::string::npos);
+}
--- a/src/balsamloft/main.cpp
+++ b/src/balsamloft/main.cpp
@@ -1,6 +1,7 @@
 // The operators' command line: talks to any daemon's admin listener.
 
 #include "adminclient.h"
+#include "logreport.h"
 #include "output.h"
 
 #include <balsamloft/flagsetup.h>
@@ -58,6 +59,8 @@
   balsamloft status                   the instance and the fleet
   balsamloft endpoints                endpoints as the instance sees them
   balsamloft explain REQUEST-ID       why a request went where it went
+  balsamloft logs explain REQUEST-ID  the same from log lines of balsamloft-entry on standard input
+  balsamloft logs summary             causes of failure in log lines on standard input
   balsamloft placement                what free engines hold, and why
   balsamloft drain                    stop the instance gracefully
 
@@ -100,6 +103,8 @@
     int status(const std::string &);
     int endpoints(const std::string &);
     int explain(const std::string &request);
+    int logsExplain(const std::string &request);
+    int logsSummary(const std::string &unused);
     int placement(const std::string &);
     int drain(const std::string &);
 
@@ -126,6 +131,8 @@
     {{"status"}, &Commands::status, false},
     {{"endpoints"}, &Commands::endpoints, false},
     {{"explain"}, &Commands::explain, true},
+    {{"logs", "explain"}, &Commands::logsExplain, true},
+    {{"logs", "summary"}, &Commands::logsSummary, false},
     {{"placement"}, &Commands::placement, false},
     {{"drain"}, &Commands::drain, false},
 };
@@ -350,6 +357,28 @@
     return code;
 }
 
+int Commands::logsExplain(const std::string &request)
+{
+    LogReport report;
+    report.read(std::cin);
+    const std::string text = report.explain(request);
+    if (text.empty()) {
+        std::cerr << "balsamloft: no line names request '" << request << "' (" << report.lines()
+                  << " lines read, " << report.unreadable() << " unreadable)\n";
+        return ExitNotFound;
+    }
+    std::cout << text;
+    return ExitOk;
+}
+
+int Commands::logsSummary(const std::string & /*unused*/)
+{
+    LogReport report;
+    report.read(std::cin);
+    std::cout << report.summary();
+    return ExitOk;
+}
+
 int Commands::explain(const std::string &request)
 {
     return showLines(m_client.get("/admin/v1/explain?request=" + request));
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -610,6 +610,15 @@
                           || (m_route->targetGap > Duration {} && m_longestGap > m_route->targetGap)
                           || (m_route->kind != RequestKind::Stream
                               && now - m_startedAt > m_route->targetLatency));
+    RequestOutcome ended;
+    ended.kind = m_route ? m_route->kind : RequestKind::Safe;
+    ended.outcome = outcome;
+    ended.whole = now - m_startedAt;
+    if (m_streamBegun)
+        ended.firstEvent = first;
+    ended.longestGap = m_longestGap;
+    ended.late = late;
+    m_front.requestMetrics().ended(ended);
     const bool good = outcome == "passed" && status < 400 && !late;
     if (good && !m_front.settings().logAll)
         return;
--- /dev/null
+++ b/src/entry/requestmetrics.cpp
@@ -0,0 +1,44 @@
+#include "requestmetrics.h"
+
+namespace balsamloft {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> KindNames {"safe", "unsafe", "stream"};
+
+std::string kindLabel(std::size_t kind)
+{
+    return "kind=\"" + std::string(KindNames[kind]) + "\"";
+}
+
+} // namespace
+
+void RequestMetrics::ended(const RequestOutcome &outcome)
+{
+    const auto kind = static_cast<std::size_t>(outcome.kind);
+    m_outcomes[{outcome.kind, std::string(outcome.outcome)}] += 1;
+    m_late[kind] += outcome.late ? 1 : 0;
+    m_whole[kind].add(outcome.whole);
+    if (!outcome.firstEvent)
+        return;
+    m_firstEvent.add(*outcome.firstEvent);
+    m_longestGap.add(outcome.longestGap);
+}
+
+void RequestMetrics::render(std::string &text) const
+{
+    for (const auto &[key, count] : m_outcomes)
+        renderSample("balsamloft_requests_ended_total",
+                     kindLabel(static_cast<std::size_t>(key.first)) + ",outcome=\"" + key.second
+                         + "\"",
+                     static_cast<double>(count), text);
+    for (std::size_t kind = 0; kind < Kinds; ++kind) {
+        renderSample("balsamloft_requests_late_total", kindLabel(kind),
+                     static_cast<double>(m_late[kind]), text);
+        m_whole[kind].render("balsamloft_request_seconds", kindLabel(kind), text);
+    }
+    m_firstEvent.render("balsamloft_first_event_seconds", "", text);
+    m_longestGap.render("balsamloft_longest_pause_seconds", "", text);
+}
+
+} // namespace balsamloft
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -299,6 +299,7 @@
     sample("bad_rows_total", m_state.badRows);
     sample("lease_held", m_state.holdsLease ? 1 : 0);
     sample("log_lines_dropped_total", droppedLogLines());
+    m_requestMetrics.render(text);
     return text;
 }
 
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -5,6 +5,7 @@
 
 #include "entrystate.h"
 #include "onecall.h"
+#include "requestmetrics.h"
 #include "settings.h"
 
 #include <balsamloft/entryprotocol.h>
@@ -59,6 +60,7 @@
     void attach(FlightId flight, std::shared_ptr<CallerSession> session);
     void detach(FlightId flight);
     void closed(CallerSession &session);
+    RequestMetrics &requestMetrics() { return m_requestMetrics; }
     std::string metrics() const;
 
 private:
@@ -75,6 +77,7 @@
     EntryState &m_state;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_timer;
+    RequestMetrics m_requestMetrics;
     EnginePool m_pool;
     Relay m_relay;
     RouteMapPtr m_table;
