--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -154,6 +154,12 @@
 {
     const MessageHead &head = m_request->head();
     m_startedAt = steadyNow();
+    m_streamBegun = false;
+    m_passedEvents = 0;
+    m_firstEventAt = {};
+    m_longestGap = {};
+    m_trail.clear();
+    m_routeName.clear();
     m_closeAfter = m_closeAfter || !m_request->keepAlive();
     m_requestId = std::string(head.find(m_front.protocol().headers().requestId).value_or(""));
     m_table = m_front.table();
@@ -217,11 +223,6 @@
         request.answerTokens = std::min(request.answerTokens, *hint);
     m_callerAfter = numberFrom<std::uint64_t>(head.find(names.lastEvent).value_or(""));
     keepHeaders();
-    m_streamBegun = false;
-    m_passedEvents = 0;
-    m_firstEventAt = {};
-    m_longestGap = {};
-    m_trail.clear();
     RelayActions actions;
     m_flight = m_front.relay().submit(std::move(request), now, actions);
     m_front.attach(*m_flight, shared_from_this());
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -401,6 +401,7 @@
     if (now - m_enginesAskedAt < AskEnginesEvery || !readsStore() || !m_table)
         return;
     m_enginesAskedAt = now;
+    askOtherDomains(now);
     std::erase_if(m_asked, [&](const auto &each) { return !m_fleetNow->find(each.first); });
     for (const FleetEndpoint &each : m_fleetNow->endpoints) {
         if (each.domain != m_settings.domain || each.layers.end <= each.layers.begin)
@@ -431,6 +432,29 @@
     m_askedDirty = true;
 }
 
+/// The readers of the other domains know their engines; one question a second
+/// to each keeps paths there from being chosen blindly by everybody at once.
+void Control::askOtherDomains(Time now)
+{
+    std::erase_if(m_elsewhere, [&](const auto &each) { return !m_fleetNow->find(each.first); });
+    const auto endpoints = static_cast<std::size_t>(NewsTable::Endpoints);
+    const std::uint64_t known = m_server.state(NewsTable::Endpoints).copy.version();
+    for (const PeerInstance &each : m_directory.readersElsewhere(now)) {
+        auto &source = m_elsewhereSources[each.name + "@" + each.address];
+        if (!source)
+            source = std::make_unique<PeerSource>(m_context, each, endpoints);
+        source->watch(std::max<std::uint64_t>(1, known), Duration {},
+                      [this](const TableAnswer &answer) {
+                          for (const EngineState &state : answer.engines) {
+                              const FleetEndpoint *engine = m_fleetNow->find(state.id);
+                              if (engine && engine->domain != m_settings.domain)
+                                  m_elsewhere[state.id] = state;
+                          }
+                          m_askedDirty = m_askedDirty || !answer.engines.empty();
+                      });
+    }
+}
+
 void Control::tellEngines()
 {
     if (!std::exchange(m_askedDirty, false))
@@ -447,6 +471,8 @@
     if (silent * 2 > states.size())
         for (EngineState &state : states)
             state.silent = false;
+    for (const auto &[id, state] : m_elsewhere)
+        states.push_back(state);
     m_server.setEngines(states);
     m_events.engines(std::move(states));
 }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -64,6 +64,7 @@
     void askEngines(Time now);
     void engineAnswered(const std::string &id, const CallOutcome &outcome);
     void tellEngines();
+    void askOtherDomains(Time now);
     void place(Time now);
     void giveOrder(const LayerOrder &order);
     void sendOrder(const LayerOrder &order, std::uint64_t expectedOrders);
@@ -84,6 +85,8 @@
     std::array<std::unique_ptr<TableFollower>, NewsTableCount> m_followers;
     std::map<std::string, AskedEngine> m_asked; ///< by id
     bool m_askedDirty = false;
+    std::map<std::string, EngineState> m_elsewhere; ///< engines of other domains, by id
+    std::map<std::string, std::unique_ptr<PeerSource>> m_elsewhereSources;
     Time m_enginesAskedAt {};
     Time m_storeBadUntil {};
     Time m_directUntil {};
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -48,6 +48,9 @@
     /// Whom to read from while the store turns this instance away; nothing: nobody.
     const PeerInstance *substitute(Time now) const;
 
+    /// The instances that read for the other domains.
+    std::vector<PeerInstance> readersElsewhere(Time now) const;
+
     /// Instances in this one's domain, and in all; at least one.
     std::size_t inDomain() const;
     std::size_t count() const;
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -56,6 +56,18 @@
     return nullptr;
 }
 
+std::vector<PeerInstance> PeerDirectory::readersElsewhere(Time now) const
+{
+    std::map<std::string_view, const PeerInstance *> first;
+    for (const PeerInstance &each : m_instances)
+        if (each.domain != m_domain && !each.address.empty() && good(each, now))
+            first.try_emplace(each.domain, &each);
+    std::vector<PeerInstance> readers;
+    for (const auto &[domain, instance] : first)
+        readers.push_back(*instance);
+    return readers;
+}
+
 std::size_t PeerDirectory::inDomain() const
 {
     const auto found =
