Late in a planned stop nothing new is begun

Ruled out: the exit too early (the call had not arrived when the stop ended). Change: streams until 0.33 of the grace, calls until 0.6, then 503 with close. Test: testsuite 'late in a planned stop...'; before, the calls were taken to the end.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -205,7 +205,7 @@
     const HeaderNames &names = m_front.protocol().headers();
     const MessageHead &head = m_request->head();
     const Time now = steadyNow();
-    if (route.kind == RequestKind::Stream && !m_front.takesStreams(now))
+    if (!m_front.takes(route.kind, now))
         return refuse(503, "stopping", Duration(100'000));
     RelayRequest request;
     request.id = m_requestId;
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -18,10 +18,14 @@
 constexpr auto IdleTick = std::chrono::milliseconds(400);
 constexpr Duration PruneEvery {1'000'000};
 constexpr Duration AnswerWithin {300'000}; ///< of an engine that is asked for its state
-/// From the signal to stop: the balancer has noticed, and sends nobody new.
-constexpr Duration BalancerNotices {3'000'000};
-/// From the signal to stop: a stream begun later might outlive the process.
-constexpr Duration LastStream {3'000'000};
+/// Shares of the grace, from the signal to stop. The balancer has noticed by
+/// then, and idle connections are closed.
+constexpr double BalancerNotices = 0.375;
+/// A stream begun later might outlive the process.
+constexpr double LastStream = 0.33;
+/// A call begun later might: callers keep coming where the balancer has nobody
+/// else to send them to, until the very end.
+constexpr double LastCall = 0.6;
 constexpr Duration StopMargin {400'000};
 /// Keys are refused this long before they might have been withdrawn.
 constexpr Duration KeyMargin {400'000};
@@ -158,9 +162,15 @@
            && age < Duration(static_cast<std::int64_t>(m_settings.revocation.count() * ReadyShare));
 }
 
-bool TrafficFront::takesStreams(Time now) const
+bool TrafficFront::takes(RequestKind kind, Time now) const
 {
-    return !m_stopping || now - m_stopAt < LastStream;
+    const double share = kind == RequestKind::Stream ? LastStream : LastCall;
+    return !m_stopping || now - m_stopAt < graceShare(share);
+}
+
+Duration TrafficFront::graceShare(double share) const
+{
+    return Duration(static_cast<std::int64_t>(m_settings.grace.count() * share));
 }
 
 void TrafficFront::attach(FlightId flight, std::shared_ptr<CallerSession> session)
@@ -257,7 +267,7 @@
 void TrafficFront::finishStop()
 {
     const Time now = steadyNow();
-    if (now - m_stopAt < BalancerNotices)
+    if (now - m_stopAt < graceShare(BalancerNotices))
         return;
     const std::vector<std::shared_ptr<CallerSession>> sessions(m_sessions.begin(),
                                                                m_sessions.end());
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -49,8 +49,8 @@
     Relay &relay() { return m_relay; }
     bool stopping() const { return m_stopping; }
 
-    /// Whether new streams are still begun: late ones would outlive the process.
-    bool takesStreams(Time now) const;
+    /// Whether a request is still begun: late ones would outlive the process.
+    bool takes(RequestKind kind, Time now) const;
 
     /// Whether keys are known recently enough to admit a request with one.
     bool keysFresh() const;
@@ -70,6 +70,7 @@
     void askEngine(const AskEngine &ask);
     void engineAnswered(const std::string &endpoint, const CallOutcome &outcome);
     void finishStop();
+    Duration graceShare(double share) const;
 
     boost::asio::io_context &m_context;
     const EntrySettings &m_settings;
--- a/testsuite/entry/entry_test.cpp
+++ b/testsuite/entry/entry_test.cpp
@@ -481,6 +481,37 @@
     CHECK(entry.process->wait() == 0);
 }
 
+TEST_CASE("late in a planned stop nothing new is begun, and the caller is told so", "[process]")
+{
+    // A stream keeps the process open; callers still come. What is begun in the
+    // last moment would be cut with the process, so it is refused as not run.
+    Entry entry;
+    std::atomic<bool> finish {false};
+    RawServer engine([&](const std::string &request) -> RawAnswer {
+        if (request.starts_with("GET /state"))
+            return {good(request, R"({"layers":[0,4],"orders":1})")};
+        waitUntil([&] { return finish.load(); });
+        return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    RawServer endpoint(
+        [](const std::string &request) { return RawAnswer {good(request, "done")}; });
+    entry.endpoint("a", "model", engine.address(), R"(,"layers":[0,4])");
+    entry.endpoint("e1", "plain", endpoint.address());
+    std::thread caller([&] { entry.ask("/stream/x"); });
+    waitUntil([&] { return engine.requests().size() > 1; });
+    entry.process->signal(SIGTERM);
+    std::string answer;
+    CHECK(waitUntil([&] {
+        answer = entry.ask("/safe/x");
+        return !answer.starts_with("HTTP/1.1 200");
+    }));
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    finish = true;
+    caller.join();
+    CHECK(entry.process->wait() == 0);
+}
+
 TEST_CASE("settings that cannot be used end the process with a clear line", "[process]")
 {
     Process process("balsamloft-entry-standin", {"--name=x", "--domain=d", "--listen=nowhere"});
