--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr Duration ConnectWithin {200'000};
+constexpr Duration LeastIdle {400'000}; ///< before a connection is closed by a planned stop
 constexpr std::size_t MostReadAhead = 64 * 1024;
 
 std::string_view statusText(int status)
@@ -563,9 +564,11 @@
     m_front.closed(*this);
 }
 
-void CallerSession::closeIfIdle()
+void CallerSession::closeIfIdle(Time now)
 {
-    if (idle())
+    // A caller that has just connected is about to write: closed at once, it
+    // would find its request unread and unanswered.
+    if (idle() && now - m_lastRead >= LeastIdle)
         close();
 }
 
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -33,7 +33,7 @@
     void tick(Time now);
 
     /// Closes the connection when nothing is under way on it.
-    void closeIfIdle();
+    void closeIfIdle(Time now);
     void close();
     bool idle() const { return !m_flight && m_in.empty() && !m_writing; }
 
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -272,7 +272,7 @@
     const std::vector<std::shared_ptr<CallerSession>> sessions(m_sessions.begin(),
                                                                m_sessions.end());
     for (const auto &session : sessions)
-        session->closeIfIdle();
+        session->closeIfIdle(now);
     if (m_sessions.empty() || now - m_stopAt >= m_settings.grace - StopMargin) {
         m_acceptor.close();
         if (m_stopped)
