Reading the change again: one place each, and what nothing used

How a given up flight ends was decided in four places, listening and reading addresses in two, the lease's key written twice, an answer's head read twice. Members, a call and a flag (--drain_ms) that nothing used are gone. Addresses in settings are read by the function that is used for all others, which now refuses bytes after the port as the one in the settings did. Behaviour as before.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -407,11 +407,11 @@
             m_front.relay().streamEnded(*m_flight, m_attempt, now, actions);
         return m_front.run(std::move(actions));
     }
-    const AnswerHead head = decisionHead(answer.head());
+    m_answer.emplace(std::move(answer));
+    const AnswerHead head = decisionHead(m_answer->head());
     note("answered " + std::to_string(head.status) + (head.notExecuted ? ", not run" : "")
          + (head.atAddress.empty() ? std::string() : " at " + std::string(head.atAddress)));
-    m_answer.emplace(std::move(answer));
-    m_front.relay().answered(*m_flight, m_attempt, decisionHead(m_answer->head()), now, actions);
+    m_front.relay().answered(*m_flight, m_attempt, head, now, actions);
     m_front.run(std::move(actions));
 }
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -3,11 +3,8 @@
 #include "clock.h"
 #include "decisionlog.h"
 
-#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
-#include <unistd.h>
-
 namespace json = boost::json;
 
 namespace balsamloft {
@@ -27,6 +24,7 @@
 constexpr std::int64_t InstanceLifeMs = 24'000;
 constexpr std::uint32_t MissesToSilence = 2;
 constexpr std::string_view InstanceTable = "instances";
+constexpr std::string_view LeaseKey = "placement";
 
 FollowerSettings followerSettings(NewsTable table)
 {
@@ -68,7 +66,7 @@
 LeaseSettings leaseSettings(const EntrySettings &settings)
 {
     LeaseSettings lease;
-    lease.key = "placement";
+    lease.key = LeaseKey;
     lease.holder = settings.name + "/" + std::to_string(bootNow().time_since_epoch().count());
     lease.duration = Duration(2'400'000);
     lease.renewEvery = Duration(800'000);
@@ -309,7 +307,7 @@
                        if (answer.reply.kind == StoreReply::Kind::Done) {
                            outcome.kind = ReadOutcome::Kind::Missing;
                            for (const StoreRow &row : answer.reply.rows)
-                               if (row.key == "placement") {
+                               if (row.key == LeaseKey) {
                                    outcome.kind = ReadOutcome::Kind::Found;
                                    outcome.row = {row.key, row.version, row.value};
                                }
--- a/src/entry/enginepool.cpp
+++ b/src/entry/enginepool.cpp
@@ -127,7 +127,6 @@
     if (!m_owner->maySend())
         return;
     m_bytesLeft = true;
-    m_connection->used = true;
     asio::async_write(m_connection->socket, asio::buffer(m_request),
                       [self = shared_from_this()](const boost::system::error_code &error,
                                                   std::size_t) { self->written(error); });
@@ -230,7 +229,7 @@
     // read to its end would be continued by the next one.
     const bool clean = m_connection->in.empty() && m_written && m_reader->keepAlive();
     EngineConnectionPtr connection = std::move(m_connection);
-    if (clean && m_settings.keepConnection && connection->socket.is_open())
+    if (clean && connection->socket.is_open())
         m_pool.put(std::move(connection), steadyNow());
     owner->answerWhole(*m_reader);
 }
--- a/src/entry/enginepool.h
+++ b/src/entry/enginepool.h
@@ -30,7 +30,6 @@
     std::array<char, 8192> buffer {};
     Time idleSince {};
     Duration keepFor {4'000'000}; ///< how long the endpoint keeps an idle connection, less a margin
-    bool used = false;
 };
 
 using EngineConnectionPtr = std::unique_ptr<EngineConnection>;
@@ -84,7 +83,6 @@
     bool freshConnection = false;
     std::string_view requestIdName; ///< header that the endpoint echoes
     std::string requestId; ///< empty: not checked
-    bool keepConnection = true; ///< put it into the pool afterwards
 };
 
 /// Sends one request and reads its answer. Extra answers that belong to an
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -1,10 +1,8 @@
 #include "settings.h"
 
-#include <gflags/gflags.h>
-
-#include <boost/asio/ip/tcp.hpp>
+#include "sockets.h"
 
-#include <charconv>
+#include <gflags/gflags.h>
 
 DEFINE_string(name, "", "name of this instance, for logs and other instances");
 DEFINE_string(domain, "", "failure domain of this instance");
@@ -14,7 +12,6 @@
 DEFINE_string(metrics_listen, "", "IP:port of the metrics; empty: none");
 DEFINE_string(store, "", "IP:port of the platform's store");
 DEFINE_double(revocation_ms, 5000, "a withdrawn key is refused everywhere after this time");
-DEFINE_double(drain_ms, 2000, "a leaving endpoint gets nothing new after this time");
 DEFINE_double(grace_s, 8, "from the signal to stop to the end");
 DEFINE_double(retry_ratio, 0.2, "repeats for each request, over all instances");
 DEFINE_double(retry_slack, 100, "repeats beyond the ratio in a window, over all instances");
@@ -24,22 +21,9 @@
 
 namespace {
 
-bool isAddress(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return false;
-    boost::system::error_code error;
-    boost::asio::ip::make_address(text.substr(0, colon), error);
-    unsigned port = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    return !error && parsed.ec == std::errc {} && parsed.ptr == end && port <= 65535;
-}
-
 bool checked(std::string_view flag, const std::string &value, bool optional, Reason &reason)
 {
-    if ((optional && value.empty()) || isAddress(value))
+    if ((optional && value.empty()) || endpointFromText(value))
         return true;
     reason = "--" + std::string(flag) + ": '" + value + "' is no IP:port";
     return false;
@@ -78,7 +62,6 @@
         || !checked("store", FLAGS_store, false, reason)
         || !checked("metrics_listen", FLAGS_metrics_listen, true, reason)
         || !positive("revocation_ms", FLAGS_revocation_ms, reason)
-        || !positive("drain_ms", FLAGS_drain_ms, reason)
         || !positive("grace_s", FLAGS_grace_s, reason))
         return std::nullopt;
     EntrySettings settings;
@@ -90,7 +73,6 @@
     settings.metrics = FLAGS_metrics_listen;
     settings.store = FLAGS_store;
     settings.revocation = milliseconds(FLAGS_revocation_ms);
-    settings.drain = milliseconds(FLAGS_drain_ms);
     settings.grace = milliseconds(FLAGS_grace_s * 1000);
     settings.retryRatio = FLAGS_retry_ratio;
     settings.retrySlack = FLAGS_retry_slack;
--- a/src/entry/sockets.cpp
+++ b/src/entry/sockets.cpp
@@ -32,12 +32,29 @@
     boost::system::error_code error;
     const auto address = boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
     unsigned short port = 0;
-    const auto parsed = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    if (error || parsed.ec != std::errc {})
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (error || parsed.ec != std::errc {} || parsed.ptr != end)
         return std::nullopt;
     return tcp::endpoint(address, port);
 }
 
+bool listenAt(tcp::acceptor &acceptor, const std::string &address, Reason &reason)
+{
+    const auto endpoint = endpointFromText(address);
+    boost::system::error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        reason = "cannot listen at " + address + ": " + error.message();
+    return !error;
+}
+
 bool isQuiet(tcp::socket &socket)
 {
     char byte = 0;
--- a/src/entry/sockets.h
+++ b/src/entry/sockets.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <balsamloft/types.h>
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <optional>
@@ -18,6 +20,10 @@
 /// The endpoint that "IP:port" names, or nothing.
 std::optional<boost::asio::ip::tcp::endpoint> endpointFromText(std::string_view text);
 
+/// Opens \a acceptor and listens at \a address, a checked "IP:port".
+/// \return whether that worked; else \a reason says why not.
+bool listenAt(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address, Reason &reason);
+
 /// Whether a connection that should be idle is open and has nothing to read.
 bool isQuiet(boost::asio::ip::tcp::socket &socket);
 
--- a/src/entry/textserver.cpp
+++ b/src/entry/textserver.cpp
@@ -81,19 +81,8 @@
 
 bool TextServer::listen(const std::string &address, Reason &reason)
 {
-    const auto endpoint = endpointFromText(address);
-    boost::system::error_code error;
-    m_acceptor.open(endpoint->protocol(), error);
-    if (!error)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(*endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        reason = "cannot listen at " + address + ": " + error.message();
+    if (!listenAt(m_acceptor, address, reason))
         return false;
-    }
     accept();
     return true;
 }
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -64,19 +64,8 @@
 
 bool TrafficFront::listen(Reason &reason)
 {
-    const auto address = endpointFromText(m_settings.callers);
-    boost::system::error_code error;
-    m_acceptor.open(address->protocol(), error);
-    if (!error)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(*address, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        reason = "cannot listen at " + m_settings.callers + ": " + error.message();
+    if (!listenAt(m_acceptor, m_settings.callers, reason))
         return false;
-    }
     accept();
     armTimer();
     return true;
--- a/src/fakes/layeremulator.cpp
+++ b/src/fakes/layeremulator.cpp
@@ -723,7 +723,6 @@
     model.readTokensPerMs = 105;
     model.stride = 3;
     model.loadSeconds = 14;
-    model.loadsAtOnce = 5;
     model.usualPrompt = 774;
     model.usualAnswer = 204;
     model.kinds = {
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -14,7 +14,6 @@
     model.readTokensPerMs = 100;
     model.stride = 3;
     model.loadSeconds = 10;
-    model.loadsAtOnce = 5;
     model.usualPrompt = 800;
     model.usualAnswer = 200;
     model.kinds = {{"fast", 40'000, 2, 2}, {"slow", 12'000, 10, 6}};
--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -62,13 +62,11 @@
             .lastEvent = "Last-Event-Id",
             .seal = "Seal",
             .notExecuted = "Not-Run",
-            .endpointId = "Endpoint",
             .load = "Load",
             .atAddress = "At-Fault",
         };
         return Names;
     }
-    std::string_view readinessTarget() const override { return "/ready"; }
     std::string_view configurationTable() const override { return "configuration"; }
     std::string_view configurationKey() const override { return "current"; }
     std::string_view endpointTable() const override { return "endpoints"; }
--- a/src/include/balsamloft/enginefleet.h
+++ b/src/include/balsamloft/enginefleet.h
@@ -24,7 +24,6 @@
     std::uint32_t slots = 1;
     bool draining = false;
     LayerRange layers; ///< held; empty: none
-    std::uint64_t orders = 0; ///< accepted since its start
     bool busy = false; ///< an order is in progress
 
     bool operator==(const FleetEndpoint &) const = default;
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -30,7 +30,6 @@
     std::string_view lastEvent; ///< a stream goes on after this event
     std::string_view seal; ///< mark of an endpoint's answer
     std::string_view notExecuted; ///< the endpoint did not run the request
-    std::string_view endpointId;
     std::string_view load; ///< "running,waiting,slots"
     std::string_view atAddress; ///< engine at fault
 };
@@ -84,7 +83,6 @@
     virtual ~EntryProtocol() = default;
 
     virtual const HeaderNames &headers() const = 0;
-    virtual std::string_view readinessTarget() const = 0;
     virtual std::string_view configurationTable() const = 0;
     virtual std::string_view configurationKey() const = 0;
     virtual std::string_view endpointTable() const = 0;
--- a/src/include/balsamloft/layerplanner.h
+++ b/src/include/balsamloft/layerplanner.h
@@ -65,7 +65,6 @@
     {
         LayerRange layers;
         Time since {};
-        std::uint64_t ordersSeen = 0;
         bool refused = false;
     };
 
--- a/src/include/balsamloft/pathchooser.h
+++ b/src/include/balsamloft/pathchooser.h
@@ -27,7 +27,6 @@
     std::string domain; ///< of the first engine
     double gapMs = 0; ///< expected between two events
     double firstMs = 0; ///< expected until the first event
-    double fullness = 0; ///< of the engine with the least room; over 1: none left
     bool full = false; ///< an engine of it has no room, by its own word or by far
 };
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -192,7 +192,6 @@
     {
         RelayRequest request;
         State state = State::Waiting;
-        Time submittedAt {};
         Time deadline {};
         Time waitingSince {};
         std::uint32_t attempt = 0; ///< number of the present one
@@ -226,6 +225,9 @@
     void again(FlightId id, Flight &flight, bool ran, const std::string &culprit,
                std::string reason, Time now, RelayActions &actions);
     bool mayRunAgain(const Flight &flight) const;
+
+    /// How a flight that is given up now ends; \a ran: where it may have run.
+    static FlightEnd endOf(const Flight &flight, FlightEnd ran);
     void end(FlightId id, FlightEnd how, std::string reason, RelayActions &actions);
     void rejected(FlightId id, Flight &flight, const AnswerHead &head, Time now,
                   RelayActions &actions);
--- a/src/include/balsamloft/routemap.h
+++ b/src/include/balsamloft/routemap.h
@@ -42,7 +42,6 @@
     double readTokensPerMs = 0; ///< prompt tokens over all layers at factor 1
     std::uint32_t stride = 1; ///< steps in a pass
     double loadSeconds = 0; ///< to load all layers
-    std::uint32_t loadsAtOnce = 1;
     std::uint32_t usualPrompt = 0;
     std::uint32_t usualAnswer = 0;
     std::vector<AcceleratorKind> kinds;
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -50,14 +50,14 @@
 
 void LayerPlanner::ordered(const LayerOrder &order, Time now)
 {
-    m_pending[order.endpoint] = Pending {order.layers, now, 0, false};
+    m_pending[order.endpoint] = Pending {order.layers, now, false};
 }
 
 void LayerPlanner::refused(const std::string &endpoint, Time now)
 {
     const auto it = m_pending.find(endpoint);
     if (it != m_pending.end())
-        it->second = Pending {it->second.layers, now, 0, true};
+        it->second = Pending {it->second.layers, now, true};
 }
 
 std::vector<LayerPlanner::Engine> LayerPlanner::engines(const FleetSnapshot &fleet,
--- a/src/libbalsamloft/pathchooser.cpp
+++ b/src/libbalsamloft/pathchooser.cpp
@@ -254,7 +254,6 @@
         const double count = layers.end - layers.begin;
         path.gapMs += count * each.passMs + m_settings.hopMs;
         path.firstMs += count * each.readMs;
-        path.fullness = std::max(path.fullness, each.fullness);
         path.full = path.full || each.full;
     }
     path.firstMs += path.gapMs;
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -74,7 +74,6 @@
     const FlightId id = m_nextFlight++;
     Flight &flight = m_flights[id];
     flight.request = std::move(request);
-    flight.submittedAt = now;
     flight.waitingSince = now;
     flight.deadline = now + std::min(flight.request.timeLeft, flight.request.route->timeout);
     m_counts.submitted += 1;
@@ -189,11 +188,7 @@
 void Relay::dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     if (now >= flight.deadline)
-        return end(id,
-                   flight.passing         ? FlightEnd::CutShort
-                   : flight.ranAt.empty() ? FlightEnd::NotRun
-                                          : FlightEnd::TimedOut,
-                   "no time left", actions);
+        return end(id, endOf(flight, FlightEnd::TimedOut), "no time left", actions);
     SendWhole send;
     const bool layered = service(flight).model.has_value();
     if (!(layered ? choosePath(flight, now, send) : chooseEndpoint(flight, now, send)))
@@ -219,6 +214,13 @@
     return static_cast<std::uint32_t>(alive) < flight.request.route->maxAttempts;
 }
 
+FlightEnd Relay::endOf(const Flight &flight, FlightEnd ran)
+{
+    if (flight.passing)
+        return FlightEnd::CutShort;
+    return flight.ranAt.empty() ? FlightEnd::NotRun : ran;
+}
+
 void Relay::again(FlightId id, Flight &flight, bool ran, const std::string &culprit,
                   std::string reason, Time now, RelayActions &actions)
 {
@@ -230,9 +232,7 @@
     release(flight);
     flight.waitingSince = now;
     flight.lastReason = reason;
-    const FlightEnd how = flight.passing         ? FlightEnd::CutShort
-                          : flight.ranAt.empty() ? FlightEnd::NotRun
-                                                 : FlightEnd::Failed;
+    const FlightEnd how = endOf(flight, FlightEnd::Failed);
     if (!flight.ranAt.empty() && !mayRunAgain(flight))
         return end(id, how, std::move(reason), actions);
     if (flight.sends >= flight.request.route->maxAttempts + m_settings.sparesSends)
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -88,10 +88,7 @@
             flight.ranAt.push_back(flight.endpoint);
             actions.push_back(AbandonAttempt {id, flight.attempt});
         }
-        const FlightEnd how = flight.passing         ? FlightEnd::CutShort
-                              : flight.ranAt.empty() ? FlightEnd::NotRun
-                                                     : FlightEnd::TimedOut;
-        return end(id, how, "its time is over", actions);
+        return end(id, endOf(flight, FlightEnd::TimedOut), "its time is over", actions);
     }
     if (flight.state == State::Waiting)
         return giveUpWaiting(id, flight, now, actions);
@@ -117,9 +114,7 @@
                           : waited >= hold;
     if (!over)
         return;
-    const FlightEnd how = flight.passing         ? FlightEnd::CutShort
-                          : flight.ranAt.empty() ? FlightEnd::NotRun
-                                                 : FlightEnd::Failed;
+    const FlightEnd how = endOf(flight, FlightEnd::Failed);
     std::string reason = flight.lastReason;
     end(id, how, std::move(reason), actions);
 }
