Budget of repeats as a bound in a sliding window

A token bucket gives the slack once, and then only the share of requests; the rule counts per window, so the slack is there anew in each.

Ruled out: a larger share of what is allowed (0.85 stays, since instances count each other late).

Change: RepeatWindow counts requests and repeats in slices of the window; its length is a setting (--retry_window_s).

--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -15,6 +15,7 @@
 DEFINE_double(grace_s, 8, "from the signal to stop to the end");
 DEFINE_double(retry_ratio, 0.2, "repeats for each request, over all instances");
 DEFINE_double(retry_slack, 100, "repeats beyond the ratio in a window, over all instances");
+DEFINE_double(retry_window_s, 10, "the window in which repeats are counted");
 DEFINE_bool(log_all, false, "log requests that went well, too");
 
 namespace balsamloft {
@@ -62,7 +63,8 @@
         || !checked("store", FLAGS_store, false, reason)
         || !checked("metrics_listen", FLAGS_metrics_listen, true, reason)
         || !positive("revocation_ms", FLAGS_revocation_ms, reason)
-        || !positive("grace_s", FLAGS_grace_s, reason))
+        || !positive("grace_s", FLAGS_grace_s, reason)
+        || !positive("retry_window_s", FLAGS_retry_window_s, reason))
         return std::nullopt;
     EntrySettings settings;
     settings.name = FLAGS_name;
@@ -76,6 +78,7 @@
     settings.grace = milliseconds(FLAGS_grace_s * 1000);
     settings.retryRatio = FLAGS_retry_ratio;
     settings.retrySlack = FLAGS_retry_slack;
+    settings.retryWindow = milliseconds(FLAGS_retry_window_s * 1000);
     settings.logAll = FLAGS_log_all;
     return settings;
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -24,6 +24,7 @@
     Duration grace {}; ///< from the signal to stop to the end
     double retryRatio = 0; ///< repeats over requests, all instances together
     double retrySlack = 0; ///< repeats beyond the ratio in a window, all instances together
+    Duration retryWindow {}; ///< the window
     bool logAll = false; ///< log requests that went well, too
 };
 
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -41,6 +41,7 @@
     // counts them a little late.
     relay.retryRatio = settings.retryRatio * 0.85;
     relay.retrySlack = settings.retrySlack * 0.85;
+    relay.retryWindow = settings.retryWindow;
     return relay;
 }
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -105,6 +105,7 @@
     std::string domain; ///< of this instance
     double retryRatio = 0.15; ///< repeats for each request of this instance
     double retrySlack = 20; ///< repeats beyond that in a window, all instances together
+    Duration retryWindow {10'000'000}; ///< the window
     Duration silence {250'000}; ///< shortest pause after which an engine is asked
     double silenceGaps = 4; ///< or so many expected pauses
     Duration askAgain {350'000}; ///< between two questions to one engine
@@ -214,7 +215,7 @@
 
     Flight *current(FlightId id, std::uint32_t attempt);
     const RoutedService &service(const Flight &flight) const;
-    RetryBudget &budget(const Flight &flight);
+    RepeatWindow &budget(const Flight &flight);
     void dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions);
     bool choosePath(Flight &flight, Time now, SendWhole &send);
     bool chooseEndpoint(Flight &flight, Time now, SendWhole &send);
@@ -247,7 +248,7 @@
     EngineBook m_book;
     FleetPtr m_fleet;
     FlightMap m_flights;
-    std::map<std::string, RetryBudget, std::less<>> m_budgets; ///< by service
+    std::map<std::string, RepeatWindow, std::less<>> m_budgets; ///< by service
     std::size_t m_instances = 8; ///< until it is known
     std::map<std::string, Time, std::less<>> m_askedAt;
     Time m_lastTick {};
--- a/src/include/balsamloft/retrybudget.h
+++ b/src/include/balsamloft/retrybudget.h
@@ -5,6 +5,8 @@
 
 #include <balsamloft/types.h>
 
+#include <deque>
+
 namespace balsamloft {
 
 /// Settings of a RetryBudget.
@@ -39,4 +41,55 @@
     Time m_refilledAt {};
 };
 
+/// Settings of a RepeatWindow.
+struct RepeatWindowSettings
+{
+    Duration window {10'000'000}; ///< repeats are bounded in any span of this length
+    double perRequest = 0.1; ///< repeats for each request of the last window
+    double slack = 10; ///< repeats in a window beyond that
+    /// Repeats that an earlier process of this instance may just have spent:
+    /// taken off the slack until the first window is over.
+    double spentBefore = 0;
+};
+
+/// A bound on repeats in any span of a given length. A token bucket of the same
+/// bound gives its savings once and then only the share of requests; the bound
+/// itself gives the slack anew in each window, which is what an outage of some
+/// seconds needs.
+class RepeatWindow
+{
+public:
+    explicit RepeatWindow(RepeatWindowSettings settings = {});
+
+    // Commands
+
+    void requestStarted(Time now);
+
+    /// Counts one repeat; returns false when the window has no room for it.
+    bool withdraw(Time now);
+
+    /// Changes the slack.
+    void setSlack(double slack) { m_settings.slack = slack; }
+
+    // Queries
+
+    /// Repeats that may still be made now.
+    double balance(Time now) const;
+
+private:
+    /// What happened in one slice of the window.
+    struct Slice
+    {
+        Time begin {};
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
+    };
+
+    Slice &slice(Time now);
+
+    RepeatWindowSettings m_settings;
+    std::deque<Slice> m_slices; ///< oldest first
+    Time m_firstAt {};
+};
+
 } // namespace balsamloft
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -13,6 +13,9 @@
 /// A refusal that took this long was no lack of room: the engine at fault is dead.
 constexpr Duration StallRefusal {1'000'000};
 
+/// Share of the slack that an earlier process of this instance may just have spent.
+constexpr double SpentBefore = 0.67;
+
 } // namespace
 
 Relay::Relay(RelaySettings settings)
@@ -27,18 +30,17 @@
     return flight.request.table->services()[flight.request.service];
 }
 
-RetryBudget &Relay::budget(const Flight &flight)
+RepeatWindow &Relay::budget(const Flight &flight)
 {
     const std::string &name = service(flight).name;
     const auto it = m_budgets.find(name);
     if (it != m_budgets.end())
         return it->second;
-    RetryBudgetSettings settings;
+    RepeatWindowSettings settings;
+    settings.window = m_settings.retryWindow;
     settings.perRequest = m_settings.retryRatio;
-    settings.perSecond = 0;
-    settings.most = m_settings.retrySlack / static_cast<double>(m_instances);
-    // An earlier process of this instance may just have spent its share.
-    settings.initial = settings.most / 3;
+    settings.slack = m_settings.retrySlack / static_cast<double>(m_instances);
+    settings.spentBefore = settings.slack * SpentBefore;
     return m_budgets.try_emplace(name, settings).first->second;
 }
 
@@ -47,7 +49,7 @@
     m_book.setSharers(static_cast<double>(inDomain));
     m_instances = std::max<std::size_t>(1, all);
     for (auto &[name, budget] : m_budgets)
-        budget.setMost(m_settings.retrySlack / static_cast<double>(m_instances));
+        budget.setSlack(m_settings.retrySlack / static_cast<double>(m_instances));
 }
 
 Relay::Flight *Relay::current(FlightId id, std::uint32_t attempt)
@@ -77,7 +79,7 @@
     flight.waitingSince = now;
     flight.deadline = now + std::min(flight.request.timeLeft, flight.request.route->timeout);
     m_counts.submitted += 1;
-    budget(flight).requestStarted();
+    budget(flight).requestStarted(now);
     dispatch(id, flight, now, actions);
     return id;
 }
--- a/src/libbalsamloft/retrybudget.cpp
+++ b/src/libbalsamloft/retrybudget.cpp
@@ -32,4 +32,58 @@
     return true;
 }
 
+namespace {
+
+constexpr std::int64_t SlicesInWindow = 20;
+
+} // namespace
+
+RepeatWindow::RepeatWindow(RepeatWindowSettings settings)
+    : m_settings(settings)
+{
+}
+
+RepeatWindow::Slice &RepeatWindow::slice(Time now)
+{
+    if (m_firstAt == Time {})
+        m_firstAt = now;
+    const Duration length = m_settings.window / SlicesInWindow;
+    if (m_slices.empty() || now - m_slices.back().begin >= length)
+        m_slices.push_back({now, 0, 0});
+    // A slice counts until its youngest moment has left the window.
+    while (now - m_slices.front().begin > m_settings.window + length)
+        m_slices.pop_front();
+    return m_slices.back();
+}
+
+void RepeatWindow::requestStarted(Time now)
+{
+    slice(now).requests += 1;
+}
+
+double RepeatWindow::balance(Time now) const
+{
+    double left = m_settings.slack;
+    if (now - m_firstAt < m_settings.window)
+        left -= m_settings.spentBefore;
+    const Duration length = m_settings.window / SlicesInWindow;
+    for (const Slice &each : m_slices) {
+        const Duration age = now - each.begin;
+        if (age <= m_settings.window)
+            left += m_settings.perRequest * each.requests;
+        if (age <= m_settings.window + length)
+            left -= each.repeats;
+    }
+    return left;
+}
+
+bool RepeatWindow::withdraw(Time now)
+{
+    Slice &present = slice(now);
+    if (balance(now) < 1)
+        return false;
+    present.repeats += 1;
+    return true;
+}
+
 } // namespace balsamloft
