Streams whose engine died go on along another path, without a repeat

The engines offer a change of path that keeps the first engine, its connection and what the other engines hold.

Change: ChangePath action and its answer in the core; PathQuery.first; a grown fleet and a count of instances in layer_experiment. A change that is refused or not answered ends in another send, as before.

--- a/src/bench/layer_experiment.cpp
+++ b/src/bench/layer_experiment.cpp
@@ -7,11 +7,11 @@
 
 #include <cstdio>
 
-DEFINE_bool(design, false, "the size to design for, instead of today's");
+DEFINE_string(fleet, "today", "what is emulated: today, grown, design");
 DEFINE_bool(csv, false, "lines of comma-separated values");
 DEFINE_int32(seconds, 15, "of traffic in each run");
 DEFINE_int32(seed, 1, "of all random choices");
-DEFINE_string(vary, "load", "what is varied: load, cover_room, noise, failures, reports");
+DEFINE_string(vary, "load", "what is varied: load, cover_room, instances, failures, reports");
 
 namespace balsamloft::fakes {
 
@@ -25,9 +25,11 @@
 
 std::vector<Variant> variants()
 {
-    EmulationSettings base = FLAGS_design ? designFleet() : todaysFleet();
+    EmulationSettings base = FLAGS_fleet == "design"  ? designFleet()
+                             : FLAGS_fleet == "grown" ? grownFleet()
+                                                      : todaysFleet();
     base.seed = static_cast<std::uint64_t>(FLAGS_seed);
-    if (!FLAGS_design)
+    if (FLAGS_fleet == "today")
         base.length = std::chrono::seconds(FLAGS_seconds);
     std::vector<Variant> found;
     const auto add = [&](const std::string &name, const auto &change) {
@@ -44,6 +46,10 @@
                 each.planner.coverRoom = room;
                 each.requestsPerSecond *= 1.5;
             });
+    if (FLAGS_vary == "instances")
+        for (const std::uint32_t count : {1U, 3U, 10U, 20U, 40U})
+            add("instances " + std::to_string(count),
+                [&](auto &each) { each.instancesPerDomain = count; });
     if (FLAGS_vary == "failures")
         for (const int every : {0, 8, 4, 2})
             add("death each " + std::to_string(every) + " s",
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -26,6 +26,9 @@
 
     void sendAttempt(const SendWhole &send);
     void abandonAttempt();
+
+    /// Adds a decision to the request's trail.
+    void note(std::string_view text);
     void passAnswer();
     void endFlight(const EndFlight &end);
 
@@ -61,7 +64,6 @@
     void answered();
     void finishedRequest();
     AnswerHead decisionHead(const MessageHead &head) const;
-    void note(std::string_view text);
     void logEnd(std::string_view outcome, int status, std::string_view reason);
 
     TrafficFront &m_front;
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -220,6 +220,27 @@
     run(std::move(actions));
 }
 
+void TrafficFront::changePath(const ChangePath &change)
+{
+    ExchangeSettings settings;
+    settings.endpoint = change.endpoint;
+    settings.address = change.address;
+    const OutgoingCall call = m_protocol.changePath(change.request, change.path);
+    std::make_shared<OneCall>(
+        m_pool, std::move(settings),
+        callText(call.method, call.target, change.address, call.body), AnswerWithin,
+        [this, flight = change.flight, attempt = change.attempt](const CallOutcome &outcome) {
+            RelayActions actions;
+            const bool taken = m_protocol.orderReply(outcome.status) == OrderReply::Taken;
+            if (const auto it = m_flights.find(flight); it != m_flights.end())
+                it->second->note(taken ? "path changed"
+                                       : "path not changed, " + std::to_string(outcome.status));
+            m_relay.pathChanged(flight, attempt, taken, steadyNow(), actions);
+            run(std::move(actions));
+        })
+        ->start();
+}
+
 void TrafficFront::run(RelayActions actions)
 {
     const auto sessionOf = [this](FlightId flight) -> std::shared_ptr<CallerSession> {
@@ -229,6 +250,11 @@
     for (const RelayAction &action : actions) {
         if (const auto *ask = std::get_if<AskEngine>(&action)) {
             askEngine(*ask);
+        } else if (const auto *change = std::get_if<ChangePath>(&action)) {
+            if (const auto session = sessionOf(change->flight))
+                session->note("told " + change->endpoint + " (" + change->reason + ") to go along "
+                              + m_protocol.pathText(change->path));
+            changePath(*change);
         } else if (const auto *send = std::get_if<SendWhole>(&action)) {
             if (const auto session = sessionOf(send->flight))
                 session->sendAttempt(*send);
@@ -285,6 +311,7 @@
     sample("streams_cut_short_total", counts.cutShort);
     sample("requests_resent_total", counts.resent);
     sample("retry_budget_spent_total", counts.budgetSpent);
+    sample("paths_changed_total", counts.pathsChanged);
     sample("requests_open", m_relay.flights());
     sample("caller_connections", m_sessions.size());
     sample("endpoint_connections_opened_total", m_pool.opened);
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -69,6 +69,7 @@
     void armTimer();
     void askEngine(const AskEngine &ask);
     void engineAnswered(const std::string &endpoint, const CallOutcome &outcome);
+    void changePath(const ChangePath &change);
     void finishStop();
     Duration graceShare(double share) const;
 
--- a/src/fakes/layeremulator.cpp
+++ b/src/fakes/layeremulator.cpp
@@ -269,6 +269,8 @@
                 drop(instance, abandon->flight, abandon->attempt);
             else if (const auto *ask = std::get_if<AskEngine>(&action))
                 askEngine(instance, ask->endpoint);
+            else if (const auto *change = std::get_if<ChangePath>(&action))
+                at(Hop, [this, instance, change = *change] { changePath(instance, change); });
             else if (const auto *end = std::get_if<EndFlight>(&action))
                 ended(instance, *end);
         }
@@ -299,6 +301,59 @@
         });
     }
 
+    /// The first engine carries a run on along another path: the new engines
+    /// read its tokens so far, the others keep what they have.
+    void changePath(std::size_t instance, const ChangePath &change)
+    {
+        const auto found = std::find_if(m_runs.begin(), m_runs.end(), [&](const Run &run) {
+            return !run.over && run.instance == instance && run.flight == change.flight
+                   && run.attempt == change.attempt;
+        });
+        const auto answer = [&](bool taken) {
+            at(Hop, [this, instance, change, taken] {
+                RelayActions actions;
+                m_relays[instance].pathChanged(change.flight, change.attempt, taken, m_now,
+                                               actions);
+                carryOut(instance, actions);
+            });
+        };
+        if (found == m_runs.end() || !found->admitted
+            || m_now < m_engines[found->engines.front()].downUntil)
+            return answer(false);
+        Run moved = *found;
+        moved.path = change.path;
+        moved.engines.clear();
+        double readMs = 0;
+        for (std::size_t i = 0; i < change.path.size(); ++i) {
+            const std::size_t index = m_byId[change.path[i].endpoint];
+            moved.engines.push_back(index);
+            const auto same =
+                std::find(found->path.begin(), found->path.end(), change.path[i]);
+            if (same != found->path.end())
+                continue;
+            const Engine &engine = m_engines[index];
+            const LayerRange held = engine.endpoint.layers;
+            const LayerRange wanted = change.path[i].layers;
+            if (m_now < engine.downUntil || held.begin > wanted.begin || held.end < wanted.end
+                || engine.used + need(moved, i) > room(index))
+                return answer(false);
+            readMs += moved.context / m_service.model->readTokensPerMs * engine.kind->readFactor
+                      * (wanted.end - wanted.begin) / m_service.model->layers;
+        }
+        leave(*found);
+        const auto id = static_cast<std::size_t>(found - m_runs.begin());
+        for (Engine &engine : m_engines) {
+            std::erase(engine.waiting, id);
+            std::erase(engine.inPass, id);
+        }
+        moved.stage = 0;
+        moved.stalledSince.reset();
+        *found = std::move(moved);
+        enter(id);
+        at(milliseconds(readMs), [this, id] { wait(id); });
+        answer(true);
+    }
+
     // Engines
 
     double need(const Run &run, std::size_t part) const
@@ -370,16 +425,22 @@
             engine.queue.erase(engine.queue.begin());
             if (run.over)
                 continue;
-            run.admitted = true;
-            run.order = m_nextOrder++;
-            for (std::size_t i = 0; i < run.engines.size(); ++i) {
-                m_engines[run.engines[i]].used += need(run, i);
-                m_engines[run.engines[i]].active += 1;
-            }
+            enter(id);
             wait(id);
         }
     }
 
+    void enter(std::size_t id)
+    {
+        Run &run = m_runs[id];
+        run.admitted = true;
+        run.order = m_nextOrder++;
+        for (std::size_t i = 0; i < run.engines.size(); ++i) {
+            m_engines[run.engines[i]].used += need(run, i);
+            m_engines[run.engines[i]].active += 1;
+        }
+    }
+
     void leave(Run &run)
     {
         if (!std::exchange(run.admitted, false))
@@ -734,6 +795,26 @@
     return settings;
 }
 
+EmulationSettings grownFleet()
+{
+    EmulationSettings settings = todaysFleet();
+    settings.model.stride = 5;
+    settings.model.readTokensPerMs = 164;
+    settings.model.bytesPerToken = 590'000;
+    settings.model.perSequenceMs = 0.00459;
+    settings.model.contextMsPerK = 0.00615;
+    settings.engines = {{"a", "large", 3},  {"b", "large", 1},   {"c", "large", 1},
+                        {"d", "large", 3},  {"a", "middle", 5},  {"b", "middle", 8},
+                        {"c", "middle", 12}, {"d", "middle", 5}, {"a", "small", 11},
+                        {"b", "small", 17}, {"c", "small", 9},   {"d", "small", 11}};
+    settings.instancesPerDomain = 20;
+    settings.targetGap = std::chrono::milliseconds(250);
+    settings.requestsPerSecond = 312;
+    settings.length = std::chrono::seconds(6);
+    settings.relay.retrySlack = 300;
+    return settings;
+}
+
 EmulationSettings designFleet()
 {
     EmulationSettings settings = todaysFleet();
--- a/src/fakes/layeremulator.h
+++ b/src/fakes/layeremulator.h
@@ -72,6 +72,9 @@
 /// The engines and the load of today's deployments.
 EmulationSettings todaysFleet();
 
+/// Four domains of many small instances, each with few requests of its own.
+EmulationSettings grownFleet();
+
 /// 340 instances before 790 engines in 6 domains.
 EmulationSettings designFleet();
 
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -123,6 +123,11 @@
     relay.streamEnded(flight, sends(flight).back().attempt, now, actions);
 }
 
+void RelayWorld::answerPathChange(FlightId flight, bool taken)
+{
+    relay.pathChanged(flight, pathChanges(flight).back().attempt, taken, now, actions);
+}
+
 void RelayWorld::drain(const std::string &id)
 {
     for (FleetEndpoint &each : m_endpoints)
@@ -146,6 +151,15 @@
     return found;
 }
 
+std::vector<ChangePath> RelayWorld::pathChanges(FlightId flight) const
+{
+    std::vector<ChangePath> found;
+    for (const RelayAction &action : actions)
+        if (const auto *each = std::get_if<ChangePath>(&action); each && each->flight == flight)
+            found.push_back(*each);
+    return found;
+}
+
 std::optional<EndFlight> RelayWorld::end(FlightId flight) const
 {
     for (const RelayAction &action : actions)
--- a/src/fakes/relayharness.h
+++ b/src/fakes/relayharness.h
@@ -39,6 +39,9 @@
     void fail(FlightId flight, AttemptFailure failure);
     void endStream(FlightId flight);
 
+    /// Answers the last order to change a path that is not yet answered.
+    void answerPathChange(FlightId flight, bool taken);
+
     /// The engine \a id leaves, or vanishes.
     void drain(const std::string &id);
     void remove(const std::string &id);
@@ -47,6 +50,7 @@
 
     /// Sends of a flight, first to last.
     std::vector<SendWhole> sends(FlightId flight) const;
+    std::vector<ChangePath> pathChanges(FlightId flight) const;
     std::optional<EndFlight> end(FlightId flight) const;
     bool passed(FlightId flight) const;
     std::size_t abandoned(FlightId flight) const;
--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -212,6 +212,12 @@
     {
         return status == 200 ? OrderReply::Taken : OrderReply::Refused;
     }
+    OutgoingCall changePath(std::string_view request,
+                            std::span<const PathPart> path) const override
+    {
+        return {"POST", "/path",
+                json::serialize(json::object {{"request", request}, {"path", pathText(path)}})};
+    }
     std::string pathText(std::span<const PathPart> path) const override
     {
         std::string result;
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -103,6 +103,10 @@
     virtual OutgoingCall order(const LayerOrder &order, std::uint64_t expectedOrders,
                                std::uint64_t fencing) const = 0;
     virtual OrderReply orderReply(int status) const = 0;
+
+    /// Has the first engine of \a path carry the request with id \a request on along it.
+    virtual OutgoingCall changePath(std::string_view request,
+                                    std::span<const PathPart> path) const = 0;
     virtual std::string pathText(std::span<const PathPart> path) const = 0;
 };
 
--- a/src/include/balsamloft/pathchooser.h
+++ b/src/include/balsamloft/pathchooser.h
@@ -50,6 +50,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0; ///< expected
     const std::set<std::string> *without = nullptr; ///< ids not to be used
+    const PathPart *first = nullptr; ///< the path must begin with this part; null: with any
 };
 
 /// Chooses paths by the time that a request will take, from the published
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -96,7 +96,22 @@
     std::string address;
 };
 
-using RelayAction = std::variant<SendWhole, AbandonAttempt, PassAnswer, EndFlight, AskEngine>;
+/// Have the first engine of an attempt carry it on along another path that
+/// begins with the same part. The attempt, its connection and what the other
+/// engines keep of it stay.
+struct ChangePath
+{
+    FlightId flight = 0;
+    std::uint32_t attempt = 0;
+    std::string request; ///< id of the request, as the engine knows it
+    std::string endpoint; ///< id of the first engine
+    std::string address;
+    std::vector<PathPart> path;
+    std::string reason;
+};
+
+using RelayAction =
+    std::variant<SendWhole, AbandonAttempt, PassAnswer, EndFlight, AskEngine, ChangePath>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Settings of a Relay.
@@ -113,6 +128,8 @@
     Duration giveUpStart {1'700'000}; ///< after which a request that has not begun is moved
     Duration giveUpPause {1'200'000}; ///< pause after which a stream is moved without proof
     Duration resumeWithin {1'700'000}; ///< callers leave after a longer pause
+    std::uint32_t mostPathChanges = 3; ///< of one attempt
+    Duration pathChangeWithin {700'000}; ///< an order to change a path is answered by then
     Duration callSilence {400'000}; ///< an idempotent call is then tried elsewhere
     double holdCalls = 0.12; ///< share of the target latency that a call waits for an endpoint
     double holdStreams = 1.6; ///< the same for a stream that waits for a path
@@ -133,6 +150,7 @@
     std::uint64_t cutShort = 0;
     std::uint64_t resent = 0;
     std::uint64_t budgetSpent = 0;
+    std::uint64_t pathsChanged = 0;
 };
 
 /// The state machine of all whole requests of one instance. No I/O: events and
@@ -161,6 +179,10 @@
     void streamEnded(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions);
     void callerGone(FlightId id, Time now, RelayActions &actions);
 
+    /// The first engine took a ChangePath or did not.
+    void pathChanged(FlightId id, std::uint32_t attempt, bool taken, Time now,
+                     RelayActions &actions);
+
     /// An engine answered AskEngine: \a stalledAt are addresses of engines that
     /// do not answer it.
     void reported(const std::string &endpoint, const std::vector<std::string> &stalledAt,
@@ -205,6 +227,8 @@
         Time progressAt {}; ///< last event, or the send
         Duration expectedGap {};
         Duration expectedFirst {};
+        std::optional<Time> pathAskedAt; ///< a ChangePath that is not yet answered
+        std::uint32_t pathChanges = 0; ///< of this attempt
         bool passing = false; ///< events went to the caller
         std::optional<std::uint64_t> lastEvent;
         std::set<std::string> avoid; ///< endpoints that failed it
@@ -218,6 +242,10 @@
     RepeatWindow &budget(const Flight &flight);
     void dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions);
     bool choosePath(Flight &flight, Time now, SendWhole &send);
+    void expect(Flight &flight, const EnginePath &path);
+    void occupy(const Flight &flight);
+    void vacate(const Flight &flight);
+    bool changePath(FlightId id, Flight &flight, Time now, RelayActions &actions);
     bool chooseEndpoint(Flight &flight, Time now, SendWhole &send);
     double endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> *avoid,
                         Time now);
--- a/src/libbalsamloft/pathchooser.cpp
+++ b/src/libbalsamloft/pathchooser.cpp
@@ -34,10 +34,11 @@
 class Search
 {
 public:
-    Search(std::vector<Candidate> candidates, const LayeredModel &model, double passes,
-           double hopCost, double crossingCost)
+    Search(std::vector<Candidate> candidates, const LayeredModel &model, const PathPart *first,
+           double passes, double hopCost, double crossingCost)
         : m_candidates(std::move(candidates))
         , m_model(model)
+        , m_first(first)
         , m_passes(passes)
         , m_hopCost(hopCost)
         , m_crossingCost(crossingCost)
@@ -82,6 +83,8 @@
     void collectCuts()
     {
         m_cuts = {0, m_model.layers};
+        if (m_first)
+            m_cuts.push_back(m_first->layers.end);
         for (const Candidate &each : m_candidates) {
             m_cuts.push_back(each.endpoint->layers.begin);
             m_cuts.push_back(std::min(each.endpoint->layers.end, m_model.layers));
@@ -118,11 +121,15 @@
         const LayerRange held = each.endpoint->layers;
         if (m_cuts[cut] < held.begin || m_cuts[cut] >= held.end)
             return;
+        if (m_first && cut == 0 && each.endpoint->id != m_first->endpoint)
+            return;
         const Step before = arrive(cut, engine);
         if (before.cost == NoCost)
             return;
         for (std::size_t to = cut + 1; to < m_cuts.size() && m_cuts[to] <= held.end; ++to) {
-            if (whole && m_cuts[to] != std::min(held.end, m_model.layers))
+            const bool fixed = m_first && cut == 0;
+            if (fixed ? m_cuts[to] != m_first->layers.end
+                      : whole && m_cuts[to] != std::min(held.end, m_model.layers))
                 continue;
             const double layers = m_cuts[to] - m_cuts[cut];
             const double cost =
@@ -148,6 +155,7 @@
 
     std::vector<Candidate> m_candidates;
     const LayeredModel &m_model;
+    const PathPart *m_first;
     double m_passes;
     double m_hopCost;
     double m_crossingCost;
@@ -228,7 +236,8 @@
     std::optional<Search> best;
     double bestCost = NoCost;
     const auto attempt = [&](std::vector<Candidate> engines, double factor, double added) {
-        Search search(std::move(engines), model, passes, hopCost, m_settings.crossingMs);
+        Search search(std::move(engines), model, query.first, passes, hopCost,
+                      m_settings.crossingMs);
         double cost = search.run(false);
         if (cost != NoCost && search.parts().empty())
             cost = search.run(true);
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -114,12 +114,17 @@
     send.endpoint = path->parts.front().endpoint;
     send.address = path->parts.front().address;
     send.path = std::move(path->parts);
-    flight.domain = path->domain;
-    flight.expectedGap = Duration(static_cast<std::int64_t>(path->gapMs * 1000));
-    flight.expectedFirst = Duration(static_cast<std::int64_t>(path->firstMs * 1000));
+    expect(flight, *path);
     return true;
 }
 
+void Relay::expect(Flight &flight, const EnginePath &path)
+{
+    flight.domain = path.domain;
+    flight.expectedGap = Duration(static_cast<std::int64_t>(path.gapMs * 1000));
+    flight.expectedFirst = Duration(static_cast<std::int64_t>(path.firstMs * 1000));
+}
+
 double Relay::endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> *avoid,
                            Time now)
 {
@@ -169,20 +174,32 @@
     flight.path = send.path;
     flight.sentAt = now;
     flight.progressAt = now;
-    if (send.path.empty())
-        m_book.started(send.endpoint, 0, true);
-    for (const PathPart &part : send.path)
-        m_book.started(part.endpoint, ownNeed(flight, part), part.endpoint == send.endpoint);
+    flight.pathAskedAt.reset();
+    flight.pathChanges = 0;
+    occupy(flight);
 }
 
-void Relay::release(Flight &flight)
+void Relay::occupy(const Flight &flight)
+{
+    if (flight.path.empty())
+        m_book.started(flight.endpoint, 0, true);
+    for (const PathPart &part : flight.path)
+        m_book.started(part.endpoint, ownNeed(flight, part), part.endpoint == flight.endpoint);
+}
+
+void Relay::vacate(const Flight &flight)
 {
-    if (flight.state == State::Waiting)
-        return;
     if (flight.path.empty())
         m_book.ended(flight.endpoint, 0, true);
     for (const PathPart &part : flight.path)
         m_book.ended(part.endpoint, ownNeed(flight, part), part.endpoint == flight.endpoint);
+}
+
+void Relay::release(Flight &flight)
+{
+    if (flight.state == State::Waiting)
+        return;
+    vacate(flight);
     flight.path.clear();
     flight.state = State::Waiting;
 }
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -199,38 +199,103 @@
     CHECK(world.end(stream)->retryAfter > Duration {});
 }
 
+namespace {
+
+/// Twelve streams that have begun, and the last engine of the first one's path.
+struct RunningStreams
+{
+    explicit RunningStreams(RelayWorld &world)
+    {
+        for (int i = 0; i < 12; ++i)
+            streams.push_back(world.submit(RequestKind::Stream));
+        for (const FlightId stream : streams) {
+            REQUIRE(world.answer(stream, 200));
+            world.events(stream, 1);
+        }
+        dead = world.sends(streams.front()).front().path.back().endpoint;
+    }
+
+    /// Those that do not pass through the dead engine go on; each engine that is
+    /// asked says that it does not answer.
+    void pass(RelayWorld &world, int steps) const
+    {
+        for (int step = 0; step < steps; ++step) {
+            world.pass(milliseconds(50));
+            for (const FlightId stream : streams)
+                if (!goesThrough(world.sends(stream).back(), dead))
+                    world.events(stream, 2 + static_cast<std::uint64_t>(step));
+            for (const std::string &asked : world.asked())
+                world.relay.reported(asked, {"10.0.0.1:" + std::string(dead == "a2" ? "2" : "4")},
+                                     1, world.now, world.actions);
+        }
+    }
+
+    std::vector<FlightId> streams;
+    std::string dead;
+};
+
+} // namespace
+
 // An engine in the middle of a path dies silently. The streams through it
-// pause; the first engine says who does not answer it; these streams go on
-// elsewhere within half a second of their last event, the others stay.
+// pause; the first engine says who does not answer it, and is told another
+// path. It does not know the request any more: the stream is sent again within
+// half a second of its last event, the others stay.
 TEST_CASE("streams through an engine that went silent move, others do not")
 {
     RelayWorld world(twoPaths());
-    std::vector<FlightId> streams;
-    for (int i = 0; i < 12; ++i)
-        streams.push_back(world.submit(RequestKind::Stream));
-    for (const FlightId stream : streams) {
-        REQUIRE(world.answer(stream, 200));
-        world.events(stream, 1);
-    }
-    const std::string dead = world.sends(streams.front()).front().path.back().endpoint;
-    for (int step = 0; step < 8; ++step) {
-        world.pass(milliseconds(50));
-        for (const FlightId stream : streams)
-            if (!goesThrough(world.sends(stream).back(), dead))
-                world.events(stream, 2 + static_cast<std::uint64_t>(step));
-        for (const std::string &asked : world.asked())
-            world.relay.reported(asked, {"10.0.0.1:" + std::string(dead == "a2" ? "2" : "4")}, 1,
-                                 world.now, world.actions);
-    }
+    const RunningStreams running(world);
+    running.pass(world, 8);
     REQUIRE_FALSE(world.asked().empty());
-    for (const FlightId stream : streams) {
+    for (const FlightId stream : running.streams) {
         INFO("stream " << stream);
-        CHECK_FALSE(goesThrough(world.sends(stream).back(), dead));
-        CHECK(world.sends(stream).size()
-              == (goesThrough(world.sends(stream).front(), dead) ? 2U : 1U));
+        const bool hit = goesThrough(world.sends(stream).front(), running.dead);
+        CHECK(world.pathChanges(stream).size() == (hit ? 1U : 0U));
+        if (hit)
+            world.answerPathChange(stream, false);
+        CHECK_FALSE(goesThrough(world.sends(stream).back(), running.dead));
+        CHECK(world.sends(stream).size() == (hit ? 2U : 1U));
     }
 }
 
+// The same, but the first engine takes the other path: the caller's stream goes
+// on with no second send, so a dead engine costs none of the few repeats.
+TEST_CASE("a stream whose engine died goes on along another path without being sent again")
+{
+    RelayWorld world(twoPaths());
+    const RunningStreams running(world);
+    running.pass(world, 8);
+    for (const FlightId stream : running.streams) {
+        if (!goesThrough(world.sends(stream).front(), running.dead))
+            continue;
+        INFO("stream " << stream);
+        REQUIRE(world.pathChanges(stream).size() == 1);
+        const ChangePath change = world.pathChanges(stream).front();
+        CHECK(change.path.front() == world.sends(stream).front().path.front());
+        for (const PathPart &part : change.path)
+            CHECK(part.endpoint != running.dead);
+        world.answerPathChange(stream, true);
+        world.events(stream, 2);
+        CHECK(world.sends(stream).size() == 1);
+        CHECK_FALSE(world.end(stream));
+    }
+    CHECK(world.relay.counts().resent == 0);
+}
+
+// The first engine is silent too: the order to change the path is not answered.
+// The stream may not wait for it until its caller leaves.
+TEST_CASE("a change of path that is not answered ends in another send")
+{
+    RelayWorld world(twoPaths());
+    const RunningStreams running(world);
+    running.pass(world, 8);
+    const FlightId stream = running.streams.front();
+    REQUIRE(world.pathChanges(stream).size() == 1);
+    world.pass(milliseconds(800));
+    CHECK(world.sends(stream).size() == 2);
+    world.answerPathChange(stream, true);
+    CHECK(world.sends(stream).size() == 2);
+}
+
 // A machine is frozen for four seconds and wakes. All its streams seem silent
 // for that long, but the silence was its own: no engine is suspected, nothing
 // is sent again, nobody is refused.
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -129,13 +129,23 @@
 
 void Relay::watchStream(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
+    if (flight.pathAskedAt) {
+        if (now - *flight.pathAskedAt >= m_settings.pathChangeWithin)
+            pathChanged(id, flight.attempt, false, now, actions);
+        return;
+    }
     const Duration pause = now - flight.progressAt;
     const Duration expected =
         flight.state == State::Streaming ? flight.expectedGap : flight.expectedFirst;
     const bool suspected = throughSuspect(flight, now);
     const bool idempotent = flight.request.route->idempotent();
-    if (idempotent && suspected && pause >= m_settings.brokenPause + expected)
-        return recover(id, flight, "an engine of its path does not answer", now, actions);
+    if (suspected && pause >= m_settings.brokenPause + expected) {
+        flight.lastReason = "an engine of its path does not answer";
+        if (changePath(id, flight, now, actions))
+            return;
+        if (idempotent)
+            return recover(id, flight, flight.lastReason, now, actions);
+    }
     // One that has not begun may wait its turn at a busy engine; moved, it
     // would wait again elsewhere, and cost a repeat.
     const Duration most =
