An endpoint that left while another instance was silent is forgotten at once

By reading: an instance whose source lost the store hears nothing for up to 1.8 s; FleetKeeper took more than 1.5 s for an outage of the list, in which entries of the living lapse, and kept what had vanished for two seconds more: 3.8 s after it left, against the 3 s that are allowed. Entries lapse after three missed beats, so nothing shorter than two of them is such an outage.

Tests: "an entry that is dropped while another instance was silent is gone at once", "right before the bytes leave all engines of the path are asked for".

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -63,6 +63,13 @@
     return InstanceTable;
 }
 
+FleetSettings fleetSettings(const EntrySettings &settings)
+{
+    FleetSettings fleet;
+    fleet.beat = settings.beat;
+    return fleet;
+}
+
 LeaseSettings leaseSettings(const EntrySettings &settings)
 {
     LeaseSettings lease;
@@ -89,6 +96,7 @@
     , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.store, protocol, state)
     , m_engines(context)
+    , m_fleet(fleetSettings(settings))
     , m_fleetNow(std::make_shared<FleetSnapshot>())
     , m_lease(leaseSettings(settings))
 {
@@ -252,13 +260,30 @@
     m_state.fleetKnown = m_fleet.known();
     if (!m_fleet.dirty())
         return;
-    m_fleetNow = m_fleet.snapshot();
+    const FleetPtr before = std::exchange(m_fleetNow, m_fleet.snapshot());
+    logLeaving(*before, *m_fleetNow);
     logDecision("endpoints", "changed",
                 {{"number", std::int64_t(m_fleetNow->number)},
                  {"endpoints", std::int64_t(m_fleetNow->endpoints.size())}});
     m_events.fleet(m_fleetNow);
 }
 
+/// Says which endpoints get nothing new from now on, and how old the news is.
+void Control::logLeaving(const FleetSnapshot &before, const FleetSnapshot &after)
+{
+    const Time known = m_server.state(NewsTable::Endpoints).knownAt;
+    const std::int64_t ageMs = known == Time {} ? 0 : (bootNow() - known).count() / 1000;
+    for (const FleetEndpoint &each : before.endpoints) {
+        const FleetEndpoint *now = after.find(each.id);
+        if (now && (each.draining || !now->draining))
+            continue;
+        logDecision("endpoints", now ? "leaving" : "gone",
+                    {{"endpoint", std::string_view(each.id)},
+                     {"address", std::string_view(each.address)},
+                     {"age_ms", ageMs}});
+    }
+}
+
 void Control::tick()
 {
     const Time now = bootNow();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -55,6 +55,7 @@
     void configurationRows(const std::vector<StoreRow> &rows);
     void endpointRows(const std::vector<StoreRow> &rows, bool whole);
     void tellFleet();
+    void logLeaving(const FleetSnapshot &before, const FleetSnapshot &after);
     void tick();
     void leaseActions(LeaseActions actions);
     void readLease(std::uint64_t id);
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -12,6 +12,7 @@
 DEFINE_string(metrics_listen, "", "IP:port of the metrics; empty: none");
 DEFINE_string(store, "", "IP:port of the platform's store");
 DEFINE_double(revocation_ms, 5000, "a withdrawn key is refused everywhere after this time");
+DEFINE_double(beat_ms, 1200, "how often endpoints write themselves into the store");
 DEFINE_double(grace_s, 8, "from the signal to stop to the end");
 DEFINE_double(retry_ratio, 0.2, "repeats for each request, over all instances");
 DEFINE_double(retry_slack, 100, "repeats beyond the ratio in a window, over all instances");
@@ -63,6 +64,7 @@
         || !checked("store", FLAGS_store, false, reason)
         || !checked("metrics_listen", FLAGS_metrics_listen, true, reason)
         || !positive("revocation_ms", FLAGS_revocation_ms, reason)
+        || !positive("beat_ms", FLAGS_beat_ms, reason)
         || !positive("grace_s", FLAGS_grace_s, reason)
         || !positive("retry_window_s", FLAGS_retry_window_s, reason))
         return std::nullopt;
@@ -75,6 +77,7 @@
     settings.metrics = FLAGS_metrics_listen;
     settings.store = FLAGS_store;
     settings.revocation = milliseconds(FLAGS_revocation_ms);
+    settings.beat = milliseconds(FLAGS_beat_ms);
     settings.grace = milliseconds(FLAGS_grace_s * 1000);
     settings.retryRatio = FLAGS_retry_ratio;
     settings.retrySlack = FLAGS_retry_slack;
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -14,7 +14,7 @@
 /// An instance whose knowledge is older than this is no source: a leaving
 /// endpoint must be known of two seconds after the store does, also when the
 /// instance that is read from has lost the store without noticing yet.
-constexpr Duration MostAge {1'350'000};
+constexpr Duration MostAge {1'050'000};
 
 } // namespace
 
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -227,8 +227,8 @@
     settings.address = change.address;
     const OutgoingCall call = m_protocol.changePath(change.request, change.path);
     std::make_shared<OneCall>(
-        m_pool, std::move(settings),
-        callText(call.method, call.target, change.address, call.body), AnswerWithin,
+        m_pool, std::move(settings), callText(call.method, call.target, change.address, call.body),
+        AnswerWithin,
         [this, flight = change.flight, attempt = change.attempt](const CallOutcome &outcome) {
             RelayActions actions;
             const bool taken = m_protocol.orderReply(outcome.status) == OrderReply::Taken;
--- a/src/fakes/layeremulator.cpp
+++ b/src/fakes/layeremulator.cpp
@@ -327,8 +327,7 @@
         for (std::size_t i = 0; i < change.path.size(); ++i) {
             const std::size_t index = m_byId[change.path[i].endpoint];
             moved.engines.push_back(index);
-            const auto same =
-                std::find(found->path.begin(), found->path.end(), change.path[i]);
+            const auto same = std::find(found->path.begin(), found->path.end(), change.path[i]);
             if (same != found->path.end())
                 continue;
             const Engine &engine = m_engines[index];
@@ -803,10 +802,10 @@
     settings.model.bytesPerToken = 590'000;
     settings.model.perSequenceMs = 0.00459;
     settings.model.contextMsPerK = 0.00615;
-    settings.engines = {{"a", "large", 3},  {"b", "large", 1},   {"c", "large", 1},
-                        {"d", "large", 3},  {"a", "middle", 5},  {"b", "middle", 8},
+    settings.engines = {{"a", "large", 3},   {"b", "large", 1},  {"c", "large", 1},
+                        {"d", "large", 3},   {"a", "middle", 5}, {"b", "middle", 8},
                         {"c", "middle", 12}, {"d", "middle", 5}, {"a", "small", 11},
-                        {"b", "small", 17}, {"c", "small", 9},   {"d", "small", 11}};
+                        {"b", "small", 17},  {"c", "small", 9},  {"d", "small", 11}};
     settings.instancesPerDomain = 20;
     settings.targetGap = std::chrono::milliseconds(250);
     settings.requestsPerSecond = 312;
--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -212,8 +212,7 @@
     {
         return status == 200 ? OrderReply::Taken : OrderReply::Refused;
     }
-    OutgoingCall changePath(std::string_view request,
-                            std::span<const PathPart> path) const override
+    OutgoingCall changePath(std::string_view request, std::span<const PathPart> path) const override
     {
         return {"POST", "/path",
                 json::serialize(json::object {{"request", request}, {"path", pathText(path)}})};
--- a/src/include/balsamloft/enginefleet.h
+++ b/src/include/balsamloft/enginefleet.h
@@ -46,13 +46,16 @@
 {
     /// Entries that vanished in an outage of the list come back within this time.
     Duration regain {2'000'000};
-    /// The list counts as unreachable when it was not read for this long.
-    Duration stale {1'500'000};
+    /// How often endpoints write themselves down.
+    Duration beat {1'200'000};
+    /// Beats that an endpoint misses before its entry may lapse.
+    double beatsToLapse = 3;
 };
 
 /// Follows the list of endpoints. It forgets an entry at once when the list is
 /// well, but after an outage only once the entry had time to come back: entries
-/// lapse while the list is down although their endpoints live.
+/// lapse while the list is down although their endpoints live. What was not
+/// heard of for less time than an entry needs to lapse was no such outage.
 class FleetKeeper
 {
 public:
@@ -89,6 +92,7 @@
         std::optional<Time> forgetAt; ///< vanished; set only around an outage
     };
 
+    Duration shortestOutage() const;
     void vanished(std::map<std::string, Entry, std::less<>>::iterator it, Time now);
 
     FleetSettings m_settings;
--- a/src/libbalsamloft/enginefleet.cpp
+++ b/src/libbalsamloft/enginefleet.cpp
@@ -25,9 +25,20 @@
 {
 }
 
+/// The last beat may have come a whole interval before the outage. Taken
+/// shorter, an instance that reads from another one would take that one's
+/// failure for an outage of the list, and keep what left meanwhile for seconds
+/// after the others sent it nothing any more.
+Duration FleetKeeper::shortestOutage() const
+{
+    constexpr double Margin = 0.15;
+    const double beats = m_settings.beatsToLapse - 1 - Margin;
+    return Duration(static_cast<std::int64_t>(m_settings.beat.count() * beats));
+}
+
 void FleetKeeper::heard(Time now)
 {
-    if (m_known && now - m_heardAt > m_settings.stale)
+    if (m_known && now - m_heardAt > shortestOutage())
         m_outageOverAt = now;
     m_heardAt = now;
 }
--- a/src/libbalsamloft/entryknowledge_test.cpp
+++ b/src/libbalsamloft/entryknowledge_test.cpp
@@ -57,6 +57,22 @@
     CHECK(count(keeper) == 1);
 }
 
+// The instance that this one reads from lost the store and went on telling old
+// news for 1.8 s; the list itself was well, and an endpoint left meanwhile. Kept
+// as after an outage it would get new work seconds after it left.
+TEST_CASE("an entry that is dropped while another instance was silent is gone at once")
+{
+    FleetKeeper keeper;
+    keeper.listed({endpoint("a"), endpoint("b")}, Start);
+    const bool whole = GENERATE(false, true);
+    const Time back = Start + milliseconds(1800);
+    if (whole)
+        keeper.listed({endpoint("b")}, back);
+    else
+        keeper.dropped("a", back);
+    CHECK(count(keeper) == 1);
+}
+
 // A leaving endpoint lapses in an outage: it has nothing to come back for.
 TEST_CASE("leaving is never taken back, and not kept through an outage")
 {
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -415,8 +415,14 @@
     const auto it = m_flights.find(id);
     if (it == m_flights.end() || it->second.attempt != attempt || now >= it->second.deadline)
         return false;
-    const FleetEndpoint *endpoint = m_fleet->find(it->second.endpoint);
-    return endpoint && !endpoint->draining;
+    const auto stays = [this](const std::string &id) {
+        const FleetEndpoint *endpoint = m_fleet->find(id);
+        return endpoint && !endpoint->draining;
+    };
+    const Flight &flight = it->second;
+    return stays(flight.endpoint)
+           && std::all_of(flight.path.begin(), flight.path.end(),
+                          [&](const PathPart &part) { return stays(part.endpoint); });
 }
 
 } // namespace balsamloft
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -332,6 +332,18 @@
     CHECK_FALSE(world.relay.maySend(call, send.attempt, world.now));
 }
 
+// While a connection to the first engine is made, another engine of the path
+// begins to leave: it would get a new request too.
+TEST_CASE("right before the bytes leave all engines of the path are asked for")
+{
+    RelayWorld world(twoPaths());
+    const FlightId stream = world.submit(RequestKind::Stream);
+    const SendWhole send = world.sends(stream).back();
+    REQUIRE(world.relay.maySend(stream, send.attempt, world.now));
+    world.drain(send.path.back().endpoint);
+    CHECK_FALSE(world.relay.maySend(stream, send.attempt, world.now));
+}
+
 // Also what goes on elsewhere is new work to the engine that gets it.
 TEST_CASE("an engine that leaves gets nothing new, not even a stream that goes on")
 {
