--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -70,6 +70,13 @@
     return fleet;
 }
 
+LayerPlannerSettings plannerSettings(const EntrySettings &settings)
+{
+    LayerPlannerSettings planner;
+    planner.settle = settings.beat * 6 / 5;
+    return planner;
+}
+
 LeaseSettings leaseSettings(const EntrySettings &settings)
 {
     LeaseSettings lease;
@@ -99,6 +106,7 @@
     , m_fleet(fleetSettings(settings))
     , m_fleetNow(std::make_shared<FleetSnapshot>())
     , m_lease(leaseSettings(settings))
+    , m_planner(plannerSettings(settings))
 {
     for (std::size_t i = 0; i < NewsTableCount; ++i) {
         const auto table = static_cast<NewsTable>(i);
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -10,11 +10,11 @@
 
 /// Beyond the time that was asked to wait, a call has failed.
 constexpr Duration StoreWithin {500'000};
-constexpr Duration PeerWithin {300'000};
+constexpr Duration PeerWithin {250'000};
 /// An instance whose knowledge is older than this is no source: a leaving
 /// endpoint must be known of two seconds after the store does, also when the
 /// instance that is read from has lost the store without noticing yet.
-constexpr Duration MostAge {1'050'000};
+constexpr Duration MostAge {1'250'000};
 
 } // namespace
 
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -130,7 +130,7 @@
 
 void TrafficFront::setInstances(std::size_t inDomain, std::size_t all)
 {
-    m_relay.setInstances(inDomain, all);
+    m_relay.setInstances(inDomain, all, steadyNow());
 }
 
 void TrafficFront::enginesSeen(const std::vector<EngineState> &engines)
--- a/src/fakes/layeremulator.cpp
+++ b/src/fakes/layeremulator.cpp
@@ -165,7 +165,7 @@
                 settings.domain = domain;
                 settings.seed = m_random();
                 m_relays.emplace_back(settings);
-                m_relays.back().setInstances(m_settings.instancesPerDomain, all);
+                m_relays.back().setInstances(m_settings.instancesPerDomain, all, m_now);
                 m_callers.emplace_back();
             }
     }
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -31,7 +31,7 @@
 RelayWorld::RelayWorld(std::vector<RelayEngine> engines, RelaySettings settings)
     : relay(std::move(settings))
 {
-    relay.setInstances(1, 1);
+    relay.setInstances(1, 1, now);
     RouteMapBuilder builder(1);
     builder.service({"model", 100, testModel(8)});
     builder.service({"plain", 100, std::nullopt});
--- a/src/include/balsamloft/layerplanner.h
+++ b/src/include/balsamloft/layerplanner.h
@@ -20,7 +20,10 @@
     double leastCoverRoom = 0.12; ///< the same for the last copy
     double leastEngineRoom = 0.06; ///< share of each engine's memory kept for requests
     double freeEngineRoom = 0.15; ///< the same for an engine added to a working plan
-    Duration settle {600'000}; ///< no new engine for so long before the first plan
+    /// No new engine for so long before the first plan. Longer than the time in
+    /// which each engine writes itself down once: a plan for the first few of them
+    /// puts their copy of the model on whichever came first, slow or fast.
+    Duration settle {1'450'000};
     Duration gapGrace {700'000}; ///< how long a gap may mend itself
     Duration moveEvery {2'500'000}; ///< between two moves that mend no gap
     Duration orderLife {13'000'000}; ///< an order without an answer may act for so long
--- a/src/include/balsamloft/pathchooser.h
+++ b/src/include/balsamloft/pathchooser.h
@@ -34,7 +34,7 @@
 struct PathSettings
 {
     double hopMs = 0.6; ///< added to each token by each further engine
-    double otherDomain = 1.15; ///< factor on paths in another domain than the caller's
+    double otherDomain = 2; ///< factor on paths in another domain than the caller's
     double otherDomainMs = 40;
     double crossingMs = 5'000; ///< cost of a change of domain inside a path: activations are large
     double noise = 0.1; ///< instances that see the same loads must not choose the same path
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -195,7 +195,7 @@
     void enginesSeen(const std::vector<EngineState> &states, Time now, RelayActions &actions);
 
     /// How many instances share the endpoints of this domain, and in all.
-    void setInstances(std::size_t inDomain, std::size_t all);
+    void setInstances(std::size_t inDomain, std::size_t all, Time now);
 
     // Queries
 
@@ -267,6 +267,7 @@
     void ask(const std::string &endpoint, Time now, RelayActions &actions);
     void forgiveLostTime(Time now);
     bool throughSuspect(const Flight &flight, Time now) const;
+    double slackShare() const;
     double ownNeed(const Flight &flight, const PathPart &part) const;
     std::vector<FlightId> flightIds() const;
 
@@ -277,7 +278,7 @@
     FleetPtr m_fleet;
     FlightMap m_flights;
     std::map<std::string, RepeatWindow, std::less<>> m_budgets; ///< by service
-    std::size_t m_instances = 8; ///< until it is known
+    std::deque<std::pair<Time, std::size_t>> m_instanceCounts; ///< of the last window
     std::map<std::string, Time, std::less<>> m_askedAt;
     Time m_lastTick {};
     FlightId m_nextFlight = 1;
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -14,7 +14,10 @@
 constexpr Duration StallRefusal {1'000'000};
 
 /// Share of the slack that an earlier process of this instance may just have spent.
-constexpr double SpentBefore = 0.67;
+constexpr double SpentBefore = 0.8;
+
+/// Instances that share the slack, until their number is known.
+constexpr std::size_t UnknownInstances = 8;
 
 } // namespace
 
@@ -39,17 +42,32 @@
     RepeatWindowSettings settings;
     settings.window = m_settings.retryWindow;
     settings.perRequest = m_settings.retryRatio;
-    settings.slack = m_settings.retrySlack / static_cast<double>(m_instances);
+    settings.slack = slackShare();
     settings.spentBefore = settings.slack * SpentBefore;
     return m_budgets.try_emplace(name, settings).first->second;
 }
 
-void Relay::setInstances(std::size_t inDomain, std::size_t all)
+/// Those who left had their share in the same window: were it given out again at
+/// once, a rolling restart would let all together spend it twice. So the slack
+/// is divided by the most instances that were known in the last window.
+double Relay::slackShare() const
+{
+    std::size_t most = m_instanceCounts.empty() ? UnknownInstances : 1;
+    for (const auto &[at, count] : m_instanceCounts)
+        most = std::max(most, count);
+    return m_settings.retrySlack / static_cast<double>(most);
+}
+
+void Relay::setInstances(std::size_t inDomain, std::size_t all, Time now)
 {
     m_book.setSharers(static_cast<double>(inDomain));
-    m_instances = std::max<std::size_t>(1, all);
+    // The last count before the window still held in its beginning.
+    while (m_instanceCounts.size() > 1
+           && now - m_instanceCounts[1].first > m_settings.retryWindow * 6 / 5)
+        m_instanceCounts.pop_front();
+    m_instanceCounts.emplace_back(now, all);
     for (auto &[name, budget] : m_budgets)
-        budget.setSlack(m_settings.retrySlack / static_cast<double>(m_instances));
+        budget.setSlack(slackShare());
 }
 
 Relay::Flight *Relay::current(FlightId id, std::uint32_t attempt)
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -118,7 +118,7 @@
     settings.retryRatio = 0.1;
     settings.retrySlack = 12;
     RelayWorld world(twoPaths(), settings);
-    world.relay.setInstances(2, 4);
+    world.relay.setInstances(2, 4, world.now);
     std::vector<FlightId> streams;
     for (int i = 0; i < 100; ++i)
         streams.push_back(world.submit(RequestKind::Stream));
@@ -134,6 +134,33 @@
     CHECK(repeats >= 3);
 }
 
+// Two of four instances stop in turn. What they spent counts in the same window,
+// so their shares may not go to the others before it is over.
+TEST_CASE("the share of an instance that left is not given out again in the same window")
+{
+    RelaySettings settings = RelayWorld::defaults();
+    settings.retryRatio = 0;
+    settings.retrySlack = 40;
+    RelayWorld world(twoPaths(), settings);
+    world.relay.setInstances(2, 4, world.now);
+    world.pass(milliseconds(11'000));
+    world.relay.setInstances(2, 2, world.now);
+    const auto repeats = [&] {
+        std::size_t count = 0;
+        for (int i = 0; i < 30; ++i) {
+            const FlightId stream = world.submit(RequestKind::Stream);
+            REQUIRE(world.answer(stream, 200));
+            world.fail(stream, AttemptFailure::Broken);
+            count += world.sends(stream).size() - 1;
+        }
+        return count;
+    };
+    CHECK(repeats() <= 10);
+    world.pass(milliseconds(13'000));
+    world.relay.setInstances(2, 2, world.now);
+    CHECK(repeats() == 20);
+}
+
 // Two living engines ran it: that is all the route allows. One that is gone
 // does not count, since what it ran is lost.
 TEST_CASE("a request runs at no more endpoints than its route allows")
