Settings read again on SIGHUP; counters of calls; caller session and control split

Cause: settings that the platform changes took effect at the next start only, and a malformed file would have been noticed only then.

Change: SIGHUP reads the flag file once more.

--- /dev/null
+++ b/src/entry/callerattempts.cpp
@@ -0,0 +1,173 @@
+// The part of CallerSession that carries out attempts at endpoints.
+
+#include "callersession.h"
+#include "clock.h"
+#include "fieldtext.h"
+#include "trafficfront.h"
+
+#include <algorithm>
+
+namespace balsamloft {
+
+std::string CallerSession::requestText(const SendWhole &send) const
+{
+    const HeaderNames &names = m_front.protocol().headers();
+    std::string text = m_kept;
+    const auto add = [&](std::string_view name, std::string_view value) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    };
+    add(names.deadline, std::to_string(std::max<std::int64_t>(1, milliseconds(send.timeLeft))));
+    add(names.expectedEndpoint, send.endpoint);
+    if (!send.path.empty())
+        add(names.path, m_front.protocol().pathText(send.path));
+    const auto after = send.afterEvent ? send.afterEvent : m_callerAfter;
+    if (after)
+        add(names.lastEvent, std::to_string(*after));
+    text += "\r\n";
+    text += m_body;
+    return text;
+}
+
+void CallerSession::sendAttempt(const SendWhole &send)
+{
+    abandonAttempt();
+    m_attempt = send.attempt;
+    m_answer.reset();
+    m_events.reset();
+    note(
+        "sent to " + send.endpoint + " (" + send.reason + ")"
+        + (send.path.empty() ? std::string() : " along " + m_front.protocol().pathText(send.path)));
+    ExchangeSettings settings;
+    settings.endpoint = send.endpoint;
+    settings.address = send.address;
+    settings.freshConnection = send.freshConnection;
+    settings.requestIdName = m_front.protocol().headers().requestId;
+    settings.requestId = m_requestId;
+    m_exchange = std::make_shared<Exchange>(m_front.pool(), std::move(settings), requestText(send));
+    m_exchange->start(*this, steadyNow());
+}
+
+void CallerSession::abandonAttempt()
+{
+    if (m_exchange)
+        m_exchange->cancel();
+    m_exchange.reset();
+}
+
+bool CallerSession::maySend()
+{
+    const Time now = steadyNow();
+    // A key may have been withdrawn while the request waited for a connection,
+    // or while this process stood still.
+    const bool keyed = !m_key.empty() && !m_streamBegun;
+    const RouteMapPtr &table = m_front.table();
+    if (keyed && (!m_front.keysFresh() || !table->team(m_key))) {
+        RelayActions actions;
+        const FlightId flight = *m_flight;
+        m_front.relay().callerGone(flight, now, actions);
+        m_front.run(std::move(actions));
+        m_front.detach(flight);
+        m_flight.reset();
+        abandonAttempt();
+        m_front.keysFresh() ? refuse(401, "key withdrawn")
+                            : refuse(503, "keys too old", Duration(300'000));
+        return false;
+    }
+    if (m_flight && m_front.relay().maySend(*m_flight, m_attempt, now))
+        return true;
+    exchangeFailed(AttemptFailure::NotSent);
+    return false;
+}
+
+void CallerSession::exchangeFailed(AttemptFailure failure)
+{
+    static constexpr std::array<std::string_view, 3> Names {"not sent", "broken off", "bad answer"};
+    note(Names[static_cast<std::size_t>(failure)]);
+    abandonAttempt();
+    if (!m_flight)
+        return;
+    RelayActions actions;
+    m_front.relay().attemptFailed(*m_flight, m_attempt, failure, steadyNow(), actions);
+    m_front.run(std::move(actions));
+}
+
+AnswerHead CallerSession::decisionHead(const MessageHead &head) const
+{
+    const HeaderNames &names = m_front.protocol().headers();
+    AnswerHead answer;
+    answer.status = head.status;
+    answer.notExecuted = head.find(names.notExecuted).has_value();
+    answer.sealed = head.find(names.seal).has_value();
+    answer.atAddress = head.find(names.atAddress).value_or("");
+    answer.running = numberFrom<std::uint32_t>(head.find(names.load).value_or(""));
+    return answer;
+}
+
+bool CallerSession::headArrived(MessageReader &answer)
+{
+    const AnswerHead head = decisionHead(answer.head());
+    const bool stream = m_route->kind == RequestKind::Stream;
+    if (!stream || head.status != 200 || !head.sealed || head.notExecuted)
+        return false;
+    RelayActions actions;
+    const bool pass = m_front.relay().answered(*m_flight, m_attempt, head, steadyNow(), actions);
+    m_front.run(std::move(actions));
+    if (!pass)
+        return false;
+    m_events.emplace();
+    return true;
+}
+
+void CallerSession::bodyArrived(MessageReader &answer)
+{
+    if (!m_flight || !m_events)
+        return;
+    const Time now = steadyNow();
+    std::string whole;
+    const auto passed = m_front.relay().lastEvent(*m_flight);
+    const std::size_t count = m_events->add(answer.body(), passed ? passed : m_callerAfter, whole);
+    answer.body().clear();
+    if (count == 0)
+        return;
+    if (!m_streamBegun) {
+        m_streamBegun = true;
+        m_firstEventAt = now;
+        writeHead(answer.head(), std::nullopt);
+    } else {
+        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
+    }
+    m_lastEventAt = now;
+    m_passedEvents += count;
+    std::array<char, 20> size {};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), whole.size(), 16).ptr;
+    m_out.append(size.data(), static_cast<std::size_t>(end - size.data()));
+    m_out.append("\r\n").append(whole).append("\r\n");
+    m_front.relay().eventsPassed(*m_flight, m_attempt, m_events->lastId(), now);
+    flush();
+}
+
+void CallerSession::answerWhole(MessageReader &answer)
+{
+    m_exchange.reset();
+    if (!m_flight)
+        return;
+    const Time now = steadyNow();
+    RelayActions actions;
+    if (m_events) {
+        // Complete in form, but in the middle of an event: it was cut.
+        if (m_events->partial())
+            m_front.relay().attemptFailed(*m_flight, m_attempt, AttemptFailure::Garbled, now,
+                                          actions);
+        else
+            m_front.relay().streamEnded(*m_flight, m_attempt, now, actions);
+        return m_front.run(std::move(actions));
+    }
+    m_answer.emplace(std::move(answer));
+    const AnswerHead head = decisionHead(m_answer->head());
+    note("answered " + std::to_string(head.status) + (head.notExecuted ? ", not run" : "")
+         + (head.atAddress.empty() ? std::string() : " at " + std::string(head.atAddress)));
+    m_front.relay().answered(*m_flight, m_attempt, head, now, actions);
+    m_front.run(std::move(actions));
+}
+
+} // namespace balsamloft
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -1,14 +1,13 @@
+// The connection of a caller, and its requests up to the relay.
+
 #include "callersession.h"
 
 #include "clock.h"
-#include "decisionlog.h"
+#include "fieldtext.h"
 #include "sockets.h"
 #include "trafficfront.h"
 
-#include <boost/asio/write.hpp>
-
 #include <algorithm>
-#include <charconv>
 
 namespace asio = boost::asio;
 
@@ -20,45 +19,6 @@
 constexpr Duration LeastIdle {400'000}; ///< before a connection is closed by a planned stop
 constexpr std::size_t MostReadAhead = 64 * 1024;
 
-std::string_view statusText(int status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Answer";
-    }
-}
-
-template<typename Number>
-std::optional<Number> numberFrom(std::string_view text)
-{
-    while (text.starts_with(' '))
-        text.remove_prefix(1);
-    Number number = 0;
-    if (std::from_chars(text.data(), text.data() + text.size(), number).ec != std::errc {})
-        return std::nullopt;
-    return number;
-}
-
 std::string lowerHost(std::string_view host)
 {
     std::string result(host.substr(0, host.find(':')));
@@ -67,11 +27,6 @@
     return result;
 }
 
-std::int64_t milliseconds(Duration duration)
-{
-    return duration.count() / 1000;
-}
-
 } // namespace
 
 CallerSession::CallerSession(TrafficFront &front, asio::ip::tcp::socket socket)
@@ -109,6 +64,7 @@
         return close();
     }
     m_lastRead = steadyNow();
+    m_front.callerCalls().reads += 1;
     m_in.append(m_buffer.data(), count);
     if (!m_flight && !m_writing)
         parse();
@@ -254,297 +210,6 @@
     m_body = std::move(m_request->body());
 }
 
-std::string CallerSession::requestText(const SendWhole &send) const
-{
-    const HeaderNames &names = m_front.protocol().headers();
-    std::string text = m_kept;
-    const auto add = [&](std::string_view name, std::string_view value) {
-        text.append(name).append(": ").append(value).append("\r\n");
-    };
-    add(names.deadline, std::to_string(std::max<std::int64_t>(1, milliseconds(send.timeLeft))));
-    add(names.expectedEndpoint, send.endpoint);
-    if (!send.path.empty())
-        add(names.path, m_front.protocol().pathText(send.path));
-    const auto after = send.afterEvent ? send.afterEvent : m_callerAfter;
-    if (after)
-        add(names.lastEvent, std::to_string(*after));
-    text += "\r\n";
-    text += m_body;
-    return text;
-}
-
-void CallerSession::sendAttempt(const SendWhole &send)
-{
-    abandonAttempt();
-    m_attempt = send.attempt;
-    m_answer.reset();
-    m_events.reset();
-    note(
-        "sent to " + send.endpoint + " (" + send.reason + ")"
-        + (send.path.empty() ? std::string() : " along " + m_front.protocol().pathText(send.path)));
-    ExchangeSettings settings;
-    settings.endpoint = send.endpoint;
-    settings.address = send.address;
-    settings.freshConnection = send.freshConnection;
-    settings.requestIdName = m_front.protocol().headers().requestId;
-    settings.requestId = m_requestId;
-    m_exchange = std::make_shared<Exchange>(m_front.pool(), std::move(settings), requestText(send));
-    m_exchange->start(*this, steadyNow());
-}
-
-void CallerSession::abandonAttempt()
-{
-    if (m_exchange)
-        m_exchange->cancel();
-    m_exchange.reset();
-}
-
-bool CallerSession::maySend()
-{
-    const Time now = steadyNow();
-    // A key may have been withdrawn while the request waited for a connection,
-    // or while this process stood still.
-    const bool keyed = !m_key.empty() && !m_streamBegun;
-    const RouteMapPtr &table = m_front.table();
-    if (keyed && (!m_front.keysFresh() || !table->team(m_key))) {
-        RelayActions actions;
-        const FlightId flight = *m_flight;
-        m_front.relay().callerGone(flight, now, actions);
-        m_front.run(std::move(actions));
-        m_front.detach(flight);
-        m_flight.reset();
-        abandonAttempt();
-        m_front.keysFresh() ? refuse(401, "key withdrawn")
-                            : refuse(503, "keys too old", Duration(300'000));
-        return false;
-    }
-    if (m_flight && m_front.relay().maySend(*m_flight, m_attempt, now))
-        return true;
-    exchangeFailed(AttemptFailure::NotSent);
-    return false;
-}
-
-void CallerSession::exchangeFailed(AttemptFailure failure)
-{
-    static constexpr std::array<std::string_view, 3> Names {"not sent", "broken off", "bad answer"};
-    note(Names[static_cast<std::size_t>(failure)]);
-    abandonAttempt();
-    if (!m_flight)
-        return;
-    RelayActions actions;
-    m_front.relay().attemptFailed(*m_flight, m_attempt, failure, steadyNow(), actions);
-    m_front.run(std::move(actions));
-}
-
-AnswerHead CallerSession::decisionHead(const MessageHead &head) const
-{
-    const HeaderNames &names = m_front.protocol().headers();
-    AnswerHead answer;
-    answer.status = head.status;
-    answer.notExecuted = head.find(names.notExecuted).has_value();
-    answer.sealed = head.find(names.seal).has_value();
-    answer.atAddress = head.find(names.atAddress).value_or("");
-    answer.running = numberFrom<std::uint32_t>(head.find(names.load).value_or(""));
-    return answer;
-}
-
-bool CallerSession::headArrived(MessageReader &answer)
-{
-    const AnswerHead head = decisionHead(answer.head());
-    const bool stream = m_route->kind == RequestKind::Stream;
-    if (!stream || head.status != 200 || !head.sealed || head.notExecuted)
-        return false;
-    RelayActions actions;
-    const bool pass = m_front.relay().answered(*m_flight, m_attempt, head, steadyNow(), actions);
-    m_front.run(std::move(actions));
-    if (!pass)
-        return false;
-    m_events.emplace();
-    return true;
-}
-
-void CallerSession::bodyArrived(MessageReader &answer)
-{
-    if (!m_flight || !m_events)
-        return;
-    const Time now = steadyNow();
-    std::string whole;
-    const auto passed = m_front.relay().lastEvent(*m_flight);
-    const std::size_t count = m_events->add(answer.body(), passed ? passed : m_callerAfter, whole);
-    answer.body().clear();
-    if (count == 0)
-        return;
-    if (!m_streamBegun) {
-        m_streamBegun = true;
-        m_firstEventAt = now;
-        writeHead(answer.head(), std::nullopt);
-    } else {
-        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
-    }
-    m_lastEventAt = now;
-    m_passedEvents += count;
-    std::array<char, 20> size {};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), whole.size(), 16).ptr;
-    m_out.append(size.data(), static_cast<std::size_t>(end - size.data()));
-    m_out.append("\r\n").append(whole).append("\r\n");
-    m_front.relay().eventsPassed(*m_flight, m_attempt, m_events->lastId(), now);
-    flush();
-}
-
-void CallerSession::answerWhole(MessageReader &answer)
-{
-    m_exchange.reset();
-    if (!m_flight)
-        return;
-    const Time now = steadyNow();
-    RelayActions actions;
-    if (m_events) {
-        // Complete in form, but in the middle of an event: it was cut.
-        if (m_events->partial())
-            m_front.relay().attemptFailed(*m_flight, m_attempt, AttemptFailure::Garbled, now,
-                                          actions);
-        else
-            m_front.relay().streamEnded(*m_flight, m_attempt, now, actions);
-        return m_front.run(std::move(actions));
-    }
-    m_answer.emplace(std::move(answer));
-    const AnswerHead head = decisionHead(m_answer->head());
-    note("answered " + std::to_string(head.status) + (head.notExecuted ? ", not run" : "")
-         + (head.atAddress.empty() ? std::string() : " at " + std::string(head.atAddress)));
-    m_front.relay().answered(*m_flight, m_attempt, head, now, actions);
-    m_front.run(std::move(actions));
-}
-
-void CallerSession::passAnswer()
-{
-    const auto self = shared_from_this();
-    if (m_streamBegun) {
-        m_out += "0\r\n\r\n";
-        logEnd("passed", 200, "");
-    } else if (m_answer) {
-        writeHead(m_answer->head(), m_answer->body().size());
-        if (m_request->head().method != "HEAD")
-            m_out += m_answer->body();
-        logEnd("passed", m_answer->head().status, "");
-    } else {
-        // A stream without a single event: whole all the same.
-        return refuse(502, "stream without events");
-    }
-    answered();
-}
-
-void CallerSession::endFlight(const EndFlight &end)
-{
-    const auto self = shared_from_this();
-    abandonAttempt();
-    switch (end.end) {
-    case FlightEnd::NotRun:
-        return refuse(503, end.reason, end.retryAfter);
-    case FlightEnd::Failed:
-        return refuse(502, end.reason);
-    case FlightEnd::TimedOut:
-        return refuse(504, end.reason);
-    case FlightEnd::CutShort:
-        // Closed without the last chunk, so that it does not look complete.
-        logEnd("cut short", 200, end.reason);
-        m_front.detach(*m_flight);
-        m_flight.reset();
-        return close();
-    }
-}
-
-void CallerSession::writeHead(const MessageHead &head, std::optional<std::size_t> length)
-{
-    const std::vector<std::string> connection = connectionFields(head);
-    m_closeAfter = m_closeAfter || m_front.stopping();
-    m_out += "HTTP/1.1 " + std::to_string(head.status) + " " + std::string(statusText(head.status))
-             + "\r\n";
-    for (const HeaderField &field : head.fields) {
-        const bool listed = std::any_of(connection.begin(), connection.end(),
-                                        [&](auto &each) { return sameName(each, field.name); });
-        if (!isConnectionField(field.name) && !listed)
-            m_out += field.name + ": " + field.value + "\r\n";
-    }
-    m_out += length ? "Content-Length: " + std::to_string(*length) + "\r\n"
-                    : std::string("Transfer-Encoding: chunked\r\n");
-    m_out += m_closeAfter ? "Connection: close\r\n\r\n" : "\r\n";
-}
-
-void CallerSession::refuse(int status, std::string_view reason, std::optional<Duration> retryAfter)
-{
-    m_closeAfter = m_closeAfter || m_front.stopping();
-    const std::string body = "{\"error\":{\"message\":\"" + std::string(reason) + "\"}}";
-    m_out += "HTTP/1.1 " + std::to_string(status) + " " + std::string(statusText(status))
-             + "\r\nContent-Type: application/json\r\n";
-    if (!m_requestId.empty())
-        m_out += std::string(m_front.protocol().headers().requestId) + ": " + m_requestId + "\r\n";
-    if (retryAfter) {
-        const std::string millis = std::to_string(1000 + milliseconds(*retryAfter) % 1000);
-        m_out += "Retry-After: " + std::to_string(retryAfter->count() / 1'000'000) + "."
-                 + millis.substr(1) + "\r\n";
-    }
-    m_out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    m_out += m_closeAfter ? "Connection: close\r\n\r\n" : "\r\n";
-    m_out += body;
-    logEnd("refused", status, reason);
-    answered();
-}
-
-void CallerSession::answered()
-{
-    if (m_flight)
-        m_front.detach(*m_flight);
-    m_flight.reset();
-    m_request.reset();
-    m_answer.reset();
-    m_events.reset();
-    m_key.clear();
-    m_requestId.clear();
-    m_table.reset();
-    m_route = nullptr;
-    m_streamBegun = false;
-    flush();
-}
-
-void CallerSession::write(std::string_view bytes)
-{
-    m_out += bytes;
-    flush();
-}
-
-void CallerSession::flush()
-{
-    if (m_writing || m_closed)
-        return;
-    if (m_out.empty()) {
-        if (m_flight)
-            return;
-        if (m_closeAfter)
-            return close();
-        return;
-    }
-    m_writing = true;
-    m_writingBytes.swap(m_out);
-    m_out.clear();
-    asio::async_write(
-        m_socket, asio::buffer(m_writingBytes),
-        [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-            self->m_writing = false;
-            if (error)
-                return self->close();
-            self->finishedRequest();
-        });
-}
-
-void CallerSession::finishedRequest()
-{
-    flush();
-    if (m_closed || m_writing || m_flight)
-        return;
-    parse();
-    read();
-}
-
 void CallerSession::close()
 {
     if (m_closed)
@@ -593,52 +258,4 @@
         close();
 }
 
-void CallerSession::note(std::string_view text)
-{
-    constexpr std::size_t MostTrail = 2000;
-    if (m_trail.size() + text.size() > MostTrail)
-        return;
-    if (!m_trail.empty())
-        m_trail += "; ";
-    m_trail += "+" + std::to_string(milliseconds(steadyNow() - m_startedAt)) + " ";
-    m_trail += text;
-}
-
-void CallerSession::logEnd(std::string_view outcome, int status, std::string_view reason)
-{
-    const Time now = steadyNow();
-    const Duration first =
-        m_firstEventAt > m_startedAt ? m_firstEventAt - m_startedAt : Duration {};
-    const bool late = m_route
-                      && (first > m_route->targetLatency
-                          || (m_route->targetGap > Duration {} && m_longestGap > m_route->targetGap)
-                          || (m_route->kind != RequestKind::Stream
-                              && now - m_startedAt > m_route->targetLatency));
-    RequestOutcome ended;
-    ended.kind = m_route ? m_route->kind : RequestKind::Safe;
-    ended.outcome = outcome;
-    ended.whole = now - m_startedAt;
-    if (m_streamBegun)
-        ended.firstEvent = first;
-    ended.longestGap = m_longestGap;
-    ended.late = late;
-    m_front.requestMetrics().ended(ended);
-    const bool good = outcome == "passed" && status < 400 && !late;
-    if (good && !m_front.settings().logAll)
-        return;
-    logDecision("request", "ended",
-                {{"request", std::string_view(m_requestId)},
-                 {"outcome", outcome},
-                 {"status", std::int64_t(status)},
-                 {"reason", reason},
-                 {"route", std::string_view(m_routeName)},
-                 {"version", std::int64_t(m_table ? m_table->version() : 0)},
-                 {"ms", milliseconds(now - m_startedAt)},
-                 {"first_ms", milliseconds(first)},
-                 {"gap_ms", milliseconds(m_longestGap)},
-                 {"events", std::int64_t(m_passedEvents)},
-                 {"late", late},
-                 {"trail", std::string_view(m_trail)}});
-}
-
 } // namespace balsamloft
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -16,6 +16,10 @@
 
 namespace balsamloft {
 
+/// Table of the instances, and the row of the lease for placement.
+inline constexpr std::string_view InstanceTable = "instances";
+inline constexpr std::string_view LeaseKey = "placement";
+
 /// What the control thread tells the traffic thread.
 struct ControlEvents
 {
--- /dev/null
+++ b/src/entry/controlengines.cpp
@@ -0,0 +1,171 @@
+// The part of Control that asks engines for their state and orders layers.
+
+#include "clock.h"
+#include "control.h"
+#include "decisionlog.h"
+
+namespace balsamloft {
+
+namespace {
+
+constexpr Duration EngineWithin {450'000};
+constexpr Duration AskEnginesEvery {1'000'000};
+constexpr std::uint32_t MissesToSilence = 2;
+
+} // namespace
+
+/// One instance of each domain asks the engines there, and tells the others.
+void Control::askEngines(Time now)
+{
+    if (now - m_enginesAskedAt < AskEnginesEvery || !readsStore() || !m_table)
+        return;
+    m_enginesAskedAt = now;
+    askOtherDomains(now);
+    std::erase_if(m_asked, [&](const auto &each) { return !m_fleetNow->find(each.first); });
+    for (const FleetEndpoint &each : m_fleetNow->endpoints) {
+        if (each.domain != m_settings.domain || each.layers.end <= each.layers.begin)
+            continue;
+        engineCall(
+            each.id, each.address, {"GET", std::string(m_protocol.reportTarget()), {}},
+            [this, id = each.id](const CallOutcome &outcome) { engineAnswered(id, outcome); });
+    }
+}
+
+void Control::engineAnswered(const std::string &id, const CallOutcome &outcome)
+{
+    Reason reason;
+    const auto report = m_protocol.report(outcome.body, reason);
+    const bool answered = outcome.status == 200 && report;
+    AskedEngine &asked = m_asked[id];
+    asked.misses = outcome.status == 0 ? asked.misses + 1 : 0;
+    if (asked.misses == MissesToSilence)
+        logDecision("engine", "silent", {{"endpoint", std::string_view(id)}});
+    asked.state.id = id;
+    asked.state.at = steadyNow();
+    if (answered) {
+        asked.state.used = report->used;
+        asked.state.active = report->active;
+        asked.state.queued = report->queued;
+        asked.state.pace = report->pace;
+    }
+    m_askedDirty = true;
+}
+
+/// The readers of the other domains know their engines; one question a second
+/// to each keeps paths there from being chosen blindly by everybody at once.
+void Control::askOtherDomains(Time now)
+{
+    std::erase_if(m_elsewhere, [&](const auto &each) { return !m_fleetNow->find(each.first); });
+    const auto endpoints = static_cast<std::size_t>(NewsTable::Endpoints);
+    const std::uint64_t known = m_server.state(NewsTable::Endpoints).copy.version();
+    for (const PeerInstance &each : m_directory.readersElsewhere(now)) {
+        auto &source = m_elsewhereSources[each.name + "@" + each.address];
+        if (!source)
+            source = std::make_unique<PeerSource>(m_context, each, endpoints);
+        source->watch(std::max<std::uint64_t>(1, known), Duration {},
+                      [this](const TableAnswer &answer) {
+                          for (const EngineState &state : answer.engines) {
+                              const FleetEndpoint *engine = m_fleetNow->find(state.id);
+                              if (engine && engine->domain != m_settings.domain)
+                                  m_elsewhere[state.id] = state;
+                          }
+                          m_askedDirty = m_askedDirty || !answer.engines.empty();
+                      });
+    }
+}
+
+void Control::tellEngines()
+{
+    if (!std::exchange(m_askedDirty, false))
+        return;
+    std::vector<EngineState> states;
+    std::size_t silent = 0;
+    for (const auto &[id, asked] : m_asked) {
+        states.push_back(asked.state);
+        states.back().silent = asked.misses >= MissesToSilence;
+        silent += states.back().silent ? 1 : 0;
+    }
+    // When most engines seem silent it is this instance that does not hear: it
+    // is slow or cut off. Told on, that would leave a whole domain without paths.
+    if (silent * 2 > states.size())
+        for (EngineState &state : states)
+            state.silent = false;
+    for (const auto &[id, state] : m_elsewhere)
+        states.push_back(state);
+    m_server.setEngines(states);
+    m_events.engines(std::move(states));
+}
+
+void Control::place(Time now)
+{
+    if (!m_table || !m_fleet.known())
+        return;
+    for (const RoutedService &service : m_table->services()) {
+        if (!service.model)
+            continue;
+        for (const LayerOrder &order : m_planner.plan(*m_fleetNow, service, now))
+            giveOrder(order);
+    }
+}
+
+void Control::engineCall(const std::string &endpoint, const std::string &address,
+                         const OutgoingCall &call, OneCall::Callback callback)
+{
+    ExchangeSettings settings;
+    settings.endpoint = endpoint;
+    settings.address = address;
+    std::make_shared<OneCall>(m_engines, std::move(settings),
+                              callText(call.method, call.target, address, call.body), EngineWithin,
+                              std::move(callback))
+        ->start();
+}
+
+void Control::giveOrder(const LayerOrder &order)
+{
+    m_planner.ordered(order, steadyNow());
+    // Its present state is read first: the list is a second or two old, and an
+    // order is bound to the number of orders that the engine accepted so far.
+    engineCall(order.endpoint, order.address, {"GET", std::string(m_protocol.reportTarget()), {}},
+               [this, order](const CallOutcome &outcome) {
+                   Reason reason;
+                   const auto report = m_protocol.report(outcome.body, reason);
+                   if (outcome.status != 200 || !report || report->busy)
+                       return orderOutcome(order, OrderReply::Refused, outcome.status);
+                   sendOrder(order, report->orders);
+               });
+}
+
+void Control::sendOrder(const LayerOrder &order, std::uint64_t expectedOrders)
+{
+    // Asked again right before the order leaves: a process that was paused has
+    // lost the lease meanwhile, and engines do not check the fencing number.
+    if (!m_lease.holds(bootNow()))
+        return orderOutcome(order, OrderReply::Refused, 0);
+    m_state.ordersGiven += 1;
+    engineCall(order.endpoint, order.address,
+               m_protocol.order(order, expectedOrders, m_lease.fencing()),
+               [this, order](const CallOutcome &outcome) {
+                   const OrderReply reply =
+                       outcome.status == 0
+                           ? (outcome.left ? OrderReply::Unknown : OrderReply::Refused)
+                           : m_protocol.orderReply(outcome.status);
+                   orderOutcome(order, reply, outcome.status);
+               });
+}
+
+void Control::orderOutcome(const LayerOrder &order, OrderReply reply, int status)
+{
+    static constexpr std::array<std::string_view, 3> Names {"taken", "refused", "unknown"};
+    logDecision("placement", "order",
+                {{"endpoint", std::string_view(order.endpoint)},
+                 {"from", std::int64_t(order.layers.begin)},
+                 {"to", std::int64_t(order.layers.end)},
+                 {"reason", std::string_view(order.reason)},
+                 {"reply", Names[static_cast<std::size_t>(reply)]},
+                 {"status", std::int64_t(status)},
+                 {"fencing", std::int64_t(m_lease.fencing())}});
+    if (reply == OrderReply::Refused)
+        m_planner.refused(order.endpoint, steadyNow());
+}
+
+} // namespace balsamloft
--- a/src/entry/enginepool.cpp
+++ b/src/entry/enginepool.cpp
@@ -127,6 +127,7 @@
     if (!m_owner->maySend())
         return;
     m_bytesLeft = true;
+    m_pool.writes += 1;
     asio::async_write(m_connection->socket, asio::buffer(m_request),
                       [self = shared_from_this()](const boost::system::error_code &error,
                                                   std::size_t) { self->written(error); });
@@ -153,6 +154,7 @@
 {
     if (!m_owner)
         return;
+    m_pool.reads += 1;
     if (count > 0)
         m_connection->in.append(m_connection->buffer.data(), count);
     if (error) {
--- a/src/entry/enginepool.h
+++ b/src/entry/enginepool.h
@@ -49,6 +49,8 @@
     void prune(const FleetSnapshot &fleet, Time now);
     boost::asio::io_context &context() { return m_context; }
     std::uint64_t opened = 0; ///< connections opened since the start
+    std::uint64_t reads = 0; ///< calls that brought bytes of endpoints
+    std::uint64_t writes = 0; ///< calls that sent bytes to endpoints
 
 private:
     boost::asio::io_context &m_context;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -96,13 +96,30 @@
             if (error)
                 return;
             if (number == SIGHUP)
-                logDecision("entry", "settings are read at the start only", {});
+                reload();
             else
                 stop();
             waitForSignal();
         });
     }
 
+    void reload()
+    {
+        Reason reason;
+        const auto fresh = rereadEntrySettings(reason);
+        if (!fresh)
+            return logDecision("entry", "settings not taken",
+                               {{"reason", std::string_view(reason)}});
+        const std::string restart = needingRestart(m_settings, *fresh);
+        m_front.reload(*fresh);
+        logDecision("entry", "reloaded",
+                    {{"revocation_ms", fresh->revocation.count() / 1000},
+                     {"grace_ms", fresh->grace.count() / 1000},
+                     {"retry_ratio", fresh->retryRatio},
+                     {"retry_slack", fresh->retrySlack},
+                     {"needs_restart", std::string_view(restart)}});
+    }
+
     void stop()
     {
         if (m_state.stopping.exchange(true))
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -4,6 +4,8 @@
 
 #include <gflags/gflags.h>
 
+#include <fstream>
+
 DEFINE_string(name, "", "name of this instance, for logs and other instances");
 DEFINE_string(domain, "", "failure domain of this instance");
 DEFINE_string(listen, "", "IP:port at which callers connect");
@@ -44,16 +46,8 @@
     return Duration(static_cast<std::int64_t>(value * 1000));
 }
 
-} // namespace
-
-std::optional<EntrySettings> readEntrySettings(int argc, char **argv, Reason &reason)
+std::optional<EntrySettings> settingsFromFlags(Reason &reason)
 {
-    gflags::SetUsageMessage("one entry instance of balsamloft that forwards whole requests");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (argc > 1) {
-        reason = "unknown argument '" + std::string(argv[1]) + "'";
-        return std::nullopt;
-    }
     if (FLAGS_name.empty() || FLAGS_domain.empty()) {
         reason = "--name and --domain are needed";
         return std::nullopt;
@@ -86,4 +80,76 @@
     return settings;
 }
 
+/// Sets the flags that \a file names, one on a line.
+bool setFlagsFrom(const std::string &file, Reason &reason)
+{
+    std::ifstream lines(file);
+    if (!lines) {
+        reason = "cannot read '" + file + "'";
+        return false;
+    }
+    for (std::string line; std::getline(lines, line);) {
+        const std::size_t equals = line.find('=');
+        if (!line.starts_with("--") || equals == std::string::npos)
+            continue;
+        const std::string name = line.substr(2, equals - 2);
+        const std::string value = line.substr(equals + 1);
+        // Unlike gflags' own reading of files, this does not end the process.
+        if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+            reason = "--" + name + ": '" + value + "' is not taken";
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<EntrySettings> readEntrySettings(int argc, char **argv, Reason &reason)
+{
+    gflags::SetUsageMessage("one entry instance of balsamloft that forwards whole requests");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc > 1) {
+        reason = "unknown argument '" + std::string(argv[1]) + "'";
+        return std::nullopt;
+    }
+    return settingsFromFlags(reason);
+}
+
+std::optional<EntrySettings> rereadEntrySettings(Reason &reason)
+{
+    std::string file;
+    if (!gflags::GetCommandLineOption("flagfile", &file) || file.empty()) {
+        reason = "no --flagfile was given";
+        return std::nullopt;
+    }
+    const gflags::FlagSaver startingValues;
+    if (!setFlagsFrom(file, reason))
+        return std::nullopt;
+    return settingsFromFlags(reason);
+}
+
+std::string needingRestart(const EntrySettings &before, const EntrySettings &after)
+{
+    struct Member
+    {
+        std::string_view flag;
+        std::string EntrySettings::*value;
+    };
+    static constexpr Member Members[] = {
+        {"name", &EntrySettings::name},         {"domain", &EntrySettings::domain},
+        {"listen", &EntrySettings::callers},    {"ready_listen", &EntrySettings::readiness},
+        {"peer_listen", &EntrySettings::peers}, {"metrics_listen", &EntrySettings::metrics},
+        {"store", &EntrySettings::store}};
+    std::string names;
+    for (const Member &each : Members)
+        if (before.*each.value != after.*each.value)
+            names += (names.empty() ? "--" : " --") + std::string(each.flag);
+    if (before.beat != after.beat)
+        names += names.empty() ? "--beat_ms" : " --beat_ms";
+    if (before.retryWindow != after.retryWindow)
+        names += names.empty() ? "--retry_window_s" : " --retry_window_s";
+    return names;
+}
+
 } // namespace balsamloft
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -36,4 +36,12 @@
 /// or malformed.
 std::optional<EntrySettings> readEntrySettings(int argc, char **argv, Reason &reason);
 
+/// Reads the file of `--flagfile` once more, for a process that runs. Flags that
+/// it does not name keep what they had at the start. Nothing, and a reason, when
+/// there is no such file or a value is malformed: then nothing changes.
+std::optional<EntrySettings> rereadEntrySettings(Reason &reason);
+
+/// Names of the flags that differ and take effect only at a start.
+std::string needingRestart(const EntrySettings &before, const EntrySettings &after);
+
 } // namespace balsamloft
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -133,6 +133,17 @@
     m_relay.setInstances(inDomain, all, steadyNow());
 }
 
+void TrafficFront::reload(const EntrySettings &settings)
+{
+    m_settings.revocation = settings.revocation;
+    m_settings.grace = settings.grace;
+    m_settings.retryRatio = settings.retryRatio;
+    m_settings.retrySlack = settings.retrySlack;
+    m_settings.logAll = settings.logAll;
+    const RelaySettings relay = relaySettings(m_settings);
+    m_relay.setRetries(relay.retryRatio, relay.retrySlack);
+}
+
 void TrafficFront::enginesSeen(const std::vector<EngineState> &engines)
 {
     RelayActions actions;
@@ -315,6 +326,10 @@
     sample("requests_open", m_relay.flights());
     sample("caller_connections", m_sessions.size());
     sample("endpoint_connections_opened_total", m_pool.opened);
+    sample("endpoint_reads_total", m_pool.reads);
+    sample("endpoint_writes_total", m_pool.writes);
+    sample("caller_reads_total", m_callerCalls.reads);
+    sample("caller_writes_total", m_callerCalls.writes);
     sample("endpoints", m_fleet->endpoints.size());
     sample("configuration_version", m_table ? m_table->version() : 0);
     sample("key_age_ms",
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -36,6 +36,10 @@
     void setInstances(std::size_t inDomain, std::size_t all);
     void enginesSeen(const std::vector<EngineState> &engines);
 
+    /// Takes over what may change while the process runs: times of keys and of a
+    /// stop, the budget of repeats, how much is logged.
+    void reload(const EntrySettings &settings);
+
     /// Takes no new work after a while, and calls \a stopped once all is done.
     void stop(std::function<void()> stopped);
     void run(RelayActions actions);
@@ -61,6 +65,14 @@
     void detach(FlightId flight);
     void closed(CallerSession &session);
     RequestMetrics &requestMetrics() { return m_requestMetrics; }
+
+    /// Calls that read from and wrote to callers' sockets.
+    struct CallerCalls
+    {
+        std::uint64_t reads = 0;
+        std::uint64_t writes = 0;
+    };
+    CallerCalls &callerCalls() { return m_callerCalls; }
     std::string metrics() const;
 
 private:
@@ -74,12 +86,13 @@
     Duration graceShare(double share) const;
 
     boost::asio::io_context &m_context;
-    const EntrySettings &m_settings;
+    EntrySettings m_settings; ///< of this thread
     const EntryProtocol &m_protocol;
     EntryState &m_state;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_timer;
     RequestMetrics m_requestMetrics;
+    CallerCalls m_callerCalls;
     EnginePool m_pool;
     Relay m_relay;
     RouteMapPtr m_table;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -197,6 +197,9 @@
     /// How many instances share the endpoints of this domain, and in all.
     void setInstances(std::size_t inDomain, std::size_t all, Time now);
 
+    /// Repeats for each request of this instance, and beyond that in a window by all.
+    void setRetries(double ratio, double slack);
+
     // Queries
 
     /// Whether the request may still be sent: asked again right before its bytes
--- a/src/include/balsamloft/retrybudget.h
+++ b/src/include/balsamloft/retrybudget.h
@@ -70,6 +70,7 @@
 
     /// Changes the slack.
     void setSlack(double slack) { m_settings.slack = slack; }
+    void setPerRequest(double share) { m_settings.perRequest = share; }
 
     // Queries
 
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -70,6 +70,16 @@
         budget.setSlack(slackShare());
 }
 
+void Relay::setRetries(double ratio, double slack)
+{
+    m_settings.retryRatio = ratio;
+    m_settings.retrySlack = slack;
+    for (auto &[name, budget] : m_budgets) {
+        budget.setPerRequest(ratio);
+        budget.setSlack(slackShare());
+    }
+}
+
 Relay::Flight *Relay::current(FlightId id, std::uint32_t attempt)
 {
     const auto it = m_flights.find(id);
--- /dev/null
+++ b/testsuite/entry/entryworld.h
@@ -0,0 +1,237 @@
+/// \file
+/// One `balsamloft-entry` before a store and endpoints that answer whatever a
+/// test wants, in a protocol of the project's own.
+
+#pragma once
+
+#include "../common/process.h"
+#include "../common/wait.h"
+#include "rawserver.h"
+
+#include <boost/json.hpp>
+
+#include <map>
+
+namespace balsamloft::testsuite {
+
+namespace json = boost::json;
+
+/// The platform's store, as far as an instance needs it.
+class Store
+{
+public:
+    std::atomic<bool> down {false};
+    std::atomic<bool> silent {false};
+
+    void put(const std::string &table, const std::string &key, const std::string &value)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tables[table][key] = {value, ++m_version, false};
+    }
+
+    void drop(const std::string &table, const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tables[table][key] = {"", ++m_version, true};
+    }
+
+    std::string address() const { return m_server.address(); }
+
+private:
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version;
+        bool dropped;
+    };
+
+    RawAnswer answer(const std::string &request)
+    {
+        if (silent)
+            return {"", RawAnswer::Then::Silence};
+        if (down)
+            return {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"};
+        if (request.starts_with("POST /commit"))
+            return commit(request.substr(request.find("\r\n\r\n") + 4));
+        const std::string target = request.substr(4, request.find(' ', 4) - 4);
+        const bool changes = target.starts_with("/changes/");
+        const std::size_t name = target.find('/', 1) + 1;
+        const std::string table = target.substr(name, target.find('/', name) - name);
+        std::uint64_t after = 0;
+        if (changes) {
+            const std::size_t number = target.find('/', name) + 1;
+            after = std::stoull(target.substr(number));
+            const long wait = std::stol(target.substr(target.find('/', number) + 1));
+            const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
+            while (std::chrono::steady_clock::now() < until && newest(table) <= after && !down)
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return rows(table, after, changes);
+    }
+
+    std::uint64_t newest(const std::string &table)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::uint64_t version = 0;
+        for (const auto &[key, row] : m_tables[table])
+            version = std::max(version, row.version);
+        return version;
+    }
+
+    RawAnswer rows(const std::string &table, std::uint64_t after, bool dropped)
+    {
+        const std::lock_guard lock(m_mutex);
+        json::array found;
+        for (const auto &[key, row] : m_tables[table])
+            if (row.version > after && (dropped || !row.dropped))
+                found.push_back({{"key", key},
+                                 {"value", row.value},
+                                 {"version", row.version},
+                                 {"dropped", row.dropped}});
+        return reply(200, {{"rows", found}});
+    }
+
+    RawAnswer commit(const std::string &body)
+    {
+        const std::lock_guard lock(m_mutex);
+        const json::value value = json::parse(body);
+        for (const json::value &check : value.at("checks").as_array()) {
+            const auto &table = m_tables[std::string(check.at("table").as_string())];
+            const auto row = table.find(std::string(check.at("key").as_string()));
+            const std::uint64_t version = row == table.end() ? 0 : row->second.version;
+            if (version != check.at("version").to_number<std::uint64_t>())
+                return reply(409, {});
+        }
+        m_version += 1;
+        for (const json::value &write : value.at("writes").as_array())
+            m_tables[std::string(write.at("table").as_string())][std::string(
+                write.at("key").as_string())] = {std::string(write.at("value").as_string()),
+                                                 m_version, write.at("drop").as_bool()};
+        return reply(200, {});
+    }
+
+    RawAnswer reply(int status, json::object object) const
+    {
+        const auto clock = std::chrono::steady_clock::now().time_since_epoch();
+        object["version"] = m_version;
+        object["clock_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(clock).count();
+        const std::string body = json::serialize(object);
+        return {"HTTP/1.1 " + std::to_string(status)
+                + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+    }
+
+    std::mutex m_mutex;
+    std::map<std::string, std::map<std::string, Row>> m_tables;
+    std::uint64_t m_version = 10;
+    RawServer m_server {[this](const std::string &request) { return answer(request); }};
+};
+
+inline std::string headerOf(const std::string &request, const std::string &name)
+{
+    const std::size_t at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return {};
+    const std::size_t begin = at + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+/// An endpoint's ordinary answer.
+inline std::string good(const std::string &request, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
+           + "\r\nSeal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+inline std::string chunk(const std::string &data)
+{
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", data.size());
+    return size + data + "\r\n";
+}
+
+inline std::string streamHead(const std::string &request)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
+           + "\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+/// One instance before a store, with a key, and a route of each kind.
+class Entry
+{
+public:
+    explicit Entry(bool configured = true, const std::string &revocationMs = "30000")
+    {
+        if (configured)
+            configure(1, R"({"good-key":"team-a"})");
+        process = std::make_unique<Process>(
+            "balsamloft-entry-standin",
+            std::vector<std::string> {
+                "--name=entry-1", "--domain=d", "--listen=" + callers, "--ready_listen=" + ready,
+                "--peer_listen=" + freeAddress(), "--store=" + store.address(),
+                "--revocation_ms=" + revocationMs, "--grace_s=8", "--log_all"});
+        process->waitFor("\"event\":\"(started)\"");
+        if (configured)
+            waitUntil([&] { return isReady(); });
+    }
+
+    void configure(int version, const std::string &keys, const std::string &route = "/safe/")
+    {
+        store.put("configuration", "current",
+                  R"({"version":)" + std::to_string(version) + R"(,"keys":)" + keys
+                      + R"(,"services":[{"name":"plain"},{"name":"model","layers":4}],"routes":[
+                        {"name":"safe","host":"h","prefix":")"
+                      + route + R"(","kind":"safe","service":"plain"},
+                        {"name":"unsafe","host":"h","prefix":"/unsafe/","kind":"unsafe","attempts":1,"service":"plain"},
+                        {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","service":"model"}]})");
+    }
+
+    void endpoint(const std::string &id, const std::string &service, const std::string &address,
+                  const std::string &more = "")
+    {
+        store.put("endpoints", id,
+                  R"({"service":")" + service + R"(","address":")" + address
+                      + R"(","domain":"d","kind":"card")" + more + "}");
+        // Known once the number of endpoints that the instance counts has grown.
+        const std::string wanted = "\"endpoints\":" + std::to_string(++m_endpoints);
+        waitUntil([&] { return process->output().find(wanted) != std::string::npos; });
+    }
+
+    bool isReady() const
+    {
+        return exchange(ready, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n", wholeAnswer)
+            .starts_with("HTTP/1.1 200");
+    }
+
+    std::string ask(const std::string &path, const std::string &key = "good-key",
+                    const std::string &more = "") const
+    {
+        return exchange(callers,
+                        "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nTeam-Key: "
+                            + key + "\r\nDeadline-Ms: 5000\r\nTokens: 10,10\r\n" + more
+                            + "Content-Length: 2\r\n\r\nhi",
+                        wholeAnswer);
+    }
+
+    /// Asks until the answer ends with \a end: on a busy machine a call may be
+    /// given up and refused as not run.
+    bool serves(const std::string &path, const std::string &end,
+                const std::string &key = "good-key") const
+    {
+        return waitUntil([&] { return ask(path, key).ends_with(end); });
+    }
+
+    Store store;
+    std::string callers = freeAddress();
+    std::string ready = freeAddress();
+    std::unique_ptr<Process> process;
+
+private:
+    int m_endpoints = 0;
+};
+
+} // namespace balsamloft::testsuite
