--- a/testsuite/common/process.h
+++ b/testsuite/common/process.h
@@ -28,6 +28,7 @@
     std::string waitFor(const std::string &pattern);
 
     void signal(int number);
+    int id() const { return m_child.id(); }
 
     /// Waits for the end of the process and its output, and returns the exit code (128 + signal if
     /// killed).
--- /dev/null
+++ b/testsuite/soak/link.cpp
@@ -0,0 +1,124 @@
+#include "link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace asio = boost::asio;
+
+namespace balsamloft::soak {
+
+awaitable<void> pause(Milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+tcp::endpoint endpointOf(const std::string &address)
+{
+    const std::size_t colon = address.find(':');
+    return {asio::ip::make_address(address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+Link::Link(asio::io_context &context, std::string target)
+    : m_context(context)
+    , m_target(endpointOf(target))
+    , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+{
+    asio::co_spawn(context, accept(), asio::detached);
+}
+
+std::string Link::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+}
+
+awaitable<void> Link::accept()
+{
+    for (;;) {
+        auto connection =
+            std::make_shared<Connection>(tcp::socket(m_context), tcp::socket(m_context));
+        boost::system::error_code error;
+        co_await m_acceptor.async_accept(connection->caller,
+                                         asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return;
+        if (!m_refuse)
+            asio::co_spawn(m_context, serve(std::move(connection)), asio::detached);
+    }
+}
+
+awaitable<void> Link::serve(ConnectionPtr connection)
+{
+    boost::system::error_code error;
+    co_await connection->target.async_connect(m_target,
+                                              asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return;
+    m_open.insert(connection);
+    asio::co_spawn(m_context, pump(connection, true), asio::detached);
+    co_await pump(connection, false);
+}
+
+awaitable<void> Link::pump(ConnectionPtr connection, bool back)
+{
+    tcp::socket &from = back ? connection->target : connection->caller;
+    tcp::socket &to = back ? connection->caller : connection->target;
+    std::array<char, 8192> buffer {};
+    boost::system::error_code error;
+    const auto token = [&error] { return asio::redirect_error(asio::use_awaitable, error); };
+    for (;;) {
+        const std::size_t count = co_await from.async_read_some(asio::buffer(buffer), token());
+        if (error)
+            break;
+        if (m_delay.count() > 0)
+            co_await pause(m_delay);
+        // What a link lost never comes: the connection stays silent from then on.
+        connection->silent = connection->silent || (back && m_cutBack);
+        if (connection->silent)
+            continue;
+        co_await asio::async_write(to, asio::buffer(buffer.data(), count), token());
+        if (error)
+            break;
+    }
+    // The end of one side of a silent connection does not reach the other.
+    if (!connection->silent) {
+        boost::system::error_code ignored;
+        connection->caller.close(ignored);
+        connection->target.close(ignored);
+    }
+    m_open.erase(connection);
+}
+
+void Link::silenceOpen()
+{
+    for (const ConnectionPtr &each : m_open)
+        each->silent = true;
+}
+
+void Link::resetOpen()
+{
+    for (const ConnectionPtr &each : std::set<ConnectionPtr>(m_open)) {
+        boost::system::error_code ignored;
+        each->caller.set_option(asio::socket_base::linger(true, 0), ignored);
+        each->caller.close(ignored);
+        each->target.close(ignored);
+    }
+}
+
+void Link::heal()
+{
+    m_delay = Milliseconds(0);
+    m_cutBack = false;
+    m_refuse = false;
+}
+
+} // namespace balsamloft::soak
--- /dev/null
+++ b/testsuite/soak/platform.cpp
@@ -0,0 +1,327 @@
+#include "platform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/json.hpp>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace balsamloft::soak {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Conflict = 409;
+constexpr int HistoryGone = 410;
+constexpr int Unavailable = 503;
+constexpr int NoAnswer = 0;
+constexpr Milliseconds PollStep {20};
+
+std::string answerText(int status, const std::string &body, const std::string &more = {})
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + more
+           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Parts of a target between slashes, without the first one.
+std::vector<std::string> partsOf(std::string_view target)
+{
+    std::vector<std::string> parts(1);
+    for (const char c : target.substr(1)) {
+        if (c == '/')
+            parts.emplace_back();
+        else
+            parts.back().push_back(c);
+    }
+    return parts;
+}
+
+std::string field(const Request &request, std::string_view name)
+{
+    return std::string(request[boost::beast::string_view(name.data(), name.size())]);
+}
+
+} // namespace
+
+Store::Store(asio::io_context &context)
+    : m_context(context)
+    , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+{
+    asio::co_spawn(context, accept(), asio::detached);
+}
+
+std::string Store::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+}
+
+void Store::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    m_tables[table][key] = {value, ++m_version, false};
+}
+
+void Store::drop(const std::string &table, const std::string &key)
+{
+    m_tables[table][key] = {"", ++m_version, true};
+}
+
+void Store::heal()
+{
+    down = silent = losesAnswers = false;
+    slow = Milliseconds(0);
+}
+
+awaitable<void> Store::accept()
+{
+    for (;;) {
+        tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+    }
+}
+
+awaitable<void> Store::serve(tcp::socket socket)
+{
+    boost::system::error_code error;
+    boost::beast::flat_buffer buffer;
+    for (;;) {
+        Request request;
+        co_await http::async_read(socket, buffer, request,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return;
+        if (slow.count() > 0)
+            co_await pause(slow);
+        const auto [status, body] = co_await answer(request);
+        if (losesAnswers)
+            co_return;
+        if (status == NoAnswer)
+            continue;
+        const std::string text = answerText(status, body);
+        co_await asio::async_write(socket, asio::buffer(text),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return;
+    }
+}
+
+awaitable<std::pair<int, std::string>> Store::answer(const Request &request)
+{
+    if (silent)
+        co_return std::pair(NoAnswer, std::string());
+    if (down)
+        co_return std::pair(Unavailable, std::string());
+    const std::string target(request.target());
+    if (target == "/commit")
+        co_return commit(request.body());
+    const std::vector<std::string> parts = partsOf(target);
+    if (parts[0] != "changes")
+        co_return rows(parts[1], 0, false);
+    const std::uint64_t after = std::stoull(parts[2]);
+    const auto until = Clock::now() + Milliseconds(std::stol(parts[3]));
+    while (Clock::now() < until && newest(parts[1]) <= after && !down)
+        co_await pause(PollStep);
+    if (down)
+        co_return std::pair(Unavailable, std::string());
+    if (after < m_forgotten)
+        co_return std::pair(HistoryGone, std::string("{}"));
+    co_return rows(parts[1], after, true);
+}
+
+std::uint64_t Store::newest(const std::string &table)
+{
+    std::uint64_t version = 0;
+    for (const auto &[key, row] : m_tables[table])
+        version = std::max(version, row.version);
+    return version;
+}
+
+std::pair<int, std::string> Store::rows(const std::string &table, std::uint64_t after, bool changes)
+{
+    json::array found;
+    for (const auto &[key, row] : m_tables[table])
+        if (row.version > after && (changes || !row.dropped))
+            found.push_back({{"key", key},
+                             {"value", row.value},
+                             {"version", row.version},
+                             {"dropped", row.dropped}});
+    const auto clock =
+        std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
+    return {Ok, json::serialize(
+                    json::object {{"rows", found}, {"version", m_version}, {"clock_ms", clock}})};
+}
+
+std::pair<int, std::string> Store::commit(const std::string &body)
+{
+    const json::value value = json::parse(body);
+    for (const json::value &check : value.at("checks").as_array()) {
+        const auto &table = m_tables[std::string(check.at("table").as_string())];
+        const auto row = table.find(std::string(check.at("key").as_string()));
+        const std::uint64_t version = row == table.end() ? 0 : row->second.version;
+        if (version != check.at("version").to_number<std::uint64_t>())
+            return {Conflict, rows("none", 0, false).second};
+    }
+    m_version += 1;
+    for (const json::value &write : value.at("writes").as_array())
+        m_tables[std::string(write.at("table").as_string())][std::string(
+            write.at("key").as_string())] = {std::string(write.at("value").as_string()), m_version,
+                                             write.at("drop").as_bool()};
+    return {Ok, rows("none", 0, false).second};
+}
+
+Endpoint::Endpoint(asio::io_context &context, Store &store, Record &record, std::string name,
+                   std::string service, std::string domain, std::uint64_t seed)
+    : m_context(context)
+    , m_store(store)
+    , m_record(record)
+    , m_name(std::move(name))
+    , m_service(std::move(service))
+    , m_domain(std::move(domain))
+    , m_random(seed)
+    , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , m_link(context, "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
+{
+    asio::co_spawn(context, accept(), asio::detached);
+    start();
+}
+
+void Endpoint::write(const std::string &state)
+{
+    json::object row {{"service", m_service},
+                      {"address", m_link.address()},
+                      {"domain", m_domain},
+                      {"kind", "card"},
+                      {"state", state}};
+    if (m_service == "model")
+        row["layers"] = {0, 4};
+    m_store.put("endpoints", m_id, json::serialize(row));
+}
+
+void Endpoint::start()
+{
+    if (!m_id.empty())
+        return;
+    m_id = m_name + "-" + std::to_string(++m_starts);
+    m_link.refuse(false);
+    write("ready");
+}
+
+void Endpoint::crash()
+{
+    if (m_id.empty())
+        return;
+    m_link.refuse(true);
+    for (const auto &socket : std::set<std::shared_ptr<tcp::socket>>(m_open)) {
+        boost::system::error_code ignored;
+        socket->close(ignored);
+    }
+    m_link.resetOpen();
+    m_store.drop("endpoints", m_id);
+    m_id.clear();
+}
+
+void Endpoint::leave()
+{
+    if (m_id.empty())
+        return;
+    m_record.leaves(m_id);
+    write("leaving");
+}
+
+void Endpoint::heal()
+{
+    failing = busy = talkative = false;
+    m_link.heal();
+    start();
+}
+
+awaitable<void> Endpoint::accept()
+{
+    for (;;) {
+        auto socket =
+            std::make_shared<tcp::socket>(co_await m_acceptor.async_accept(asio::use_awaitable));
+        m_open.insert(socket);
+        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+    }
+}
+
+awaitable<void> Endpoint::serve(std::shared_ptr<tcp::socket> socket)
+{
+    boost::beast::flat_buffer buffer;
+    for (;;) {
+        Request request;
+        boost::system::error_code error;
+        co_await http::async_read(*socket, buffer, request,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (error || !co_await run(*socket, request))
+            break;
+    }
+    boost::system::error_code ignored;
+    socket->close(ignored);
+    m_open.erase(socket);
+}
+
+awaitable<bool> Endpoint::run(tcp::socket &socket, const Request &request)
+{
+    const std::string id = field(request, "Request-Id");
+    const std::string echo = "Request-Id: " + id + "\r\n";
+    std::string text;
+    if (request.target() == "/state")
+        text = answerText(Ok, R"({"layers":[0,4],"orders":1})");
+    else if (request.target() == "/path")
+        text = answerText(404, {});
+    else if (field(request, "Endpoint-Id") != m_id)
+        text = answerText(421, {}, echo + "Not-Run: 1\r\n");
+    else if (busy)
+        text = answerText(Unavailable, {}, echo + "Not-Run: 1\r\n");
+    else
+        m_record.ran(id, m_id);
+    if (text.empty() && request.target().starts_with("/stream/") && !failing)
+        co_return co_await stream(socket, request);
+    if (text.empty()) {
+        co_await pause(Milliseconds(m_random() % 30));
+        text = failing ? answerText(500, "failed", echo + "Seal: s\r\n")
+                       : answerText(Ok, callBody(id), echo + "Seal: s\r\n");
+        if (talkative)
+            text += "HTTP/1.1 200 OK\r\nRequest-Id: x\r\nSeal: s\r\nContent-Length: 1\r\n\r\n!";
+    }
+    boost::system::error_code error;
+    co_await asio::async_write(socket, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+awaitable<bool> Endpoint::stream(tcp::socket &socket, const Request &request)
+{
+    const std::string id = field(request, "Request-Id");
+    const std::string after = field(request, "Last-Event-Id");
+    const int events = std::stoi(partsOf(std::string(request.target()))[1]);
+    std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: " + id
+                       + "\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n";
+    boost::system::error_code error;
+    for (int i = after.empty() ? 1 : std::stoi(after) + 1; i <= events; ++i) {
+        const std::string event = eventText(id, i);
+        std::ostringstream size;
+        size << std::hex << event.size();
+        text += size.str() + "\r\n" + event + "\r\n";
+        co_await asio::async_write(socket, asio::buffer(text),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return false;
+        text.clear();
+        co_await pause(Milliseconds(10 + m_random() % 20));
+    }
+    text += "0\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+} // namespace balsamloft::soak
--- /dev/null
+++ b/testsuite/soak/platform.h
@@ -0,0 +1,101 @@
+/// \file
+/// The store and the endpoints that the soak's instances work before.
+
+#pragma once
+
+#include "link.h"
+#include "record.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/json/object.hpp>
+
+#include <random>
+
+namespace balsamloft::soak {
+
+using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// A table store with long polls and conditions, and the ways in which one fails.
+class Store
+{
+public:
+    explicit Store(boost::asio::io_context &context);
+
+    std::string address() const;
+    void put(const std::string &table, const std::string &key, const std::string &value);
+    void drop(const std::string &table, const std::string &key);
+
+    // Faults
+
+    bool down = false; ///< turns all away
+    bool silent = false; ///< answers nobody
+    bool losesAnswers = false; ///< does what it is told and closes the connection
+    Milliseconds slow {0};
+    void forgetHistory() { m_forgotten = m_version; }
+    void heal();
+
+private:
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        bool dropped = false;
+    };
+
+    awaitable<void> accept();
+    awaitable<void> serve(tcp::socket socket);
+    awaitable<std::pair<int, std::string>> answer(const Request &request);
+    std::pair<int, std::string> commit(const std::string &body);
+    std::pair<int, std::string> rows(const std::string &table, std::uint64_t after, bool changes);
+    std::uint64_t newest(const std::string &table);
+
+    boost::asio::io_context &m_context;
+    tcp::acceptor m_acceptor;
+    std::map<std::string, std::map<std::string, Row>> m_tables;
+    std::uint64_t m_version = 10;
+    std::uint64_t m_forgotten = 0;
+};
+
+/// An endpoint behind a link. Each start is another process with another id.
+class Endpoint
+{
+public:
+    Endpoint(boost::asio::io_context &context, Store &store, Record &record, std::string name,
+             std::string service, std::string domain, std::uint64_t seed);
+
+    Link &link() { return m_link; }
+
+    // Faults
+
+    void crash();
+    void start();
+    /// Writes that it leaves; what runs goes on.
+    void leave();
+    bool failing = false; ///< answers with failures of its own
+    bool busy = false; ///< turns requests away as not run
+    bool talkative = false; ///< sends bytes after its answers
+    void heal();
+
+private:
+    awaitable<void> accept();
+    awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
+    awaitable<bool> run(tcp::socket &socket, const Request &request);
+    awaitable<bool> stream(tcp::socket &socket, const Request &request);
+    void write(const std::string &state);
+
+    boost::asio::io_context &m_context;
+    Store &m_store;
+    Record &m_record;
+    std::string m_name;
+    std::string m_service;
+    std::string m_domain;
+    std::mt19937_64 m_random;
+    tcp::acceptor m_acceptor;
+    Link m_link;
+    std::string m_id; ///< empty: not running
+    int m_starts = 0;
+    std::set<std::shared_ptr<tcp::socket>> m_open;
+};
+
+} // namespace balsamloft::soak
