A change of path that is refused is tried along another one; soak loses answers

Change: the engine named counts as short of room, another path is ordered, up to four times; a request that the engine does not know is sent again as before.

--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -242,11 +242,13 @@
         AnswerWithin,
         [this, flight = change.flight, attempt = change.attempt](const CallOutcome &outcome) {
             RelayActions actions;
-            const bool taken = m_protocol.orderReply(outcome.status) == OrderReply::Taken;
+            const auto [reply, at] = m_protocol.pathReply(outcome.status, outcome.body);
             if (const auto it = m_flights.find(flight); it != m_flights.end())
-                it->second->note(taken ? "path changed"
-                                       : "path not changed, " + std::to_string(outcome.status));
-            m_relay.pathChanged(flight, attempt, taken, steadyNow(), actions);
+                it->second->note(reply == PathReply::Taken
+                                     ? "path changed"
+                                     : "path not changed, " + std::to_string(outcome.status)
+                                           + (at.empty() ? "" : " at " + at));
+            m_relay.pathChanged(flight, attempt, reply, at, steadyNow(), actions);
             run(std::move(actions));
         })
         ->start();
--- a/src/fakes/layeremulator.cpp
+++ b/src/fakes/layeremulator.cpp
@@ -312,8 +312,9 @@
         const auto answer = [&](bool taken) {
             at(Hop, [this, instance, change, taken] {
                 RelayActions actions;
-                m_relays[instance].pathChanged(change.flight, change.attempt, taken, m_now,
-                                               actions);
+                m_relays[instance].pathChanged(change.flight, change.attempt,
+                                               taken ? PathReply::Taken : PathReply::Lost, {},
+                                               m_now, actions);
                 carryOut(instance, actions);
             });
         };
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -123,9 +123,10 @@
     relay.streamEnded(flight, sends(flight).back().attempt, now, actions);
 }
 
-void RelayWorld::answerPathChange(FlightId flight, bool taken)
+void RelayWorld::answerPathChange(FlightId flight, PathReply reply, const std::string &culprit)
 {
-    relay.pathChanged(flight, pathChanges(flight).back().attempt, taken, now, actions);
+    relay.pathChanged(flight, pathChanges(flight).back().attempt, reply, addressOf(culprit), now,
+                      actions);
 }
 
 void RelayWorld::drain(const std::string &id)
@@ -142,6 +143,14 @@
     tell();
 }
 
+std::string RelayWorld::addressOf(const std::string &id) const
+{
+    for (const FleetEndpoint &each : m_endpoints)
+        if (each.id == id)
+            return each.address;
+    return {};
+}
+
 std::vector<SendWhole> RelayWorld::sends(FlightId flight) const
 {
     std::vector<SendWhole> found;
--- a/src/fakes/relayharness.h
+++ b/src/fakes/relayharness.h
@@ -40,12 +40,14 @@
     void endStream(FlightId flight);
 
     /// Answers the last order to change a path that is not yet answered.
-    void answerPathChange(FlightId flight, bool taken);
+    void answerPathChange(FlightId flight, PathReply reply, const std::string &culprit = {});
 
     /// The engine \a id leaves, or vanishes.
     void drain(const std::string &id);
     void remove(const std::string &id);
 
+    std::string addressOf(const std::string &id) const;
+
     // What the relay did
 
     /// Sends of a flight, first to last.
--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -212,6 +212,14 @@
     {
         return status == 200 ? OrderReply::Taken : OrderReply::Refused;
     }
+    std::pair<PathReply, std::string> pathReply(int status,
+                                                std::string_view /*body*/) const override
+    {
+        return {status == 200   ? PathReply::Taken
+                : status == 409 ? PathReply::Refused
+                                : PathReply::Lost,
+                {}};
+    }
     OutgoingCall changePath(std::string_view request, std::span<const PathPart> path) const override
     {
         return {"POST", "/path",
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -7,6 +7,7 @@
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/pathchooser.h>
 #include <balsamloft/platform.h>
+#include <balsamloft/relay.h>
 #include <balsamloft/tablecopy.h>
 
 #include <memory>
@@ -104,6 +105,10 @@
                                std::uint64_t fencing) const = 0;
     virtual OrderReply orderReply(int status) const = 0;
 
+    /// How an engine answered changePath(), and the address of the engine at fault.
+    virtual std::pair<PathReply, std::string> pathReply(int status,
+                                                        std::string_view body) const = 0;
+
     /// Has the first engine of \a path carry the request with id \a request on along it.
     virtual OutgoingCall changePath(std::string_view request,
                                     std::span<const PathPart> path) const = 0;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -72,6 +72,13 @@
     FlightId flight = 0;
 };
 
+/// How an engine answered the order to change a path.
+enum class PathReply : std::uint8_t {
+    Taken,
+    Refused, ///< an engine of the new path cannot
+    Lost, ///< no such request there, or no answer
+};
+
 /// How a flight ends without an endpoint's answer.
 enum class FlightEnd : std::uint8_t {
     NotRun, ///< a promise: nothing ran, nothing will
@@ -128,7 +135,7 @@
     Duration giveUpStart {1'700'000}; ///< after which a request that has not begun is moved
     Duration giveUpPause {1'200'000}; ///< pause after which a stream is moved without proof
     Duration resumeWithin {1'700'000}; ///< callers leave after a longer pause
-    std::uint32_t mostPathChanges = 3; ///< of one attempt
+    std::uint32_t mostPathChanges = 4; ///< of one attempt
     Duration pathChangeWithin {700'000}; ///< an order to change a path is answered by then
     Duration callSilence {400'000}; ///< an idempotent call is then tried elsewhere
     double holdCalls = 0.12; ///< share of the target latency that a call waits for an endpoint
@@ -179,9 +186,10 @@
     void streamEnded(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions);
     void callerGone(FlightId id, Time now, RelayActions &actions);
 
-    /// The first engine took a ChangePath or did not.
-    void pathChanged(FlightId id, std::uint32_t attempt, bool taken, Time now,
-                     RelayActions &actions);
+    /// The first engine answered a ChangePath, or did not; \a atAddress: the engine
+    /// that has no room or not the part, when it was told.
+    void pathChanged(FlightId id, std::uint32_t attempt, PathReply reply,
+                     std::string_view atAddress, Time now, RelayActions &actions);
 
     /// An engine answered AskEngine: \a stalledAt are addresses of engines that
     /// do not answer it.
--- a/src/libbalsamloft/limits_test.cpp
+++ b/src/libbalsamloft/limits_test.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace balsamloft;
 
 namespace {
@@ -200,3 +202,37 @@
     }
     CHECK(granted == Approx(105).margin(1));
 }
+
+// Engines fail for a minute. In any ten seconds there are no more repeats than
+// the share of the requests and the slack, and the slack is there anew in each:
+// a bucket that is empty would refuse all of the later ones.
+TEST_CASE("repeats are bounded in any span of the window", "[limits]")
+{
+    RepeatWindow budget({.window = std::chrono::seconds(10), .perRequest = 0.1, .slack = 20});
+    std::vector<double> granted;
+    for (int tenths = 0; tenths < 600; ++tenths) {
+        budget.requestStarted(at(tenths / 10.0));
+        if (budget.withdraw(at(tenths / 10.0)))
+            granted.push_back(tenths / 10.0);
+    }
+    for (const double from : granted) {
+        const auto inSpan = std::count_if(granted.begin(), granted.end(), [&](double each) {
+            return each >= from && each < from + 10;
+        });
+        CHECK(inSpan <= 20 + 10);
+    }
+    CHECK(granted.size() >= 6 * 20);
+}
+
+TEST_CASE("a new process counts a part of its share as spent, for one window", "[limits]")
+{
+    RepeatWindow budget({.perRequest = 0, .slack = 20, .spentBefore = 16});
+    const auto granted = [&](double seconds) {
+        int count = 0;
+        while (budget.withdraw(at(seconds)))
+            ++count;
+        return count;
+    };
+    CHECK(granted(1) == 4);
+    CHECK(granted(12) == 20);
+}
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -252,8 +252,7 @@
                 if (!goesThrough(world.sends(stream).back(), dead))
                     world.events(stream, 2 + static_cast<std::uint64_t>(step));
             for (const std::string &asked : world.asked())
-                world.relay.reported(asked, {"10.0.0.1:" + std::string(dead == "a2" ? "2" : "4")},
-                                     1, world.now, world.actions);
+                world.relay.reported(asked, {world.addressOf(dead)}, 1, world.now, world.actions);
         }
     }
 
@@ -278,7 +277,7 @@
         const bool hit = goesThrough(world.sends(stream).front(), running.dead);
         CHECK(world.pathChanges(stream).size() == (hit ? 1U : 0U));
         if (hit)
-            world.answerPathChange(stream, false);
+            world.answerPathChange(stream, PathReply::Lost);
         CHECK_FALSE(goesThrough(world.sends(stream).back(), running.dead));
         CHECK(world.sends(stream).size() == (hit ? 2U : 1U));
     }
@@ -300,7 +299,7 @@
         CHECK(change.path.front() == world.sends(stream).front().path.front());
         for (const PathPart &part : change.path)
             CHECK(part.endpoint != running.dead);
-        world.answerPathChange(stream, true);
+        world.answerPathChange(stream, PathReply::Taken);
         world.events(stream, 2);
         CHECK(world.sends(stream).size() == 1);
         CHECK_FALSE(world.end(stream));
@@ -319,10 +318,30 @@
     REQUIRE(world.pathChanges(stream).size() == 1);
     world.pass(milliseconds(800));
     CHECK(world.sends(stream).size() == 2);
-    world.answerPathChange(stream, true);
+    world.answerPathChange(stream, PathReply::Taken);
     CHECK(world.sends(stream).size() == 2);
 }
 
+// The new path has no room either. The stream is told yet another one before it
+// is sent again, which would cost a repeat.
+TEST_CASE("a change of path that is refused is tried again along another path")
+{
+    std::vector<RelayEngine> engines = twoPaths();
+    engines.push_back({"c2", {4, 8}});
+    RelayWorld world(engines);
+    const RunningStreams running(world);
+    running.pass(world, 8);
+    const FlightId stream = running.streams.front();
+    REQUIRE(world.pathChanges(stream).size() == 1);
+    const std::string full = world.pathChanges(stream).front().path.back().endpoint;
+    world.answerPathChange(stream, PathReply::Refused, full);
+    world.pass(milliseconds(50));
+    REQUIRE(world.pathChanges(stream).size() == 2);
+    CHECK(world.pathChanges(stream).back().path.back().endpoint != full);
+    CHECK(world.sends(stream).size() == 1);
+    CHECK_FALSE(world.end(stream));
+}
+
 // A machine is frozen for four seconds and wakes. All its streams seem silent
 // for that long, but the silence was its own: no engine is suspected, nothing
 // is sent again, nobody is refused.
--- a/src/libbalsamloft/relaypath.cpp
+++ b/src/libbalsamloft/relaypath.cpp
@@ -38,14 +38,20 @@
     return true;
 }
 
-void Relay::pathChanged(FlightId id, std::uint32_t attempt, bool taken, Time now,
-                        RelayActions &actions)
+void Relay::pathChanged(FlightId id, std::uint32_t attempt, PathReply reply,
+                        std::string_view atAddress, Time now, RelayActions &actions)
 {
     Flight *flight = current(id, attempt);
     if (!flight || !flight->pathAskedAt)
         return;
     flight->pathAskedAt.reset();
-    if (!taken)
+    if (reply == PathReply::Refused) {
+        if (const FleetEndpoint *culprit = m_fleet->atAddress(atAddress))
+            m_book.outOfRoom(culprit->id, now);
+        if (changePath(id, *flight, now, actions))
+            return;
+    }
+    if (reply != PathReply::Taken)
         return recover(id, *flight, "its path could not be changed", now, actions);
     // What its new engines have to read is no silence of theirs.
     flight->progressAt = now + flight->expectedFirst;
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -131,7 +131,7 @@
 {
     if (flight.pathAskedAt) {
         if (now - *flight.pathAskedAt >= m_settings.pathChangeWithin)
-            pathChanged(id, flight.attempt, false, now, actions);
+            pathChanged(id, flight.attempt, PathReply::Lost, {}, now, actions);
         return;
     }
     const Duration pause = now - flight.progressAt;
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -236,7 +236,7 @@
 
 void Endpoint::heal()
 {
-    failing = busy = talkative = false;
+    failing = busy = losing = talkative = false;
     m_link.heal();
     start();
 }
@@ -286,6 +286,8 @@
         co_return co_await stream(socket, request);
     if (text.empty()) {
         co_await pause(Milliseconds(m_random() % 30));
+        if (losing)
+            co_return false;
         text = failing ? answerText(500, "failed", echo + "Seal: s\r\n")
                        : answerText(Ok, callBody(id), echo + "Seal: s\r\n");
         if (talkative)
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -74,6 +74,7 @@
     void leave();
     bool failing = false; ///< answers with failures of its own
     bool busy = false; ///< turns requests away as not run
+    bool losing = false; ///< runs calls and closes the connection without an answer
     bool talkative = false; ///< sends bytes after its answers
     void heal();
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -30,7 +30,7 @@
     R"({"version":1,"keys":{"good-key":"team-a"},
         "services":[{"name":"plain"},{"name":"model","layers":4}],"routes":[
         {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"},
-        {"name":"unsafe","host":"h","prefix":"/unsafe/","kind":"unsafe","attempts":1,"service":"plain"},
+        {"name":"unsafe","host":"h","prefix":"/unsafe/","kind":"unsafe","attempts":2,"service":"plain"},
         {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","service":"model"}]})";
 
 int draw(std::mt19937_64 &random, int from, int to)
@@ -354,9 +354,9 @@
 awaitable<void> Soak::endpointFault(std::mt19937_64 &random, Milliseconds time)
 {
     Endpoint &endpoint = *m_endpoints[random() % m_endpoints.size()];
-    const int kind = draw(random, 0, 4);
-    static constexpr std::string_view Names[] = {"crashed", "leaving", "failing", "busy",
-                                                 "talkative"};
+    const int kind = draw(random, 0, 5);
+    static constexpr std::string_view Names[] = {"crashed", "leaving", "failing",
+                                                 "busy",    "losing",  "talkative"};
     note("endpoint " + std::string(Names[kind]) + " for " + std::to_string(time.count()));
     switch (kind) {
     case 0:
@@ -373,6 +373,9 @@
     case 3:
         endpoint.busy = true;
         break;
+    case 4:
+        endpoint.losing = true;
+        break;
     default:
         endpoint.talkative = true;
     }
