--- a/testsuite/soak/link.cpp
+++ b/testsuite/soak/link.cpp
@@ -44,8 +44,7 @@
 awaitable<void> Link::accept()
 {
     for (;;) {
-        auto connection =
-            std::make_shared<Connection>(tcp::socket(m_context), tcp::socket(m_context));
+        auto connection = std::make_shared<Connection>(m_context);
         boost::system::error_code error;
         co_await m_acceptor.async_accept(connection->caller,
                                          asio::redirect_error(asio::use_awaitable, error));
--- a/testsuite/soak/link.h
+++ b/testsuite/soak/link.h
@@ -47,6 +47,12 @@
 private:
     struct Connection
     {
+        explicit Connection(boost::asio::io_context &context)
+            : caller(context)
+            , target(context)
+        {
+        }
+
         tcp::socket caller;
         tcp::socket target;
         bool silent = false;
