--- a/src/include/balsamloft/retrybudget.h
+++ b/src/include/balsamloft/retrybudget.h
@@ -30,9 +30,6 @@
     /// Takes one retry out of the budget; returns false when it is spent.
     bool withdraw(Time now);
 
-    /// Changes how many can be saved up.
-    void setMost(double most);
-
     double balance() const { return m_balance; }
 
 private:
--- a/src/libbalsamloft/retrybudget.cpp
+++ b/src/libbalsamloft/retrybudget.cpp
@@ -15,12 +15,6 @@
     m_balance = std::min(m_settings.most, m_balance + m_settings.perRequest);
 }
 
-void RetryBudget::setMost(double most)
-{
-    m_settings.most = most;
-    m_balance = std::min(m_balance, most);
-}
-
 bool RetryBudget::withdraw(Time now)
 {
     const std::chrono::duration<double> elapsed = now - m_refilledAt;
