Reading the change again: one piece each for what stood twice

- Control and TrafficFront each built a call to an engine: startCall() in onecall.
An engine that holds its streams stood twice in one test file.
- needingRestart: one way to add a name.

--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -111,13 +111,7 @@
 void Control::engineCall(const std::string &endpoint, const std::string &address,
                          const OutgoingCall &call, OneCall::Callback callback)
 {
-    ExchangeSettings settings;
-    settings.endpoint = endpoint;
-    settings.address = address;
-    std::make_shared<OneCall>(m_engines, std::move(settings),
-                              callText(call.method, call.target, address, call.body), EngineWithin,
-                              std::move(callback))
-        ->start();
+    startCall(m_engines, endpoint, address, call, EngineWithin, std::move(callback));
 }
 
 void Control::giveOrder(const LayerOrder &order)
--- a/src/entry/onecall.cpp
+++ b/src/entry/onecall.cpp
@@ -66,6 +66,18 @@
     m_callback(std::move(m_outcome));
 }
 
+void startCall(EnginePool &pool, const std::string &endpoint, const std::string &address,
+               const OutgoingCall &call, Duration within, OneCall::Callback callback)
+{
+    ExchangeSettings settings;
+    settings.endpoint = endpoint;
+    settings.address = address;
+    std::make_shared<OneCall>(pool, std::move(settings),
+                              callText(call.method, call.target, address, call.body), within,
+                              std::move(callback))
+        ->start();
+}
+
 std::string callText(std::string_view method, std::string_view target, std::string_view host,
                      std::string_view body)
 {
--- a/src/entry/onecall.h
+++ b/src/entry/onecall.h
@@ -5,6 +5,8 @@
 
 #include "enginepool.h"
 
+#include <balsamloft/entryprotocol.h>
+
 #include <boost/asio/steady_timer.hpp>
 
 namespace balsamloft {
@@ -47,6 +49,11 @@
     bool m_over = false;
 };
 
+/// Sends \a call to the endpoint with that id and address, on a kept connection
+/// where there is one.
+void startCall(EnginePool &pool, const std::string &endpoint, const std::string &address,
+               const OutgoingCall &call, Duration within, OneCall::Callback callback);
+
 /// The text of a call, as HTTP/1.1. An empty \a body is not sent.
 std::string callText(std::string_view method, std::string_view target, std::string_view host,
                      std::string_view body);
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -142,13 +142,14 @@
         {"peer_listen", &EntrySettings::peers}, {"metrics_listen", &EntrySettings::metrics},
         {"store", &EntrySettings::store}};
     std::string names;
+    const auto add = [&](std::string_view flag, bool differs) {
+        if (differs)
+            names.append(names.empty() ? "--" : " --").append(flag);
+    };
     for (const Member &each : Members)
-        if (before.*each.value != after.*each.value)
-            names += (names.empty() ? "--" : " --") + std::string(each.flag);
-    if (before.beat != after.beat)
-        names += names.empty() ? "--beat_ms" : " --beat_ms";
-    if (before.retryWindow != after.retryWindow)
-        names += names.empty() ? "--retry_window_s" : " --retry_window_s";
+        add(each.flag, before.*each.value != after.*each.value);
+    add("beat_ms", before.beat != after.beat);
+    add("retry_window_s", before.retryWindow != after.retryWindow);
     return names;
 }
 
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -233,25 +233,19 @@
 
 void TrafficFront::changePath(const ChangePath &change)
 {
-    ExchangeSettings settings;
-    settings.endpoint = change.endpoint;
-    settings.address = change.address;
-    const OutgoingCall call = m_protocol.changePath(change.request, change.path);
-    std::make_shared<OneCall>(
-        m_pool, std::move(settings), callText(call.method, call.target, change.address, call.body),
-        AnswerWithin,
-        [this, flight = change.flight, attempt = change.attempt](const CallOutcome &outcome) {
-            RelayActions actions;
-            const auto [reply, at] = m_protocol.pathReply(outcome.status, outcome.body);
-            if (const auto it = m_flights.find(flight); it != m_flights.end())
-                it->second->note(reply == PathReply::Taken
-                                     ? "path changed"
-                                     : "path not changed, " + std::to_string(outcome.status)
-                                           + (at.empty() ? "" : " at " + at));
-            m_relay.pathChanged(flight, attempt, reply, at, steadyNow(), actions);
-            run(std::move(actions));
-        })
-        ->start();
+    startCall(m_pool, change.endpoint, change.address,
+              m_protocol.changePath(change.request, change.path), AnswerWithin,
+              [this, flight = change.flight, attempt = change.attempt](const CallOutcome &outcome) {
+                  RelayActions actions;
+                  const auto [reply, at] = m_protocol.pathReply(outcome.status, outcome.body);
+                  if (const auto it = m_flights.find(flight); it != m_flights.end())
+                      it->second->note(reply == PathReply::Taken
+                                           ? "path changed"
+                                           : "path not changed, " + std::to_string(outcome.status)
+                                                 + (at.empty() ? "" : " at " + at));
+                  m_relay.pathChanged(flight, attempt, reply, at, steadyNow(), actions);
+                  run(std::move(actions));
+              });
 }
 
 void TrafficFront::run(RelayActions actions)
--- a/src/fakes/layeremulator.cpp
+++ b/src/fakes/layeremulator.cpp
@@ -332,20 +332,15 @@
             if (same != found->path.end())
                 continue;
             const Engine &engine = m_engines[index];
-            const LayerRange held = engine.endpoint.layers;
             const LayerRange wanted = change.path[i].layers;
-            if (m_now < engine.downUntil || held.begin > wanted.begin || held.end < wanted.end
-                || engine.used + need(moved, i) > room(index))
+            if (!holdsPart(moved, i) || !hasRoom(moved, i))
                 return answer(false);
             readMs += moved.context / m_service.model->readTokensPerMs * engine.kind->readFactor
                       * (wanted.end - wanted.begin) / m_service.model->layers;
         }
         leave(*found);
         const auto id = static_cast<std::size_t>(found - m_runs.begin());
-        for (Engine &engine : m_engines) {
-            std::erase(engine.waiting, id);
-            std::erase(engine.inPass, id);
-        }
+        leavePasses(id);
         moved.stage = 0;
         moved.stalledSince.reset();
         *found = std::move(moved);
@@ -369,6 +364,29 @@
         return m_service.model->room(*engine.kind, held.end - held.begin);
     }
 
+    /// Whether the engine of a part is up and holds its layers.
+    bool holdsPart(const Run &run, std::size_t part) const
+    {
+        const Engine &engine = m_engines[run.engines[part]];
+        const LayerRange held = engine.endpoint.layers;
+        const LayerRange wanted = run.path[part].layers;
+        return m_now >= engine.downUntil && held.begin <= wanted.begin && held.end >= wanted.end;
+    }
+
+    bool hasRoom(const Run &run, std::size_t part) const
+    {
+        const std::size_t index = run.engines[part];
+        return m_engines[index].used + need(run, part) <= room(index);
+    }
+
+    void leavePasses(std::size_t id)
+    {
+        for (Engine &engine : m_engines) {
+            std::erase(engine.waiting, id);
+            std::erase(engine.inPass, id);
+        }
+    }
+
     void arrive(std::size_t instance, const SendWhole &send)
     {
         Run run;
@@ -385,14 +403,9 @@
             run.engines.push_back(m_byId[part.endpoint]);
         for (std::size_t i = 0; i < run.engines.size(); ++i) {
             const Engine &engine = m_engines[run.engines[i]];
-            const LayerRange held = engine.endpoint.layers;
-            const LayerRange wanted = run.path[i].layers;
-            const bool down = m_now < engine.downUntil;
-            if (down && i == 0)
+            if (i == 0 && m_now < engine.downUntil)
                 return; // silent: the instance notices by itself
-            if (down || held.begin > wanted.begin || held.end < wanted.end)
-                return reject(run, engine.endpoint.address);
-            if (i > 0 && engine.used + need(run, i) > room(run.engines[i]))
+            if (!holdsPart(run, i) || (i > 0 && !hasRoom(run, i)))
                 return reject(run, engine.endpoint.address);
         }
         m_runs.push_back(std::move(run));
@@ -420,7 +433,7 @@
         while (!engine.queue.empty()) {
             const std::size_t id = engine.queue.front();
             Run &run = m_runs[id];
-            if (!run.over && engine.used + need(run, 0) > room(index))
+            if (!run.over && !hasRoom(run, 0))
                 return;
             engine.queue.erase(engine.queue.begin());
             if (run.over)
@@ -576,10 +589,7 @@
         newest->context = 0;
         newest->stage = 0;
         const auto id = static_cast<std::size_t>(newest - m_runs.data());
-        for (Engine &engine : m_engines) {
-            std::erase(engine.waiting, id);
-            std::erase(engine.inPass, id);
-        }
+        leavePasses(id);
         m_engines[newest->engines.front()].queue.push_back(id);
     }
 
--- a/src/include/balsamloft/retrybudget.h
+++ b/src/include/balsamloft/retrybudget.h
@@ -69,11 +69,6 @@
     void setSlack(double slack) { m_settings.slack = slack; }
     void setPerRequest(double share) { m_settings.perRequest = share; }
 
-    // Queries
-
-    /// Repeats that may still be made now.
-    double balance(Time now) const;
-
 private:
     /// What happened in one slice of the window.
     struct Slice
@@ -85,6 +80,9 @@
 
     Slice &slice(Time now);
 
+    /// Repeats that may still be made now; slice() has dropped what no longer counts.
+    double balance(Time now) const;
+
     RepeatWindowSettings m_settings;
     std::deque<Slice> m_slices; ///< oldest first
     Time m_firstAt {};
--- a/src/libbalsamloft/retrybudget.cpp
+++ b/src/libbalsamloft/retrybudget.cpp
@@ -60,13 +60,10 @@
     double left = m_settings.slack;
     if (now - m_firstAt < m_settings.window)
         left -= m_settings.spentBefore;
-    const Duration length = m_settings.window / SlicesInWindow;
     for (const Slice &each : m_slices) {
-        const Duration age = now - each.begin;
-        if (age <= m_settings.window)
+        if (now - each.begin <= m_settings.window)
             left += m_settings.perRequest * each.requests;
-        if (age <= m_settings.window + length)
-            left -= each.repeats;
+        left -= each.repeats;
     }
     return left;
 }
--- a/testsuite/cost/main.cpp
+++ b/testsuite/cost/main.cpp
@@ -58,8 +58,8 @@
     Cost()
         : m_store(m_context)
     {
-        m_store.put("configuration", "current",
-                    R"({"version":1,"keys":{"k":"team-a"},
+        m_store.tables().put("configuration", "current",
+                             R"({"version":1,"keys":{"k":"team-a"},
                        "services":[{"name":"plain"},{"name":"model","layers":4}],"routes":[
                        {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"},
                        {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","service":"model"}]})");
--- a/testsuite/entry/entry_process_test.cpp
+++ b/testsuite/entry/entry_process_test.cpp
@@ -11,16 +11,26 @@
 
 using namespace balsamloft::testsuite;
 
-TEST_CASE("an instance told to stop says so, finishes what runs, and ends by itself", "[process]")
+namespace {
+
+/// An engine that keeps its streams waiting until \a finish.
+RawServer::Handler streamsOnce(const std::atomic<bool> &finish)
 {
-    Entry entry;
-    std::atomic<bool> finish {false};
-    RawServer engine([&](const std::string &request) -> RawAnswer {
+    return [&finish](const std::string &request) -> RawAnswer {
         if (request.starts_with("GET /state"))
             return {good(request, R"({"layers":[0,4],"orders":1})")};
         waitUntil([&] { return finish.load(); });
         return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
-    });
+    };
+}
+
+} // namespace
+
+TEST_CASE("an instance told to stop says so, finishes what runs, and ends by itself", "[process]")
+{
+    Entry entry;
+    std::atomic<bool> finish {false};
+    RawServer engine(streamsOnce(finish));
     entry.endpoint("a", "model", engine.address(), R"(,"layers":[0,4])");
     std::string answer;
     std::thread caller([&] { answer = entry.ask("/stream/x"); });
@@ -44,12 +54,7 @@
     // last moment would be cut with the process, so it is refused as not run.
     Entry entry;
     std::atomic<bool> finish {false};
-    RawServer engine([&](const std::string &request) -> RawAnswer {
-        if (request.starts_with("GET /state"))
-            return {good(request, R"({"layers":[0,4],"orders":1})")};
-        waitUntil([&] { return finish.load(); });
-        return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
-    });
+    RawServer engine(streamsOnce(finish));
     RawServer endpoint(
         [](const std::string &request) { return RawAnswer {good(request, "done")}; });
     entry.endpoint("a", "model", engine.address(), R"(,"layers":[0,4])");
--- a/testsuite/entry/entryworld.h
+++ b/testsuite/entry/entryworld.h
@@ -4,18 +4,13 @@
 
 #pragma once
 
+#include "../common/feedtables.h"
 #include "../common/process.h"
 #include "../common/wait.h"
 #include "rawserver.h"
 
-#include <boost/json.hpp>
-
-#include <map>
-
 namespace balsamloft::testsuite {
 
-namespace json = boost::json;
-
 /// The platform's store, as far as an instance needs it.
 class Store
 {
@@ -26,25 +21,18 @@
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
         const std::lock_guard lock(m_mutex);
-        m_tables[table][key] = {value, ++m_version, false};
+        m_tables.put(table, key, value);
     }
 
     void drop(const std::string &table, const std::string &key)
     {
         const std::lock_guard lock(m_mutex);
-        m_tables[table][key] = {"", ++m_version, true};
+        m_tables.drop(table, key);
     }
 
     std::string address() const { return m_server.address(); }
 
 private:
-    struct Row
-    {
-        std::string value;
-        std::uint64_t version;
-        bool dropped;
-    };
-
     RawAnswer answer(const std::string &request)
     {
         if (silent)
@@ -72,57 +60,30 @@
     std::uint64_t newest(const std::string &table)
     {
         const std::lock_guard lock(m_mutex);
-        std::uint64_t version = 0;
-        for (const auto &[key, row] : m_tables[table])
-            version = std::max(version, row.version);
-        return version;
+        return m_tables.newest(table);
     }
 
     RawAnswer rows(const std::string &table, std::uint64_t after, bool dropped)
     {
         const std::lock_guard lock(m_mutex);
-        json::array found;
-        for (const auto &[key, row] : m_tables[table])
-            if (row.version > after && (dropped || !row.dropped))
-                found.push_back({{"key", key},
-                                 {"value", row.value},
-                                 {"version", row.version},
-                                 {"dropped", row.dropped}});
-        return reply(200, {{"rows", found}});
+        return reply(200, m_tables.rows(table, after, dropped));
     }
 
     RawAnswer commit(const std::string &body)
     {
         const std::lock_guard lock(m_mutex);
-        const json::value value = json::parse(body);
-        for (const json::value &check : value.at("checks").as_array()) {
-            const auto &table = m_tables[std::string(check.at("table").as_string())];
-            const auto row = table.find(std::string(check.at("key").as_string()));
-            const std::uint64_t version = row == table.end() ? 0 : row->second.version;
-            if (version != check.at("version").to_number<std::uint64_t>())
-                return reply(409, {});
-        }
-        m_version += 1;
-        for (const json::value &write : value.at("writes").as_array())
-            m_tables[std::string(write.at("table").as_string())][std::string(
-                write.at("key").as_string())] = {std::string(write.at("value").as_string()),
-                                                 m_version, write.at("drop").as_bool()};
-        return reply(200, {});
+        const auto [status, answer] = m_tables.commit(body);
+        return reply(status, answer);
     }
 
-    RawAnswer reply(int status, json::object object) const
+    static RawAnswer reply(int status, const std::string &body)
     {
-        const auto clock = std::chrono::steady_clock::now().time_since_epoch();
-        object["version"] = m_version;
-        object["clock_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(clock).count();
-        const std::string body = json::serialize(object);
         return {"HTTP/1.1 " + std::to_string(status)
                 + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
     }
 
     std::mutex m_mutex;
-    std::map<std::string, std::map<std::string, Row>> m_tables;
-    std::uint64_t m_version = 10;
+    FeedTables m_tables;
     RawServer m_server {[this](const std::string &request) { return answer(request); }};
 };
 
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr int Ok = 200;
-constexpr int Conflict = 409;
 constexpr int HistoryGone = 410;
 constexpr int Unavailable = 503;
 constexpr int NoAnswer = 0;
@@ -62,16 +61,6 @@
     return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
 }
 
-void Store::put(const std::string &table, const std::string &key, const std::string &value)
-{
-    m_tables[table][key] = {value, ++m_version, false};
-}
-
-void Store::drop(const std::string &table, const std::string &key)
-{
-    m_tables[table][key] = {"", ++m_version, true};
-}
-
 void Store::heal()
 {
     down = silent = losesAnswers = false;
@@ -119,60 +108,19 @@
         co_return std::pair(Unavailable, std::string());
     const std::string target(request.target());
     if (target == "/commit")
-        co_return commit(request.body());
+        co_return m_tables.commit(request.body());
     const std::vector<std::string> parts = partsOf(target);
     if (parts[0] != "changes")
-        co_return rows(parts[1], 0, false);
+        co_return std::pair(Ok, m_tables.rows(parts[1], 0, false));
     const std::uint64_t after = std::stoull(parts[2]);
     const auto until = Clock::now() + Milliseconds(std::stol(parts[3]));
-    while (Clock::now() < until && newest(parts[1]) <= after && !down)
+    while (Clock::now() < until && m_tables.newest(parts[1]) <= after && !down)
         co_await pause(PollStep);
     if (down)
         co_return std::pair(Unavailable, std::string());
     if (after < m_forgotten)
         co_return std::pair(HistoryGone, std::string("{}"));
-    co_return rows(parts[1], after, true);
-}
-
-std::uint64_t Store::newest(const std::string &table)
-{
-    std::uint64_t version = 0;
-    for (const auto &[key, row] : m_tables[table])
-        version = std::max(version, row.version);
-    return version;
-}
-
-std::pair<int, std::string> Store::rows(const std::string &table, std::uint64_t after, bool changes)
-{
-    json::array found;
-    for (const auto &[key, row] : m_tables[table])
-        if (row.version > after && (changes || !row.dropped))
-            found.push_back({{"key", key},
-                             {"value", row.value},
-                             {"version", row.version},
-                             {"dropped", row.dropped}});
-    const auto clock =
-        std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
-    return {Ok, json::serialize(
-                    json::object {{"rows", found}, {"version", m_version}, {"clock_ms", clock}})};
-}
-
-std::pair<int, std::string> Store::commit(const std::string &body)
-{
-    const json::value value = json::parse(body);
-    for (const json::value &check : value.at("checks").as_array()) {
-        const auto &table = m_tables[std::string(check.at("table").as_string())];
-        const auto row = table.find(std::string(check.at("key").as_string()));
-        const std::uint64_t version = row == table.end() ? 0 : row->second.version;
-        if (version != check.at("version").to_number<std::uint64_t>())
-            return {Conflict, rows("none", 0, false).second};
-    }
-    m_version += 1;
-    for (const json::value &write : value.at("writes").as_array())
-        m_tables[std::string(write.at("table").as_string())][std::string(
-            write.at("key").as_string())] = {std::string(write.at("value").as_string()), m_version,
-                                             write.at("drop").as_bool()};
-    return {Ok, rows("none", 0, false).second};
+    co_return std::pair(Ok, m_tables.rows(parts[1], after, true));
 }
 
 Endpoint::Endpoint(asio::io_context &context, Store &store, Record &record, std::string name,
@@ -200,7 +148,7 @@
                       {"state", state}};
     if (m_service == "model")
         row["layers"] = {0, 4};
-    m_store.put("endpoints", m_id, json::serialize(row));
+    m_store.tables().put("endpoints", m_id, json::serialize(row));
 }
 
 void Endpoint::start()
@@ -222,7 +170,7 @@
         socket->close(ignored);
     }
     m_link.resetOpen();
-    m_store.drop("endpoints", m_id);
+    m_store.tables().drop("endpoints", m_id);
     m_id.clear();
 }
 
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "../common/feedtables.h"
 #include "link.h"
 #include "record.h"
 
@@ -23,8 +24,7 @@
     explicit Store(boost::asio::io_context &context);
 
     std::string address() const;
-    void put(const std::string &table, const std::string &key, const std::string &value);
-    void drop(const std::string &table, const std::string &key);
+    testsuite::FeedTables &tables() { return m_tables; }
 
     // Faults
 
@@ -32,28 +32,17 @@
     bool silent = false; ///< answers nobody
     bool losesAnswers = false; ///< does what it is told and closes the connection
     Milliseconds slow {0};
-    void forgetHistory() { m_forgotten = m_version; }
+    void forgetHistory() { m_forgotten = m_tables.version(); }
     void heal();
 
 private:
-    struct Row
-    {
-        std::string value;
-        std::uint64_t version = 0;
-        bool dropped = false;
-    };
-
     awaitable<void> accept();
     awaitable<void> serve(tcp::socket socket);
     awaitable<std::pair<int, std::string>> answer(const Request &request);
-    std::pair<int, std::string> commit(const std::string &body);
-    std::pair<int, std::string> rows(const std::string &table, std::uint64_t after, bool changes);
-    std::uint64_t newest(const std::string &table);
 
     boost::asio::io_context &m_context;
     tcp::acceptor m_acceptor;
-    std::map<std::string, std::map<std::string, Row>> m_tables;
-    std::uint64_t m_version = 10;
+    testsuite::FeedTables m_tables;
     std::uint64_t m_forgotten = 0;
 };
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -56,7 +56,7 @@
     , m_random(settings.seed)
     , m_store(m_context)
 {
-    m_store.put("configuration", "current", std::string(Configuration));
+    m_store.tables().put("configuration", "current", std::string(Configuration));
     makeEndpoints();
     makeInstances();
 }
