--- a/scripts/compare.py
+++ b/scripts/compare.py
@@ -35,7 +35,7 @@
     parser.add_argument("--site", required=True, type=pathlib.Path)
     parser.add_argument("--before", required=True, type=pathlib.Path)
     parser.add_argument("--after", type=pathlib.Path, help="left out: only --before is played")
-    parser.add_argument("--days", default="trouble", help="names, 'all', or 'trouble': all but quiet")
+    parser.add_argument("--days", default="trouble", help="names, files, 'all', or 'trouble': all but quiet")
     parser.add_argument("--seeds", type=int, default=5, help="plays of each day")
     parser.add_argument("--first-seed", type=int, default=FIRST_SEED)
     parser.add_argument("--mixes", type=int, default=0, help="days drawn from the site's troubles")
@@ -79,7 +79,7 @@
 
 def play(options, checkout, day, seed, where):
     """Plays one day; returns its report with the causes, or None when it failed."""
-    report = (where / f"{checkout.name}-{day}-{seed}.json").resolve()
+    report = (where / f"{checkout.name}-{pathlib.Path(day).stem}-{seed}.json").resolve()
     command = [options.bench, "run", str(options.site.resolve()), day, "--seed", str(seed),
                "--log", "all", "--report", str(report), "--why", options.why]
     if options.vary:
@@ -160,10 +160,10 @@
     for day in sorted({day for day, _ in good}):
         these = [pair for (name, _), pair in zip(good, pairs) if name == day]
         change, error = mean_and_error([after["G"] - before["G"] for before, after in these])
-        print(f"{day:12} before {spread([b['G'] for b, _ in these])}"
+        print(f"{pathlib.Path(day).stem:28} before {spread([b['G'] for b, _ in these])}"
               f"  after {spread([a['G'] for _, a in these])}  change {change:+.3f} ±{error:.3f}")
     change, error = mean_and_error([after["G"] - before["G"] for before, after in pairs])
-    print(f"{'all':12} before {spread([b['G'] for b, _ in pairs])}"
+    print(f"{'all':28} before {spread([b['G'] for b, _ in pairs])}"
           f"  after {spread([a['G'] for _, a in pairs])}  change {change:+.3f} ±{error:.3f}")
     table("parts of the worth and prices", pairs, parts)
     table("requests by cause, a day", pairs, lambda report: report["causes"])
--- a/src/balsamloft/logreport.cpp
+++ b/src/balsamloft/logreport.cpp
@@ -3,7 +3,9 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <iomanip>
 #include <regex>
+#include <sstream>
 
 namespace json = boost::json;
 
@@ -44,7 +46,7 @@
 std::string causeOf(const LogLine &line)
 {
     // Ids differ in each line; what they did does not.
-    static const std::regex id("[a-z]+-[0-9a-f]{6,}");
+    static const std::regex id("[a-z]+-[0-9a-f]{6,}(@[0-9]+)?");
     const std::string reason = std::regex_replace(line.reason, id, "an endpoint");
     if (line.outcome == "passed" && line.status >= FirstRefusal)
         return "the endpoint answered " + std::to_string(line.status);
@@ -88,6 +90,9 @@
         line.trail = text(object, "trail");
         line.status = number(object, "status");
         line.durationMs = number(object, "ms");
+        const json::value *late = object.if_contains("late");
+        line.late = late && late->is_bool() && late->get_bool();
+        line.gapsEverywhere = text(object, "gaps_everywhere");
         line.text = whole.substr(brace);
         if (line.part == "entry" && line.event == "started")
             m_processes[line.instance] += 1;
@@ -140,6 +145,97 @@
     return result;
 }
 
+/// Moments from which on some layer had no holder anywhere (true) or all had one,
+/// by the lines of all instances: the last one that told decides.
+std::vector<std::pair<std::int64_t, bool>> LogReport::uncoveredSince() const
+{
+    std::vector<std::pair<std::int64_t, bool>> changes;
+    for (const LogLine &line : m_lines) {
+        if (line.event != "coverage")
+            continue;
+        const bool uncovered = !line.gapsEverywhere.empty();
+        if (changes.empty() || changes.back().second != uncovered)
+            changes.emplace_back(line.atMs, uncovered);
+    }
+    return changes;
+}
+
+namespace {
+
+/// What a request that did not go well lost, of 1.
+constexpr double LateLoss = 0.75;
+
+struct Loss
+{
+    std::size_t count = 0;
+    double lost = 0;
+};
+
+/// Causes that lie with the caller, the endpoint or the configuration.
+bool notTheRouters(const LogLine &line)
+{
+    return line.outcome == "caller gone"
+           || (line.outcome == "passed" && line.status >= FirstRefusal);
+}
+
+std::string fixed(double value)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1) << value;
+    return text.str();
+}
+
+} // namespace
+
+std::string LogReport::losses() const
+{
+    const auto changes = uncoveredSince();
+    std::map<std::string, Loss> causes;
+    std::map<std::string, Loss> domains;
+    std::map<std::int64_t, std::map<std::string, std::size_t>> seconds;
+    double router = 0;
+    double nobody = 0;
+    for (const LogLine &line : m_lines) {
+        const bool denied = line.outcome == "refused" && (line.status == 401 || line.status == 404);
+        if (line.event != "ended" || denied || (wentWell(line) && !line.late))
+            continue;
+        const double lost = wentWell(line) ? LateLoss : 1;
+        const std::int64_t began = line.atMs - line.durationMs;
+        const auto after =
+            std::upper_bound(changes.begin(), changes.end(), began,
+                             [](std::int64_t at, const auto &each) { return at < each.first; });
+        const bool uncovered = after != changes.begin() && std::prev(after)->second;
+        (notTheRouters(line) || uncovered ? nobody : router) += lost;
+        for (Loss *each : {&causes[causeOf(line)], &domains[line.domain]}) {
+            each->count += 1;
+            each->lost += lost;
+        }
+        const char *column = wentWell(line)              ? "late"
+                             : line.outcome == "refused" ? "refused"
+                                                         : "failed";
+        seconds[(began - m_lines.front().atMs) / 1000][column] += 1;
+    }
+    std::vector<std::pair<double, std::string>> sorted;
+    for (const auto &[cause, loss] : causes)
+        sorted.emplace_back(loss.lost, std::to_string(loss.count) + "  " + cause);
+    std::sort(sorted.rbegin(), sorted.rend());
+    std::string result = "lost, in whole requests: " + fixed(router) + " the router's to win, "
+                         + fixed(nobody) + " that no router could have served; "
+                         + std::to_string(m_unreadable)
+                         + " lines unreadable\n\nlost  count  cause\n";
+    for (const auto &[lost, cause] : sorted)
+        result += fixed(lost) + "  " + cause + "\n";
+    result += "\nlost  count  domain\n";
+    for (const auto &[domain, loss] : domains)
+        result += fixed(loss.lost) + "  " + std::to_string(loss.count) + "  " + domain + "\n";
+    result += "\nsecond late refused failed\n";
+    for (auto &[second, columns] : seconds)
+        result += std::to_string(second) + " " + std::to_string(columns["late"]) + " "
+                  + std::to_string(columns["refused"]) + " " + std::to_string(columns["failed"])
+                  + "\n";
+    return result;
+}
+
 std::string LogReport::summary() const
 {
     std::map<std::string, std::size_t> causes;
--- a/src/balsamloft/logreport.h
+++ b/src/balsamloft/logreport.h
@@ -29,6 +29,8 @@
     std::string trail;
     std::int64_t status = 0;
     std::int64_t durationMs = 0;
+    bool late = false;
+    std::string gapsEverywhere; ///< of a line that tells which layers nobody holds
     std::string text; ///< the line itself
 };
 
@@ -44,6 +46,11 @@
     /// around that time. Empty when no line names it.
     std::string explain(std::string_view request) const;
 
+    /// What each cause cost: a table by cause and domain, with what no router
+    /// could have served apart, then a line for each second, for plots. A request
+    /// that is late counts as three quarters lost, one that is not served as lost.
+    std::string losses() const;
+
     /// Causes of requests that did not go well: by kind, domain and second.
     std::string summary() const;
 
@@ -52,6 +59,7 @@
 
 private:
     void order();
+    std::vector<std::pair<std::int64_t, bool>> uncoveredSince() const;
 
     std::vector<LogLine> m_lines;
     std::size_t m_unreadable = 0;
--- a/src/balsamloft/logreport_test.cpp
+++ b/src/balsamloft/logreport_test.cpp
@@ -88,3 +88,31 @@
     CHECK(text.find("-50 ms") != std::string::npos);
     CHECK(text.find("-1950 ms") != std::string::npos);
 }
+
+// While no engine held some layer nobody could have served; what failed before
+// and after, and what came late, is the router's to win.
+TEST_CASE("losses are told by cause, apart from what no router could have served")
+{
+    std::stringstream log;
+    const std::string ended = R"("part":"request","event":"ended","request":"r","ms":0,)";
+    const std::string refused = ended + R"("outcome":"refused","status":503,"reason":"no path")";
+    log << line(1000, 1000, "a", ended + R"("outcome":"passed","status":200,"late":true)")
+        << line(1100, 1100, "a", ended + R"("outcome":"passed","status":200,"late":false)")
+        << line(1200, 1200, "a", refused)
+        << line(2000, 2000, "a",
+                R"("part":"placement","event":"coverage","gaps":"1-2","gaps_everywhere":"1-2")")
+        << line(2500, 2500, "a", refused)
+        << line(3000, 3000, "a",
+                R"("part":"placement","event":"coverage","gaps":"","gaps_everywhere":"")")
+        << line(3500, 3500, "a", refused)
+        << line(3600, 3600, "a",
+                ended + R"("outcome":"passed","status":500,"late":false,"reason":"")")
+        << "{\"cut\":\n";
+    LogReport report;
+    report.read(log);
+    const std::string text = report.losses();
+    CHECK(text.starts_with("lost, in whole requests: 2.8 the router's to win, 2.0 that no router"));
+    CHECK(text.find("1 lines unreadable") != std::string::npos);
+    CHECK(text.find("3.0  3  refused, not run: no path\n") != std::string::npos);
+    CHECK(text.find("\n0 1 1 0\n1 0 1 0\n") != std::string::npos);
+}
--- a/src/balsamloft/main.cpp
+++ b/src/balsamloft/main.cpp
@@ -60,6 +60,7 @@
   balsamloft endpoints                endpoints as the instance sees them
   balsamloft explain REQUEST-ID       why a request went where it went
   balsamloft logs explain REQUEST-ID  the same from log lines of balsamloft-entry on standard input
+  balsamloft logs losses              what each cause cost, and a line for each second
   balsamloft logs summary             causes of failure in log lines on standard input
   balsamloft placement                what free engines hold, and why
   balsamloft drain                    stop the instance gracefully
@@ -105,6 +106,7 @@
     int explain(const std::string &request);
     int logsExplain(const std::string &request);
     int logsSummary(const std::string &unused);
+    int logsLosses(const std::string &unused);
     int placement(const std::string &);
     int drain(const std::string &);
 
@@ -133,6 +135,7 @@
     {{"explain"}, &Commands::explain, true},
     {{"logs", "explain"}, &Commands::logsExplain, true},
     {{"logs", "summary"}, &Commands::logsSummary, false},
+    {{"logs", "losses"}, &Commands::logsLosses, false},
     {{"placement"}, &Commands::placement, false},
     {{"drain"}, &Commands::drain, false},
 };
@@ -379,6 +382,14 @@
     return ExitOk;
 }
 
+int Commands::logsLosses(const std::string & /*unused*/)
+{
+    LogReport report;
+    report.read(std::cin);
+    std::cout << report.losses();
+    return ExitOk;
+}
+
 int Commands::explain(const std::string &request)
 {
     return showLines(m_client.get("/admin/v1/explain?request=" + request));
--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -17,7 +17,7 @@
         text.append(name).append(": ").append(value).append("\r\n");
     };
     add(names.deadline, std::to_string(std::max<std::int64_t>(1, milliseconds(send.timeLeft))));
-    add(names.expectedEndpoint, send.endpoint);
+    add(names.expectedEndpoint, send.name);
     if (!send.path.empty())
         add(names.path, m_front.protocol().pathText(send.path));
     const auto after = send.afterEvent ? send.afterEvent : m_callerAfter;
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -5,6 +5,8 @@
 #include "clock.h"
 #include "decisionlog.h"
 
+#include <balsamloft/coverage.h>
+
 namespace balsamloft {
 
 namespace {
@@ -243,10 +245,10 @@
             endpoints.push_back(std::move(*endpoint));
             continue;
         }
-        m_state.badRows += 1;
-        logDecision(
-            "endpoints", "entry left out",
-            {{"endpoint", std::string_view(row.key)}, {"reason", std::string_view(reason)}});
+        leftOut(row, reason);
+        // What stood under the name is overwritten: it names no endpoint any more.
+        if (!whole)
+            m_fleet.dropped(row.key, now);
     }
     if (whole)
         return m_fleet.listed(std::move(endpoints), now);
@@ -254,6 +256,23 @@
         m_fleet.changed(std::move(each), now);
 }
 
+/// Counts and logs an entry that names no endpoint, once for each time that it
+/// was written: the list is read anew often, and the entry stays.
+void Control::leftOut(const StoreRow &row, const Reason &reason)
+{
+    constexpr std::size_t MostRemembered = 1000;
+    constexpr std::size_t MostShown = 80;
+    if (m_leftOut.size() >= MostRemembered)
+        m_leftOut.clear();
+    const auto [known, fresh] = m_leftOut.try_emplace(row.key, row.version);
+    if (!fresh && std::exchange(known->second, row.version) == row.version)
+        return;
+    m_state.badRows += 1;
+    logDecision("endpoints", "entry left out",
+                {{"endpoint", std::string_view(row.key).substr(0, MostShown)},
+                 {"reason", std::string_view(reason)}});
+}
+
 void Control::tellFleet()
 {
     m_state.fleetKnown = m_fleet.known();
@@ -264,9 +283,32 @@
     logDecision("endpoints", "changed",
                 {{"number", std::int64_t(m_fleetNow->number)},
                  {"endpoints", std::int64_t(m_fleetNow->endpoints.size())}});
+    logCoverage();
     m_events.fleet(m_fleetNow);
 }
 
+/// Says which layers nobody holds, in the own domain and in all, when that
+/// changes: what could not be served for want of them, no router could have.
+void Control::logCoverage()
+{
+    if (!m_table)
+        return;
+    for (const RoutedService &service : m_table->services()) {
+        if (!service.model)
+            continue;
+        const Coverage own(*m_fleetNow, service, m_settings.domain);
+        const Coverage all(*m_fleetNow, service, {});
+        const std::string gaps = own.gaps();
+        const std::string everywhere = all.gaps();
+        if (std::exchange(m_gaps[service.name], gaps + "/" + everywhere) == gaps + "/" + everywhere)
+            continue;
+        logDecision("placement", "coverage",
+                    {{"gaps", std::string_view(gaps)},
+                     {"gaps_everywhere", std::string_view(everywhere)},
+                     {"held_once", std::int64_t(own.singles())}});
+    }
+}
+
 /// Says which endpoints get nothing new from now on, and how old the news is.
 void Control::logLeaving(const FleetSnapshot &before, const FleetSnapshot &after)
 {
@@ -304,6 +346,7 @@
     m_state.holdsLease = held;
     if (held && !m_stopping)
         place(steadyNow());
+    fillGaps(steadyNow());
     askEngines(steadyNow());
     tellEngines();
     m_timer.expires_after(TickEvery);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -8,6 +8,7 @@
 #include "settings.h"
 #include "tablefollower.h"
 
+#include <balsamloft/gapfiller.h>
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/lease.h>
 #include <balsamloft/peerdirectory.h>
@@ -40,6 +41,9 @@
     bool listen(Reason &reason);
     void start();
 
+    /// The traffic thread got no answer of an engine: it is asked at once.
+    void engineSilent(const std::string &id);
+
     /// Gives the lease back and leaves the list of instances, then calls \a done.
     void stop(std::function<void()> done);
 
@@ -49,6 +53,9 @@
     {
         EngineState state;
         std::uint32_t misses = 0;
+        LayerRange layers; ///< as it said itself
+        bool busy = false;
+        Time answeredAt {};
     };
 
     TableEvents tableEvents(NewsTable table);
@@ -56,9 +63,11 @@
     void sourceFailed(const TableSource &source);
     void heard(NewsTable table, const TableAnswer &answer);
     bool readsStore() const;
+    void leftOut(const StoreRow &row, const Reason &reason);
     void configurationRows(const std::vector<StoreRow> &rows);
     void endpointRows(const std::vector<StoreRow> &rows, bool whole);
     void tellFleet();
+    void logCoverage();
     void logLeaving(const FleetSnapshot &before, const FleetSnapshot &after);
     void tick();
     void leaseActions(LeaseActions actions);
@@ -67,10 +76,14 @@
     void countInstances();
     void writeInstance(bool leaving, std::function<void()> done);
     void askEngines(Time now);
+    void askEngine(const FleetEndpoint &engine);
     void engineAnswered(const std::string &id, const CallOutcome &outcome);
     void tellEngines();
     void askOtherDomains(Time now);
     void place(Time now);
+    void fillGaps(Time now);
+    FleetSnapshot ownDomainNow(Time now) const;
+    std::set<std::string> silentEngines() const;
     void giveOrder(const LayerOrder &order);
     void sendOrder(const LayerOrder &order, std::uint64_t expectedOrders);
     void orderOutcome(const LayerOrder &order, OrderReply reply, int status);
@@ -104,9 +117,12 @@
     std::vector<PeerInstance> m_instances; ///< as counted last
     LeaseKeeper m_lease;
     LayerPlanner m_planner;
+    GapFiller m_filler;
     Time m_countedAt {};
     Time m_writtenAt {};
     std::optional<Duration> m_storeOffset; ///< store's time minus own time
+    std::map<std::string, std::string, std::less<>> m_gaps; ///< as logged last, by service
+    std::map<std::string, std::uint64_t, std::less<>> m_leftOut; ///< rows' versions, by key
     bool m_stopping = false;
     bool m_held = false;
 };
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -25,19 +25,40 @@
     for (const FleetEndpoint &each : m_fleetNow->endpoints) {
         if (each.domain != m_settings.domain || each.layers.end <= each.layers.begin)
             continue;
-        engineCall(
-            each.id, each.address, {"GET", std::string(m_protocol.reportTarget()), {}},
-            [this, id = each.id](const CallOutcome &outcome) { engineAnswered(id, outcome); });
+        askEngine(each);
     }
 }
 
+void Control::askEngine(const FleetEndpoint &engine)
+{
+    engineCall(engine.id, engine.address, {"GET", std::string(m_protocol.reportTarget()), {}},
+               [this, id = engine.id](const CallOutcome &outcome) { engineAnswered(id, outcome); });
+}
+
+/// Only the one that asks the domain's engines anyway follows this up.
+void Control::engineSilent(const std::string &id)
+{
+    const FleetEndpoint *engine = m_fleetNow->find(id);
+    const auto asked = m_asked.find(id);
+    if (!engine || asked == m_asked.end() || engine->domain != m_settings.domain || !readsStore()
+        || asked->second.misses >= MissesToSilence)
+        return;
+    asked->second.misses = MissesToSilence - 1;
+    askEngine(*engine);
+}
+
 void Control::engineAnswered(const std::string &id, const CallOutcome &outcome)
 {
     Reason reason;
     const auto report = m_protocol.report(outcome.body, reason);
-    const bool answered = outcome.status == 200 && report;
+    const FleetEndpoint *listed = m_fleetNow->find(id);
+    if (!listed)
+        return;
+    // Another process answers under the same name: the listed one is gone.
+    const bool replaced = report && report->ofAnotherThan(*listed);
+    const bool answered = outcome.status == 200 && report && !replaced;
     AskedEngine &asked = m_asked[id];
-    asked.misses = outcome.status == 0 ? asked.misses + 1 : 0;
+    asked.misses = replaced ? MissesToSilence : outcome.status == 0 ? asked.misses + 1 : 0;
     if (asked.misses == MissesToSilence)
         logDecision("engine", "silent", {{"endpoint", std::string_view(id)}});
     asked.state.id = id;
@@ -47,6 +68,9 @@
         asked.state.active = report->active;
         asked.state.queued = report->queued;
         asked.state.pace = report->pace;
+        asked.layers = report->layers;
+        asked.busy = report->busy;
+        asked.answeredAt = asked.state.at;
     }
     m_askedDirty = true;
 }
@@ -108,6 +132,47 @@
     }
 }
 
+std::set<std::string> Control::silentEngines() const
+{
+    std::set<std::string> silent;
+    for (const auto &[id, asked] : m_asked)
+        if (asked.misses >= MissesToSilence)
+            silent.insert(id);
+    return silent;
+}
+
+/// The engines as they said of themselves, where that is young: the list lags by
+/// a beat, and stands still while the store is down.
+FleetSnapshot Control::ownDomainNow(Time now) const
+{
+    constexpr Duration Young {1'700'000};
+    FleetSnapshot fleet = *m_fleetNow;
+    for (FleetEndpoint &each : fleet.endpoints) {
+        const auto asked = m_asked.find(each.id);
+        if (asked == m_asked.end() || now - asked->second.answeredAt > Young)
+            continue;
+        each.layers = asked->second.layers;
+        each.busy = asked->second.busy;
+    }
+    return fleet;
+}
+
+/// The reader of the domain fills its gaps, with the lease or without it.
+void Control::fillGaps(Time now)
+{
+    if (m_stopping || !m_table || !m_fleet.known() || !readsStore())
+        return;
+    const std::set<std::string> silent = silentEngines();
+    // When most are silent it is this instance that does not hear.
+    if (silent.size() * 2 > m_asked.size())
+        return;
+    const FleetSnapshot fleet = ownDomainNow(now);
+    for (const RoutedService &service : m_table->services())
+        for (const LayerOrder &order :
+             m_filler.fill(fleet, service, m_settings.domain, silent, now))
+            giveOrder(order);
+}
+
 void Control::engineCall(const std::string &endpoint, const std::string &address,
                          const OutgoingCall &call, OneCall::Callback callback)
 {
@@ -116,14 +181,19 @@
 
 void Control::giveOrder(const LayerOrder &order)
 {
-    m_planner.ordered(order, steadyNow());
+    if (order.adds)
+        m_filler.ordered(order, steadyNow());
+    else
+        m_planner.ordered(order, steadyNow());
     // Its present state is read first: the list is a second or two old, and an
     // order is bound to the number of orders that the engine accepted so far.
     engineCall(order.endpoint, order.address, {"GET", std::string(m_protocol.reportTarget()), {}},
                [this, order](const CallOutcome &outcome) {
                    Reason reason;
                    const auto report = m_protocol.report(outcome.body, reason);
-                   if (outcome.status != 200 || !report || report->busy)
+                   const FleetEndpoint *listed = m_fleetNow->find(order.endpoint);
+                   if (outcome.status != 200 || !report || report->busy || !listed
+                       || report->ofAnotherThan(*listed))
                        return orderOutcome(order, OrderReply::Refused, outcome.status);
                    sendOrder(order, report->orders);
                });
@@ -133,7 +203,7 @@
 {
     // Asked again right before the order leaves: a process that was paused has
     // lost the lease meanwhile, and engines do not check the fencing number.
-    if (!m_lease.holds(bootNow()))
+    if (!order.adds && !m_lease.holds(bootNow()))
         return orderOutcome(order, OrderReply::Refused, 0);
     m_state.ordersGiven += 1;
     engineCall(order.endpoint, order.address,
@@ -158,7 +228,9 @@
                  {"reply", Names[static_cast<std::size_t>(reply)]},
                  {"status", std::int64_t(status)},
                  {"fencing", std::int64_t(m_lease.fencing())}});
-    if (reply == OrderReply::Refused)
+    if (reply == OrderReply::Refused && order.adds)
+        m_filler.refused(order.endpoint, steadyNow());
+    else if (reply == OrderReply::Refused)
         m_planner.refused(order.endpoint, steadyNow());
 }
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -57,6 +57,10 @@
         logDecision("entry", "started",
                     {{"callers", std::string_view(m_settings.callers)},
                      {"store", std::string_view(m_settings.store)}});
+        m_front.onSilentEngine([this](std::string id) {
+            asio::post(m_controlContext,
+                       [this, id = std::move(id)] { m_control.engineSilent(id); });
+        });
         waitForSignal();
         std::thread control([this] {
             m_control.start();
--- a/src/entry/onecall.cpp
+++ b/src/entry/onecall.cpp
@@ -72,22 +72,21 @@
     ExchangeSettings settings;
     settings.endpoint = endpoint;
     settings.address = address;
-    std::make_shared<OneCall>(pool, std::move(settings),
-                              callText(call.method, call.target, address, call.body), within,
+    std::make_shared<OneCall>(pool, std::move(settings), callText(call, address), within,
                               std::move(callback))
         ->start();
 }
 
-std::string callText(std::string_view method, std::string_view target, std::string_view host,
-                     std::string_view body)
+std::string callText(const OutgoingCall &call, std::string_view host)
 {
-    std::string text;
-    text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host);
-    text += "\r\n";
-    if (!body.empty())
-        text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
-                + "\r\n";
-    return text.append("\r\n").append(body);
+    std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: ";
+    text.append(host).append("\r\n");
+    if (!call.header.empty())
+        text += call.header + "\r\n";
+    if (!call.body.empty())
+        text += "Content-Type: application/json\r\nContent-Length: "
+                + std::to_string(call.body.size()) + "\r\n";
+    return text + "\r\n" + call.body;
 }
 
 } // namespace balsamloft
--- a/src/entry/onecall.h
+++ b/src/entry/onecall.h
@@ -54,8 +54,7 @@
 void startCall(EnginePool &pool, const std::string &endpoint, const std::string &address,
                const OutgoingCall &call, Duration within, OneCall::Callback callback);
 
-/// The text of a call, as HTTP/1.1. An empty \a body is not sent.
-std::string callText(std::string_view method, std::string_view target, std::string_view host,
-                     std::string_view body);
+/// The text of a call to \a host, as HTTP/1.1.
+std::string callText(const OutgoingCall &call, std::string_view host);
 
 } // namespace balsamloft
--- a/src/entry/storechannel.cpp
+++ b/src/entry/storechannel.cpp
@@ -34,8 +34,7 @@
     ExchangeSettings settings;
     settings.endpoint = "store";
     settings.address = m_address;
-    std::string text =
-        callText(waiting.call.method, waiting.call.target, m_address, waiting.call.body);
+    std::string text = callText(waiting.call, m_address);
     m_running = std::make_shared<OneCall>(
         m_pool, std::move(settings), std::move(text), waiting.within,
         [this, sentAt = bootNow(), callback = std::move(waiting.callback)](CallOutcome outcome) {
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -85,7 +85,7 @@
     const Time sentAt = bootNow();
     m_call = std::make_shared<OneCall>(
         m_pool, std::move(settings),
-        callText("GET", newsTarget(m_table, after, wait), m_peer.address, {}), wait + PeerWithin,
+        callText({"GET", newsTarget(m_table, after, wait), {}}, m_peer.address), wait + PeerWithin,
         [this, sentAt, callback = std::move(callback)](const CallOutcome &outcome) {
             callback(decode(outcome, sentAt));
         });
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -198,8 +198,9 @@
     settings.address = ask.address;
     settings.freshConnection = true;
     auto question = std::make_shared<OneCall>(
-        m_pool, std::move(settings), callText("GET", m_protocol.reportTarget(), ask.address, {}),
-        AnswerWithin, [this, endpoint = ask.endpoint](const CallOutcome &outcome) {
+        m_pool, std::move(settings),
+        callText({"GET", std::string(m_protocol.reportTarget()), {}}, ask.address), AnswerWithin,
+        [this, endpoint = ask.endpoint](const CallOutcome &outcome) {
             engineAnswered(endpoint, outcome);
         });
     m_questions[ask.endpoint] = question;
@@ -212,12 +213,17 @@
     RelayActions actions;
     Reason reason;
     const auto report = m_protocol.report(outcome.body, reason);
-    if (outcome.status != 200 || !report) {
+    const FleetEndpoint *asked = m_fleet->find(endpoint);
+    // Another process answers under the same name: the one that was asked is gone.
+    const bool replaced = report && asked && report->ofAnotherThan(*asked);
+    if (outcome.status != 200 || !report || replaced) {
         logDecision(
             "engine", "silent",
             {{"endpoint", std::string_view(endpoint)}, {"status", std::int64_t(outcome.status)}});
-        if (outcome.status == 0)
+        if (outcome.status == 0 || replaced)
             m_relay.reportFailed(endpoint, steadyNow(), actions);
+        if ((outcome.status == 0 || replaced) && m_engineSilent)
+            m_engineSilent(endpoint);
         return run(std::move(actions));
     }
     std::string stalled;
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -40,6 +40,12 @@
     /// stop, the budget of repeats, how much is logged.
     void reload(const EntrySettings &settings);
 
+    /// \a silent is called with the id of each engine that gave no answer.
+    void onSilentEngine(std::function<void(std::string)> silent)
+    {
+        m_engineSilent = std::move(silent);
+    }
+
     /// Takes no new work after a while, and calls \a stopped once all is done.
     void stop(std::function<void()> stopped);
     void run(RelayActions actions);
@@ -80,6 +86,7 @@
     void tick();
     void armTimer();
     void askEngine(const AskEngine &ask);
+
     void engineAnswered(const std::string &endpoint, const CallOutcome &outcome);
     void changePath(const ChangePath &change);
     void finishStop();
@@ -104,6 +111,7 @@
     Time m_stopAt {};
     Time m_prunedAt {};
     std::function<void()> m_stopped;
+    std::function<void(std::string)> m_engineSilent;
 };
 
 } // namespace balsamloft
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -54,7 +54,7 @@
     int port = 1;
     for (const RelayEngine &each : engines) {
         FleetEndpoint endpoint;
-        endpoint.id = each.id;
+        endpoint.id = endpoint.name = each.id;
         endpoint.service = each.layers.end == 0 ? "plain" : "model";
         endpoint.address = "10.0.0.1:" + std::to_string(port++);
         endpoint.domain = each.domain;
--- a/src/include/balsamloft/enginebook.h
+++ b/src/include/balsamloft/enginebook.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 namespace balsamloft {
 
@@ -104,8 +105,19 @@
     /// How many instances are believed to send work to a domain's engines.
     void setSharers(double sharers) { m_sharers = sharers; }
 
+    /// A request of this instance goes from \a from to \a to, two domains, and takes
+    /// their pipe for \a pipeMs.
+    void crossed(const std::string &from, const std::string &to, double pipeMs, Time now);
+
+    /// How many instances there are in all domains.
+    void setInstances(double instances) { m_instances = instances; }
+
     // Queries
 
+    /// Share of the time that the pipe between two domains is believed to be in
+    /// use: own requests of late, times the instances.
+    double pipeLoad(std::string_view from, std::string_view to, Time now) const;
+
     const EngineBelief *find(std::string_view id) const;
     bool suspected(std::string_view id, Time now) const;
     bool usable(std::string_view id, Time now) const;
@@ -129,6 +141,15 @@
     std::map<std::string, EngineBelief, std::less<>> m_beliefs;
     std::map<std::string, double> m_scales;
     double m_sharers = 3;
+
+    /// Own use of the pipe between two domains.
+    struct PipeUse
+    {
+        double ms = 0; ///< decaying sum
+        Time at {};
+    };
+    std::map<std::pair<std::string, std::string>, PipeUse, std::less<>> m_pipes;
+    double m_instances = 8;
 };
 
 } // namespace balsamloft
--- a/src/include/balsamloft/enginefleet.h
+++ b/src/include/balsamloft/enginefleet.h
@@ -13,10 +13,13 @@
 
 namespace balsamloft {
 
-/// One process of an endpoint. A restart is a new one with a new id.
+/// One process of an endpoint. A restart is another one: it holds and knows
+/// nothing of the one before, whether or not it is listed under the same name.
 struct FleetEndpoint
 {
-    std::string id;
+    std::string id; ///< of this process alone, see processId()
+    std::string name; ///< that it is listed under; a restart may keep it
+    std::uint64_t born = 0; ///< when it started, Unix milliseconds; 0: not told
     std::string service;
     std::string address; ///< "IP:port"; used again by others once this one is gone
     std::string domain;
@@ -29,6 +32,11 @@
     bool operator==(const FleetEndpoint &) const = default;
 };
 
+/// The id of the process that is listed under \a name and was started at \a born.
+/// All that is believed of an endpoint is kept under it: a restart under the same
+/// name would else inherit the load, the suspicion and the orders of the dead one.
+std::string processId(std::string_view name, std::uint64_t born);
+
 /// The endpoints at one moment. Immutable.
 struct FleetSnapshot
 {
@@ -69,8 +77,8 @@
     /// One entry was written.
     void changed(FleetEndpoint endpoint, Time now);
 
-    /// One entry was dropped.
-    void dropped(std::string_view id, Time now);
+    /// The entry under \a name was dropped, or names no endpoint any more.
+    void dropped(std::string_view name, Time now);
 
     /// The list answered at \a now, whether or not anything had changed.
     void heard(Time now);
@@ -93,10 +101,20 @@
     };
 
     Duration shortestOutage() const;
+    bool outdated(const FleetEndpoint &endpoint) const;
+    void forgetOldStarts(Time now);
     void vanished(std::map<std::string, Entry, std::less<>>::iterator it, Time now);
 
     FleetSettings m_settings;
-    std::map<std::string, Entry, std::less<>> m_entries;
+    /// The youngest start that was seen under a name, and when.
+    struct Start
+    {
+        std::uint64_t born = 0;
+        Time seenAt {};
+    };
+
+    std::map<std::string, Entry, std::less<>> m_entries; ///< by name
+    std::map<std::string, Start, std::less<>> m_starts; ///< by name, also of those that are gone
     bool m_known = false;
     bool m_dirty = false;
     Time m_heardAt {};
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -41,6 +41,7 @@
     std::string method;
     std::string target;
     std::string body; ///< empty: none
+    std::string header = {}; ///< a further line of the head; empty: none
 };
 
 /// What the store answered.
@@ -63,6 +64,7 @@
 /// What an engine says of itself.
 struct EngineReport
 {
+    std::uint64_t born = 0; ///< when the process started that answered; 0: not told
     LayerRange layers;
     bool busy = false;
     std::uint64_t orders = 0;
@@ -71,6 +73,12 @@
     std::uint32_t active = 0; ///< requests that run on it
     std::uint32_t queued = 0; ///< requests that wait there
     std::vector<std::string> stalledAt; ///< addresses that do not answer it
+
+    /// Whether another process answered than the one that \a endpoint lists.
+    bool ofAnotherThan(const FleetEndpoint &endpoint) const
+    {
+        return born != 0 && endpoint.born != 0 && born != endpoint.born;
+    }
 };
 
 /// How an engine answered an order.
@@ -96,6 +104,8 @@
     /// \a leftOut: reasons for entries that could not be taken over.
     virtual RouteMapPtr routeTable(std::string_view text, std::vector<Reason> &leftOut,
                                    Reason &reason) const = 0;
+    /// An endpoint's entry under the name \a id. Nothing when another writer than
+    /// an endpoint wrote it: a field is missing, of another type, or unknown.
     virtual std::optional<FleetEndpoint> endpoint(std::string_view id, std::string_view text,
                                                   Reason &reason) const = 0;
 
--- /dev/null
+++ b/src/include/balsamloft/gapfiller.h
@@ -0,0 +1,93 @@
+/// \file
+/// Closes gaps in a domain's copy of a model by additions alone.
+
+#pragma once
+
+#include <balsamloft/layerplanner.h>
+
+#include <set>
+
+namespace balsamloft {
+
+/// Settings of a GapFiller.
+struct GapFillerSettings
+{
+    /// How long a gap lasts before it is filled: less than any load takes, longer
+    /// than the news of a load that has just ended.
+    Duration grace {150'000};
+    /// How long an engine that holds nothing is left to whoever holds the lease,
+    /// who gives it layers at once.
+    Duration emptyGrace {1'500'000};
+    double leastEngineRoom = 0.06; ///< share of each engine's memory kept for requests
+    double freeEngineRoom = 0.15; ///< the same for an engine that held nothing
+    Duration orderLife {13'000'000}; ///< an order without an answer may act for so long
+    Duration refusedFor {600'000}; ///< an engine that refused is told nothing so long
+};
+
+/// Fills layers that nobody in a domain holds: neighbours of the gap grow over
+/// it, or an engine that holds nothing takes it. Nothing is given up, and each
+/// order fits its engine's memory by itself. So neither two that fill the same
+/// gap at once nor a late order can do harm, and whoever hears the domain's
+/// engines may act, without a lease and while the store is down.
+///
+/// What it answers: an engine dies that alone held its layers, and no path lies
+/// in the domain any more. A move waits for the streams that pass through what
+/// it gives up, 3 to 10 s; an addition loads a few layers, a second or two.
+class GapFiller
+{
+public:
+    /// An engine as it lies, or as it was told to lie.
+    struct Engine
+    {
+        const FleetEndpoint *endpoint = nullptr;
+        LayerRange layers;
+        std::uint32_t most = 0; ///< layers that it can hold
+        bool free = true; ///< may be told something now
+
+        std::uint32_t spare() const;
+    };
+
+    explicit GapFiller(GapFillerSettings settings = {});
+
+    // Commands
+
+    /// The orders to give now. \a silent: ids of engines that do not answer.
+    std::vector<LayerOrder> fill(const FleetSnapshot &fleet, const RoutedService &service,
+                                 std::string_view domain, const std::set<std::string> &silent,
+                                 Time now);
+
+    /// The engine took the order, or may have taken it.
+    void ordered(const LayerOrder &order, Time now);
+
+    /// The engine did not take the order.
+    void refused(const std::string &endpoint, Time now);
+
+    // Queries
+
+    std::size_t pending() const { return m_pending.size(); }
+
+    /// Whether additions to \a engines would close all gaps in \a layers layers.
+    static bool closesAll(std::vector<Engine> engines, std::uint32_t layers);
+
+private:
+    struct Pending
+    {
+        LayerRange layers;
+        Time since {};
+        bool refused = false;
+    };
+
+    std::vector<Engine> engines(const FleetSnapshot &fleet, const RoutedService &service,
+                                std::string_view domain, const std::set<std::string> &silent,
+                                Time now);
+    static LayerRange firstGap(const std::vector<Engine> &engines, std::uint32_t layers,
+                               std::uint32_t from);
+    static std::vector<LayerOrder> close(std::vector<Engine> &engines, LayerRange gap,
+                                         std::uint32_t layers, bool withEmpty);
+
+    GapFillerSettings m_settings;
+    std::map<std::string, Pending, std::less<>> m_pending;
+    std::map<std::string, Time, std::less<>> m_gapSince; ///< by service
+};
+
+} // namespace balsamloft
--- a/src/include/balsamloft/layerplanner.h
+++ b/src/include/balsamloft/layerplanner.h
@@ -25,6 +25,12 @@
     /// puts their copy of the model on whichever came first, slow or fast.
     Duration settle {1'450'000};
     Duration gapGrace {700'000}; ///< how long a gap may mend itself
+    /// The same for a gap that additions close (GapFiller), which need no lease:
+    /// one is found at once and loads for a second or two.
+    Duration additionGrace {3'000'000};
+    /// After so long a gap that no moves close leads to a new plan of the domain.
+    /// It moves many engines at once, and each of them serves nothing meanwhile.
+    Duration replanAfter {6'000'000};
     Duration moveEvery {2'500'000}; ///< between two moves that mend no gap
     Duration orderLife {13'000'000}; ///< an order without an answer may act for so long
     double leastGain = 120; ///< of a move that mends no gap
@@ -34,9 +40,11 @@
 struct LayerOrder
 {
     std::string endpoint; ///< id
+    std::string name; ///< that the endpoint is listed under
     std::string address;
     LayerRange layers;
     std::string reason;
+    bool adds = false; ///< gives nothing up: may be given without the lease
 };
 
 /// Decides which engines hold which layers, from what they hold now: it keeps
@@ -80,6 +88,7 @@
         bool movable = true;
 
         std::uint32_t most(const LayeredModel &model, double room) const;
+        LayerOrder order(LayerRange range, std::string_view reason) const;
     };
 
     /// Engines that together are to hold the model: a domain's, or those of
@@ -110,6 +119,7 @@
     static void layOut(const std::vector<Engine *> &cover, const LayeredModel &model, double room,
                        std::string_view reason, std::vector<LayerOrder> &orders);
     void placeFree(Group &group, const LayeredModel &model, std::vector<LayerOrder> &orders);
+    bool additionsClose(const Group &group, const LayeredModel &model) const;
     void mend(Group &group, const LayeredModel &model, Watch &watch, Time now,
               std::vector<LayerOrder> &orders);
     bool bestMove(Group &group, const LayeredModel &model, double leastGain,
--- a/src/include/balsamloft/pathchooser.h
+++ b/src/include/balsamloft/pathchooser.h
@@ -34,9 +34,19 @@
 struct PathSettings
 {
     double hopMs = 0.6; ///< added to each token by each further engine
-    double otherDomain = 2; ///< factor on paths in another domain than the caller's
+    /// Factor on paths in another domain than the caller's. At 1.4, and more so at
+    /// 1.15, all instances of all domains chose the one fastest path at once
+    /// (87 instances, three days: mean worth 0.61 against 0.65 at 2).
+    double otherDomain = 2;
     double otherDomainMs = 40;
-    double crossingMs = 5'000; ///< cost of a change of domain inside a path: activations are large
+    /// Cost of a change of domain inside a path, beside the pipe's time. Of a model
+    /// that lies once in each domain, one dead engine leaves a domain without a
+    /// path; two crossings borrow its layers, and the domain's other engines go on
+    /// serving (mean worth of 36 days 0.643 against 0.634 without).
+    double crossingMs = 200;
+    /// Share of a pipe's time up to which paths go through it. Transfers go one
+    /// after another, so beyond it each one waits for many others.
+    double mostPipeLoad = 0.5;
     double noise = 0.1; ///< instances that see the same loads must not choose the same path
     double fullWeight = 4; ///< how dear a nearly full engine is
     double mostReported = 2; ///< fullness by an engine's own word up to which it is used
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -51,6 +51,7 @@
     FlightId flight = 0;
     std::uint32_t attempt = 0;
     std::string endpoint; ///< id
+    std::string name; ///< that the endpoint is listed under, and knows itself by
     std::string address;
     std::vector<PathPart> path; ///< empty: that endpoint alone
     Duration timeLeft {};
@@ -256,6 +257,7 @@
     void expect(Flight &flight, const EnginePath &path);
     void occupy(const Flight &flight);
     void vacate(const Flight &flight);
+    void crossDomains(const Flight &flight, Time now);
     bool changePath(FlightId id, Flight &flight, Time now, RelayActions &actions);
     bool chooseEndpoint(Flight &flight, Time now, SendWhole &send);
     double endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> *avoid,
--- a/src/include/balsamloft/routemap.h
+++ b/src/include/balsamloft/routemap.h
@@ -42,6 +42,8 @@
     double readTokensPerMs = 0; ///< prompt tokens over all layers at factor 1
     std::uint32_t stride = 1; ///< steps in a pass
     double loadSeconds = 0; ///< to load all layers
+    double activationBytes = 0; ///< of one token, passed from engine to engine
+    double pipeBytesPerMs = 0; ///< of a pipe between two domains; 0: not told
     std::uint32_t usualPrompt = 0;
     std::uint32_t usualAnswer = 0;
     std::vector<AcceleratorKind> kinds;
@@ -50,6 +52,20 @@
 
     /// KV room, in tokens times layers, of an accelerator that holds \a held layers.
     double room(const AcceleratorKind &kind, std::uint32_t held) const;
+
+    /// Time that \a kind needs to read \a tokens through \a held layers.
+    double readMs(const AcceleratorKind &kind, double tokens, double held) const
+    {
+        return readTokensPerMs > 0 && layers > 0
+                   ? tokens / readTokensPerMs * kind.readFactor * held / layers
+                   : 0;
+    }
+
+    /// Time that \a tokens take through a pipe between two domains, one after another.
+    double crossingMs(double tokens) const
+    {
+        return pipeBytesPerMs > 0 ? tokens * activationBytes / pipeBytesPerMs : 0;
+    }
 };
 
 /// A group of endpoints that routes name.
--- a/src/libbalsamloft/enginebook.cpp
+++ b/src/libbalsamloft/enginebook.cpp
@@ -107,6 +107,37 @@
     it->second += ScaleWeight * (ratio - it->second);
 }
 
+namespace {
+
+/// Time over which own use of a pipe is averaged: long enough for some requests
+/// of each instance, short enough to notice that others went elsewhere.
+constexpr double PipeMemoryMs = 1500;
+
+double pipeDecay(Time from, Time now)
+{
+    const std::chrono::duration<double, std::milli> elapsed = now - from;
+    return std::exp(-std::max(0.0, elapsed.count()) / PipeMemoryMs);
+}
+
+} // namespace
+
+void EngineBook::crossed(const std::string &from, const std::string &to, double pipeMs, Time now)
+{
+    PipeUse &use = m_pipes[std::minmax(from, to)];
+    use.ms = use.ms * pipeDecay(use.at, now) + pipeMs;
+    use.at = now;
+}
+
+double EngineBook::pipeLoad(std::string_view from, std::string_view to, Time now) const
+{
+    const auto ordered = std::minmax(from, to);
+    const auto it =
+        m_pipes.find(std::pair(std::string(ordered.first), std::string(ordered.second)));
+    return it == m_pipes.end()
+               ? 0
+               : it->second.ms * pipeDecay(it->second.at, now) * m_instances / PipeMemoryMs;
+}
+
 const EngineBelief *EngineBook::find(std::string_view id) const
 {
     const auto it = m_beliefs.find(id);
--- a/src/libbalsamloft/enginefleet.cpp
+++ b/src/libbalsamloft/enginefleet.cpp
@@ -4,6 +4,22 @@
 
 namespace balsamloft {
 
+namespace {
+
+/// How long the start of a process that is gone is remembered. News of it may
+/// come late by seconds, never by minutes.
+constexpr Duration StartRemembered {120'000'000};
+
+} // namespace
+
+std::string processId(std::string_view name, std::uint64_t born)
+{
+    std::string id(name);
+    if (born > 0)
+        id += "@" + std::to_string(born);
+    return id;
+}
+
 const FleetEndpoint *FleetSnapshot::find(std::string_view id) const
 {
     const auto it = std::find_if(endpoints.begin(), endpoints.end(),
@@ -49,7 +65,7 @@
     for (auto it = m_entries.begin(); it != m_entries.end();) {
         const auto next = std::next(it);
         const bool still = std::any_of(endpoints.begin(), endpoints.end(),
-                                       [&](const auto &each) { return each.id == it->first; });
+                                       [&](const auto &each) { return each.name == it->first; });
         if (!still)
             vanished(it, now);
         it = next;
@@ -62,21 +78,42 @@
 void FleetKeeper::changed(FleetEndpoint endpoint, Time now)
 {
     heard(now);
-    Entry &entry = m_entries[endpoint.id];
+    if (outdated(endpoint))
+        return;
+    m_starts[endpoint.name] = {endpoint.born, now};
+    Entry &entry = m_entries[endpoint.name];
     entry.forgetAt.reset();
     // Leaving is never taken back: a late, older entry must not bring new work
-    // to an endpoint that is about to exit.
-    endpoint.draining = endpoint.draining || entry.endpoint.draining;
+    // to an endpoint that is about to exit. Another process under the same name
+    // has announced nothing.
+    const bool same = entry.endpoint.id == endpoint.id;
+    endpoint.draining = endpoint.draining || (same && entry.endpoint.draining);
     if (entry.endpoint == endpoint)
         return;
     entry.endpoint = std::move(endpoint);
     m_dirty = true;
 }
 
-void FleetKeeper::dropped(std::string_view id, Time now)
+/// An entry of a process that another one has replaced comes late, by way of
+/// another instance or a slow answer. Taken over, requests and orders would go
+/// to what the dead process held.
+bool FleetKeeper::outdated(const FleetEndpoint &endpoint) const
+{
+    const auto it = m_starts.find(endpoint.name);
+    return it != m_starts.end() && endpoint.born < it->second.born;
+}
+
+void FleetKeeper::forgetOldStarts(Time now)
+{
+    std::erase_if(m_starts, [&](const auto &each) {
+        return now - each.second.seenAt >= StartRemembered && !m_entries.contains(each.first);
+    });
+}
+
+void FleetKeeper::dropped(std::string_view name, Time now)
 {
     heard(now);
-    const auto it = m_entries.find(id);
+    const auto it = m_entries.find(name);
     if (it != m_entries.end())
         vanished(it, now);
 }
@@ -103,13 +140,14 @@
         return each.second.forgetAt && now >= *each.second.forgetAt;
     });
     m_dirty = m_dirty || erased > 0;
+    forgetOldStarts(now);
 }
 
 FleetPtr FleetKeeper::snapshot()
 {
     auto snapshot = std::make_shared<FleetSnapshot>();
     snapshot->number = ++m_number;
-    for (const auto &[id, entry] : m_entries)
+    for (const auto &[name, entry] : m_entries)
         snapshot->endpoints.push_back(entry.endpoint);
     m_dirty = false;
     return snapshot;
--- a/src/libbalsamloft/entryknowledge_test.cpp
+++ b/src/libbalsamloft/entryknowledge_test.cpp
@@ -22,7 +22,7 @@
 FleetEndpoint endpoint(std::string id)
 {
     FleetEndpoint each;
-    each.id = std::move(id);
+    each.id = each.name = std::move(id);
     each.service = "s";
     return each;
 }
@@ -86,6 +86,55 @@
     CHECK(count(keeper) == 0);
 }
 
+namespace {
+
+FleetEndpoint bornAt(std::uint64_t born, LayerRange layers)
+{
+    FleetEndpoint each = endpoint("a");
+    each.born = born;
+    each.id = processId("a", born);
+    each.layers = layers;
+    return each;
+}
+
+} // namespace
+
+// An engine dies and starts again under its name, empty. Its callers' streams
+// must not be sent through the layers of the dead process, nor new work be kept
+// from the new one because the dead one was leaving or silent.
+TEST_CASE("an engine that starts again under its name is another one")
+{
+    FleetKeeper keeper;
+    FleetEndpoint leaving = bornAt(1000, {0, 8});
+    leaving.draining = true;
+    keeper.listed({leaving, endpoint("b")}, Start);
+    const std::string dead = keeper.snapshot()->endpoints.front().id;
+    keeper.changed(bornAt(5000, {}), Start + milliseconds(100));
+    const FleetPtr fleet = keeper.snapshot();
+    REQUIRE(fleet->endpoints.size() == 2);
+    CHECK_FALSE(fleet->find(dead));
+    const FleetEndpoint *alive = fleet->find(processId("a", 5000));
+    REQUIRE(alive);
+    CHECK_FALSE(alive->draining);
+    CHECK(alive->layers == LayerRange {});
+}
+
+// News of the dead process comes after that of the new one, by way of another
+// instance, or after the new one has gone as well.
+TEST_CASE("an older entry never brings back an engine that was replaced")
+{
+    FleetKeeper keeper;
+    keeper.listed({bornAt(5000, {})}, Start);
+    const bool gone = GENERATE(false, true);
+    if (gone)
+        keeper.dropped("a", Start + milliseconds(50));
+    if (GENERATE(false, true))
+        keeper.changed(bornAt(1000, {0, 8}), Start + milliseconds(100));
+    else
+        keeper.listed({bornAt(1000, {0, 8})}, Start + milliseconds(100));
+    CHECK_FALSE(keeper.snapshot()->find(processId("a", 1000)));
+}
+
 // The caller of a withdrawn key may be served only while a read proves the key.
 // Whatever the delays, an answer is never taken for newer than it was made.
 TEST_CASE("what was read is never taken for newer than it is")
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -1,5 +1,7 @@
 #include <balsamloft/layerplanner.h>
 
+#include <balsamloft/gapfiller.h>
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -48,6 +50,11 @@
     return static_cast<std::uint32_t>(std::min<double>(model.layers, std::floor(layers)));
 }
 
+LayerOrder LayerPlanner::Engine::order(LayerRange range, std::string_view reason) const
+{
+    return {endpoint->id, endpoint->name, endpoint->address, range, std::string(reason)};
+}
+
 void LayerPlanner::ordered(const LayerOrder &order, Time now)
 {
     m_pending[order.endpoint] = Pending {order.layers, now, false};
@@ -244,8 +251,7 @@
         next = range.end;
         cover[i]->layers = range;
         if (counts[i] > 0 && cover[i]->endpoint->layers != range && cover[i]->movable)
-            orders.push_back(
-                {cover[i]->endpoint->id, cover[i]->endpoint->address, range, std::string(reason)});
+            orders.push_back(cover[i]->order(range, reason));
     }
 }
 
@@ -275,8 +281,7 @@
             }
         }
         each->layers = best;
-        orders.push_back(
-            {each->endpoint->id, each->endpoint->address, best, "an engine that holds nothing"});
+        orders.push_back(each->order(best, "an engine that holds nothing"));
     }
 }
 
@@ -322,10 +327,19 @@
         return false;
     mover->layers = target;
     mover->movable = false;
-    orders.push_back({mover->endpoint->id, mover->endpoint->address, target, std::string(reason)});
+    orders.push_back(mover->order(target, reason));
     return true;
 }
 
+bool LayerPlanner::additionsClose(const Group &group, const LayeredModel &model) const
+{
+    std::vector<GapFiller::Engine> engines;
+    for (const Engine &each : group.engines)
+        engines.push_back({each.endpoint, each.layers, each.most(model, m_settings.leastEngineRoom),
+                           each.movable});
+    return GapFiller::closesAll(std::move(engines), model.layers);
+}
+
 void LayerPlanner::mend(Group &group, const LayeredModel &model, Watch &watch, Time now,
                         std::vector<LayerOrder> &orders)
 {
@@ -337,11 +351,12 @@
         watch.gapSince.reset();
     } else if (!watch.gapSince) {
         watch.gapSince = now;
-    } else if (now - *watch.gapSince >= m_settings.gapGrace) {
+    } else if (now - *watch.gapSince
+               >= (additionsClose(group, model) ? m_settings.additionGrace : m_settings.gapGrace)) {
         for (int moves = 0; moves < MostMoves && least() == 0; ++moves)
             if (!bestMove(group, model, GapCost / 2, orders, "nobody holds these layers"))
                 break;
-        if (least() == 0) {
+        if (least() == 0 && now - *watch.gapSince >= m_settings.replanAfter) {
             const bool waits = std::any_of(group.engines.begin(), group.engines.end(),
                                            [](const Engine &each) { return !each.movable; });
             if (!waits)
--- a/src/libbalsamloft/pathchooser.cpp
+++ b/src/libbalsamloft/pathchooser.cpp
@@ -19,6 +19,40 @@
     double factor = 1; ///< dearer when nearly full
     double fullness = 0;
     bool full = false;
+    std::size_t domain = 0; ///< number of its domain
+};
+
+/// What it costs to go from one domain to another inside a path.
+class Crossings
+{
+public:
+    /// Numbers the domains of \a candidates.
+    explicit Crossings(std::vector<Candidate> &candidates)
+    {
+        for (Candidate &each : candidates) {
+            const auto [it, fresh] = m_numbers.try_emplace(each.endpoint->domain, m_numbers.size());
+            each.domain = it->second;
+        }
+    }
+
+    /// \a costOf: of a pair of domains' names.
+    template<typename CostOf>
+    void fill(CostOf costOf)
+    {
+        m_costs.assign(m_numbers.size() * m_numbers.size(), 0);
+        for (const auto &[from, i] : m_numbers)
+            for (const auto &[to, j] : m_numbers)
+                m_costs[i * m_numbers.size() + j] = i == j ? 0 : costOf(from, to);
+    }
+
+    double cost(std::size_t from, std::size_t to) const
+    {
+        return m_costs[from * m_numbers.size() + to];
+    }
+
+private:
+    std::map<std::string_view, std::size_t> m_numbers;
+    std::vector<double> m_costs;
 };
 
 /// A cheapest way to have run the layers before a cut.
@@ -35,13 +69,13 @@
 {
 public:
     Search(std::vector<Candidate> candidates, const LayeredModel &model, const PathPart *first,
-           double passes, double hopCost, double crossingCost)
+           double passes, double hopCost, const Crossings &crossings)
         : m_candidates(std::move(candidates))
         , m_model(model)
         , m_first(first)
         , m_passes(passes)
         , m_hopCost(hopCost)
-        , m_crossingCost(crossingCost)
+        , m_crossings(crossings)
     {
         collectCuts();
     }
@@ -106,9 +140,9 @@
             const Step &step = m_table[cut * engines + last];
             if (step.cost == NoCost || last == engine)
                 continue;
-            const bool crossing =
-                m_candidates[last].endpoint->domain != m_candidates[engine].endpoint->domain;
-            const double cost = step.cost + m_hopCost + (crossing ? m_crossingCost : 0);
+            const double cost =
+                step.cost + m_hopCost
+                + m_crossings.cost(m_candidates[last].domain, m_candidates[engine].domain);
             if (cost < best.cost)
                 best = {cost, cut, last};
         }
@@ -158,7 +192,7 @@
     const PathPart *m_first;
     double m_passes;
     double m_hopCost;
-    double m_crossingCost;
+    const Crossings &m_crossings;
     std::vector<std::uint32_t> m_cuts;
     std::vector<Step> m_table;
     std::size_t m_last = 0;
@@ -199,8 +233,7 @@
         candidate.fullness = (load.used + growth + need) / room;
         candidate.full =
             candidate.fullness > (load.reported ? settings.mostReported : settings.mostEstimated);
-        candidate.readMs = query.promptTokens / std::max(0.001, model.readTokensPerMs)
-                           * kind->readFactor / model.layers;
+        candidate.readMs = model.readMs(*kind, query.promptTokens, 1);
         candidate.passMs = model.stride * step * pace / model.layers;
         candidate.factor = 1 + settings.fullWeight * std::pow(std::min(candidate.fullness, 3.0), 4)
                            + 2 * book.failureShare(each.id, now);
@@ -230,14 +263,21 @@
     for (Candidate &each : all)
         each.factor *= noise(random);
 
+    Crossings crossings(all);
+    const double pipeMs = model.crossingMs(query.promptTokens);
+    crossings.fill([&](std::string_view from, std::string_view to) {
+        const double load = book.pipeLoad(from, to, now);
+        if (load >= m_settings.mostPipeLoad)
+            return NoCost;
+        return m_settings.crossingMs + 2 * pipeMs / (1 - load);
+    });
     std::map<std::string_view, std::vector<Candidate>> domains;
     for (const Candidate &each : all)
         domains[each.endpoint->domain].push_back(each);
     std::optional<Search> best;
     double bestCost = NoCost;
     const auto attempt = [&](std::vector<Candidate> engines, double factor, double added) {
-        Search search(std::move(engines), model, query.first, passes, hopCost,
-                      m_settings.crossingMs);
+        Search search(std::move(engines), model, query.first, passes, hopCost, crossings);
         double cost = search.run(false);
         if (cost != NoCost && search.parts().empty())
             cost = search.run(true);
@@ -246,13 +286,22 @@
         bestCost = cost * factor + added;
         best.emplace(std::move(search));
     };
-    for (auto &[domain, engines] : domains) {
-        const bool own = domain == query.domain;
-        attempt(std::move(engines), own ? 1 : m_settings.otherDomain,
-                own ? 0 : m_settings.otherDomainMs);
+    if (const auto own = domains.find(query.domain); own != domains.end()) {
+        attempt(std::move(own->second), 1, 0);
+        domains.erase(own);
+    }
+    const bool ownFound = best.has_value();
+    for (auto &[domain, engines] : domains)
+        attempt(std::move(engines), m_settings.otherDomain, m_settings.otherDomainMs);
+    // Parts in several domains: a path through most of the own domain loads the
+    // others less than one that lies in another domain altogether.
+    if (!ownFound)
+        attempt(all, 1, 0);
+    // Rather a full pipe than no service.
+    if (!best) {
+        crossings.fill([&](std::string_view, std::string_view) { return m_settings.crossingMs; });
+        attempt(std::move(all), 1, 0);
     }
-    if (!best)
-        attempt(std::move(all), m_settings.otherDomain, m_settings.otherDomainMs);
     if (!best)
         return std::nullopt;
 
--- a/src/libbalsamloft/pathchooser_test.cpp
+++ b/src/libbalsamloft/pathchooser_test.cpp
@@ -117,3 +117,41 @@
     for (int i = 0; i < 20; ++i)
         CHECK(choice()->parts.front().endpoint == "2");
 }
+
+// An engine dies that alone held its layers in the domain. Callers there borrow
+// them from the next domain: their own engines go on serving, and the other
+// domain does not get all of their requests.
+TEST_CASE("a domain that lacks layers borrows them from another one")
+{
+    Choice choice;
+    choice.service.model->activationBytes = 30'000;
+    choice.service.model->pipeBytesPerMs = 1'000'000;
+    choice.fleet.endpoints = {engine("1", {0, 12}, "near"), engine("2", {16, 24}, "near"),
+                              engine("3", {0, 24}, "far", "slow")};
+    const auto path = choice();
+    REQUIRE(path);
+    REQUIRE(path->parts.size() == 3);
+    CHECK(path->parts[0].endpoint == "1");
+    CHECK(path->parts[1].layers == LayerRange {12, 16});
+    CHECK(path->parts[2].endpoint == "2");
+}
+
+// All callers of a domain that lacks layers borrow them at once. Prompts go
+// through the pipe one after another, so beyond a share of its time they would
+// wait for each other for seconds; the rest go to the other domain as a whole.
+TEST_CASE("a pipe that is half in use takes no more paths while others exist")
+{
+    Choice choice;
+    choice.service.model->activationBytes = 30'000;
+    choice.service.model->pipeBytesPerMs = 1'000'000;
+    choice.book.setInstances(4);
+    choice.fleet.endpoints = {engine("1", {0, 12}, "near"), engine("2", {16, 24}, "near"),
+                              engine("3", {0, 24}, "far", "slow")};
+    CHECK(choice()->parts.size() == 3);
+    choice.book.crossed("near", "far", 200, Now);
+    CHECK(choice.book.pipeLoad("far", "near", Now) > 0.5);
+    CHECK(choice()->parts.size() == 1);
+    choice.fleet.endpoints.back() = engine("3", {10, 18}, "far", "slow");
+    CHECK(choice()); // rather a full pipe than no service
+    CHECK(choice.book.pipeLoad("near", "far", Now + std::chrono::seconds(5)) < 0.05);
+}
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -61,6 +61,7 @@
 void Relay::setInstances(std::size_t inDomain, std::size_t all, Time now)
 {
     m_book.setSharers(static_cast<double>(inDomain));
+    m_book.setInstances(static_cast<double>(all));
     // The last count before the window still held in its beginning.
     while (m_instanceCounts.size() > 1
            && now - m_instanceCounts[1].first > m_settings.retryWindow * 6 / 5)
@@ -140,6 +141,7 @@
         return false;
     }
     send.endpoint = path->parts.front().endpoint;
+    send.name = m_fleet->find(send.endpoint)->name;
     send.address = path->parts.front().address;
     send.path = std::move(path->parts);
     expect(flight, *path);
@@ -189,6 +191,7 @@
         return false;
     }
     send.endpoint = best->id;
+    send.name = best->name;
     send.address = best->address;
     flight.domain = best->domain;
     return true;
@@ -205,6 +208,21 @@
     flight.pathAskedAt.reset();
     flight.pathChanges = 0;
     occupy(flight);
+    crossDomains(flight, now);
+}
+
+/// What the request's prompt and answer take of the pipes between domains.
+void Relay::crossDomains(const Flight &flight, Time now)
+{
+    const auto &model = service(flight).model;
+    for (std::size_t i = 1; model && i < flight.path.size(); ++i) {
+        const FleetEndpoint *from = m_fleet->find(flight.path[i - 1].endpoint);
+        const FleetEndpoint *to = m_fleet->find(flight.path[i].endpoint);
+        if (from && to && from->domain != to->domain)
+            m_book.crossed(
+                from->domain, to->domain,
+                model->crossingMs(flight.request.promptTokens + flight.request.answerTokens), now);
+    }
 }
 
 void Relay::occupy(const Flight &flight)
--- a/src/libbalsamloft/relaypath.cpp
+++ b/src/libbalsamloft/relaypath.cpp
@@ -30,6 +30,7 @@
     flight.path = std::move(path->parts);
     expect(flight, *path);
     occupy(flight);
+    crossDomains(flight, now);
     flight.pathChanges += 1;
     flight.pathAskedAt = now;
     m_counts.pathsChanged += 1;
--- a/src/libweb/fuzzcases.cpp
+++ b/src/libweb/fuzzcases.cpp
@@ -3,10 +3,12 @@
 #include <balsamloft/callerapi.h>
 #include <balsamloft/configkeeper.h>
 #include <balsamloft/enginewire.h>
+#include <balsamloft/entryprotocol.h>
 #include <balsamloft/peersocket.h>
 
 #include <boost/beast/http/parser.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace http = boost::beast::http;
@@ -72,6 +74,24 @@
     }
 }
 
+void engineEntry(std::string_view bytes)
+{
+    static const std::unique_ptr<EntryProtocol> protocol = makeEntryProtocol();
+    const std::size_t line = std::min(bytes.find('\n'), bytes.size());
+    const std::string_view key = bytes.substr(0, line);
+    const std::string_view value = bytes.substr(std::min(line + 1, bytes.size()));
+    Reason reason;
+    if (const auto endpoint = protocol->endpoint(key, value, reason)) {
+        require(endpoint->name == key && !endpoint->service.empty());
+        require(endpoint->layers.begin <= endpoint->layers.end);
+    } else {
+        require(!reason.empty());
+    }
+    protocol->report(value, reason);
+    std::vector<Reason> leftOut;
+    protocol->routeTable(value, leftOut, reason);
+}
+
 void messages(std::string_view bytes)
 {
     Reason reason;
--- a/src/libweb/fuzzcases_test.cpp
+++ b/src/libweb/fuzzcases_test.cpp
@@ -18,6 +18,7 @@
         void (*run)(std::string_view);
     } cases[] = {{"callerRequest", fuzz::callerRequest},
                  {"document", fuzz::document},
+                 {"engineEntry", fuzz::engineEntry},
                  {"messages", fuzz::messages}};
     for (const auto &item : cases) {
         std::size_t count = 0;
