--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -16,6 +16,21 @@
 
 # Name, file, text, replacement, programs to build, CTest name of the proof.
 SAFEGUARDS = [
+    ("a restart has announced nothing", "src/libbalsamloft/enginefleet.cpp",
+     "(same && entry.endpoint.draining)", "entry.endpoint.draining",
+     "entryknowledge_test: an engine that starts again under its name is another one"),
+    ("older entries never come back", "src/libbalsamloft/enginefleet.cpp",
+     "return it != m_starts.end() && endpoint.born < it->second.born;",
+     "(void)it; return false;",
+     "entryknowledge_test: an older entry never brings back an engine that was replaced"),
+    ("entries of other writers", "platform/platformconfiguration.cpp",
+     "if (auto wrong = wrongEntry(id, *object)) {",
+     "if (auto wrong = std::optional<Reason>(); wrong) {",
+     "platformconfiguration_test: an entry of another writer names no engine"),
+    ("a gap is filled by additions alone", "src/libbalsamloft/gapfiller.cpp",
+     "give(*below, {below->layers.begin, gap.begin + fromBelow}, GrowReason);",
+     "give(*below, {gap.begin, gap.begin + fromBelow}, GrowReason);",
+     "gapfiller_test: two that fill the same gaps at once exceed no memory and drop no layer"),
     ("echo of a step", "src/libbalsamloft/routerattempts.cpp",
      "if (answer.ref != awaited) {", "if (false) {",
      "router_test: crossed answers reach nobody"),
