--- a/scripts/compare.py
+++ b/scripts/compare.py
@@ -120,7 +120,7 @@
 
 
 def table(title, pairs, of):
-    """Means before and after of what \\a of reads from a report, and the difference."""
+    """Means before and after of what `of` reads from a report, and the difference."""
     keys = {}
     for before, after in pairs:
         for report in (before, after):
--- a/src/balsamloft/logreport.cpp
+++ b/src/balsamloft/logreport.cpp
@@ -36,6 +36,12 @@
     return std::string(most == 0 ? 0 : (count * BarWidth + most - 1) / most, '#');
 }
 
+/// Refused since the configuration in force does not allow it.
+bool denied(const LogLine &line)
+{
+    return line.outcome == "refused" && (line.status == 401 || line.status == 404);
+}
+
 bool wentWell(const LogLine &line)
 {
     return line.outcome == "passed" && line.status < FirstRefusal;
@@ -52,7 +58,7 @@
         return "the endpoint answered " + std::to_string(line.status);
     if (line.outcome == "passed")
         return "late";
-    if (line.outcome == "refused" && (line.status == 401 || line.status == 404))
+    if (denied(line))
         return "the configuration in force does not allow it: " + reason;
     if (line.outcome == "refused" && line.status == 503)
         return "refused, not run: " + reason;
@@ -196,8 +202,7 @@
     double router = 0;
     double nobody = 0;
     for (const LogLine &line : m_lines) {
-        const bool denied = line.outcome == "refused" && (line.status == 401 || line.status == 404);
-        if (line.event != "ended" || denied || (wentWell(line) && !line.late))
+        if (line.event != "ended" || denied(line) || (wentWell(line) && !line.late))
             continue;
         const double lost = wentWell(line) ? LateLoss : 1;
         const std::int64_t began = line.atMs - line.durationMs;
--- a/src/balsamloft/main.cpp
+++ b/src/balsamloft/main.cpp
@@ -107,6 +107,7 @@
     int logsExplain(const std::string &request);
     int logsSummary(const std::string &unused);
     int logsLosses(const std::string &unused);
+    int printLogs(std::string (LogReport::*text)() const);
     int placement(const std::string &);
     int drain(const std::string &);
 
@@ -374,20 +375,22 @@
     return ExitOk;
 }
 
-int Commands::logsSummary(const std::string & /*unused*/)
+int Commands::printLogs(std::string (LogReport::*text)() const)
 {
     LogReport report;
     report.read(std::cin);
-    std::cout << report.summary();
+    std::cout << (report.*text)();
     return ExitOk;
 }
 
+int Commands::logsSummary(const std::string & /*unused*/)
+{
+    return printLogs(&LogReport::summary);
+}
+
 int Commands::logsLosses(const std::string & /*unused*/)
 {
-    LogReport report;
-    report.read(std::cin);
-    std::cout << report.losses();
-    return ExitOk;
+    return printLogs(&LogReport::losses);
 }
 
 int Commands::explain(const std::string &request)
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -298,13 +298,12 @@
             continue;
         const Coverage own(*m_fleetNow, service, m_settings.domain);
         const Coverage all(*m_fleetNow, service, {});
-        const std::string gaps = own.gaps();
-        const std::string everywhere = all.gaps();
-        if (std::exchange(m_gaps[service.name], gaps + "/" + everywhere) == gaps + "/" + everywhere)
+        const std::pair gaps(own.gaps(), all.gaps());
+        if (std::exchange(m_gaps[service.name], gaps) == gaps)
             continue;
         logDecision("placement", "coverage",
-                    {{"gaps", std::string_view(gaps)},
-                     {"gaps_everywhere", std::string_view(everywhere)},
+                    {{"gaps", std::string_view(gaps.first)},
+                     {"gaps_everywhere", std::string_view(gaps.second)},
                      {"held_once", std::int64_t(own.singles())}});
     }
 }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -83,7 +83,7 @@
     void place(Time now);
     void fillGaps(Time now);
     FleetSnapshot ownDomainNow(Time now) const;
-    std::set<std::string> silentEngines() const;
+    std::optional<std::set<std::string>> silentEngines() const;
     void giveOrder(const LayerOrder &order);
     void sendOrder(const LayerOrder &order, std::uint64_t expectedOrders);
     void orderOutcome(const LayerOrder &order, OrderReply reply, int status);
@@ -121,7 +121,9 @@
     Time m_countedAt {};
     Time m_writtenAt {};
     std::optional<Duration> m_storeOffset; ///< store's time minus own time
-    std::map<std::string, std::string, std::less<>> m_gaps; ///< as logged last, by service
+    /// Layers that nobody holds in the own domain, and anywhere: as logged last,
+    /// by service. A first line is written also when there are none.
+    std::map<std::string, std::optional<std::pair<std::string, std::string>>> m_gaps;
     std::map<std::string, std::uint64_t, std::less<>> m_leftOut; ///< rows' versions, by key
     bool m_stopping = false;
     bool m_held = false;
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -102,18 +102,12 @@
 {
     if (!std::exchange(m_askedDirty, false))
         return;
+    const auto silent = silentEngines();
     std::vector<EngineState> states;
-    std::size_t silent = 0;
     for (const auto &[id, asked] : m_asked) {
         states.push_back(asked.state);
-        states.back().silent = asked.misses >= MissesToSilence;
-        silent += states.back().silent ? 1 : 0;
+        states.back().silent = silent && silent->contains(id);
     }
-    // When most engines seem silent it is this instance that does not hear: it
-    // is slow or cut off. Told on, that would leave a whole domain without paths.
-    if (silent * 2 > states.size())
-        for (EngineState &state : states)
-            state.silent = false;
     for (const auto &[id, state] : m_elsewhere)
         states.push_back(state);
     m_server.setEngines(states);
@@ -132,27 +126,35 @@
     }
 }
 
-std::set<std::string> Control::silentEngines() const
+/// Engines of the domain that do not answer. Nothing when most of them seem
+/// silent: it is this instance that does not hear, slow or cut off. Told on, that
+/// would leave a whole domain without paths.
+std::optional<std::set<std::string>> Control::silentEngines() const
 {
     std::set<std::string> silent;
     for (const auto &[id, asked] : m_asked)
         if (asked.misses >= MissesToSilence)
             silent.insert(id);
+    if (silent.size() * 2 > m_asked.size())
+        return std::nullopt;
     return silent;
 }
 
-/// The engines as they said of themselves, where that is young: the list lags by
-/// a beat, and stands still while the store is down.
+/// The domain's engines as they said of themselves, where that is young: the list
+/// lags by a beat, and stands still while the store is down.
 FleetSnapshot Control::ownDomainNow(Time now) const
 {
     constexpr Duration Young {1'700'000};
-    FleetSnapshot fleet = *m_fleetNow;
-    for (FleetEndpoint &each : fleet.endpoints) {
+    FleetSnapshot fleet;
+    for (const FleetEndpoint &each : m_fleetNow->endpoints) {
+        if (each.domain != m_settings.domain)
+            continue;
+        FleetEndpoint &own = fleet.endpoints.emplace_back(each);
         const auto asked = m_asked.find(each.id);
         if (asked == m_asked.end() || now - asked->second.answeredAt > Young)
             continue;
-        each.layers = asked->second.layers;
-        each.busy = asked->second.busy;
+        own.layers = asked->second.layers;
+        own.busy = asked->second.busy;
     }
     return fleet;
 }
@@ -162,14 +164,13 @@
 {
     if (m_stopping || !m_table || !m_fleet.known() || !readsStore())
         return;
-    const std::set<std::string> silent = silentEngines();
-    // When most are silent it is this instance that does not hear.
-    if (silent.size() * 2 > m_asked.size())
+    const auto silent = silentEngines();
+    if (!silent)
         return;
     const FleetSnapshot fleet = ownDomainNow(now);
     for (const RoutedService &service : m_table->services())
         for (const LayerOrder &order :
-             m_filler.fill(fleet, service, m_settings.domain, silent, now))
+             m_filler.fill(fleet, service, m_settings.domain, *silent, now))
             giveOrder(order);
 }
 
--- a/src/entry/sockets.cpp
+++ b/src/entry/sockets.cpp
@@ -3,8 +3,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <charconv>
-
 using boost::asio::ip::tcp;
 
 namespace balsamloft {
@@ -24,21 +22,6 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
 }
 
-std::optional<tcp::endpoint> endpointFromText(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
-    unsigned short port = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (error || parsed.ec != std::errc {} || parsed.ptr != end)
-        return std::nullopt;
-    return tcp::endpoint(address, port);
-}
-
 bool listenAt(tcp::acceptor &acceptor, const std::string &address, Reason &reason)
 {
     const auto endpoint = endpointFromText(address);
--- a/src/entry/sockets.h
+++ b/src/entry/sockets.h
@@ -3,12 +3,12 @@
 
 #pragma once
 
+#include <balsamloft/address.h>
 #include <balsamloft/types.h>
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <optional>
-#include <string_view>
+#include <string>
 
 namespace balsamloft {
 
@@ -17,9 +17,6 @@
 /// resets the connection.
 void setSocketOptions(boost::asio::ip::tcp::socket &socket);
 
-/// The endpoint that "IP:port" names, or nothing.
-std::optional<boost::asio::ip::tcp::endpoint> endpointFromText(std::string_view text);
-
 /// Opens \a acceptor and listens at \a address, a checked "IP:port".
 /// \return whether that worked; else \a reason says why not.
 bool listenAt(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address, Reason &reason);
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -216,13 +216,14 @@
     const FleetEndpoint *asked = m_fleet->find(endpoint);
     // Another process answers under the same name: the one that was asked is gone.
     const bool replaced = report && asked && report->ofAnotherThan(*asked);
-    if (outcome.status != 200 || !report || replaced) {
+    const bool gone = outcome.status == 0 || replaced;
+    if (outcome.status != 200 || !report || gone) {
         logDecision(
             "engine", "silent",
             {{"endpoint", std::string_view(endpoint)}, {"status", std::int64_t(outcome.status)}});
-        if (outcome.status == 0 || replaced)
+        if (gone)
             m_relay.reportFailed(endpoint, steadyNow(), actions);
-        if ((outcome.status == 0 || replaced) && m_engineSilent)
+        if (gone && m_engineSilent)
             m_engineSilent(endpoint);
         return run(std::move(actions));
     }
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -151,47 +151,45 @@
     return {};
 }
 
-std::vector<SendWhole> RelayWorld::sends(FlightId flight) const
+namespace {
+
+/// The actions of one type that concern \a flight, first to last.
+template<typename Action>
+std::vector<Action> actionsOf(const RelayActions &actions, FlightId flight)
 {
-    std::vector<SendWhole> found;
+    std::vector<Action> found;
     for (const RelayAction &action : actions)
-        if (const auto *send = std::get_if<SendWhole>(&action); send && send->flight == flight)
-            found.push_back(*send);
+        if (const auto *each = std::get_if<Action>(&action); each && each->flight == flight)
+            found.push_back(*each);
     return found;
 }
 
+} // namespace
+
+std::vector<SendWhole> RelayWorld::sends(FlightId flight) const
+{
+    return actionsOf<SendWhole>(actions, flight);
+}
+
 std::vector<ChangePath> RelayWorld::pathChanges(FlightId flight) const
 {
-    std::vector<ChangePath> found;
-    for (const RelayAction &action : actions)
-        if (const auto *each = std::get_if<ChangePath>(&action); each && each->flight == flight)
-            found.push_back(*each);
-    return found;
+    return actionsOf<ChangePath>(actions, flight);
 }
 
 std::optional<EndFlight> RelayWorld::end(FlightId flight) const
 {
-    for (const RelayAction &action : actions)
-        if (const auto *end = std::get_if<EndFlight>(&action); end && end->flight == flight)
-            return *end;
-    return std::nullopt;
+    const auto ends = actionsOf<EndFlight>(actions, flight);
+    return ends.empty() ? std::nullopt : std::make_optional(ends.front());
 }
 
 bool RelayWorld::passed(FlightId flight) const
 {
-    for (const RelayAction &action : actions)
-        if (const auto *pass = std::get_if<PassAnswer>(&action); pass && pass->flight == flight)
-            return true;
-    return false;
+    return !actionsOf<PassAnswer>(actions, flight).empty();
 }
 
 std::size_t RelayWorld::abandoned(FlightId flight) const
 {
-    std::size_t count = 0;
-    for (const RelayAction &action : actions)
-        if (const auto *abandon = std::get_if<AbandonAttempt>(&action))
-            count += abandon->flight == flight ? 1 : 0;
-    return count;
+    return actionsOf<AbandonAttempt>(actions, flight).size();
 }
 
 std::vector<std::string> RelayWorld::asked() const
--- a/src/include/balsamloft/coverage.h
+++ b/src/include/balsamloft/coverage.h
@@ -6,12 +6,16 @@
 #include <balsamloft/enginefleet.h>
 #include <balsamloft/routemap.h>
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace balsamloft {
 
+/// Counts an engine that holds \a range in \a copies, one number for each layer.
+void addHolder(LayerRange range, std::span<std::uint32_t> copies);
+
 /// How often each layer of a model is held.
 class Coverage
 {
--- a/src/include/balsamloft/gapfiller.h
+++ b/src/include/balsamloft/gapfiller.h
@@ -3,9 +3,11 @@
 
 #pragma once
 
-#include <balsamloft/layerplanner.h>
+#include <balsamloft/layerorders.h>
+#include <balsamloft/routemap.h>
 
 #include <set>
+#include <vector>
 
 namespace balsamloft {
 
@@ -57,26 +59,17 @@
                                  Time now);
 
     /// The engine took the order, or may have taken it.
-    void ordered(const LayerOrder &order, Time now);
+    void ordered(const LayerOrder &order, Time now) { m_orders.ordered(order, now); }
 
     /// The engine did not take the order.
-    void refused(const std::string &endpoint, Time now);
+    void refused(const std::string &endpoint, Time now) { m_orders.refused(endpoint, now); }
 
     // Queries
 
-    std::size_t pending() const { return m_pending.size(); }
-
     /// Whether additions to \a engines would close all gaps in \a layers layers.
     static bool closesAll(std::vector<Engine> engines, std::uint32_t layers);
 
 private:
-    struct Pending
-    {
-        LayerRange layers;
-        Time since {};
-        bool refused = false;
-    };
-
     std::vector<Engine> engines(const FleetSnapshot &fleet, const RoutedService &service,
                                 std::string_view domain, const std::set<std::string> &silent,
                                 Time now);
@@ -86,7 +79,7 @@
                                          std::uint32_t layers, bool withEmpty);
 
     GapFillerSettings m_settings;
-    std::map<std::string, Pending, std::less<>> m_pending;
+    PendingOrders m_orders;
     std::map<std::string, Time, std::less<>> m_gapSince; ///< by service
 };
 
--- a/src/include/balsamloft/layerplanner.h
+++ b/src/include/balsamloft/layerplanner.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include <balsamloft/enginefleet.h>
+#include <balsamloft/layerorders.h>
 #include <balsamloft/routemap.h>
 
 #include <map>
@@ -36,17 +36,6 @@
     double leastGain = 120; ///< of a move that mends no gap
 };
 
-/// An order to hold a range of layers, and the reason.
-struct LayerOrder
-{
-    std::string endpoint; ///< id
-    std::string name; ///< that the endpoint is listed under
-    std::string address;
-    LayerRange layers;
-    std::string reason;
-    bool adds = false; ///< gives nothing up: may be given without the lease
-};
-
 /// Decides which engines hold which layers, from what they hold now: it keeps
 /// no plan of its own, so another instance can go on at any moment. Time is an
 /// argument; nothing is sent here.
@@ -62,23 +51,12 @@
                                  Time now);
 
     /// The engine took the order, or may have taken it.
-    void ordered(const LayerOrder &order, Time now);
+    void ordered(const LayerOrder &order, Time now) { m_orders.ordered(order, now); }
 
     /// The engine did not take the order.
-    void refused(const std::string &endpoint, Time now);
-
-    // Queries
-
-    std::size_t pending() const { return m_pending.size(); }
+    void refused(const std::string &endpoint, Time now) { m_orders.refused(endpoint, now); }
 
 private:
-    struct Pending
-    {
-        LayerRange layers;
-        Time since {};
-        bool refused = false;
-    };
-
     /// An engine as the plan sees it.
     struct Engine
     {
@@ -88,7 +66,6 @@
         bool movable = true;
 
         std::uint32_t most(const LayeredModel &model, double room) const;
-        LayerOrder order(LayerRange range, std::string_view reason) const;
     };
 
     /// Engines that together are to hold the model: a domain's, or those of
@@ -128,7 +105,7 @@
     static std::vector<std::uint32_t> copies(const Group &group, const LayeredModel &model);
 
     LayerPlannerSettings m_settings;
-    std::map<std::string, Pending, std::less<>> m_pending;
+    PendingOrders m_orders;
     std::map<std::string, Watch, std::less<>> m_watches;
 };
 
--- a/src/include/balsamloft/routemap.h
+++ b/src/include/balsamloft/routemap.h
@@ -53,6 +53,10 @@
     /// KV room, in tokens times layers, of an accelerator that holds \a held layers.
     double room(const AcceleratorKind &kind, std::uint32_t held) const;
 
+    /// Layers that \a kind can hold when it keeps the share \a room of its memory
+    /// for requests; at most all.
+    std::uint32_t mostLayers(const AcceleratorKind &kind, double room) const;
+
     /// Time that \a kind needs to read \a tokens through \a held layers.
     double readMs(const AcceleratorKind &kind, double tokens, double held) const
     {
--- a/src/include/balsamloft/types.h
+++ b/src/include/balsamloft/types.h
@@ -45,6 +45,8 @@
     std::uint32_t end = 0;
 
     auto operator<=>(const LayerRange &) const = default; // NOLINT(modernize-use-nullptr)
+
+    std::uint32_t length() const { return end > begin ? end - begin : 0; }
 };
 
 /// Hash that lets string-keyed maps be searched by string_view.
--- a/src/libbalsamloft/coverage.cpp
+++ b/src/libbalsamloft/coverage.cpp
@@ -4,6 +4,13 @@
 
 namespace balsamloft {
 
+void addHolder(LayerRange range, std::span<std::uint32_t> copies)
+{
+    const auto end = std::min<std::size_t>(range.end, copies.size());
+    for (std::size_t layer = range.begin; layer < end; ++layer)
+        copies[layer] += 1;
+}
+
 Coverage::Coverage(const FleetSnapshot &fleet, const RoutedService &service,
                    std::string_view domain)
     : m_copies(service.model ? service.model->layers : 0, 0)
@@ -12,9 +19,7 @@
         if (each.service != service.name || each.draining
             || (!domain.empty() && each.domain != domain))
             continue;
-        const auto end = std::min<std::size_t>(each.layers.end, m_copies.size());
-        for (std::size_t layer = each.layers.begin; layer < end; ++layer)
-            m_copies[layer] += 1;
+        addHolder(each.layers, m_copies);
     }
 }
 
--- a/src/libbalsamloft/gapfiller.cpp
+++ b/src/libbalsamloft/gapfiller.cpp
@@ -1,5 +1,7 @@
 #include <balsamloft/gapfiller.h>
 
+#include <balsamloft/coverage.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -10,33 +12,17 @@
 constexpr std::string_view GrowReason = "its neighbour's layers have no holder";
 constexpr std::string_view FreeReason = "it holds nothing, and these layers have no holder";
 
-std::uint32_t length(LayerRange range)
-{
-    return range.end - range.begin;
-}
-
 } // namespace
 
 GapFiller::GapFiller(GapFillerSettings settings)
     : m_settings(settings)
+    , m_orders(settings.orderLife, settings.refusedFor)
 {
 }
 
 std::uint32_t GapFiller::Engine::spare() const
 {
-    return free && most > length(layers) ? most - length(layers) : 0;
-}
-
-void GapFiller::ordered(const LayerOrder &order, Time now)
-{
-    m_pending[order.endpoint] = Pending {order.layers, now, false};
-}
-
-void GapFiller::refused(const std::string &endpoint, Time now)
-{
-    const auto it = m_pending.find(endpoint);
-    if (it != m_pending.end())
-        it->second = Pending {it->second.layers, now, true};
+    return free && most > layers.length() ? most - layers.length() : 0;
 }
 
 std::vector<GapFiller::Engine> GapFiller::engines(const FleetSnapshot &fleet,
@@ -44,32 +30,17 @@
                                                   std::string_view domain,
                                                   const std::set<std::string> &silent, Time now)
 {
-    std::erase_if(m_pending, [&](const auto &each) {
-        const FleetEndpoint *endpoint = fleet.find(each.first);
-        const Pending &pending = each.second;
-        return !endpoint || endpoint->layers == pending.layers
-               || now - pending.since
-                      >= (pending.refused ? m_settings.refusedFor : m_settings.orderLife);
-    });
+    m_orders.expire(fleet, now);
     std::vector<Engine> found;
     for (const FleetEndpoint &each : fleet.endpoints) {
         const AcceleratorKind *kind = service.model->kind(each.kind);
         if (each.service != service.name || each.domain != domain || each.draining || !kind
             || silent.contains(each.id))
             continue;
-        const double room = each.layers.end > each.layers.begin ? m_settings.leastEngineRoom
-                                                                : m_settings.freeEngineRoom;
-        const double fits =
-            kind->sizeMegabytes * (1 - room) / std::max(1.0, service.model->layerMegabytes);
-        Engine engine {&each, each.layers,
-                       static_cast<std::uint32_t>(std::min<double>(service.model->layers, fits)),
-                       !each.busy};
-        if (const auto pending = m_pending.find(each.id); pending != m_pending.end()) {
-            engine.free = false;
-            if (!pending->second.refused)
-                engine.layers = pending->second.layers;
-        }
-        found.push_back(engine);
+        const double room =
+            each.layers.length() > 0 ? m_settings.leastEngineRoom : m_settings.freeEngineRoom;
+        const auto [layers, free] = m_orders.holding(each);
+        found.push_back({&each, layers, service.model->mostLayers(*kind, room), free});
     }
     return found;
 }
@@ -77,16 +48,14 @@
 LayerRange GapFiller::firstGap(const std::vector<Engine> &engines, std::uint32_t layers,
                                std::uint32_t from)
 {
-    std::vector<bool> held(layers, false);
+    std::vector<std::uint32_t> held(layers, 0);
     for (const Engine &each : engines)
-        for (std::uint32_t layer = each.layers.begin; layer < std::min(each.layers.end, layers);
-             ++layer)
-            held[layer] = true;
+        addHolder(each.layers, held);
     std::uint32_t begin = from;
-    while (begin < layers && held[begin])
+    while (begin < layers && held[begin] > 0)
         ++begin;
     std::uint32_t end = begin;
-    while (end < layers && !held[end])
+    while (end < layers && held[end] == 0)
         ++end;
     return {begin, end};
 }
@@ -96,14 +65,14 @@
 std::vector<LayerOrder> GapFiller::close(std::vector<Engine> &engines, LayerRange gap,
                                          std::uint32_t layers, bool withEmpty)
 {
-    const std::uint32_t size = length(gap);
+    const std::uint32_t size = gap.length();
     Engine *below = nullptr; // ends where the gap begins
     Engine *above = nullptr; // begins where it ends
     Engine *empty = nullptr; // the smallest that is large enough
     for (Engine &each : engines) {
         if (each.spare() == 0)
             continue;
-        if (length(each.layers) == 0) {
+        if (each.layers.length() == 0) {
             if (each.most >= size && (!empty || each.most < empty->most))
                 empty = &each;
         } else if (each.layers.end == gap.begin && (!below || each.spare() > below->spare())) {
@@ -118,8 +87,8 @@
     const auto give = [&](Engine &engine, LayerRange range, std::string_view reason) {
         engine.layers = range;
         engine.free = false;
-        orders.push_back({engine.endpoint->id, engine.endpoint->name, engine.endpoint->address,
-                          range, std::string(reason), true});
+        orders.push_back(layerOrder(*engine.endpoint, range, reason));
+        orders.back().adds = true;
     };
     if (down + up >= size) {
         // Both at once, in proportion to their room: the load is over sooner.
@@ -140,7 +109,7 @@
 
 bool GapFiller::closesAll(std::vector<Engine> engines, std::uint32_t layers)
 {
-    for (LayerRange gap = firstGap(engines, layers, 0); length(gap) > 0;
+    for (LayerRange gap = firstGap(engines, layers, 0); gap.length() > 0;
          gap = firstGap(engines, layers, gap.end))
         if (close(engines, gap, layers, false).empty())
             return false;
@@ -158,9 +127,9 @@
     std::vector<Engine> all = engines(fleet, service, domain, silent, now);
     // A domain where nothing lies yet waits for its first plan.
     const bool empty = std::all_of(all.begin(), all.end(),
-                                   [](const Engine &each) { return length(each.layers) == 0; });
+                                   [](const Engine &each) { return each.layers.length() == 0; });
     LayerRange gap = firstGap(all, layers, 0);
-    if (empty || length(gap) == 0) {
+    if (empty || gap.length() == 0) {
         m_gapSince.erase(service.name);
         return orders;
     }
@@ -168,7 +137,7 @@
     if (now - since->second < m_settings.grace)
         return orders;
     const bool withEmpty = now - since->second >= m_settings.emptyGrace;
-    for (; length(gap) > 0; gap = firstGap(all, layers, gap.end))
+    for (; gap.length() > 0; gap = firstGap(all, layers, gap.end))
         for (LayerOrder &order : close(all, gap, layers, withEmpty))
             orders.push_back(std::move(order));
     return orders;
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -1,5 +1,6 @@
 #include <balsamloft/layerplanner.h>
 
+#include <balsamloft/coverage.h>
 #include <balsamloft/gapfiller.h>
 
 #include <algorithm>
@@ -24,11 +25,8 @@
 /// A slower engine keeps each request longer, so its room serves fewer.
 constexpr double ReferencePace = 6;
 constexpr int MostMoves = 12;
-
-std::uint32_t length(LayerRange range)
-{
-    return range.end - range.begin;
-}
+/// How long an engine that refused an order is told nothing.
+constexpr Duration RefusedFor {1'000'000};
 
 std::uint32_t overlap(LayerRange left, LayerRange right)
 {
@@ -41,57 +39,26 @@
 
 LayerPlanner::LayerPlanner(LayerPlannerSettings settings)
     : m_settings(settings)
+    , m_orders(settings.orderLife, RefusedFor)
 {
 }
 
 std::uint32_t LayerPlanner::Engine::most(const LayeredModel &model, double room) const
 {
-    const double layers = kind->sizeMegabytes * (1 - room) / std::max(1.0, model.layerMegabytes);
-    return static_cast<std::uint32_t>(std::min<double>(model.layers, std::floor(layers)));
-}
-
-LayerOrder LayerPlanner::Engine::order(LayerRange range, std::string_view reason) const
-{
-    return {endpoint->id, endpoint->name, endpoint->address, range, std::string(reason)};
-}
-
-void LayerPlanner::ordered(const LayerOrder &order, Time now)
-{
-    m_pending[order.endpoint] = Pending {order.layers, now, false};
-}
-
-void LayerPlanner::refused(const std::string &endpoint, Time now)
-{
-    const auto it = m_pending.find(endpoint);
-    if (it != m_pending.end())
-        it->second = Pending {it->second.layers, now, true};
+    return model.mostLayers(*kind, room);
 }
 
 std::vector<LayerPlanner::Engine> LayerPlanner::engines(const FleetSnapshot &fleet,
                                                         const RoutedService &service, Time now)
 {
-    // An order without an answer may be carried out seconds later: until then
-    // the engine counts as holding what it was told, and is told nothing else.
-    constexpr Duration RefusedFor {1'000'000};
-    std::erase_if(m_pending, [&](const auto &each) {
-        const FleetEndpoint *endpoint = fleet.find(each.first);
-        const Pending &pending = each.second;
-        return !endpoint || (!endpoint->busy && endpoint->layers == pending.layers)
-               || now - pending.since >= (pending.refused ? RefusedFor : m_settings.orderLife);
-    });
+    m_orders.expire(fleet, now);
     std::vector<Engine> found;
     for (const FleetEndpoint &each : fleet.endpoints) {
         const AcceleratorKind *kind = service.model->kind(each.kind);
         if (each.service != service.name || each.draining || !kind)
             continue;
-        Engine engine {&each, kind, each.layers, !each.busy};
-        const auto pending = m_pending.find(each.id);
-        if (pending != m_pending.end()) {
-            engine.movable = false;
-            if (!pending->second.refused)
-                engine.layers = pending->second.layers;
-        }
-        found.push_back(engine);
+        const auto [layers, free] = m_orders.holding(each);
+        found.push_back({&each, kind, layers, free});
     }
     return found;
 }
@@ -125,9 +92,7 @@
 {
     std::vector<std::uint32_t> copies(model.layers, 0);
     for (const Engine &each : group.engines)
-        for (std::uint32_t layer = each.layers.begin;
-             layer < std::min(each.layers.end, model.layers); ++layer)
-            copies[layer] += 1;
+        addHolder(each.layers, copies);
     return copies;
 }
 
@@ -140,9 +105,9 @@
         const std::uint32_t end = std::min(each.layers.end, model.layers);
         if (end <= each.layers.begin)
             continue;
-        const double room = model.room(*each.kind, length(each.layers));
+        const double room = model.room(*each.kind, each.layers.length());
         const double fits =
-            room / length(each.layers) / usual * std::min(1.0, ReferencePace / each.kind->pace);
+            room / each.layers.length() / usual * std::min(1.0, ReferencePace / each.kind->pace);
         for (std::uint32_t layer = each.layers.begin; layer < end; ++layer) {
             copies[layer] += 1;
             streams[layer] += fits;
@@ -251,7 +216,7 @@
         next = range.end;
         cover[i]->layers = range;
         if (counts[i] > 0 && cover[i]->endpoint->layers != range && cover[i]->movable)
-            orders.push_back(cover[i]->order(range, reason));
+            orders.push_back(layerOrder(*cover[i]->endpoint, range, reason));
     }
 }
 
@@ -260,7 +225,7 @@
 {
     std::vector<Engine *> free;
     for (Engine &each : group.engines)
-        if (each.movable && length(each.layers) == 0)
+        if (each.movable && each.layers.length() == 0)
             free.push_back(&each);
     std::sort(free.begin(), free.end(), [](const Engine *left, const Engine *right) {
         return std::tie(right->kind->sizeMegabytes, left->endpoint->id)
@@ -275,13 +240,13 @@
         for (std::uint32_t begin = 0; begin + count <= model.layers; ++begin) {
             each->layers = {begin, begin + count};
             const double now = cost(group, model);
-            if (length(best) == 0 || now < bestCost) {
+            if (best.length() == 0 || now < bestCost) {
                 best = each->layers;
                 bestCost = now;
             }
         }
         each->layers = best;
-        orders.push_back(each->order(best, "an engine that holds nothing"));
+        orders.push_back(layerOrder(*each->endpoint, best, "an engine that holds nothing"));
     }
 }
 
@@ -305,7 +270,7 @@
                 if (others[layer] == 0 && (layer < range.begin || layer >= range.end))
                     return;
             each.layers = range;
-            const double loads = length(range) - overlap(range, held);
+            const double loads = range.length() - overlap(range, held);
             const double now = cost(group, model) + LoadCost * loads;
             if (now >= bestCost)
                 return;
@@ -315,7 +280,7 @@
         };
         for (std::uint32_t begin = 0; usual > 0 && begin + usual <= model.layers; ++begin)
             consider({begin, begin + usual});
-        for (std::uint32_t more = 1; length(held) + more <= most; ++more) {
+        for (std::uint32_t more = 1; held.length() + more <= most; ++more) {
             if (held.begin >= more)
                 consider({held.begin - more, held.end});
             if (held.end + more <= model.layers)
@@ -327,7 +292,7 @@
         return false;
     mover->layers = target;
     mover->movable = false;
-    orders.push_back(mover->order(target, reason));
+    orders.push_back(layerOrder(*mover->endpoint, target, reason));
     return true;
 }
 
@@ -383,8 +348,9 @@
             watch.engines = group.engines.size();
             watch.changedAt = now;
         }
-        const bool empty = std::all_of(group.engines.begin(), group.engines.end(),
-                                       [](const Engine &each) { return length(each.layers) == 0; });
+        const bool empty =
+            std::all_of(group.engines.begin(), group.engines.end(),
+                        [](const Engine &each) { return each.layers.length() == 0; });
         std::vector<LayerOrder> wanted;
         if (empty) {
             if (now - watch.changedAt >= m_settings.settle)
--- a/src/libbalsamloft/pathchooser.cpp
+++ b/src/libbalsamloft/pathchooser.cpp
@@ -219,7 +219,7 @@
         const double context = (model.usualPrompt + model.usualAnswer / 2.0) / 1000;
         const double step =
             model.stepMs + streams * (model.perSequenceMs + context * model.contextMsPerK);
-        const std::uint32_t held = each.layers.end - each.layers.begin;
+        const std::uint32_t held = each.layers.length();
         const double need = static_cast<double>(query.promptTokens + query.answerTokens) * held;
         const double room = std::max(1.0, model.room(*kind, held));
         Candidate candidate;
@@ -309,7 +309,7 @@
     for (const auto &[index, layers] : best->parts()) {
         const Candidate &each = best->candidate(index);
         path.parts.push_back({each.endpoint->id, each.endpoint->address, layers});
-        const double count = layers.end - layers.begin;
+        const double count = layers.length();
         path.gapMs += count * each.passMs + m_settings.hopMs;
         path.firstMs += count * each.readMs;
         path.full = path.full || each.full;
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -116,7 +116,7 @@
 double Relay::ownNeed(const Flight &flight, const PathPart &part) const
 {
     return static_cast<double>(flight.request.promptTokens + flight.request.answerTokens)
-           * (part.layers.end - part.layers.begin);
+           * part.layers.length();
 }
 
 bool Relay::choosePath(Flight &flight, Time now, SendWhole &send)
@@ -215,13 +215,16 @@
 void Relay::crossDomains(const Flight &flight, Time now)
 {
     const auto &model = service(flight).model;
-    for (std::size_t i = 1; model && i < flight.path.size(); ++i) {
-        const FleetEndpoint *from = m_fleet->find(flight.path[i - 1].endpoint);
-        const FleetEndpoint *to = m_fleet->find(flight.path[i].endpoint);
+    if (!model)
+        return;
+    const double pipeMs =
+        model->crossingMs(flight.request.promptTokens + flight.request.answerTokens);
+    const FleetEndpoint *from = nullptr;
+    for (const PathPart &part : flight.path) {
+        const FleetEndpoint *to = m_fleet->find(part.endpoint);
         if (from && to && from->domain != to->domain)
-            m_book.crossed(
-                from->domain, to->domain,
-                model->crossingMs(flight.request.promptTokens + flight.request.answerTokens), now);
+            m_book.crossed(from->domain, to->domain, pipeMs, now);
+        from = to;
     }
 }
 
--- a/src/libbalsamloft/routemap.cpp
+++ b/src/libbalsamloft/routemap.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace balsamloft {
 
@@ -21,6 +22,12 @@
     return perTokenLayer <= 0 ? 0 : std::max(0.0, left * 1e6 / perTokenLayer);
 }
 
+std::uint32_t LayeredModel::mostLayers(const AcceleratorKind &kind, double room) const
+{
+    const double fits = kind.sizeMegabytes * (1 - room) / std::max(1.0, layerMegabytes);
+    return static_cast<std::uint32_t>(std::min<double>(layers, std::floor(fits)));
+}
+
 const Route *RouteMap::match(std::string_view host, std::string_view path) const
 {
     const auto it = m_hosts.find(host);
--- a/src/libweb/fuzzcases_test.cpp
+++ b/src/libweb/fuzzcases_test.cpp
@@ -16,14 +16,13 @@
     {
         const char *folder;
         void (*run)(std::string_view);
-    } cases[] = {{"callerRequest", fuzz::callerRequest},
-                 {"document", fuzz::document},
-                 {"engineEntry", fuzz::engineEntry},
-                 {"messages", fuzz::messages}};
+    } cases[] = {{"testsuite/corpora/callerRequest", fuzz::callerRequest},
+                 {"testsuite/corpora/document", fuzz::document},
+                 {"platform/corpora/engineEntry", fuzz::engineEntry},
+                 {"testsuite/corpora/messages", fuzz::messages}};
     for (const auto &item : cases) {
         std::size_t count = 0;
-        const std::filesystem::path folder =
-            std::filesystem::path(BALSAMLOFT_SOURCE) / "testsuite/corpora" / item.folder;
+        const std::filesystem::path folder = std::filesystem::path(BALSAMLOFT_SOURCE) / item.folder;
         for (const auto &file : std::filesystem::directory_iterator(folder)) {
             std::ifstream stream(file.path(), std::ios::binary);
             std::ostringstream bytes;
