News carry their age, and an old source is no dead one: the store's calls no longer grow with the fleet

Cause: a follower gave its source up as soon as that one's news were old (1.25 s), or as it said that it had lost the store, and read the store itself for 2.5 s, whole. When the store failed for the readers, all 290 followers turned on it; each avoided its source for 8 s, then the next name, until all lower names were avoided and it took itself for the reader.

Change: the first two good instances of a domain read the store, the second only while the first cannot; the others read from these, then from the readers of other domains, never from the store. What was told is told on with its age, an instance that does not know a table yet holds the question. The store is left alone with growing pauses and full jitter. Rows of instances that grew old in an outage prove no death. The list of endpoints takes old news for no word of its own.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -13,11 +13,6 @@
 
 constexpr auto TickEvery = std::chrono::milliseconds(150);
 constexpr Duration WriteEvery {10'000'000};
-constexpr Duration CountEvery {2'000'000};
-/// How long the store is read after another instance failed as a source.
-constexpr Duration DirectAfterFailure {2'500'000};
-/// How long another instance is read from after the store failed.
-constexpr Duration StoreAvoided {1'500'000};
 
 FollowerSettings followerSettings(NewsTable table)
 {
@@ -37,7 +32,6 @@
         settings.peerWait = Duration(10'000'000);
         settings.pace = Duration(5'000'000);
         settings.peerPace = Duration(4'000'000);
-        settings.retry = Duration(1'000'000);
         break;
     }
     return settings;
@@ -124,73 +118,85 @@
 
 TableEvents Control::tableEvents(NewsTable table)
 {
-    const auto rows = [this, table](const std::vector<StoreRow> &changed, bool whole) {
+    const auto rows = [this, table](const std::vector<StoreRow> &changed, bool whole,
+                                    const TableAnswer &answer) {
         if (table == NewsTable::Configuration)
             configurationRows(changed);
         else if (table == NewsTable::Endpoints)
-            endpointRows(changed, whole);
+            endpointRows(changed, whole, steadyNow() - answer.age(bootNow()));
     };
     TableEvents events;
-    events.whole = [this, table, rows](const auto &all, std::uint64_t version) {
+    events.whole = [this, table, rows](const auto &all, std::uint64_t version,
+                                       const TableAnswer &answer) {
         m_server.state(table).copy.replace(all, version);
-        rows(all, true);
+        rows(all, true, answer);
     };
-    events.changed = [this, table, rows](const auto &changed, std::uint64_t version) {
+    events.changed = [this, table, rows](const auto &changed, std::uint64_t version,
+                                         const TableAnswer &answer) {
         m_server.state(table).copy.change(changed, version);
-        rows(changed, false);
+        rows(changed, false, answer);
+    };
+    events.heard = [this, table](const TableSource &source, const TableAnswer &answer) {
+        heard(table, source, answer);
+    };
+    events.source = [this, table] { return source(table); };
+    events.failed = [this](const TableSource &failed, bool answered) {
+        sourceFailed(failed, answered);
     };
-    events.heard = [this, table](const TableAnswer &answer) { heard(table, answer); };
-    events.source = [this, table]() -> TableSource & { return source(table); };
-    events.failed = [this](const TableSource &failed) { sourceFailed(failed); };
     return events;
 }
 
-bool Control::readsStore() const
+/// The first reader of a domain does what only one need do there.
+bool Control::leadsDomain() const
 {
-    return !m_directory.reader(steadyNow());
+    return m_directory.first(steadyNow());
 }
 
-TableSource &Control::source(NewsTable table)
+TableSource *Control::source(NewsTable table)
 {
-    const Time now = steadyNow();
     const auto index = static_cast<std::size_t>(table);
-    const PeerInstance *peer = now < m_directUntil ? nullptr : m_directory.reader(now);
-    if (!peer && now < m_storeBadUntil)
-        peer = m_directory.substitute(now);
-    if (!peer)
-        return *m_storeSources[index];
-    auto &known = m_peerSources[index][peer->name + "@" + peer->address];
+    const NewsSource from = m_directory.source(steadyNow());
+    if (from.kind == NewsSource::Kind::Nobody)
+        return nullptr;
+    if (from.kind == NewsSource::Kind::Store)
+        return m_storeSources[index].get();
+    const PeerInstance &peer = *from.instance;
+    auto &known = m_peerSources[index][peer.name + "@" + peer.address];
     if (!known)
-        known = std::make_unique<PeerSource>(m_context, *peer, index);
-    return *known;
+        known = std::make_unique<PeerSource>(m_context, peer, index);
+    return known.get();
 }
 
-void Control::sourceFailed(const TableSource &source)
+void Control::sourceFailed(const TableSource &source, bool answered)
 {
     const Time now = steadyNow();
     if (source.peer().empty()) {
-        m_storeBadUntil = now + StoreAvoided;
-        for (std::size_t i = 0; i < NewsTableCount; ++i)
-            m_server.setDirect(static_cast<NewsTable>(i), false);
-        return;
+        m_directory.storeFailed(now);
+        m_server.storeLost();
+    } else if (answered) {
+        m_directory.behind(source.peer(), now);
+    } else {
+        m_directory.silent(source.peer(), now);
     }
-    // Then from the store itself for a while: whoever comes next in the order
-    // probably read from the same one.
-    m_directory.failed(source.peer(), now);
-    m_directUntil = now + DirectAfterFailure;
 }
 
-void Control::heard(NewsTable table, const TableAnswer &answer)
+void Control::heard(NewsTable table, const TableSource &source, const TableAnswer &answer)
 {
     NewsState &state = m_server.state(table);
+    const Time now = steadyNow();
+    const Duration age = answer.age(bootNow());
     if (answer.knownAt)
         state.knownAt = std::max(state.knownAt, *answer.knownAt);
     state.storeMs = std::max(state.storeMs, answer.reply.storeMs);
-    m_server.setDirect(table, answer.direct);
+    state.direct = source.peer().empty();
+    if (source.peer().empty())
+        m_directory.storeAnswered();
+    else if (table != NewsTable::Instances) // which are told seldom, and may be old
+        m_directory.told(source.peer(), age, answer.direct, now);
     if (table == NewsTable::Configuration && m_table)
         m_state.keysKnownAt = state.knownAt.time_since_epoch().count();
     if (table == NewsTable::Endpoints) {
-        m_fleet.heard(steadyNow());
+        m_fleet.heard(now - age);
         tellFleet();
         if (!answer.engines.empty())
             m_events.engines(answer.engines);
@@ -231,13 +237,15 @@
     }
 }
 
-void Control::endpointRows(const std::vector<StoreRow> &rows, bool whole)
+/// \a knownAt: when the list was so. Old news told on are no word of the list
+/// itself: taken for one, an outage would end unseen, and those whose entries lapsed
+/// in it would be forgotten though they live.
+void Control::endpointRows(const std::vector<StoreRow> &rows, bool whole, Time knownAt)
 {
-    const Time now = steadyNow();
     std::vector<FleetEndpoint> endpoints;
     for (const StoreRow &row : rows) {
         if (row.dropped) {
-            m_fleet.dropped(row.key, now);
+            m_fleet.dropped(row.key, knownAt);
             continue;
         }
         Reason reason;
@@ -248,12 +256,12 @@
         leftOut(row, reason);
         // What stood under the name is overwritten: it names no endpoint any more.
         if (!whole)
-            m_fleet.dropped(row.key, now);
+            m_fleet.dropped(row.key, knownAt);
     }
     if (whole)
-        return m_fleet.listed(std::move(endpoints), now);
+        return m_fleet.listed(std::move(endpoints), knownAt);
     for (FleetEndpoint &each : endpoints)
-        m_fleet.changed(std::move(each), now);
+        m_fleet.changed(std::move(each), knownAt);
 }
 
 /// Counts and logs an entry that names no endpoint, once for each time that it
@@ -331,13 +339,12 @@
     tellFleet();
     LeaseActions actions;
     // Only those who read from the store contend: the others would add calls.
-    if (!m_stopping && (m_lease.holds(now) || readsStore()))
+    if (!m_stopping
+        && (m_lease.holds(now) || (leadsDomain() && m_directory.storeUsable(steadyNow()))))
         m_lease.tick(now, actions);
     leaseActions(std::move(actions));
     if (!m_stopping && m_storeOffset && now - m_writtenAt >= WriteEvery)
         writeInstance(false, nullptr);
-    if (m_storeOffset && now - m_countedAt >= CountEvery)
-        countInstances();
     const bool held = m_lease.holds(now);
     if (held != std::exchange(m_held, held))
         logDecision("lease", held ? "gained" : "lost",
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -9,6 +9,7 @@
 #include "tablefollower.h"
 
 #include <balsamloft/gapfiller.h>
+#include <balsamloft/instancelist.h>
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/lease.h>
 #include <balsamloft/peerdirectory.h>
@@ -59,13 +60,13 @@
     };
 
     TableEvents tableEvents(NewsTable table);
-    TableSource &source(NewsTable table);
-    void sourceFailed(const TableSource &source);
-    void heard(NewsTable table, const TableAnswer &answer);
-    bool readsStore() const;
+    TableSource *source(NewsTable table);
+    void sourceFailed(const TableSource &source, bool answered);
+    void heard(NewsTable table, const TableSource &source, const TableAnswer &answer);
+    bool leadsDomain() const;
     void leftOut(const StoreRow &row, const Reason &reason);
     void configurationRows(const std::vector<StoreRow> &rows);
-    void endpointRows(const std::vector<StoreRow> &rows, bool whole);
+    void endpointRows(const std::vector<StoreRow> &rows, bool whole, Time knownAt);
     void tellFleet();
     void logCoverage();
     void logLeaving(const FleetSnapshot &before, const FleetSnapshot &after);
@@ -106,19 +107,17 @@
     std::map<std::string, EngineState> m_elsewhere; ///< engines of other domains, by id
     std::map<std::string, std::unique_ptr<PeerSource>> m_elsewhereSources;
     Time m_enginesAskedAt {};
-    Time m_storeBadUntil {};
-    Time m_directUntil {};
     StoreChannel m_channel;
     EnginePool m_engines;
     FleetKeeper m_fleet;
     FleetPtr m_fleetNow;
     RouteMapPtr m_table;
     std::uint64_t m_tableRow = 0; ///< version of the row in force
+    InstanceList m_instanceList;
     std::vector<PeerInstance> m_instances; ///< as counted last
     LeaseKeeper m_lease;
     LayerPlanner m_planner;
     GapFiller m_filler;
-    Time m_countedAt {};
     Time m_writtenAt {};
     std::optional<Duration> m_storeOffset; ///< store's time minus own time
     /// Layers that nobody holds in the own domain, and anywhere: as logged last,
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -17,7 +17,7 @@
 /// One instance of each domain asks the engines there, and tells the others.
 void Control::askEngines(Time now)
 {
-    if (now - m_enginesAskedAt < AskEnginesEvery || !readsStore() || !m_table)
+    if (now - m_enginesAskedAt < AskEnginesEvery || !leadsDomain() || !m_table)
         return;
     m_enginesAskedAt = now;
     askOtherDomains(now);
@@ -40,7 +40,7 @@
 {
     const FleetEndpoint *engine = m_fleetNow->find(id);
     const auto asked = m_asked.find(id);
-    if (!engine || asked == m_asked.end() || engine->domain != m_settings.domain || !readsStore()
+    if (!engine || asked == m_asked.end() || engine->domain != m_settings.domain || !leadsDomain()
         || asked->second.misses >= MissesToSilence)
         return;
     asked->second.misses = MissesToSilence - 1;
@@ -162,7 +162,7 @@
 /// The reader of the domain fills its gaps, with the lease or without it.
 void Control::fillGaps(Time now)
 {
-    if (m_stopping || !m_table || !m_fleet.known() || !readsStore())
+    if (m_stopping || !m_table || !m_fleet.known() || !leadsDomain())
         return;
     const auto silent = silentEngines();
     if (!silent)
--- a/src/entry/controlinstances.cpp
+++ b/src/entry/controlinstances.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr Duration CallWithin {900'000};
-constexpr std::int64_t InstanceLifeMs = 24'000;
 
 } // namespace
 
@@ -74,22 +73,21 @@
 
 void Control::countInstances()
 {
-    const Time now = bootNow();
-    m_countedAt = now;
-    const std::int64_t storeMs = (now.time_since_epoch() + *m_storeOffset).count() / 1000;
-    std::vector<PeerInstance> instances;
-    for (const StoreRow &row : m_server.state(NewsTable::Instances).copy.all()) {
+    const NewsState &known = m_server.state(NewsTable::Instances);
+    std::vector<InstanceRow> rows;
+    for (const StoreRow &row : known.copy.all()) {
         boost::system::error_code error;
         const json::value value = json::parse(row.value, error);
         const json::object *object = error ? nullptr : value.if_object();
         const json::value *domain = object ? object->if_contains("domain") : nullptr;
         const json::value *peer = object ? object->if_contains("peer") : nullptr;
         const json::value *seen = object ? object->if_contains("seen_ms") : nullptr;
-        if (domain && peer && seen && domain->is_string() && peer->is_string() && seen->is_int64()
-            && storeMs - seen->get_int64() < InstanceLifeMs)
-            instances.push_back(
-                {row.key, std::string(domain->get_string()), std::string(peer->get_string())});
+        if (domain && peer && seen && domain->is_string() && peer->is_string() && seen->is_int64())
+            rows.push_back(
+                {{row.key, std::string(domain->get_string()), std::string(peer->get_string())},
+                 seen->get_int64()});
     }
+    std::vector<PeerInstance> instances = m_instanceList.heard(rows, known.storeMs);
     if (instances == m_instances)
         return;
     m_instances = instances;
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -60,17 +60,22 @@
         return reply({404, {}});
     const auto [table, after, waitMs] = numbers;
     const NewsState &state = m_states[table];
-    // What came from another instance is not told on: two that read from each
-    // other would each take the other's old knowledge for news.
-    if (!state.copy.known() || !state.direct)
-        return reply({503, {}});
-    if (state.copy.version() > after || after == 0 || waitMs == 0)
-        return reply({200, news(table, after)});
+    const bool known = state.copy.known();
+    if (waitMs == 0 || (known && (state.copy.version() > after || after == 0)))
+        return reply(answer(table, after));
     m_waiters.push_back({table, after, steadyNow() + Duration(waitMs * 1000), std::move(reply)});
     if (!std::exchange(m_timing, true))
         expire();
 }
 
+/// A table that is not known yet is no answer: its asker must not take it for empty.
+TextAnswer PeerServer::answer(std::size_t table, std::uint64_t after) const
+{
+    if (!m_states[table].copy.known())
+        return {503, {}};
+    return {200, news(table, after)};
+}
+
 std::string PeerServer::news(std::size_t table, std::uint64_t after) const
 {
     const NewsState &state = m_states[table];
@@ -88,6 +93,7 @@
     news.set_clock_ms(milliseconds(bootNow()));
     news.set_known_ms(milliseconds(state.knownAt));
     news.set_store_ms(static_cast<std::uint64_t>(state.storeMs));
+    news.set_direct(state.direct);
     if (table == static_cast<std::size_t>(NewsTable::Endpoints))
         for (const EngineState &engine : m_engines) {
             wire::EngineNews &each = *news.add_engines();
@@ -103,20 +109,10 @@
     return news.SerializeAsString();
 }
 
-void PeerServer::setDirect(NewsTable table, bool direct)
+void PeerServer::storeLost()
 {
-    const auto index = static_cast<std::size_t>(table);
-    if (!std::exchange(m_states[index].direct, direct) || direct)
-        return;
-    std::vector<Waiter> waiting;
-    std::erase_if(m_waiters, [&](Waiter &each) {
-        if (each.table != index)
-            return false;
-        waiting.push_back(std::move(each));
-        return true;
-    });
-    for (Waiter &each : waiting)
-        each.reply({503, {}});
+    for (NewsState &state : m_states)
+        state.direct = false;
 }
 
 void PeerServer::changed(NewsTable table)
@@ -130,7 +126,7 @@
         return now;
     });
     for (Waiter &each : ready)
-        each.reply({200, news(each.table, each.after)});
+        each.reply(answer(each.table, each.after));
 }
 
 void PeerServer::expire()
@@ -144,7 +140,7 @@
         return expired;
     });
     for (Waiter &each : over)
-        each.reply({200, news(each.table, each.after)});
+        each.reply(answer(each.table, each.after));
     m_timing = !m_waiters.empty();
     if (!m_timing)
         return;
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -28,7 +28,7 @@
     TableCopy copy;
     Time knownAt {}; ///< on the clock that counts suspension; never: the beginning of time
     std::int64_t storeMs = 0; ///< the store's clock when it last answered
-    bool direct = false; ///< the last answer was the store's own
+    bool direct = false; ///< the last answer was the store's own, and it still answers
 };
 
 /// Answers questions for news, at once or when there is some. HTTP as elsewhere
@@ -45,9 +45,9 @@
     /// The table changed: answers those who wait for that.
     void changed(NewsTable table);
 
-    /// Whether the last answer about the table was the store's own. Others are
-    /// told nothing while it was not.
-    void setDirect(NewsTable table, bool direct);
+    /// The store does not answer any more: what is known came from it, but only
+    /// grows older.
+    void storeLost();
 
     /// States of engines that are told along with the endpoints.
     void setEngines(std::vector<EngineState> engines) { m_engines = std::move(engines); }
@@ -62,6 +62,7 @@
     };
 
     void asked(std::string_view target, TextServer::Reply reply);
+    TextAnswer answer(std::size_t table, std::uint64_t after) const;
     std::string news(std::size_t table, std::uint64_t after) const;
     void expire();
 
--- a/src/entry/tablefollower.cpp
+++ b/src/entry/tablefollower.cpp
@@ -27,10 +27,10 @@
     });
 }
 
-void TableFollower::lost(const TableSource &source)
+void TableFollower::lost(const TableSource &source, bool answered)
 {
     m_failures += 1;
-    m_events.failed(source);
+    m_events.failed(source, answered);
     if (std::exchange(m_well, false))
         logDecision("store", "lost",
                     {{"table", std::string_view(m_settings.table)},
@@ -50,14 +50,21 @@
     m_failures = 0;
 }
 
+void TableFollower::askLater()
+{
+    later(m_settings.retry, [this] { watch(); });
+}
+
 void TableFollower::watch()
 {
-    TableSource &source = m_events.source();
+    TableSource *source = m_events.source();
+    if (!source)
+        return askLater();
     if (m_version == 0)
-        return readPage({}, source);
-    const Duration wait = source.peer().empty() ? m_settings.storeWait : m_settings.peerWait;
-    source.watch(m_version, wait, [this, &source](TableAnswer answer) {
-        changesArrived(std::move(answer), source);
+        return readPage({}, *source);
+    const Duration wait = source->peer().empty() ? m_settings.storeWait : m_settings.peerWait;
+    source->watch(m_version, wait, [this, source](TableAnswer answer) {
+        changesArrived(std::move(answer), *source);
     });
 }
 
@@ -65,7 +72,7 @@
 {
     if (from.empty())
         m_pages.clear();
-    source.read(from, [this, from, &source](TableAnswer answer) {
+    source.read(from, m_settings.peerWait, [this, from, &source](TableAnswer answer) {
         pageArrived(std::move(answer), from, source);
     });
 }
@@ -73,8 +80,8 @@
 void TableFollower::pageArrived(TableAnswer answer, const std::string &from, TableSource &source)
 {
     if (answer.reply.kind != StoreReply::Kind::Done) {
-        lost(source);
-        return later(m_settings.retry, [this] { watch(); });
+        lost(source, answer.answered);
+        return watch();
     }
     regained(source);
     if (from.empty())
@@ -86,9 +93,9 @@
         return readPage(m_pages.back().key, source);
     // Changes made while the pages were read come again; that does no harm.
     m_version = m_firstVersion;
-    m_events.whole(m_pages, m_version);
+    m_events.whole(m_pages, m_version, answer);
     m_pages.clear();
-    m_events.heard(answer);
+    m_events.heard(source, answer);
     watch();
 }
 
@@ -100,10 +107,10 @@
         const bool news = !answer.reply.rows.empty();
         m_version = std::max(m_version, answer.reply.version);
         if (answer.whole)
-            m_events.whole(answer.reply.rows, m_version);
+            m_events.whole(answer.reply.rows, m_version, answer);
         else if (news)
-            m_events.changed(answer.reply.rows, m_version);
-        m_events.heard(answer);
+            m_events.changed(answer.reply.rows, m_version, answer);
+        m_events.heard(source, answer);
         const Duration pace = source.peer().empty() ? m_settings.pace : m_settings.peerPace;
         if (pace > Duration {} && news)
             return later(pace, [this] { watch(); });
@@ -114,12 +121,12 @@
         m_version = 0;
         return watch();
     default:
-        lost(source);
+        lost(source, answer.answered);
         // The store is read anew: what was missed may not be in its history any
         // more. Another instance's copy says itself how far back it reaches.
         if (source.peer().empty())
             m_version = 0;
-        return source.peer().empty() ? later(m_settings.retry, [this] { watch(); }) : watch();
+        watch();
     }
 }
 
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -10,19 +10,22 @@
 /// What a follower tells its owner.
 struct TableEvents
 {
-    /// The whole table as of one moment.
-    std::function<void(const std::vector<StoreRow> &rows, std::uint64_t version)> whole;
-    std::function<void(const std::vector<StoreRow> &rows, std::uint64_t version)> changed;
+    using Rows = std::function<void(const std::vector<StoreRow> &rows, std::uint64_t version,
+                                    const TableAnswer &answer)>;
+
+    /// The whole table as of one moment; \a answer: the last page of it.
+    Rows whole;
+    Rows changed;
 
     /// There was an answer: what was told is complete as of its knownAt. After
     /// whole() or changed().
-    std::function<void(const TableAnswer &answer)> heard;
+    std::function<void(const TableSource &source, const TableAnswer &answer)> heard;
 
-    /// Where to read from next.
-    std::function<TableSource &()> source;
+    /// Where to read from next; null: nobody may be asked now.
+    std::function<TableSource *()> source;
 
-    /// A source failed.
-    std::function<void(const TableSource &source)> failed;
+    /// A source failed; \a answered: it said so itself.
+    std::function<void(const TableSource &source, bool answered)> failed;
 };
 
 /// Settings of a TableFollower.
@@ -31,7 +34,7 @@
     std::string table; ///< for the log
     Duration storeWait {700'000}; ///< how long the store holds a call while nothing changes
     Duration peerWait {400'000}; ///< how long another instance does
-    Duration retry {250'000}; ///< pause after the store failed
+    Duration retry {100'000}; ///< pause while nobody may be asked
     Duration pace {0}; ///< shortest time between two calls when there are changes
     Duration peerPace {0};
 };
@@ -49,8 +52,9 @@
     void pageArrived(TableAnswer answer, const std::string &from, TableSource &source);
     void watch();
     void changesArrived(TableAnswer answer, const TableSource &source);
+    void askLater();
     void later(Duration pause, std::function<void()> what);
-    void lost(const TableSource &source);
+    void lost(const TableSource &source, bool answered);
     void regained(const TableSource &source);
 
     FollowerSettings m_settings;
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -11,10 +11,6 @@
 /// Beyond the time that was asked to wait, a call has failed.
 constexpr Duration StoreWithin {500'000};
 constexpr Duration PeerWithin {250'000};
-/// An instance whose knowledge is older than this is no source: a leaving
-/// endpoint must be known of two seconds after the store does, also when the
-/// instance that is read from has lost the store without noticing yet.
-constexpr Duration MostAge {1'250'000};
 
 } // namespace
 
@@ -26,7 +22,7 @@
 {
 }
 
-void StoreSource::read(const std::string &from, Callback callback)
+void StoreSource::read(const std::string &from, Duration /*wait*/, Callback callback)
 {
     m_channel.call(m_protocol.read(m_table, from), StoreWithin,
                    [this, callback = std::move(callback)](StoreAnswer answer) {
@@ -50,6 +46,7 @@
         result.knownAt = m_freshness.knownAt();
         result.direct = true;
     }
+    result.answered = answer.reply.kind != StoreReply::Kind::Failed;
     result.reply = std::move(answer.reply);
     callback(std::move(result));
 }
@@ -67,9 +64,9 @@
         m_call->cancel();
 }
 
-void PeerSource::read(const std::string & /*from*/, Callback callback)
+void PeerSource::read(const std::string & /*from*/, Duration wait, Callback callback)
 {
-    ask(0, Duration {}, std::move(callback));
+    ask(0, wait, std::move(callback));
 }
 
 void PeerSource::watch(std::uint64_t after, Duration wait, Callback callback)
@@ -96,6 +93,7 @@
 {
     TableAnswer answer;
     wire::TableNews news;
+    answer.answered = outcome.status != 0;
     if (outcome.status != 200 || !news.ParseFromString(outcome.body))
         return answer;
     const Time now = bootNow();
@@ -104,12 +102,11 @@
     m_freshness.answered(sentAt, now, static_cast<std::int64_t>(news.clock_ms()));
     const auto age = Duration((news.clock_ms() - news.known_ms()) * 1000);
     answer.knownAt = *m_freshness.knownAt() - age;
-    if (now - *answer.knownAt > MostAge)
-        return answer;
     answer.reply.kind = StoreReply::Kind::Done;
     answer.reply.version = news.version();
     answer.reply.storeMs = static_cast<std::int64_t>(news.store_ms());
     answer.whole = news.whole();
+    answer.direct = news.direct();
     for (const wire::NewsRow &row : news.rows())
         answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
     const Time steady = steadyNow();
--- a/src/entry/tablesource.h
+++ b/src/entry/tablesource.h
@@ -14,10 +14,17 @@
 struct TableAnswer
 {
     StoreReply reply;
+    bool answered = false; ///< the one that was asked said something
     bool whole = false; ///< the rows are all of the table, in answer to a watch
     std::optional<Time> knownAt; ///< complete as of then; on the clock that counts suspension
-    bool direct = false; ///< the store's own answer
+    bool direct = false; ///< the store's own answer, or that of one that had it from the store
     std::vector<EngineState> engines; ///< told along by another instance
+
+    /// How old what was told is at \a now; none when that was not told.
+    Duration age(Time now) const
+    {
+        return knownAt ? std::max(Duration {}, now - *knownAt) : Duration {};
+    }
 };
 
 /// Reads one table.
@@ -31,8 +38,9 @@
     /// Name of the instance that is asked; empty: the store.
     virtual const std::string &peer() const = 0;
 
-    /// A page of the rows from the key \a from on.
-    virtual void read(const std::string &from, Callback callback) = 0;
+    /// A page of the rows from the key \a from on; another instance that knows none
+    /// yet may take \a wait until it does.
+    virtual void read(const std::string &from, Duration wait, Callback callback) = 0;
 
     /// Changes after a version, once there are any or \a wait is over.
     virtual void watch(std::uint64_t after, Duration wait, Callback callback) = 0;
@@ -46,7 +54,7 @@
                 const EntryProtocol &protocol, EntryState &state, std::string table);
 
     const std::string &peer() const override { return m_nobody; }
-    void read(const std::string &from, Callback callback) override;
+    void read(const std::string &from, Duration wait, Callback callback) override;
     void watch(std::uint64_t after, Duration wait, Callback callback) override;
 
 private:
@@ -69,7 +77,7 @@
 
     const std::string &peer() const override { return m_peer.name; }
     const PeerInstance &instance() const { return m_peer; }
-    void read(const std::string &from, Callback callback) override;
+    void read(const std::string &from, Duration wait, Callback callback) override;
     void watch(std::uint64_t after, Duration wait, Callback callback) override;
 
 private:
--- /dev/null
+++ b/src/fakes/newsemulator.h
@@ -0,0 +1,96 @@
+/// \file
+/// How knowledge of the store spreads among instances, in virtual time: a store
+/// that is written to, and instances that follow it or each other by questions that
+/// are held until there is news. Only whom to ask is the product's own decision.
+
+#pragma once
+
+#include <balsamloft/peerdirectory.h>
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+namespace balsamloft::fakes {
+
+/// How the store treats an instance.
+enum class StoreMood : std::uint8_t { Well, Refusing, Silent };
+
+/// What is emulated.
+struct NewsSettings
+{
+    std::size_t domains = 5;
+    std::size_t instancesPerDomain = 59;
+    Duration writeEvery {200'000}; ///< to the store, by others
+    std::uint64_t seed = 1;
+};
+
+/// A fleet whose instances follow one table.
+class NewsEmulator
+{
+public:
+    explicit NewsEmulator(const NewsSettings &settings);
+
+    // Commands
+
+    void run(Duration length);
+    void setStore(StoreMood mood);
+
+    /// For one instance alone.
+    void setStore(std::size_t instance, StoreMood mood) { m_instances[instance].mood = mood; }
+
+    /// Instances of a domain reach each other only, or all again.
+    void cutDomain(std::size_t domain, bool cut);
+    void kill(std::size_t instance);
+
+    /// A process that died begins anew; it knows nobody until it has read the list.
+    void start(std::size_t instance);
+
+    // Queries
+
+    std::size_t size() const { return m_instances.size(); }
+    Time now() const { return m_now; }
+    std::uint64_t storeCalls() const { return m_storeCalls; }
+
+    /// The oldest knowledge of all that live and are not cut off.
+    Duration oldestAge() const;
+
+    /// Instances that took their knowledge for newer than it was, ever.
+    std::uint64_t liars() const { return m_liars; }
+
+private:
+    struct Instance
+    {
+        PeerInstance self;
+        std::size_t domain = 0;
+        PeerDirectory directory;
+        bool alive = true;
+        bool cut = false;
+        StoreMood mood = StoreMood::Well;
+        std::uint64_t version = 0; ///< of the store, as known
+        Time knownAt {};
+        bool direct = false; ///< had it from the store, which still answers
+        bool asking = false;
+        bool ofStore = false; ///< the question is to the store
+        std::size_t asked = 0; ///< the instance that is asked, otherwise
+        Time until {}; ///< the answer, or its failure, comes by then
+        Time nextAt {}; ///< nothing is asked before
+    };
+
+    bool reaches(const Instance &from, const Instance &to) const;
+    std::uint64_t versionAt(Time time) const;
+    void ask(Instance &instance);
+    void hear(Instance &instance);
+    void hearStore(Instance &instance);
+    void learn(Instance &instance, std::uint64_t version, Time knownAt);
+
+    NewsSettings m_settings;
+    std::vector<Instance> m_instances;
+    std::vector<PeerInstance> m_list;
+    Time m_begin {std::chrono::hours(1)};
+    Time m_now = m_begin;
+    std::uint64_t m_storeCalls = 0;
+    std::uint64_t m_liars = 0;
+};
+
+} // namespace balsamloft::fakes
--- a/src/include/balsamloft/enginefleet.h
+++ b/src/include/balsamloft/enginefleet.h
@@ -80,7 +80,8 @@
     /// The entry under \a name was dropped, or names no endpoint any more.
     void dropped(std::string_view name, Time now);
 
-    /// The list answered at \a now, whether or not anything had changed.
+    /// The list was as told at \a now, whether or not anything had changed. Here as
+    /// above, the time is that of the list's own answer, however late it came.
     void heard(Time now);
 
     /// Forgets what had its time to come back.
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -22,11 +23,30 @@
     bool operator==(const PeerInstance &) const = default;
 };
 
-/// Decides who reads from the store: the first good instance of each domain, by
-/// name. The others of the domain read from it, so the store's calls do not
-/// grow with the number of instances. Whoever cannot read from the one before
-/// it takes its place for a while; it only ever reads from instances before
-/// itself, so no two read from each other.
+/// Where the store's tables are to be read from now.
+struct NewsSource
+{
+    enum class Kind : std::uint8_t {
+        Store,
+        Instance,
+        Nobody, ///< all that may be asked knew too little just now: wait
+    };
+
+    Kind kind = Kind::Nobody;
+    const PeerInstance *instance = nullptr; ///< only for Instance
+};
+
+/// Decides whom this instance reads the store's tables from. The first two good
+/// instances of a domain, by name, are its readers: the first reads the store,
+/// the second stands by and reads it while the first cannot. All others read from
+/// them, and from the readers of other domains while both know too little, but
+/// never from the store.
+///
+/// That keeps the store's calls at two instances a domain, whatever fails: were a
+/// source that knows old news given up for the store, the whole fleet would turn
+/// on the store as soon as it failed for the readers, though nobody could learn
+/// more there. Every answer carries its age, so that instances which read from
+/// each other make nothing newer than it is.
 class PeerDirectory
 {
 public:
@@ -37,16 +57,29 @@
     /// The instances that are believed to live, this one among them or not.
     void replace(std::vector<PeerInstance> instances);
 
-    /// The instance did not answer, or knew less than it should.
-    void failed(const std::string &name, Time now);
+    /// The instance did not answer.
+    void silent(const std::string &name, Time now);
+
+    /// The instance answered, but does not know the table yet.
+    void behind(const std::string &name, Time now);
+
+    /// The instance told news of the store's state \a age ago; \a direct: from the
+    /// store itself.
+    void told(const std::string &name, Duration age, bool direct, Time now);
+
+    void storeFailed(Time now);
+    void storeAnswered();
 
     // Queries
 
-    /// Whom to read from; nothing: from the store.
-    const PeerInstance *reader(Time now) const;
+    /// Where to read from now.
+    NewsSource source(Time now) const;
 
-    /// Whom to read from while the store turns this instance away; nothing: nobody.
-    const PeerInstance *substitute(Time now) const;
+    /// Whether this instance is the one that reads the store for its domain.
+    bool first(Time now) const;
+
+    /// Whether the store may be called: it did not fail just now.
+    bool storeUsable(Time now) const { return now >= m_storeBadUntil; }
 
     /// The instances that read for the other domains.
     std::vector<PeerInstance> readersElsewhere(Time now) const;
@@ -56,12 +89,26 @@
     std::size_t count() const;
 
 private:
+    /// What was seen of an instance as a source.
+    struct Seen
+    {
+        Time silentUntil {};
+        Time behindUntil {};
+        std::uint32_t silences = 0; ///< in a row
+    };
+
     bool good(const PeerInstance &instance, Time now) const;
+    bool useful(const PeerInstance &instance, Time now) const;
+    std::vector<const PeerInstance *> before(Time now) const;
+    const PeerInstance *elsewhere(Time now) const;
 
     std::string m_self;
     std::string m_domain;
     std::vector<PeerInstance> m_instances; ///< by name
-    std::map<std::string, Time, std::less<>> m_badUntil;
+    std::map<std::string, Seen, std::less<>> m_seen;
+    std::mt19937_64 m_random;
+    Time m_storeBadUntil {};
+    std::uint32_t m_storeFailures = 0; ///< in a row
 };
 
 } // namespace balsamloft
--- a/src/libbalsamloft/enginefleet.cpp
+++ b/src/libbalsamloft/enginefleet.cpp
@@ -56,7 +56,7 @@
 {
     if (m_known && now - m_heardAt > shortestOutage())
         m_outageOverAt = now;
-    m_heardAt = now;
+    m_heardAt = std::max(m_heardAt, now);
 }
 
 void FleetKeeper::listed(std::vector<FleetEndpoint> endpoints, Time now)
--- /dev/null
+++ b/src/libbalsamloft/newsspread_test.cpp
@@ -0,0 +1,139 @@
+// How knowledge of the store spreads among hundreds of instances, and what that
+// costs the store, in virtual time.
+
+#include "../fakes/newsemulator.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace balsamloft;
+using namespace balsamloft::fakes;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+NewsSettings fleetOf(std::size_t instances)
+{
+    NewsSettings settings;
+    settings.instancesPerDomain = instances / settings.domains;
+    return settings;
+}
+
+/// Calls to the store a second in the span.
+double callsPerSecond(NewsEmulator &fleet, Duration length)
+{
+    const std::uint64_t before = fleet.storeCalls();
+    fleet.run(length);
+    return static_cast<double>(fleet.storeCalls() - before) * 1e6
+           / static_cast<double>(length.count());
+}
+
+} // namespace
+
+// Calm, and in an outage of which callers notice nothing: what the store is asked
+// does not grow with the fleet, and all know of its return within two seconds.
+TEST_CASE("the store's calls do not grow with the number of instances")
+{
+    const StoreMood mood = GENERATE(StoreMood::Well, StoreMood::Refusing, StoreMood::Silent);
+    std::vector<double> rates;
+    for (const std::size_t instances : {30U, 100U, 300U, 340U}) {
+        NewsEmulator fleet(fleetOf(instances));
+        fleet.run(seconds(3));
+        CHECK(fleet.oldestAge() < milliseconds(1'600));
+        fleet.setStore(mood);
+        rates.push_back(callsPerSecond(fleet, seconds(10)));
+        fleet.setStore(StoreMood::Well);
+        fleet.run(milliseconds(3'500));
+        CHECK(fleet.oldestAge() < milliseconds(1'600));
+        CHECK(fleet.liars() == 0);
+    }
+    CHECK(rates.back() <= rates.front() * 1.2);
+    CHECK(rates.back() < (mood == StoreMood::Well ? 30 : 20));
+}
+
+// A domain loses the others and the store for six seconds. Its instances go on with
+// what they know; nobody there hammers a store that cannot be reached.
+TEST_CASE("a domain that is cut off asks the store by its readers only")
+{
+    NewsEmulator fleet(fleetOf(300));
+    fleet.run(seconds(3));
+    fleet.cutDomain(2, true);
+    CHECK(callsPerSecond(fleet, seconds(6)) < 40);
+    CHECK(fleet.oldestAge() < milliseconds(1'600));
+    fleet.cutDomain(2, false);
+    fleet.run(seconds(4));
+    CHECK(fleet.oldestAge() < milliseconds(1'600));
+}
+
+// More than half of the processes die at the same moment and start again two
+// seconds later. Those that live are told on, and those that start learn at once.
+TEST_CASE("instances that start again together know all within three seconds")
+{
+    NewsEmulator fleet(fleetOf(300));
+    fleet.run(seconds(3));
+    std::mt19937_64 random(20261203);
+    std::vector<std::size_t> dead;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        if (random() % 100 < 55)
+            dead.push_back(i);
+    for (const std::size_t each : dead)
+        fleet.kill(each);
+    fleet.run(seconds(2));
+    const std::uint64_t before = fleet.storeCalls();
+    for (const std::size_t each : dead)
+        fleet.start(each);
+    fleet.run(seconds(3));
+    CHECK(fleet.oldestAge() < milliseconds(1'600));
+    // One call for each that started, and the readers'.
+    CHECK(fleet.storeCalls() - before < dead.size() + 150);
+}
+
+// Whatever fails, and whoever reads from whom: news are never taken for newer than
+// they are. On that age rests that a withdrawn key serves no caller, and that a
+// leaving endpoint gets nothing new.
+TEST_CASE("no instance takes its knowledge for newer than it is")
+{
+    std::mt19937_64 random(20261203);
+    for (int round = 0; round < 100'000; ++round) {
+        NewsSettings settings;
+        settings.domains = 1 + random() % 4;
+        settings.instancesPerDomain = 1 + random() % 5;
+        NewsEmulator fleet(settings);
+        const auto any = [&] { return static_cast<std::size_t>(random() % fleet.size()); };
+        for (int step = 0; step < 12; ++step) {
+            const auto mood = static_cast<StoreMood>(random() % 3);
+            switch (random() % 6) {
+            case 0:
+                fleet.setStore(mood);
+                break;
+            case 1:
+                fleet.setStore(any(), mood);
+                break;
+            case 2:
+                fleet.cutDomain(random() % settings.domains, random() % 2 == 0);
+                break;
+            case 3:
+                fleet.kill(any());
+                break;
+            case 4:
+                fleet.start(any());
+                break;
+            default:
+                break;
+            }
+            fleet.run(Duration(static_cast<std::int64_t>(random() % 900'000)));
+        }
+        REQUIRE(fleet.liars() == 0);
+        // Once all is well again, all learn of it.
+        fleet.setStore(StoreMood::Well);
+        for (std::size_t domain = 0; domain < settings.domains; ++domain)
+            fleet.cutDomain(domain, false);
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            fleet.start(i);
+        fleet.run(seconds(4));
+        REQUIRE(fleet.oldestAge() < milliseconds(1'700));
+    }
+}
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -2,18 +2,46 @@
 
 #include <algorithm>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace balsamloft {
 
 namespace {
 
-/// How long an instance that failed is not asked again.
-constexpr Duration Avoided {8'000'000};
+/// How long an instance that did not answer is not asked again: doubled with each
+/// silence in a row. Short at first, since all instances may be starting at once;
+/// long in the end, since each question to a dead machine costs a time limit.
+constexpr Duration SilentFor {1'000'000};
+constexpr Duration MostSilentFor {8'000'000};
+
+/// How long an instance that knew too little is passed over. As long as it would
+/// hold a question, so that an outage of the store adds no questions.
+constexpr Duration BehindFor {400'000};
+
+/// News older than this are looked for elsewhere: a leaving endpoint must be known
+/// of two seconds after the store does, also when the instance that is read from
+/// has lost the store without noticing yet.
+constexpr Duration MostAge {1'250'000};
+
+/// Pauses of a reader after the store failed, with full jitter.
+constexpr Duration FirstBackOff {300'000};
+constexpr Duration MostBackOff {2'400'000};
+
+/// Instances of a domain that may read the store.
+constexpr std::size_t Readers = 2;
+
+std::uint64_t seedOf(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
 
 } // namespace
 
 PeerDirectory::PeerDirectory(std::string self, std::string domain)
     : m_self(std::move(self))
     , m_domain(std::move(domain))
+    , m_random(seedOf(m_self))
 {
 }
 
@@ -22,45 +50,126 @@
     std::sort(instances.begin(), instances.end(),
               [](const auto &left, const auto &right) { return left.name < right.name; });
     m_instances = std::move(instances);
+    std::erase_if(m_seen, [&](const auto &each) {
+        return std::none_of(m_instances.begin(), m_instances.end(),
+                            [&](const PeerInstance &known) { return known.name == each.first; });
+    });
 }
 
-void PeerDirectory::failed(const std::string &name, Time now)
+void PeerDirectory::silent(const std::string &name, Time now)
 {
-    m_badUntil[name] = now + Avoided;
+    Seen &seen = m_seen[name];
+    // Questions that were sent together stay unanswered together.
+    if (now < seen.silentUntil)
+        return;
+    seen.silentUntil = now + std::min(MostSilentFor, SilentFor * (1 << seen.silences));
+    seen.silences = std::min(seen.silences + 1, 4U);
+}
+
+void PeerDirectory::behind(const std::string &name, Time now)
+{
+    m_seen[name].behindUntil = now + BehindFor;
+}
+
+void PeerDirectory::told(const std::string &name, Duration age, bool direct, Time now)
+{
+    Seen &seen = m_seen[name];
+    seen.silences = 0;
+    seen.silentUntil = Time {};
+    // The second reader steps in once the first has lost the store. Were it
+    // content with news of any origin, the two would read from each other.
+    const std::vector<const PeerInstance *> earlier = before(now);
+    const bool fromFirst = earlier.size() == 1 && earlier.front()->name == name;
+    if (age > MostAge || (fromFirst && !direct))
+        behind(name, now);
+}
+
+void PeerDirectory::storeFailed(Time now)
+{
+    if (now < m_storeBadUntil)
+        return;
+    const Duration most = std::min(MostBackOff, FirstBackOff * (1 << m_storeFailures));
+    m_storeFailures = std::min(m_storeFailures + 1, 4U);
+    std::uniform_int_distribution<std::int64_t> jitter(most.count() / 4, most.count());
+    m_storeBadUntil = now + Duration(jitter(m_random));
+}
+
+void PeerDirectory::storeAnswered()
+{
+    m_storeFailures = 0;
+    m_storeBadUntil = Time {};
 }
 
 bool PeerDirectory::good(const PeerInstance &instance, Time now) const
 {
-    const auto it = m_badUntil.find(instance.name);
-    return it == m_badUntil.end() || now >= it->second;
+    const auto it = m_seen.find(instance.name);
+    return !instance.address.empty() && (it == m_seen.end() || now >= it->second.silentUntil);
+}
+
+bool PeerDirectory::useful(const PeerInstance &instance, Time now) const
+{
+    const auto it = m_seen.find(instance.name);
+    return good(instance, now) && (it == m_seen.end() || now >= it->second.behindUntil);
 }
 
-const PeerInstance *PeerDirectory::reader(Time now) const
+/// The good instances of the own domain that come before this one, as many as
+/// there are readers at most.
+std::vector<const PeerInstance *> PeerDirectory::before(Time now) const
 {
+    std::vector<const PeerInstance *> earlier;
     for (const PeerInstance &each : m_instances) {
-        if (each.domain != m_domain || each.address.empty())
-            continue;
-        if (each.name >= m_self)
-            return nullptr;
-        if (good(each, now))
-            return &each;
+        if (each.name >= m_self || earlier.size() == Readers)
+            break;
+        if (each.domain == m_domain && good(each, now))
+            earlier.push_back(&each);
     }
-    return nullptr;
+    return earlier;
+}
+
+bool PeerDirectory::first(Time now) const
+{
+    return before(now).empty();
+}
+
+NewsSource PeerDirectory::source(Time now) const
+{
+    const std::vector<const PeerInstance *> earlier = before(now);
+    for (const PeerInstance *each : earlier)
+        if (useful(*each, now))
+            return {NewsSource::Kind::Instance, each};
+    if (earlier.size() < Readers && storeUsable(now))
+        return {NewsSource::Kind::Store, nullptr};
+    // A reader without the store is told by the other reader of its domain.
+    if (earlier.empty())
+        for (const PeerInstance &each : m_instances)
+            if (each.domain == m_domain && each.name > m_self && good(each, now)) {
+                if (useful(each, now))
+                    return {NewsSource::Kind::Instance, &each};
+                break;
+            }
+    if (const PeerInstance *each = elsewhere(now))
+        return {NewsSource::Kind::Instance, each};
+    return {};
 }
 
-const PeerInstance *PeerDirectory::substitute(Time now) const
+/// A reader of another domain. Which one differs from instance to instance, so
+/// that no reader carries all of a domain that lost the store.
+const PeerInstance *PeerDirectory::elsewhere(Time now) const
 {
+    std::vector<const PeerInstance *> readers;
+    std::map<std::string_view, std::size_t> counts;
     for (const PeerInstance &each : m_instances)
-        if (each.name != m_self && !each.address.empty() && good(each, now))
-            return &each;
-    return nullptr;
+        if (each.domain != m_domain && good(each, now) && counts[each.domain]++ < Readers
+            && useful(each, now))
+            readers.push_back(&each);
+    return readers.empty() ? nullptr : readers[seedOf(m_self) % readers.size()];
 }
 
 std::vector<PeerInstance> PeerDirectory::readersElsewhere(Time now) const
 {
     std::map<std::string_view, const PeerInstance *> first;
     for (const PeerInstance &each : m_instances)
-        if (each.domain != m_domain && !each.address.empty() && good(each, now))
+        if (each.domain != m_domain && good(each, now))
             first.try_emplace(each.domain, &each);
     std::vector<PeerInstance> readers;
     for (const auto &[domain, instance] : first)
