Streams that have begun keep repeats, and are not broken off where nothing else is left

Ruled out: the change of the configuration beside it (it cuts nothing), news that come late (the engines that left were known to all).

Change: new requests of layered services leave half of the slack to streams that have begun; a stream that may not run again, or for which no repeat is left, is not broken off for silence or a path that could not be changed. Both tests fail without it.

--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -129,6 +129,7 @@
     double retryRatio = 0.15; ///< repeats for each request of this instance
     double retrySlack = 20; ///< repeats beyond that in a window, all instances together
     Duration retryWindow {10'000'000}; ///< the window
+    double keptForBegun = 0.5; ///< share of the slack for streams that have begun
     Duration silence {250'000}; ///< shortest pause after which an engine is asked
     double silenceGaps = 4; ///< or so many expected pauses
     Duration askAgain {350'000}; ///< between two questions to one engine
@@ -266,7 +267,9 @@
     void release(Flight &flight);
     void again(FlightId id, Flight &flight, bool ran, const std::string &culprit,
                std::string reason, Time now, RelayActions &actions);
-    bool mayRunAgain(const Flight &flight) const;
+    bool mayRunAgain(const Flight &flight, std::string_view alsoAt = {}) const;
+    bool payRepeat(const Flight &flight, Time now);
+    bool worthMoving(const Flight &flight, Time now);
 
     /// How a flight that is given up now ends; \a ran: where it may have run.
     static FlightEnd endOf(const Flight &flight, FlightEnd ran);
--- a/src/include/balsamloft/retrybudget.h
+++ b/src/include/balsamloft/retrybudget.h
@@ -62,13 +62,19 @@
 
     void requestStarted(Time now);
 
-    /// Counts one repeat; returns false when the window has no room for it.
-    bool withdraw(Time now);
+    /// Counts one repeat; returns false when the window has no room for it beside
+    /// \a kept, a share of the slack that is left to others.
+    bool withdraw(Time now, double kept = 0);
 
     /// Changes the slack.
     void setSlack(double slack) { m_settings.slack = slack; }
     void setPerRequest(double share) { m_settings.perRequest = share; }
 
+    // Queries
+
+    /// Whether withdraw() would succeed.
+    bool affords(Time now) const { return balance(now) >= 1; }
+
 private:
     /// What happened in one slice of the window.
     struct Slice
@@ -80,6 +86,9 @@
 
     Slice &slice(Time now);
 
+    /// The slack of the present window.
+    double allowance(Time now) const;
+
     /// Repeats that may still be made now; slice() has dropped what no longer counts.
     double balance(Time now) const;
 
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -271,15 +271,20 @@
     actions.push_back(std::move(send));
 }
 
-bool Relay::mayRunAgain(const Flight &flight) const
+/// \a alsoAt: an endpoint that counts as one where it ran.
+bool Relay::mayRunAgain(const Flight &flight, std::string_view alsoAt) const
 {
     if (!flight.request.route->idempotent())
         return false;
     // Endpoints that are gone do not count: what they ran is lost in any case.
-    const auto alive =
-        std::count_if(flight.ranAt.begin(), flight.ranAt.end(),
-                      [&](const std::string &each) { return m_fleet->find(each) != nullptr; });
-    return static_cast<std::uint32_t>(alive) < flight.request.route->maxAttempts;
+    const auto alive = [&](std::string_view each) { return m_fleet->find(each) != nullptr; };
+    auto ran =
+        static_cast<std::uint32_t>(std::count_if(flight.ranAt.begin(), flight.ranAt.end(), alive));
+    const bool counted =
+        std::find(flight.ranAt.begin(), flight.ranAt.end(), alsoAt) != flight.ranAt.end();
+    if (!alsoAt.empty() && !counted && alive(alsoAt))
+        ran += 1;
+    return ran < flight.request.route->maxAttempts;
 }
 
 FlightEnd Relay::endOf(const Flight &flight, FlightEnd ran)
@@ -289,6 +294,16 @@
     return flight.ranAt.empty() ? FlightEnd::NotRun : ran;
 }
 
+/// Engines without room reject one new request after another, and these would spend
+/// all repeats before a stream needs one. A new request that is refused can come
+/// back; a stream that has begun is lost. So new ones leave some for those.
+bool Relay::payRepeat(const Flight &flight, Time now)
+{
+    const bool begun = flight.passing || !flight.ranAt.empty();
+    const bool yields = service(flight).model && !begun;
+    return budget(flight).withdraw(now, yields ? m_settings.keptForBegun : 0);
+}
+
 void Relay::again(FlightId id, Flight &flight, bool ran, const std::string &culprit,
                   std::string reason, Time now, RelayActions &actions)
 {
@@ -305,7 +320,7 @@
         return end(id, how, std::move(reason), actions);
     if (flight.sends >= flight.request.route->maxAttempts + m_settings.sparesSends)
         return end(id, how, reason + "; sent often enough", actions);
-    if (!budget(flight).withdraw(now)) {
+    if (!payRepeat(flight, now)) {
         m_counts.budgetSpent += 1;
         return end(id, how, reason + "; no budget to send it again", actions);
     }
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -134,6 +134,58 @@
     CHECK(repeats >= 3);
 }
 
+// An overloaded fleet rejects one new request after another, and each is sent again.
+// Then the engine of a stream that has run for seconds dies. Its caller would see a
+// broken answer if no repeat was left; the new ones are refused, and come back.
+TEST_CASE("new requests leave repeats for streams that have begun")
+{
+    RelaySettings settings = RelayWorld::defaults();
+    settings.retryRatio = 0;
+    settings.retrySlack = 2;
+    settings.retryWindow = milliseconds(3'000);
+    RelayWorld world(twoPaths(), settings);
+    const FlightId stream = world.submit(RequestKind::Stream);
+    REQUIRE(world.answer(stream, 200));
+    world.events(stream, 4);
+    for (int i = 0; i < 35; ++i) { // the first window of this instance goes by
+        world.pass(milliseconds(100));
+        world.events(stream, static_cast<std::uint64_t>(5 + i));
+    }
+    const FlightId fresh = world.submit(RequestKind::Stream);
+    world.answer(fresh, 503, false, true);
+    REQUIRE(world.sends(fresh).size() == 2);
+    world.answer(fresh, 503, false, true);
+    REQUIRE(world.end(fresh));
+    CHECK(world.end(fresh)->end == FlightEnd::NotRun);
+    CHECK(world.end(fresh)->retryAfter > Duration {});
+    world.fail(stream, AttemptFailure::Broken);
+    world.pass(milliseconds(400)); // both engines had just no room
+    CHECK(world.sends(stream).size() == 2);
+    CHECK_FALSE(world.end(stream));
+}
+
+// A stream ran at two engines, all that its route allows, when an engine of its path
+// goes silent and no other path is there. Broken off it would surely be lost to its
+// caller; the silence passes, and the caller gets the rest.
+TEST_CASE("a stream that may not run again is not broken off for an engine's silence")
+{
+    RelayWorld world(twoPaths());
+    const FlightId stream = world.submit(RequestKind::Stream);
+    REQUIRE(world.answer(stream, 200));
+    world.events(stream, 3);
+    world.fail(stream, AttemptFailure::Broken);
+    REQUIRE(world.sends(stream).size() == 2);
+    REQUIRE(world.answer(stream, 200));
+    world.events(stream, 4);
+    const std::string silent = world.sends(stream).back().path.back().endpoint;
+    world.relay.reportFailed(silent, world.now, world.actions);
+    world.pass(milliseconds(1500));
+    CHECK_FALSE(world.end(stream));
+    world.events(stream, 5);
+    world.endStream(stream);
+    CHECK(world.passed(stream));
+}
+
 // Two of four instances stop in turn. What they spent counts in the same window,
 // so their shares may not go to the others before it is over.
 TEST_CASE("the share of an instance that left is not given out again in the same window")
--- a/src/libbalsamloft/relaypath.cpp
+++ b/src/libbalsamloft/relaypath.cpp
@@ -52,8 +52,11 @@
         if (changePath(id, *flight, now, actions))
             return;
     }
-    if (reply != PathReply::Taken)
-        return recover(id, *flight, "its path could not be changed", now, actions);
+    if (reply != PathReply::Taken) {
+        if (worthMoving(*flight, now))
+            recover(id, *flight, "its path could not be changed", now, actions);
+        return;
+    }
     // What its new engines have to read is no silence of theirs.
     flight->progressAt = now + flight->expectedFirst;
 }
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -127,6 +127,17 @@
     again(id, flight, true, culprit, std::move(reason), now, actions);
 }
 
+/// A stream that has begun and may not be run again is lost for sure once it is broken
+/// off; left alone, it goes on if its engine was only slow, or if another path turns
+/// up in time. One that has not begun is better told at once.
+bool Relay::worthMoving(const Flight &flight, Time now)
+{
+    return !flight.passing
+           || (mayRunAgain(flight, flight.endpoint)
+               && flight.sends < flight.request.route->maxAttempts + m_settings.sparesSends
+               && budget(flight).affords(now));
+}
+
 void Relay::watchStream(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     if (flight.pathAskedAt) {
@@ -143,14 +154,14 @@
         flight.lastReason = "an engine of its path does not answer";
         if (changePath(id, flight, now, actions))
             return;
-        if (idempotent)
+        if (idempotent && worthMoving(flight, now))
             return recover(id, flight, flight.lastReason, now, actions);
     }
     // One that has not begun may wait its turn at a busy engine; moved, it
     // would wait again elsewhere, and cost a repeat.
     const Duration most =
         flight.state == State::Streaming ? m_settings.giveUpPause : m_settings.giveUpStart;
-    if (idempotent && pause >= most + expected)
+    if (idempotent && pause >= most + expected && worthMoving(flight, now))
         return recover(id, flight, "stands still", now, actions);
     const auto patience =
         Duration(static_cast<std::int64_t>(expected.count() * m_settings.silenceGaps));
--- a/src/libbalsamloft/retrybudget.cpp
+++ b/src/libbalsamloft/retrybudget.cpp
@@ -55,11 +55,15 @@
     slice(now).requests += 1;
 }
 
+double RepeatWindow::allowance(Time now) const
+{
+    const bool firstWindow = now - m_firstAt < m_settings.window;
+    return m_settings.slack - (firstWindow ? m_settings.spentBefore : 0);
+}
+
 double RepeatWindow::balance(Time now) const
 {
-    double left = m_settings.slack;
-    if (now - m_firstAt < m_settings.window)
-        left -= m_settings.spentBefore;
+    double left = allowance(now);
     for (const Slice &each : m_slices) {
         if (now - each.begin <= m_settings.window)
             left += m_settings.perRequest * each.requests;
@@ -68,10 +72,10 @@
     return left;
 }
 
-bool RepeatWindow::withdraw(Time now)
+bool RepeatWindow::withdraw(Time now, double kept)
 {
     Slice &present = slice(now);
-    if (balance(now) < 1)
+    if (balance(now) < 1 + kept * std::max(0.0, allowance(now)))
         return false;
     present.repeats += 1;
     return true;
