A stream that has begun waits for a repeat as long as its caller waits for an event

Change: it waits for room and for a repeat up to the pause after which callers leave; refusals before its first event count no more.

--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -243,6 +243,7 @@
         std::optional<Time> pathAskedAt; ///< a ChangePath that is not yet answered
         std::uint32_t pathChanges = 0; ///< of this attempt
         bool passing = false; ///< events went to the caller
+        bool repeatOwed = false; ///< its next send takes a repeat that was not there yet
         std::optional<std::uint64_t> lastEvent;
         std::set<std::string> avoid; ///< endpoints that failed it
         std::string lastReason;
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -261,6 +261,9 @@
     const bool layered = service(flight).model.has_value();
     if (!(layered ? choosePath(flight, now, send) : chooseEndpoint(flight, now, send)))
         return;
+    if (flight.repeatOwed && !payRepeat(flight, now))
+        return;
+    flight.repeatOwed = false;
     send.flight = id;
     send.attempt = ++flight.attempt;
     send.timeLeft = flight.deadline - now;
@@ -322,7 +325,14 @@
         return end(id, how, reason + "; sent often enough", actions);
     if (!payRepeat(flight, now)) {
         m_counts.budgetSpent += 1;
-        return end(id, how, reason + "; no budget to send it again", actions);
+        reason += "; no budget to send it again";
+        if (!flight.passing)
+            return end(id, how, std::move(reason), actions);
+        // Its caller waits a while for the next event anyway, and repeats come back
+        // as the window moves on; broken off now, the answer would be lost for sure.
+        flight.repeatOwed = true;
+        flight.lastReason = std::move(reason);
+        return;
     }
     m_counts.resent += 1;
     dispatch(id, flight, now, actions);
@@ -436,7 +446,9 @@
     Flight *flight = current(id, attempt);
     if (!flight)
         return;
-    flight->passing = true;
+    // What refused it before it began says nothing of how often it may go on.
+    if (!std::exchange(flight->passing, true))
+        flight->sends = 1;
     flight->progressAt = now;
     if (lastEvent)
         flight->lastEvent = lastEvent;
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -186,6 +186,36 @@
     CHECK(world.passed(stream));
 }
 
+// The engine of a stream dies when all repeats of the window are spent. Its caller
+// waits two seconds for the next event; within these the window moves on, and the
+// stream goes on elsewhere instead of being broken off.
+TEST_CASE("a stream that has begun waits for a repeat while its caller does")
+{
+    RelaySettings settings = RelayWorld::defaults();
+    settings.retryRatio = 0;
+    settings.retrySlack = 1;
+    settings.retryWindow = milliseconds(2'000);
+    RelayWorld world(twoPaths(), settings);
+    const auto begin = [&] {
+        const FlightId stream = world.submit(RequestKind::Stream);
+        REQUIRE(world.answer(stream, 200));
+        world.events(stream, 1);
+        return stream;
+    };
+    world.submit(RequestKind::Stream);
+    world.pass(milliseconds(2'500)); // the first window of this instance
+    const FlightId other = begin();
+    world.fail(other, AttemptFailure::Broken);
+    REQUIRE(world.sends(other).size() == 2); // the only repeat
+    world.pass(milliseconds(1'300));
+    const FlightId stream = begin();
+    world.fail(stream, AttemptFailure::Broken);
+    CHECK(world.sends(stream).size() == 1);
+    world.pass(milliseconds(1'500));
+    CHECK(world.sends(stream).size() == 2);
+    CHECK_FALSE(world.end(stream));
+}
+
 // Two of four instances stop in turn. What they spent counts in the same window,
 // so their shares may not go to the others before it is over.
 TEST_CASE("the share of an instance that left is not given out again in the same window")
