--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -186,6 +186,23 @@
     CHECK(world.passed(stream));
 }
 
+// An engine in the middle of a path pauses, and no other engine has its layers. Given
+// up for that, the stream would wait for a path that is not there; left alone, it goes
+// on when the engine does.
+TEST_CASE("a stream that has begun is not given up before there is another path")
+{
+    RelayWorld world({{"one", {0, 4}}, {"two", {4, 8}}});
+    const FlightId stream = world.submit(RequestKind::Stream);
+    REQUIRE(world.answer(stream, 200));
+    world.events(stream, 3);
+    world.relay.reportFailed("two", world.now, world.actions);
+    world.pass(milliseconds(1500));
+    CHECK(world.abandoned(stream) == 0);
+    world.events(stream, 4);
+    world.endStream(stream);
+    CHECK(world.passed(stream));
+}
+
 // The engine of a stream dies when all repeats of the window are spent. Its caller
 // waits two seconds for the next event; within these the window moves on, and the
 // stream goes on elsewhere instead of being broken off.
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -127,15 +127,20 @@
     again(id, flight, true, culprit, std::move(reason), now, actions);
 }
 
-/// A stream that has begun and may not be run again is lost for sure once it is broken
-/// off; left alone, it goes on if its engine was only slow, or if another path turns
-/// up in time. One that has not begun is better told at once.
+/// A stream that has begun is lost for sure once it is broken off and cannot go on
+/// elsewhere; left alone, it goes on if its engine was only slow, or if another path
+/// turns up in time. One that has not begun is better told at once.
 bool Relay::worthMoving(const Flight &flight, Time now)
 {
-    return !flight.passing
-           || (mayRunAgain(flight, flight.endpoint)
-               && flight.sends < flight.request.route->maxAttempts + m_settings.sparesSends
-               && budget(flight).affords(now));
+    if (!flight.passing)
+        return true;
+    if (!mayRunAgain(flight, flight.endpoint) || !budget(flight).affords(now)
+        || flight.sends >= flight.request.route->maxAttempts + m_settings.sparesSends)
+        return false;
+    Flight moved = flight;
+    moved.avoid.insert(flight.endpoint);
+    SendWhole send;
+    return choosePath(moved, now, send);
 }
 
 void Relay::watchStream(FlightId id, Flight &flight, Time now, RelayActions &actions)
