A stream that has begun waits as long as its caller, whatever refused it

Change: no bound on its sends beside the repeats, and 2.5 s instead of 1.7 s for a path. Of what was left of the LOST, half was 'sent often enough' after three refusals in 200 ms, the rest breaks a few tenths before the caller would have left.

--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -136,7 +136,11 @@
     Duration brokenPause {120'000}; ///< a stream through a suspected engine that paused this long
     Duration giveUpStart {1'700'000}; ///< after which a request that has not begun is moved
     Duration giveUpPause {1'200'000}; ///< pause after which a stream is moved without proof
-    Duration resumeWithin {1'700'000}; ///< callers leave after a longer pause
+    Duration resumeWithin {1'700'000}; ///< one that may have run but has not begun waits so long
+    /// A stream that has begun waits so long for a path: as long as callers do, who
+    /// leave after a pause of two seconds or more. Broken off a few tenths before
+    /// that, it is lost to a caller who was still there.
+    Duration goOnWithin {2'500'000};
     std::uint32_t mostPathChanges = 4; ///< of one attempt
     Duration pathChangeWithin {700'000}; ///< an order to change a path is answered by then
     Duration callSilence {400'000}; ///< an idempotent call is then tried elsewhere
@@ -270,6 +274,7 @@
                std::string reason, Time now, RelayActions &actions);
     bool mayRunAgain(const Flight &flight, std::string_view alsoAt = {}) const;
     bool payRepeat(const Flight &flight, Time now);
+    bool sentOftenEnough(const Flight &flight) const;
     bool worthMoving(const Flight &flight, Time now);
 
     /// How a flight that is given up now ends; \a ran: where it may have run.
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -297,6 +297,14 @@
     return flight.ranAt.empty() ? FlightEnd::NotRun : ran;
 }
 
+/// A stream that has begun is bounded by the repeats and its caller's patience alone:
+/// engines that reject it did not run it, and nothing else is left to its caller.
+bool Relay::sentOftenEnough(const Flight &flight) const
+{
+    return !flight.passing
+           && flight.sends >= flight.request.route->maxAttempts + m_settings.sparesSends;
+}
+
 /// Engines without room reject one new request after another, and these would spend
 /// all repeats before a stream needs one. A new request that is refused can come
 /// back; a stream that has begun is lost. So new ones leave some for those.
@@ -321,7 +329,7 @@
     const FlightEnd how = endOf(flight, FlightEnd::Failed);
     if (!flight.ranAt.empty() && !mayRunAgain(flight))
         return end(id, how, std::move(reason), actions);
-    if (flight.sends >= flight.request.route->maxAttempts + m_settings.sparesSends)
+    if (sentOftenEnough(flight))
         return end(id, how, reason + "; sent often enough", actions);
     if (!payRepeat(flight, now)) {
         m_counts.budgetSpent += 1;
@@ -446,9 +454,7 @@
     Flight *flight = current(id, attempt);
     if (!flight)
         return;
-    // What refused it before it began says nothing of how often it may go on.
-    if (!std::exchange(flight->passing, true))
-        flight->sends = 1;
+    flight->passing = true;
     flight->progressAt = now;
     if (lastEvent)
         flight->lastEvent = lastEvent;
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -109,9 +109,10 @@
     const auto hold = Duration(static_cast<std::int64_t>(
         static_cast<double>(flight.request.route->targetLatency.count())
         * (service(flight).model ? m_settings.holdStreams : m_settings.holdCalls)));
-    const bool over = flight.passing || !flight.ranAt.empty()
-                          ? now - flight.progressAt >= m_settings.resumeWithin
-                          : waited >= hold;
+    const Duration paused = now - flight.progressAt;
+    const bool over = flight.passing          ? paused >= m_settings.goOnWithin
+                      : !flight.ranAt.empty() ? paused >= m_settings.resumeWithin
+                                              : waited >= hold;
     if (!over)
         return;
     const FlightEnd how = endOf(flight, FlightEnd::Failed);
@@ -134,8 +135,7 @@
 {
     if (!flight.passing)
         return true;
-    if (!mayRunAgain(flight, flight.endpoint) || !budget(flight).affords(now)
-        || flight.sends >= flight.request.route->maxAttempts + m_settings.sparesSends)
+    if (!mayRunAgain(flight, flight.endpoint) || !budget(flight).affords(now))
         return false;
     Flight moved = flight;
     moved.avoid.insert(flight.endpoint);
