Fewer calls to the store at the start and for rows; calls are counted by use

Change: first the list of instances, then the rest from one that knows it; a row each 25 s, dead after 60 s, since silence is noticed by asking; silent ones asked again after 16 s at most. Counters and a log line tell the calls by use.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -12,7 +12,12 @@
 namespace {
 
 constexpr auto TickEvery = std::chrono::milliseconds(150);
-constexpr Duration WriteEvery {10'000'000};
+/// How often an instance writes its row. Who stopped as planned takes it back, and
+/// who died is noticed by asking; so rows need not be young, and each write of 340
+/// instances is a call of the store.
+constexpr Duration WriteEvery {25'000'000};
+/// How often what the store was asked for is logged.
+constexpr Duration LogCallsEvery {10'000'000};
 
 FollowerSettings followerSettings(NewsTable table)
 {
@@ -111,11 +116,20 @@
 
 void Control::start()
 {
-    for (const auto &follower : m_followers)
-        follower->start();
+    // First who else is there: the other tables are then read from one that knows
+    // them. Hundreds that start together would else each read all of the store.
+    m_followers[static_cast<std::size_t>(NewsTable::Instances)]->start();
     tick();
 }
 
+void Control::followTheRest()
+{
+    if (std::exchange(m_followsAll, true))
+        return;
+    for (const NewsTable table : {NewsTable::Configuration, NewsTable::Endpoints})
+        m_followers[static_cast<std::size_t>(table)]->start();
+}
+
 TableEvents Control::tableEvents(NewsTable table)
 {
     const auto rows = [this, table](const std::vector<StoreRow> &changed, bool whole,
@@ -204,6 +218,7 @@
     if (table == NewsTable::Instances) {
         m_storeOffset = Duration(answer.reply.storeMs * 1000) - bootNow().time_since_epoch();
         countInstances();
+        followTheRest();
     }
     m_server.changed(table);
 }
@@ -352,6 +367,7 @@
     m_state.holdsLease = held;
     if (held && !m_stopping)
         place(steadyNow());
+    logStoreCalls(now);
     fillGaps(steadyNow());
     askEngines(steadyNow());
     tellEngines();
@@ -362,6 +378,26 @@
     });
 }
 
+/// Calls to the store since the last such line, by use.
+void Control::logStoreCalls(Time now)
+{
+    if (now - m_callsLoggedAt < LogCallsEvery)
+        return;
+    m_callsLoggedAt = now;
+    std::array<std::int64_t, StoreUseNames.size()> calls {};
+    for (std::size_t use = 0; use < calls.size(); ++use) {
+        const std::uint64_t all = m_state.storeCalls[use];
+        calls[use] = static_cast<std::int64_t>(all - std::exchange(m_callsLogged[use], all));
+    }
+    if (std::all_of(calls.begin(), calls.end(), [](std::int64_t each) { return each == 0; }))
+        return;
+    logDecision("store", "calls",
+                {{StoreUseNames[0], calls[0]},
+                 {StoreUseNames[1], calls[1]},
+                 {StoreUseNames[2], calls[2]},
+                 {StoreUseNames[3], calls[3]}});
+}
+
 void Control::stop(std::function<void()> done)
 {
     m_stopping = true;
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -71,6 +71,8 @@
     void logCoverage();
     void logLeaving(const FleetSnapshot &before, const FleetSnapshot &after);
     void tick();
+    void followTheRest();
+    void logStoreCalls(Time now);
     void leaseActions(LeaseActions actions);
     void readLease(std::uint64_t id);
     void writeLease(WriteLease write);
@@ -119,6 +121,9 @@
     LayerPlanner m_planner;
     GapFiller m_filler;
     Time m_writtenAt {};
+    Time m_callsLoggedAt {};
+    std::array<std::uint64_t, StoreUseNames.size()> m_callsLogged {}; ///< by use
+    bool m_followsAll = false; ///< not only the list of instances
     std::optional<Duration> m_storeOffset; ///< store's time minus own time
     /// Layers that nobody holds in the own domain, and anywhere: as logged last,
     /// by service. A first line is written also when there are none.
--- a/src/entry/controlinstances.cpp
+++ b/src/entry/controlinstances.cpp
@@ -28,7 +28,7 @@
 
 void Control::readLease(std::uint64_t id)
 {
-    m_channel.call(m_protocol.read(LeaseTable, {}), CallWithin,
+    m_channel.call(StoreUse::Lease, m_protocol.read(LeaseTable, {}), CallWithin,
                    [this, id](const StoreAnswer &answer) {
                        ReadOutcome outcome;
                        if (answer.reply.kind == StoreReply::Kind::Done) {
@@ -47,7 +47,7 @@
 
 void Control::writeLease(WriteLease write)
 {
-    m_channel.call(m_protocol.commit(write.transaction), CallWithin,
+    m_channel.call(StoreUse::Lease, m_protocol.commit(write.transaction), CallWithin,
                    [this, id = write.id](const StoreAnswer &answer) {
                        TransactionOutcome outcome;
                        outcome.version = answer.reply.version;
@@ -112,7 +112,7 @@
     }
     Transaction transaction;
     transaction.writes.push_back(std::move(write));
-    m_channel.call(m_protocol.commit(transaction), CallWithin,
+    m_channel.call(StoreUse::OwnRow, m_protocol.commit(transaction), CallWithin,
                    [done = std::move(done)](const StoreAnswer &) {
                        if (done)
                            done();
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -5,10 +5,19 @@
 
 #include <balsamloft/types.h>
 
+#include <array>
 #include <atomic>
+#include <string_view>
 
 namespace balsamloft {
 
+/// What a call to the store is for.
+enum class StoreUse : std::uint8_t { Follow, ReadWhole, Lease, OwnRow };
+
+/// As metrics and logs name the uses.
+inline constexpr std::array<std::string_view, 4> StoreUseNames {"follow", "read_whole", "lease",
+                                                                "own_row"};
+
 /// Written by the control thread, read by the traffic thread.
 struct EntryState
 {
@@ -18,7 +27,7 @@
     std::atomic<bool> fleetKnown {false};
     std::atomic<bool> holdsLease {false};
     std::atomic<bool> stopping {false};
-    std::atomic<std::uint64_t> storeCalls {0};
+    std::array<std::atomic<std::uint64_t>, StoreUseNames.size()> storeCalls {}; ///< by use
     std::atomic<std::uint64_t> storeFailures {0};
     std::atomic<std::uint64_t> ordersGiven {0};
     std::atomic<std::uint64_t> badRows {0};
--- a/src/entry/storechannel.cpp
+++ b/src/entry/storechannel.cpp
@@ -19,9 +19,9 @@
         m_running->cancel();
 }
 
-void StoreChannel::call(OutgoingCall call, Duration within, Callback callback)
+void StoreChannel::call(StoreUse use, OutgoingCall call, Duration within, Callback callback)
 {
-    m_waiting.push_back({std::move(call), within, std::move(callback)});
+    m_waiting.push_back({use, std::move(call), within, std::move(callback)});
     next();
 }
 
@@ -40,6 +40,7 @@
         [this, sentAt = bootNow(), callback = std::move(waiting.callback)](CallOutcome outcome) {
             finished(outcome, sentAt, callback);
         });
+    m_state.storeCalls[static_cast<std::size_t>(waiting.use)] += 1;
     m_running->start();
 }
 
@@ -51,7 +52,6 @@
     answer.arrivedAt = bootNow();
     if (outcome.status != 0)
         answer.reply = m_protocol.reply(outcome.status, outcome.body);
-    m_state.storeCalls += 1;
     if (answer.reply.kind == StoreReply::Kind::Failed
         || answer.reply.kind == StoreReply::Kind::NotDone)
         m_state.storeFailures += 1;
--- a/src/entry/storechannel.h
+++ b/src/entry/storechannel.h
@@ -32,11 +32,12 @@
                  const EntryProtocol &protocol, EntryState &state);
     ~StoreChannel();
 
-    void call(OutgoingCall call, Duration within, Callback callback);
+    void call(StoreUse use, OutgoingCall call, Duration within, Callback callback);
 
 private:
     struct Waiting
     {
+        StoreUse use;
         OutgoingCall call;
         Duration within;
         Callback callback;
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -24,7 +24,7 @@
 
 void StoreSource::read(const std::string &from, Duration /*wait*/, Callback callback)
 {
-    m_channel.call(m_protocol.read(m_table, from), StoreWithin,
+    m_channel.call(StoreUse::ReadWhole, m_protocol.read(m_table, from), StoreWithin,
                    [this, callback = std::move(callback)](StoreAnswer answer) {
                        pass(std::move(answer), callback);
                    });
@@ -32,7 +32,7 @@
 
 void StoreSource::watch(std::uint64_t after, Duration wait, Callback callback)
 {
-    m_channel.call(m_protocol.watch(m_table, after, wait), wait + StoreWithin,
+    m_channel.call(StoreUse::Follow, m_protocol.watch(m_table, after, wait), wait + StoreWithin,
                    [this, callback = std::move(callback)](StoreAnswer answer) {
                        pass(std::move(answer), callback);
                    });
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -338,7 +338,13 @@
     sample("key_age_ms",
            static_cast<std::uint64_t>(std::max<std::int64_t>(
                0, std::min(m_state.keyAge(bootNow()), Duration(1'000'000'000)).count() / 1000)));
-    sample("store_calls_total", m_state.storeCalls);
+    std::uint64_t storeCalls = 0;
+    for (std::size_t use = 0; use < StoreUseNames.size(); ++use) {
+        const std::uint64_t calls = m_state.storeCalls[use];
+        sample("store_calls_" + std::string(StoreUseNames[use]) + "_total", calls);
+        storeCalls += calls;
+    }
+    sample("store_calls_total", storeCalls);
     sample("store_failures_total", m_state.storeFailures);
     sample("orders_total", m_state.ordersGiven);
     sample("bad_rows_total", m_state.badRows);
--- a/src/libbalsamloft/instancelist.cpp
+++ b/src/libbalsamloft/instancelist.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Age at which a row is a dead instance's: two writes are missed, each 10 s after
+/// Age at which a row is a dead instance's: two writes are missed, each 25 s after
 /// the one before.
-constexpr std::int64_t LifeMs = 24'000;
+constexpr std::int64_t LifeMs = 60'000;
 
 /// A longer time without news of the rows was an outage: questions for them are
 /// answered within 10 s, and asked again 5 s later.
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -13,7 +13,7 @@
 /// silence in a row. Short at first, since all instances may be starting at once;
 /// long in the end, since each question to a dead machine costs a time limit.
 constexpr Duration SilentFor {1'000'000};
-constexpr Duration MostSilentFor {8'000'000};
+constexpr Duration MostSilentFor {16'000'000};
 
 /// How long an instance that knew too little is passed over. As long as it would
 /// hold a question, so that an outage of the store adds no questions.
