Engines that are filling are asked four times a second; their states are told once

Cause: states up to 1.6 s old; the fast engines of a domain filled within a second and refused what was still sent to them. Change: an engine filled to a third, or whose use moved by a tenth, is asked each 0.25 s, others each second as before. Each state is told to a follower once: all 190 with each answer were 28 KB/s an instance by reckoning, 14 times what control may take.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -57,6 +57,9 @@
         LayerRange layers; ///< as it said itself
         bool busy = false;
         Time answeredAt {};
+        Time askedAt {};
+        bool asking = false;
+        double usedBefore = 0; ///< in the report before
     };
 
     TableEvents tableEvents(NewsTable table);
@@ -79,6 +82,8 @@
     void countInstances();
     void writeInstance(bool leaving, std::function<void()> done);
     void askEngines(Time now);
+    bool dueToAsk(const FleetEndpoint &engine, Time now) const;
+    double roomOf(const FleetEndpoint &engine) const;
     void askEngine(const FleetEndpoint &engine);
     void engineAnswered(const std::string &id, const CallOutcome &outcome);
     void tellEngines();
@@ -108,7 +113,7 @@
     bool m_askedDirty = false;
     std::map<std::string, EngineState> m_elsewhere; ///< engines of other domains, by id
     std::map<std::string, std::unique_ptr<PeerSource>> m_elsewhereSources;
-    Time m_enginesAskedAt {};
+    Time m_otherDomainsAskedAt {};
     StoreChannel m_channel;
     EnginePool m_engines;
     FleetKeeper m_fleet;
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -4,12 +4,15 @@
 #include "control.h"
 #include "decisionlog.h"
 
+#include <balsamloft/askschedule.h>
+
 namespace balsamloft {
 
 namespace {
 
 constexpr Duration EngineWithin {450'000};
-constexpr Duration AskEnginesEvery {1'000'000};
+constexpr Duration AskSilentEvery {1'000'000};
+constexpr Duration AskOtherDomainsEvery {1'000'000};
 constexpr std::uint32_t MissesToSilence = 2;
 
 } // namespace
@@ -17,20 +20,49 @@
 /// One instance of each domain asks the engines there, and tells the others.
 void Control::askEngines(Time now)
 {
-    if (now - m_enginesAskedAt < AskEnginesEvery || !leadsDomain() || !m_table)
+    if (!leadsDomain() || !m_table)
         return;
-    m_enginesAskedAt = now;
-    askOtherDomains(now);
-    std::erase_if(m_asked, [&](const auto &each) { return !m_fleetNow->find(each.first); });
-    for (const FleetEndpoint &each : m_fleetNow->endpoints) {
-        if (each.domain != m_settings.domain || each.layers.end <= each.layers.begin)
-            continue;
-        askEngine(each);
+    if (now - m_otherDomainsAskedAt >= AskOtherDomainsEvery) {
+        m_otherDomainsAskedAt = now;
+        askOtherDomains(now);
     }
+    std::erase_if(m_asked, [&](const auto &each) { return !m_fleetNow->find(each.first); });
+    for (const FleetEndpoint &each : m_fleetNow->endpoints)
+        if (each.domain == m_settings.domain && each.layers.end > each.layers.begin
+            && dueToAsk(each, now))
+            askEngine(each);
+}
+
+/// KV memory that the engine's layers leave to requests.
+double Control::roomOf(const FleetEndpoint &engine) const
+{
+    for (const RoutedService &service : m_table->services())
+        if (service.name == engine.service && service.model)
+            if (const AcceleratorKind *kind = service.model->kind(engine.kind))
+                return service.model->room(*kind, engine.layers.length());
+    return 0;
+}
+
+bool Control::dueToAsk(const FleetEndpoint &engine, Time now) const
+{
+    const auto it = m_asked.find(engine.id);
+    if (it == m_asked.end())
+        return true;
+    const AskedEngine &asked = it->second;
+    if (asked.asking)
+        return false;
+    // One that did not answer is not pressed: misses at a usual pace prove its silence.
+    const Duration pause =
+        asked.misses > 0 ? AskSilentEvery
+                         : askAgainAfter({asked.state.used, asked.usedBefore, roomOf(engine)});
+    return now - asked.askedAt >= pause;
 }
 
 void Control::askEngine(const FleetEndpoint &engine)
 {
+    AskedEngine &asked = m_asked[engine.id];
+    asked.asking = true;
+    asked.askedAt = steadyNow();
     engineCall(engine.id, engine.address, {"GET", std::string(m_protocol.reportTarget()), {}},
                [this, id = engine.id](const CallOutcome &outcome) { engineAnswered(id, outcome); });
 }
@@ -58,12 +90,14 @@
     const bool replaced = report && report->ofAnotherThan(*listed);
     const bool answered = outcome.status == 200 && report && !replaced;
     AskedEngine &asked = m_asked[id];
+    asked.asking = false;
     asked.misses = replaced ? MissesToSilence : outcome.status == 0 ? asked.misses + 1 : 0;
     if (asked.misses == MissesToSilence)
         logDecision("engine", "silent", {{"endpoint", std::string_view(id)}});
     asked.state.id = id;
     asked.state.at = steadyNow();
     if (answered) {
+        asked.usedBefore = asked.state.used;
         asked.state.used = report->used;
         asked.state.active = report->active;
         asked.state.queued = report->queued;
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -14,13 +14,18 @@
 
 namespace balsamloft {
 
+namespace wire {
+class TableNews;
+}
+
 /// The tables that instances tell each other of.
 enum class NewsTable : std::size_t { Configuration, Endpoints, Instances };
 
 inline constexpr std::size_t NewsTableCount = 3;
 
-/// Request target of a question for changes of \a table after a version.
-std::string newsTarget(std::size_t table, std::uint64_t after, Duration wait);
+/// Request target of a question for changes of \a table after a version, and for
+/// states of engines since the time that the answer before told.
+std::string newsTarget(std::size_t table, std::uint64_t after, Duration wait, std::uint64_t toldMs);
 
 /// A copy of a table and how recent it is.
 struct NewsState
@@ -57,13 +62,15 @@
     {
         std::size_t table;
         std::uint64_t after;
+        std::uint64_t toldMs;
         Time until;
         TextServer::Reply reply;
     };
 
     void asked(std::string_view target, TextServer::Reply reply);
-    TextAnswer answer(std::size_t table, std::uint64_t after) const;
-    std::string news(std::size_t table, std::uint64_t after) const;
+    TextAnswer answer(std::size_t table, std::uint64_t after, std::uint64_t toldMs) const;
+    std::string news(std::size_t table, std::uint64_t after, std::uint64_t toldMs) const;
+    void addEngines(std::uint64_t toldMs, wire::TableNews &news) const;
     void expire();
 
     TextServer m_server;
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -82,7 +82,8 @@
     const Time sentAt = bootNow();
     m_call = std::make_shared<OneCall>(
         m_pool, std::move(settings),
-        callText({"GET", newsTarget(m_table, after, wait), {}}, m_peer.address), wait + PeerWithin,
+        callText({"GET", newsTarget(m_table, after, wait, m_toldMs), {}}, m_peer.address),
+        wait + PeerWithin,
         [this, sentAt, callback = std::move(callback)](const CallOutcome &outcome) {
             callback(decode(outcome, sentAt));
         });
@@ -107,6 +108,7 @@
     answer.reply.storeMs = static_cast<std::int64_t>(news.store_ms());
     answer.whole = news.whole();
     answer.direct = news.direct();
+    m_toldMs = news.told_ms();
     for (const wire::NewsRow &row : news.rows())
         answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
     const Time steady = steadyNow();
--- a/src/entry/tablesource.h
+++ b/src/entry/tablesource.h
@@ -88,6 +88,7 @@
     PeerInstance m_peer;
     std::size_t m_table;
     ReadFreshness m_freshness;
+    std::uint64_t m_toldMs = 0; ///< up to when it told of engines, on its own clock
     std::shared_ptr<OneCall> m_call;
 };
 
--- a/src/libbalsamloft/entryknowledge_test.cpp
+++ b/src/libbalsamloft/entryknowledge_test.cpp
@@ -1,5 +1,6 @@
 // What an entry instance knows, and how old that is.
 
+#include <balsamloft/askschedule.h>
 #include <balsamloft/enginefleet.h>
 #include <balsamloft/eventsplitter.h>
 #include <balsamloft/instancelist.h>
@@ -430,3 +431,14 @@
     CHECK(second < 260);
     CHECK(map->target(map->routes()[0], "x") == map->target(map->routes()[0], "x"));
 }
+
+// A burst fills an engine within a second. Instances that know it a second late go on
+// sending to it and are refused; asked more often while it fills, it is known sooner.
+TEST_CASE("an engine that is filling is asked more often than one that rests")
+{
+    const Duration rests = askAgainAfter({100, 100, 1000});
+    CHECK(askAgainAfter({400, 400, 1000}) < rests / 2);
+    CHECK(askAgainAfter({300, 100, 1000}) < rests / 2);
+    CHECK(askAgainAfter({20, 300, 1000}) < rests / 2); // it may fill again as fast
+    CHECK(askAgainAfter({0, 0, 0}) == rests); // it holds nothing
+}
