--- a/src/entry/tablefollower.cpp
+++ b/src/entry/tablefollower.cpp
@@ -72,7 +72,7 @@
 {
     if (from.empty())
         m_pages.clear();
-    source.read(from, m_settings.peerWait, [this, from, &source](TableAnswer answer) {
+    source.read(from, m_settings.firstPeerWait, [this, from, &source](TableAnswer answer) {
         pageArrived(std::move(answer), from, source);
     });
 }
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -33,7 +33,10 @@
 {
     std::string table; ///< for the log
     Duration storeWait {700'000}; ///< how long the store holds a call while nothing changes
-    Duration peerWait {400'000}; ///< how long another instance does
+    Duration peerWait {300'000}; ///< how long another instance does
+    /// The same for a first read. Instances that start together find others not yet
+    /// there, and serve nobody before they have read: short, so that the next is asked.
+    Duration firstPeerWait {100'000};
     Duration retry {100'000}; ///< pause while nobody may be asked
     Duration pace {0}; ///< shortest time between two calls when there are changes
     Duration peerPace {0};
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -10,7 +10,7 @@
 
 /// Beyond the time that was asked to wait, a call has failed.
 constexpr Duration StoreWithin {500'000};
-constexpr Duration PeerWithin {250'000};
+constexpr Duration PeerWithin {200'000};
 
 } // namespace
 
--- a/src/fakes/newsemulator.cpp
+++ b/src/fakes/newsemulator.cpp
@@ -8,9 +8,9 @@
 
 constexpr Duration Step {10'000};
 constexpr Duration StoreWait {700'000}; ///< how long the store holds a question
-constexpr Duration PeerWait {400'000}; ///< how long an instance does
+constexpr Duration PeerWait {300'000}; ///< how long an instance does
 constexpr Duration StoreLimit {1'200'000}; ///< after which a silent store has failed
-constexpr Duration PeerLimit {650'000};
+constexpr Duration PeerLimit {500'000};
 constexpr Duration RetryPause {100'000};
 
 std::string nameOf(std::size_t index)
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -17,7 +17,7 @@
 
 /// How long an instance that knew too little is passed over. As long as it would
 /// hold a question, so that an outage of the store adds no questions.
-constexpr Duration BehindFor {400'000};
+constexpr Duration BehindFor {300'000};
 
 /// News older than this are looked for elsewhere: a leaving endpoint must be known
 /// of two seconds after the store does, also when the instance that is read from
