--- a/src/balsamloft/logreport.cpp
+++ b/src/balsamloft/logreport.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <iomanip>
 #include <regex>
 #include <sstream>
@@ -18,6 +19,10 @@
 constexpr std::size_t MostAround = 20;
 constexpr std::size_t BarWidth = 50;
 constexpr std::int64_t FirstRefusal = 400;
+constexpr std::size_t MostRejecting = 10;
+
+/// Fields of a line that tells what the store was called for.
+constexpr std::array<std::string_view, 4> StoreUses {"follow", "read_whole", "lease", "own_row"};
 
 std::string text(const json::object &object, std::string_view name)
 {
@@ -99,6 +104,9 @@
         const json::value *late = object.if_contains("late");
         line.late = late && late->is_bool() && late->get_bool();
         line.gapsEverywhere = text(object, "gaps_everywhere");
+        if (line.part == "store" && line.event == "calls")
+            for (const std::string_view use : StoreUses)
+                m_storeCalls[use] += number(object, use);
         line.text = whole.substr(brace);
         if (line.part == "entry" && line.event == "started")
             m_processes[line.instance] += 1;
@@ -193,6 +201,39 @@
 
 } // namespace
 
+/// Engines that refused requests for want of room, those that refused most first. A few
+/// that lead the list by far are the neck of many paths.
+std::string LogReport::rejecting() const
+{
+    constexpr std::string_view Mark = "answered 503, not run at ";
+    std::map<std::string, std::size_t, std::less<>> counts;
+    std::size_t all = 0;
+    for (const LogLine &line : m_lines)
+        for (std::size_t at = line.trail.find(Mark); at != std::string::npos;
+             at = line.trail.find(Mark, at + 1)) {
+            const std::size_t begin = at + Mark.size();
+            counts[line.trail.substr(begin, line.trail.find(';', begin) - begin)] += 1;
+            all += 1;
+        }
+    std::vector<std::pair<std::size_t, std::string>> sorted;
+    for (const auto &[address, count] : counts)
+        sorted.emplace_back(count, address);
+    std::sort(sorted.rbegin(), sorted.rend());
+    std::string result = "rejections by engines: " + std::to_string(all) + " by "
+                         + std::to_string(counts.size()) + " engines\n";
+    for (std::size_t i = 0; i < std::min(MostRejecting, sorted.size()); ++i)
+        result += std::to_string(sorted[i].first) + "  " + sorted[i].second + "\n";
+    return result;
+}
+
+std::string LogReport::storeCalls() const
+{
+    std::string result = "calls to the store:";
+    for (const auto &[use, calls] : m_storeCalls)
+        result += " " + std::string(use) + " " + std::to_string(calls);
+    return result + (m_storeCalls.empty() ? " none told\n" : "\n");
+}
+
 std::string LogReport::losses() const
 {
     const auto changes = uncoveredSince();
@@ -233,6 +274,7 @@
     result += "\nlost  count  domain\n";
     for (const auto &[domain, loss] : domains)
         result += fixed(loss.lost) + "  " + std::to_string(loss.count) + "  " + domain + "\n";
+    result += "\n" + rejecting() + "\n" + storeCalls();
     result += "\nsecond late refused failed\n";
     for (auto &[second, columns] : seconds)
         result += std::to_string(second) + " " + std::to_string(columns["late"]) + " "
--- a/src/balsamloft/logreport.h
+++ b/src/balsamloft/logreport.h
@@ -60,9 +60,12 @@
 private:
     void order();
     std::vector<std::pair<std::int64_t, bool>> uncoveredSince() const;
+    std::string rejecting() const;
+    std::string storeCalls() const;
 
     std::vector<LogLine> m_lines;
     std::size_t m_unreadable = 0;
+    std::map<std::string_view, std::int64_t> m_storeCalls; ///< by use
     std::map<std::string, std::size_t> m_processes; ///< seen of each instance
 };
 
--- a/src/balsamloft/logreport_test.cpp
+++ b/src/balsamloft/logreport_test.cpp
@@ -116,3 +116,27 @@
     CHECK(text.find("3.0  3  refused, not run: no path\n") != std::string::npos);
     CHECK(text.find("\n0 1 1 0\n1 0 1 0\n") != std::string::npos);
 }
+
+// Many callers are refused. The operator asks whether a few engines refuse for all of
+// them, and whether the instances hammer the store.
+TEST_CASE("losses name the engines that reject most, and what the store was called for")
+{
+    std::stringstream log;
+    for (int i = 0; i < 3; ++i)
+        log << line(
+            1000 + i, 1000 + i, "entry-1",
+            R"("part":"request","event":"ended","request":"r","outcome":"refused","status":503,"reason":"x","trail":"+0 sent; +1 answered 503, not run at 10.0.0.9:1; +2 answered 503, not run at 10.0.0.8:1")");
+    log << line(
+        1100, 1100, "entry-1",
+        R"("part":"request","event":"ended","outcome":"passed","trail":"+1 answered 503, not run at 10.0.0.9:1")");
+    for (const char *instance : {"entry-1", "entry-2"})
+        log << line(2000, 2000, instance,
+                    R"("part":"store","event":"calls","follow":4,"read_whole":2,"lease":"x")");
+    LogReport report;
+    report.read(log);
+    const std::string text = report.losses();
+    CHECK(text.find("rejections by engines: 7 by 2 engines\n4  10.0.0.9:1\n3  10.0.0.8:1\n")
+          != std::string::npos);
+    CHECK(text.find("calls to the store: follow 8 lease 0 own_row 0 read_whole 4\n")
+          != std::string::npos);
+}
