An answer without changes moves the position in the store's history nowhere

The store holds changes back for a second, tells its newest version, then drops its history and cuts its watches. An instance that had just been answered without rows, and asked another instance meanwhile, was not cut; it went on from the newest version and served by the old configuration for five seconds, until the next one. Ruled out: stale news of a neighbour (versions only rise), a question without an answer (each has its limit). Change: only rows or a whole table move the position; from the old one the store says that history is gone, and the table is read anew. A table is not read anew from an instance that knows less than was known.

--- a/src/entry/tablefollower.cpp
+++ b/src/entry/tablefollower.cpp
@@ -83,6 +83,12 @@
         lost(source, answer.answered);
         return watch();
     }
+    // An instance that knows less than this one once did: it may lack the store.
+    // Taken over, what left since would be back for a while, and get new work.
+    if (!source.peer().empty() && answer.reply.version < m_reached) {
+        lost(source, true);
+        return watch();
+    }
     regained(source);
     if (from.empty())
         m_firstVersion = answer.reply.version;
@@ -93,6 +99,7 @@
         return readPage(m_pages.back().key, source);
     // Changes made while the pages were read come again; that does no harm.
     m_version = m_firstVersion;
+    m_reached = std::max(m_reached, m_version);
     m_events.whole(m_pages, m_version, answer);
     m_pages.clear();
     m_events.heard(source, answer);
@@ -105,7 +112,13 @@
     case StoreReply::Kind::Done: {
         regained(source);
         const bool news = !answer.reply.rows.empty();
-        m_version = std::max(m_version, answer.reply.version);
+        // An answer without changes moves nothing on. A store that is about to drop
+        // its history may hold changes back and yet tell its newest version: who
+        // went on from there would miss them, and serve callers by what was before,
+        // until the next change. From the old version it says that history is gone.
+        if (news || answer.whole)
+            m_version = std::max(m_version, answer.reply.version);
+        m_reached = std::max(m_reached, m_version);
         if (answer.whole)
             m_events.whole(answer.reply.rows, m_version, answer);
         else if (news)
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -66,6 +66,7 @@
     std::vector<StoreRow> m_pages;
     std::uint64_t m_firstVersion = 0;
     std::uint64_t m_version = 0; ///< 0: read anew
+    std::uint64_t m_reached = 0; ///< the newest version that was ever known in full
     bool m_well = true;
     std::string m_lastPeer;
     std::uint32_t m_failures = 0;
