A window of repeats tells that it affords one as soon as it does

Cause: affords() subtracted repeats of slices that had left the window already, since only withdraw() and requestStarted() dropped these. A stream that waited for a repeat while no request came was told that none was left, and was not moved. Found when the change was read again; the test fails without the fix. The fix bounds repeats as before: what withdraw() counts is the same.

--- a/src/include/balsamloft/retrybudget.h
+++ b/src/include/balsamloft/retrybudget.h
@@ -85,11 +85,12 @@
     };
 
     Slice &slice(Time now);
+    bool over(const Slice &slice, Time now) const;
 
     /// The slack of the present window.
     double allowance(Time now) const;
 
-    /// Repeats that may still be made now; slice() has dropped what no longer counts.
+    /// Repeats that may still be made now.
     double balance(Time now) const;
 
     RepeatWindowSettings m_settings;
--- a/src/libbalsamloft/limits_test.cpp
+++ b/src/libbalsamloft/limits_test.cpp
@@ -224,6 +224,19 @@
     CHECK(granted.size() >= 6 * 20);
 }
 
+// A stream waits for a repeat, and nothing else is asked of the window meanwhile. Were
+// what was spent before still counted, the stream would be told that none is left.
+TEST_CASE("a window tells that it affords a repeat as soon as it does", "[limits]")
+{
+    RepeatWindow budget({.perRequest = 0, .slack = 2});
+    CHECK(budget.withdraw(at(0)));
+    CHECK(budget.withdraw(at(1)));
+    CHECK_FALSE(budget.affords(at(2)));
+    CHECK_FALSE(budget.affords(at(10)));
+    CHECK(budget.affords(at(10.6)));
+    CHECK(budget.withdraw(at(10.6)));
+}
+
 TEST_CASE("a new process counts a part of its share as spent, for one window", "[limits]")
 {
     RepeatWindow budget({.perRequest = 0, .slack = 20, .spentBefore = 16});
--- a/src/libbalsamloft/retrybudget.cpp
+++ b/src/libbalsamloft/retrybudget.cpp
@@ -37,6 +37,12 @@
 {
 }
 
+/// A slice counts until its youngest moment has left the window.
+bool RepeatWindow::over(const Slice &slice, Time now) const
+{
+    return now - slice.begin > m_settings.window + m_settings.window / SlicesInWindow;
+}
+
 RepeatWindow::Slice &RepeatWindow::slice(Time now)
 {
     if (m_firstAt == Time {})
@@ -44,8 +50,7 @@
     const Duration length = m_settings.window / SlicesInWindow;
     if (m_slices.empty() || now - m_slices.back().begin >= length)
         m_slices.push_back({now, 0, 0});
-    // A slice counts until its youngest moment has left the window.
-    while (now - m_slices.front().begin > m_settings.window + length)
+    while (over(m_slices.front(), now))
         m_slices.pop_front();
     return m_slices.back();
 }
@@ -67,7 +72,7 @@
     for (const Slice &each : m_slices) {
         if (now - each.begin <= m_settings.window)
             left += m_settings.perRequest * each.requests;
-        left -= each.repeats;
+        left -= over(each, now) ? 0 : each.repeats;
     }
     return left;
 }
