Reading again: one back-off, one list of uses, one search of a path

- StoreUse and its names stand once; the log's reader had a copy.
- findPath() serves the choice and the question whether another path is there; that one copied a whole request at each tick.
- A stream that waits for a repeat searches no path at each tick until it can pay.
- First instances of other domains, the next of the own, the source's name and whether it is the store: one piece each; two checks of a page in one.
- The settings of three tests of repeats in one place, assertions as they were.

--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -46,7 +46,7 @@
      "yields ? m_settings.keptForBegun : 0", "0",
      "relay_test: new requests leave repeats for streams that have begun"),
     ("given up only with another path", "src/libbalsamloft/relaywatch.cpp",
-     "return choosePath(moved, now, send);", "return true;",
+     "return path && !path->full;", "return true;",
      "relay_test: a stream that has begun is not given up before there is another path"),
     ("entries of other writers", "platform/platformconfiguration.cpp",
      "if (auto wrong = wrongEntry(id, *object)) {",
--- a/src/balsamloft/logreport.cpp
+++ b/src/balsamloft/logreport.cpp
@@ -1,9 +1,10 @@
 #include "logreport.h"
 
+#include <balsamloft/storeuse.h>
+
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <iomanip>
 #include <regex>
 #include <sstream>
@@ -21,9 +22,6 @@
 constexpr std::int64_t FirstRefusal = 400;
 constexpr std::size_t MostRejecting = 10;
 
-/// Fields of a line that tells what the store was called for.
-constexpr std::array<std::string_view, 4> StoreUses {"follow", "read_whole", "lease", "own_row"};
-
 std::string text(const json::object &object, std::string_view name)
 {
     const json::value *value = object.if_contains(name);
@@ -105,7 +103,7 @@
         line.late = late && late->is_bool() && late->get_bool();
         line.gapsEverywhere = text(object, "gaps_everywhere");
         if (line.part == "store" && line.event == "calls")
-            for (const std::string_view use : StoreUses)
+            for (const std::string_view use : StoreUseNames)
                 m_storeCalls[use] += number(object, use);
         line.text = whole.substr(brace);
         if (line.part == "entry" && line.event == "started")
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -184,7 +184,7 @@
 void Control::sourceFailed(const TableSource &source, bool answered)
 {
     const Time now = steadyNow();
-    if (source.peer().empty()) {
+    if (source.isStore()) {
         m_directory.storeFailed(now);
         m_server.storeLost();
     } else if (answered) {
@@ -202,8 +202,8 @@
     if (answer.knownAt)
         state.knownAt = std::max(state.knownAt, *answer.knownAt);
     state.storeMs = std::max(state.storeMs, answer.reply.storeMs);
-    state.direct = source.peer().empty();
-    if (source.peer().empty())
+    state.direct = source.isStore();
+    if (source.isStore())
         m_directory.storeAnswered();
     else if (table != NewsTable::Instances) // which are told seldom, and may be old
         m_directory.told(source.peer(), age, answer.direct, now);
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -3,21 +3,13 @@
 
 #pragma once
 
+#include <balsamloft/storeuse.h>
 #include <balsamloft/types.h>
 
-#include <array>
 #include <atomic>
-#include <string_view>
 
 namespace balsamloft {
 
-/// What a call to the store is for.
-enum class StoreUse : std::uint8_t { Follow, ReadWhole, Lease, OwnRow };
-
-/// As metrics and logs name the uses.
-inline constexpr std::array<std::string_view, 4> StoreUseNames {"follow", "read_whole", "lease",
-                                                                "own_row"};
-
 /// Written by the control thread, read by the traffic thread.
 struct EntryState
 {
--- a/src/entry/tablefollower.cpp
+++ b/src/entry/tablefollower.cpp
@@ -5,6 +5,15 @@
 
 namespace balsamloft {
 
+namespace {
+
+std::string_view nameOf(const TableSource &source)
+{
+    return source.isStore() ? std::string_view("store") : std::string_view(source.peer());
+}
+
+} // namespace
+
 TableFollower::TableFollower(boost::asio::io_context &context, FollowerSettings settings,
                              TableEvents events)
     : m_settings(std::move(settings))
@@ -33,9 +42,7 @@
     m_events.failed(source, answered);
     if (std::exchange(m_well, false))
         logDecision("store", "lost",
-                    {{"table", std::string_view(m_settings.table)},
-                     {"from", source.peer().empty() ? std::string_view("store")
-                                                    : std::string_view(source.peer())}});
+                    {{"table", std::string_view(m_settings.table)}, {"from", nameOf(source)}});
 }
 
 void TableFollower::regained(const TableSource &source)
@@ -43,26 +50,20 @@
     if (!std::exchange(m_well, true) || m_lastPeer != source.peer())
         logDecision("store", "read from",
                     {{"table", std::string_view(m_settings.table)},
-                     {"from", source.peer().empty() ? std::string_view("store")
-                                                    : std::string_view(source.peer())},
+                     {"from", nameOf(source)},
                      {"failures", std::int64_t(m_failures)}});
     m_lastPeer = source.peer();
     m_failures = 0;
 }
 
-void TableFollower::askLater()
-{
-    later(m_settings.retry, [this] { watch(); });
-}
-
 void TableFollower::watch()
 {
     TableSource *source = m_events.source();
     if (!source)
-        return askLater();
+        return later(m_settings.retry, [this] { watch(); });
     if (m_version == 0)
         return readPage({}, *source);
-    const Duration wait = source->peer().empty() ? m_settings.storeWait : m_settings.peerWait;
+    const Duration wait = source->isStore() ? m_settings.storeWait : m_settings.peerWait;
     source->watch(m_version, wait, [this, source](TableAnswer answer) {
         changesArrived(std::move(answer), *source);
     });
@@ -79,14 +80,11 @@
 
 void TableFollower::pageArrived(TableAnswer answer, const std::string &from, TableSource &source)
 {
-    if (answer.reply.kind != StoreReply::Kind::Done) {
-        lost(source, answer.answered);
-        return watch();
-    }
     // An instance that knows less than this one once did: it may lack the store.
     // Taken over, what left since would be back for a while, and get new work.
-    if (!source.peer().empty() && answer.reply.version < m_reached) {
-        lost(source, true);
+    const bool outdated = !source.isStore() && answer.reply.version < m_reached;
+    if (answer.reply.kind != StoreReply::Kind::Done || outdated) {
+        lost(source, answer.answered);
         return watch();
     }
     regained(source);
@@ -124,7 +122,7 @@
         else if (news)
             m_events.changed(answer.reply.rows, m_version, answer);
         m_events.heard(source, answer);
-        const Duration pace = source.peer().empty() ? m_settings.pace : m_settings.peerPace;
+        const Duration pace = source.isStore() ? m_settings.pace : m_settings.peerPace;
         if (pace > Duration {} && news)
             return later(pace, [this] { watch(); });
         return watch();
@@ -137,7 +135,7 @@
         lost(source, answer.answered);
         // The store is read anew: what was missed may not be in its history any
         // more. Another instance's copy says itself how far back it reaches.
-        if (source.peer().empty())
+        if (source.isStore())
             m_version = 0;
         watch();
     }
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -55,7 +55,6 @@
     void pageArrived(TableAnswer answer, const std::string &from, TableSource &source);
     void watch();
     void changesArrived(TableAnswer answer, const TableSource &source);
-    void askLater();
     void later(Duration pause, std::function<void()> what);
     void lost(const TableSource &source, bool answered);
     void regained(const TableSource &source);
--- a/src/entry/tablesource.h
+++ b/src/entry/tablesource.h
@@ -38,6 +38,8 @@
     /// Name of the instance that is asked; empty: the store.
     virtual const std::string &peer() const = 0;
 
+    bool isStore() const { return peer().empty(); }
+
     /// A page of the rows from the key \a from on; another instance that knows none
     /// yet may take \a wait until it does.
     virtual void read(const std::string &from, Duration wait, Callback callback) = 0;
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -100,6 +100,8 @@
     bool good(const PeerInstance &instance, Time now) const;
     bool useful(const PeerInstance &instance, Time now) const;
     std::vector<const PeerInstance *> before(Time now) const;
+    const PeerInstance *next(Time now) const;
+    std::vector<const PeerInstance *> firstElsewhere(std::size_t most, Time now) const;
     const PeerInstance *elsewhere(Time now) const;
 
     std::string m_self;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -259,6 +259,8 @@
     const RoutedService &service(const Flight &flight) const;
     RepeatWindow &budget(const Flight &flight);
     void dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    std::optional<EnginePath> findPath(const Flight &flight, const std::set<std::string> &without,
+                                       Time now);
     bool choosePath(Flight &flight, Time now, SendWhole &send);
     void expect(Flight &flight, const EnginePath &path);
     void occupy(const Flight &flight);
--- a/src/include/balsamloft/types.h
+++ b/src/include/balsamloft/types.h
@@ -23,6 +23,10 @@
 /// Milliseconds since the Unix epoch, for records that outlive a process.
 using WallMillis = std::int64_t;
 
+/// A pause that grows with each failure in a row: \a first, doubled \a times times,
+/// at most \a most.
+Duration doubled(Duration first, std::uint32_t times, Duration most);
+
 /// A readable reason, left behind by a call that returned a falsy result.
 using Reason = std::string;
 
--- a/src/libbalsamloft/claims.cpp
+++ b/src/libbalsamloft/claims.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::uint32_t LongestBackoffShift = 8;
 constexpr std::string_view FreeState = "free";
 
 std::string finishedValue(const std::string &nonce, const std::string &digest, const Answer &answer,
@@ -234,8 +233,7 @@
 
 Duration ClaimKeeper::delay(std::uint32_t tries) const
 {
-    const std::uint32_t shift = std::min(tries, LongestBackoffShift);
-    return std::min(m_settings.retryDelay * (1 << shift), m_settings.longestRetryDelay);
+    return doubled(m_settings.retryDelay, tries, m_settings.longestRetryDelay);
 }
 
 void ClaimKeeper::retryLater(Claim &claim, Time now)
--- a/src/libbalsamloft/enginebook.cpp
+++ b/src/libbalsamloft/enginebook.cpp
@@ -61,10 +61,8 @@
         return;
     if (now - each.shortUntil > m_settings.mostShortage)
         each.shortages = 0;
-    const auto pause = std::min(m_settings.mostShortage,
-                                m_settings.shortage * (1 << std::min(each.shortages, 5U)));
+    each.shortUntil = now + doubled(m_settings.shortage, each.shortages, m_settings.mostShortage);
     each.shortages += 1;
-    each.shortUntil = now + pause;
 }
 
 void EngineBook::hadRoom(const std::string &id)
--- a/src/libbalsamloft/loadview.cpp
+++ b/src/libbalsamloft/loadview.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr double SmoothingWeight = 0.2;
-constexpr std::uint32_t LongestBackoffShift = 10;
 constexpr double RoundTripMemorySeconds = 10;
 
 double smoothed(double old, double sample)
@@ -109,10 +108,9 @@
     // instances acting on the same old one all of them would be turned away
     // again and again.
     EndpointState &state = m_states[id];
-    const std::uint32_t shift = std::min(state.busyInRow++, LongestBackoffShift);
     state.window = state.own > 0 ? state.own - 1 : 0; // the one refused is still counted
     state.pausedUntil =
-        now + std::min(m_settings.firstBusyPause * (1 << shift), m_settings.longestBusyPause);
+        now + doubled(m_settings.firstBusyPause, state.busyInRow++, m_settings.longestBusyPause);
 }
 
 void LoadView::accepted(EndpointId id)
@@ -159,9 +157,8 @@
     ++state.consecutiveFailures;
     if (!silent && state.consecutiveFailures < m_settings.failuresToEject)
         return false;
-    const std::uint32_t shift = std::min(state.ejections, LongestBackoffShift);
     const Duration backoff =
-        std::min(m_settings.firstEjection * (1 << shift), m_settings.longestEjection);
+        doubled(m_settings.firstEjection, state.ejections, m_settings.longestEjection);
     // Only a probe ends it: with time alone, callers' requests would be what
     // finds out, again and again, that it is still gone.
     ++state.ejections;
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -62,8 +62,8 @@
     // Questions that were sent together stay unanswered together.
     if (now < seen.silentUntil)
         return;
-    seen.silentUntil = now + std::min(MostSilentFor, SilentFor * (1 << seen.silences));
-    seen.silences = std::min(seen.silences + 1, 4U);
+    seen.silentUntil = now + doubled(SilentFor, seen.silences, MostSilentFor);
+    seen.silences += 1;
 }
 
 void PeerDirectory::behind(const std::string &name, Time now)
@@ -88,8 +88,8 @@
 {
     if (now < m_storeBadUntil)
         return;
-    const Duration most = std::min(MostBackOff, FirstBackOff * (1 << m_storeFailures));
-    m_storeFailures = std::min(m_storeFailures + 1, 4U);
+    const Duration most = doubled(FirstBackOff, m_storeFailures, MostBackOff);
+    m_storeFailures += 1;
     std::uniform_int_distribution<std::int64_t> jitter(most.count() / 4, most.count());
     m_storeBadUntil = now + Duration(jitter(m_random));
 }
@@ -141,39 +141,48 @@
         return {NewsSource::Kind::Store, nullptr};
     // A reader without the store is told by the other reader of its domain.
     if (earlier.empty())
-        for (const PeerInstance &each : m_instances)
-            if (each.domain == m_domain && each.name > m_self && good(each, now)) {
-                if (useful(each, now))
-                    return {NewsSource::Kind::Instance, &each};
-                break;
-            }
+        if (const PeerInstance *other = next(now); other && useful(*other, now))
+            return {NewsSource::Kind::Instance, other};
     if (const PeerInstance *each = elsewhere(now))
         return {NewsSource::Kind::Instance, each};
     return {};
 }
 
+/// The good instance of the own domain that comes after this one.
+const PeerInstance *PeerDirectory::next(Time now) const
+{
+    const auto it =
+        std::find_if(m_instances.begin(), m_instances.end(), [&](const PeerInstance &each) {
+            return each.domain == m_domain && each.name > m_self && good(each, now);
+        });
+    return it == m_instances.end() ? nullptr : &*it;
+}
+
+/// The first \a most good instances of each other domain.
+std::vector<const PeerInstance *> PeerDirectory::firstElsewhere(std::size_t most, Time now) const
+{
+    std::vector<const PeerInstance *> firsts;
+    std::map<std::string_view, std::size_t> counts;
+    for (const PeerInstance &each : m_instances)
+        if (each.domain != m_domain && good(each, now) && counts[each.domain]++ < most)
+            firsts.push_back(&each);
+    return firsts;
+}
+
 /// A reader of another domain. Which one differs from instance to instance, so
 /// that no reader carries all of a domain that lost the store.
 const PeerInstance *PeerDirectory::elsewhere(Time now) const
 {
-    std::vector<const PeerInstance *> readers;
-    std::map<std::string_view, std::size_t> counts;
-    for (const PeerInstance &each : m_instances)
-        if (each.domain != m_domain && good(each, now) && counts[each.domain]++ < Readers
-            && useful(each, now))
-            readers.push_back(&each);
+    std::vector<const PeerInstance *> readers = firstElsewhere(Readers, now);
+    std::erase_if(readers, [&](const PeerInstance *each) { return !useful(*each, now); });
     return readers.empty() ? nullptr : readers[seedOf(m_self) % readers.size()];
 }
 
 std::vector<PeerInstance> PeerDirectory::readersElsewhere(Time now) const
 {
-    std::map<std::string_view, const PeerInstance *> first;
-    for (const PeerInstance &each : m_instances)
-        if (each.domain != m_domain && good(each, now))
-            first.try_emplace(each.domain, &each);
     std::vector<PeerInstance> readers;
-    for (const auto &[domain, instance] : first)
-        readers.push_back(*instance);
+    for (const PeerInstance *each : firstElsewhere(1, now))
+        readers.push_back(*each);
     return readers;
 }
 
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -119,19 +119,27 @@
            * part.layers.length();
 }
 
-bool Relay::choosePath(Flight &flight, Time now, SendWhole &send)
+/// A path, without the engines \a without if there is one.
+std::optional<EnginePath> Relay::findPath(const Flight &flight,
+                                          const std::set<std::string> &without, Time now)
 {
     PathQuery query;
     query.domain = m_settings.domain;
     query.promptTokens = flight.request.promptTokens;
     query.answerTokens = flight.request.answerTokens;
-    query.without = &flight.avoid;
+    query.without = &without;
     auto path = m_chooser.choose(*m_fleet, service(flight), m_book, query, now, m_random);
-    if (!path && !flight.avoid.empty()) {
+    if (!path && !without.empty()) {
         // Rather an engine that failed it once than none at all.
         query.without = nullptr;
         path = m_chooser.choose(*m_fleet, service(flight), m_book, query, now, m_random);
     }
+    return path;
+}
+
+bool Relay::choosePath(Flight &flight, Time now, SendWhole &send)
+{
+    auto path = findPath(flight, flight.avoid, now);
     if (!path) {
         flight.lastReason = "no path over all layers";
         return false;
@@ -257,6 +265,9 @@
 {
     if (now >= flight.deadline)
         return end(id, endOf(flight, FlightEnd::TimedOut), "no time left", actions);
+    // Asked at each tick while it waits: no path is looked for that cannot be paid.
+    if (flight.repeatOwed && !budget(flight).affords(now))
+        return;
     SendWhole send;
     const bool layered = service(flight).model.has_value();
     if (!(layered ? choosePath(flight, now, send) : chooseEndpoint(flight, now, send)))
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -15,6 +15,16 @@
     return {{"a1", {0, 4}}, {"a2", {4, 8}}, {"b1", {0, 4}}, {"b2", {4, 8}}, {"p1", {}}, {"p2", {}}};
 }
 
+/// All instances together have \a slack repeats in a window, however many requests.
+RelaySettings onlyRepeats(double slack, Duration window = RelaySettings {}.retryWindow)
+{
+    RelaySettings settings = RelayWorld::defaults();
+    settings.retryRatio = 0;
+    settings.retrySlack = slack;
+    settings.retryWindow = window;
+    return settings;
+}
+
 bool goesThrough(const SendWhole &send, const std::string &id)
 {
     for (const PathPart &part : send.path)
@@ -139,11 +149,7 @@
 // broken answer if no repeat was left; the new ones are refused, and come back.
 TEST_CASE("new requests leave repeats for streams that have begun")
 {
-    RelaySettings settings = RelayWorld::defaults();
-    settings.retryRatio = 0;
-    settings.retrySlack = 2;
-    settings.retryWindow = milliseconds(3'000);
-    RelayWorld world(twoPaths(), settings);
+    RelayWorld world(twoPaths(), onlyRepeats(2, milliseconds(3'000)));
     const FlightId stream = world.submit(RequestKind::Stream);
     REQUIRE(world.answer(stream, 200));
     world.events(stream, 4);
@@ -208,11 +214,7 @@
 // stream goes on elsewhere instead of being broken off.
 TEST_CASE("a stream that has begun waits for a repeat while its caller does")
 {
-    RelaySettings settings = RelayWorld::defaults();
-    settings.retryRatio = 0;
-    settings.retrySlack = 1;
-    settings.retryWindow = milliseconds(2'000);
-    RelayWorld world(twoPaths(), settings);
+    RelayWorld world(twoPaths(), onlyRepeats(1, milliseconds(2'000)));
     const auto begin = [&] {
         const FlightId stream = world.submit(RequestKind::Stream);
         REQUIRE(world.answer(stream, 200));
@@ -237,10 +239,7 @@
 // so their shares may not go to the others before it is over.
 TEST_CASE("the share of an instance that left is not given out again in the same window")
 {
-    RelaySettings settings = RelayWorld::defaults();
-    settings.retryRatio = 0;
-    settings.retrySlack = 40;
-    RelayWorld world(twoPaths(), settings);
+    RelayWorld world(twoPaths(), onlyRepeats(40));
     world.relay.setInstances(2, 4, world.now);
     world.submit(RequestKind::Stream); // the budget's own first window begins
     world.pass(milliseconds(11'000));
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -137,10 +137,10 @@
         return true;
     if (!mayRunAgain(flight, flight.endpoint) || !budget(flight).affords(now))
         return false;
-    Flight moved = flight;
-    moved.avoid.insert(flight.endpoint);
-    SendWhole send;
-    return choosePath(moved, now, send);
+    std::set<std::string> without = flight.avoid;
+    without.insert(flight.endpoint);
+    const auto path = findPath(flight, without, now);
+    return path && !path->full;
 }
 
 void Relay::watchStream(FlightId id, Flight &flight, Time now, RelayActions &actions)
--- a/src/libbalsamloft/types.cpp
+++ b/src/libbalsamloft/types.cpp
@@ -1,7 +1,17 @@
 #include <balsamloft/types.h>
 
+#include <algorithm>
+
 namespace balsamloft {
 
+Duration doubled(Duration first, std::uint32_t times, Duration most)
+{
+    Duration pause = first;
+    for (; times > 0 && pause < most; --times)
+        pause *= 2;
+    return std::min(pause, most);
+}
+
 std::string_view toString(Priority priority)
 {
     switch (priority) {
