--- a/testsuite/common/feedtables.cpp
+++ b/testsuite/common/feedtables.cpp
@@ -13,7 +13,7 @@
 constexpr int Ok = 200;
 constexpr int Conflict = 409;
 
-std::string body(json::object object, std::uint64_t version)
+std::string inVersion(json::object object, std::uint64_t version)
 {
     const auto clock = std::chrono::steady_clock::now().time_since_epoch();
     object["version"] = version;
@@ -23,54 +23,78 @@
 
 } // namespace
 
+void FeedTables::write(const std::string &table, Row row)
+{
+    Table &written = m_tables[table];
+    written.history.push_back(row);
+    written.rows[row.key] = std::move(row);
+}
+
 void FeedTables::put(const std::string &table, const std::string &key, const std::string &value)
 {
-    m_tables[table][key] = {value, ++m_version, false};
+    write(table, {key, value, ++m_version, false});
 }
 
 void FeedTables::drop(const std::string &table, const std::string &key)
 {
-    m_tables[table][key] = {"", ++m_version, true};
+    write(table, {key, "", ++m_version, true});
 }
 
 std::uint64_t FeedTables::newest(const std::string &table) const
 {
-    std::uint64_t version = 0;
+    const auto found = m_tables.find(table);
+    if (found == m_tables.end() || found->second.history.empty())
+        return 0;
+    return found->second.history.back().version;
+}
+
+std::string FeedTables::body(const std::vector<Row> &rows, std::uint64_t version)
+{
+    json::array list;
+    for (const Row &row : rows)
+        list.push_back({{"key", row.key},
+                        {"value", row.value},
+                        {"version", row.version},
+                        {"dropped", row.dropped}});
+    return inVersion({{"rows", std::move(list)}}, version);
+}
+
+std::string FeedTables::rows(const std::string &table) const
+{
+    std::vector<Row> rows;
     if (const auto found = m_tables.find(table); found != m_tables.end())
-        for (const auto &[key, row] : found->second)
-            version = std::max(version, row.version);
-    return version;
+        for (const auto &[key, row] : found->second.rows)
+            if (!row.dropped)
+                rows.push_back(row);
+    return body(rows, m_version);
 }
 
-std::string FeedTables::rows(const std::string &table, std::uint64_t after, bool dropped) const
+std::string FeedTables::changes(const std::string &table, std::uint64_t after) const
 {
-    json::array rows;
+    std::vector<Row> rows;
     if (const auto found = m_tables.find(table); found != m_tables.end())
-        for (const auto &[key, row] : found->second)
-            if (row.version > after && (dropped || !row.dropped))
-                rows.push_back({{"key", key},
-                                {"value", row.value},
-                                {"version", row.version},
-                                {"dropped", row.dropped}});
-    return body({{"rows", rows}}, m_version);
+        for (const Row &row : found->second.history)
+            if (row.version > after)
+                rows.push_back(row);
+    return body(rows, m_version);
 }
 
 std::pair<int, std::string> FeedTables::commit(const std::string &text)
 {
     const json::value value = json::parse(text);
     for (const json::value &check : value.at("checks").as_array()) {
-        const auto &table = m_tables[std::string(check.at("table").as_string())];
-        const auto row = table.find(std::string(check.at("key").as_string()));
-        const std::uint64_t version = row == table.end() ? 0 : row->second.version;
+        const auto &rows = m_tables[std::string(check.at("table").as_string())].rows;
+        const auto row = rows.find(std::string(check.at("key").as_string()));
+        const std::uint64_t version = row == rows.end() ? 0 : row->second.version;
         if (version != check.at("version").to_number<std::uint64_t>())
-            return {Conflict, body({}, m_version)};
+            return {Conflict, inVersion({}, m_version)};
     }
     m_version += 1;
-    for (const json::value &write : value.at("writes").as_array())
-        m_tables[std::string(write.at("table").as_string())][std::string(
-            write.at("key").as_string())] = {std::string(write.at("value").as_string()), m_version,
-                                             write.at("drop").as_bool()};
-    return {Ok, body({}, m_version)};
+    for (const json::value &each : value.at("writes").as_array())
+        write(std::string(each.at("table").as_string()),
+              {std::string(each.at("key").as_string()), std::string(each.at("value").as_string()),
+               m_version, each.at("drop").as_bool()});
+    return {Ok, inVersion({}, m_version)};
 }
 
 } // namespace balsamloft::testsuite
--- a/testsuite/common/feedtables.h
+++ b/testsuite/common/feedtables.h
@@ -1,6 +1,6 @@
 /// \file
 /// The tables of a stand-in store in the stand-in protocol: versions of one
-/// counter, changes since a version, conditions. State only; how and when it
+/// counter, each change since a version, conditions. State only; how and when it
 /// answers is for each stand-in to say.
 
 #pragma once
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace balsamloft::testsuite {
 
@@ -23,9 +24,12 @@
     std::uint64_t newest(const std::string &table) const;
     std::uint64_t version() const { return m_version; }
 
-    /// Body of an answer with the rows of \a table that are newer than \a after;
-    /// \a dropped: also those that were dropped.
-    std::string rows(const std::string &table, std::uint64_t after, bool dropped) const;
+    /// Body of an answer with the rows that \a table has.
+    std::string rows(const std::string &table) const;
+
+    /// Body of an answer with each write and drop in \a table after the version
+    /// \a after, oldest first: a row that was written twice is there twice.
+    std::string changes(const std::string &table, std::uint64_t after) const;
 
     /// Carries a transaction out when its conditions hold.
     /// \return status and body of the answer.
@@ -34,12 +38,22 @@
 private:
     struct Row
     {
+        std::string key;
         std::string value;
         std::uint64_t version = 0;
         bool dropped = false;
     };
 
-    std::map<std::string, std::map<std::string, Row>> m_tables;
+    struct Table
+    {
+        std::map<std::string, Row> rows; ///< by key, as written last
+        std::vector<Row> history; ///< oldest first
+    };
+
+    void write(const std::string &table, Row row);
+    static std::string body(const std::vector<Row> &rows, std::uint64_t version);
+
+    std::map<std::string, Table> m_tables;
     std::uint64_t m_version = 10;
 };
 
--- a/testsuite/entry/entry_test.cpp
+++ b/testsuite/entry/entry_test.cpp
@@ -235,3 +235,28 @@
         CHECK(entry.serves("/safe/x", "new"));
     CHECK(old.requests().size() == before);
 }
+
+// The caller's request goes to an endpoint whose leaving the store acknowledged seconds
+// ago. The endpoint wrote itself down and was taken off the list within a quarter of a
+// second, between two readings, so that one answer of the store holds both steps, in
+// their order. The instance takes the endpoint for ready, and nothing tells it again.
+TEST_CASE("an endpoint that came and left between two readings gets nothing", "[process]")
+{
+    Entry entry;
+    const auto answers = [](const std::string &body) {
+        return [body](const std::string &request) { return RawAnswer {good(request, body)}; };
+    };
+    RawServer stays(answers("stays"));
+    RawServer left(answers("left"));
+    RawServer later(answers("later"));
+    entry.endpoint("stays", "plain", stays.address());
+    CHECK(entry.serves("/safe/x", "stays"));
+    entry.store.putAndDrop("endpoints", "left",
+                           R"({"service":"plain","address":")" + left.address()
+                               + R"(","domain":"d","kind":"card"})");
+    entry.endpoint("later", "plain", later.address());
+    CHECK(entry.serves("/safe/x", "later")); // the list has been read since
+    for (int i = 0; i < 20; ++i)
+        entry.ask("/safe/x");
+    CHECK(left.requests().empty());
+}
--- a/testsuite/entry/entryworld.h
+++ b/testsuite/entry/entryworld.h
@@ -30,6 +30,14 @@
         m_tables.drop(table, key);
     }
 
+    /// Writes a row and drops it with nothing read in between.
+    void putAndDrop(const std::string &table, const std::string &key, const std::string &value)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tables.put(table, key, value);
+        m_tables.drop(table, key);
+    }
+
     std::string address() const { return m_server.address(); }
 
 private:
@@ -54,7 +62,8 @@
             while (std::chrono::steady_clock::now() < until && newest(table) <= after && !down)
                 std::this_thread::sleep_for(std::chrono::milliseconds(5));
         }
-        return rows(table, after, changes);
+        const std::lock_guard lock(m_mutex);
+        return reply(200, changes ? m_tables.changes(table, after) : m_tables.rows(table));
     }
 
     std::uint64_t newest(const std::string &table)
@@ -63,12 +72,6 @@
         return m_tables.newest(table);
     }
 
-    RawAnswer rows(const std::string &table, std::uint64_t after, bool dropped)
-    {
-        const std::lock_guard lock(m_mutex);
-        return reply(200, m_tables.rows(table, after, dropped));
-    }
-
     RawAnswer commit(const std::string &body)
     {
         const std::lock_guard lock(m_mutex);
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -111,7 +111,7 @@
         co_return m_tables.commit(request.body());
     const std::vector<std::string> parts = partsOf(target);
     if (parts[0] != "changes")
-        co_return std::pair(Ok, m_tables.rows(parts[1], 0, false));
+        co_return std::pair(Ok, m_tables.rows(parts[1]));
     const std::uint64_t after = std::stoull(parts[2]);
     const auto until = Clock::now() + Milliseconds(std::stol(parts[3]));
     while (Clock::now() < until && m_tables.newest(parts[1]) <= after && !down)
@@ -120,7 +120,7 @@
         co_return std::pair(Unavailable, std::string());
     if (after < m_forgotten)
         co_return std::pair(HistoryGone, std::string("{}"));
-    co_return std::pair(Ok, m_tables.rows(parts[1], after, true));
+    co_return std::pair(Ok, m_tables.changes(parts[1], after));
 }
 
 Endpoint::Endpoint(asio::io_context &context, Store &store, Record &record, std::string name,
