Leaving outlasts an endpoint's entry

What a caller would see: a call or a stream cut off by an endpoint that announced its leaving seconds before. Cause: "leaving is never taken back" held only as long as the entry. A write of the endpoint that was delayed on the way to the store, carried out after the entry was dropped, made it ready again, since only starts of processes were compared.

Why it holds: a process that announced its end never takes that back, and another process under the same name has another start.

The test fails without it.

--- a/src/include/balsamloft/enginefleet.h
+++ b/src/include/balsamloft/enginefleet.h
@@ -107,11 +107,12 @@
     void vanished(std::map<std::string, Entry, std::less<>>::iterator it, Time now);
 
     FleetSettings m_settings;
-    /// The youngest start that was seen under a name, and when.
+    /// The youngest start that was seen under a name.
     struct Start
     {
         std::uint64_t born = 0;
-        Time seenAt {};
+        Time seenAt {}; ///< last heard of
+        bool leaving = false; ///< it announced that it leaves
     };
 
     std::map<std::string, Entry, std::less<>> m_entries; ///< by name
--- a/src/libbalsamloft/enginefleet.cpp
+++ b/src/libbalsamloft/enginefleet.cpp
@@ -80,14 +80,18 @@
     heard(now);
     if (outdated(endpoint))
         return;
-    m_starts[endpoint.name] = {endpoint.born, now};
+    // Leaving is never taken back, not even once the entry is gone: one that was sent
+    // before and written late must not bring new work to an endpoint that is about to
+    // exit. Another process under the same name has announced nothing.
+    Start &start = m_starts[endpoint.name];
+    if (endpoint.born > start.born)
+        start = {};
+    start.born = endpoint.born;
+    start.seenAt = now;
+    start.leaving = start.leaving || endpoint.draining;
+    endpoint.draining = start.leaving;
     Entry &entry = m_entries[endpoint.name];
     entry.forgetAt.reset();
-    // Leaving is never taken back: a late, older entry must not bring new work
-    // to an endpoint that is about to exit. Another process under the same name
-    // has announced nothing.
-    const bool same = entry.endpoint.id == endpoint.id;
-    endpoint.draining = endpoint.draining || (same && entry.endpoint.draining);
     if (entry.endpoint == endpoint)
         return;
     entry.endpoint = std::move(endpoint);
@@ -130,6 +134,7 @@
             it->second.forgetAt = m_outageOverAt + m_settings.regain;
         return;
     }
+    m_starts[it->first].seenAt = now;
     m_entries.erase(it);
     m_dirty = true;
 }
--- a/src/libbalsamloft/entryknowledge_test.cpp
+++ b/src/libbalsamloft/entryknowledge_test.cpp
@@ -114,6 +114,21 @@
     CHECK(count(keeper) == 0);
 }
 
+// An endpoint announces that it leaves, and its entry is dropped. A write of its that
+// was delayed on the way is carried out after that: the entry is back, as ready. The
+// process still runs for seconds; callers that were sent there would be cut off by its end.
+TEST_CASE("leaving is not taken back by an entry that is written after the drop")
+{
+    FleetKeeper keeper;
+    FleetEndpoint leaving = endpoint("a");
+    leaving.draining = true;
+    keeper.listed({leaving}, Start);
+    keeper.dropped("a", Start + milliseconds(1000));
+    keeper.tick(Start + milliseconds(1500));
+    keeper.changed(endpoint("a"), Start + milliseconds(2000));
+    CHECK(keeper.snapshot()->endpoints.front().draining);
+}
+
 namespace {
 
 FleetEndpoint bornAt(std::uint64_t born, LayerRange layers)
