Soak: endpoints that come and go within one answer, and entries written late

Looks for the mended DRAIN elsewhere, with real processes and overlapping faults: an endpoint is written and dropped at once and goes on answering; one that left has its earlier entry written after the drop, until that lapses. Both answer for 13 s, longer than the 10 s after which new work counts as broken, so runs of 30 s (--seconds=30) judge it.

--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -155,11 +155,16 @@
 {
     if (!m_id.empty())
         return;
-    m_id = m_name + "-" + std::to_string(++m_starts);
+    newId();
     m_link.refuse(false);
     write("ready");
 }
 
+void Endpoint::newId()
+{
+    m_id = m_name + "-" + std::to_string(++m_starts);
+}
+
 void Endpoint::crash()
 {
     if (m_id.empty())
@@ -182,6 +187,31 @@
     write("leaving");
 }
 
+void Endpoint::passBy()
+{
+    crash();
+    newId();
+    m_link.refuse(false);
+    write("ready");
+    lapse();
+    m_record.leaves(m_id);
+}
+
+void Endpoint::writeLate()
+{
+    if (m_id.empty())
+        return;
+    leave();
+    lapse();
+    write("ready");
+}
+
+void Endpoint::lapse()
+{
+    if (!m_id.empty())
+        m_store.tables().drop("endpoints", m_id);
+}
+
 void Endpoint::heal()
 {
     failing = busy = losing = talkative = false;
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -61,6 +61,12 @@
     void start();
     /// Writes that it leaves; what runs goes on.
     void leave();
+    /// Comes back under another id and is off the list at once; what runs goes on.
+    void passBy();
+    /// Is off the list after it said that it leaves, and its earlier entry is written
+    /// late, as by a call that was delayed on the way.
+    void writeLate();
+    void lapse(); ///< its entry is dropped; it goes on
     bool failing = false; ///< answers with failures of its own
     bool busy = false; ///< turns requests away as not run
     bool losing = false; ///< runs calls and closes the connection without an answer
@@ -73,6 +79,7 @@
     awaitable<bool> run(tcp::socket &socket, const Request &request);
     awaitable<bool> stream(tcp::socket &socket, const Request &request);
     void write(const std::string &state);
+    void newId();
 
     boost::asio::io_context &m_context;
     Store &m_store;
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -24,6 +24,11 @@
 constexpr auto CallerWaits = std::chrono::seconds(15);
 /// Long enough for any machine: it only bounds a hang.
 constexpr auto RecoveryBound = std::chrono::seconds(60);
+/// How long an endpoint that is off the list still answers: longer than it may take
+/// until nobody sends it anything.
+constexpr Milliseconds RunsOn {13'000};
+/// An entry that nobody renews is dropped after this long.
+constexpr Milliseconds EntryLapses {2'500};
 constexpr int StoppedWell = 0;
 constexpr int KilledExit = 128 + SIGKILL;
 constexpr std::string_view Configuration =
@@ -354,9 +359,12 @@
 awaitable<void> Soak::endpointFault(std::mt19937_64 &random, Milliseconds time)
 {
     Endpoint &endpoint = *m_endpoints[random() % m_endpoints.size()];
-    const int kind = draw(random, 0, 5);
-    static constexpr std::string_view Names[] = {"crashed", "leaving", "failing",
-                                                 "busy",    "losing",  "talkative"};
+    const auto length = std::chrono::duration_cast<Milliseconds>(m_settings.length);
+    const Milliseconds runsOn = std::min(RunsOn, length);
+    const int kind = draw(random, 0, 7);
+    static constexpr std::string_view Names[] = {"crashed",    "leaving",     "failing",
+                                                 "busy",       "losing",      "talkative",
+                                                 "passing by", "written late"};
     note("endpoint " + std::string(Names[kind]) + " for " + std::to_string(time.count()));
     switch (kind) {
     case 0:
@@ -376,6 +384,18 @@
     case 4:
         endpoint.losing = true;
         break;
+    case 6:
+        endpoint.passBy();
+        co_await pause(runsOn);
+        endpoint.crash();
+        break;
+    case 7:
+        endpoint.writeLate();
+        co_await pause(EntryLapses);
+        endpoint.lapse();
+        co_await pause(runsOn);
+        endpoint.crash();
+        break;
     default:
         endpoint.talkative = true;
     }
