--- a/src/libbalsamloft/tablecopy.cpp
+++ b/src/libbalsamloft/tablecopy.cpp
@@ -1,6 +1,7 @@
 #include <balsamloft/tablecopy.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace balsamloft {
@@ -32,12 +33,12 @@
     if (!std::exchange(m_known, true))
         m_reachesBackTo = version;
     std::vector<StoreRow> steps = rows;
-    for (const auto &[key, known] : m_rows) {
-        const bool still = std::any_of(rows.begin(), rows.end(),
-                                       [&](const StoreRow &each) { return each.key == key; });
-        if (!still && !known.dropped)
+    std::set<std::string_view> present;
+    for (const StoreRow &row : rows)
+        present.insert(row.key);
+    for (const auto &[key, known] : m_rows)
+        if (!known.dropped && !present.contains(key))
             steps.push_back({key, {}, version, true});
-    }
     change(std::move(steps), version);
 }
 
