--- a/testsuite/common/feedtables.cpp
+++ b/testsuite/common/feedtables.cpp
@@ -13,7 +13,7 @@
 constexpr int Ok = 200;
 constexpr int Conflict = 409;
 
-std::string inVersion(json::object object, std::uint64_t version)
+std::string withVersion(json::object object, std::uint64_t version)
 {
     const auto clock = std::chrono::steady_clock::now().time_since_epoch();
     object["version"] = version;
@@ -56,7 +56,7 @@
                         {"value", row.value},
                         {"version", row.version},
                         {"dropped", row.dropped}});
-    return inVersion({{"rows", std::move(list)}}, version);
+    return withVersion({{"rows", std::move(list)}}, version);
 }
 
 std::string FeedTables::rows(const std::string &table) const
@@ -87,14 +87,14 @@
         const auto row = rows.find(std::string(check.at("key").as_string()));
         const std::uint64_t version = row == rows.end() ? 0 : row->second.version;
         if (version != check.at("version").to_number<std::uint64_t>())
-            return {Conflict, inVersion({}, m_version)};
+            return {Conflict, withVersion({}, m_version)};
     }
     m_version += 1;
     for (const json::value &each : value.at("writes").as_array())
         write(std::string(each.at("table").as_string()),
               {std::string(each.at("key").as_string()), std::string(each.at("value").as_string()),
                m_version, each.at("drop").as_bool()});
-    return {Ok, inVersion({}, m_version)};
+    return {Ok, withVersion({}, m_version)};
 }
 
 } // namespace balsamloft::testsuite
