A row is told to other instances as it is now, not in each of its versions (CONFIG)

Ruled out: the roll of instances and the store's outage before it (over by 26 s; in the other domains the same reader path kept pace).

Change: since() tells each row once, as it is now, as before; what is new stays: rows applied in order, versions that only rise. The mend of DRAIN does not need the steps: a follower that meets a drop alone keeps nothing.

--- a/src/include/balsamloft/tablecopy.h
+++ b/src/include/balsamloft/tablecopy.h
@@ -5,7 +5,6 @@
 
 #include <balsamloft/types.h>
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -24,18 +23,15 @@
     bool operator==(const StoreRow &) const = default;
 };
 
-/// Rows with their versions, and each step that led to them. The versions are the
-/// store's, so one who follows a copy may change to another copy, or to the store,
-/// and go on from the same version.
+/// Rows with their versions, and which were dropped since a version. The versions
+/// are the store's, so one who follows a copy may change to another copy, or to the
+/// store, and go on from the same version.
 ///
 /// A row's version only rises here: an older one, come late by way of another instance
 /// or a slow answer, is no news. Taken over, an endpoint that left would be back.
 class TableCopy
 {
 public:
-    /// \a mostStepBytes: of keys and values of steps that are remembered.
-    explicit TableCopy(std::size_t mostStepBytes = 512 * 1024);
-
     // Commands
 
     /// The whole table as of \a version. Rows that it lacks count as dropped then.
@@ -53,19 +49,19 @@
     /// Rows that exist.
     std::vector<StoreRow> all() const;
 
-    /// Each step after the version \a after, oldest first; nothing when the copy does
-    /// not reach back that far.
+    /// What changed after the version \a after, oldest first, each row as it is now;
+    /// nothing when the copy does not reach back that far.
+    ///
+    /// Not each step: a configuration may be written ten times a second, and told in all
+    /// its versions it fills the link of the instance that tells the others. These find
+    /// it silent and serve callers by what was in force before.
     std::optional<std::vector<StoreRow>> since(std::uint64_t after) const;
 
 private:
     bool take(const StoreRow &row);
-    void forgetOldSteps();
     void forgetOldDrops();
 
     std::map<std::string, StoreRow, std::less<>> m_rows;
-    std::deque<StoreRow> m_steps; ///< by version
-    std::size_t m_stepBytes = 0;
-    std::size_t m_mostStepBytes;
     bool m_known = false;
     std::uint64_t m_version = 0;
     std::uint64_t m_reachesBackTo = 0;
--- a/src/libbalsamloft/tablecopy.cpp
+++ b/src/libbalsamloft/tablecopy.cpp
@@ -8,14 +8,9 @@
 
 namespace {
 
-/// Dropped rows that are remembered, so that an older row of theirs is no news.
+/// Dropped rows that are remembered: to be told, and so that an older row is no news.
 constexpr std::size_t MostDropped = 500;
 
-std::size_t sizeOf(const StoreRow &row)
-{
-    return row.key.size() + row.value.size();
-}
-
 bool olderThan(const StoreRow &left, const StoreRow &right)
 {
     return left.version < right.version;
@@ -23,11 +18,6 @@
 
 } // namespace
 
-TableCopy::TableCopy(std::size_t mostStepBytes)
-    : m_mostStepBytes(mostStepBytes)
-{
-}
-
 void TableCopy::replace(const std::vector<StoreRow> &rows, std::uint64_t version)
 {
     if (!std::exchange(m_known, true))
@@ -47,7 +37,6 @@
     std::stable_sort(rows.begin(), rows.end(), olderThan);
     std::erase_if(rows, [this](const StoreRow &each) { return !take(each); });
     m_version = std::max(m_version, version);
-    forgetOldSteps();
     forgetOldDrops();
     return rows;
 }
@@ -59,23 +48,10 @@
     if (known != m_rows.end() && row.version <= known->second.version)
         return false;
     m_rows.insert_or_assign(row.key, row);
-    if (row.version <= m_reachesBackTo)
-        return true;
-    m_steps.insert(std::upper_bound(m_steps.begin(), m_steps.end(), row, olderThan), row);
-    m_stepBytes += sizeOf(row);
     return true;
 }
 
-/// Who knows less than the oldest step that is left is told the whole table.
-void TableCopy::forgetOldSteps()
-{
-    while (m_stepBytes > m_mostStepBytes) {
-        m_reachesBackTo = std::max(m_reachesBackTo, m_steps.front().version);
-        m_stepBytes -= sizeOf(m_steps.front());
-        m_steps.pop_front();
-    }
-}
-
+/// Who knows less than the youngest drop that is forgotten is told the whole table.
 void TableCopy::forgetOldDrops()
 {
     std::vector<std::uint64_t> versions;
@@ -89,6 +65,7 @@
     std::erase_if(m_rows, [&](const auto &each) {
         return each.second.dropped && each.second.version <= *middle;
     });
+    m_reachesBackTo = std::max(m_reachesBackTo, *middle);
 }
 
 std::vector<StoreRow> TableCopy::all() const
@@ -104,10 +81,12 @@
 {
     if (!m_known || after < m_reachesBackTo)
         return std::nullopt;
-    const auto first = std::upper_bound(
-        m_steps.begin(), m_steps.end(), after,
-        [](std::uint64_t version, const StoreRow &row) { return version < row.version; });
-    return std::vector<StoreRow>(first, m_steps.end());
+    std::vector<StoreRow> rows;
+    for (const auto &[key, row] : m_rows)
+        if (row.version > after)
+            rows.push_back(row);
+    std::sort(rows.begin(), rows.end(), olderThan);
+    return rows;
 }
 
 } // namespace balsamloft
