Reports of engines are told again while they are young, as before

Suspected, not traced: a report that is told again arrives a little younger by the asker's reckoning, and EngineBook::reported() then counts what was sent since as part of it.

--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -115,18 +115,20 @@
 {
     std::erase_if(m_elsewhere, [&](const auto &each) { return !m_fleetNow->find(each.first); });
     const auto endpoints = static_cast<std::size_t>(NewsTable::Endpoints);
+    const std::uint64_t known = m_server.state(NewsTable::Endpoints).copy.version();
     for (const PeerInstance &each : m_directory.readersElsewhere(now)) {
         auto &source = m_elsewhereSources[each.name + "@" + each.address];
         if (!source)
             source = std::make_unique<PeerSource>(m_context, each, endpoints);
-        source->askEngines([this](const TableAnswer &answer) {
-            for (const EngineState &state : answer.engines) {
-                const FleetEndpoint *engine = m_fleetNow->find(state.id);
-                if (engine && engine->domain != m_settings.domain)
-                    m_elsewhere[state.id] = state;
-            }
-            m_askedDirty = m_askedDirty || !answer.engines.empty();
-        });
+        source->watch(std::max<std::uint64_t>(1, known), Duration {},
+                      [this](const TableAnswer &answer) {
+                          for (const EngineState &state : answer.engines) {
+                              const FleetEndpoint *engine = m_fleetNow->find(state.id);
+                              if (engine && engine->domain != m_settings.domain)
+                                  m_elsewhere[state.id] = state;
+                          }
+                          m_askedDirty = m_askedDirty || !answer.engines.empty();
+                      });
     }
 }
 
@@ -135,17 +137,15 @@
     if (!std::exchange(m_askedDirty, false))
         return;
     const auto silent = silentEngines();
-    std::vector<EngineState> own;
+    std::vector<EngineState> states;
     for (const auto &[id, asked] : m_asked) {
-        own.push_back(asked.state);
-        own.back().silent = silent && silent->contains(id);
+        states.push_back(asked.state);
+        states.back().silent = silent && silent->contains(id);
     }
-    std::vector<EngineState> others;
     for (const auto &[id, state] : m_elsewhere)
-        others.push_back(state);
-    m_server.setEngines(own, others);
-    own.insert(own.end(), others.begin(), others.end());
-    m_events.engines(std::move(own));
+        states.push_back(state);
+    m_server.setEngines(states);
+    m_events.engines(std::move(states));
 }
 
 void Control::place(Time now)
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -10,8 +10,11 @@
 namespace {
 
 constexpr auto ExpireEvery = std::chrono::milliseconds(100);
-constexpr std::string_view NewsPrefix = "/news/";
-constexpr std::string_view EnginesPrefix = "/engines/";
+constexpr std::string_view Prefix = "/news/";
+
+/// Reports of engines in other domains come late by about this much, and are told on
+/// with the time at which they were true.
+constexpr std::uint64_t NewsOverlapMs = 1'500;
 
 std::uint64_t milliseconds(Time time)
 {
@@ -33,43 +36,14 @@
     return text.empty();
 }
 
-void add(const EngineState &engine, Time now, wire::TableNews &news)
-{
-    wire::EngineNews &each = *news.add_engines();
-    each.set_id(engine.id);
-    each.set_used(engine.used);
-    each.set_active(engine.active);
-    each.set_queued(engine.queued);
-    each.set_pace(engine.pace);
-    each.set_silent(engine.silent);
-    each.set_age_ms(
-        static_cast<std::uint64_t>(std::max<std::int64_t>(0, (now - engine.at).count() / 1000)));
-}
-
-/// Adds the reports of engines that an asker was not told yet.
-void addSince(std::uint64_t toldMs, const EngineReports &reports, Time now, wire::TableNews &news)
-{
-    news.set_told_ms(milliseconds(now));
-    // A time from another process, whose clock may have been ahead, says nothing.
-    const bool known = toldMs <= milliseconds(now);
-    const Time told = known ? Time(std::chrono::milliseconds(toldMs)) : Time {};
-    for (const EngineState &engine : reports.since(told))
-        add(engine, now, news);
-}
-
 } // namespace
 
 std::string newsTarget(std::size_t table, std::uint64_t after, Duration wait, std::uint64_t toldMs)
 {
-    return std::string(NewsPrefix) + std::to_string(table) + "/" + std::to_string(after) + "/"
+    return std::string(Prefix) + std::to_string(table) + "/" + std::to_string(after) + "/"
            + std::to_string(wait.count() / 1000) + "/" + std::to_string(toldMs);
 }
 
-std::string enginesTarget(std::uint64_t toldMs)
-{
-    return std::string(EnginesPrefix) + std::to_string(toldMs);
-}
-
 PeerServer::PeerServer(boost::asio::io_context &context)
     : m_server(context, [this](std::string_view target,
                                TextServer::Reply reply) { asked(target, std::move(reply)); })
@@ -84,11 +58,8 @@
 
 void PeerServer::asked(std::string_view target, TextServer::Reply reply)
 {
-    std::array<std::uint64_t, 1> told {};
-    if (target.starts_with(EnginesPrefix) && readNumbers(target.substr(EnginesPrefix.size()), told))
-        return reply({200, ownEngines(told[0])});
     std::array<std::uint64_t, 4> numbers {};
-    if (!target.starts_with(NewsPrefix) || !readNumbers(target.substr(NewsPrefix.size()), numbers)
+    if (!target.starts_with(Prefix) || !readNumbers(target.substr(Prefix.size()), numbers)
         || numbers[0] >= NewsTableCount)
         return reply({404, {}});
     const auto [table, after, waitMs, toldMs] = numbers;
@@ -128,29 +99,32 @@
     news.set_known_ms(milliseconds(state.knownAt));
     news.set_store_ms(static_cast<std::uint64_t>(state.storeMs));
     news.set_direct(state.direct);
-    if (table == static_cast<std::size_t>(NewsTable::Endpoints)) {
-        const Time now = steadyNow();
-        addSince(toldMs, m_own, now, news);
-        addSince(toldMs, m_others, now, news);
-    }
-    return news.SerializeAsString();
-}
-
-std::string PeerServer::ownEngines(std::uint64_t toldMs) const
-{
-    wire::TableNews news;
-    news.set_clock_ms(milliseconds(bootNow()));
-    news.set_known_ms(news.clock_ms());
-    addSince(toldMs, m_own, steadyNow(), news);
+    if (table == static_cast<std::size_t>(NewsTable::Endpoints))
+        addEngines(toldMs, news);
     return news.SerializeAsString();
 }
 
-void PeerServer::setEngines(const std::vector<EngineState> &own,
-                            const std::vector<EngineState> &others)
+/// States of engines that the asker was not told yet: those of hundreds of engines, told
+/// again with each answer, would fill a small instance's link.
+void PeerServer::addEngines(std::uint64_t toldMs, wire::TableNews &news) const
 {
     const Time now = steadyNow();
-    m_own.replace(own, now);
-    m_others.replace(others, now);
+    news.set_told_ms(milliseconds(now));
+    // A time from another process, whose clock may have been ahead, says nothing.
+    const bool known = toldMs <= milliseconds(now);
+    for (const EngineState &engine : m_engines) {
+        if (known && milliseconds(engine.at) + NewsOverlapMs < toldMs)
+            continue;
+        wire::EngineNews &each = *news.add_engines();
+        each.set_id(engine.id);
+        each.set_used(engine.used);
+        each.set_active(engine.active);
+        each.set_queued(engine.queued);
+        each.set_pace(engine.pace);
+        each.set_silent(engine.silent);
+        each.set_age_ms(static_cast<std::uint64_t>(
+            std::max<std::int64_t>(0, (now - engine.at).count() / 1000)));
+    }
 }
 
 void PeerServer::storeLost()
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -6,7 +6,6 @@
 #include "textserver.h"
 
 #include <balsamloft/enginebook.h>
-#include <balsamloft/enginereports.h>
 #include <balsamloft/tablecopy.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -28,10 +27,6 @@
 /// states of engines since the time that the answer before told.
 std::string newsTarget(std::size_t table, std::uint64_t after, Duration wait, std::uint64_t toldMs);
 
-/// Request target of a question for states of the engines in the asked one's domain
-/// since the time that the answer before told.
-std::string enginesTarget(std::uint64_t toldMs);
-
 /// A copy of a table and how recent it is.
 struct NewsState
 {
@@ -59,9 +54,8 @@
     /// grows older.
     void storeLost();
 
-    /// States of engines: those of the own domain, which anybody may ask for, and those
-    /// of all others. Both are told along with the endpoints.
-    void setEngines(const std::vector<EngineState> &own, const std::vector<EngineState> &others);
+    /// States of engines that are told along with the endpoints.
+    void setEngines(std::vector<EngineState> engines) { m_engines = std::move(engines); }
 
 private:
     struct Waiter
@@ -76,15 +70,14 @@
     void asked(std::string_view target, TextServer::Reply reply);
     TextAnswer answer(std::size_t table, std::uint64_t after, std::uint64_t toldMs) const;
     std::string news(std::size_t table, std::uint64_t after, std::uint64_t toldMs) const;
-    std::string ownEngines(std::uint64_t toldMs) const;
+    void addEngines(std::uint64_t toldMs, wire::TableNews &news) const;
     void expire();
 
     TextServer m_server;
     boost::asio::steady_timer m_timer;
     bool m_timing = false;
     std::array<NewsState, NewsTableCount> m_states;
-    EngineReports m_own;
-    EngineReports m_others;
+    std::vector<EngineState> m_engines;
     std::vector<Waiter> m_waiters;
 };
 
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -66,27 +66,23 @@
 
 void PeerSource::read(const std::string & /*from*/, Duration wait, Callback callback)
 {
-    ask(newsTarget(m_table, 0, wait, m_toldMs), wait, std::move(callback));
+    ask(0, wait, std::move(callback));
 }
 
 void PeerSource::watch(std::uint64_t after, Duration wait, Callback callback)
 {
-    ask(newsTarget(m_table, after, wait, m_toldMs), wait, std::move(callback));
+    ask(after, wait, std::move(callback));
 }
 
-void PeerSource::askEngines(Callback callback)
-{
-    ask(enginesTarget(m_toldMs), Duration {}, std::move(callback));
-}
-
-void PeerSource::ask(const std::string &target, Duration wait, Callback callback)
+void PeerSource::ask(std::uint64_t after, Duration wait, Callback callback)
 {
     ExchangeSettings settings;
     settings.endpoint = m_peer.name;
     settings.address = m_peer.address;
     const Time sentAt = bootNow();
     m_call = std::make_shared<OneCall>(
-        m_pool, std::move(settings), callText({"GET", target, {}}, m_peer.address),
+        m_pool, std::move(settings),
+        callText({"GET", newsTarget(m_table, after, wait, m_toldMs), {}}, m_peer.address),
         wait + PeerWithin,
         [this, sentAt, callback = std::move(callback)](const CallOutcome &outcome) {
             callback(decode(outcome, sentAt));
--- a/src/entry/tablesource.h
+++ b/src/entry/tablesource.h
@@ -82,11 +82,8 @@
     void read(const std::string &from, Duration wait, Callback callback) override;
     void watch(std::uint64_t after, Duration wait, Callback callback) override;
 
-    /// States of the engines in its domain that came since it was asked before.
-    void askEngines(Callback callback);
-
 private:
-    void ask(const std::string &target, Duration wait, Callback callback);
+    void ask(std::uint64_t after, Duration wait, Callback callback);
     TableAnswer decode(const CallOutcome &outcome, Time sentAt);
 
     EnginePool m_pool;
--- a/src/libbalsamloft/entryknowledge_test.cpp
+++ b/src/libbalsamloft/entryknowledge_test.cpp
@@ -2,7 +2,6 @@
 
 #include <balsamloft/askschedule.h>
 #include <balsamloft/enginefleet.h>
-#include <balsamloft/enginereports.h>
 #include <balsamloft/eventsplitter.h>
 #include <balsamloft/instancelist.h>
 #include <balsamloft/peerdirectory.h>
@@ -478,66 +477,6 @@
     CHECK(copy.since(400)->size() == 111);
 }
 
-namespace {
-
-EngineState reportOf(int engine, Time at)
-{
-    EngineState state;
-    state.id = "e" + std::to_string(engine);
-    state.at = at;
-    return state;
-}
-
-} // namespace
-
-// A reader asks 100 engines once a second, and a follower asks the reader each 0.3 s for
-// ten seconds. Told at each answer, all reports of the last 1.5 s went out 3,400 times;
-// at 3,000 engines and 60 followers that fills a link, and configuration comes late.
-TEST_CASE("a report of an engine is told once to each asker")
-{
-    EngineReports reports;
-    std::size_t told = 0;
-    std::map<std::string, Time> newest;
-    Time answeredAt {};
-    std::vector<EngineState> states;
-    for (int ms = 0; ms < 10'000; ms += 50) {
-        const Time now = Start + milliseconds(ms);
-        if (ms % 1'000 == 0) {
-            states.clear();
-            for (int i = 0; i < 100; ++i)
-                states.push_back(reportOf(i, now));
-        }
-        // The reader hands on all that it knows whenever one engine has answered.
-        reports.replace(states, now);
-        if (ms % 300 != 50)
-            continue;
-        for (const EngineState &state : reports.since(answeredAt)) {
-            newest[state.id] = state.at;
-            told += 1;
-        }
-        answeredAt = now;
-    }
-    CHECK(told == 1'000);
-    for (int i = 0; i < 100; ++i)
-        CHECK(newest["e" + std::to_string(i)] == Start + milliseconds(9'000));
-}
-
-// Reports of engines in other domains come by way of a second instance, a second after
-// they were made. Left out because of their own time, they would never be told on.
-TEST_CASE("a report that came late is told, and one whose engine fell silent again")
-{
-    EngineReports reports;
-    reports.replace({reportOf(1, Start)}, Start + milliseconds(900));
-    CHECK(reports.since(Start + milliseconds(800)).size() == 1);
-    CHECK(reports.since(Start + milliseconds(901)).empty());
-    EngineState silent = reportOf(1, Start);
-    silent.silent = true;
-    reports.replace({silent}, Start + milliseconds(1'200));
-    CHECK(reports.since(Start + milliseconds(901)).size() == 1);
-    reports.replace({}, Start + milliseconds(1'300));
-    CHECK(reports.since(Time {}).empty());
-}
-
 TEST_CASE("the longest prefix of the host decides, and one bad route leaves the others")
 {
     RouteMapBuilder builder(3);
