Reading the change again: no look-up for endpoints that stay, one start, nothing unused

- The log line for endpoints first seen as leaving looked each endpoint of the list up in the list before, at each change, for hundreds of them and on all instances; now only those that leave.
- The soak's endpoint that passes by starts by start(), which it had written again.

Behaviour and assertions as they were.

--- a/scripts/runs.py
+++ b/scripts/runs.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Sums up journal/ in one table: a row for each site, code and purpose.
 
-    scripts/runs.py [--since 2026-12-03] [--site further] [--head 26bb10e] [--command hunt]
+    scripts/runs.py [--since DATE] [--site NAME] [--head COMMIT] [--command hunt]
 
 Rows are in the order in which their first run began. `worth` is the mean over the days
 played and the least of them; `broken` counts days on which a rule was broken, by rule.
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -355,8 +355,10 @@
         if (!after.find(each.id))
             log("gone", each);
     for (const FleetEndpoint &each : after.endpoints) {
+        if (!each.draining)
+            continue;
         const FleetEndpoint *earlier = before.find(each.id);
-        if (each.draining && !(earlier && earlier->draining))
+        if (!earlier || !earlier->draining)
             log("leaving", each);
     }
 }
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -104,8 +104,8 @@
     return news.SerializeAsString();
 }
 
-/// States of engines that the asker was not told yet: those of hundreds of engines, told
-/// again with each answer, would fill a small instance's link.
+/// States of engines that the asker may not have been told yet; older ones, told again
+/// with each answer, would fill a small instance's link.
 void PeerServer::addEngines(std::uint64_t toldMs, wire::TableNews &news) const
 {
     const Time now = steadyNow();
--- a/src/fakes/newsemulator.h
+++ b/src/fakes/newsemulator.h
@@ -8,7 +8,6 @@
 #include <balsamloft/peerdirectory.h>
 
 #include <cstdint>
-#include <set>
 #include <vector>
 
 namespace balsamloft::fakes {
@@ -22,7 +21,6 @@
     std::size_t domains = 5;
     std::size_t instancesPerDomain = 59;
     Duration writeEvery {200'000}; ///< to the store, by others
-    std::uint64_t seed = 1;
 };
 
 /// A fleet whose instances follow one table.
--- a/src/libbalsamloft/tablecopy.cpp
+++ b/src/libbalsamloft/tablecopy.cpp
@@ -22,14 +22,14 @@
 {
     if (!std::exchange(m_known, true))
         m_reachesBackTo = version;
-    std::vector<StoreRow> steps = rows;
+    std::vector<StoreRow> changes = rows;
     std::set<std::string_view> present;
     for (const StoreRow &row : rows)
         present.insert(row.key);
     for (const auto &[key, known] : m_rows)
         if (!known.dropped && !present.contains(key))
-            steps.push_back({key, {}, version, true});
-    change(std::move(steps), version);
+            changes.push_back({key, {}, version, true});
+    change(std::move(changes), version);
 }
 
 std::vector<StoreRow> TableCopy::change(std::vector<StoreRow> rows, std::uint64_t version)
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -155,16 +155,11 @@
 {
     if (!m_id.empty())
         return;
-    newId();
+    m_id = m_name + "-" + std::to_string(++m_starts);
     m_link.refuse(false);
     write("ready");
 }
 
-void Endpoint::newId()
-{
-    m_id = m_name + "-" + std::to_string(++m_starts);
-}
-
 void Endpoint::crash()
 {
     if (m_id.empty())
@@ -190,9 +185,7 @@
 void Endpoint::passBy()
 {
     crash();
-    newId();
-    m_link.refuse(false);
-    write("ready");
+    start();
     lapse();
     m_record.leaves(m_id);
 }
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -79,7 +79,6 @@
     awaitable<bool> run(tcp::socket &socket, const Request &request);
     awaitable<bool> stream(tcp::socket &socket, const Request &request);
     void write(const std::string &state);
-    void newId();
 
     boost::asio::io_context &m_context;
     Store &m_store;
