Logs name a request's content by a digest, and who was on an engine that broke off

The hypotheses could not be told apart: no line said which requests were the same under other ids, which were on an engine when it ended, nor how far each had come there.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -131,6 +131,7 @@
     m_events.reset();
     m_key.clear();
     m_requestId.clear();
+    m_body.clear();
     m_table.reset();
     m_route = nullptr;
     m_streamBegun = false;
@@ -188,6 +189,18 @@
     m_trail += text;
 }
 
+/// An engine that ends takes all requests on it along: those that it had under way,
+/// and how far each had come there, tell which one may have ended it.
+void CallerSession::logBroken() const
+{
+    logDecision("request", "broken off",
+                {{"request", std::string_view(m_requestId)},
+                 {"digest", std::string_view(m_digest)},
+                 {"endpoint", std::string_view(m_sentTo)},
+                 {"sent_ms", milliseconds(steadyNow() - m_sentAt)},
+                 {"events", std::int64_t(m_passedEvents - m_eventsBefore)}});
+}
+
 void CallerSession::logEnd(std::string_view outcome, int status, std::string_view reason)
 {
     const Time now = steadyNow();
@@ -212,6 +225,7 @@
         return;
     logDecision("request", "ended",
                 {{"request", std::string_view(m_requestId)},
+                 {"digest", std::string_view(m_digest)},
                  {"outcome", outcome},
                  {"status", std::int64_t(status)},
                  {"reason", reason},
--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -32,6 +32,9 @@
 {
     abandonAttempt();
     m_attempt = send.attempt;
+    m_sentTo = send.endpoint;
+    m_sentAt = steadyNow();
+    m_eventsBefore = m_passedEvents;
     m_answer.reset();
     m_events.reset();
     note(
@@ -83,6 +86,8 @@
 {
     static constexpr std::array<std::string_view, 3> Names {"not sent", "broken off", "bad answer"};
     note(Names[static_cast<std::size_t>(failure)]);
+    if (failure != AttemptFailure::NotSent)
+        logBroken();
     abandonAttempt();
     if (!m_flight)
         return;
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -7,6 +7,8 @@
 #include "sockets.h"
 #include "trafficfront.h"
 
+#include <balsamloft/requestdigest.h>
+
 #include <algorithm>
 
 namespace asio = boost::asio;
@@ -117,8 +119,10 @@
     m_longestGap = {};
     m_trail.clear();
     m_routeName.clear();
+    m_digest.clear();
     m_closeAfter = m_closeAfter || !m_request->keepAlive();
     m_requestId = std::string(head.find(m_front.protocol().headers().requestId).value_or(""));
+    m_body = std::move(m_request->body());
     m_table = m_front.table();
     if (!m_table)
         return refuse(503, "no configuration yet", Duration(500'000));
@@ -166,6 +170,7 @@
         return refuse(503, "stopping", Duration(100'000));
     RelayRequest request;
     request.id = m_requestId;
+    request.digest = m_digest = contentDigest();
     request.table = table;
     request.route = m_route = &route;
     request.service = table->target(route, m_requestId);
@@ -186,6 +191,13 @@
     m_front.run(std::move(actions));
 }
 
+std::string CallerSession::contentDigest()
+{
+    const MessageHead &head = m_request->head();
+    const std::string host = lowerHost(head.find("Host").value_or(""));
+    return requestDigest({m_teamName, head.method, host, head.target, m_body});
+}
+
 void CallerSession::keepHeaders()
 {
     const HeaderNames &names = m_front.protocol().headers();
@@ -205,9 +217,8 @@
             m_kept += field.name + ": " + field.value + "\r\n";
     if (!m_teamName.empty())
         m_kept += std::string(names.team) + ": " + m_teamName + "\r\n";
-    if (!m_request->body().empty() || head.method == "POST" || head.method == "PUT")
-        m_kept += "Content-Length: " + std::to_string(m_request->body().size()) + "\r\n";
-    m_body = std::move(m_request->body());
+    if (!m_body.empty() || head.method == "POST" || head.method == "PUT")
+        m_kept += "Content-Length: " + std::to_string(m_body.size()) + "\r\n";
 }
 
 void CallerSession::close()
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -64,6 +64,8 @@
     void answered();
     void finishedRequest();
     AnswerHead decisionHead(const MessageHead &head) const;
+    std::string contentDigest();
+    void logBroken() const;
     void logEnd(std::string_view outcome, int status, std::string_view reason);
 
     TrafficFront &m_front;
@@ -74,6 +76,7 @@
     std::string m_writingBytes;
     std::optional<MessageReader> m_request;
     std::string m_requestId;
+    std::string m_digest; ///< of the request's content
     std::string m_teamName;
     std::string m_key;
     std::string m_routeName;
@@ -87,6 +90,9 @@
     std::optional<EventSplitter> m_events;
     std::optional<FlightId> m_flight;
     std::uint32_t m_attempt = 0;
+    std::string m_sentTo; ///< first endpoint of the present attempt
+    Time m_sentAt {};
+    std::uint64_t m_eventsBefore = 0; ///< passed on before the present attempt
     Time m_startedAt {};
     Time m_lastRead {};
     Time m_firstEventAt {};
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -16,6 +16,7 @@
 struct RelayRequest
 {
     std::string id;
+    std::string digest; ///< of its content, see requestDigest(); the same when it comes again
     RouteMapPtr table; ///< the version that decides this request
     const Route *route = nullptr; ///< in \a table
     std::uint32_t service = 0; ///< index in \a table
