--- /dev/null
+++ b/src/fakes/crashworld.cpp
@@ -0,0 +1,356 @@
+#include "crashworld.h"
+
+#include "relayharness.h"
+
+namespace balsamloft::fakes {
+
+namespace {
+
+constexpr Duration TickEvery {50'000};
+constexpr Duration Network {500}; ///< one way
+constexpr std::string_view CrashingDigest = "the one that ends engines";
+constexpr std::uint32_t Layers = 8;
+
+Route streamRoute()
+{
+    Route route;
+    route.name = "stream";
+    route.host = "host";
+    route.prefix = "/stream/";
+    route.kind = RequestKind::Stream;
+    route.timeout = Duration(20'000'000);
+    route.targetLatency = Duration(500'000);
+    route.maxAttempts = 3;
+    route.resumable = true;
+    return route;
+}
+
+} // namespace
+
+CrashWorld::CrashWorld(CrashWorldSettings settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_relays(settings.instances)
+    , m_callers(settings.instances)
+{
+    RouteMapBuilder builder(1);
+    builder.service({"model", 100, testModel(Layers)});
+    builder.route(streamRoute(), {{"model", 1}});
+    Route once = streamRoute();
+    once.name = "once";
+    once.prefix = "/once/";
+    once.resumable = false;
+    builder.route(std::move(once), {{"model", 1}});
+    m_table = builder.build();
+    for (std::size_t i = 0; i < m_settings.domains * m_settings.enginesPerDomain; ++i)
+        startEngine("d" + std::to_string(i % m_settings.domains));
+    for (std::size_t i = 0; i < m_settings.instances; ++i) {
+        startInstance(i);
+        after(between(0, TickEvery.count()), [this, i] { tick(i); });
+    }
+    after(Duration(1), [this] { arrive(); });
+    after(m_settings.crashingEvery, [this] { arriveCrashing(); });
+}
+
+void CrashWorld::startInstance(std::size_t instance)
+{
+    RelaySettings settings = RelayWorld::defaults();
+    settings.domain = "d" + std::to_string(instance % m_settings.domains);
+    settings.seed = m_settings.seed * 1000 + m_next++;
+    m_relays[instance] = std::make_unique<Relay>(settings);
+    m_relays[instance]->setInstances(m_settings.instances / m_settings.domains,
+                                     m_settings.instances, m_now);
+    m_callers[instance].clear();
+    tellFleet();
+}
+
+void CrashWorld::restartInstances()
+{
+    for (std::size_t i = 0; i < m_settings.instances; ++i)
+        startInstance(i);
+    for (const auto &run : m_runs)
+        run->over = true;
+    m_runs.clear();
+}
+
+void CrashWorld::startEngine(const std::string &domain)
+{
+    Engine engine;
+    engine.id = "engine-" + std::to_string(m_engines.size());
+    engine.domain = domain;
+    engine.address = "10.0.0.1:" + std::to_string(1000 + m_engines.size());
+    m_engines.push_back(std::move(engine));
+    tellFleet();
+}
+
+void CrashWorld::tellFleet()
+{
+    auto fleet = std::make_shared<FleetSnapshot>();
+    fleet->number = m_next++;
+    for (const Engine &each : m_engines) {
+        if (!each.listed)
+            continue;
+        FleetEndpoint endpoint;
+        endpoint.id = endpoint.name = each.id;
+        endpoint.service = "model";
+        endpoint.address = each.address;
+        endpoint.domain = each.domain;
+        endpoint.kind = "fast";
+        endpoint.slots = 100;
+        endpoint.layers = {0, Layers};
+        fleet->endpoints.push_back(std::move(endpoint));
+    }
+    for (std::size_t i = 0; i < m_relays.size(); ++i)
+        if (m_relays[i])
+            step(i,
+                 [&](Relay &relay, RelayActions &actions) { relay.follow(fleet, m_now, actions); });
+}
+
+template<typename Step>
+void CrashWorld::step(std::size_t instance, Step what)
+{
+    RelayActions actions;
+    what(*m_relays[instance], actions);
+    act(instance, std::move(actions));
+}
+
+void CrashWorld::after(Duration delay, std::function<void()> what)
+{
+    m_events.push({m_now + delay, m_next++, std::move(what)});
+}
+
+Duration CrashWorld::between(std::int64_t least, std::int64_t most)
+{
+    return Duration(std::uniform_int_distribution<std::int64_t>(least, most)(m_random));
+}
+
+void CrashWorld::run(Duration duration)
+{
+    const Time until = m_now + duration;
+    while (!m_events.empty() && m_events.top().at <= until) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.what();
+    }
+    m_now = until;
+}
+
+void CrashWorld::tick(std::size_t instance)
+{
+    step(instance, [&](Relay &relay, RelayActions &actions) { relay.tick(m_now, actions); });
+    after(TickEvery, [this, instance] { tick(instance); });
+}
+
+void CrashWorld::arrive()
+{
+    Caller caller;
+    caller.digest = "harmless " + std::to_string(m_next++);
+    caller.eventsLeft = static_cast<std::uint64_t>(between(10, 40).count());
+    m_harmless.sent += 1;
+    submit(static_cast<std::size_t>(
+               between(0, static_cast<std::int64_t>(m_settings.instances) - 1).count()),
+           std::move(caller));
+    std::exponential_distribution<double> gap(m_settings.requestsPerSecond);
+    after(Duration(static_cast<std::int64_t>(1'000'000 * gap(m_random))), [this] { arrive(); });
+}
+
+void CrashWorld::arriveCrashing()
+{
+    if (m_now - m_begun >= m_settings.crashingUntil)
+        return;
+    const auto first = static_cast<std::size_t>(between(0, 1000).count());
+    for (std::size_t i = 0; i < m_settings.crashingTogether; ++i) {
+        Caller caller;
+        caller.digest = CrashingDigest;
+        caller.crashing = true;
+        caller.eventsLeft = 20;
+        caller.retries = 0;
+        submit((first + i) % m_settings.instances, std::move(caller));
+    }
+    after(m_settings.crashingEvery, [this] { arriveCrashing(); });
+}
+
+void CrashWorld::submit(std::size_t instance, Caller caller)
+{
+    RelayRequest request;
+    request.id = "request-" + std::to_string(m_next++);
+    request.digest = caller.digest;
+    request.table = m_table;
+    const bool once = caller.crashing && m_settings.crashingKind == RequestKind::Unsafe;
+    request.route = &m_table->routes()[once ? 1 : 0];
+    request.timeLeft = Duration(20'000'000);
+    request.promptTokens = 100;
+    request.answerTokens = 50;
+    RelayActions actions;
+    const FlightId flight = m_relays[instance]->submit(std::move(request), m_now, actions);
+    m_callers[instance][flight] = std::move(caller);
+    act(instance, std::move(actions));
+}
+
+void CrashWorld::act(std::size_t instance, RelayActions actions)
+{
+    for (const RelayAction &action : actions) {
+        if (const auto *sent = std::get_if<SendWhole>(&action))
+            send(instance, *sent);
+        else if (const auto *passing = std::get_if<PassAnswer>(&action))
+            passed(instance, passing->flight);
+        else if (const auto *end = std::get_if<EndFlight>(&action))
+            ended(instance, *end);
+        else if (const auto *asked = std::get_if<AskEngine>(&action))
+            ask(instance, *asked);
+        else if (const auto *abandoned = std::get_if<AbandonAttempt>(&action))
+            for (const auto &run : m_runs)
+                if (run->instance == instance && run->flight == abandoned->flight
+                    && run->attempt == abandoned->attempt)
+                    run->over = true;
+    }
+}
+
+std::size_t CrashWorld::engineOf(const std::string &id) const
+{
+    return std::stoul(id.substr(id.find('-') + 1));
+}
+
+void CrashWorld::send(std::size_t instance, const SendWhole &send)
+{
+    const auto caller = m_callers[instance].find(send.flight);
+    if (caller == m_callers[instance].end())
+        return;
+    auto run = std::make_shared<Run>();
+    run->instance = instance;
+    run->flight = send.flight;
+    run->attempt = send.attempt;
+    run->engine = engineOf(send.endpoint);
+    run->crashing = caller->second.crashing;
+    if (run->crashing)
+        m_crashingSends.push_back(m_now);
+    m_runs.push_back(run);
+    if (m_engines[run->engine].ended) {
+        after(Network * 2, [this, run] { fail(run, AttemptFailure::NotSent); });
+        return;
+    }
+    after(Network + between(40'000, 400'000), [this, run] { begin(run); });
+}
+
+void CrashWorld::begin(const std::shared_ptr<Run> &run)
+{
+    if (run->over || m_engines[run->engine].ended)
+        return;
+    if (run->crashing) {
+        m_ends.push_back(m_now);
+        return endEngine(run->engine);
+    }
+    AnswerHead head;
+    head.status = 200;
+    head.sealed = true;
+    step(run->instance, [&](Relay &relay, RelayActions &actions) {
+        relay.answered(run->flight, run->attempt, head, m_now, actions);
+    });
+    nextEvent(run);
+}
+
+void CrashWorld::nextEvent(const std::shared_ptr<Run> &run)
+{
+    const auto caller = m_callers[run->instance].find(run->flight);
+    if (run->over || m_engines[run->engine].ended || caller == m_callers[run->instance].end())
+        return;
+    run->events += 1;
+    caller->second.eventsLeft -= 1;
+    step(run->instance, [&](Relay &relay, RelayActions &actions) {
+        relay.eventsPassed(run->flight, run->attempt, m_next++, m_now);
+        if (caller->second.eventsLeft == 0) {
+            run->over = true;
+            relay.streamEnded(run->flight, run->attempt, m_now, actions);
+        }
+    });
+    if (!run->over)
+        after(Duration(100'000), [this, run] { nextEvent(run); });
+}
+
+void CrashWorld::endAnyEngine()
+{
+    std::vector<std::size_t> used;
+    for (const auto &run : m_runs)
+        if (!run->over && !m_engines[run->engine].ended)
+            used.push_back(run->engine);
+    if (!used.empty())
+        endEngine(used[static_cast<std::size_t>(
+            between(0, static_cast<std::int64_t>(used.size()) - 1).count())]);
+}
+
+void CrashWorld::endEngine(std::size_t engine)
+{
+    m_engines[engine].ended = true;
+    for (const auto &run : std::vector(m_runs))
+        if (run->engine == engine && !run->over)
+            after(Network, [this, run] {
+                fail(run, run->events > 0 ? AttemptFailure::Garbled : AttemptFailure::Broken);
+            });
+    std::erase_if(m_runs, [&](const auto &run) { return run->over || run->engine == engine; });
+    after(m_settings.listLag, [this, engine] {
+        m_engines[engine].listed = false;
+        tellFleet();
+    });
+    after(m_settings.restart, [this, domain = m_engines[engine].domain] { startEngine(domain); });
+}
+
+void CrashWorld::fail(const std::shared_ptr<Run> &run, AttemptFailure failure)
+{
+    if (std::exchange(run->over, true) || !m_callers[run->instance].contains(run->flight))
+        return;
+    step(run->instance, [&](Relay &relay, RelayActions &actions) {
+        relay.attemptFailed(run->flight, run->attempt, failure, m_now, actions);
+    });
+}
+
+void CrashWorld::passed(std::size_t instance, FlightId flight)
+{
+    const auto caller = m_callers[instance].find(flight);
+    m_harmless.passed += caller->second.crashing ? 0 : 1;
+    m_callers[instance].erase(caller);
+}
+
+void CrashWorld::ended(std::size_t instance, const EndFlight &end)
+{
+    const auto it = m_callers[instance].find(end.flight);
+    Caller caller = it->second;
+    m_callers[instance].erase(it);
+    if (caller.crashing)
+        return;
+    if (end.reason.starts_with("held back"))
+        m_harmless.heldBack += 1;
+    if (end.end != FlightEnd::CutShort && caller.retries > 0) {
+        caller.retries -= 1;
+        after(std::max(end.retryAfter, Duration(20'000)), [this, caller] {
+            submit(static_cast<std::size_t>(
+                       between(0, static_cast<std::int64_t>(m_settings.instances) - 1).count()),
+                   caller);
+        });
+        return;
+    }
+    (end.end == FlightEnd::NotRun ? m_harmless.refused : m_harmless.broken) += 1;
+}
+
+void CrashWorld::ask(std::size_t instance, const AskEngine &ask)
+{
+    after(Network * 2, [this, instance, endpoint = ask.endpoint] {
+        step(instance, [&](Relay &relay, RelayActions &actions) {
+            if (m_engines[engineOf(endpoint)].ended)
+                relay.reportFailed(endpoint, m_now, actions);
+            else
+                relay.reported(endpoint, {}, 1, m_now, actions);
+        });
+    });
+}
+
+std::size_t CrashWorld::sendsAfterThirdEnd(Duration after) const
+{
+    if (m_ends.size() < 3)
+        return 0;
+    const Time since = m_ends[2] + after;
+    return static_cast<std::size_t>(std::count_if(m_crashingSends.begin(), m_crashingSends.end(),
+                                                  [&](Time at) { return at > since; }));
+}
+
+} // namespace balsamloft::fakes
--- /dev/null
+++ b/src/fakes/crashworld.h
@@ -0,0 +1,145 @@
+/// \file
+/// Several instances before the same engines, in virtual time, with a request
+/// that ends each engine that begins to run it.
+
+#pragma once
+
+#include <balsamloft/relay.h>
+
+#include <functional>
+#include <queue>
+
+namespace balsamloft::fakes {
+
+/// Settings of a CrashWorld.
+struct CrashWorldSettings
+{
+    std::size_t instances = 6;
+    std::size_t domains = 3;
+    std::size_t enginesPerDomain = 4;
+    double requestsPerSecond = 60; ///< that do no harm, all with different content
+    Duration crashingEvery {4'000'000}; ///< the request that ends engines comes again
+    Duration crashingUntil {60'000'000};
+    std::size_t crashingTogether = 1; ///< so many of it at once, at different instances
+    RequestKind crashingKind = RequestKind::Stream;
+    Duration listLag {2'900'000}; ///< after which an engine that ended is no longer listed
+    Duration restart {3'000'000}; ///< after which another engine takes its place
+    Duration newsLag {700'000}; ///< from one instance to all others
+    std::uint64_t seed = 1;
+};
+
+/// Instances with a Relay each, engines that hold the whole model, callers. Each
+/// engine reads a prompt for a while, then sends events; one that ends takes all
+/// that it had along.
+class CrashWorld
+{
+public:
+    explicit CrashWorld(CrashWorldSettings settings);
+
+    void run(Duration duration);
+
+    /// Ends an engine that some request runs on, whatever runs there.
+    void endAnyEngine();
+
+    /// Kills all instances; others, which know nothing, take their place.
+    void restartInstances();
+
+    // What happened
+
+    /// When engines ended under the request that ends them.
+    const std::vector<Time> &ends() const { return m_ends; }
+
+    /// Its sends that reached an engine or where one had been, later than \a after
+    /// the third of these ends.
+    std::size_t sendsAfterThirdEnd(Duration after) const;
+
+    /// Requests that do no harm, and how they ended.
+    struct Harmless
+    {
+        std::size_t sent = 0;
+        std::size_t passed = 0;
+        std::size_t refused = 0;
+        std::size_t broken = 0; ///< failed, or cut in the middle
+        std::size_t heldBack = 0; ///< taken for one that ends engines
+    };
+    const Harmless &harmless() const { return m_harmless; }
+
+private:
+    struct Engine
+    {
+        std::string id;
+        std::string domain;
+        std::string address;
+        bool ended = false;
+        bool listed = true;
+    };
+
+    struct Run
+    {
+        std::size_t instance = 0;
+        FlightId flight = 0;
+        std::uint32_t attempt = 0;
+        std::size_t engine = 0;
+        std::uint64_t events = 0;
+        bool crashing = false;
+        bool over = false;
+    };
+
+    struct Caller
+    {
+        std::string digest;
+        bool crashing = false;
+        std::uint64_t eventsLeft = 0;
+        std::uint32_t retries = 1;
+    };
+
+    struct Event
+    {
+        Time at;
+        std::uint64_t number;
+        std::function<void()> what;
+        bool operator<(const Event &other) const
+        {
+            return std::pair(other.at, other.number) < std::pair(at, number);
+        }
+    };
+
+    void after(Duration delay, std::function<void()> what);
+    void startInstance(std::size_t instance);
+    void startEngine(const std::string &domain);
+    void tellFleet();
+    void tick(std::size_t instance);
+    void arrive();
+    void arriveCrashing();
+    void submit(std::size_t instance, Caller caller);
+    void act(std::size_t instance, RelayActions actions);
+    void send(std::size_t instance, const SendWhole &send);
+    void begin(const std::shared_ptr<Run> &run);
+    void nextEvent(const std::shared_ptr<Run> &run);
+    void endEngine(std::size_t engine);
+    void fail(const std::shared_ptr<Run> &run, AttemptFailure failure);
+    void ended(std::size_t instance, const EndFlight &end);
+    void passed(std::size_t instance, FlightId flight);
+    void ask(std::size_t instance, const AskEngine &ask);
+    std::size_t engineOf(const std::string &id) const;
+    Duration between(std::int64_t least, std::int64_t most);
+    template<typename Step>
+    void step(std::size_t instance, Step what);
+
+    CrashWorldSettings m_settings;
+    std::mt19937_64 m_random;
+    RouteMapPtr m_table;
+    Time m_now {std::chrono::hours(1)};
+    Time m_begun = m_now;
+    std::uint64_t m_next = 1;
+    std::priority_queue<Event> m_events;
+    std::vector<std::unique_ptr<Relay>> m_relays;
+    std::vector<std::map<FlightId, Caller>> m_callers; ///< by instance
+    std::vector<Engine> m_engines;
+    std::vector<std::shared_ptr<Run>> m_runs;
+    std::vector<Time> m_ends;
+    std::vector<Time> m_crashingSends;
+    Harmless m_harmless;
+};
+
+} // namespace balsamloft::fakes
