--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -38,6 +38,13 @@
         settings.pace = Duration(5'000'000);
         settings.peerPace = Duration(4'000'000);
         break;
+    case NewsTable::Crashes:
+        settings.table = "crashes";
+        settings.storeWait = Duration(10'000'000);
+        settings.peerWait = Duration(10'000'000);
+        settings.pace = Duration(250'000);
+        settings.peerPace = Duration(100'000);
+        break;
     }
     return settings;
 }
@@ -49,12 +56,21 @@
         return protocol.configurationTable();
     case NewsTable::Endpoints:
         return protocol.endpointTable();
+    case NewsTable::Crashes:
+        return CrashTable;
     case NewsTable::Instances:
         break;
     }
     return InstanceTable;
 }
 
+/// Tables whose changes are waited for so long that an answer's age says nothing of
+/// the one who gave it.
+bool toldSeldom(NewsTable table)
+{
+    return table == NewsTable::Instances || table == NewsTable::Crashes;
+}
+
 FleetSettings fleetSettings(const EntrySettings &settings)
 {
     FleetSettings fleet;
@@ -126,7 +142,8 @@
 {
     if (std::exchange(m_followsAll, true))
         return;
-    for (const NewsTable table : {NewsTable::Configuration, NewsTable::Endpoints})
+    for (const NewsTable table :
+         {NewsTable::Configuration, NewsTable::Endpoints, NewsTable::Crashes})
         m_followers[static_cast<std::size_t>(table)]->start();
 }
 
@@ -138,6 +155,8 @@
             configurationRows(changed);
         else if (table == NewsTable::Endpoints)
             endpointRows(changed, whole, steadyNow() - answer.age(bootNow()));
+        else if (table == NewsTable::Crashes && !changed.empty())
+            crashRows();
     };
     TableEvents events;
     events.whole = [this, table, rows](const auto &all, std::uint64_t version,
@@ -205,7 +224,7 @@
     state.direct = source.isStore();
     if (source.isStore())
         m_directory.storeAnswered();
-    else if (table != NewsTable::Instances) // which are told seldom, and may be old
+    else if (!toldSeldom(table))
         m_directory.told(source.peer(), age, answer.direct, now);
     if (table == NewsTable::Configuration && m_table)
         m_state.keysKnownAt = state.knownAt.time_since_epoch().count();
@@ -385,6 +404,7 @@
         place(steadyNow());
     logStoreCalls(now);
     fillGaps(steadyNow());
+    writeCrashes(steadyNow());
     askEngines(steadyNow());
     tellEngines();
     m_timer.expires_after(TickEvery);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -13,7 +13,9 @@
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/lease.h>
 #include <balsamloft/peerdirectory.h>
+#include <balsamloft/quarantine.h>
 
+#include <deque>
 #include <functional>
 
 namespace balsamloft {
@@ -22,6 +24,9 @@
 inline constexpr std::string_view InstanceTable = "instances";
 inline constexpr std::string_view LeaseKey = "placement";
 
+/// Table of the requests under which endpoints ended.
+inline constexpr std::string_view CrashTable = "crashes";
+
 /// What the control thread tells the traffic thread.
 struct ControlEvents
 {
@@ -29,6 +34,7 @@
     std::function<void(FleetPtr)> fleet;
     std::function<void(std::size_t inDomain, std::size_t all)> instances; ///< how many there are
     std::function<void(std::vector<EngineState>)> engines;
+    std::function<void(std::vector<CrashRecord>)> crashes; ///< all that instances told
 };
 
 /// Follows the store, and places layers.
@@ -45,6 +51,9 @@
     /// The traffic thread got no answer of an engine: it is asked at once.
     void engineSilent(const std::string &id);
 
+    /// The traffic thread saw endpoints end under requests, or was mistaken in that.
+    void tellCrashes(const CrashNews &news);
+
     /// Gives the lease back and leaves the list of instances, then calls \a done.
     void stop(std::function<void()> done);
 
@@ -83,6 +92,9 @@
     void writeLease(WriteLease write);
     void countInstances();
     void writeInstance(bool leaving, std::function<void()> done);
+    void writeCrashes(Time now);
+    void crashesWritten(const std::vector<RowWrite> &writes, bool done);
+    void crashRows();
     void askEngines(Time now);
     bool dueToAsk(const FleetEndpoint &engine, Time now) const;
     double roomOf(const FleetEndpoint &engine) const;
@@ -136,6 +148,10 @@
     /// by service. A first line is written also when there are none.
     std::map<std::string, std::optional<std::pair<std::string, std::string>>> m_gaps;
     std::map<std::string, std::uint64_t, std::less<>> m_leftOut; ///< rows' versions, by key
+    std::deque<RowWrite> m_crashWrites; ///< that the store has not taken yet
+    bool m_writingCrashes = false;
+    std::uint32_t m_crashFailures = 0; ///< writes that failed in a row
+    Time m_crashPauseUntil {};
     bool m_stopping = false;
     bool m_held = false;
 };
--- a/src/entry/enginepool.cpp
+++ b/src/entry/enginepool.cpp
@@ -112,6 +112,7 @@
         *address, [self = shared_from_this()](const boost::system::error_code &error) {
             if (!self->m_owner)
                 return;
+            self->m_refused = error == asio::error::connection_refused;
             if (error)
                 return self->fail(AttemptFailure::NotSent);
             self->m_connectingSince.reset();
--- a/src/entry/enginepool.h
+++ b/src/entry/enginepool.h
@@ -102,6 +102,9 @@
     /// When the present connection attempt began; nothing once it is open.
     std::optional<Time> connectingSince() const { return m_connectingSince; }
 
+    /// Whether nobody listens at the address.
+    bool refused() const { return m_refused; }
+
     /// Ends a connection attempt that takes too long.
     void connectTimedOut() { fail(AttemptFailure::NotSent); }
 
@@ -124,6 +127,7 @@
     EngineConnectionPtr m_connection;
     std::optional<MessageReader> m_reader;
     std::optional<Time> m_connectingSince;
+    bool m_refused = false;
     bool m_written = false;
     bool m_bytesLeft = false; ///< some of the request may have left
     bool m_inPieces = false;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -61,6 +61,10 @@
             asio::post(m_controlContext,
                        [this, id = std::move(id)] { m_control.engineSilent(id); });
         });
+        m_front.onCrashes([this](CrashNews news) {
+            asio::post(m_controlContext,
+                       [this, news = std::move(news)] { m_control.tellCrashes(news); });
+        });
         waitForSignal();
         std::thread control([this] {
             m_control.start();
@@ -91,6 +95,9 @@
             asio::post(m_traffic,
                        [this, engines = std::move(engines)] { m_front.enginesSeen(engines); });
         };
+        events.crashes = [this](std::vector<CrashRecord> all) {
+            asio::post(m_traffic, [this, all = std::move(all)] { m_front.learnCrashes(all); });
+        };
         return events;
     }
 
--- a/src/entry/onecall.cpp
+++ b/src/entry/onecall.cpp
@@ -8,6 +8,7 @@
                  Callback callback)
     : m_timer(pool.context())
     , m_within(within)
+    , m_onlyConnects(request.empty())
     , m_callback(std::move(callback))
     , m_exchange(std::make_shared<Exchange>(pool, std::move(settings), std::move(request)))
 {
@@ -35,7 +36,11 @@
 bool OneCall::maySend()
 {
     m_outcome.left = true;
-    return true;
+    if (!m_onlyConnects)
+        return true;
+    m_exchange->cancel();
+    finish();
+    return false;
 }
 
 bool OneCall::headArrived(MessageReader & /*answer*/)
@@ -47,6 +52,7 @@
 
 void OneCall::exchangeFailed(AttemptFailure /*failure*/)
 {
+    m_outcome.refused = m_exchange->refused();
     finish();
 }
 
--- a/src/entry/onecall.h
+++ b/src/entry/onecall.h
@@ -17,9 +17,11 @@
     int status = 0; ///< 0: no answer
     std::string body;
     bool left = false; ///< it may have arrived
+    bool refused = false; ///< nobody listens at the address
 };
 
-/// Sends one request, and gives the whole answer, or none, to a callback.
+/// Sends one request, and gives the whole answer, or none, to a callback. An empty
+/// request only opens a connection: it counts as left once that is open.
 class OneCall : public std::enable_shared_from_this<OneCall>, private ExchangeOwner
 {
 public:
@@ -43,6 +45,7 @@
 
     boost::asio::steady_timer m_timer;
     Duration m_within;
+    bool m_onlyConnects;
     Callback m_callback;
     std::shared_ptr<Exchange> m_exchange;
     CallOutcome m_outcome;
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -19,9 +19,9 @@
 }
 
 /// The tables that instances tell each other of.
-enum class NewsTable : std::size_t { Configuration, Endpoints, Instances };
+enum class NewsTable : std::size_t { Configuration, Endpoints, Instances, Crashes };
 
-inline constexpr std::size_t NewsTableCount = 3;
+inline constexpr std::size_t NewsTableCount = 4;
 
 /// Request target of a question for changes of \a table after a version, and for
 /// states of engines since the time that the answer before told.
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -189,19 +189,47 @@
     m_sessions.erase(session.shared_from_this());
 }
 
+/// Whether the endpoint runs requests of any content, and knows no question for its state.
+bool TrafficFront::isPlain(const std::string &id) const
+{
+    const FleetEndpoint *endpoint = m_fleet->find(id);
+    if (!endpoint || !m_table)
+        return false;
+    const std::vector<RoutedService> &services = m_table->services();
+    return std::any_of(services.begin(), services.end(), [&](const RoutedService &each) {
+        return each.name == endpoint->service && !each.model;
+    });
+}
+
+void TrafficFront::connectionChecked(const std::string &endpoint, const CallOutcome &outcome)
+{
+    m_questions.erase(endpoint);
+    RelayActions actions;
+    if (outcome.left)
+        m_relay.aliveSeen(endpoint, steadyNow());
+    else
+        m_relay.reportFailed(endpoint, steadyNow(), actions, outcome.refused);
+    run(std::move(actions));
+}
+
 void TrafficFront::askEngine(const AskEngine &ask)
 {
     if (m_questions.contains(ask.endpoint))
         return;
+    const bool plain = isPlain(ask.endpoint);
     ExchangeSettings settings;
     settings.endpoint = ask.endpoint;
     settings.address = ask.address;
     settings.freshConnection = true;
     auto question = std::make_shared<OneCall>(
         m_pool, std::move(settings),
-        callText({"GET", std::string(m_protocol.reportTarget()), {}}, ask.address), AnswerWithin,
-        [this, endpoint = ask.endpoint](const CallOutcome &outcome) {
-            engineAnswered(endpoint, outcome);
+        plain ? std::string()
+              : callText({"GET", std::string(m_protocol.reportTarget()), {}}, ask.address),
+        AnswerWithin, [this, plain, endpoint = ask.endpoint](const CallOutcome &outcome) {
+            if (plain)
+                connectionChecked(endpoint, outcome);
+            else
+                engineAnswered(endpoint, outcome);
         });
     m_questions[ask.endpoint] = question;
     question->start();
@@ -222,7 +250,9 @@
             "engine", "silent",
             {{"endpoint", std::string_view(endpoint)}, {"status", std::int64_t(outcome.status)}});
         if (gone)
-            m_relay.reportFailed(endpoint, steadyNow(), actions);
+            m_relay.reportFailed(endpoint, steadyNow(), actions, outcome.refused || replaced);
+        else
+            m_relay.aliveSeen(endpoint, steadyNow());
         if (gone && m_engineSilent)
             m_engineSilent(endpoint);
         return run(std::move(actions));
@@ -255,6 +285,21 @@
               });
 }
 
+void TrafficFront::tellCrashes(const CrashNews &news)
+{
+    const auto log = [](std::string_view event, const CrashRecord &record) {
+        logDecision("quarantine", event,
+                    {{"digest", std::string_view(record.digest)},
+                     {"endpoint", std::string_view(record.endpoint)}});
+    };
+    for (const CrashRecord &each : news.added)
+        log("endpoint ended", each);
+    for (const CrashRecord &each : news.removed)
+        log("taken back", each);
+    if (m_tellCrashes)
+        m_tellCrashes(news);
+}
+
 void TrafficFront::run(RelayActions actions)
 {
     const auto sessionOf = [this](FlightId flight) -> std::shared_ptr<CallerSession> {
@@ -269,6 +314,8 @@
                 session->note("told " + change->endpoint + " (" + change->reason + ") to go along "
                               + m_protocol.pathText(change->path));
             changePath(*change);
+        } else if (const auto *told = std::get_if<TellCrashes>(&action)) {
+            tellCrashes(told->news);
         } else if (const auto *send = std::get_if<SendWhole>(&action)) {
             if (const auto session = sessionOf(send->flight))
                 session->sendAttempt(*send);
@@ -326,6 +373,10 @@
     sample("requests_resent_total", counts.resent);
     sample("retry_budget_spent_total", counts.budgetSpent);
     sample("paths_changed_total", counts.pathsChanged);
+    sample("crashes_under_requests_total", counts.crashes);
+    sample("requests_held_back_total", counts.heldBack);
+    sample("contents_suspected", m_relay.quarantine().suspected());
+    sample("contents_held", m_relay.quarantine().heldCount(steadyNow()));
     sample("requests_open", m_relay.flights());
     sample("caller_connections", m_sessions.size());
     sample("endpoint_connections_opened_total", m_pool.opened);
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -35,6 +35,7 @@
     void setFleet(FleetPtr fleet);
     void setInstances(std::size_t inDomain, std::size_t all);
     void enginesSeen(const std::vector<EngineState> &engines);
+    void learnCrashes(const std::vector<CrashRecord> &all) { m_relay.learnCrashes(all); }
 
     /// Takes over what may change while the process runs: times of keys and of a
     /// stop, the budget of repeats, how much is logged.
@@ -46,6 +47,10 @@
         m_engineSilent = std::move(silent);
     }
 
+    /// \a tell is called with what other instances have to know of endpoints that
+    /// ended under requests.
+    void onCrashes(std::function<void(CrashNews)> tell) { m_tellCrashes = std::move(tell); }
+
     /// Takes no new work after a while, and calls \a stopped once all is done.
     void stop(std::function<void()> stopped);
     void run(RelayActions actions);
@@ -85,10 +90,13 @@
     void accept();
     void tick();
     void armTimer();
+    bool isPlain(const std::string &id) const;
+    void connectionChecked(const std::string &endpoint, const CallOutcome &outcome);
     void askEngine(const AskEngine &ask);
 
     void engineAnswered(const std::string &endpoint, const CallOutcome &outcome);
     void changePath(const ChangePath &change);
+    void tellCrashes(const CrashNews &news);
     void finishStop();
     Duration graceShare(double share) const;
 
@@ -112,6 +120,7 @@
     Time m_prunedAt {};
     std::function<void()> m_stopped;
     std::function<void(std::string)> m_engineSilent;
+    std::function<void(CrashNews)> m_tellCrashes;
 };
 
 } // namespace balsamloft
--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -71,6 +71,7 @@
     for (const auto &run : m_runs)
         run->over = true;
     m_runs.clear();
+    after(m_settings.newsLag, [this] { learn(); });
 }
 
 void CrashWorld::startEngine(const std::string &domain)
@@ -184,7 +185,10 @@
     request.answerTokens = 50;
     RelayActions actions;
     const FlightId flight = m_relays[instance]->submit(std::move(request), m_now, actions);
+    const std::uint64_t eventsLeft = caller.eventsLeft;
     m_callers[instance][flight] = std::move(caller);
+    after(m_settings.patience,
+          [this, instance, flight, eventsLeft] { leaveIfSilent(instance, flight, eventsLeft); });
     act(instance, std::move(actions));
 }
 
@@ -199,6 +203,8 @@
             ended(instance, *end);
         else if (const auto *asked = std::get_if<AskEngine>(&action))
             ask(instance, *asked);
+        else if (const auto *told = std::get_if<TellCrashes>(&action))
+            tell(told->news);
         else if (const auto *abandoned = std::get_if<AbandonAttempt>(&action))
             for (const auto &run : m_runs)
                 if (run->instance == instance && run->flight == abandoned->flight
@@ -207,6 +213,23 @@
     }
 }
 
+void CrashWorld::tell(const CrashNews &news)
+{
+    for (const CrashRecord &each : news.added)
+        m_told.push_back(each);
+    for (const CrashRecord &each : news.removed)
+        std::erase_if(m_told, [&](const CrashRecord &told) {
+            return told.digest == each.digest && told.endpoint == each.endpoint;
+        });
+    after(m_settings.newsLag, [this] { learn(); });
+}
+
+void CrashWorld::learn()
+{
+    for (const auto &relay : m_relays)
+        relay->learnCrashes(m_told);
+}
+
 std::size_t CrashWorld::engineOf(const std::string &id) const
 {
     return std::stoul(id.substr(id.find('-') + 1));
@@ -230,17 +253,61 @@
         after(Network * 2, [this, run] { fail(run, AttemptFailure::NotSent); });
         return;
     }
-    after(Network + between(40'000, 400'000), [this, run] { begin(run); });
+    const auto reading = readingTime(m_engines[run->engine]);
+    if (reading)
+        after(Network + *reading, [this, run] { begin(run); });
+    else
+        after(Network * 2, [this, run] { reject(run); });
+}
+
+/// Until the engine begins a request that arrives now; nothing when it rejects it.
+std::optional<Duration> CrashWorld::readingTime(Engine &engine)
+{
+    if (m_settings.readTime == Duration {})
+        return between(40'000, 400'000);
+    const Time begins = std::max(engine.readsUntil, m_now);
+    if (begins - m_now > m_settings.mostWait)
+        return std::nullopt;
+    engine.readsUntil = begins + m_settings.readTime;
+    return engine.readsUntil - m_now;
+}
+
+void CrashWorld::reject(const std::shared_ptr<Run> &run)
+{
+    if (std::exchange(run->over, true) || !m_callers[run->instance].contains(run->flight))
+        return;
+    AnswerHead head;
+    head.status = 503;
+    head.notExecuted = true;
+    step(run->instance, [&](Relay &relay, RelayActions &actions) {
+        relay.answered(run->flight, run->attempt, head, m_now, actions);
+    });
+}
+
+/// A caller leaves when no event came since \a eventsLeft were left.
+void CrashWorld::leaveIfSilent(std::size_t instance, FlightId flight, std::uint64_t eventsLeft)
+{
+    const auto caller = m_callers[instance].find(flight);
+    if (caller == m_callers[instance].end())
+        return;
+    if (caller->second.eventsLeft == eventsLeft) {
+        m_harmless.gone += caller->second.crashing ? 0 : 1;
+        m_callers[instance].erase(caller);
+        return step(instance, [&](Relay &relay, RelayActions &actions) {
+            relay.callerGone(flight, m_now, actions);
+        });
+    }
+    after(m_settings.patience, [this, instance, flight, left = caller->second.eventsLeft] {
+        leaveIfSilent(instance, flight, left);
+    });
 }
 
 void CrashWorld::begin(const std::shared_ptr<Run> &run)
 {
     if (run->over || m_engines[run->engine].ended)
         return;
-    if (run->crashing) {
-        m_ends.push_back(m_now);
-        return endEngine(run->engine);
-    }
+    if (run->crashing)
+        return after(between(30'000, 100'000), [this, run] { endUnder(run); });
     AnswerHead head;
     head.status = 200;
     head.sealed = true;
@@ -250,6 +317,15 @@
     nextEvent(run);
 }
 
+/// Also when the request was given up since the engine began it.
+void CrashWorld::endUnder(const std::shared_ptr<Run> &run)
+{
+    if (m_engines[run->engine].ended)
+        return;
+    m_ends.push_back(m_now);
+    endEngine(run->engine);
+}
+
 void CrashWorld::nextEvent(const std::shared_ptr<Run> &run)
 {
     const auto caller = m_callers[run->instance].find(run->flight);
@@ -337,7 +413,7 @@
     after(Network * 2, [this, instance, endpoint = ask.endpoint] {
         step(instance, [&](Relay &relay, RelayActions &actions) {
             if (m_engines[engineOf(endpoint)].ended)
-                relay.reportFailed(endpoint, m_now, actions);
+                relay.reportFailed(endpoint, m_now, actions, true);
             else
                 relay.reported(endpoint, {}, 1, m_now, actions);
         });
--- a/src/fakes/crashworld.h
+++ b/src/fakes/crashworld.h
@@ -22,6 +22,9 @@
     Duration crashingUntil {60'000'000};
     std::size_t crashingTogether = 1; ///< so many of it at once, at different instances
     RequestKind crashingKind = RequestKind::Stream;
+    Duration readTime {0}; ///< of one prompt, one after another; 0: side by side, up to 0.4 s each
+    Duration mostWait {4'000'000}; ///< an engine whose work waits longer rejects
+    Duration patience {2'000'000}; ///< callers leave after so long without an event
     Duration listLag {2'900'000}; ///< after which an engine that ended is no longer listed
     Duration restart {3'000'000}; ///< after which another engine takes its place
     Duration newsLag {700'000}; ///< from one instance to all others
@@ -60,6 +63,7 @@
         std::size_t passed = 0;
         std::size_t refused = 0;
         std::size_t broken = 0; ///< failed, or cut in the middle
+        std::size_t gone = 0; ///< their callers left
         std::size_t heldBack = 0; ///< taken for one that ends engines
     };
     const Harmless &harmless() const { return m_harmless; }
@@ -72,6 +76,7 @@
         std::string address;
         bool ended = false;
         bool listed = true;
+        Time readsUntil {};
     };
 
     struct Run
@@ -115,12 +120,18 @@
     void act(std::size_t instance, RelayActions actions);
     void send(std::size_t instance, const SendWhole &send);
     void begin(const std::shared_ptr<Run> &run);
+    void endUnder(const std::shared_ptr<Run> &run);
+    void reject(const std::shared_ptr<Run> &run);
+    void leaveIfSilent(std::size_t instance, FlightId flight, std::uint64_t eventsLeft);
+    std::optional<Duration> readingTime(Engine &engine);
     void nextEvent(const std::shared_ptr<Run> &run);
     void endEngine(std::size_t engine);
     void fail(const std::shared_ptr<Run> &run, AttemptFailure failure);
     void ended(std::size_t instance, const EndFlight &end);
     void passed(std::size_t instance, FlightId flight);
     void ask(std::size_t instance, const AskEngine &ask);
+    void tell(const CrashNews &news);
+    void learn();
     std::size_t engineOf(const std::string &id) const;
     Duration between(std::int64_t least, std::int64_t most);
     template<typename Step>
@@ -137,6 +148,7 @@
     std::vector<std::map<FlightId, Caller>> m_callers; ///< by instance
     std::vector<Engine> m_engines;
     std::vector<std::shared_ptr<Run>> m_runs;
+    std::vector<CrashRecord> m_told; ///< by instances to each other
     std::vector<Time> m_ends;
     std::vector<Time> m_crashingSends;
     Harmless m_harmless;
--- /dev/null
+++ b/src/include/balsamloft/quarantine.h
@@ -0,0 +1,162 @@
+/// \file
+/// Decides which requests are held back since the endpoints that ran them ended.
+
+#pragma once
+
+#include <balsamloft/types.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace balsamloft {
+
+/// An endpoint ended while it was to run a request.
+struct CrashRecord
+{
+    std::string digest; ///< of the request's content, see requestDigest()
+    std::string endpoint; ///< id of the process that ended
+    Time at {};
+
+    bool operator==(const CrashRecord &) const = default;
+};
+
+/// Changes of what this instance has other instances know.
+struct CrashNews
+{
+    std::vector<CrashRecord> added;
+    std::vector<CrashRecord> removed;
+
+    bool empty() const { return added.empty() && removed.empty(); }
+};
+
+/// Whether a request may be sent to endpoints.
+enum class Verdict : std::uint8_t {
+    Free,
+    Unsettled, ///< not now: the ends of endpoints under it may have another cause
+    Held,
+};
+
+/// Settings of a Quarantine.
+struct QuarantineSettings
+{
+    /// Endpoints that ended under a held request, and whose end no other request explains.
+    std::size_t crashesToHold = 3;
+    /// Endpoints after which a request is held even if others were on each of them.
+    std::size_t crashesToHoldForSure = 5;
+    /// An endpoint that has begun a request ends by then, also when it was given up.
+    Duration endsWithin {200'000};
+    /// After an endpoint's end: all that stood beside are known everywhere by then.
+    Duration settleAfter {2'000'000};
+    /// A request that may be guilty or not is tried again so long after the last end
+    /// under it, and after twice that the next time.
+    Duration tryAgainAfter {10'000'000};
+    Duration keptFor {600'000'000}; ///< how long the end of an endpoint is held against a request
+    /// A request that only stood beside comes through elsewhere by then, and nobody
+    /// need be told of it.
+    Duration tellAfter {500'000};
+    std::size_t mostDigests = 1024; ///< that are suspected at a time
+    std::size_t mostGood = 1024; ///< digests that came through last
+    /// Records that instances tell each other; beyond it only of requests under which
+    /// several endpoints ended.
+    std::size_t mostShared = 1000;
+    std::size_t mostNews = 40; ///< records that are told at a time
+};
+
+/// Keeps which requests were on endpoints that ended, here and at other instances.
+///
+/// An endpoint's end alone proves nothing against a request: most only stood beside.
+/// A request is held back once several endpoints in a row ended under it, with no run
+/// that came through in between, and no other request explains these ends: one that was
+/// there too and under which as many ended as it takes to hold it.
+class Quarantine
+{
+public:
+    explicit Quarantine(QuarantineSettings settings = {});
+
+    // Commands
+
+    /// \a endpoint broke a run of the request off, early in it. Whether it ended is
+    /// not known yet: it has to be asked.
+    void brokenOff(const std::string &digest, const std::string &endpoint, Time now);
+
+    /// This instance gave a run of the request up that had not gone well so far. If
+    /// \a endpoint had just begun it, it may end all the same.
+    void givenUp(const std::string &digest, const std::string &endpoint, Time now);
+
+    /// \a endpoint is alive: it ended under nothing.
+    void endpointAnswered(const std::string &endpoint, Time now);
+    /// The process of \a endpoint is surely gone.
+    void endpointEnded(const std::string &endpoint, Time now);
+
+    /// \a endpoint is no longer listed, which it may also be since it is cut off: only
+    /// what it broke off itself tells that it ended.
+    void endpointVanished(const std::string &endpoint, Time now);
+
+    /// The request ran well: whatever ended endpoints, it was not this one.
+    void cameThrough(const std::string &digest);
+
+    /// All that instances have told each other, as of now.
+    void learn(const std::vector<CrashRecord> &all);
+
+    /// What is to be told to other instances now.
+    CrashNews news(Time now);
+
+    // Queries
+
+    /// Endpoints that ended under the request.
+    std::size_t crashes(const std::string &digest, Time now) const;
+
+    /// Whether it is not known yet if enough endpoints ended to send it no more.
+    bool undecided(const std::string &digest, Time now) const;
+
+    /// Whether the request may be sent to an endpoint.
+    Verdict verdict(const std::string &digest, Time now) const;
+
+    /// How long a request that may not be sent is held back at most.
+    Duration heldFor(const std::string &digest, Time now) const;
+
+    /// Endpoints of which it is not known whether they ended, though it could be by now.
+    std::vector<std::string> doubtful(Time now) const;
+
+    std::size_t suspected() const { return m_requests.size(); }
+    std::size_t heldCount(Time now) const;
+
+private:
+    enum class Stage : std::uint8_t { Doubtful, Own, Told, Shared };
+
+    struct Crash
+    {
+        Time at {};
+        Stage stage = Stage::Doubtful;
+        bool cut = false; ///< the endpoint itself broke the run off
+        Time settledFrom {}; ///< an endpoint that is alive from then on did not end under it
+    };
+    using Crashes = std::map<std::string, Crash, std::less<>>; ///< by endpoint
+
+    bool guilty(const std::string &digest, const Crashes &under, Time now) const;
+    Duration unsettledFor(const std::string &digest, Time now) const;
+    Time lastEnd(const std::string &digest) const;
+    void doubt(const std::string &digest, const std::string &endpoint, Crash crash);
+    bool counts(const Crash &crash, Time now) const;
+    bool explainedByOther(const std::string &digest, const std::string &endpoint, Time now) const;
+    void add(const std::string &digest, const std::string &endpoint, Crash crash);
+    void forget(const std::string &digest, const std::string &endpoint);
+    void forgetExpired(Time now, CrashNews &news);
+    bool makeRoom();
+    bool worthTelling(const Crashes &crashes, const Crash &crash, Time now) const;
+
+    QuarantineSettings m_settings;
+    std::unordered_map<std::string, Crashes> m_requests; ///< by digest
+    std::map<std::string, std::set<std::string>, std::less<>> m_onEndpoint; ///< digests
+    std::size_t m_shared = 0; ///< records that instances have told each other
+    std::vector<CrashRecord> m_retracted; ///< told to others before, and not true
+    std::unordered_set<std::string> m_good; ///< digests that came through last
+    std::deque<std::string> m_goodOrder; ///< oldest first
+};
+
+} // namespace balsamloft
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <balsamloft/pathchooser.h>
+#include <balsamloft/quarantine.h>
 #include <balsamloft/retrybudget.h>
 
 #include <unordered_map>
@@ -119,8 +120,14 @@
     std::string reason;
 };
 
-using RelayAction =
-    std::variant<SendWhole, AbandonAttempt, PassAnswer, EndFlight, AskEngine, ChangePath>;
+/// Have all instances know which requests were on endpoints that ended.
+struct TellCrashes
+{
+    CrashNews news;
+};
+
+using RelayAction = std::variant<SendWhole, AbandonAttempt, PassAnswer, EndFlight, AskEngine,
+                                 ChangePath, TellCrashes>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Settings of a Relay.
@@ -150,6 +157,14 @@
     Duration pauseLived {300'000}; ///< a longer time between ticks was not lived through
     Duration comeBack {700'000}; ///< told to those that are refused
     std::uint32_t sparesSends = 2; ///< sends beyond the attempts, after proof that nothing ran
+    /// A request that passes events for so long on one endpoint does not end endpoints
+    /// by being run.
+    Duration runsWell {1'000'000};
+    std::size_t crashesToStop =
+        2; ///< endpoints that ended under a request, then it is not repeated
+    /// Spread of choices for requests that an endpoint's end cut: together on the next
+    /// endpoint, none could be told from the one that ends endpoints.
+    double scatter = 1;
     std::uint64_t seed = 1;
 };
 
@@ -165,6 +180,8 @@
     std::uint64_t resent = 0;
     std::uint64_t budgetSpent = 0;
     std::uint64_t pathsChanged = 0;
+    std::uint64_t crashes = 0; ///< ends of endpoints under requests that were told to others
+    std::uint64_t heldBack = 0; ///< requests that were not sent, or not again
 };
 
 /// The state machine of all whole requests of one instance. No I/O: events and
@@ -202,7 +219,19 @@
     /// do not answer it.
     void reported(const std::string &endpoint, const std::vector<std::string> &stalledAt,
                   double pace, Time now, RelayActions &actions);
-    void reportFailed(const std::string &endpoint, Time now, RelayActions &actions);
+
+    /// An engine did not answer AskEngine; \a refused: nobody listens at its address.
+    void reportFailed(const std::string &endpoint, Time now, RelayActions &actions,
+                      bool refused = false);
+
+    /// The endpoint answered something: it did not end.
+    void aliveSeen(const std::string &endpoint, Time now)
+    {
+        m_quarantine.endpointAnswered(endpoint, now);
+    }
+
+    /// All that instances told each other about endpoints that ended under requests.
+    void learnCrashes(const std::vector<CrashRecord> &all) { m_quarantine.learn(all); }
     void follow(FleetPtr fleet, Time now, RelayActions &actions);
     void tick(Time now, RelayActions &actions);
 
@@ -225,6 +254,7 @@
     std::size_t flights() const { return m_flights.size(); }
     const RelayCounts &counts() const { return m_counts; }
     const EngineBook &book() const { return m_book; }
+    const Quarantine &quarantine() const { return m_quarantine; }
 
 private:
     enum class State : std::uint8_t { Waiting, Sent, Streaming };
@@ -248,6 +278,9 @@
         std::optional<Time> pathAskedAt; ///< a ChangePath that is not yet answered
         std::uint32_t pathChanges = 0; ///< of this attempt
         bool passing = false; ///< events went to the caller
+        std::optional<Time> firstEventAt; ///< of the present attempt
+        bool runsWell = false; ///< on some endpoint, so that it ends none by being run
+        bool cutEarly = false; ///< an endpoint broke it off before it ran well
         bool repeatOwed = false; ///< its next send takes a repeat that was not there yet
         std::optional<std::uint64_t> lastEvent;
         std::set<std::string> avoid; ///< endpoints that failed it
@@ -278,11 +311,26 @@
     bool mayRunAgain(const Flight &flight, std::string_view alsoAt = {}) const;
     bool payRepeat(const Flight &flight, Time now);
     bool sentOftenEnough(const Flight &flight) const;
+
+    // Requests under which endpoints end
+    void noteBrokenOff(Flight &flight, Time now, RelayActions &actions);
+    void noteGivenUp(const Flight &flight, Time now);
+    void noteProgress(Flight &flight, Time now);
+    bool underTrial(FlightId id, const Flight &flight) const;
+    bool holdBack(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void endHeld(FlightId id, const Flight &flight, Time now, RelayActions &actions);
+    bool recall(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void settleDoubts(Time now);
+    void askDoubtful(Time now, RelayActions &actions);
+    void tellCrashes(Time now, RelayActions &actions);
+    void passAnswer(FlightId id, Flight &flight, bool ranWell, RelayActions &actions);
+
     bool worthMoving(const Flight &flight, Time now);
 
     /// How a flight that is given up now ends; \a ran: where it may have run.
     static FlightEnd endOf(const Flight &flight, FlightEnd ran);
-    void end(FlightId id, FlightEnd how, std::string reason, RelayActions &actions);
+    void end(FlightId id, FlightEnd how, std::string reason, RelayActions &actions,
+             std::optional<Duration> comeBack = {});
     void rejected(FlightId id, Flight &flight, const AnswerHead &head, Time now,
                   RelayActions &actions);
     void watch(FlightId id, Flight &flight, Time now, RelayActions &actions);
@@ -300,6 +348,7 @@
     std::mt19937_64 m_random;
     PathChooser m_chooser;
     EngineBook m_book;
+    Quarantine m_quarantine;
     FleetPtr m_fleet;
     FlightMap m_flights;
     std::map<std::string, RepeatWindow, std::less<>> m_budgets; ///< by service
--- /dev/null
+++ b/src/libbalsamloft/quarantine.cpp
@@ -0,0 +1,306 @@
+#include <balsamloft/quarantine.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+Quarantine::Quarantine(QuarantineSettings settings)
+    : m_settings(settings)
+{
+}
+
+bool Quarantine::counts(const Crash &crash, Time now) const
+{
+    return crash.stage != Stage::Doubtful && now - crash.at < m_settings.keptFor;
+}
+
+void Quarantine::add(const std::string &digest, const std::string &endpoint, Crash crash)
+{
+    m_requests[digest].insert_or_assign(endpoint, crash);
+    m_onEndpoint[endpoint].insert(digest);
+}
+
+void Quarantine::forget(const std::string &digest, const std::string &endpoint)
+{
+    const auto it = m_requests.find(digest);
+    if (it != m_requests.end() && it->second.erase(endpoint) > 0 && it->second.empty())
+        m_requests.erase(it);
+    const auto on = m_onEndpoint.find(endpoint);
+    if (on != m_onEndpoint.end() && on->second.erase(digest) > 0 && on->second.empty())
+        m_onEndpoint.erase(on);
+}
+
+/// A caller that sends ever new requests beside ends of endpoints must not push out
+/// those that are under suspicion for more than one.
+bool Quarantine::makeRoom()
+{
+    if (m_requests.size() < m_settings.mostDigests)
+        return true;
+    const auto single = std::find_if(m_requests.begin(), m_requests.end(), [](const auto &each) {
+        return each.second.size() == 1 && each.second.begin()->second.stage != Stage::Shared;
+    });
+    if (single == m_requests.end())
+        return false;
+    const std::string digest = single->first;
+    const auto &[endpoint, crash] = *single->second.begin();
+    if (crash.stage == Stage::Told)
+        m_retracted.push_back({digest, endpoint, crash.at});
+    forget(digest, std::string(endpoint));
+    return true;
+}
+
+void Quarantine::doubt(const std::string &digest, const std::string &endpoint, Crash crash)
+{
+    if (m_good.contains(digest))
+        return;
+    const auto known = m_requests.find(digest);
+    if (known != m_requests.end() && known->second.contains(endpoint))
+        return;
+    if (known != m_requests.end() || makeRoom())
+        add(digest, endpoint, crash);
+}
+
+void Quarantine::brokenOff(const std::string &digest, const std::string &endpoint, Time now)
+{
+    // It was alive up to now.
+    endpointAnswered(endpoint, now);
+    doubt(digest, endpoint, {now, Stage::Doubtful, true, now + Duration(1)});
+}
+
+void Quarantine::givenUp(const std::string &digest, const std::string &endpoint, Time now)
+{
+    doubt(digest, endpoint, {now, Stage::Doubtful, false, now + m_settings.endsWithin});
+}
+
+void Quarantine::endpointAnswered(const std::string &endpoint, Time now)
+{
+    const auto on = m_onEndpoint.find(endpoint);
+    if (on == m_onEndpoint.end())
+        return;
+    for (const std::string &digest : std::set<std::string>(on->second)) {
+        const Crash &crash = m_requests[digest][endpoint];
+        if (crash.stage == Stage::Doubtful && now >= crash.settledFrom)
+            forget(digest, endpoint);
+    }
+}
+
+void Quarantine::endpointEnded(const std::string &endpoint, Time now)
+{
+    const auto on = m_onEndpoint.find(endpoint);
+    if (on == m_onEndpoint.end())
+        return;
+    for (const std::string &digest : on->second) {
+        Crash &crash = m_requests[digest][endpoint];
+        if (crash.stage == Stage::Doubtful)
+            crash = {now, Stage::Own, true, {}};
+    }
+}
+
+void Quarantine::endpointVanished(const std::string &endpoint, Time now)
+{
+    const auto on = m_onEndpoint.find(endpoint);
+    if (on == m_onEndpoint.end())
+        return;
+    for (const std::string &digest : std::set<std::string>(on->second)) {
+        const Crash &crash = m_requests[digest][endpoint];
+        if (crash.stage == Stage::Doubtful && !crash.cut)
+            forget(digest, endpoint);
+    }
+    endpointEnded(endpoint, now);
+}
+
+void Quarantine::cameThrough(const std::string &digest)
+{
+    if (const auto it = m_requests.find(digest); it != m_requests.end()) {
+        for (const auto &[endpoint, crash] : Crashes(it->second)) {
+            if (crash.stage == Stage::Told || crash.stage == Stage::Shared)
+                m_retracted.push_back({digest, endpoint, crash.at});
+            forget(digest, endpoint);
+        }
+    }
+    if (!m_good.insert(digest).second)
+        return;
+    m_goodOrder.push_back(digest);
+    if (m_goodOrder.size() > m_settings.mostGood) {
+        m_good.erase(m_goodOrder.front());
+        m_goodOrder.pop_front();
+    }
+}
+
+void Quarantine::learn(const std::vector<CrashRecord> &all)
+{
+    m_shared = all.size();
+    std::set<std::pair<std::string_view, std::string_view>> told;
+    for (const CrashRecord &each : all)
+        told.emplace(each.digest, each.endpoint);
+    std::vector<CrashRecord> gone;
+    for (const auto &[digest, crashes] : m_requests)
+        for (const auto &[endpoint, crash] : crashes)
+            if (crash.stage == Stage::Shared && !told.contains({digest, endpoint}))
+                gone.push_back({digest, endpoint, crash.at});
+    for (const CrashRecord &each : gone)
+        forget(each.digest, each.endpoint);
+    for (const CrashRecord &each : all) {
+        // Who saw it come through knows better than who saw it stand beside an end.
+        if (m_good.contains(each.digest))
+            m_retracted.push_back(each);
+        else
+            add(each.digest, each.endpoint, {each.at, Stage::Shared, true, {}});
+    }
+}
+
+bool Quarantine::worthTelling(const Crashes &crashes, const Crash &crash, Time now) const
+{
+    if (crash.stage != Stage::Own)
+        return false;
+    const auto ended = std::count_if(crashes.begin(), crashes.end(),
+                                     [&](const auto &each) { return counts(each.second, now); });
+    return ended > 1
+           || (now - crash.at >= m_settings.tellAfter && m_shared < m_settings.mostShared);
+}
+
+CrashNews Quarantine::news(Time now)
+{
+    CrashNews news;
+    news.removed.swap(m_retracted);
+    for (auto &[digest, crashes] : m_requests)
+        for (auto &[endpoint, crash] : crashes)
+            if (news.added.size() < m_settings.mostNews && worthTelling(crashes, crash, now)) {
+                crash.stage = Stage::Told;
+                news.added.push_back({digest, endpoint, crash.at});
+            }
+    forgetExpired(now, news);
+    return news;
+}
+
+/// What others were told and no longer counts is taken back by whoever has to write
+/// anyway: while no endpoint ends, nothing is written.
+void Quarantine::forgetExpired(Time now, CrashNews &news)
+{
+    std::vector<CrashRecord> expired;
+    for (const auto &[digest, crashes] : m_requests)
+        for (const auto &[endpoint, crash] : crashes) {
+            if (now - crash.at < m_settings.keptFor)
+                continue;
+            if (crash.stage == Stage::Doubtful || crash.stage == Stage::Own || !news.empty())
+                expired.push_back({digest, endpoint, crash.at});
+        }
+    for (const CrashRecord &each : expired) {
+        const Stage stage = m_requests[each.digest][each.endpoint].stage;
+        if (stage == Stage::Told || stage == Stage::Shared)
+            news.removed.push_back(each);
+        forget(each.digest, each.endpoint);
+    }
+}
+
+std::size_t Quarantine::crashes(const std::string &digest, Time now) const
+{
+    const auto it = m_requests.find(digest);
+    if (it == m_requests.end())
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(it->second.begin(), it->second.end(),
+                      [&](const auto &each) { return counts(each.second, now); }));
+}
+
+bool Quarantine::undecided(const std::string &digest, Time now) const
+{
+    const auto it = m_requests.find(digest);
+    if (it == m_requests.end())
+        return false;
+    const bool doubt = std::any_of(it->second.begin(), it->second.end(), [](const auto &each) {
+        return each.second.stage == Stage::Doubtful;
+    });
+    return doubt && it->second.size() > 1 && crashes(digest, now) > 0;
+}
+
+/// Whether another request was there too that may just as well be the guilty one. By
+/// more ends than that nobody is found guilty: one of them may have been by chance.
+bool Quarantine::explainedByOther(const std::string &digest, const std::string &endpoint,
+                                  Time now) const
+{
+    const auto on = m_onEndpoint.find(endpoint);
+    return on != m_onEndpoint.end()
+           && std::any_of(on->second.begin(), on->second.end(), [&](const std::string &other) {
+                  return other != digest && counts(m_requests.at(other).at(endpoint), now)
+                         && crashes(other, now) >= m_settings.crashesToHold;
+              });
+}
+
+bool Quarantine::guilty(const std::string &digest, const Crashes &under, Time now) const
+{
+    const std::size_t count = crashes(digest, now);
+    if (count >= m_settings.crashesToHoldForSure)
+        return true;
+    const auto unexplained = std::count_if(under.begin(), under.end(), [&](const auto &each) {
+        return counts(each.second, now) && !explainedByOther(digest, each.first, now);
+    });
+    return static_cast<std::size_t>(unexplained) >= m_settings.crashesToHold;
+}
+
+Time Quarantine::lastEnd(const std::string &digest) const
+{
+    Time last {};
+    for (const auto &[endpoint, crash] : m_requests.at(digest))
+        if (crash.stage != Stage::Doubtful)
+            last = std::max(last, crash.at);
+    return last;
+}
+
+/// Judged by what one instance saw alone, a request that stood beside looks like the
+/// one that another instance sent. And a guilty one that others explain must not take
+/// one endpoint after another until it is found out.
+Duration Quarantine::unsettledFor(const std::string &digest, Time now) const
+{
+    const std::size_t count = crashes(digest, now);
+    if (count < m_settings.crashesToHold)
+        return {};
+    const bool found = guilty(digest, m_requests.at(digest), now);
+    const auto tries = static_cast<std::uint32_t>(count - m_settings.crashesToHold);
+    const Duration pause = found ? m_settings.settleAfter
+                                 : doubled(m_settings.tryAgainAfter, tries, m_settings.keptFor);
+    return std::max(Duration {}, lastEnd(digest) + pause - now);
+}
+
+Verdict Quarantine::verdict(const std::string &digest, Time now) const
+{
+    if (crashes(digest, now) < m_settings.crashesToHold)
+        return Verdict::Free;
+    if (unsettledFor(digest, now) > Duration {})
+        return Verdict::Unsettled;
+    return guilty(digest, m_requests.at(digest), now) ? Verdict::Held : Verdict::Free;
+}
+
+Duration Quarantine::heldFor(const std::string &digest, Time now) const
+{
+    switch (verdict(digest, now)) {
+    case Verdict::Free:
+        return {};
+    case Verdict::Unsettled:
+        return unsettledFor(digest, now);
+    case Verdict::Held:
+        break;
+    }
+    return lastEnd(digest) + m_settings.keptFor - now;
+}
+
+std::vector<std::string> Quarantine::doubtful(Time now) const
+{
+    std::vector<std::string> endpoints;
+    for (const auto &[endpoint, digests] : m_onEndpoint)
+        if (std::any_of(digests.begin(), digests.end(), [&](const std::string &digest) {
+                const Crash &crash = m_requests.at(digest).at(endpoint);
+                return crash.stage == Stage::Doubtful && now >= crash.settledFrom;
+            }))
+            endpoints.push_back(endpoint);
+    return endpoints;
+}
+
+std::size_t Quarantine::heldCount(Time now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_requests.begin(), m_requests.end(),
+                      [&](const auto &each) { return verdict(each.first, now) == Verdict::Held; }));
+}
+
+} // namespace balsamloft
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -128,6 +128,7 @@
     query.promptTokens = flight.request.promptTokens;
     query.answerTokens = flight.request.answerTokens;
     query.without = &without;
+    query.leastSpread = flight.cutEarly ? m_settings.scatter : 0;
     auto path = m_chooser.choose(*m_fleet, service(flight), m_book, query, now, m_random);
     if (!path && !without.empty()) {
         // Rather an engine that failed it once than none at all.
@@ -215,6 +216,7 @@
     flight.progressAt = now;
     flight.pathAskedAt.reset();
     flight.pathChanges = 0;
+    flight.firstEventAt.reset();
     occupy(flight);
     crossDomains(flight, now);
 }
@@ -265,6 +267,8 @@
 {
     if (now >= flight.deadline)
         return end(id, endOf(flight, FlightEnd::TimedOut), "no time left", actions);
+    if (holdBack(id, flight, now, actions))
+        return;
     // Asked at each tick while it waits: no path is looked for that cannot be paid.
     if (flight.repeatOwed && !budget(flight).affords(now))
         return;
@@ -342,6 +346,8 @@
         return end(id, how, std::move(reason), actions);
     if (sentOftenEnough(flight))
         return end(id, how, reason + "; sent often enough", actions);
+    if (holdBack(id, flight, now, actions))
+        return;
     if (!payRepeat(flight, now)) {
         m_counts.budgetSpent += 1;
         reason += "; no budget to send it again";
@@ -357,7 +363,8 @@
     dispatch(id, flight, now, actions);
 }
 
-void Relay::end(FlightId id, FlightEnd how, std::string reason, RelayActions &actions)
+void Relay::end(FlightId id, FlightEnd how, std::string reason, RelayActions &actions,
+                std::optional<Duration> comeBack)
 {
     const auto it = m_flights.find(id);
     if (it == m_flights.end())
@@ -367,7 +374,8 @@
     if (how == FlightEnd::NotRun) {
         // Spread, so that those refused together do not come back together.
         std::uniform_real_distribution<double> spread(0.6, 1.4);
-        wait = Duration(static_cast<std::int64_t>(m_settings.comeBack.count() * spread(m_random)));
+        wait = comeBack.value_or(
+            Duration(static_cast<std::int64_t>(m_settings.comeBack.count() * spread(m_random))));
     }
     std::uint64_t RelayCounts::*const counters[] = {&RelayCounts::notRun, &RelayCounts::failed,
                                                     &RelayCounts::timedOut, &RelayCounts::cutShort};
@@ -383,6 +391,8 @@
     if (!flight)
         return;
     m_book.finished(flight->endpoint, true, now);
+    if (failure != AttemptFailure::NotSent)
+        noteBrokenOff(*flight, now, actions);
     switch (failure) {
     case AttemptFailure::NotSent:
         m_book.suspect(flight->endpoint, now);
@@ -419,6 +429,7 @@
     if (!flight)
         return false;
     m_book.cleared(flight->endpoint);
+    m_quarantine.endpointAnswered(flight->endpoint, now);
     if (head.running && !flight->path.empty())
         m_book.loadSeen(flight->endpoint, flight->domain, *head.running);
     if (head.notExecuted || head.status == Misdirected) {
@@ -452,11 +463,18 @@
         end(id, FlightEnd::CutShort, "failure of " + flight->endpoint, actions);
         return false;
     }
-    release(*flight);
+    passAnswer(id, *flight, !failed, actions);
+    return false;
+}
+
+void Relay::passAnswer(FlightId id, Flight &flight, bool ranWell, RelayActions &actions)
+{
+    if (ranWell)
+        m_quarantine.cameThrough(flight.request.digest);
+    release(flight);
     m_flights.erase(id);
     m_counts.passed += 1;
     actions.push_back(PassAnswer {id});
-    return false;
 }
 
 void Relay::eventsPassed(FlightId id, std::uint32_t attempt, std::optional<std::uint64_t> lastEvent,
@@ -467,6 +485,7 @@
         return;
     flight->passing = true;
     flight->progressAt = now;
+    noteProgress(*flight, now);
     if (lastEvent)
         flight->lastEvent = lastEvent;
 }
@@ -477,10 +496,7 @@
     if (!flight)
         return;
     (void)now;
-    release(*flight);
-    m_flights.erase(id);
-    m_counts.passed += 1;
-    actions.push_back(PassAnswer {id});
+    passAnswer(id, *flight, true, actions);
 }
 
 void Relay::callerGone(FlightId id, Time now, RelayActions &actions)
@@ -488,9 +504,10 @@
     const auto it = m_flights.find(id);
     if (it == m_flights.end())
         return;
-    (void)now;
     const std::uint32_t attempt = it->second.attempt;
     const bool sent = it->second.state != State::Waiting;
+    if (sent)
+        noteGivenUp(it->second, now);
     release(it->second);
     m_flights.erase(it);
     if (sent)
@@ -513,6 +530,8 @@
         return endpoint && !endpoint->draining;
     };
     const Flight &flight = it->second;
+    if (!flight.runsWell && m_quarantine.verdict(flight.request.digest, now) != Verdict::Free)
+        return false;
     return stays(flight.endpoint)
            && std::all_of(flight.path.begin(), flight.path.end(),
                           [&](const PathPart &part) { return stays(part.endpoint); });
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -29,6 +29,7 @@
                      double pace, Time now, RelayActions &actions)
 {
     m_book.cleared(endpoint);
+    m_quarantine.endpointAnswered(endpoint, now);
     m_book.paced(endpoint, pace, now);
     for (const std::string &address : stalledAt)
         if (const FleetEndpoint *found = m_fleet->atAddress(address))
@@ -44,9 +45,11 @@
     tick(now, actions);
 }
 
-void Relay::reportFailed(const std::string &endpoint, Time now, RelayActions &actions)
+void Relay::reportFailed(const std::string &endpoint, Time now, RelayActions &actions, bool refused)
 {
     m_book.suspect(endpoint, now);
+    if (refused)
+        m_quarantine.endpointEnded(endpoint, now);
     tick(now, actions);
 }
 
@@ -55,6 +58,7 @@
     m_fleet = std::move(fleet);
     m_book.follow(*m_fleet);
     std::erase_if(m_askedAt, [&](const auto &each) { return !m_fleet->find(each.first); });
+    settleDoubts(now);
     tick(now, actions);
 }
 
@@ -79,17 +83,22 @@
         if (it != m_flights.end())
             watch(id, it->second, now, actions);
     }
+    askDoubtful(now, actions);
+    tellCrashes(now, actions);
 }
 
 void Relay::watch(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     if (now >= flight.deadline) {
         if (flight.state != State::Waiting) {
+            noteGivenUp(flight, now);
             flight.ranAt.push_back(flight.endpoint);
             actions.push_back(AbandonAttempt {id, flight.attempt});
         }
         return end(id, endOf(flight, FlightEnd::TimedOut), "its time is over", actions);
     }
+    if (recall(id, flight, now, actions))
+        return;
     if (flight.state == State::Waiting)
         return giveUpWaiting(id, flight, now, actions);
     if (service(flight).model)
@@ -124,6 +133,7 @@
                     RelayActions &actions)
 {
     actions.push_back(AbandonAttempt {id, flight.attempt});
+    noteGivenUp(flight, now);
     const std::string culprit = flight.endpoint;
     again(id, flight, true, culprit, std::move(reason), now, actions);
 }
