--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -222,6 +222,9 @@
         state.knownAt = std::max(state.knownAt, *answer.knownAt);
     state.storeMs = std::max(state.storeMs, answer.reply.storeMs);
     state.direct = source.isStore();
+    // What others told is older than the answer: the largest is the nearest.
+    const Duration offset = Duration(answer.reply.storeMs * 1000) - bootNow().time_since_epoch();
+    m_storeOffset = std::max(offset, m_storeOffset.value_or(offset));
     if (source.isStore())
         m_directory.storeAnswered();
     else if (!toldSeldom(table))
@@ -235,7 +238,6 @@
             m_events.engines(answer.engines);
     }
     if (table == NewsTable::Instances) {
-        m_storeOffset = Duration(answer.reply.storeMs * 1000) - bootNow().time_since_epoch();
         countInstances();
         followTheRest();
     }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -148,6 +148,7 @@
     /// by service. A first line is written also when there are none.
     std::map<std::string, std::optional<std::pair<std::string, std::string>>> m_gaps;
     std::map<std::string, std::uint64_t, std::less<>> m_leftOut; ///< rows' versions, by key
+    CrashNews m_crashesToTell; ///< until the store's clock is known
     std::deque<RowWrite> m_crashWrites; ///< that the store has not taken yet
     bool m_writingCrashes = false;
     std::uint32_t m_crashFailures = 0; ///< writes that failed in a row
--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -38,8 +38,11 @@
 
 void Control::tellCrashes(const CrashNews &news)
 {
-    if (!m_storeOffset)
+    if (!m_storeOffset) {
+        m_crashesToTell.added.insert(m_crashesToTell.added.end(), news.added.begin(),
+                                     news.added.end());
         return;
+    }
     const auto write = [this](const CrashRecord &record, std::optional<std::string> value) {
         RowWrite row;
         row.table = std::string(CrashTable);
@@ -63,6 +66,8 @@
 /// successors must know.
 void Control::writeCrashes(Time now)
 {
+    if (m_storeOffset && !m_crashesToTell.empty())
+        tellCrashes(std::exchange(m_crashesToTell, {}));
     if (m_crashWrites.empty() || m_writingCrashes || now < m_crashPauseUntil)
         return;
     Transaction transaction;
@@ -86,6 +91,9 @@
         m_crashFailures = 0;
         return writeCrashes(now);
     }
+    logDecision(
+        "quarantine", "not written",
+        {{"records", std::int64_t(writes.size())}, {"failures", std::int64_t(m_crashFailures)}});
     m_crashPauseUntil = now + doubled(FirstPause, m_crashFailures, MostPause);
     m_crashFailures += 1;
     m_crashWrites.insert(m_crashWrites.begin(), writes.begin(), writes.end());
@@ -102,7 +110,8 @@
             m_state.badRows += 1;
             continue;
         }
-        const Duration age = storeNow.time_since_epoch() - Duration(*atMs * 1000);
+        const Duration age =
+            std::max(Duration {}, storeNow.time_since_epoch() - Duration(*atMs * 1000));
         all.push_back({row.key.substr(0, slash), row.key.substr(slash + 1), steadyNow() - age});
     }
     logDecision("quarantine", "learnt", {{"records", std::int64_t(all.size())}});
--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -8,7 +8,6 @@
 
 constexpr Duration TickEvery {50'000};
 constexpr Duration Network {500}; ///< one way
-constexpr std::string_view CrashingDigest = "the one that ends engines";
 constexpr std::uint32_t Layers = 8;
 
 Route streamRoute()
@@ -163,8 +162,8 @@
     const auto first = static_cast<std::size_t>(between(0, 1000).count());
     for (std::size_t i = 0; i < m_settings.crashingTogether; ++i) {
         Caller caller;
-        caller.digest = CrashingDigest;
-        caller.crashing = true;
+        caller.digest = crashingDigest();
+        caller.crashing = m_now - m_begun >= m_settings.harmlessFor;
         caller.eventsLeft = 20;
         caller.retries = 0;
         submit((first + i) % m_settings.instances, std::move(caller));
@@ -172,6 +171,11 @@
     after(m_settings.crashingEvery, [this] { arriveCrashing(); });
 }
 
+std::string CrashWorld::crashingDigest() const
+{
+    return "ends engines " + std::to_string((m_now - m_begun) / m_settings.crashingChanges);
+}
+
 void CrashWorld::submit(std::size_t instance, Caller caller)
 {
     RelayRequest request;
@@ -246,8 +250,9 @@
     run->attempt = send.attempt;
     run->engine = engineOf(send.endpoint);
     run->crashing = caller->second.crashing;
+    run->digest = caller->second.digest;
     if (run->crashing)
-        m_crashingSends.push_back(m_now);
+        m_crashingSends[run->digest].push_back(m_now);
     m_runs.push_back(run);
     if (m_engines[run->engine].ended) {
         after(Network * 2, [this, run] { fail(run, AttemptFailure::NotSent); });
@@ -322,7 +327,7 @@
 {
     if (m_engines[run->engine].ended)
         return;
-    m_ends.push_back(m_now);
+    m_ends[run->digest].push_back(m_now);
     endEngine(run->engine);
 }
 
@@ -420,13 +425,27 @@
     });
 }
 
+std::vector<Time> CrashWorld::ends() const
+{
+    std::vector<Time> most;
+    for (const auto &[digest, ends] : m_ends)
+        if (ends.size() > most.size())
+            most = ends;
+    return most;
+}
+
 std::size_t CrashWorld::sendsAfterThirdEnd(Duration after) const
 {
-    if (m_ends.size() < 3)
-        return 0;
-    const Time since = m_ends[2] + after;
-    return static_cast<std::size_t>(std::count_if(m_crashingSends.begin(), m_crashingSends.end(),
-                                                  [&](Time at) { return at > since; }));
+    std::size_t most = 0;
+    for (const auto &[digest, ends] : m_ends) {
+        if (ends.size() < 3)
+            continue;
+        const std::vector<Time> &sends = m_crashingSends.at(digest);
+        const auto late = std::count_if(sends.begin(), sends.end(),
+                                        [&](Time at) { return at > ends[2] + after; });
+        most = std::max(most, static_cast<std::size_t>(late));
+    }
+    return most;
 }
 
 } // namespace balsamloft::fakes
--- a/src/fakes/crashworld.h
+++ b/src/fakes/crashworld.h
@@ -20,6 +20,8 @@
     double requestsPerSecond = 60; ///< that do no harm, all with different content
     Duration crashingEvery {4'000'000}; ///< the request that ends engines comes again
     Duration crashingUntil {60'000'000};
+    Duration harmlessFor {0}; ///< before that it comes through as others do
+    Duration crashingChanges {3'600'000'000}; ///< after which another such request comes instead
     std::size_t crashingTogether = 1; ///< so many of it at once, at different instances
     RequestKind crashingKind = RequestKind::Stream;
     Duration readTime {0}; ///< of one prompt, one after another; 0: side by side, up to 0.4 s each
@@ -49,13 +51,17 @@
 
     // What happened
 
-    /// When engines ended under the request that ends them.
-    const std::vector<Time> &ends() const { return m_ends; }
+    /// When engines ended under the request that ends them; of several such requests
+    /// the one under which most ended.
+    std::vector<Time> ends() const;
 
-    /// Its sends that reached an engine or where one had been, later than \a after
-    /// the third of these ends.
+    /// Sends that reached an engine or where one had been, later than \a after the
+    /// third end under the same request; the most of one request.
     std::size_t sendsAfterThirdEnd(Duration after) const;
 
+    /// Contents that an instance suspects.
+    std::size_t suspected() const { return m_relays.front()->quarantine().suspected(); }
+
     /// Requests that do no harm, and how they ended.
     struct Harmless
     {
@@ -86,6 +92,7 @@
         std::uint32_t attempt = 0;
         std::size_t engine = 0;
         std::uint64_t events = 0;
+        std::string digest;
         bool crashing = false;
         bool over = false;
     };
@@ -116,6 +123,7 @@
     void tick(std::size_t instance);
     void arrive();
     void arriveCrashing();
+    std::string crashingDigest() const;
     void submit(std::size_t instance, Caller caller);
     void act(std::size_t instance, RelayActions actions);
     void send(std::size_t instance, const SendWhole &send);
@@ -149,8 +157,8 @@
     std::vector<Engine> m_engines;
     std::vector<std::shared_ptr<Run>> m_runs;
     std::vector<CrashRecord> m_told; ///< by instances to each other
-    std::vector<Time> m_ends;
-    std::vector<Time> m_crashingSends;
+    std::map<std::string, std::vector<Time>> m_ends; ///< under each request that ends engines
+    std::map<std::string, std::vector<Time>> m_crashingSends;
     Harmless m_harmless;
 };
 
--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -10,7 +10,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace balsamloft {
@@ -47,6 +46,8 @@
     /// Endpoints that ended under a held request, and whose end no other request explains.
     std::size_t crashesToHold = 3;
     /// Endpoints after which a request is held even if others were on each of them.
+    /// The same when something speaks for the request: others explain the ends as well,
+    /// or it came through shortly before.
     std::size_t crashesToHoldForSure = 5;
     /// An endpoint that has begun a request ends by then, also when it was given up.
     Duration endsWithin {200'000};
@@ -59,6 +60,7 @@
     /// A request that only stood beside comes through elsewhere by then, and nobody
     /// need be told of it.
     Duration tellAfter {500'000};
+    Duration recently {10'000'000}; ///< before the first end under it
     std::size_t mostDigests = 1024; ///< that are suspected at a time
     std::size_t mostGood = 1024; ///< digests that came through last
     /// Records that instances tell each other; beyond it only of requests under which
@@ -97,8 +99,9 @@
     /// what it broke off itself tells that it ended.
     void endpointVanished(const std::string &endpoint, Time now);
 
-    /// The request ran well: whatever ended endpoints, it was not this one.
-    void cameThrough(const std::string &digest);
+    /// The request ran well: whatever ended endpoints so far, it was not this one. Later
+    /// it may all the same: endpoints change, and their software.
+    void cameThrough(const std::string &digest, Time now);
 
     /// All that instances have told each other, as of now.
     void learn(const std::vector<CrashRecord> &all);
@@ -141,6 +144,7 @@
     bool guilty(const std::string &digest, const Crashes &under, Time now) const;
     Duration unsettledFor(const std::string &digest, Time now) const;
     Time lastEnd(const std::string &digest) const;
+    bool cameThroughBefore(const std::string &digest, const Crashes &under) const;
     void doubt(const std::string &digest, const std::string &endpoint, Crash crash);
     bool counts(const Crash &crash, Time now) const;
     bool explainedByOther(const std::string &digest, const std::string &endpoint, Time now) const;
@@ -155,7 +159,7 @@
     std::map<std::string, std::set<std::string>, std::less<>> m_onEndpoint; ///< digests
     std::size_t m_shared = 0; ///< records that instances have told each other
     std::vector<CrashRecord> m_retracted; ///< told to others before, and not true
-    std::unordered_set<std::string> m_good; ///< digests that came through last
+    std::unordered_map<std::string, Time> m_good; ///< when digests came through last
     std::deque<std::string> m_goodOrder; ///< oldest first
 };
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -323,7 +323,7 @@
     void settleDoubts(Time now);
     void askDoubtful(Time now, RelayActions &actions);
     void tellCrashes(Time now, RelayActions &actions);
-    void passAnswer(FlightId id, Flight &flight, bool ranWell, RelayActions &actions);
+    void passAnswer(FlightId id, Flight &flight, bool ranWell, Time now, RelayActions &actions);
 
     bool worthMoving(const Flight &flight, Time now);
 
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -15,6 +15,12 @@
 /// Engines that one request may end, over all instances.
 constexpr std::size_t MostEnds = 4;
 
+/// The same when something speaks for the request, such as that it came through before.
+constexpr std::size_t MostEndsInDoubt = 5;
+
+/// Sends later than KnownEverywhere that the fleet bears.
+constexpr std::size_t MostLateSends = 3;
+
 } // namespace
 
 // Guards against a request that ends each engine that runs it and is sent to all, one after
@@ -29,6 +35,18 @@
     CHECK(world.ends().size() <= MostEnds);
 }
 
+// Guards against an earlier success that clears a request of all that it does later.
+TEST_CASE("a request that came through before is found out when it ends engines")
+{
+    CrashWorldSettings settings;
+    settings.harmlessFor = Duration(13'000'000);
+    settings.seed = GENERATE(range(1, 9));
+    CrashWorld world(settings);
+    world.run(seconds(60));
+    CHECK(world.sendsAfterThirdEnd(KnownEverywhere) <= MostLateSends);
+    CHECK(world.ends().size() <= MostEndsInDoubt);
+}
+
 // Guards against as many ends as there are instances that do not know of each other's.
 TEST_CASE("sixty instances send a request that ends its engines to no more than six do")
 {
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -51,8 +51,6 @@
 
 void Quarantine::doubt(const std::string &digest, const std::string &endpoint, Crash crash)
 {
-    if (m_good.contains(digest))
-        return;
     const auto known = m_requests.find(digest);
     if (known != m_requests.end() && known->second.contains(endpoint))
         return;
@@ -109,7 +107,7 @@
     endpointEnded(endpoint, now);
 }
 
-void Quarantine::cameThrough(const std::string &digest)
+void Quarantine::cameThrough(const std::string &digest, Time now)
 {
     if (const auto it = m_requests.find(digest); it != m_requests.end()) {
         for (const auto &[endpoint, crash] : Crashes(it->second)) {
@@ -118,7 +116,7 @@
             forget(digest, endpoint);
         }
     }
-    if (!m_good.insert(digest).second)
+    if (!m_good.insert_or_assign(digest, now).second)
         return;
     m_goodOrder.push_back(digest);
     if (m_goodOrder.size() > m_settings.mostGood) {
@@ -141,8 +139,9 @@
     for (const CrashRecord &each : gone)
         forget(each.digest, each.endpoint);
     for (const CrashRecord &each : all) {
-        // Who saw it come through knows better than who saw it stand beside an end.
-        if (m_good.contains(each.digest))
+        // Who saw it come through since knows better than who saw it stand beside an end.
+        const auto good = m_good.find(each.digest);
+        if (good != m_good.end() && good->second >= each.at)
             m_retracted.push_back(each);
         else
             add(each.digest, each.endpoint, {each.at, Stage::Shared, true, {}});
@@ -208,10 +207,10 @@
     const auto it = m_requests.find(digest);
     if (it == m_requests.end())
         return false;
-    const bool doubt = std::any_of(it->second.begin(), it->second.end(), [](const auto &each) {
-        return each.second.stage == Stage::Doubtful;
+    const auto cut = std::count_if(it->second.begin(), it->second.end(), [](const auto &each) {
+        return each.second.stage == Stage::Doubtful && each.second.cut;
     });
-    return doubt && it->second.size() > 1 && crashes(digest, now) > 0;
+    return cut > 0 && static_cast<std::size_t>(cut) + crashes(digest, now) > 1;
 }
 
 /// Whether another request was there too that may just as well be the guilty one. By
@@ -227,11 +226,22 @@
               });
 }
 
+/// A request that many callers send is on several endpoints when these end at once.
+bool Quarantine::cameThroughBefore(const std::string &digest, const Crashes &under) const
+{
+    const auto good = m_good.find(digest);
+    return good != m_good.end() && std::any_of(under.begin(), under.end(), [&](const auto &each) {
+               return each.second.at - good->second < m_settings.recently;
+           });
+}
+
 bool Quarantine::guilty(const std::string &digest, const Crashes &under, Time now) const
 {
     const std::size_t count = crashes(digest, now);
     if (count >= m_settings.crashesToHoldForSure)
         return true;
+    if (cameThroughBefore(digest, under))
+        return false;
     const auto unexplained = std::count_if(under.begin(), under.end(), [&](const auto &each) {
         return counts(each.second, now) && !explainedByOther(digest, each.first, now);
     });
--- a/src/libbalsamloft/quarantine_test.cpp
+++ b/src/libbalsamloft/quarantine_test.cpp
@@ -95,6 +95,12 @@
     CHECK(quarantine.undecided("bad", Start));
     quarantine.endpointEnded("e2", Start);
     CHECK_FALSE(quarantine.undecided("bad", Start));
+
+    quarantine.brokenOff("other", "e3", Start);
+    quarantine.brokenOff("other", "e4", Start);
+    CHECK(quarantine.undecided("other", Start));
+    quarantine.endpointAnswered("e4", Start + milliseconds(1));
+    CHECK_FALSE(quarantine.undecided("other", Start + milliseconds(1)));
 }
 
 // Guards against an innocent request that is shut out since it stood beside the guilty one.
@@ -155,24 +161,43 @@
     endUnder(quarantine, "e1", {"good"});
     endUnder(quarantine, "e2", {"good"});
     REQUIRE(quarantine.news(Start).added.size() == 2);
-    quarantine.cameThrough("good");
+    quarantine.cameThrough("good", Start);
     CHECK(quarantine.crashes("good", Start) == 0);
     CHECK(quarantine.news(Start).removed.size() == 2);
 }
 
 // Guards against many callers' same request that is shut out when three endpoints end at once.
-TEST_CASE("a request that many send and that just came through is not suspected")
+TEST_CASE("a request that came through just before takes more ends to be held")
 {
     Quarantine quarantine;
-    quarantine.cameThrough("popular");
+    quarantine.cameThrough("popular", Start - seconds(1));
     for (const char *endpoint : {"e1", "e2", "e3"})
         endUnder(quarantine, endpoint, {"popular"});
     CHECK_FALSE(held(quarantine, "popular"));
+    CHECK(quarantine.verdict("popular", Start + seconds(10)) == Verdict::Free);
+    endUnder(quarantine, "e4", {"popular"});
+    endUnder(quarantine, "e5", {"popular"});
+    CHECK(held(quarantine, "popular"));
+}
 
-    quarantine.learn(
-        {{"popular", "e1", Start}, {"popular", "e2", Start}, {"popular", "e3", Start}});
-    CHECK_FALSE(held(quarantine, "popular"));
-    CHECK(quarantine.news(Start).removed.size() == 3);
+// Guards against one success that clears a request of what it does ever after.
+TEST_CASE("a request that came through long before is held like any other")
+{
+    Quarantine quarantine;
+    quarantine.cameThrough("bad", Start - minutes(1));
+    for (const char *endpoint : {"e1", "e2", "e3"})
+        endUnder(quarantine, endpoint, {"bad"});
+    CHECK(held(quarantine, "bad"));
+}
+
+TEST_CASE("of what others tell, only what was before a success is taken back")
+{
+    Quarantine quarantine;
+    quarantine.cameThrough("good", Start);
+    quarantine.learn({{"good", "e1", Start - seconds(1)}, {"good", "e2", Start + seconds(1)}});
+    CHECK(quarantine.crashes("good", Start + seconds(2)) == 1);
+    const CrashNews news = quarantine.news(Start + seconds(2));
+    CHECK(news.removed == std::vector<CrashRecord> {{"good", "e1", Start - seconds(1)}});
 }
 
 // Guards against ends that three instances saw, one each, and none adds up.
@@ -202,11 +227,11 @@
 TEST_CASE("while no endpoint ends nothing is told, and one that comes through soon is not")
 {
     Quarantine quarantine;
-    quarantine.cameThrough("good");
+    quarantine.cameThrough("good", Start);
     CHECK(quarantine.news(Start).empty());
     endUnder(quarantine, "e1", {"beside", "bad"});
     CHECK(quarantine.news(Start + milliseconds(100)).empty());
-    quarantine.cameThrough("beside");
+    quarantine.cameThrough("beside", Start);
     const CrashNews news = quarantine.news(Start + seconds(1));
     CHECK(news.added == std::vector<CrashRecord> {{"bad", "e1", Start}});
     CHECK(news.removed.empty());
@@ -359,7 +384,7 @@
             return comeAgain(request);
         if (pick(2) == 0)
             return;
-        m_instances[request.instance].cameThrough(request.digest);
+        m_instances[request.instance].cameThrough(request.digest, m_now);
         request = {"later " + std::to_string(m_starts++), pick(Instances), pick(Endpoints)};
     }
 
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -463,14 +463,14 @@
         end(id, FlightEnd::CutShort, "failure of " + flight->endpoint, actions);
         return false;
     }
-    passAnswer(id, *flight, !failed, actions);
+    passAnswer(id, *flight, !failed, now, actions);
     return false;
 }
 
-void Relay::passAnswer(FlightId id, Flight &flight, bool ranWell, RelayActions &actions)
+void Relay::passAnswer(FlightId id, Flight &flight, bool ranWell, Time now, RelayActions &actions)
 {
     if (ranWell)
-        m_quarantine.cameThrough(flight.request.digest);
+        m_quarantine.cameThrough(flight.request.digest, now);
     release(flight);
     m_flights.erase(id);
     m_counts.passed += 1;
@@ -495,8 +495,7 @@
     Flight *flight = current(id, attempt);
     if (!flight)
         return;
-    (void)now;
-    passAnswer(id, *flight, true, actions);
+    passAnswer(id, *flight, true, now, actions);
 }
 
 void Relay::callerGone(FlightId id, Time now, RelayActions &actions)
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -37,7 +37,7 @@
     if (flight.runsWell || now - *flight.firstEventAt < m_settings.runsWell)
         return;
     flight.runsWell = true;
-    m_quarantine.cameThrough(flight.request.digest);
+    m_quarantine.cameThrough(flight.request.digest, now);
 }
 
 /// Of endpoints that are asked and do not answer the list tells: one that announces
