Tests of what callers get when endpoints end under a request, and of what must not count

Given up as the engine ends; an engine that only does not answer, or leaves; refused at once and truly not run; taken back while it waits at an engine; a stream that runs well is left alone; one try at a time.

--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -74,10 +74,11 @@
     relay.follow(fleet, now, actions);
 }
 
-FlightId RelayWorld::submit(RequestKind kind, Duration timeLeft)
+FlightId RelayWorld::submit(RequestKind kind, Duration timeLeft, std::string digest)
 {
     RelayRequest request;
     request.id = "request-" + std::to_string(m_next++);
+    request.digest = std::move(digest);
     request.table = m_table;
     const auto index = static_cast<std::size_t>(kind);
     request.route = &m_table->routes()[index];
--- a/src/fakes/relayharness.h
+++ b/src/fakes/relayharness.h
@@ -26,7 +26,8 @@
     /// Settings with a large budget for one instance.
     static RelaySettings defaults();
 
-    FlightId submit(RequestKind kind, Duration timeLeft = Duration(20'000'000));
+    FlightId submit(RequestKind kind, Duration timeLeft = Duration(20'000'000),
+                    std::string digest = {});
 
     /// Lets time pass in steps, with a tick after each.
     void pass(Duration duration, Duration step = Duration(50'000));
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -1,4 +1,5 @@
 #include "../fakes/crashworld.h"
+#include "../fakes/relayharness.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,6 +8,7 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// From the third engine's end until no instance may send the request any more.
@@ -21,6 +23,26 @@
 /// Sends later than KnownEverywhere that the fleet bears.
 constexpr std::size_t MostLateSends = 3;
 
+FlightId submitBad(RelayWorld &world, RequestKind kind = RequestKind::Stream)
+{
+    return world.submit(kind, Duration(20'000'000), "bad");
+}
+
+std::vector<RelayEngine> wholeEngines()
+{
+    return {{"e1", {0, 8}}, {"e2", {0, 8}}, {"e3", {0, 8}}, {"e4", {0, 8}}, {"p1", {}}, {"p2", {}}};
+}
+
+/// Others saw \a ends endpoints end under the request, a while ago.
+void learnEnds(RelayWorld &world, int ends)
+{
+    std::vector<CrashRecord> told;
+    for (int i = 0; i < ends; ++i)
+        told.push_back({"bad", "gone" + std::to_string(i), world.now});
+    world.relay.learnCrashes(told);
+    world.pass(seconds(3));
+}
+
 } // namespace
 
 // Guards against a request that ends each engine that runs it and is sent to all, one after
@@ -132,3 +154,97 @@
     CHECK(world.ends().size() <= MostEnds);
     CHECK(world.harmless().heldBack == 0);
 }
+
+// Guards against an endpoint that ends after the request was given up, and breaks nothing off.
+TEST_CASE("a request that is given up as its engine ends is found out")
+{
+    RelayWorld world(wholeEngines());
+    const FlightId flight = submitBad(world);
+    const std::string engine = world.sends(flight).back().endpoint;
+    world.relay.callerGone(flight, world.now, world.actions);
+    world.pass(milliseconds(250));
+    REQUIRE(world.asked() == std::vector<std::string> {engine});
+    world.relay.reportFailed(engine, world.now, world.actions, true);
+    CHECK(world.relay.quarantine().crashes("bad", world.now) == 1);
+}
+
+// Guards against a lost link, where engines are silent, that is taken for their end.
+TEST_CASE("an engine that only does not answer ended under nothing")
+{
+    RelayWorld world(wholeEngines());
+    const FlightId flight = submitBad(world);
+    const std::string engine = world.sends(flight).back().endpoint;
+    world.fail(flight, AttemptFailure::Broken);
+    world.relay.reportFailed(engine, world.now, world.actions, false);
+    CHECK(world.relay.quarantine().crashes("bad", world.now) == 0);
+}
+
+// Guards against a planned stop that is held against the requests that it cuts.
+TEST_CASE("an engine that leaves ends under nothing")
+{
+    RelayWorld world(wholeEngines());
+    const FlightId flight = submitBad(world);
+    const std::string engine = world.sends(flight).back().endpoint;
+    world.drain(engine);
+    world.fail(flight, AttemptFailure::Broken);
+    world.remove(engine);
+    world.pass(seconds(1));
+    CHECK(world.relay.quarantine().crashes("bad", world.now) == 0);
+}
+
+// Guards against a caller who waits for nothing, and against a promise that is not true.
+TEST_CASE("a request that is held back is refused at once, as not run if it was not")
+{
+    RelayWorld world(wholeEngines());
+    learnEnds(world, 3);
+    const FlightId flight = submitBad(world, GENERATE(RequestKind::Stream, RequestKind::Unsafe));
+    CHECK(world.sends(flight).empty());
+    REQUIRE(world.end(flight));
+    CHECK(world.end(flight)->end == FlightEnd::NotRun);
+    CHECK(world.end(flight)->retryAfter > seconds(60));
+}
+
+// Guards against an engine that is lost to a request which waits there to be run.
+TEST_CASE("a request that waits at an engine is taken back when it becomes known")
+{
+    RelayWorld world(wholeEngines());
+    const FlightId flight = submitBad(world);
+    REQUIRE(world.sends(flight).size() == 1);
+    learnEnds(world, 3);
+    CHECK(world.abandoned(flight) == 1);
+    REQUIRE(world.end(flight));
+    CHECK(world.end(flight)->end == FlightEnd::Failed);
+}
+
+// Guards against callers who lose a stream that runs, since it stood beside others' ends.
+TEST_CASE("a stream that runs well is neither suspected nor taken back")
+{
+    RelayWorld world(wholeEngines());
+    const FlightId flight = submitBad(world);
+    REQUIRE(world.answer(flight, 200));
+    for (std::uint64_t event = 1; event <= 12; ++event) {
+        world.events(flight, event);
+        world.pass(milliseconds(100));
+    }
+    learnEnds(world, 3);
+    CHECK_FALSE(world.end(flight));
+    world.fail(flight, AttemptFailure::Garbled);
+    CHECK(world.sends(flight).size() == 2);
+}
+
+// Guards against two copies at one instance that each end an engine where one shows enough.
+TEST_CASE("a request under which two engines ended is tried once at a time, at one engine")
+{
+    RelayWorld world(wholeEngines());
+    learnEnds(world, 2);
+    const FlightId first = submitBad(world);
+    const FlightId second = submitBad(world);
+    CHECK(world.sends(first).size() == 1);
+    CHECK(world.sends(second).empty());
+    REQUIRE(world.end(second));
+    CHECK(world.end(second)->end == FlightEnd::NotRun);
+    world.answer(first, 503, false, true);
+    CHECK(world.sends(first).size() == 1);
+    REQUIRE(world.end(first));
+    CHECK(world.end(first)->end == FlightEnd::NotRun);
+}
