--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -440,9 +440,10 @@
     for (const auto &[digest, ends] : m_ends) {
         if (ends.size() < 3)
             continue;
+        const Time since = ends[2] + after;
         const std::vector<Time> &sends = m_crashingSends.at(digest);
-        const auto late = std::count_if(sends.begin(), sends.end(),
-                                        [&](Time at) { return at > ends[2] + after; });
+        const auto late =
+            std::count_if(sends.begin(), sends.end(), [&](Time at) { return at > since; });
         most = std::max(most, static_cast<std::size_t>(late));
     }
     return most;
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -297,12 +297,12 @@
 std::vector<std::string> Quarantine::doubtful(Time now) const
 {
     std::vector<std::string> endpoints;
-    for (const auto &[endpoint, digests] : m_onEndpoint)
-        if (std::any_of(digests.begin(), digests.end(), [&](const std::string &digest) {
-                const Crash &crash = m_requests.at(digest).at(endpoint);
+    for (const auto &each : m_onEndpoint)
+        if (std::any_of(each.second.begin(), each.second.end(), [&](const std::string &digest) {
+                const Crash &crash = m_requests.at(digest).find(each.first)->second;
                 return crash.stage == Stage::Doubtful && now >= crash.settledFrom;
             }))
-            endpoints.push_back(endpoint);
+            endpoints.push_back(each.first);
     return endpoints;
 }
 
