--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -201,12 +201,13 @@
     });
 }
 
-void TrafficFront::connectionChecked(const std::string &endpoint, const CallOutcome &outcome)
+void TrafficFront::connectionChecked(const std::string &endpoint, Time askedAt,
+                                     const CallOutcome &outcome)
 {
     m_questions.erase(endpoint);
     RelayActions actions;
     if (outcome.left)
-        m_relay.aliveSeen(endpoint, steadyNow());
+        m_relay.aliveSeen(endpoint, askedAt);
     else
         m_relay.reportFailed(endpoint, steadyNow(), actions, outcome.refused);
     run(std::move(actions));
@@ -217,6 +218,7 @@
     if (m_questions.contains(ask.endpoint))
         return;
     const bool plain = isPlain(ask.endpoint);
+    const Time askedAt = steadyNow();
     ExchangeSettings settings;
     settings.endpoint = ask.endpoint;
     settings.address = ask.address;
@@ -225,17 +227,18 @@
         m_pool, std::move(settings),
         plain ? std::string()
               : callText({"GET", std::string(m_protocol.reportTarget()), {}}, ask.address),
-        AnswerWithin, [this, plain, endpoint = ask.endpoint](const CallOutcome &outcome) {
+        AnswerWithin, [this, plain, askedAt, endpoint = ask.endpoint](const CallOutcome &outcome) {
             if (plain)
-                connectionChecked(endpoint, outcome);
+                connectionChecked(endpoint, askedAt, outcome);
             else
-                engineAnswered(endpoint, outcome);
+                engineAnswered(endpoint, askedAt, outcome);
         });
-    m_questions[ask.endpoint] = question;
+    m_questions[ask.endpoint] = {question, askedAt};
     question->start();
 }
 
-void TrafficFront::engineAnswered(const std::string &endpoint, const CallOutcome &outcome)
+void TrafficFront::engineAnswered(const std::string &endpoint, Time askedAt,
+                                  const CallOutcome &outcome)
 {
     m_questions.erase(endpoint);
     RelayActions actions;
@@ -252,7 +255,7 @@
         if (gone)
             m_relay.reportFailed(endpoint, steadyNow(), actions, outcome.refused || replaced);
         else
-            m_relay.aliveSeen(endpoint, steadyNow());
+            m_relay.aliveSeen(endpoint, askedAt);
         if (gone && m_engineSilent)
             m_engineSilent(endpoint);
         return run(std::move(actions));
@@ -264,6 +267,7 @@
                 {{"endpoint", std::string_view(endpoint)},
                  {"pace", report->pace},
                  {"stalled_at", std::string_view(stalled)}});
+    m_relay.aliveSeen(endpoint, askedAt);
     m_relay.reported(endpoint, report->stalledAt, report->pace, steadyNow(), actions);
     run(std::move(actions));
 }
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -91,10 +91,10 @@
     void tick();
     void armTimer();
     bool isPlain(const std::string &id) const;
-    void connectionChecked(const std::string &endpoint, const CallOutcome &outcome);
+    void connectionChecked(const std::string &endpoint, Time askedAt, const CallOutcome &outcome);
     void askEngine(const AskEngine &ask);
 
-    void engineAnswered(const std::string &endpoint, const CallOutcome &outcome);
+    void engineAnswered(const std::string &endpoint, Time askedAt, const CallOutcome &outcome);
     void changePath(const ChangePath &change);
     void tellCrashes(const CrashNews &news);
     void finishStop();
@@ -114,7 +114,13 @@
     FleetPtr m_fleet;
     std::unordered_map<FlightId, std::shared_ptr<CallerSession>> m_flights;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
-    std::map<std::string, std::shared_ptr<OneCall>> m_questions; ///< by endpoint
+    /// A question for an endpoint's state that is not answered yet.
+    struct Question
+    {
+        std::shared_ptr<OneCall> call;
+        Time askedAt {};
+    };
+    std::map<std::string, Question> m_questions; ///< by endpoint
     bool m_stopping = false;
     Time m_stopAt {};
     Time m_prunedAt {};
--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -415,12 +415,14 @@
 
 void CrashWorld::ask(std::size_t instance, const AskEngine &ask)
 {
-    after(Network * 2, [this, instance, endpoint = ask.endpoint] {
+    after(Network * 2, [this, instance, asked = m_now, endpoint = ask.endpoint] {
         step(instance, [&](Relay &relay, RelayActions &actions) {
             if (m_engines[engineOf(endpoint)].ended)
                 relay.reportFailed(endpoint, m_now, actions, true);
-            else
+            else {
+                relay.aliveSeen(endpoint, asked);
                 relay.reported(endpoint, {}, 1, m_now, actions);
+            }
         });
     });
 }
--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -90,8 +90,13 @@
     /// \a endpoint had just begun it, it may end all the same.
     void givenUp(const std::string &digest, const std::string &endpoint, Time now);
 
-    /// \a endpoint is alive: it ended under nothing.
-    void endpointAnswered(const std::string &endpoint, Time now);
+    /// \a endpoint answered a question that was sent at \a asked: it ended under nothing
+    /// before.
+    void endpointAnswered(const std::string &endpoint, Time asked);
+
+    /// Bytes of \a endpoint were read. Those that it sent before it ended may be read
+    /// after it broke another run off, so they say nothing of that one.
+    void endpointHeard(const std::string &endpoint, Time now);
     /// The process of \a endpoint is surely gone.
     void endpointEnded(const std::string &endpoint, Time now);
 
@@ -145,6 +150,7 @@
     Duration unsettledFor(const std::string &digest, Time now) const;
     Time lastEnd(const std::string &digest) const;
     bool cameThroughBefore(const std::string &digest, const Crashes &under) const;
+    void clearDoubts(const std::string &endpoint, Time aliveAt, bool ofThoseCut);
     void doubt(const std::string &digest, const std::string &endpoint, Crash crash);
     bool counts(const Crash &crash, Time now) const;
     bool explainedByOther(const std::string &digest, const std::string &endpoint, Time now) const;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -224,10 +224,10 @@
     void reportFailed(const std::string &endpoint, Time now, RelayActions &actions,
                       bool refused = false);
 
-    /// The endpoint answered something: it did not end.
-    void aliveSeen(const std::string &endpoint, Time now)
+    /// The endpoint answered a question that was sent at \a asked, whatever it said.
+    void aliveSeen(const std::string &endpoint, Time asked)
     {
-        m_quarantine.endpointAnswered(endpoint, now);
+        m_quarantine.endpointAnswered(endpoint, asked);
     }
 
     /// All that instances told each other about endpoints that ended under requests.
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -60,8 +60,7 @@
 
 void Quarantine::brokenOff(const std::string &digest, const std::string &endpoint, Time now)
 {
-    // It was alive up to now.
-    endpointAnswered(endpoint, now);
+    endpointHeard(endpoint, now);
     doubt(digest, endpoint, {now, Stage::Doubtful, true, now + Duration(1)});
 }
 
@@ -70,18 +69,29 @@
     doubt(digest, endpoint, {now, Stage::Doubtful, false, now + m_settings.endsWithin});
 }
 
-void Quarantine::endpointAnswered(const std::string &endpoint, Time now)
+void Quarantine::clearDoubts(const std::string &endpoint, Time aliveAt, bool ofThoseCut)
 {
     const auto on = m_onEndpoint.find(endpoint);
     if (on == m_onEndpoint.end())
         return;
     for (const std::string &digest : std::set<std::string>(on->second)) {
         const Crash &crash = m_requests[digest][endpoint];
-        if (crash.stage == Stage::Doubtful && now >= crash.settledFrom)
+        if (crash.stage == Stage::Doubtful && aliveAt >= crash.settledFrom
+            && (ofThoseCut || !crash.cut))
             forget(digest, endpoint);
     }
 }
 
+void Quarantine::endpointAnswered(const std::string &endpoint, Time asked)
+{
+    clearDoubts(endpoint, asked, true);
+}
+
+void Quarantine::endpointHeard(const std::string &endpoint, Time now)
+{
+    clearDoubts(endpoint, now, false);
+}
+
 void Quarantine::endpointEnded(const std::string &endpoint, Time now)
 {
     const auto on = m_onEndpoint.find(endpoint);
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -429,7 +429,7 @@
     if (!flight)
         return false;
     m_book.cleared(flight->endpoint);
-    m_quarantine.endpointAnswered(flight->endpoint, now);
+    m_quarantine.endpointHeard(flight->endpoint, now);
     if (head.running && !flight->path.empty())
         m_book.loadSeen(flight->endpoint, flight->domain, *head.running);
     if (head.notExecuted || head.status == Misdirected) {
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -31,7 +31,7 @@
 
 void Relay::noteProgress(Flight &flight, Time now)
 {
-    m_quarantine.endpointAnswered(flight.endpoint, now);
+    m_quarantine.endpointHeard(flight.endpoint, now);
     if (!flight.firstEventAt)
         flight.firstEventAt = now;
     if (flight.runsWell || now - *flight.firstEventAt < m_settings.runsWell)
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -29,7 +29,6 @@
                      double pace, Time now, RelayActions &actions)
 {
     m_book.cleared(endpoint);
-    m_quarantine.endpointAnswered(endpoint, now);
     m_book.paced(endpoint, pace, now);
     for (const std::string &address : stalledAt)
         if (const FleetEndpoint *found = m_fleet->atAddress(address))
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -12,6 +12,7 @@
 DEFINE_int32(seconds, 8, "of faults in each run");
 DEFINE_int32(instances, 3, "processes of balsamloft-entry");
 DEFINE_int32(series, 3, "of faults, that overlap");
+DEFINE_bool(ending, false, "a request comes again and again that ends its endpoints");
 DEFINE_string(logs, "", "directory for the instances' logs of failing seeds");
 
 namespace {
@@ -23,6 +24,7 @@
     settings.length = std::chrono::seconds(FLAGS_seconds);
     settings.instances = FLAGS_instances;
     settings.series = FLAGS_series;
+    settings.ending = FLAGS_ending;
     balsamloft::soak::Soak soak(settings);
     const std::vector<std::string> broken = soak.run();
     std::printf("seed %lu: %s, %zu faults, %s\n", seed, broken.empty() ? "holds" : "BROKEN",
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -22,6 +22,7 @@
 constexpr int Unavailable = 503;
 constexpr int NoAnswer = 0;
 constexpr Milliseconds PollStep {20};
+constexpr Milliseconds ReturnsAfter {700};
 
 std::string answerText(int status, const std::string &body, const std::string &more = {})
 {
@@ -212,6 +213,14 @@
     start();
 }
 
+awaitable<void> Endpoint::crashAndReturn()
+{
+    m_record.endedUnder(m_id);
+    crash();
+    co_await pause(ReturnsAfter);
+    start();
+}
+
 awaitable<void> Endpoint::accept()
 {
     for (;;) {
@@ -253,6 +262,10 @@
         text = answerText(Unavailable, {}, echo + "Not-Run: 1\r\n");
     else
         m_record.ran(id, m_id);
+    if (text.empty() && request.body() == EndingBody) {
+        asio::co_spawn(m_context, crashAndReturn(), asio::detached);
+        co_return false;
+    }
     if (text.empty() && request.target().starts_with("/stream/") && !failing)
         co_return co_await stream(socket, request);
     if (text.empty()) {
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -46,6 +46,9 @@
     std::uint64_t m_forgotten = 0;
 };
 
+/// Body of a request that ends each engine that runs it.
+inline constexpr std::string_view EndingBody = "end!";
+
 /// An endpoint behind a link. Each start is another process with another id.
 class Endpoint
 {
@@ -59,6 +62,8 @@
 
     void crash();
     void start();
+    /// Ends as for a request that ends what runs it, and comes back after a while.
+    awaitable<void> crashAndReturn();
     /// Writes that it leaves; what runs goes on.
     void leave();
     /// Comes back under another id and is off the list at once; what runs goes on.
--- a/testsuite/soak/record.cpp
+++ b/testsuite/soak/record.cpp
@@ -92,7 +92,8 @@
     }
     return std::to_string(m_got.size()) + " asked, " + std::to_string(whole) + " whole, "
            + std::to_string(refused) + " refused as not run, "
-           + std::to_string(m_got.size() - whole - refused) + " failed";
+           + std::to_string(m_got.size() - whole - refused) + " failed, "
+           + std::to_string(m_endedUnder.size()) + " ended under a request";
 }
 
 } // namespace balsamloft::soak
--- a/testsuite/soak/record.h
+++ b/testsuite/soak/record.h
@@ -23,6 +23,7 @@
     int events = 0; ///< that a whole stream has
     int status = 0; ///< 0: the connection ended without a head
     bool complete = false; ///< the answer ended as a whole one does
+    bool ends = false; ///< ends each endpoint that runs it
     std::string body;
 };
 
@@ -36,6 +37,10 @@
 
     /// An endpoint wrote that it leaves; \a endpoint: its id.
     void leaves(const std::string &endpoint) { m_leftAt[endpoint] = Clock::now(); }
+    /// An endpoint ended under a request that ends endpoints.
+    void endedUnder(const std::string &endpoint) { m_endedUnder.push_back(endpoint); }
+    std::size_t endsUnder() const { return m_endedUnder.size(); }
+
     void broken(const std::string &promise) { m_broken.push_back(promise); }
 
     /// Promises that were broken, one line each.
@@ -49,6 +54,7 @@
     std::map<std::string, std::vector<std::string>> m_ran; ///< endpoints by request
     std::map<std::string, Attempt> m_got;
     std::map<std::string, Clock::time_point> m_leftAt;
+    std::vector<std::string> m_endedUnder;
     std::vector<std::string> m_broken;
 };
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -29,6 +29,8 @@
 constexpr Milliseconds RunsOn {13'000};
 /// An entry that nobody renews is dropped after this long.
 constexpr Milliseconds EntryLapses {2'500};
+/// Endpoints that one request may end while the instances can tell each other.
+constexpr std::size_t MostEnds = 6;
 constexpr int StoppedWell = 0;
 constexpr int KilledExit = 128 + SIGKILL;
 constexpr std::string_view Configuration =
@@ -51,7 +53,8 @@
         path += std::to_string(attempt.events);
     return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
            + "\r\nTeam-Key: good-key\r\nDeadline-Ms: 8000\r\nTokens: 10,60\r\n"
-             "Content-Length: 2\r\n\r\nhi";
+             "Content-Length: "
+           + (attempt.ends ? "4\r\n\r\n" + std::string(EndingBody) : std::string("2\r\n\r\nhi"));
 }
 
 } // namespace
@@ -144,6 +147,8 @@
             spawn(caller(i, m_random()));
     for (int i = 0; i < m_settings.series; ++i)
         spawn(series(m_random()));
+    if (m_settings.ending)
+        spawn(endingCaller(m_random()));
     co_await pause(std::chrono::duration_cast<Milliseconds>(m_settings.length));
     m_over = true;
     while (m_running > 0)
@@ -214,6 +219,30 @@
     }
 }
 
+/// Sends the same request to one instance after another.
+awaitable<void> Soak::endingCaller(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    while (!m_over) {
+        tcp::socket socket(m_context);
+        boost::system::error_code error;
+        const Instance &instance = m_instances[random() % m_instances.size()];
+        co_await socket.async_connect(endpointOf(instance.callers),
+                                      asio::redirect_error(asio::use_awaitable, error));
+        Attempt attempt;
+        attempt.kind = Kind::Stream;
+        attempt.events = 1;
+        attempt.ends = true;
+        const std::string id = "r" + std::to_string(m_nextRequest++);
+        if (!error)
+            co_await ask(socket, id, attempt);
+        m_record.got(id, std::move(attempt));
+        co_await pause(Milliseconds(draw(random, 300, 1200)));
+    }
+    if (m_settings.series == 0 && m_record.endsUnder() > MostEnds)
+        m_record.broken("one request ended " + std::to_string(m_record.endsUnder()) + " endpoints");
+}
+
 awaitable<bool> Soak::served(std::size_t instance, Kind kind)
 {
     const auto end = Clock::now() + RecoveryBound;
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -17,6 +17,7 @@
     int instances = 3;
     int callers = 4; ///< before each instance
     int series = 3; ///< of faults, that overlap
+    bool ending = false; ///< a request comes again and again that ends its endpoints
 };
 
 /// Runs one seed. Drawn from the seed: which faults, when and for how long. Not
@@ -63,6 +64,7 @@
     awaitable<void> linkFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> endpointFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> caller(std::size_t instance, std::uint64_t seed);
+    awaitable<void> endingCaller(std::uint64_t seed);
     awaitable<bool> ask(tcp::socket &socket, const std::string &id, Attempt &attempt);
     awaitable<bool> served(std::size_t instance, Kind kind);
     void note(const std::string &fault);
