A full memory of suspects keeps no new request from being found out

Callers would see: a request that ends its engines is never held back at instances that know of 1,024 others under which one endpoint each ended, which ten minutes of ends in a busy fleet can bring.

Cause: only records that others did not know yet made room. Now the oldest single end does, whoever told it, and is taken back for all. Also by reading: a row that is written and dropped before the store took the first is written once, as it is last; two entries of one row in one transaction are not defined.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -15,7 +15,6 @@
 #include <balsamloft/peerdirectory.h>
 #include <balsamloft/quarantine.h>
 
-#include <deque>
 #include <functional>
 
 namespace balsamloft {
@@ -149,7 +148,8 @@
     std::map<std::string, std::optional<std::pair<std::string, std::string>>> m_gaps;
     std::map<std::string, std::uint64_t, std::less<>> m_leftOut; ///< rows' versions, by key
     CrashNews m_crashesToTell; ///< until the store's clock is known
-    std::deque<RowWrite> m_crashWrites; ///< that the store has not taken yet
+    /// What the store has not taken yet, by row; nothing: the row is dropped.
+    std::map<std::string, std::optional<std::string>> m_crashWrites;
     bool m_writingCrashes = false;
     std::uint32_t m_crashFailures = 0; ///< writes that failed in a row
     Time m_crashPauseUntil {};
--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -43,22 +43,16 @@
                                      news.added.end());
         return;
     }
-    const auto write = [this](const CrashRecord &record, std::optional<std::string> value) {
-        RowWrite row;
-        row.table = std::string(CrashTable);
-        row.key = keyOf(record);
-        row.value = std::move(value);
-        m_crashWrites.push_back(std::move(row));
-    };
     for (const CrashRecord &each : news.added) {
         const Time bootTime = bootNow() - (steadyNow() - each.at);
         const std::int64_t atMs = (bootTime.time_since_epoch() + *m_storeOffset).count() / 1000;
-        write(each, json::serialize(json::object {{"at_ms", atMs}, {"by", m_settings.name}}));
+        m_crashWrites[keyOf(each)] =
+            json::serialize(json::object {{"at_ms", atMs}, {"by", m_settings.name}});
     }
     for (const CrashRecord &each : news.removed)
-        write(each, std::nullopt);
+        m_crashWrites[keyOf(each)] = std::nullopt;
     while (m_crashWrites.size() > MostWaiting)
-        m_crashWrites.pop_front();
+        m_crashWrites.erase(m_crashWrites.begin());
     writeCrashes(steadyNow());
 }
 
@@ -71,11 +65,14 @@
     if (m_crashWrites.empty() || m_writingCrashes || now < m_crashPauseUntil)
         return;
     Transaction transaction;
-    const std::size_t count = std::min(MostWrites, m_crashWrites.size());
-    transaction.writes.assign(m_crashWrites.begin(),
-                              m_crashWrites.begin() + static_cast<std::ptrdiff_t>(count));
-    m_crashWrites.erase(m_crashWrites.begin(),
-                        m_crashWrites.begin() + static_cast<std::ptrdiff_t>(count));
+    while (!m_crashWrites.empty() && transaction.writes.size() < MostWrites) {
+        auto next = m_crashWrites.extract(m_crashWrites.begin());
+        RowWrite row;
+        row.table = std::string(CrashTable);
+        row.key = std::move(next.key());
+        row.value = std::move(next.mapped());
+        transaction.writes.push_back(std::move(row));
+    }
     m_writingCrashes = true;
     m_channel.call(StoreUse::OwnRow, m_protocol.commit(transaction), CallWithin,
                    [this, writes = transaction.writes](const StoreAnswer &answer) {
@@ -96,7 +93,9 @@
         {{"records", std::int64_t(writes.size())}, {"failures", std::int64_t(m_crashFailures)}});
     m_crashPauseUntil = now + doubled(FirstPause, m_crashFailures, MostPause);
     m_crashFailures += 1;
-    m_crashWrites.insert(m_crashWrites.begin(), writes.begin(), writes.end());
+    // What was to be written to the same row since is newer.
+    for (const RowWrite &each : writes)
+        m_crashWrites.try_emplace(each.key, each.value);
 }
 
 void Control::crashRows()
--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -45,9 +45,8 @@
 {
     /// Endpoints that ended under a held request, and whose end no other request explains.
     std::size_t crashesToHold = 3;
-    /// Endpoints after which a request is held even if others were on each of them.
-    /// The same when something speaks for the request: others explain the ends as well,
-    /// or it came through shortly before.
+    /// The same when something speaks for the request: others were on these endpoints
+    /// too, or it came through shortly before.
     std::size_t crashesToHoldForSure = 5;
     /// An endpoint that has begun a request ends by then, also when it was given up.
     Duration endsWithin {200'000};
@@ -97,6 +96,7 @@
     /// Bytes of \a endpoint were read. Those that it sent before it ended may be read
     /// after it broke another run off, so they say nothing of that one.
     void endpointHeard(const std::string &endpoint, Time now);
+
     /// The process of \a endpoint is surely gone.
     void endpointEnded(const std::string &endpoint, Time now);
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -160,8 +160,8 @@
     /// A request that passes events for so long on one endpoint does not end endpoints
     /// by being run.
     Duration runsWell {1'000'000};
-    std::size_t crashesToStop =
-        2; ///< endpoints that ended under a request, then it is not repeated
+    /// Endpoints that ended under a request, after which an attempt is not repeated.
+    std::size_t crashesToStop = 2;
     /// Spread of choices for requests that an endpoint's end cut: together on the next
     /// endpoint, none could be told from the one that ends endpoints.
     double scatter = 1;
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -30,22 +30,27 @@
         m_onEndpoint.erase(on);
 }
 
-/// A caller that sends ever new requests beside ends of endpoints must not push out
-/// those that are under suspicion for more than one.
+/// Who is suspected of one end alone makes room, the oldest first: a caller that sends
+/// ever new requests beside ends must not push out those under which several endpoints
+/// ended, nor keep a new one from being suspected.
 bool Quarantine::makeRoom()
 {
     if (m_requests.size() < m_settings.mostDigests)
         return true;
-    const auto single = std::find_if(m_requests.begin(), m_requests.end(), [](const auto &each) {
-        return each.second.size() == 1 && each.second.begin()->second.stage != Stage::Shared;
-    });
-    if (single == m_requests.end())
+    auto oldest = m_requests.end();
+    for (auto it = m_requests.begin(); it != m_requests.end(); ++it)
+        if (it->second.size() == 1
+            && (oldest == m_requests.end()
+                || it->second.begin()->second.at < oldest->second.begin()->second.at))
+            oldest = it;
+    if (oldest == m_requests.end())
         return false;
-    const std::string digest = single->first;
-    const auto &[endpoint, crash] = *single->second.begin();
-    if (crash.stage == Stage::Told)
+    const std::string digest = oldest->first;
+    const std::string endpoint = oldest->second.begin()->first;
+    const Crash crash = oldest->second.begin()->second;
+    if (crash.stage == Stage::Told || crash.stage == Stage::Shared)
         m_retracted.push_back({digest, endpoint, crash.at});
-    forget(digest, std::string(endpoint));
+    forget(digest, endpoint);
     return true;
 }
 
--- a/src/libbalsamloft/quarantine_test.cpp
+++ b/src/libbalsamloft/quarantine_test.cpp
@@ -267,6 +267,21 @@
     CHECK(quarantine.news(Start + seconds(1)).added.size() <= QuarantineSettings {}.mostNews);
 }
 
+// Guards against a memory full of others' records, in which a new request is never suspected.
+TEST_CASE("a request is found out also when the memory is full of what others told")
+{
+    Quarantine quarantine;
+    std::vector<CrashRecord> told;
+    for (std::size_t i = 0; i < QuarantineSettings {}.mostDigests; ++i)
+        told.push_back({"told " + std::to_string(i), "f" + std::to_string(i % 50), Start});
+    quarantine.learn(told);
+    for (const char *endpoint : {"e1", "e2", "e3"})
+        endUnder(quarantine, endpoint, {"bad"});
+    CHECK(held(quarantine, "bad"));
+    CHECK(quarantine.suspected() <= QuarantineSettings {}.mostDigests);
+    CHECK(quarantine.news(Start + seconds(1)).removed.size() == 1);
+}
+
 namespace {
 
 /// What random schedules showed, all together.
