Reading again: one look-up of a service by name, one limit of a call to the store

RouteMap::serviceNamed serves the question whether an endpoint is plain and the room of an engine, each of which had a loop of its own; the limit of a call to the store stood in two files; the time of a question was kept beside it and read by nobody. No behaviour changes.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -26,6 +26,9 @@
 /// Table of the requests under which endpoints ended.
 inline constexpr std::string_view CrashTable = "crashes";
 
+/// A call to the store that is not answered by then is given up.
+inline constexpr Duration StoreCallWithin {900'000};
+
 /// What the control thread tells the traffic thread.
 struct ControlEvents
 {
--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr Duration CallWithin {900'000};
 constexpr std::size_t MostWrites = 100; ///< that the store takes in one transaction
 constexpr std::size_t MostWaiting = 1000; ///< writes that wait for a store that is down
 constexpr Duration FirstPause {300'000}; ///< after a write that failed
@@ -74,7 +73,7 @@
         transaction.writes.push_back(std::move(row));
     }
     m_writingCrashes = true;
-    m_channel.call(StoreUse::OwnRow, m_protocol.commit(transaction), CallWithin,
+    m_channel.call(StoreUse::OwnRow, m_protocol.commit(transaction), StoreCallWithin,
                    [this, writes = transaction.writes](const StoreAnswer &answer) {
                        m_writingCrashes = false;
                        crashesWritten(writes, answer.reply.kind == StoreReply::Kind::Done);
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -36,11 +36,11 @@
 /// KV memory that the engine's layers leave to requests.
 double Control::roomOf(const FleetEndpoint &engine) const
 {
-    for (const RoutedService &service : m_table->services())
-        if (service.name == engine.service && service.model)
-            if (const AcceleratorKind *kind = service.model->kind(engine.kind))
-                return service.model->room(*kind, engine.layers.length());
-    return 0;
+    const RoutedService *service = m_table->serviceNamed(engine.service);
+    if (!service || !service->model)
+        return 0;
+    const AcceleratorKind *kind = service->model->kind(engine.kind);
+    return kind ? service->model->room(*kind, engine.layers.length()) : 0;
 }
 
 bool Control::dueToAsk(const FleetEndpoint &engine, Time now) const
--- a/src/entry/controlinstances.cpp
+++ b/src/entry/controlinstances.cpp
@@ -10,12 +10,6 @@
 
 namespace balsamloft {
 
-namespace {
-
-constexpr Duration CallWithin {900'000};
-
-} // namespace
-
 void Control::leaseActions(LeaseActions actions)
 {
     for (LeaseAction &action : actions) {
@@ -28,7 +22,7 @@
 
 void Control::readLease(std::uint64_t id)
 {
-    m_channel.call(StoreUse::Lease, m_protocol.read(LeaseTable, {}), CallWithin,
+    m_channel.call(StoreUse::Lease, m_protocol.read(LeaseTable, {}), StoreCallWithin,
                    [this, id](const StoreAnswer &answer) {
                        ReadOutcome outcome;
                        if (answer.reply.kind == StoreReply::Kind::Done) {
@@ -47,7 +41,7 @@
 
 void Control::writeLease(WriteLease write)
 {
-    m_channel.call(StoreUse::Lease, m_protocol.commit(write.transaction), CallWithin,
+    m_channel.call(StoreUse::Lease, m_protocol.commit(write.transaction), StoreCallWithin,
                    [this, id = write.id](const StoreAnswer &answer) {
                        TransactionOutcome outcome;
                        outcome.version = answer.reply.version;
@@ -112,7 +106,7 @@
     }
     Transaction transaction;
     transaction.writes.push_back(std::move(write));
-    m_channel.call(StoreUse::OwnRow, m_protocol.commit(transaction), CallWithin,
+    m_channel.call(StoreUse::OwnRow, m_protocol.commit(transaction), StoreCallWithin,
                    [done = std::move(done)](const StoreAnswer &) {
                        if (done)
                            done();
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -195,10 +195,8 @@
     const FleetEndpoint *endpoint = m_fleet->find(id);
     if (!endpoint || !m_table)
         return false;
-    const std::vector<RoutedService> &services = m_table->services();
-    return std::any_of(services.begin(), services.end(), [&](const RoutedService &each) {
-        return each.name == endpoint->service && !each.model;
-    });
+    const RoutedService *service = m_table->serviceNamed(endpoint->service);
+    return service && !service->model;
 }
 
 void TrafficFront::connectionChecked(const std::string &endpoint, Time askedAt,
@@ -233,7 +231,7 @@
             else
                 engineAnswered(endpoint, askedAt, outcome);
         });
-    m_questions[ask.endpoint] = {question, askedAt};
+    m_questions[ask.endpoint] = question;
     question->start();
 }
 
--- a/src/include/balsamloft/routemap.h
+++ b/src/include/balsamloft/routemap.h
@@ -139,6 +139,9 @@
     /// The team that holds \a key, or nothing.
     const RoutedTeam *team(std::string_view key) const;
 
+    /// The service with that name, or nothing.
+    const RoutedService *serviceNamed(std::string_view name) const;
+
     /// Index of the target of \a route for the request \a requestId: the same
     /// request gets the same one at each instance.
     std::uint32_t target(const Route &route, std::string_view requestId) const;
--- a/src/libbalsamloft/routemap.cpp
+++ b/src/libbalsamloft/routemap.cpp
@@ -45,6 +45,13 @@
     return it == m_keys.end() ? nullptr : &m_teams[it->second];
 }
 
+const RoutedService *RouteMap::serviceNamed(std::string_view name) const
+{
+    const auto it = std::find_if(m_services.begin(), m_services.end(),
+                                 [&](const RoutedService &each) { return each.name == name; });
+    return it == m_services.end() ? nullptr : &*it;
+}
+
 std::uint32_t RouteMap::target(const Route &route, std::string_view requestId) const
 {
     double total = 0;
