--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -9,6 +9,7 @@
 constexpr Duration TickEvery {50'000};
 constexpr Duration Network {500}; ///< one way
 constexpr std::uint32_t Layers = 8;
+constexpr std::uint32_t ManyRetries = 1000;
 
 Route streamRoute()
 {
@@ -63,6 +64,27 @@
     tellFleet();
 }
 
+void CrashWorld::suspectTogether(std::size_t others)
+{
+    std::vector<std::string> digests {crashingDigest()};
+    for (std::size_t i = 0; i < others; ++i)
+        digests.push_back("beside " + std::to_string(i));
+    for (const std::string &digest : digests)
+        for (int end = 0; end < 3; ++end)
+            m_told.push_back({digest, "gone-" + std::to_string(end), m_now});
+    m_ends[digests.front()].assign(3, m_now);
+    learn();
+    for (std::size_t i = 1; i < digests.size(); ++i) {
+        Caller caller;
+        caller.digest = digests[i];
+        caller.eventsLeft = 20;
+        caller.retries = ManyRetries;
+        caller.suspectedSince = m_now;
+        after(between(0, 1'000'000),
+              [this, caller] { submit(pick(m_settings.instances), caller); });
+    }
+}
+
 void CrashWorld::restartInstances()
 {
     for (std::size_t i = 0; i < m_settings.instances; ++i)
@@ -168,7 +190,7 @@
         caller.digest = crashingDigest();
         caller.crashing = m_now - m_begun >= m_settings.harmlessFor;
         caller.eventsLeft = 20;
-        caller.retries = 0;
+        caller.retries = m_settings.crashingRetries;
         submit((first + i) % m_settings.instances, std::move(caller));
     }
     after(m_settings.crashingEvery, [this] { arriveCrashing(); });
@@ -391,6 +413,8 @@
 {
     const auto caller = m_callers[instance].find(flight);
     m_harmless.passed += caller->second.crashing ? 0 : 1;
+    if (caller->second.suspectedSince)
+        m_waits.push_back(m_now - *caller->second.suspectedSince);
     m_callers[instance].erase(caller);
 }
 
@@ -399,9 +423,7 @@
     const auto it = m_callers[instance].find(end.flight);
     Caller caller = it->second;
     m_callers[instance].erase(it);
-    if (caller.crashing)
-        return;
-    if (end.reason.starts_with("held back"))
+    if (!caller.crashing && end.reason.starts_with("held back"))
         m_harmless.heldBack += 1;
     if (end.end != FlightEnd::CutShort && caller.retries > 0) {
         caller.retries -= 1;
@@ -409,7 +431,8 @@
               [this, caller] { submit(pick(m_settings.instances), caller); });
         return;
     }
-    (end.end == FlightEnd::NotRun ? m_harmless.refused : m_harmless.broken) += 1;
+    if (!caller.crashing)
+        (end.end == FlightEnd::NotRun ? m_harmless.refused : m_harmless.broken) += 1;
 }
 
 void CrashWorld::ask(std::size_t instance, const AskEngine &ask)
--- a/src/fakes/crashworld.h
+++ b/src/fakes/crashworld.h
@@ -24,6 +24,7 @@
     Duration crashingChanges {3'600'000'000}; ///< after which another such request comes instead
     std::size_t crashingTogether = 1; ///< so many of it at once, at different instances
     RequestKind crashingKind = RequestKind::Stream;
+    std::uint32_t crashingRetries = 0; ///< of its caller, when told to come back
     Duration readTime {0}; ///< of one prompt, one after another; 0: side by side, up to 0.4 s each
     Duration mostWait {4'000'000}; ///< an engine whose work waits longer rejects
     Duration patience {2'000'000}; ///< callers leave after so long without an event
@@ -46,6 +47,11 @@
     /// Ends an engine that some request runs on, whatever runs there.
     void endAnyEngine();
 
+    /// Three engines ended a moment ago under the request that ends them and under
+    /// \a others that do no harm, and all instances know. Nothing tells them apart. The
+    /// callers of all of them come back until they are served.
+    void suspectTogether(std::size_t others);
+
     /// Kills all instances; others, which know nothing, take their place.
     void restartInstances();
 
@@ -71,6 +77,10 @@
     };
     const Harmless &harmless() const { return m_harmless; }
 
+    /// How long each of those suspected together waited from its first attempt until it
+    /// was served; only of those that were.
+    const std::vector<Duration> &waits() const { return m_waits; }
+
 private:
     struct Engine
     {
@@ -100,6 +110,7 @@
         bool crashing = false;
         std::uint64_t eventsLeft = 0;
         std::uint32_t retries = 1;
+        std::optional<Time> suspectedSince; ///< together with the one that ends engines
     };
 
     struct Event
@@ -158,6 +169,7 @@
     std::map<std::string, std::vector<Time>> m_ends; ///< under each request that ends engines
     std::map<std::string, std::vector<Time>> m_crashingSends;
     Harmless m_harmless;
+    std::vector<Duration> m_waits;
 };
 
 } // namespace balsamloft::fakes
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -96,6 +96,23 @@
     CHECK(world.ends().size() <= MostEnds);
 }
 
+// Guards against a permission that each instance gives alone, at a moment that all share.
+TEST_CASE("hundreds of instances try a request under suspicion no more often than a few do")
+{
+    CrashWorldSettings settings;
+    settings.instances = GENERATE(6, 60, 76, 295);
+    settings.crashingEvery = Duration(100'000);
+    settings.crashingRetries = 1;
+    settings.seed = GENERATE(range(1, 4));
+    CrashWorld world(settings);
+    world.suspectTogether(5);
+    world.run(seconds(35));
+    INFO(settings.instances << " instances, " << world.ends().size() << " ends");
+    CHECK(world.sendsAfterThirdEnd(KnownEverywhere) <= MostLateSends);
+    CHECK(world.harmless().heldBack == 0);
+    CHECK(world.waits().size() == 5);
+}
+
 // Guards against copies that wait at engines while it becomes known what they do.
 TEST_CASE(
     "a request that comes at three instances at once is known as soon as one that comes alone")
