--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -76,7 +76,7 @@
                             : refuse(503, "keys too old", Duration(300'000));
         return false;
     }
-    if (m_flight && m_front.relay().maySend(*m_flight, m_attempt, now))
+    if (m_flight && m_front.maySend(*m_flight, m_attempt))
         return true;
     exchangeFailed(AttemptFailure::NotSent);
     return false;
@@ -147,7 +147,9 @@
     const auto end = std::to_chars(size.data(), size.data() + size.size(), whole.size(), 16).ptr;
     m_out.append(size.data(), static_cast<std::size_t>(end - size.data()));
     m_out.append("\r\n").append(whole).append("\r\n");
-    m_front.relay().eventsPassed(*m_flight, m_attempt, m_events->lastId(), now);
+    RelayActions actions;
+    m_front.relay().eventsPassed(*m_flight, m_attempt, m_events->lastId(), now, actions);
+    m_front.run(std::move(actions));
     flush();
 }
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -85,11 +85,26 @@
     return planner;
 }
 
+/// Unique to this process, not only to its name.
+std::string processName(const EntrySettings &settings)
+{
+    return settings.name + "/" + std::to_string(bootNow().time_since_epoch().count());
+}
+
+TrialSettings trialSettings(const EntrySettings &settings)
+{
+    TrialSettings trials;
+    trials.holder = processName(settings);
+    // A dead endpoint is listed for three beats, and everybody knows a little later.
+    trials.margin = settings.beat * 3 + Duration(1'400'000);
+    return trials;
+}
+
 LeaseSettings leaseSettings(const EntrySettings &settings)
 {
     LeaseSettings lease;
     lease.key = LeaseKey;
-    lease.holder = settings.name + "/" + std::to_string(bootNow().time_since_epoch().count());
+    lease.holder = processName(settings);
     lease.duration = Duration(2'400'000);
     lease.renewEvery = Duration(800'000);
     lease.pollEvery = Duration(1'000'000);
@@ -110,11 +125,13 @@
     , m_server(context)
     , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.store, protocol, state)
+    , m_crashChannel(context, settings.store, protocol, state)
     , m_engines(context)
     , m_fleet(fleetSettings(settings))
     , m_fleetNow(std::make_shared<FleetSnapshot>())
     , m_lease(leaseSettings(settings))
     , m_planner(plannerSettings(settings))
+    , m_trials(trialSettings(settings))
 {
     for (std::size_t i = 0; i < NewsTableCount; ++i) {
         const auto table = static_cast<NewsTable>(i);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -13,7 +13,7 @@
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/lease.h>
 #include <balsamloft/peerdirectory.h>
-#include <balsamloft/quarantine.h>
+#include <balsamloft/trialpermits.h>
 
 #include <functional>
 
@@ -56,6 +56,12 @@
     /// The traffic thread saw endpoints end under requests, or was mistaken in that.
     void tellCrashes(const CrashNews &news);
 
+    /// Asks the store for the permit to try a request; \a answered is always called.
+    void askTrial(const TrialRequest &request, std::function<void(TrialAnswer)> answered);
+
+    /// A try that was permitted is over.
+    void endTrial(const EndTrial &ended);
+
     /// Gives the lease back and leaves the list of instances, then calls \a done.
     void stop(std::function<void()> done);
 
@@ -97,6 +103,8 @@
     void writeCrashes(Time now);
     void crashesWritten(const std::vector<RowWrite> &writes, bool done);
     void crashRows();
+    void writeTrial(const TrialChange &change, std::function<void(bool done)> written);
+    Time storeNow() const;
     void askEngines(Time now);
     bool dueToAsk(const FleetEndpoint &engine, Time now) const;
     double roomOf(const FleetEndpoint &engine) const;
@@ -131,6 +139,7 @@
     std::map<std::string, std::unique_ptr<PeerSource>> m_elsewhereSources;
     Time m_otherDomainsAskedAt {};
     StoreChannel m_channel;
+    StoreChannel m_crashChannel; ///< callers wait for permits: not behind what lasts longer
     EnginePool m_engines;
     FleetKeeper m_fleet;
     FleetPtr m_fleetNow;
@@ -150,6 +159,7 @@
     /// by service. A first line is written also when there are none.
     std::map<std::string, std::optional<std::pair<std::string, std::string>>> m_gaps;
     std::map<std::string, std::uint64_t, std::less<>> m_leftOut; ///< rows' versions, by key
+    TrialPermits m_trials;
     CrashNews m_crashesToTell; ///< until the store's clock is known
     /// What the store has not taken yet, by row; nothing: the row is dropped.
     std::map<std::string, std::optional<std::string>> m_crashWrites;
--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -22,15 +22,74 @@
     return record.digest + "/" + record.endpoint;
 }
 
-/// When the row's endpoint ended, on the store's clock; nothing when another writer
-/// than an instance wrote it.
-std::optional<std::int64_t> endedAtMs(const StoreRow &row)
+std::optional<json::object> objectOf(const StoreRow &row)
 {
     boost::system::error_code error;
-    const json::value value = json::parse(row.value, error);
-    const json::object *object = error ? nullptr : value.if_object();
-    const json::value *at = object ? object->if_contains("at_ms") : nullptr;
-    return at && at->is_int64() ? std::optional(at->get_int64()) : std::nullopt;
+    json::value value = json::parse(row.value, error);
+    return !error && value.is_object() ? std::optional(value.get_object()) : std::nullopt;
+}
+
+std::optional<std::int64_t> numberOf(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_int64() ? std::optional(value->get_int64()) : std::nullopt;
+}
+
+std::optional<std::string> textOf(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_string() ? std::optional(std::string(value->get_string()))
+                                       : std::nullopt;
+}
+
+Time timeOf(std::int64_t milliseconds)
+{
+    return Time(std::chrono::milliseconds(milliseconds));
+}
+
+std::int64_t millisecondsOf(Time time)
+{
+    return time.time_since_epoch().count() / 1000;
+}
+
+/// Nothing when another writer than an instance wrote the row.
+std::optional<TrialRow> trialOf(const StoreRow &row)
+{
+    const auto object = objectOf(row);
+    if (!object)
+        return std::nullopt;
+    const auto at = textOf(*object, "at");
+    const auto holder = textOf(*object, "by");
+    const auto until = numberOf(*object, "until_ms");
+    const auto tries = numberOf(*object, "tries");
+    if (!at || !holder || !until || !tries || *tries < 0)
+        return std::nullopt;
+    return TrialRow {row.key, row.version,    *at,
+                     *holder, timeOf(*until), static_cast<std::uint32_t>(*tries)};
+}
+
+std::string textOf(const TrialRow &row)
+{
+    return json::serialize(json::object {{"at", row.at},
+                                         {"by", row.holder},
+                                         {"until_ms", millisecondsOf(row.until)},
+                                         {"tries", row.tries}});
+}
+
+std::string textOfEnd(std::int64_t atMs, const std::string &by)
+{
+    return json::serialize(json::object {{"at_ms", atMs}, {"by", by}});
+}
+
+/// The end that a row tells, on the store's clock.
+std::optional<CrashRecord> crashOf(const StoreRow &row)
+{
+    const std::size_t slash = row.key.find('/');
+    const auto object = objectOf(row);
+    const auto atMs = object ? numberOf(*object, "at_ms") : std::nullopt;
+    if (slash == std::string::npos || !atMs)
+        return std::nullopt;
+    return CrashRecord {row.key.substr(0, slash), row.key.substr(slash + 1), timeOf(*atMs)};
 }
 
 } // namespace
@@ -44,12 +103,13 @@
     }
     for (const CrashRecord &each : news.added) {
         const Time bootTime = bootNow() - (steadyNow() - each.at);
-        const std::int64_t atMs = (bootTime.time_since_epoch() + *m_storeOffset).count() / 1000;
         m_crashWrites[keyOf(each)] =
-            json::serialize(json::object {{"at_ms", atMs}, {"by", m_settings.name}});
+            textOfEnd(millisecondsOf(bootTime + *m_storeOffset), m_settings.name);
     }
     for (const CrashRecord &each : news.removed)
         m_crashWrites[keyOf(each)] = std::nullopt;
+    for (std::string &key : m_trials.outdated(storeNow()))
+        m_crashWrites[std::move(key)] = std::nullopt;
     while (m_crashWrites.size() > MostWaiting)
         m_crashWrites.erase(m_crashWrites.begin());
     writeCrashes(steadyNow());
@@ -73,11 +133,11 @@
         transaction.writes.push_back(std::move(row));
     }
     m_writingCrashes = true;
-    m_channel.call(StoreUse::OwnRow, m_protocol.commit(transaction), StoreCallWithin,
-                   [this, writes = transaction.writes](const StoreAnswer &answer) {
-                       m_writingCrashes = false;
-                       crashesWritten(writes, answer.reply.kind == StoreReply::Kind::Done);
-                   });
+    m_crashChannel.call(StoreUse::OwnRow, m_protocol.commit(transaction), StoreCallWithin,
+                        [this, writes = transaction.writes](const StoreAnswer &answer) {
+                            m_writingCrashes = false;
+                            crashesWritten(writes, answer.reply.kind == StoreReply::Kind::Done);
+                        });
 }
 
 void Control::crashesWritten(const std::vector<RowWrite> &writes, bool done)
@@ -99,21 +159,92 @@
 
 void Control::crashRows()
 {
-    std::vector<CrashRecord> all;
-    const Time storeNow = bootNow() + m_storeOffset.value_or(Duration {});
+    std::vector<CrashRecord> crashes;
+    std::vector<TrialRow> trials;
     for (const StoreRow &row : m_server.state(NewsTable::Crashes).copy.all()) {
-        const std::size_t slash = row.key.find('/');
-        const auto atMs = endedAtMs(row);
-        if (slash == std::string::npos || !atMs) {
+        if (isTrialKey(row.key)) {
+            if (auto trial = trialOf(row))
+                trials.push_back(std::move(*trial));
+            else
+                m_state.badRows += 1;
+        } else if (auto crash = crashOf(row)) {
+            crashes.push_back(std::move(*crash));
+        } else {
             m_state.badRows += 1;
-            continue;
         }
-        const Duration age =
-            std::max(Duration {}, storeNow.time_since_epoch() - Duration(*atMs * 1000));
-        all.push_back({row.key.substr(0, slash), row.key.substr(slash + 1), steadyNow() - age});
     }
-    logDecision("quarantine", "learnt", {{"records", std::int64_t(all.size())}});
-    m_events.crashes(std::move(all));
+    m_trials.learn(std::move(trials), crashes);
+    const Time now = steadyNow();
+    for (CrashRecord &each : crashes)
+        each.at = now - std::max(Duration {}, storeNow() - each.at);
+    logDecision("quarantine", "learnt",
+                {{"records", std::int64_t(crashes.size())},
+                 {"trials", std::int64_t(m_trials.rows().size())}});
+    m_events.crashes(std::move(crashes));
+}
+
+Time Control::storeNow() const
+{
+    return bootNow() + m_storeOffset.value_or(Duration {});
+}
+
+void Control::askTrial(const TrialRequest &request, std::function<void(TrialAnswer)> answered)
+{
+    constexpr Duration WithoutStore {2'000'000};
+    if (!m_storeOffset || !m_directory.storeUsable(steadyNow()))
+        return answered({.wait = WithoutStore});
+    auto decision = m_trials.ask(request, *m_fleetNow, storeNow());
+    if (const auto *refused = std::get_if<TrialAnswer>(&decision))
+        return answered(*refused);
+    const Time askedAt = bootNow();
+    TrialChange change = std::get<TrialChange>(std::move(decision));
+    writeTrial(change, [this, request, change, askedAt, answered = std::move(answered)](bool done) {
+        TrialAnswer answer = m_trials.answer(request, change, done, storeNow());
+        answer.lasts -= std::min(answer.lasts, bootNow() - askedAt);
+        logDecision("quarantine", answer.granted ? "trial permitted" : "trial refused",
+                    {{"digest", std::string_view(request.digest)},
+                     {"endpoint", std::string_view(request.endpoint)},
+                     {"wait_ms", answer.wait.count() / 1000}});
+        answered(answer);
+    });
+}
+
+void Control::writeTrial(const TrialChange &change, std::function<void(bool done)> written)
+{
+    Transaction transaction;
+    const auto put = [&](const TrialRow &row, std::optional<std::string> value) {
+        transaction.checks.push_back({std::string(CrashTable), row.key, row.version});
+        transaction.writes.push_back({std::string(CrashTable), row.key, std::move(value)});
+    };
+    for (const TrialRow &each : change.rows)
+        put(each, textOf(each));
+    for (const TrialRow &each : change.removed)
+        put(each, std::nullopt);
+    if (change.crash)
+        transaction.writes.push_back(
+            {std::string(CrashTable), keyOf(*change.crash),
+             textOfEnd(millisecondsOf(change.crash->at), m_settings.name)});
+    m_crashChannel.call(StoreUse::OwnRow, m_protocol.commit(transaction), StoreCallWithin,
+                        [this, change, written = std::move(written)](const StoreAnswer &answer) {
+                            const bool done = answer.reply.kind == StoreReply::Kind::Done;
+                            std::vector<TrialRow> found;
+                            for (const StoreRow &row : answer.reply.rows)
+                                if (auto trial = done ? std::nullopt : trialOf(row))
+                                    found.push_back(std::move(*trial));
+                            m_trials.written(change, done, answer.reply.version, found);
+                            written(done);
+                        });
+}
+
+void Control::endTrial(const EndTrial &ended)
+{
+    const auto change = m_trials.release(ended.digest, ended.end);
+    if (!change)
+        return;
+    writeTrial(*change, [digest = ended.digest](bool done) {
+        logDecision("quarantine", done ? "trial over" : "trial not given back",
+                    {{"digest", std::string_view(digest)}});
+    });
 }
 
 } // namespace balsamloft
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -65,6 +65,14 @@
             asio::post(m_controlContext,
                        [this, news = std::move(news)] { m_control.tellCrashes(news); });
         });
+        m_front.onTrials(
+            [this](TrialRequest request, std::function<void(TrialAnswer)> answered) {
+                askTrial(std::move(request), std::move(answered));
+            },
+            [this](EndTrial ended) {
+                asio::post(m_controlContext,
+                           [this, ended = std::move(ended)] { m_control.endTrial(ended); });
+            });
         waitForSignal();
         std::thread control([this] {
             m_control.start();
@@ -101,6 +109,17 @@
         return events;
     }
 
+    /// \a answered is called on the traffic thread.
+    void askTrial(TrialRequest request, std::function<void(TrialAnswer)> answered)
+    {
+        const auto back = [this, answered = std::move(answered)](const TrialAnswer &answer) {
+            asio::post(m_traffic, [answered, answer] { answered(answer); });
+        };
+        asio::post(m_controlContext, [this, request = std::move(request), back] {
+            m_control.askTrial(request, back);
+        });
+    }
+
     void waitForSignal()
     {
         m_signals.async_wait([this](const boost::system::error_code &error, int number) {
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -302,6 +302,35 @@
         m_tellCrashes(news);
 }
 
+void TrafficFront::askTrial(const AskTrial &ask)
+{
+    if (!m_askTrial)
+        return;
+    m_askTrial(ask.request, [this, ask](const TrialAnswer &answer) {
+        noteSuspension();
+        RelayActions actions;
+        m_relay.trialAnswered(ask.flight, ask.request, answer, steadyNow(), actions);
+        run(std::move(actions));
+    });
+}
+
+/// The steady clock stands still while the machine is suspended, and a permit would seem
+/// to last.
+void TrafficFront::noteSuspension()
+{
+    constexpr Duration Noticeable {50'000};
+    const Duration suspended = bootNow() - steadyNow();
+    if (m_suspended != Duration::max() && suspended - m_suspended > Noticeable)
+        m_relay.dropTrials();
+    m_suspended = suspended;
+}
+
+bool TrafficFront::maySend(FlightId flight, std::uint32_t attempt)
+{
+    noteSuspension();
+    return m_relay.maySend(flight, attempt, steadyNow());
+}
+
 void TrafficFront::run(RelayActions actions)
 {
     const auto sessionOf = [this](FlightId flight) -> std::shared_ptr<CallerSession> {
@@ -318,6 +347,11 @@
             changePath(*change);
         } else if (const auto *told = std::get_if<TellCrashes>(&action)) {
             tellCrashes(told->news);
+        } else if (const auto *trial = std::get_if<AskTrial>(&action)) {
+            askTrial(*trial);
+        } else if (const auto *ended = std::get_if<EndTrial>(&action)) {
+            if (m_endTrial)
+                m_endTrial(*ended);
         } else if (const auto *send = std::get_if<SendWhole>(&action)) {
             if (const auto session = sessionOf(send->flight))
                 session->sendAttempt(*send);
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -51,6 +51,19 @@
     /// ended under requests.
     void onCrashes(std::function<void(CrashNews)> tell) { m_tellCrashes = std::move(tell); }
 
+    /// \a ask is called with each try of a suspected request that needs a permit, and
+    /// calls its second argument with the answer on this thread; \a end with each that
+    /// is over.
+    using TrialAsker = std::function<void(TrialRequest, std::function<void(TrialAnswer)>)>;
+    void onTrials(TrialAsker ask, std::function<void(EndTrial)> end)
+    {
+        m_askTrial = std::move(ask);
+        m_endTrial = std::move(end);
+    }
+
+    /// Whether an attempt's bytes may leave now.
+    bool maySend(FlightId flight, std::uint32_t attempt);
+
     /// Takes no new work after a while, and calls \a stopped once all is done.
     void stop(std::function<void()> stopped);
     void run(RelayActions actions);
@@ -97,6 +110,8 @@
     void engineAnswered(const std::string &endpoint, Time askedAt, const CallOutcome &outcome);
     void changePath(const ChangePath &change);
     void tellCrashes(const CrashNews &news);
+    void askTrial(const AskTrial &ask);
+    void noteSuspension();
     void finishStop();
     Duration graceShare(double share) const;
 
@@ -121,6 +136,9 @@
     std::function<void()> m_stopped;
     std::function<void(std::string)> m_engineSilent;
     std::function<void(CrashNews)> m_tellCrashes;
+    TrialAsker m_askTrial;
+    std::function<void(EndTrial)> m_endTrial;
+    Duration m_suspended {Duration::max()}; ///< what the steady clock lacks; at first unknown
 };
 
 } // namespace balsamloft
--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -32,6 +32,7 @@
     , m_random(settings.seed)
     , m_relays(settings.instances)
     , m_callers(settings.instances)
+    , m_permits(settings.instances, TrialPermits({}))
 {
     RouteMapBuilder builder(1);
     builder.service({"model", 100, testModel(Layers)});
@@ -61,6 +62,9 @@
     m_relays[instance]->setInstances(m_settings.instances / m_settings.domains,
                                      m_settings.instances, m_now);
     m_callers[instance].clear();
+    TrialSettings trials;
+    trials.holder = "instance " + std::to_string(m_next++);
+    m_permits[instance] = TrialPermits(trials);
     tellFleet();
 }
 
@@ -122,6 +126,7 @@
         endpoint.layers = {0, Layers};
         fleet->endpoints.push_back(std::move(endpoint));
     }
+    m_fleet = fleet;
     for (std::size_t i = 0; i < m_relays.size(); ++i)
         if (m_relays[i])
             step(i,
@@ -234,6 +239,10 @@
             ask(instance, *asked);
         else if (const auto *told = std::get_if<TellCrashes>(&action))
             tell(told->news);
+        else if (const auto *trial = std::get_if<AskTrial>(&action))
+            askTrial(instance, *trial);
+        else if (const auto *over = std::get_if<EndTrial>(&action))
+            endTrial(instance, *over);
         else if (const auto *abandoned = std::get_if<AbandonAttempt>(&action))
             for (const auto &run : m_runs)
                 if (run->instance == instance && run->flight == abandoned->flight
@@ -257,6 +266,70 @@
 {
     for (const auto &relay : m_relays)
         relay->learnCrashes(m_told);
+    for (TrialPermits &permits : m_permits)
+        permits.learn(trialRows(), m_told);
+}
+
+std::vector<TrialRow> CrashWorld::trialRows() const
+{
+    std::vector<TrialRow> rows;
+    for (const auto &[key, row] : m_trials)
+        rows.push_back(row);
+    return rows;
+}
+
+/// \return whether the rows were still as \a change takes them to be.
+bool CrashWorld::write(const TrialChange &change)
+{
+    const auto asKnown = [&](const TrialRow &row) {
+        const auto it = m_trials.find(row.key);
+        return (it == m_trials.end() ? 0 : it->second.version) == row.version;
+    };
+    if (!std::all_of(change.rows.begin(), change.rows.end(), asKnown)
+        || !std::all_of(change.removed.begin(), change.removed.end(), asKnown))
+        return false;
+    m_storeVersion += 1;
+    for (TrialRow row : change.rows) {
+        row.version = m_storeVersion;
+        m_trials[row.key] = row;
+    }
+    for (const TrialRow &row : change.removed)
+        m_trials.erase(row.key);
+    if (change.crash)
+        m_told.push_back(*change.crash);
+    after(m_settings.newsLag, [this] { learn(); });
+    return true;
+}
+
+void CrashWorld::askTrial(std::size_t instance, const AskTrial &ask)
+{
+    const auto decision = m_permits[instance].ask(ask.request, *m_fleet, m_now);
+    const auto answer = [this, instance, ask](const TrialAnswer &given) {
+        step(instance, [&](Relay &relay, RelayActions &actions) {
+            relay.trialAnswered(ask.flight, ask.request, given, m_now, actions);
+        });
+    };
+    if (const auto *refused = std::get_if<TrialAnswer>(&decision))
+        return after(Duration(1), [answer, given = *refused] { answer(given); });
+    after(m_settings.storeTime,
+          [this, instance, ask, answer, change = std::get<TrialChange>(decision)] {
+              TrialPermits &permits = m_permits[instance];
+              const bool done = write(change);
+              permits.written(change, done, m_storeVersion,
+                              done ? std::vector<TrialRow> {} : trialRows());
+              answer(permits.answer(ask.request, change, done, m_now));
+          });
+}
+
+void CrashWorld::endTrial(std::size_t instance, const EndTrial &end)
+{
+    const auto change = m_permits[instance].release(end.digest, end.end);
+    if (!change)
+        return;
+    after(m_settings.storeTime, [this, instance, change = *change] {
+        const bool done = write(change);
+        m_permits[instance].written(change, done, m_storeVersion, {});
+    });
 }
 
 std::size_t CrashWorld::engineOf(const std::string &id) const
@@ -364,7 +437,7 @@
     run->events += 1;
     caller->second.eventsLeft -= 1;
     step(run->instance, [&](Relay &relay, RelayActions &actions) {
-        relay.eventsPassed(run->flight, run->attempt, m_next++, m_now);
+        relay.eventsPassed(run->flight, run->attempt, m_next++, m_now, actions);
         if (caller->second.eventsLeft == 0) {
             run->over = true;
             relay.streamEnded(run->flight, run->attempt, m_now, actions);
--- a/src/fakes/crashworld.h
+++ b/src/fakes/crashworld.h
@@ -31,6 +31,7 @@
     Duration listLag {2'900'000}; ///< after which an engine that ended is no longer listed
     Duration restart {3'000'000}; ///< after which another engine takes its place
     Duration newsLag {700'000}; ///< from one instance to all others
+    Duration storeTime {5'000}; ///< of one transaction
     std::uint64_t seed = 1;
 };
 
@@ -148,6 +149,10 @@
     void ask(std::size_t instance, const AskEngine &ask);
     void tell(const CrashNews &news);
     void learn();
+    void askTrial(std::size_t instance, const AskTrial &ask);
+    void endTrial(std::size_t instance, const EndTrial &end);
+    bool write(const TrialChange &change);
+    std::vector<TrialRow> trialRows() const;
     std::size_t engineOf(const std::string &id) const;
     Duration between(std::int64_t least, std::int64_t most);
     std::size_t pick(std::size_t count);
@@ -164,8 +169,12 @@
     std::vector<std::unique_ptr<Relay>> m_relays;
     std::vector<std::map<FlightId, Caller>> m_callers; ///< by instance
     std::vector<Engine> m_engines;
+    FleetPtr m_fleet;
     std::vector<std::shared_ptr<Run>> m_runs;
     std::vector<CrashRecord> m_told; ///< by instances to each other
+    std::vector<TrialPermits> m_permits; ///< by instance
+    std::map<std::string, TrialRow> m_trials; ///< in the store
+    std::uint64_t m_storeVersion = 0;
     std::map<std::string, std::vector<Time>> m_ends; ///< under each request that ends engines
     std::map<std::string, std::vector<Time>> m_crashingSends;
     Harmless m_harmless;
--- a/src/fakes/layeremulator.cpp
+++ b/src/fakes/layeremulator.cpp
@@ -618,7 +618,7 @@
         }
         caller.lastEventAt = m_now;
         m_tokens += m_service.model->stride;
-        relay.eventsPassed(run.flight, run.attempt, caller.events, m_now);
+        relay.eventsPassed(run.flight, run.attempt, caller.events, m_now, actions);
         if (run.made >= run.answer) {
             relay.streamEnded(run.flight, run.attempt, m_now, actions);
             caller.over = true;
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -111,7 +111,7 @@
 
 void RelayWorld::events(FlightId flight, std::uint64_t lastEvent)
 {
-    relay.eventsPassed(flight, sends(flight).back().attempt, lastEvent, now);
+    relay.eventsPassed(flight, sends(flight).back().attempt, lastEvent, now, actions);
 }
 
 void RelayWorld::fail(FlightId flight, AttemptFailure failure)
@@ -172,6 +172,16 @@
     return actionsOf<SendWhole>(actions, flight);
 }
 
+std::vector<AskTrial> RelayWorld::trials(FlightId flight) const
+{
+    return actionsOf<AskTrial>(actions, flight);
+}
+
+void RelayWorld::answerTrial(FlightId flight, const TrialAnswer &answer)
+{
+    relay.trialAnswered(flight, trials(flight).back().request, answer, now, actions);
+}
+
 std::vector<ChangePath> RelayWorld::pathChanges(FlightId flight) const
 {
     return actionsOf<ChangePath>(actions, flight);
--- a/src/fakes/relayharness.h
+++ b/src/fakes/relayharness.h
@@ -43,6 +43,9 @@
     /// Answers the last order to change a path that is not yet answered.
     void answerPathChange(FlightId flight, PathReply reply, const std::string &culprit = {});
 
+    /// Answers the last question for the permit to try the flight's request.
+    void answerTrial(FlightId flight, const TrialAnswer &answer);
+
     /// The engine \a id leaves, or vanishes.
     void drain(const std::string &id);
     void remove(const std::string &id);
@@ -54,6 +57,7 @@
     /// Sends of a flight, first to last.
     std::vector<SendWhole> sends(FlightId flight) const;
     std::vector<ChangePath> pathChanges(FlightId flight) const;
+    std::vector<AskTrial> trials(FlightId flight) const;
     std::optional<EndFlight> end(FlightId flight) const;
     bool passed(FlightId flight) const;
     std::size_t abandoned(FlightId flight) const;
--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -36,6 +36,7 @@
 /// Whether a request may be sent to endpoints.
 enum class Verdict : std::uint8_t {
     Free,
+    ByTrial, ///< only as the one try that the whole fleet permits, see TrialPermits
     Unsettled, ///< not now: the ends of endpoints under it may have another cause
     Held,
 };
@@ -52,9 +53,8 @@
     Duration endsWithin {200'000};
     /// After an endpoint's end: all that stood beside are known everywhere by then.
     Duration settleAfter {2'000'000};
-    /// A request that may be guilty or not is tried again so long after the last end
-    /// under it, and after twice that the next time.
-    Duration tryAgainAfter {10'000'000};
+    /// Endpoints that ended under a request, from which on it is sent by trial only.
+    std::size_t crashesToTry = 2;
     Duration keptFor {600'000'000}; ///< how long the end of an endpoint is held against a request
     /// A request that only stood beside comes through elsewhere by then, and nobody
     /// need be told of it.
@@ -116,6 +116,8 @@
 
     // Queries
 
+    const QuarantineSettings &settings() const { return m_settings; }
+
     /// Endpoints that ended under the request.
     std::size_t crashes(const std::string &digest, Time now) const;
 
@@ -142,6 +144,7 @@
         Time at {};
         Stage stage = Stage::Doubtful;
         bool cut = false; ///< the endpoint itself broke the run off
+        bool own = false; ///< seen by this instance itself
         Time settledFrom {}; ///< an endpoint that is alive from then on did not end under it
     };
     using Crashes = std::map<std::string, Crash, std::less<>>; ///< by endpoint
@@ -153,6 +156,8 @@
     void clearDoubts(const std::string &endpoint, Time aliveAt, bool ofThoseCut);
     void doubt(const std::string &digest, const std::string &endpoint, Crash crash);
     bool counts(const Crash &crash, Time now) const;
+    bool sawItself(const std::string &digest, const std::string &endpoint) const;
+    bool seenByOthers(const Crashes &under, Time now) const;
     bool explainedByOther(const std::string &digest, const std::string &endpoint, Time now) const;
     void add(const std::string &digest, const std::string &endpoint, Crash crash);
     void forget(const std::string &digest, const std::string &endpoint);
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -7,6 +7,7 @@
 #include <balsamloft/pathchooser.h>
 #include <balsamloft/quarantine.h>
 #include <balsamloft/retrybudget.h>
+#include <balsamloft/trialpermits.h>
 
 #include <unordered_map>
 #include <variant>
@@ -126,8 +127,22 @@
     CrashNews news;
 };
 
+/// Ask for the permit to try a request under suspicion; Relay::trialAnswered() follows.
+struct AskTrial
+{
+    FlightId flight = 0;
+    TrialRequest request;
+};
+
+/// The try that was permitted is over.
+struct EndTrial
+{
+    std::string digest;
+    TrialEnd end = TrialEnd::Open;
+};
+
 using RelayAction = std::variant<SendWhole, AbandonAttempt, PassAnswer, EndFlight, AskEngine,
-                                 ChangePath, TellCrashes>;
+                                 ChangePath, TellCrashes, AskTrial, EndTrial>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Settings of a Relay.
@@ -160,8 +175,10 @@
     /// A request that passes events for so long on one endpoint does not end endpoints
     /// by being run.
     Duration runsWell {1'000'000};
-    /// Endpoints that ended under a request, after which an attempt is not repeated.
+    /// Endpoints that ended under a request, after which one that runs without a permit
+    /// is taken back.
     std::size_t crashesToStop = 2;
+    Duration askTrialAgain {200'000}; ///< after an endpoint that was taken
     /// Spread of choices for requests that an endpoint's end cut: together on the next
     /// endpoint, none could be told from the one that ends endpoints.
     double scatter = 1;
@@ -204,7 +221,7 @@
 
     /// Whole events went to the caller; \a lastEvent is the id of the last one.
     void eventsPassed(FlightId id, std::uint32_t attempt, std::optional<std::uint64_t> lastEvent,
-                      Time now);
+                      Time now, RelayActions &actions);
 
     /// The engine ended the stream as complete.
     void streamEnded(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions);
@@ -232,6 +249,13 @@
 
     /// All that instances told each other about endpoints that ended under requests.
     void learnCrashes(const std::vector<CrashRecord> &all) { m_quarantine.learn(all); }
+
+    /// The answer to AskTrial with \a request.
+    void trialAnswered(FlightId id, const TrialRequest &request, const TrialAnswer &answer,
+                       Time now, RelayActions &actions);
+
+    /// This process stood still for an unknown time: permits may have run out.
+    void dropTrials();
     void follow(FleetPtr fleet, Time now, RelayActions &actions);
     void tick(Time now, RelayActions &actions);
 
@@ -259,6 +283,19 @@
 private:
     enum class State : std::uint8_t { Waiting, Sent, Streaming };
 
+    /// The permit of a flight whose request is under suspicion.
+    struct Trial
+    {
+        enum class State : std::uint8_t { None, Asked, Granted, Sent };
+
+        State state = State::None;
+        std::string endpoint; ///< where the request runs first
+        std::optional<PathPart> first; ///< the same with its layers, of a layered model
+        Time askedAt {};
+        Time until {}; ///< it lasts
+        std::set<std::string> taken; ///< endpoints where something else was tried
+    };
+
     struct Flight
     {
         RelayRequest request;
@@ -284,6 +321,7 @@
         bool repeatOwed = false; ///< its next send takes a repeat that was not there yet
         std::optional<std::uint64_t> lastEvent;
         std::set<std::string> avoid; ///< endpoints that failed it
+        Trial trial;
         std::string lastReason;
     };
 
@@ -295,6 +333,7 @@
     void dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions);
     std::optional<EnginePath> findPath(const Flight &flight, const std::set<std::string> &without,
                                        Time now);
+    static std::set<std::string> notToUse(const Flight &flight);
     bool choosePath(Flight &flight, Time now, SendWhole &send);
     void expect(Flight &flight, const EnginePath &path);
     void occupy(const Flight &flight);
@@ -302,7 +341,7 @@
     void crossDomains(const Flight &flight, Time now);
     bool changePath(FlightId id, Flight &flight, Time now, RelayActions &actions);
     bool chooseEndpoint(Flight &flight, Time now, SendWhole &send);
-    double endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> *avoid,
+    double endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> &avoid,
                         Time now);
     void sent(Flight &flight, const SendWhole &send, Time now);
     void release(Flight &flight);
@@ -315,10 +354,13 @@
     // Requests under which endpoints end
     void noteBrokenOff(Flight &flight, Time now, RelayActions &actions);
     void noteGivenUp(const Flight &flight, Time now);
-    void noteProgress(Flight &flight, Time now);
-    bool underTrial(FlightId id, const Flight &flight) const;
+    void noteProgress(Flight &flight, Time now, RelayActions &actions);
+    bool awaitTrial(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    bool choose(Flight &flight, Time now, SendWhole &send);
+    void endTrial(Flight &flight, TrialEnd end, RelayActions &actions);
+    bool mayRun(const Flight &flight, Time now) const;
     bool holdBack(FlightId id, Flight &flight, Time now, RelayActions &actions);
-    void endHeld(FlightId id, const Flight &flight, Time now, RelayActions &actions);
+    void endHeld(FlightId id, const Flight &flight, Duration wait, Time now, RelayActions &actions);
     bool recall(FlightId id, Flight &flight, Time now, RelayActions &actions);
     void settleDoubts(Time now);
     void askDoubtful(Time now, RelayActions &actions);
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -286,6 +286,9 @@
     learnEnds(world, 2);
     const FlightId first = submitBad(world);
     const FlightId second = submitBad(world);
+    CHECK(world.sends(first).empty());
+    world.answerTrial(first, {.granted = true, .lasts = seconds(5)});
+    world.answerTrial(second, {.wait = seconds(1)});
     CHECK(world.sends(first).size() == 1);
     CHECK(world.sends(second).empty());
     REQUIRE(world.end(second));
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -66,12 +66,12 @@
 void Quarantine::brokenOff(const std::string &digest, const std::string &endpoint, Time now)
 {
     endpointHeard(endpoint, now);
-    doubt(digest, endpoint, {now, Stage::Doubtful, true, now + Duration(1)});
+    doubt(digest, endpoint, {now, Stage::Doubtful, true, true, now + Duration(1)});
 }
 
 void Quarantine::givenUp(const std::string &digest, const std::string &endpoint, Time now)
 {
-    doubt(digest, endpoint, {now, Stage::Doubtful, false, now + m_settings.endsWithin});
+    doubt(digest, endpoint, {now, Stage::Doubtful, false, true, now + m_settings.endsWithin});
 }
 
 void Quarantine::clearDoubts(const std::string &endpoint, Time aliveAt, bool ofThoseCut)
@@ -105,7 +105,7 @@
     for (const std::string &digest : on->second) {
         Crash &crash = m_requests[digest][endpoint];
         if (crash.stage == Stage::Doubtful)
-            crash = {now, Stage::Own, true, {}};
+            crash = {now, Stage::Own, true, true, {}};
     }
 }
 
@@ -140,6 +140,15 @@
     }
 }
 
+bool Quarantine::sawItself(const std::string &digest, const std::string &endpoint) const
+{
+    const auto under = m_requests.find(digest);
+    if (under == m_requests.end())
+        return false;
+    const auto crash = under->second.find(endpoint);
+    return crash != under->second.end() && crash->second.own;
+}
+
 void Quarantine::learn(const std::vector<CrashRecord> &all)
 {
     m_shared = all.size();
@@ -159,7 +168,8 @@
         if (good != m_good.end() && good->second >= each.at)
             m_retracted.push_back(each);
         else
-            add(each.digest, each.endpoint, {each.at, Stage::Shared, true, {}});
+            add(each.digest, each.endpoint,
+                {each.at, Stage::Shared, true, sawItself(each.digest, each.endpoint), {}});
     }
 }
 
@@ -273,33 +283,43 @@
 }
 
 /// Judged by what one instance saw alone, a request that stood beside looks like the
-/// one that another instance sent. And a guilty one that others explain must not take
-/// one endpoint after another until it is found out.
+/// one that another instance sent.
 Duration Quarantine::unsettledFor(const std::string &digest, Time now) const
 {
-    const std::size_t count = crashes(digest, now);
-    if (count < m_settings.crashesToHold)
+    if (crashes(digest, now) < m_settings.crashesToHold)
         return {};
-    const bool found = guilty(digest, m_requests.at(digest), now);
-    const auto tries = static_cast<std::uint32_t>(count - m_settings.crashesToHold);
-    const Duration pause = found ? m_settings.settleAfter
-                                 : doubled(m_settings.tryAgainAfter, tries, m_settings.keptFor);
-    return std::max(Duration {}, lastEnd(digest) + pause - now);
+    return std::max(Duration {}, lastEnd(digest) + m_settings.settleAfter - now);
+}
+
+/// Whether other instances saw an endpoint end under the request: then copies of it come
+/// to several, and each would take one more endpoint.
+bool Quarantine::seenByOthers(const Crashes &under, Time now) const
+{
+    return std::any_of(under.begin(), under.end(), [&](const auto &each) {
+        return counts(each.second, now) && !each.second.own;
+    });
 }
 
 Verdict Quarantine::verdict(const std::string &digest, Time now) const
 {
-    if (crashes(digest, now) < m_settings.crashesToHold)
+    const std::size_t count = crashes(digest, now);
+    if (count == 0)
         return Verdict::Free;
     if (unsettledFor(digest, now) > Duration {})
         return Verdict::Unsettled;
-    return guilty(digest, m_requests.at(digest), now) ? Verdict::Held : Verdict::Free;
+    const Crashes &under = m_requests.at(digest);
+    if (count >= m_settings.crashesToHold && guilty(digest, under, now))
+        return Verdict::Held;
+    const bool suspect = count >= m_settings.crashesToTry
+                         || (seenByOthers(under, now) && !cameThroughBefore(digest, under));
+    return suspect ? Verdict::ByTrial : Verdict::Free;
 }
 
 Duration Quarantine::heldFor(const std::string &digest, Time now) const
 {
     switch (verdict(digest, now)) {
     case Verdict::Free:
+    case Verdict::ByTrial:
         return {};
     case Verdict::Unsettled:
         return unsettledFor(digest, now);
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -128,6 +128,9 @@
     query.promptTokens = flight.request.promptTokens;
     query.answerTokens = flight.request.answerTokens;
     query.without = &without;
+    query.first = flight.trial.state == Trial::State::Granted && flight.trial.first
+                      ? &*flight.trial.first
+                      : nullptr;
     query.leastSpread = flight.cutEarly ? m_settings.scatter : 0;
     auto path = m_chooser.choose(*m_fleet, service(flight), m_book, query, now, m_random);
     if (!path && !without.empty()) {
@@ -140,7 +143,7 @@
 
 bool Relay::choosePath(Flight &flight, Time now, SendWhole &send)
 {
-    auto path = findPath(flight, flight.avoid, now);
+    auto path = findPath(flight, notToUse(flight), now);
     if (!path) {
         flight.lastReason = "no path over all layers";
         return false;
@@ -164,7 +167,7 @@
     flight.expectedFirst = Duration(static_cast<std::int64_t>(path.firstMs * 1000));
 }
 
-double Relay::endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> *avoid,
+double Relay::endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> &avoid,
                            Time now)
 {
     const EngineBelief *belief = m_book.find(endpoint.id);
@@ -177,25 +180,42 @@
         cost += 0.4;
     if (!m_book.usable(endpoint.id, now))
         cost += 10;
-    if (avoid->contains(endpoint.id))
+    if (avoid.contains(endpoint.id))
         cost += 20;
     return cost;
 }
 
+/// Endpoints that failed the flight, or where something else is tried.
+std::set<std::string> Relay::notToUse(const Flight &flight)
+{
+    std::set<std::string> all = flight.avoid;
+    all.insert(flight.trial.taken.begin(), flight.trial.taken.end());
+    return all;
+}
+
+bool Relay::choose(Flight &flight, Time now, SendWhole &send)
+{
+    return service(flight).model ? choosePath(flight, now, send)
+                                 : chooseEndpoint(flight, now, send);
+}
+
 bool Relay::chooseEndpoint(Flight &flight, Time now, SendWhole &send)
 {
     const FleetEndpoint *best = nullptr;
     double bestCost = 0;
+    const std::set<std::string> avoid = notToUse(flight);
+    const bool bound = flight.trial.state == Trial::State::Granted;
     for (const FleetEndpoint &each : m_fleet->endpoints) {
-        if (each.service != service(flight).name || each.draining)
+        if (each.service != service(flight).name || each.draining
+            || (bound && each.id != flight.trial.endpoint))
             continue;
-        const double cost = endpointCost(each, &flight.avoid, now);
+        const double cost = endpointCost(each, avoid, now);
         if (!best || cost < bestCost) {
             best = &each;
             bestCost = cost;
         }
     }
-    if (!best || flight.avoid.contains(best->id)) {
+    if (!best || avoid.contains(best->id)) {
         flight.lastReason = best ? "all endpoints failed it" : "no endpoint";
         return false;
     }
@@ -273,9 +293,8 @@
     if (flight.repeatOwed && !budget(flight).affords(now))
         return;
     SendWhole send;
-    const bool layered = service(flight).model.has_value();
-    if (!(layered ? choosePath(flight, now, send) : chooseEndpoint(flight, now, send)))
-        return;
+    if (!choose(flight, now, send))
+        return endTrial(flight, TrialEnd::NotSent, actions);
     if (flight.repeatOwed && !payRepeat(flight, now))
         return;
     flight.repeatOwed = false;
@@ -286,6 +305,8 @@
     send.freshConnection = !flight.request.route->idempotent();
     send.reason = flight.sends == 0 ? "first attempt" : flight.lastReason;
     sent(flight, send, now);
+    if (flight.trial.state == Trial::State::Granted)
+        flight.trial.state = Trial::State::Sent;
     actions.push_back(std::move(send));
 }
 
@@ -395,6 +416,7 @@
         noteBrokenOff(*flight, now, actions);
     switch (failure) {
     case AttemptFailure::NotSent:
+        endTrial(*flight, TrialEnd::NotSent, actions);
         m_book.suspect(flight->endpoint, now);
         return again(id, *flight, false, flight->endpoint, "not reached: " + flight->endpoint, now,
                      actions);
@@ -419,6 +441,10 @@
     else
         m_book.outOfRoom(culprit, now);
     std::string reason = "refused by " + culprit + " with " + std::to_string(head.status);
+    if (flight.trial.state == Trial::State::Sent) {
+        endTrial(flight, TrialEnd::Open, actions);
+        return end(id, endOf(flight, FlightEnd::Failed), std::move(reason), actions);
+    }
     again(id, flight, false, culprit, std::move(reason), now, actions);
 }
 
@@ -471,6 +497,7 @@
 {
     if (ranWell)
         m_quarantine.cameThrough(flight.request.digest, now);
+    endTrial(flight, ranWell ? TrialEnd::CameThrough : TrialEnd::Open, actions);
     release(flight);
     m_flights.erase(id);
     m_counts.passed += 1;
@@ -478,14 +505,14 @@
 }
 
 void Relay::eventsPassed(FlightId id, std::uint32_t attempt, std::optional<std::uint64_t> lastEvent,
-                         Time now)
+                         Time now, RelayActions &actions)
 {
     Flight *flight = current(id, attempt);
     if (!flight)
         return;
     flight->passing = true;
     flight->progressAt = now;
-    noteProgress(*flight, now);
+    noteProgress(*flight, now, actions);
     if (lastEvent)
         flight->lastEvent = lastEvent;
 }
@@ -529,7 +556,7 @@
         return endpoint && !endpoint->draining;
     };
     const Flight &flight = it->second;
-    if (!flight.runsWell && m_quarantine.verdict(flight.request.digest, now) != Verdict::Free)
+    if (!mayRun(flight, now))
         return false;
     return stays(flight.endpoint)
            && std::all_of(flight.path.begin(), flight.path.end(),
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -29,7 +29,7 @@
         m_quarantine.givenUp(flight.request.digest, flight.endpoint, now);
 }
 
-void Relay::noteProgress(Flight &flight, Time now)
+void Relay::noteProgress(Flight &flight, Time now, RelayActions &actions)
 {
     m_quarantine.endpointHeard(flight.endpoint, now);
     if (!flight.firstEventAt)
@@ -38,6 +38,7 @@
         return;
     flight.runsWell = true;
     m_quarantine.cameThrough(flight.request.digest, now);
+    endTrial(flight, TrialEnd::CameThrough, actions);
 }
 
 /// Of endpoints that are asked and do not answer the list tells: one that announces
@@ -59,60 +60,132 @@
         ask(id, now, actions);
 }
 
-/// Whether another flight with the same content is at an endpoint now.
-bool Relay::underTrial(FlightId id, const Flight &flight) const
-{
-    return std::any_of(m_flights.begin(), m_flights.end(), [&](const auto &each) {
-        return each.first != id && each.second.state != State::Waiting
-               && each.second.request.digest == flight.request.digest;
-    });
-}
-
 /// \return whether the flight is not to be sent now; it may have ended.
 bool Relay::holdBack(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     const std::string &digest = flight.request.digest;
-    const std::size_t crashes = m_quarantine.crashes(digest, now);
-    if (crashes == 0 || flight.runsWell)
+    if (flight.runsWell)
         return false;
-    if (m_quarantine.verdict(digest, now) != Verdict::Free) {
-        endHeld(id, flight, now, actions);
-        return true;
-    }
     if (m_quarantine.undecided(digest, now)) {
         flight.repeatOwed = flight.sends > 0;
         return true;
     }
-    if (crashes < m_settings.crashesToStop)
+    switch (m_quarantine.verdict(digest, now)) {
+    case Verdict::Free:
         return false;
-    // One try at a time, at one endpoint, shows whether it ends endpoints.
-    if (flight.sends == 0 && !underTrial(id, flight))
-        return false;
-    end(id, endOf(flight, FlightEnd::Failed), "endpoints ended under it; not repeated", actions);
+    case Verdict::ByTrial:
+        return awaitTrial(id, flight, now, actions);
+    case Verdict::Unsettled:
+    case Verdict::Held:
+        break;
+    }
+    endHeld(id, flight, m_quarantine.heldFor(digest, now), now, actions);
     return true;
 }
 
-void Relay::endHeld(FlightId id, const Flight &flight, Time now, RelayActions &actions)
+/// Whether the flight has the permit to run, where it needs one.
+bool Relay::mayRun(const Flight &flight, Time now) const
+{
+    if (flight.runsWell)
+        return true;
+    const bool permitted = flight.trial.state >= Trial::State::Granted && now < flight.trial.until;
+    const Verdict verdict = m_quarantine.verdict(flight.request.digest, now);
+    return verdict == Verdict::Free || (verdict == Verdict::ByTrial && permitted);
+}
+
+/// Asks for the permit to run the request at the endpoint that would be chosen now.
+/// \return whether the flight is not to be sent now.
+bool Relay::awaitTrial(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
+    Trial &trial = flight.trial;
+    if (trial.state == Trial::State::Granted && now < trial.until)
+        return false;
+    flight.repeatOwed = flight.sends > 0;
+    if (trial.state == Trial::State::Asked)
+        return true;
+    if (!trial.taken.empty() && now - trial.askedAt < m_settings.askTrialAgain)
+        return true;
+    SendWhole send;
+    trial.state = Trial::State::None;
+    if (!choose(flight, now, send))
+        return true;
+    trial.state = Trial::State::Asked;
+    trial.askedAt = now;
+    trial.endpoint = send.endpoint;
+    trial.first = send.path.empty() ? std::nullopt : std::make_optional(send.path.front());
     const std::string &digest = flight.request.digest;
-    const bool held = m_quarantine.verdict(digest, now) == Verdict::Held;
+    const bool limited = m_quarantine.crashes(digest, now) >= m_quarantine.settings().crashesToHold;
+    actions.push_back(AskTrial {id, {digest, send.endpoint, limited}});
+    return true;
+}
+
+void Relay::trialAnswered(FlightId id, const TrialRequest &request, const TrialAnswer &answer,
+                          Time now, RelayActions &actions)
+{
+    const auto it = m_flights.find(id);
+    if (it == m_flights.end() || it->second.trial.state != Trial::State::Asked) {
+        if (answer.granted)
+            actions.push_back(EndTrial {request.digest, TrialEnd::NotSent});
+        return;
+    }
+    Flight &flight = it->second;
+    if (answer.granted) {
+        flight.trial.state = Trial::State::Granted;
+        flight.trial.until = flight.trial.askedAt + answer.lasts;
+        return dispatch(id, flight, now, actions);
+    }
+    flight.trial.state = Trial::State::None;
+    if (answer.endpointTaken) {
+        flight.trial.taken.insert(flight.trial.endpoint);
+        return;
+    }
+    endHeld(id, flight, answer.wait, now, actions);
+}
+
+void Relay::dropTrials()
+{
+    for (auto &[id, flight] : m_flights)
+        flight.trial.until = Time {};
+}
+
+void Relay::endTrial(Flight &flight, TrialEnd end, RelayActions &actions)
+{
+    if (flight.trial.state < Trial::State::Granted)
+        return;
+    flight.trial.state = Trial::State::None;
+    actions.push_back(EndTrial {flight.request.digest, end});
+}
+
+/// Those refused together are told different times, so that they do not all return at the
+/// moment from which one of them may be tried.
+void Relay::endHeld(FlightId id, const Flight &flight, Duration wait, Time now,
+                    RelayActions &actions)
+{
+    const bool held = m_quarantine.verdict(flight.request.digest, now) == Verdict::Held;
+    std::uniform_int_distribution<std::int64_t> spread(0,
+                                                       m_quarantine.settings().settleAfter.count());
     m_counts.heldBack += 1;
     end(id, endOf(flight, FlightEnd::Failed),
         held ? "held back: endpoints ended under it" : "endpoints ended under it; not tried now",
-        actions, m_quarantine.heldFor(digest, now));
+        actions, wait + Duration(spread(m_random)));
 }
 
 /// What waits at an endpoint to be run when it becomes known that other endpoints ended
 /// under it would end this one too.
 bool Relay::recall(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
-    if (flight.state == State::Waiting || flight.runsWell
-        || m_quarantine.verdict(flight.request.digest, now) == Verdict::Free)
+    if (flight.state == State::Waiting || mayRun(flight, now))
+        return false;
+    const std::string &digest = flight.request.digest;
+    const bool begun = flight.firstEventAt.has_value();
+    if (m_quarantine.verdict(digest, now) == Verdict::ByTrial
+        && flight.trial.state != Trial::State::Sent
+        && (begun || m_quarantine.crashes(digest, now) < m_settings.crashesToStop))
         return false;
     actions.push_back(AbandonAttempt {id, flight.attempt});
     noteGivenUp(flight, now);
     flight.ranAt.push_back(flight.endpoint);
-    endHeld(id, flight, now, actions);
+    endHeld(id, flight, m_quarantine.heldFor(digest, now), now, actions);
     return true;
 }
 
--- /dev/null
+++ b/src/libbalsamloft/trialpermits.cpp
@@ -0,0 +1,161 @@
+#include <balsamloft/trialpermits.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+namespace {
+
+constexpr std::string_view ContentPrefix = "trial:";
+constexpr std::string_view EndpointPrefix = "trial@";
+
+} // namespace
+
+std::string trialKeyOfContent(std::string_view digest)
+{
+    return std::string(ContentPrefix).append(digest);
+}
+
+std::string trialKeyOfEndpoint(std::string_view endpoint)
+{
+    return std::string(EndpointPrefix).append(endpoint);
+}
+
+bool isTrialKey(std::string_view key)
+{
+    return key.starts_with(ContentPrefix) || key.starts_with(EndpointPrefix);
+}
+
+TrialPermits::TrialPermits(TrialSettings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+void TrialPermits::learn(std::vector<TrialRow> rows, std::span<const CrashRecord> crashes)
+{
+    std::map<std::string, TrialRow, std::less<>> known;
+    for (TrialRow &each : rows) {
+        // An own write may be newer than what others told.
+        const auto before = m_rows.find(each.key);
+        if (before != m_rows.end() && before->second.version > each.version)
+            each = before->second;
+        known.insert_or_assign(each.key, std::move(each));
+    }
+    m_rows = std::move(known);
+    m_crashes.clear();
+    for (const CrashRecord &each : crashes)
+        m_crashes.emplace(each.digest, each.endpoint);
+}
+
+TrialRow TrialPermits::row(const std::string &key) const
+{
+    const auto it = m_rows.find(key);
+    if (it != m_rows.end())
+        return it->second;
+    TrialRow none;
+    none.key = key;
+    return none;
+}
+
+bool TrialPermits::runs(const TrialRow &row, Time storeNow) const
+{
+    return !row.at.empty() && storeNow < row.until + m_settings.margin;
+}
+
+bool TrialPermits::endTold(const std::string &digest, const std::string &endpoint) const
+{
+    return m_crashes.contains({digest, endpoint});
+}
+
+Duration TrialPermits::waitFor(const TrialRow &row, Time storeNow) const
+{
+    // Most tries are over long before their time.
+    return std::max(m_settings.askAgain, row.until - storeNow);
+}
+
+std::variant<TrialChange, TrialAnswer> TrialPermits::ask(const TrialRequest &request,
+                                                         const FleetSnapshot &fleet,
+                                                         Time storeNow) const
+{
+    TrialRow content = row(trialKeyOfContent(request.digest));
+    const bool told = endTold(request.digest, content.at);
+    if (!told && runs(content, storeNow))
+        return TrialAnswer {false, {}, false, waitFor(content, storeNow)};
+    TrialChange change;
+    if (!told && !content.at.empty() && !fleet.find(content.at)) {
+        change.crash = CrashRecord {request.digest, content.at, content.until};
+        content.at.clear();
+        change.rows = {content};
+        return change;
+    }
+    if (request.limited && content.tries >= m_settings.mostTries)
+        return TrialAnswer {false, {}, false, content.until + m_settings.keptFor - storeNow};
+    TrialRow endpoint = row(trialKeyOfEndpoint(request.endpoint));
+    if (runs(endpoint, storeNow))
+        return TrialAnswer {false, {}, true, m_settings.askAgain};
+    content.at = request.endpoint;
+    endpoint.at = request.digest;
+    content.tries += request.limited ? 1 : 0;
+    content.holder = endpoint.holder = m_settings.holder;
+    content.until = endpoint.until = storeNow + m_settings.lasts;
+    change.rows = {std::move(content), std::move(endpoint)};
+    return change;
+}
+
+TrialAnswer TrialPermits::answer(const TrialRequest &request, const TrialChange &asked,
+                                 bool committed, Time storeNow) const
+{
+    if (committed && !asked.crash)
+        return {true, m_settings.lasts, false, {}};
+    const TrialRow content = row(trialKeyOfContent(request.digest));
+    const bool taken = !committed && !runs(content, storeNow)
+                       && runs(row(trialKeyOfEndpoint(request.endpoint)), storeNow);
+    return {false, {}, taken, waitFor(content, storeNow)};
+}
+
+void TrialPermits::written(const TrialChange &change, bool committed, std::uint64_t version,
+                           std::span<const TrialRow> found)
+{
+    for (const TrialRow &each : found)
+        m_rows.insert_or_assign(each.key, each);
+    if (!committed)
+        return;
+    for (TrialRow each : change.rows) {
+        each.version = version;
+        m_rows.insert_or_assign(each.key, each);
+    }
+    for (const TrialRow &each : change.removed)
+        m_rows.erase(each.key);
+    if (change.crash)
+        m_crashes.emplace(change.crash->digest, change.crash->endpoint);
+}
+
+std::optional<TrialChange> TrialPermits::release(const std::string &digest, TrialEnd end) const
+{
+    TrialRow content = row(trialKeyOfContent(digest));
+    const TrialRow endpoint = row(trialKeyOfEndpoint(content.at));
+    if (content.at.empty() || content.holder != m_settings.holder || endpoint.at != digest)
+        return std::nullopt;
+    TrialChange change;
+    change.removed.push_back(endpoint);
+    if (end == TrialEnd::CameThrough) {
+        change.removed.push_back(std::move(content));
+        return change;
+    }
+    if (end == TrialEnd::NotSent && content.tries > 0)
+        content.tries -= 1;
+    content.at.clear();
+    change.rows.push_back(std::move(content));
+    return change;
+}
+
+std::vector<std::string> TrialPermits::outdated(Time storeNow) const
+{
+    std::vector<std::string> keys;
+    for (const auto &[key, each] : m_rows)
+        if (storeNow > each.until + m_settings.keptFor)
+            keys.push_back(key);
+    return keys;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libbalsamloft/trialpermits_test.cpp
@@ -0,0 +1,199 @@
+#include <balsamloft/trialpermits.h>
+
+#include <catch2/catch.hpp>
+
+using namespace balsamloft;
+
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Time Start {std::chrono::hours(1)};
+
+/// Instances before one table of rows; what one writes the others learn when told.
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t instances)
+    {
+        for (std::size_t i = 0; i < instances; ++i)
+            m_instances.emplace_back(TrialSettings {.holder = "holder " + std::to_string(i)});
+        list({"e1", "e2", "e3"});
+    }
+
+    void list(const std::vector<std::string> &ids)
+    {
+        m_fleet.endpoints.clear();
+        for (const std::string &id : ids) {
+            FleetEndpoint endpoint;
+            endpoint.id = id;
+            m_fleet.endpoints.push_back(std::move(endpoint));
+        }
+    }
+
+    /// The instance asks, and the store answers; \a answerLost: the instance hears nothing.
+    TrialAnswer ask(std::size_t instance, const TrialRequest &request, bool answerLost = false)
+    {
+        TrialPermits &permits = m_instances[instance];
+        const auto decision = permits.ask(request, m_fleet, now);
+        if (const auto *refused = std::get_if<TrialAnswer>(&decision))
+            return *refused;
+        const auto &change = std::get<TrialChange>(decision);
+        const bool done = write(change) && !answerLost;
+        permits.written(change, done, m_version, done ? std::vector<TrialRow> {} : all());
+        return permits.answer(request, change, done, now);
+    }
+
+    void end(std::size_t instance, const std::string &digest, TrialEnd how)
+    {
+        const auto change = m_instances[instance].release(digest, how);
+        if (!change)
+            return;
+        const bool done = write(*change);
+        m_instances[instance].written(*change, done, m_version, {});
+    }
+
+    void tellAll()
+    {
+        for (TrialPermits &each : m_instances)
+            each.learn(all(), crashes);
+    }
+
+    Time now = Start;
+    std::vector<CrashRecord> crashes;
+
+private:
+    bool write(const TrialChange &change)
+    {
+        const auto asKnown = [&](const TrialRow &row) {
+            return (m_rows.contains(row.key) ? m_rows[row.key].version : 0) == row.version;
+        };
+        if (!std::all_of(change.rows.begin(), change.rows.end(), asKnown)
+            || !std::all_of(change.removed.begin(), change.removed.end(), asKnown))
+            return false;
+        m_version += 1;
+        for (TrialRow row : change.rows) {
+            row.version = m_version;
+            m_rows[row.key] = row;
+        }
+        for (const TrialRow &row : change.removed)
+            m_rows.erase(row.key);
+        if (change.crash)
+            crashes.push_back(*change.crash);
+        return true;
+    }
+
+    std::vector<TrialRow> all() const
+    {
+        std::vector<TrialRow> rows;
+        for (const auto &[key, row] : m_rows)
+            rows.push_back(row);
+        return rows;
+    }
+
+    FleetSnapshot m_fleet;
+    std::vector<TrialPermits> m_instances;
+    std::map<std::string, TrialRow> m_rows;
+    std::uint64_t m_version = 0;
+};
+
+} // namespace
+
+// Guards against two instances that do not know of each other's try yet.
+TEST_CASE("of instances that ask at once, one is permitted")
+{
+    Fleet fleet(3);
+    CHECK(fleet.ask(0, {"bad", "e1"}).granted);
+    const TrialAnswer second = fleet.ask(1, {"bad", "e2"});
+    CHECK_FALSE(second.granted);
+    CHECK_FALSE(second.endpointTaken);
+    CHECK(second.wait >= seconds(1));
+}
+
+// Guards against an end that accuses two requests of which only one was to be tried.
+TEST_CASE("at one endpoint one request is tried at a time")
+{
+    Fleet fleet(2);
+    REQUIRE(fleet.ask(0, {"bad", "e1"}).granted);
+    const TrialAnswer second = fleet.ask(1, {"beside", "e1"});
+    CHECK_FALSE(second.granted);
+    CHECK(second.endpointTaken);
+    CHECK(fleet.ask(1, {"beside", "e2"}).granted);
+}
+
+// Guards against a content that is never tried again since its holder was killed.
+TEST_CASE("a try whose holder is gone may be made again once its time is over")
+{
+    Fleet fleet(2);
+    REQUIRE(fleet.ask(0, {"beside", "e1"}).granted);
+    fleet.tellAll();
+    fleet.now += seconds(9);
+    CHECK_FALSE(fleet.ask(1, {"beside", "e2"}).granted);
+    fleet.now += seconds(2);
+    CHECK(fleet.ask(1, {"beside", "e2"}).granted);
+}
+
+// Guards against ends that nobody counts since they take their witnesses along.
+TEST_CASE("the end of an endpoint is counted when who tried there was killed too")
+{
+    Fleet fleet(2);
+    REQUIRE(fleet.ask(0, {"bad", "e1"}).granted);
+    fleet.tellAll();
+    fleet.list({"e2", "e3"});
+    fleet.now += seconds(11);
+    CHECK_FALSE(fleet.ask(1, {"bad", "e2"}).granted);
+    REQUIRE(fleet.crashes.size() == 1);
+    CHECK(fleet.crashes.front().endpoint == "e1");
+    CHECK(fleet.ask(1, {"bad", "e2"}).granted);
+}
+
+// Guards against an instance that takes a lost answer for a refusal by the store.
+TEST_CASE("a permit whose answer was lost is used by nobody until its time is over")
+{
+    Fleet fleet(2);
+    CHECK_FALSE(fleet.ask(0, {"bad", "e1"}, true).granted);
+    CHECK_FALSE(fleet.ask(0, {"bad", "e1"}).granted);
+    CHECK_FALSE(fleet.ask(1, {"bad", "e2"}).granted);
+}
+
+// Guards against a request that is rejected everywhere and reaches ever more endpoints.
+TEST_CASE("a request that is as good as found out has few tries left, as long as none is well")
+{
+    Fleet fleet(2);
+    for (int i = 0; i < 3; ++i) {
+        REQUIRE(fleet.ask(0, {"bad", "e1", true}).granted);
+        fleet.end(0, "bad", TrialEnd::Open);
+    }
+    const TrialAnswer fourth = fleet.ask(1, {"bad", "e2", true});
+    fleet.tellAll();
+    CHECK_FALSE(fleet.ask(1, {"bad", "e2", true}).granted);
+    CHECK_FALSE(fourth.granted);
+    CHECK(fleet.ask(1, {"bad", "e2", true}).wait > minutes(9));
+}
+
+TEST_CASE("a try that reached no endpoint does not count, and one that went well ends all")
+{
+    Fleet fleet(2);
+    for (int i = 0; i < 5; ++i) {
+        REQUIRE(fleet.ask(0, {"beside", "e1", true}).granted);
+        fleet.end(0, "beside", TrialEnd::NotSent);
+    }
+    REQUIRE(fleet.ask(0, {"beside", "e1", true}).granted);
+    fleet.end(0, "beside", TrialEnd::CameThrough);
+    fleet.tellAll();
+    CHECK(fleet.ask(1, {"beside", "e1", true}).granted);
+}
+
+// Guards against who wakes up late and takes back what another was permitted meanwhile.
+TEST_CASE("a permit that ran out is not given back")
+{
+    Fleet fleet(2);
+    REQUIRE(fleet.ask(0, {"bad", "e1"}).granted);
+    fleet.tellAll();
+    fleet.now += seconds(11);
+    REQUIRE(fleet.ask(1, {"bad", "e2"}).granted);
+    fleet.end(0, "bad", TrialEnd::Open);
+    fleet.tellAll();
+    CHECK_FALSE(fleet.ask(0, {"bad", "e3"}).granted);
+}
