--- a/src/libbalsamloft/enginefleet.cpp
+++ b/src/libbalsamloft/enginefleet.cpp
@@ -1,6 +1,7 @@
 #include <balsamloft/enginefleet.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace balsamloft {
 
@@ -20,8 +21,24 @@
     return id;
 }
 
+void FleetSnapshot::sortIds()
+{
+    byId.resize(endpoints.size());
+    std::iota(byId.begin(), byId.end(), 0U);
+    std::sort(byId.begin(), byId.end(), [&](std::uint32_t left, std::uint32_t right) {
+        return endpoints[left].id < endpoints[right].id;
+    });
+}
+
 const FleetEndpoint *FleetSnapshot::find(std::string_view id) const
 {
+    if (byId.size() == endpoints.size()) {
+        const auto found =
+            std::lower_bound(byId.begin(), byId.end(), id, [&](std::uint32_t each, auto wanted) {
+                return endpoints[each].id < wanted;
+            });
+        return found != byId.end() && endpoints[*found].id == id ? &endpoints[*found] : nullptr;
+    }
     const auto it = std::find_if(endpoints.begin(), endpoints.end(),
                                  [&](const auto &each) { return each.id == id; });
     return it == endpoints.end() ? nullptr : &*it;
@@ -154,6 +171,7 @@
     snapshot->number = ++m_number;
     for (const auto &[name, entry] : m_entries)
         snapshot->endpoints.push_back(entry.endpoint);
+    snapshot->sortIds();
     m_dirty = false;
     return snapshot;
 }
