Planner: what a move is worth is counted by the layers that it changes

For each engine that may move and each place for it, what all layers of the group cost was summed over all engines again: at 1,000 engines about 10^9 steps, each 2.5 s, on the control thread of an instance with an eighth of a core. Meanwhile its lease runs out and no news are read or told on.

--- a/src/include/balsamloft/layerplanner.h
+++ b/src/include/balsamloft/layerplanner.h
@@ -79,6 +79,8 @@
         std::vector<Engine> engines;
     };
 
+    class Costs;
+
     /// What was seen of a group, to wait before acting.
     struct Watch
     {
@@ -104,7 +106,6 @@
               std::vector<LayerOrder> &orders);
     bool bestMove(Group &group, const LayeredModel &model, double leastGain,
                   std::vector<LayerOrder> &orders, std::string_view reason);
-    static double cost(const Group &group, const LayeredModel &model);
     static std::vector<std::uint32_t> copies(const Group &group, const LayeredModel &model);
 
     LayerPlannerSettings m_settings;
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -96,31 +96,65 @@
     return copies;
 }
 
-double LayerPlanner::cost(const Group &group, const LayeredModel &model)
+/// What the layers of a group cost as they lie, kept as engines are put and taken away: of
+/// a thousand engines each is tried at many places, and one place changes few layers.
+class LayerPlanner::Costs
 {
-    std::vector<std::uint32_t> copies(model.layers, 0);
-    std::vector<double> streams(model.layers, 0);
-    const double usual = std::max(1U, model.usualPrompt + model.usualAnswer);
-    for (const Engine &each : group.engines) {
-        const std::uint32_t end = std::min(each.layers.end, model.layers);
-        if (end <= each.layers.begin)
-            continue;
-        const double room = model.room(*each.kind, each.layers.length());
+public:
+    Costs(const Group &group, const LayeredModel &model)
+        : m_model(model)
+        , m_copies(model.layers, 0)
+        , m_streams(model.layers, 0)
+    {
+        for (const Engine &each : group.engines)
+            put(each, each.layers);
+    }
+
+    void put(const Engine &engine, LayerRange range) { change(engine, range, 1); }
+    void take(const Engine &engine, LayerRange range) { change(engine, range, -1); }
+
+    double all() const
+    {
+        double cost = 0;
+        for (std::uint32_t layer = 0; layer < m_model.layers; ++layer)
+            cost += (m_copies[layer] == 0   ? GapCost
+                     : m_copies[layer] == 1 ? SingleCost
+                                            : 0)
+                    + FullCost / (1 + m_streams[layer] / FullHalved);
+        return cost;
+    }
+
+    /// The same once \a engine holds \a range too.
+    double with(const Engine &engine, LayerRange range)
+    {
+        put(engine, range);
+        const double cost = all();
+        take(engine, range);
+        return cost;
+    }
+
+    const std::vector<std::int64_t> &copies() const { return m_copies; }
+
+private:
+    void change(const Engine &engine, LayerRange range, int sign)
+    {
+        const std::uint32_t end = std::min(range.end, m_model.layers);
+        if (end <= range.begin)
+            return;
+        const double usual = std::max(1U, m_model.usualPrompt + m_model.usualAnswer);
+        const double room = m_model.room(*engine.kind, range.length());
         const double fits =
-            room / each.layers.length() / usual * std::min(1.0, ReferencePace / each.kind->pace);
-        for (std::uint32_t layer = each.layers.begin; layer < end; ++layer) {
-            copies[layer] += 1;
-            streams[layer] += fits;
+            room / range.length() / usual * std::min(1.0, ReferencePace / engine.kind->pace);
+        for (std::uint32_t layer = range.begin; layer < end; ++layer) {
+            m_copies[layer] += sign;
+            m_streams[layer] = m_copies[layer] == 0 ? 0 : m_streams[layer] + sign * fits;
         }
     }
-    double cost = 0;
-    for (std::uint32_t layer = 0; layer < model.layers; ++layer)
-        cost += (copies[layer] == 0   ? GapCost
-                 : copies[layer] == 1 ? SingleCost
-                                      : 0)
-                + FullCost / (1 + streams[layer] / FullHalved);
-    return cost;
-}
+
+    const LayeredModel &m_model;
+    std::vector<std::int64_t> m_copies;
+    std::vector<double> m_streams; ///< usual requests that their holders have room for
+};
 
 namespace {
 
@@ -231,6 +265,7 @@
         return std::tie(right->kind->sizeMegabytes, left->endpoint->id)
                < std::tie(left->kind->sizeMegabytes, right->endpoint->id);
     });
+    Costs costs(group, model);
     for (Engine *each : free) {
         const std::uint32_t count = each->most(model, m_settings.freeEngineRoom);
         if (count == 0)
@@ -238,14 +273,15 @@
         LayerRange best;
         double bestCost = 0;
         for (std::uint32_t begin = 0; begin + count <= model.layers; ++begin) {
-            each->layers = {begin, begin + count};
-            const double now = cost(group, model);
+            const LayerRange range {begin, begin + count};
+            const double now = costs.with(*each, range);
             if (best.length() == 0 || now < bestCost) {
-                best = each->layers;
+                best = range;
                 bestCost = now;
             }
         }
         each->layers = best;
+        costs.put(*each, best);
         orders.push_back(layerOrder(*each->endpoint, best, "an engine that holds nothing"));
     }
 }
@@ -253,25 +289,24 @@
 bool LayerPlanner::bestMove(Group &group, const LayeredModel &model, double leastGain,
                             std::vector<LayerOrder> &orders, std::string_view reason)
 {
-    const double before = cost(group, model);
+    Costs costs(group, model);
     Engine *mover = nullptr;
     LayerRange target;
-    double bestCost = before - leastGain;
+    double bestCost = costs.all() - leastGain;
     for (Engine &each : group.engines) {
         if (!each.movable)
             continue;
         const LayerRange held = each.layers;
-        each.layers = {};
-        const std::vector<std::uint32_t> others = copies(group, model);
+        costs.take(each, held);
+        const std::vector<std::int64_t> &others = costs.copies();
         const std::uint32_t most = each.most(model, m_settings.leastEngineRoom);
         const std::uint32_t usual = each.most(model, m_settings.freeEngineRoom);
         const auto consider = [&](LayerRange range) {
             for (std::uint32_t layer = held.begin; layer < held.end; ++layer)
                 if (others[layer] == 0 && (layer < range.begin || layer >= range.end))
                     return;
-            each.layers = range;
             const double loads = range.length() - overlap(range, held);
-            const double now = cost(group, model) + LoadCost * loads;
+            const double now = costs.with(each, range) + LoadCost * loads;
             if (now >= bestCost)
                 return;
             bestCost = now;
@@ -286,7 +321,7 @@
             if (held.end + more <= model.layers)
                 consider({held.begin, held.end + more});
         }
-        each.layers = held;
+        costs.put(each, held);
     }
     if (!mover)
         return false;
