News pass through a tree: no instance tells more than ten others (CONFIG, DRAIN)

Each instance beyond the two readers reads from one that comes before it by name, eight from each; while that one is silent or too old, from the readers, as before. Places follow the list alone: by who answers they would move with each silence.

--- a/src/fakes/newsemulator.h
+++ b/src/fakes/newsemulator.h
@@ -53,6 +53,9 @@
     /// The oldest knowledge of all that live and are not cut off.
     Duration oldestAge() const;
 
+    /// Of the instances, the most that ask one and the same instance now.
+    std::size_t mostAskers() const;
+
     /// Instances that took their knowledge for newer than it was, ever.
     std::uint64_t liars() const { return m_liars; }
 
@@ -71,6 +74,7 @@
         bool asking = false;
         bool ofStore = false; ///< the question is to the store
         std::size_t asked = 0; ///< the instance that is asked, otherwise
+        Time askedKnewAt {}; ///< what the asked one knew when it was asked
         Time until {}; ///< the answer, or its failure, comes by then
         Time nextAt {}; ///< nothing is asked before
     };
--- a/src/libbalsamloft/newsspread_test.cpp
+++ b/src/libbalsamloft/newsspread_test.cpp
@@ -54,6 +54,24 @@
     CHECK(rates.back() < (mood == StoreMood::Well ? 30 : 20));
 }
 
+// Guards against a reader that tells a whole domain, and whose link is too small for it.
+TEST_CASE("no instance is asked by more others as the fleet grows")
+{
+    constexpr std::size_t MostAskers = 10;
+    for (const std::size_t instances : {30U, 100U, 300U, 340U}) {
+        NewsSettings settings;
+        settings.domains = 3;
+        settings.instancesPerDomain = instances / settings.domains;
+        NewsEmulator fleet(settings);
+        fleet.run(seconds(3));
+        for (int look = 0; look < 100; ++look) {
+            fleet.run(milliseconds(70));
+            REQUIRE(fleet.mostAskers() <= MostAskers);
+        }
+        CHECK(fleet.oldestAge() < milliseconds(1'600));
+    }
+}
+
 // A domain loses the others and the store for six seconds. Its instances go on with
 // what they know; nobody there hammers a store that cannot be reached.
 TEST_CASE("a domain that is cut off asks the store by its readers only")
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -31,6 +31,11 @@
 /// Instances of a domain that may read the store.
 constexpr std::size_t Readers = 2;
 
+/// Instances that read from one and the same. More, and the links of small instances are
+/// too narrow for what hundreds of them are told of thousands of endpoints; fewer, and
+/// news pass through more instances.
+constexpr std::size_t FanOut = 8;
+
 std::uint64_t seedOf(std::string_view name)
 {
     return XXH3_64bits(name.data(), name.size());
@@ -134,6 +139,9 @@
 NewsSource PeerDirectory::source(Time now) const
 {
     const std::vector<const PeerInstance *> earlier = before(now);
+    if (earlier.size() == Readers)
+        if (const PeerInstance *each = parent(); each && useful(*each, now))
+            return {NewsSource::Kind::Instance, each};
     for (const PeerInstance *each : earlier)
         if (useful(*each, now))
             return {NewsSource::Kind::Instance, each};
@@ -148,6 +156,21 @@
     return {};
 }
 
+/// Whom this instance reads from in the tree of its domain; the two readers are its roots.
+/// By the list alone, whoever is silent: were places in the tree to move with each
+/// instance that is, all after it would change whom they read from.
+const PeerInstance *PeerDirectory::parent() const
+{
+    std::vector<const PeerInstance *> earlier;
+    for (const PeerInstance &each : m_instances) {
+        if (each.name >= m_self)
+            break;
+        if (each.domain == m_domain)
+            earlier.push_back(&each);
+    }
+    return earlier.size() < Readers ? nullptr : earlier[(earlier.size() - Readers) / FanOut];
+}
+
 /// The good instance of the own domain that comes after this one.
 const PeerInstance *PeerDirectory::next(Time now) const
 {
