--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -9,7 +9,7 @@
     libboost1.81-dev libboost-log1.81-dev libboost-thread1.81-dev
     libboost-system1.81-dev libboost-json1.81-dev libboost-filesystem1.81-dev
     libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler
-    libgflags-dev libxxhash-dev libssl-dev
+    libgflags-dev libxxhash-dev libssl-dev zlib1g-dev
     catch2 libtrompeloeil-cpp-dev librapidcheck-dev libbenchmark-dev
 )
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -213,7 +213,7 @@
     const PeerInstance &peer = *from.instance;
     auto &known = m_peerSources[index][peer.name + "@" + peer.address];
     if (!known)
-        known = std::make_unique<PeerSource>(m_context, peer, index);
+        known = std::make_unique<PeerSource>(m_context, peer, index, m_reportsAt);
     return known.get();
 }
 
@@ -251,8 +251,7 @@
     if (table == NewsTable::Endpoints) {
         m_fleet.heard(now - age);
         tellFleet();
-        if (!answer.engines.empty())
-            m_events.engines(answer.engines);
+        reportsArrived(answer.engines);
     }
     if (table == NewsTable::Instances) {
         countInstances();
@@ -349,6 +348,7 @@
     if (!m_fleet.dirty())
         return;
     const FleetPtr before = std::exchange(m_fleetNow, m_fleet.snapshot());
+    m_server.keepOnly(*m_fleetNow);
     logLeaving(*before, *m_fleetNow);
     logDecision("endpoints", "changed",
                 {{"number", std::int64_t(m_fleetNow->number)},
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -35,7 +35,7 @@
     std::function<void(RouteMapPtr)> table;
     std::function<void(FleetPtr)> fleet;
     std::function<void(std::size_t inDomain, std::size_t all)> instances; ///< how many there are
-    std::function<void(std::vector<EngineState>)> engines;
+    std::function<void(EngineReports)> engines;
     std::function<void(std::vector<CrashRecord>)> crashes; ///< all that instances told
 };
 
@@ -70,6 +70,7 @@
     struct AskedEngine
     {
         EngineState state;
+        std::optional<EngineState> told; ///< to others, last
         std::uint32_t misses = 0;
         LayerRange layers; ///< as it said itself
         bool busy = false;
@@ -111,6 +112,8 @@
     void askEngine(const FleetEndpoint &engine);
     void engineAnswered(const std::string &id, const CallOutcome &outcome);
     void tellEngines();
+    void elsewhereReported(const EngineReports &reports);
+    void reportsArrived(const EngineReports &reports);
     void askOtherDomains(Time now);
     void place(Time now);
     void fillGaps(Time now);
@@ -135,7 +138,9 @@
     std::array<std::unique_ptr<TableFollower>, NewsTableCount> m_followers;
     std::map<std::string, AskedEngine> m_asked; ///< by id
     bool m_askedDirty = false;
-    std::map<std::string, EngineState> m_elsewhere; ///< engines of other domains, by id
+    /// When another instance of the domain's tree told states of engines last.
+    std::shared_ptr<Time> m_reportsAt = std::make_shared<Time>();
+    EngineReports m_elsewhere; ///< of other domains, not yet told on
     std::map<std::string, std::unique_ptr<PeerSource>> m_elsewhereSources;
     Time m_otherDomainsAskedAt {};
     StoreChannel m_channel;
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -113,39 +113,58 @@
 /// to each keeps paths there from being chosen blindly by everybody at once.
 void Control::askOtherDomains(Time now)
 {
-    std::erase_if(m_elsewhere, [&](const auto &each) { return !m_fleetNow->find(each.first); });
     const auto endpoints = static_cast<std::size_t>(NewsTable::Endpoints);
     const std::uint64_t known = m_server.state(NewsTable::Endpoints).copy.version();
     for (const PeerInstance &each : m_directory.readersElsewhere(now)) {
         auto &source = m_elsewhereSources[each.name + "@" + each.address];
         if (!source)
-            source = std::make_unique<PeerSource>(m_context, each, endpoints);
+            source =
+                std::make_unique<PeerSource>(m_context, each, endpoints, std::make_shared<Time>());
         source->watch(std::max<std::uint64_t>(1, known), Duration {},
-                      [this](const TableAnswer &answer) {
-                          for (const EngineState &state : answer.engines) {
-                              const FleetEndpoint *engine = m_fleetNow->find(state.id);
-                              if (engine && engine->domain != m_settings.domain)
-                                  m_elsewhere[state.id] = state;
-                          }
-                          m_askedDirty = m_askedDirty || !answer.engines.empty();
-                      });
+                      [this](const TableAnswer &answer) { elsewhereReported(answer.engines); });
     }
 }
 
+void Control::elsewhereReported(const EngineReports &reports)
+{
+    for (const EngineState &state : reports.changed) {
+        const FleetEndpoint *engine = m_fleetNow->find(state.id);
+        if (engine && engine->domain != m_settings.domain)
+            m_elsewhere.changed.push_back(state);
+    }
+    for (const auto &[domain, at] : reports.asOf)
+        if (domain != m_settings.domain)
+            m_elsewhere.asOf[domain] = std::max(m_elsewhere.asOf[domain], at);
+}
+
+/// Each engine is told anew only when it would be chosen otherwise: at a thousand engines
+/// a domain, all states told to all instances take more than their links carry.
 void Control::tellEngines()
 {
-    if (!std::exchange(m_askedDirty, false))
-        return;
-    const auto silent = silentEngines();
-    std::vector<EngineState> states;
-    for (const auto &[id, asked] : m_asked) {
-        states.push_back(asked.state);
-        states.back().silent = silent && silent->contains(id);
+    EngineReports reports = std::exchange(m_elsewhere, {});
+    if (std::exchange(m_askedDirty, false)) {
+        const auto silent = silentEngines();
+        for (auto &[id, asked] : m_asked) {
+            const FleetEndpoint *engine = m_fleetNow->find(id);
+            EngineState now = asked.state;
+            now.silent = silent && silent->contains(id);
+            if (!engine || (asked.told && !differsNoticeably(*asked.told, now, roomOf(*engine))))
+                continue;
+            asked.told = now;
+            reports.changed.push_back(std::move(now));
+        }
+        reports.asOf[m_settings.domain] = steadyNow();
     }
-    for (const auto &[id, state] : m_elsewhere)
-        states.push_back(state);
-    m_server.setEngines(states);
-    m_events.engines(std::move(states));
+    reportsArrived(reports);
+}
+
+/// Reports are told on: others may follow this instance.
+void Control::reportsArrived(const EngineReports &reports)
+{
+    if (reports.changed.empty() && reports.asOf.empty())
+        return;
+    m_server.addReports(reports);
+    m_events.engines(reports);
 }
 
 void Control::place(Time now)
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -99,9 +99,9 @@
         events.instances = [this](std::size_t inDomain, std::size_t all) {
             asio::post(m_traffic, [this, inDomain, all] { m_front.setInstances(inDomain, all); });
         };
-        events.engines = [this](std::vector<EngineState> engines) {
+        events.engines = [this](EngineReports reports) {
             asio::post(m_traffic,
-                       [this, engines = std::move(engines)] { m_front.enginesSeen(engines); });
+                       [this, reports = std::move(reports)] { m_front.enginesSeen(reports); });
         };
         events.crashes = [this](std::vector<CrashRecord> all) {
             asio::post(m_traffic, [this, all = std::move(all)] { m_front.learnCrashes(all); });
--- a/src/entry/onecall.cpp
+++ b/src/entry/onecall.cpp
@@ -4,10 +4,10 @@
 
 namespace balsamloft {
 
-OneCall::OneCall(EnginePool &pool, ExchangeSettings settings, std::string request, Duration within,
-                 Callback callback)
+OneCall::OneCall(EnginePool &pool, ExchangeSettings settings, std::string request,
+                 CallLimits limits, Callback callback)
     : m_timer(pool.context())
-    , m_within(within)
+    , m_limits(limits)
     , m_onlyConnects(request.empty())
     , m_callback(std::move(callback))
     , m_exchange(std::make_shared<Exchange>(pool, std::move(settings), std::move(request)))
@@ -17,10 +17,18 @@
 void OneCall::start()
 {
     m_exchange->start(*this, steadyNow());
-    m_timer.expires_after(m_within);
+    armTimer(m_limits.within);
+}
+
+void OneCall::armTimer(Duration within)
+{
+    m_timer.expires_after(within);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (error || self->m_over)
             return;
+        const Duration rest = std::exchange(self->m_limits.rest, Duration {});
+        if (self->m_begun && rest > Duration {})
+            return self->armTimer(rest);
         self->m_exchange->cancel();
         self->finish();
     });
@@ -45,6 +53,7 @@
 
 bool OneCall::headArrived(MessageReader & /*answer*/)
 {
+    m_begun = true;
     return false;
 }
 
--- a/src/entry/onecall.h
+++ b/src/entry/onecall.h
@@ -20,6 +20,19 @@
     bool refused = false; ///< nobody listens at the address
 };
 
+/// How long a call may take.
+struct CallLimits
+{
+    CallLimits(Duration within, Duration rest = {})
+        : within(within)
+        , rest(rest)
+    {
+    }
+
+    Duration within; ///< until the answer is there
+    Duration rest; ///< more, once the answer has begun by then
+};
+
 /// Sends one request, and gives the whole answer, or none, to a callback. An empty
 /// request only opens a connection: it counts as left once that is open.
 class OneCall : public std::enable_shared_from_this<OneCall>, private ExchangeOwner
@@ -27,7 +40,7 @@
 public:
     using Callback = std::function<void(CallOutcome)>;
 
-    OneCall(EnginePool &pool, ExchangeSettings settings, std::string request, Duration within,
+    OneCall(EnginePool &pool, ExchangeSettings settings, std::string request, CallLimits limits,
             Callback callback);
 
     void start();
@@ -41,10 +54,12 @@
     void bodyArrived(MessageReader &answer) override;
     void exchangeFailed(AttemptFailure failure) override;
     void answerWhole(MessageReader &answer) override;
+    void armTimer(Duration within);
     void finish();
 
     boost::asio::steady_timer m_timer;
-    Duration m_within;
+    CallLimits m_limits;
+    bool m_begun = false; ///< the head of the answer is there
     bool m_onlyConnects;
     Callback m_callback;
     std::shared_ptr<Exchange> m_exchange;
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -5,16 +5,16 @@
 
 #include <charconv>
 
+#include <zlib.h>
+
 namespace balsamloft {
 
 namespace {
 
 constexpr auto ExpireEvery = std::chrono::milliseconds(100);
 constexpr std::string_view Prefix = "/news/";
-
-/// Reports of engines in other domains come late by about this much, and are told on
-/// with the time at which they were true.
-constexpr std::uint64_t NewsOverlapMs = 1'500;
+/// Rows that are not worth packing.
+constexpr std::size_t FewRows = 6;
 
 std::uint64_t milliseconds(Time time)
 {
@@ -38,10 +38,65 @@
 
 } // namespace
 
-std::string newsTarget(std::size_t table, std::uint64_t after, Duration wait, std::uint64_t toldMs)
+std::string newsTarget(const NewsQuestion &question)
+{
+    return std::string(Prefix) + std::to_string(question.table) + "/"
+           + std::to_string(question.after) + "/" + std::to_string(question.wait.count() / 1000)
+           + "/" + std::to_string(question.toldMs) + "/"
+           + std::to_string(question.changedWithin.count() / 1000);
+}
+
+namespace {
+
+void addRows(const std::vector<StoreRow> &rows,
+             google::protobuf::RepeatedPtrField<wire::NewsRow> &to)
+{
+    for (const StoreRow &row : rows) {
+        wire::NewsRow &each = *to.Add();
+        each.set_key(row.key);
+        each.set_value(row.value);
+        each.set_version(row.version);
+        each.set_dropped(row.dropped);
+    }
+}
+
+std::string deflated(const std::string &bytes)
+{
+    uLongf length = compressBound(bytes.size());
+    std::string packed(length, '\0');
+    compress2(reinterpret_cast<Bytef *>(packed.data()), &length,
+              reinterpret_cast<const Bytef *>(bytes.data()), bytes.size(), Z_BEST_SPEED);
+    packed.resize(length);
+    return packed;
+}
+
+} // namespace
+
+PeerServer::PackedRows PeerServer::pack(const std::vector<StoreRow> &rows)
+{
+    wire::RowList list;
+    addRows(rows, *list.mutable_rows());
+    const std::string bytes = list.SerializeAsString();
+    return {0, static_cast<std::uint32_t>(bytes.size()), deflated(bytes)};
+}
+
+void PeerServer::addPacked(const PackedRows &packed, wire::TableNews &news)
+{
+    news.set_packed_rows(packed.bytes);
+    news.set_packed_from(packed.from);
+}
+
+/// Thousands of rows as text are more than a small instance's link carries in a second,
+/// and all that start together ask for them; their fields are much alike.
+void PeerServer::addAllRows(std::size_t table, wire::TableNews &news) const
 {
-    return std::string(Prefix) + std::to_string(table) + "/" + std::to_string(after) + "/"
-           + std::to_string(wait.count() / 1000) + "/" + std::to_string(toldMs);
+    const TableCopy &copy = m_states[table].copy;
+    PackedRows &packed = m_packed[table];
+    if (packed.version != copy.version() || packed.bytes.empty()) {
+        packed = pack(copy.all());
+        packed.version = copy.version();
+    }
+    addPacked(packed, news);
 }
 
 PeerServer::PeerServer(boost::asio::io_context &context)
@@ -58,17 +113,21 @@
 
 void PeerServer::asked(std::string_view target, TextServer::Reply reply)
 {
-    std::array<std::uint64_t, 4> numbers {};
+    std::array<std::uint64_t, 5> numbers {};
     if (!target.starts_with(Prefix) || !readNumbers(target.substr(Prefix.size()), numbers)
         || numbers[0] >= NewsTableCount)
         return reply({404, {}});
-    const auto [table, after, waitMs, toldMs] = numbers;
+    const auto [table, after, waitMs, toldBeforeMs, changedWithinMs] = numbers;
     const NewsState &state = m_states[table];
+    const std::uint64_t nowMs = milliseconds(steadyNow());
+    const std::uint64_t toldMs = toldBeforeMs > 0 || changedWithinMs == 0
+                                     ? toldBeforeMs
+                                     : nowMs - std::min(nowMs, changedWithinMs);
     const bool known = state.copy.known();
     if (waitMs == 0 || (known && (state.copy.version() > after || after == 0)))
         return reply(answer(table, after, toldMs));
-    m_waiters.push_back(
-        {table, after, toldMs, steadyNow() + Duration(waitMs * 1000), std::move(reply)});
+    m_waiters.push_back({table, after, toldMs, state.knownAt, steadyNow() + Duration(waitMs * 1000),
+                         std::move(reply)});
     if (!std::exchange(m_timing, true))
         expire();
 }
@@ -87,13 +146,12 @@
     wire::TableNews news;
     auto rows = after == 0 ? std::nullopt : state.copy.since(after);
     news.set_whole(!rows);
-    for (const StoreRow &row : rows ? *rows : state.copy.all()) {
-        wire::NewsRow &each = *news.add_rows();
-        each.set_key(row.key);
-        each.set_value(row.value);
-        each.set_version(row.version);
-        each.set_dropped(row.dropped);
-    }
+    if (!rows)
+        addAllRows(table, news);
+    else if (rows->size() < FewRows)
+        addRows(*rows, *news.mutable_rows());
+    else
+        addPacked(pack(*rows), news);
     news.set_version(state.copy.version());
     news.set_clock_ms(milliseconds(bootNow()));
     news.set_known_ms(milliseconds(state.knownAt));
@@ -104,6 +162,22 @@
     return news.SerializeAsString();
 }
 
+void PeerServer::addReports(const EngineReports &reports)
+{
+    const Time now = steadyNow();
+    for (const EngineState &state : reports.changed)
+        m_engines.insert_or_assign(state.id, ToldEngine {state, now});
+    for (const auto &[domain, at] : reports.asOf) {
+        Time &asOf = m_asOf[domain];
+        asOf = std::max(asOf, at);
+    }
+}
+
+void PeerServer::keepOnly(const FleetSnapshot &fleet)
+{
+    std::erase_if(m_engines, [&](const auto &each) { return !fleet.find(each.first); });
+}
+
 /// States of engines that the asker may not have been told yet; older ones, told again
 /// with each answer, would fill a small instance's link.
 void PeerServer::addEngines(std::uint64_t toldMs, wire::TableNews &news) const
@@ -112,9 +186,18 @@
     news.set_told_ms(milliseconds(now));
     // A time from another process, whose clock may have been ahead, says nothing.
     const bool known = toldMs <= milliseconds(now);
-    for (const EngineState &engine : m_engines) {
-        if (known && milliseconds(engine.at) + NewsOverlapMs < toldMs)
+    const auto ageMs = [now](Time at) {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (now - at).count() / 1000));
+    };
+    for (const auto &[domain, at] : m_asOf) {
+        wire::DomainNews &each = *news.add_domains();
+        each.set_domain(domain);
+        each.set_age_ms(ageMs(at));
+    }
+    for (const auto &[id, told] : m_engines) {
+        if (known && milliseconds(told.changedAt) < toldMs)
             continue;
+        const EngineState &engine = told.state;
         wire::EngineNews &each = *news.add_engines();
         each.set_id(engine.id);
         each.set_used(engine.used);
@@ -122,8 +205,7 @@
         each.set_queued(engine.queued);
         each.set_pace(engine.pace);
         each.set_silent(engine.silent);
-        each.set_age_ms(static_cast<std::uint64_t>(
-            std::max<std::int64_t>(0, (now - engine.at).count() / 1000)));
+        each.set_age_ms(ageMs(engine.at));
     }
 }
 
@@ -133,12 +215,22 @@
         state.direct = false;
 }
 
+/// Whether those who asked when \a state was known as of \a then are told that it still is.
+bool PeerServer::fresher(NewsTable table, const NewsState &state, Time then)
+{
+    return (table == NewsTable::Configuration || table == NewsTable::Endpoints)
+           && state.knownAt > then;
+}
+
 void PeerServer::changed(NewsTable table)
 {
     const auto index = static_cast<std::size_t>(table);
     std::vector<Waiter> ready;
     std::erase_if(m_waiters, [&](Waiter &each) {
-        const bool now = each.table == index && m_states[index].copy.version() > each.after;
+        const NewsState &state = m_states[index];
+        const bool now =
+            each.table == index
+            && (state.copy.version() > each.after || fresher(table, state, each.knownAt));
         if (now)
             ready.push_back(std::move(each));
         return now;
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -6,11 +6,13 @@
 #include "textserver.h"
 
 #include <balsamloft/enginebook.h>
+#include <balsamloft/enginefleet.h>
 #include <balsamloft/tablecopy.h>
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <map>
 
 namespace balsamloft {
 
@@ -23,9 +25,18 @@
 
 inline constexpr std::size_t NewsTableCount = 4;
 
-/// Request target of a question for changes of \a table after a version, and for
-/// states of engines since the time that the answer before told.
-std::string newsTarget(std::size_t table, std::uint64_t after, Duration wait, std::uint64_t toldMs);
+/// A question for changes of a table, and of states of engines.
+struct NewsQuestion
+{
+    std::size_t table = 0;
+    std::uint64_t after = 0; ///< the version that is known
+    Duration wait {}; ///< how long the answer may be held
+    std::uint64_t toldMs = 0; ///< until when states were told here before; 0: never
+    Duration changedWithin {}; ///< then only states that changed so lately; 0: all
+};
+
+/// Its request target.
+std::string newsTarget(const NewsQuestion &question);
 
 /// A copy of a table and how recent it is.
 struct NewsState
@@ -47,15 +58,21 @@
     bool listen(const std::string &address, Reason &reason);
     NewsState &state(NewsTable table) { return m_states[static_cast<std::size_t>(table)]; }
 
-    /// The table changed: answers those who wait for that.
+    /// The table changed, or was heard to be as it was: answers those who wait for that.
+    /// Told at once how recent it is, they tell on what is hardly older, so that news do
+    /// not age with each instance that they pass.
     void changed(NewsTable table);
 
     /// The store does not answer any more: what is known came from it, but only
     /// grows older.
     void storeLost();
 
-    /// States of engines that are told along with the endpoints.
-    void setEngines(std::vector<EngineState> engines) { m_engines = std::move(engines); }
+    /// Engines whose states changed, and how fresh all others are; told along with the
+    /// endpoints.
+    void addReports(const EngineReports &reports);
+
+    /// Forgets engines that are not in \a fleet.
+    void keepOnly(const FleetSnapshot &fleet);
 
 private:
     struct Waiter
@@ -63,21 +80,43 @@
         std::size_t table;
         std::uint64_t after;
         std::uint64_t toldMs;
+        Time knownAt; ///< what was known when it asked
         Time until;
         TextServer::Reply reply;
     };
 
+    /// What is told of an engine, and since when.
+    struct ToldEngine
+    {
+        EngineState state;
+        Time changedAt {};
+    };
+
+    /// All rows of a table as of a version, ready to be told.
+    struct PackedRows
+    {
+        std::uint64_t version = 0;
+        std::uint32_t from = 0; ///< bytes before they were packed
+        std::string bytes;
+    };
+
     void asked(std::string_view target, TextServer::Reply reply);
     TextAnswer answer(std::size_t table, std::uint64_t after, std::uint64_t toldMs) const;
     std::string news(std::size_t table, std::uint64_t after, std::uint64_t toldMs) const;
+    static PackedRows pack(const std::vector<StoreRow> &rows);
+    static void addPacked(const PackedRows &packed, wire::TableNews &news);
+    void addAllRows(std::size_t table, wire::TableNews &news) const;
     void addEngines(std::uint64_t toldMs, wire::TableNews &news) const;
+    static bool fresher(NewsTable table, const NewsState &state, Time then);
     void expire();
 
     TextServer m_server;
     boost::asio::steady_timer m_timer;
     bool m_timing = false;
     std::array<NewsState, NewsTableCount> m_states;
-    std::vector<EngineState> m_engines;
+    mutable std::array<PackedRows, NewsTableCount> m_packed; ///< as told last
+    std::map<std::string, ToldEngine, std::less<>> m_engines; ///< by id
+    std::map<std::string, Time> m_asOf; ///< by domain, see EngineReports
     std::vector<Waiter> m_waiters;
 };
 
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -4,6 +4,8 @@
 #include "clock.h"
 #include "peerserver.h"
 
+#include <zlib.h>
+
 namespace balsamloft {
 
 namespace {
@@ -11,6 +13,11 @@
 /// Beyond the time that was asked to wait, a call has failed.
 constexpr Duration StoreWithin {500'000};
 constexpr Duration PeerWithin {200'000};
+/// The same for the rest of an answer that has begun: a whole table takes long on a small
+/// instance's link that many share.
+constexpr Duration RestWithin {3'000'000};
+/// What one instance knew when it last told, another may know so much later.
+constexpr Duration ReportsOverlap {2'000'000};
 
 } // namespace
 
@@ -51,10 +58,12 @@
     callback(std::move(result));
 }
 
-PeerSource::PeerSource(boost::asio::io_context &context, PeerInstance peer, std::size_t table)
+PeerSource::PeerSource(boost::asio::io_context &context, PeerInstance peer, std::size_t table,
+                       std::shared_ptr<Time> reportsAt)
     : m_pool(context)
     , m_peer(std::move(peer))
     , m_table(table)
+    , m_reportsAt(std::move(reportsAt))
 {
 }
 
@@ -82,14 +91,44 @@
     const Time sentAt = bootNow();
     m_call = std::make_shared<OneCall>(
         m_pool, std::move(settings),
-        callText({"GET", newsTarget(m_table, after, wait, m_toldMs), {}}, m_peer.address),
-        wait + PeerWithin,
+        callText({"GET", newsTarget({m_table, after, wait, m_toldMs, changedWithin()}), {}},
+                 m_peer.address),
+        CallLimits {wait + PeerWithin, after == 0 ? RestWithin : Duration {}},
         [this, sentAt, callback = std::move(callback)](const CallOutcome &outcome) {
             callback(decode(outcome, sentAt));
         });
     m_call->start();
 }
 
+namespace {
+
+/// Longest list of rows that is taken from another instance.
+constexpr std::uint32_t MostUnpacked = 64U << 20U;
+
+bool unpack(const wire::TableNews &news, wire::RowList &rows)
+{
+    if (news.packed_from() > MostUnpacked)
+        return false;
+    std::string bytes(news.packed_from(), '\0');
+    uLongf length = bytes.size();
+    const std::string &packed = news.packed_rows();
+    return uncompress(reinterpret_cast<Bytef *>(bytes.data()), &length,
+                      reinterpret_cast<const Bytef *>(packed.data()), packed.size())
+               == Z_OK
+           && length == bytes.size() && rows.ParseFromString(bytes);
+}
+
+} // namespace
+
+/// All states are told once to each instance: told again by each other one that it turns
+/// to, they fill the links just when many turn to others.
+Duration PeerSource::changedWithin() const
+{
+    if (*m_reportsAt == Time {})
+        return {};
+    return steadyNow() - *m_reportsAt + ReportsOverlap;
+}
+
 TableAnswer PeerSource::decode(const CallOutcome &outcome, Time sentAt)
 {
     TableAnswer answer;
@@ -109,13 +148,21 @@
     answer.whole = news.whole();
     answer.direct = news.direct();
     m_toldMs = news.told_ms();
-    for (const wire::NewsRow &row : news.rows())
-        answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
+    wire::RowList packed;
+    if (!news.packed_rows().empty() && !unpack(news, packed))
+        return {};
+    for (const auto *rows : {&news.rows(), &packed.rows()})
+        for (const wire::NewsRow &row : *rows)
+            answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
     const Time steady = steadyNow();
+    if (news.domains_size() > 0)
+        *m_reportsAt = steady;
+    for (const wire::DomainNews &domain : news.domains())
+        answer.engines.asOf[domain.domain()] = steady - Duration(domain.age_ms() * 1000);
     for (const wire::EngineNews &engine : news.engines())
-        answer.engines.push_back({engine.id(), engine.used(), engine.active(), engine.queued(),
-                                  engine.pace(), engine.silent(),
-                                  steady - Duration(engine.age_ms() * 1000) - (now - sentAt) / 8});
+        answer.engines.changed.push_back(
+            {engine.id(), engine.used(), engine.active(), engine.queued(), engine.pace(),
+             engine.silent(), steady - Duration(engine.age_ms() * 1000) - (now - sentAt) / 8});
     return answer;
 }
 
--- a/src/entry/tablesource.h
+++ b/src/entry/tablesource.h
@@ -18,7 +18,7 @@
     bool whole = false; ///< the rows are all of the table, in answer to a watch
     std::optional<Time> knownAt; ///< complete as of then; on the clock that counts suspension
     bool direct = false; ///< the store's own answer, or that of one that had it from the store
-    std::vector<EngineState> engines; ///< told along by another instance
+    EngineReports engines; ///< told along by another instance
 
     /// How old what was told is at \a now; none when that was not told.
     Duration age(Time now) const
@@ -73,8 +73,10 @@
 class PeerSource : public TableSource
 {
 public:
-    /// \a table: which of the tables that instances tell each other of.
-    PeerSource(boost::asio::io_context &context, PeerInstance peer, std::size_t table);
+    /// \a table: which of the tables that instances tell each other of. \a reportsAt: when
+    /// any of the sources told states of engines last; never: the beginning of time.
+    PeerSource(boost::asio::io_context &context, PeerInstance peer, std::size_t table,
+               std::shared_ptr<Time> reportsAt);
     ~PeerSource() override;
 
     const std::string &peer() const override { return m_peer.name; }
@@ -90,6 +92,9 @@
     PeerInstance m_peer;
     std::size_t m_table;
     ReadFreshness m_freshness;
+    Duration changedWithin() const;
+
+    std::shared_ptr<Time> m_reportsAt;
     std::uint64_t m_toldMs = 0; ///< up to when it told of engines, on its own clock
     std::shared_ptr<OneCall> m_call;
 };
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -144,10 +144,10 @@
     m_relay.setRetries(relay.retryRatio, relay.retrySlack);
 }
 
-void TrafficFront::enginesSeen(const std::vector<EngineState> &engines)
+void TrafficFront::enginesSeen(const EngineReports &reports)
 {
     RelayActions actions;
-    m_relay.enginesSeen(engines, steadyNow(), actions);
+    m_relay.enginesSeen(reports, steadyNow(), actions);
     run(std::move(actions));
 }
 
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -34,7 +34,7 @@
     void setTable(RouteMapPtr table);
     void setFleet(FleetPtr fleet);
     void setInstances(std::size_t inDomain, std::size_t all);
-    void enginesSeen(const std::vector<EngineState> &engines);
+    void enginesSeen(const EngineReports &reports);
     void learnCrashes(const std::vector<CrashRecord> &all) { m_relay.learnCrashes(all); }
 
     /// Takes over what may change while the process runs: times of keys and of a
--- a/src/include/balsamloft/enginebook.h
+++ b/src/include/balsamloft/enginebook.h
@@ -36,6 +36,18 @@
     Time at {}; ///< when it was so
 };
 
+/// What one instance tells another of engines.
+struct EngineReports
+{
+    std::vector<EngineState> changed;
+    /// By domain: all others of its engines are still as told before, as of then.
+    std::map<std::string, Time> asOf;
+};
+
+/// Whether \a now differs from what was \a told before by enough to change a choice;
+/// \a room: the engine's KV memory, in tokens times layers.
+bool differsNoticeably(const EngineState &told, const EngineState &now, double room);
+
 /// Belief about one endpoint.
 struct EngineBelief
 {
@@ -102,6 +114,9 @@
     /// An engine's state, as this instance or another one asked for it.
     void reported(const EngineState &state, Time now);
 
+    /// As of \a at the engine is as it was reported last.
+    void stillSo(std::string_view id, Time at);
+
     /// How many instances are believed to send work to a domain's engines.
     void setSharers(double sharers) { m_sharers = sharers; }
 
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -39,9 +39,10 @@
 /// Decides whom this instance reads the store's tables from. The first two good
 /// instances of a domain, by name, are its readers: the first reads the store,
 /// the second stands by and reads it while the first cannot. All others read in a tree:
-/// each from one that comes before it by name, so that nobody tells more than a few;
-/// while that one knows too little, from the readers, or from those of other domains,
-/// but never from the store.
+/// each from one that comes before it by name, so that nobody tells more than a few, or
+/// from that one's neighbour. While both know too little they wait: what the readers
+/// know reaches them as soon as there is more. Only when both are silent they turn to the
+/// readers, or to those of other domains, but never to the store.
 ///
 /// That keeps the store's calls at two instances a domain, whatever fails: were a
 /// source that knows old news given up for the store, the whole fleet would turn
@@ -101,7 +102,7 @@
     bool good(const PeerInstance &instance, Time now) const;
     bool useful(const PeerInstance &instance, Time now) const;
     std::vector<const PeerInstance *> before(Time now) const;
-    const PeerInstance *parent() const;
+    std::vector<const PeerInstance *> parents() const;
     const PeerInstance *next(Time now) const;
     std::vector<const PeerInstance *> firstElsewhere(std::size_t most, Time now) const;
     const PeerInstance *elsewhere(Time now) const;
--- a/src/libbalsamloft/enginebook.cpp
+++ b/src/libbalsamloft/enginebook.cpp
@@ -13,6 +13,20 @@
 
 } // namespace
 
+bool differsNoticeably(const EngineState &told, const EngineState &now, double room)
+{
+    constexpr double UsedShare = 1.0 / 24; ///< of the room
+    constexpr double CountShare = 1.0 / 8;
+    constexpr double PaceStep = 0.1;
+    const auto differs = [](std::uint32_t before, std::uint32_t after) {
+        const double change = std::abs(static_cast<double>(after) - before);
+        return change > 1 && change > CountShare * before;
+    };
+    return now.silent || told.silent || std::abs(now.used - told.used) > UsedShare * room
+           || differs(told.active, now.active) || differs(told.queued, now.queued)
+           || std::abs(now.pace - told.pace) > PaceStep;
+}
+
 EngineBook::EngineBook(EngineBookSettings settings)
     : m_settings(settings)
 {
@@ -176,6 +190,18 @@
     each.ownStreamsThen = each.streams;
 }
 
+void EngineBook::stillSo(std::string_view id, Time at)
+{
+    const auto it = m_beliefs.find(id);
+    if (it == m_beliefs.end() || it->second.reportedAt == Time {} || at <= it->second.reportedAt)
+        return;
+    EngineBelief &each = it->second;
+    each.paceUntil = std::max(each.paceUntil, at + m_settings.paceValid);
+    each.reportedAt = at;
+    each.ownUsedThen = each.tokenLayers;
+    each.ownStreamsThen = each.streams;
+}
+
 EngineLoad EngineBook::load(std::string_view id, const std::string &domain, Time now) const
 {
     const EngineBelief *each = find(id);
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -139,9 +139,15 @@
 NewsSource PeerDirectory::source(Time now) const
 {
     const std::vector<const PeerInstance *> earlier = before(now);
-    if (earlier.size() == Readers)
-        if (const PeerInstance *each = parent(); each && useful(*each, now))
-            return {NewsSource::Kind::Instance, each};
+    if (earlier.size() == Readers) {
+        const std::vector<const PeerInstance *> above = parents();
+        for (const PeerInstance *each : above)
+            if (useful(*each, now))
+                return {NewsSource::Kind::Instance, each};
+        if (std::any_of(above.begin(), above.end(),
+                        [&](const PeerInstance *each) { return good(*each, now); }))
+            return {};
+    }
     for (const PeerInstance *each : earlier)
         if (useful(*each, now))
             return {NewsSource::Kind::Instance, each};
@@ -156,10 +162,10 @@
     return {};
 }
 
-/// Whom this instance reads from in the tree of its domain; the two readers are its roots.
-/// By the list alone, whoever is silent: were places in the tree to move with each
-/// instance that is, all after it would change whom they read from.
-const PeerInstance *PeerDirectory::parent() const
+/// Whom this instance reads from in the tree of its domain, and whom else: the two readers
+/// are its roots. By the list alone, whoever is silent: were places in the tree to move
+/// with each instance that is, all after it would change whom they read from.
+std::vector<const PeerInstance *> PeerDirectory::parents() const
 {
     std::vector<const PeerInstance *> earlier;
     for (const PeerInstance &each : m_instances) {
@@ -168,7 +174,11 @@
         if (each.domain == m_domain)
             earlier.push_back(&each);
     }
-    return earlier.size() < Readers ? nullptr : earlier[(earlier.size() - Readers) / FanOut];
+    if (earlier.size() < Readers)
+        return {};
+    const std::size_t parent = (earlier.size() - Readers) / FanOut;
+    const std::size_t neighbour = parent % 2 == 0 ? parent + 1 : parent - 1;
+    return {earlier[parent], earlier[std::min(neighbour, earlier.size() - 1)]};
 }
 
 /// The good instance of the own domain that comes after this one.
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -36,9 +36,12 @@
     tick(now, actions);
 }
 
-void Relay::enginesSeen(const std::vector<EngineState> &states, Time now, RelayActions &actions)
+void Relay::enginesSeen(const EngineReports &reports, Time now, RelayActions &actions)
 {
-    for (const EngineState &state : states)
+    for (const FleetEndpoint &each : m_fleet->endpoints)
+        if (const auto asOf = reports.asOf.find(each.domain); asOf != reports.asOf.end())
+            m_book.stillSo(each.id, asOf->second);
+    for (const EngineState &state : reports.changed)
         if (m_fleet->find(state.id))
             m_book.reported(state, now);
     tick(now, actions);
--- a/src/libbalsamloft/trialpermits_test.cpp
+++ b/src/libbalsamloft/trialpermits_test.cpp
@@ -119,6 +119,8 @@
     const TrialAnswer second = fleet.ask(1, {"beside", "e1"});
     CHECK_FALSE(second.granted);
     CHECK(second.endpointTaken);
+    fleet.tellAll();
+    CHECK(fleet.ask(1, {"beside", "e1"}).endpointTaken);
     CHECK(fleet.ask(1, {"beside", "e2"}).granted);
 }
 
@@ -193,6 +195,7 @@
     fleet.tellAll();
     fleet.now += seconds(11);
     REQUIRE(fleet.ask(1, {"bad", "e2"}).granted);
+    fleet.tellAll();
     fleet.end(0, "bad", TrialEnd::Open);
     fleet.tellAll();
     CHECK_FALSE(fleet.ask(0, {"bad", "e3"}).granted);
