A change of an engine's state is taken though all else is known to be as told since

Cause: the news that the rest of a domain is as told came with a later time than the changes told beside it, and moved the time of all reports on; so each change after the first was older than its own report and dropped. The test fails before (1,000 in place of 5,000 and 7,000).

Change: when a state was true and as of when it still holds are two times. Own work counts as taken in once a second, as often as an engine is asked, not at each answer.

--- a/src/fakes/newsemulator.cpp
+++ b/src/fakes/newsemulator.cpp
@@ -55,7 +55,7 @@
     m_instances[instance].alive = false;
 }
 
-void NewsEmulator::start(std::size_t instance)
+void NewsEmulator::start(std::size_t instance, Duration busy)
 {
     Instance &each = m_instances[instance];
     each.directory = PeerDirectory(each.self.name, each.self.domain);
@@ -66,12 +66,14 @@
     each.direct = false;
     each.version = 0;
     each.knownAt = m_begin;
-    each.nextAt = m_now;
+    each.busyUntil = m_now + busy;
+    each.nextAt = each.busyUntil;
 }
 
 bool NewsEmulator::reaches(const Instance &from, const Instance &to) const
 {
-    return to.alive && (from.domain == to.domain || (!from.cut && !to.cut));
+    return to.alive && m_now >= to.busyUntil
+           && (from.domain == to.domain || (!from.cut && !to.cut));
 }
 
 std::uint64_t NewsEmulator::versionAt(Time time) const
--- a/src/fakes/newsemulator.h
+++ b/src/fakes/newsemulator.h
@@ -41,8 +41,9 @@
     void cutDomain(std::size_t domain, bool cut);
     void kill(std::size_t instance);
 
-    /// A process that died begins anew; it knows nobody until it has read the list.
-    void start(std::size_t instance);
+    /// A process that died begins anew; it knows nobody until it has read the list. For
+    /// \a busy it is slow: it asks and answers nothing.
+    void start(std::size_t instance, Duration busy = {});
 
     // Queries
 
@@ -66,6 +67,7 @@
         std::size_t domain = 0;
         PeerDirectory directory;
         bool alive = true;
+        Time busyUntil {};
         bool cut = false;
         StoreMood mood = StoreMood::Well;
         std::uint64_t version = 0; ///< of the store, as known
--- a/src/include/balsamloft/enginebook.h
+++ b/src/include/balsamloft/enginebook.h
@@ -22,6 +22,9 @@
     Duration paceValid {3'000'000}; ///< a report of slowness is believed this long
     Duration failureHalfLife {3'000'000};
     Duration reportValid {2'500'000}; ///< a report of load is believed this long
+    /// Engines are asked about so often; one that is still as it was has taken in by then
+    /// what was sent there.
+    Duration reportEvery {1'000'000};
 };
 
 /// What an engine said of itself, or that it did not answer.
@@ -63,10 +66,12 @@
     Time decayedAt {};
     std::uint32_t firstOf = 0; ///< own requests that entered the engines here
     Time reportedAt {}; ///< never: the beginning of time
+    Time validAt {}; ///< as of then it still was so
+    Time countedAt {}; ///< own work was counted then, see ownUsedThen
     double reportedUsed = 0;
     std::uint32_t reportedActive = 0;
     std::uint32_t reportedQueued = 0;
-    double ownUsedThen = 0; ///< own work when it was reported
+    double ownUsedThen = 0; ///< own work that the report is taken to hold
     std::uint32_t ownStreamsThen = 0;
 };
 
@@ -115,7 +120,7 @@
     void reported(const EngineState &state, Time now);
 
     /// As of \a at the engine is as it was reported last.
-    void stillSo(std::string_view id, Time at);
+    void stillSo(std::string_view id, Time at, Time now);
 
     /// How many instances are believed to send work to a domain's engines.
     void setSharers(double sharers) { m_sharers = sharers; }
@@ -152,6 +157,7 @@
     double failureShare(std::string_view id, Time now) const;
 
 private:
+    static void countOwn(EngineBelief &belief, Time now);
     EngineBelief &belief(const std::string &id) { return m_beliefs[id]; }
     double decay(const EngineBelief &belief, Time now) const;
 
--- a/src/libbalsamloft/enginebook.cpp
+++ b/src/libbalsamloft/enginebook.cpp
@@ -183,23 +183,31 @@
         return;
     paced(state.id, state.pace, now);
     each.reportedAt = state.at;
+    each.validAt = std::max(each.validAt, state.at);
     each.reportedUsed = state.used;
     each.reportedActive = state.active;
     each.reportedQueued = state.queued;
-    each.ownUsedThen = each.tokenLayers;
-    each.ownStreamsThen = each.streams;
+    countOwn(each, now);
 }
 
-void EngineBook::stillSo(std::string_view id, Time at)
+/// What is sent from now on comes on top of what was reported.
+void EngineBook::countOwn(EngineBelief &belief, Time now)
+{
+    belief.countedAt = now;
+    belief.ownUsedThen = belief.tokenLayers;
+    belief.ownStreamsThen = belief.streams;
+}
+
+void EngineBook::stillSo(std::string_view id, Time at, Time now)
 {
     const auto it = m_beliefs.find(id);
-    if (it == m_beliefs.end() || it->second.reportedAt == Time {} || at <= it->second.reportedAt)
+    if (it == m_beliefs.end() || it->second.reportedAt == Time {} || at <= it->second.validAt)
         return;
     EngineBelief &each = it->second;
     each.paceUntil = std::max(each.paceUntil, at + m_settings.paceValid);
-    each.reportedAt = at;
-    each.ownUsedThen = each.tokenLayers;
-    each.ownStreamsThen = each.streams;
+    each.validAt = at;
+    if (now - each.countedAt >= m_settings.reportEvery)
+        countOwn(each, now);
 }
 
 EngineLoad EngineBook::load(std::string_view id, const std::string &domain, Time now) const
@@ -208,7 +216,7 @@
     if (!each)
         return {};
     const double others = scale(domain);
-    if (now - each->reportedAt > m_settings.reportValid)
+    if (now - each->validAt > m_settings.reportValid)
         return {each->tokenLayers * others, each->streams * others, 0, false};
     const double newUsed = std::max(0.0, each->tokenLayers - each->ownUsedThen);
     const double newStreams = each->streams > each->ownStreamsThen
--- a/src/libbalsamloft/newsspread_test.cpp
+++ b/src/libbalsamloft/newsspread_test.cpp
@@ -109,6 +109,24 @@
     CHECK(fleet.storeCalls() - before < dead.size() + 150);
 }
 
+// Guards against instances that start together, find each other too busy to answer and wait
+// ever longer before they ask again.
+TEST_CASE("a fleet that starts together knows all three seconds after the slowest is up")
+{
+    constexpr Duration MostBusy {10'000'000};
+    std::mt19937_64 random(20261203);
+    for (const std::size_t instances : {30U, 100U, 300U, 340U}) {
+        NewsEmulator fleet(fleetOf(instances));
+        fleet.run(seconds(1));
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            fleet.kill(i);
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            fleet.start(i, Duration(random() % MostBusy.count()));
+        fleet.run(MostBusy + seconds(3));
+        CHECK(fleet.oldestAge() < milliseconds(1'600));
+    }
+}
+
 // Whatever fails, and whoever reads from whom: news are never taken for newer than
 // they are. On that age rests that a withdrawn key serves no caller, and that a
 // leaving endpoint gets nothing new.
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// Two engines that hold a half each, twice, and two plain endpoints.
 std::vector<RelayEngine> twoPaths()
@@ -543,3 +544,42 @@
     world.answer(call, 200);
     CHECK(world.passed(call));
 }
+
+// Guards against a change that is taken for older than the news that all else is as it was.
+TEST_CASE("an engine's new state is taken though its domain is known to be as told since")
+{
+    RelayWorld world({{"e1", {0, 8}}});
+    const auto used = [&] { return world.relay.book().load("e1", "near", world.now).used; };
+    const auto told = [&](double tokens, milliseconds age) {
+        EngineReports reports;
+        reports.changed.push_back({"e1", tokens, 1, 0, 1, false, world.now - age});
+        reports.asOf["near"] = world.now;
+        world.relay.enginesSeen(reports, world.now, world.actions);
+    };
+    told(1000, milliseconds(100));
+    CHECK(used() == 1000);
+    world.pass(milliseconds(300));
+    told(5000, milliseconds(100));
+    CHECK(used() == 5000);
+    world.pass(milliseconds(300));
+    told(7000, milliseconds(350)); // true before the news of a moment ago, and told late
+    CHECK(used() == 7000);
+}
+
+// Guards against a state that counts as unknown since nobody had to tell it again.
+TEST_CASE("an engine's state holds as long as its domain is known to be as told")
+{
+    RelayWorld world({{"e1", {0, 8}}});
+    EngineReports reports;
+    reports.changed.push_back({"e1", 1000, 1, 0, 1, false, world.now});
+    world.relay.enginesSeen(reports, world.now, world.actions);
+    reports.changed.clear();
+    for (int second = 0; second < 5; ++second) {
+        world.pass(seconds(1));
+        reports.asOf["near"] = world.now;
+        world.relay.enginesSeen(reports, world.now, world.actions);
+    }
+    CHECK(world.relay.book().load("e1", "near", world.now).reported);
+    world.pass(seconds(3));
+    CHECK_FALSE(world.relay.book().load("e1", "near", world.now).reported);
+}
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -38,12 +38,12 @@
 
 void Relay::enginesSeen(const EngineReports &reports, Time now, RelayActions &actions)
 {
-    for (const FleetEndpoint &each : m_fleet->endpoints)
-        if (const auto asOf = reports.asOf.find(each.domain); asOf != reports.asOf.end())
-            m_book.stillSo(each.id, asOf->second);
     for (const EngineState &state : reports.changed)
         if (m_fleet->find(state.id))
             m_book.reported(state, now);
+    for (const FleetEndpoint &each : m_fleet->endpoints)
+        if (const auto asOf = reports.asOf.find(each.domain); asOf != reports.asOf.end())
+            m_book.stillSo(each.id, asOf->second, now);
     tick(now, actions);
 }
 
