Instances that start together ask each other again soon

Suspected, not shown by logs: each finds those above it busy starting, takes them for dead and waits 1 s, 2 s, 4 s and so on before it asks again.

newsspread_test plays a fleet that starts together, each up to 10 s busy; it passes before too, so it guards the rule and does not show the cause.

--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -13,6 +13,7 @@
 /// Beyond the time that was asked to wait, a call has failed.
 constexpr Duration StoreWithin {500'000};
 constexpr Duration PeerWithin {200'000};
+constexpr Duration WholeWithin {600'000}; ///< the same for a whole table, which is made first
 /// The same for the rest of an answer that has begun: a whole table takes long on a small
 /// instance's link that many share.
 constexpr Duration RestWithin {3'000'000};
@@ -93,7 +94,7 @@
         m_pool, std::move(settings),
         callText({"GET", newsTarget({m_table, after, wait, m_toldMs, changedWithin()}), {}},
                  m_peer.address),
-        CallLimits {wait + PeerWithin, after == 0 ? RestWithin : Duration {}},
+        after == 0 ? CallLimits(wait + WholeWithin, RestWithin) : CallLimits(wait + PeerWithin),
         [this, sentAt, callback = std::move(callback)](const CallOutcome &outcome) {
             callback(decode(outcome, sentAt));
         });
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -112,6 +112,7 @@
     std::vector<PeerInstance> m_instances; ///< by name
     std::map<std::string, Seen, std::less<>> m_seen;
     std::mt19937_64 m_random;
+    bool m_told = false; ///< by another instance, ever
     Time m_storeBadUntil {};
     std::uint32_t m_storeFailures = 0; ///< in a row
 };
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -14,6 +14,8 @@
 /// long in the end, since each question to a dead machine costs a time limit.
 constexpr Duration SilentFor {1'000'000};
 constexpr Duration MostSilentFor {16'000'000};
+/// The same for one who knows nothing yet: those who start together are busy, not dead.
+constexpr Duration SilentAtStart {300'000};
 
 /// How long an instance that knew too little is passed over. As long as it would
 /// hold a question, so that an outage of the store adds no questions.
@@ -67,7 +69,8 @@
     // Questions that were sent together stay unanswered together.
     if (now < seen.silentUntil)
         return;
-    seen.silentUntil = now + doubled(SilentFor, seen.silences, MostSilentFor);
+    seen.silentUntil =
+        now + (m_told ? doubled(SilentFor, seen.silences, MostSilentFor) : SilentAtStart);
     seen.silences += 1;
 }
 
@@ -78,6 +81,7 @@
 
 void PeerDirectory::told(const std::string &name, Duration age, bool direct, Time now)
 {
+    m_told = true;
     Seen &seen = m_seen[name];
     seen.silences = 0;
     seen.silentUntil = Time {};
