--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -43,7 +43,7 @@
      "crashingrequests_test: a request under which two engines ended is tried once at a time"),
     ("a permit that others hold is respected", "src/libbalsamloft/trialpermits.cpp",
      "if (!told && runs(content, storeNow))", "if (false)",
-     "trialpermits_test: a permit whose answer was lost is used by nobody until its time is over"),
+     "trialpermits_test: a try whose holder is gone may be made again once its time is over"),
     ("an end accuses one request", "src/libbalsamloft/trialpermits.cpp",
      "if (runs(endpoint, storeNow))", "if (false)",
      "trialpermits_test: at one endpoint one request is tried at a time"),
--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -267,34 +267,14 @@
     for (const auto &relay : m_relays)
         relay->learnCrashes(m_told);
     for (TrialPermits &permits : m_permits)
-        permits.learn(trialRows(), m_told);
-}
-
-std::vector<TrialRow> CrashWorld::trialRows() const
-{
-    std::vector<TrialRow> rows;
-    for (const auto &[key, row] : m_trials)
-        rows.push_back(row);
-    return rows;
+        permits.learn(m_trials.rows(), m_told);
 }
 
 /// \return whether the rows were still as \a change takes them to be.
 bool CrashWorld::write(const TrialChange &change)
 {
-    const auto asKnown = [&](const TrialRow &row) {
-        const auto it = m_trials.find(row.key);
-        return (it == m_trials.end() ? 0 : it->second.version) == row.version;
-    };
-    if (!std::all_of(change.rows.begin(), change.rows.end(), asKnown)
-        || !std::all_of(change.removed.begin(), change.removed.end(), asKnown))
+    if (!m_trials.write(change))
         return false;
-    m_storeVersion += 1;
-    for (TrialRow row : change.rows) {
-        row.version = m_storeVersion;
-        m_trials[row.key] = row;
-    }
-    for (const TrialRow &row : change.removed)
-        m_trials.erase(row.key);
     if (change.crash)
         m_told.push_back(*change.crash);
     after(m_settings.newsLag, [this] { learn(); });
@@ -315,8 +295,7 @@
           [this, instance, ask, answer, change = std::get<TrialChange>(decision)] {
               TrialPermits &permits = m_permits[instance];
               const bool done = write(change);
-              permits.written(change, done, m_storeVersion,
-                              done ? std::vector<TrialRow> {} : trialRows());
+              permits.written(change, done, m_trials.version(), m_trials.rows());
               answer(permits.answer(ask.request, change, done, m_now));
           });
 }
@@ -328,7 +307,7 @@
         return;
     after(m_settings.storeTime, [this, instance, change = *change] {
         const bool done = write(change);
-        m_permits[instance].written(change, done, m_storeVersion, {});
+        m_permits[instance].written(change, done, m_trials.version(), {});
     });
 }
 
--- a/src/fakes/crashworld.h
+++ b/src/fakes/crashworld.h
@@ -4,6 +4,8 @@
 
 #pragma once
 
+#include "trialstore.h"
+
 #include <balsamloft/relay.h>
 
 #include <functional>
@@ -152,7 +154,6 @@
     void askTrial(std::size_t instance, const AskTrial &ask);
     void endTrial(std::size_t instance, const EndTrial &end);
     bool write(const TrialChange &change);
-    std::vector<TrialRow> trialRows() const;
     std::size_t engineOf(const std::string &id) const;
     Duration between(std::int64_t least, std::int64_t most);
     std::size_t pick(std::size_t count);
@@ -173,8 +174,7 @@
     std::vector<std::shared_ptr<Run>> m_runs;
     std::vector<CrashRecord> m_told; ///< by instances to each other
     std::vector<TrialPermits> m_permits; ///< by instance
-    std::map<std::string, TrialRow> m_trials; ///< in the store
-    std::uint64_t m_storeVersion = 0;
+    TrialStore m_trials;
     std::map<std::string, std::vector<Time>> m_ends; ///< under each request that ends engines
     std::map<std::string, std::vector<Time>> m_crashingSends;
     Harmless m_harmless;
--- a/src/libbalsamloft/trialpermits_test.cpp
+++ b/src/libbalsamloft/trialpermits_test.cpp
@@ -1,8 +1,9 @@
-#include <balsamloft/trialpermits.h>
+#include "../fakes/trialstore.h"
 
 #include <catch2/catch.hpp>
 
 using namespace balsamloft;
+using namespace balsamloft::fakes;
 
 namespace {
 
@@ -41,7 +42,7 @@
             return *refused;
         const auto &change = std::get<TrialChange>(decision);
         const bool done = write(change) && !answerLost;
-        permits.written(change, done, m_version, done ? std::vector<TrialRow> {} : all());
+        permits.written(change, done, m_store.version(), m_store.rows());
         return permits.answer(request, change, done, now);
     }
 
@@ -51,13 +52,13 @@
         if (!change)
             return;
         const bool done = write(*change);
-        m_instances[instance].written(*change, done, m_version, {});
+        m_instances[instance].written(*change, done, m_store.version(), {});
     }
 
     void tellAll()
     {
         for (TrialPermits &each : m_instances)
-            each.learn(all(), crashes);
+            each.learn(m_store.rows(), crashes);
     }
 
     Time now = Start;
@@ -66,36 +67,16 @@
 private:
     bool write(const TrialChange &change)
     {
-        const auto asKnown = [&](const TrialRow &row) {
-            return (m_rows.contains(row.key) ? m_rows[row.key].version : 0) == row.version;
-        };
-        if (!std::all_of(change.rows.begin(), change.rows.end(), asKnown)
-            || !std::all_of(change.removed.begin(), change.removed.end(), asKnown))
+        if (!m_store.write(change))
             return false;
-        m_version += 1;
-        for (TrialRow row : change.rows) {
-            row.version = m_version;
-            m_rows[row.key] = row;
-        }
-        for (const TrialRow &row : change.removed)
-            m_rows.erase(row.key);
         if (change.crash)
             crashes.push_back(*change.crash);
         return true;
     }
 
-    std::vector<TrialRow> all() const
-    {
-        std::vector<TrialRow> rows;
-        for (const auto &[key, row] : m_rows)
-            rows.push_back(row);
-        return rows;
-    }
-
     FleetSnapshot m_fleet;
     std::vector<TrialPermits> m_instances;
-    std::map<std::string, TrialRow> m_rows;
-    std::uint64_t m_version = 0;
+    TrialStore m_store;
 };
 
 } // namespace
