--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -53,7 +53,8 @@
     Duration endsWithin {200'000};
     /// After an endpoint's end: all that stood beside are known everywhere by then.
     Duration settleAfter {2'000'000};
-    /// Endpoints that ended under a request, from which on it is sent by trial only.
+    /// Endpoints that ended under a request, from which on it is sent by trial only, and
+    /// what runs without a permit is taken back.
     std::size_t crashesToTry = 2;
     Duration keptFor {600'000'000}; ///< how long the end of an endpoint is held against a request
     /// A request that only stood beside comes through elsewhere by then, and nobody
