What is told of an engine is kept once

Control kept beside each engine what it told last, and PeerServer keeps the same with what was told on from other instances. They could differ: who reads for its domain again, after another did, compared with its own last word and could leave the other's standing. Now it is compared with what is told at present. Found by reading; no play or test showed it. A function that makes a row's value no longer shares its name with one that reads a field.

make check-format, names, clang-tidy on the changed files; 95 of 95 tests of testsuite, news and knowledge.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -70,7 +70,6 @@
     struct AskedEngine
     {
         EngineState state;
-        std::optional<EngineState> told; ///< to others, last
         std::uint32_t misses = 0;
         LayerRange layers; ///< as it said itself
         bool busy = false;
--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -68,7 +68,7 @@
                      *holder, timeOf(*until), static_cast<std::uint32_t>(*tries)};
 }
 
-std::string textOf(const TrialRow &row)
+std::string valueOf(const TrialRow &row)
 {
     return json::serialize(json::object {{"at", row.at},
                                          {"by", row.holder},
@@ -217,7 +217,7 @@
         transaction.writes.push_back({std::string(CrashTable), row.key, std::move(value)});
     };
     for (const TrialRow &each : change.rows)
-        put(each, textOf(each));
+        put(each, valueOf(each));
     for (const TrialRow &each : change.removed)
         put(each, std::nullopt);
     if (change.crash)
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -144,13 +144,13 @@
     EngineReports reports = std::exchange(m_elsewhere, {});
     if (std::exchange(m_askedDirty, false)) {
         const auto silent = silentEngines();
-        for (auto &[id, asked] : m_asked) {
+        for (const auto &[id, asked] : m_asked) {
             const FleetEndpoint *engine = m_fleetNow->find(id);
             EngineState now = asked.state;
             now.silent = silent && silent->contains(id);
-            if (!engine || (asked.told && !differsNoticeably(*asked.told, now, roomOf(*engine))))
+            const EngineState *told = m_server.told(id);
+            if (!engine || (told && !differsNoticeably(*told, now, roomOf(*engine))))
                 continue;
-            asked.told = now;
             reports.changed.push_back(std::move(now));
         }
         reports.asOf[m_settings.domain] = steadyNow();
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -173,6 +173,12 @@
     }
 }
 
+const EngineState *PeerServer::told(std::string_view id) const
+{
+    const auto it = m_engines.find(id);
+    return it == m_engines.end() ? nullptr : &it->second.state;
+}
+
 void PeerServer::keepOnly(const FleetSnapshot &fleet)
 {
     std::erase_if(m_engines, [&](const auto &each) { return !fleet.find(each.first); });
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -71,6 +71,9 @@
     /// endpoints.
     void addReports(const EngineReports &reports);
 
+    /// The engine's state as it is told now; null: it is not.
+    const EngineState *told(std::string_view id) const;
+
     /// Forgets engines that are not in \a fleet.
     void keepOnly(const FleetSnapshot &fleet);
 
