--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -5,16 +5,12 @@
 
 #include <charconv>
 
-#include <zlib.h>
-
 namespace balsamloft {
 
 namespace {
 
 constexpr auto ExpireEvery = std::chrono::milliseconds(100);
 constexpr std::string_view Prefix = "/news/";
-/// Rows that are not worth packing.
-constexpr std::size_t FewRows = 6;
 
 std::uint64_t milliseconds(Time time)
 {
@@ -60,26 +56,8 @@
     }
 }
 
-std::string deflated(const std::string &bytes)
-{
-    uLongf length = compressBound(bytes.size());
-    std::string packed(length, '\0');
-    compress2(reinterpret_cast<Bytef *>(packed.data()), &length,
-              reinterpret_cast<const Bytef *>(bytes.data()), bytes.size(), Z_BEST_SPEED);
-    packed.resize(length);
-    return packed;
-}
-
 } // namespace
 
-PeerServer::PackedRows PeerServer::pack(const std::vector<StoreRow> &rows)
-{
-    wire::RowList list;
-    addRows(rows, *list.mutable_rows());
-    const std::string bytes = list.SerializeAsString();
-    return {0, static_cast<std::uint32_t>(bytes.size()), deflated(bytes)};
-}
-
 void PeerServer::addPacked(const PackedRows &packed, wire::TableNews &news)
 {
     news.set_packed_rows(packed.bytes);
@@ -91,12 +69,10 @@
 void PeerServer::addAllRows(std::size_t table, wire::TableNews &news) const
 {
     const TableCopy &copy = m_states[table].copy;
-    PackedRows &packed = m_packed[table];
-    if (packed.version != copy.version() || packed.bytes.empty()) {
-        packed = pack(copy.all());
-        packed.version = copy.version();
-    }
-    addPacked(packed, news);
+    PackedTable &packed = m_packed[table];
+    if (packed.version != copy.version() || packed.rows.bytes.empty())
+        packed = {copy.version(), packRows(copy.all())};
+    addPacked(packed.rows, news);
 }
 
 PeerServer::PeerServer(boost::asio::io_context &context)
@@ -148,10 +124,10 @@
     news.set_whole(!rows);
     if (!rows)
         addAllRows(table, news);
-    else if (rows->size() < FewRows)
-        addRows(*rows, *news.mutable_rows());
+    else if (worthPacking(*rows))
+        addPacked(packRows(*rows), news);
     else
-        addPacked(pack(*rows), news);
+        addRows(*rows, *news.mutable_rows());
     news.set_version(state.copy.version());
     news.set_clock_ms(milliseconds(bootNow()));
     news.set_known_ms(milliseconds(state.knownAt));
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -7,7 +7,7 @@
 
 #include <balsamloft/enginebook.h>
 #include <balsamloft/enginefleet.h>
-#include <balsamloft/tablecopy.h>
+#include <balsamloft/newsanswer.h>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -96,17 +96,15 @@
     };
 
     /// All rows of a table as of a version, ready to be told.
-    struct PackedRows
+    struct PackedTable
     {
         std::uint64_t version = 0;
-        std::uint32_t from = 0; ///< bytes before they were packed
-        std::string bytes;
+        PackedRows rows;
     };
 
     void asked(std::string_view target, TextServer::Reply reply);
     TextAnswer answer(std::size_t table, std::uint64_t after, std::uint64_t toldMs) const;
     std::string news(std::size_t table, std::uint64_t after, std::uint64_t toldMs) const;
-    static PackedRows pack(const std::vector<StoreRow> &rows);
     static void addPacked(const PackedRows &packed, wire::TableNews &news);
     void addAllRows(std::size_t table, wire::TableNews &news) const;
     void addEngines(std::uint64_t toldMs, wire::TableNews &news) const;
@@ -117,7 +115,7 @@
     boost::asio::steady_timer m_timer;
     bool m_timing = false;
     std::array<NewsState, NewsTableCount> m_states;
-    mutable std::array<PackedRows, NewsTableCount> m_packed; ///< as told last
+    mutable std::array<PackedTable, NewsTableCount> m_packed; ///< as told last
     std::map<std::string, ToldEngine, std::less<>> m_engines; ///< by id
     std::map<std::string, Time> m_asOf; ///< by domain, see EngineReports
     std::vector<Waiter> m_waiters;
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -4,7 +4,7 @@
 #include "clock.h"
 #include "peerserver.h"
 
-#include <zlib.h>
+#include <balsamloft/newsanswer.h>
 
 namespace balsamloft {
 
@@ -12,11 +12,6 @@
 
 /// Beyond the time that was asked to wait, a call has failed.
 constexpr Duration StoreWithin {500'000};
-constexpr Duration PeerWithin {200'000};
-constexpr Duration WholeWithin {600'000}; ///< the same for a whole table, which is made first
-/// The same for the rest of an answer that has begun: a whole table takes long on a small
-/// instance's link that many share.
-constexpr Duration RestWithin {3'000'000};
 /// What one instance knew when it last told, another may know so much later.
 constexpr Duration ReportsOverlap {2'000'000};
 
@@ -90,37 +85,18 @@
     settings.endpoint = m_peer.name;
     settings.address = m_peer.address;
     const Time sentAt = bootNow();
+    const AnswerLimits limits = answerLimits(after == 0, wait);
     m_call = std::make_shared<OneCall>(
         m_pool, std::move(settings),
         callText({"GET", newsTarget({m_table, after, wait, m_toldMs, changedWithin()}), {}},
                  m_peer.address),
-        after == 0 ? CallLimits(wait + WholeWithin, RestWithin) : CallLimits(wait + PeerWithin),
+        CallLimits(limits.within, limits.rest),
         [this, sentAt, callback = std::move(callback)](const CallOutcome &outcome) {
             callback(decode(outcome, sentAt));
         });
     m_call->start();
 }
 
-namespace {
-
-/// Longest list of rows that is taken from another instance.
-constexpr std::uint32_t MostUnpacked = 64U << 20U;
-
-bool unpack(const wire::TableNews &news, wire::RowList &rows)
-{
-    if (news.packed_from() > MostUnpacked)
-        return false;
-    std::string bytes(news.packed_from(), '\0');
-    uLongf length = bytes.size();
-    const std::string &packed = news.packed_rows();
-    return uncompress(reinterpret_cast<Bytef *>(bytes.data()), &length,
-                      reinterpret_cast<const Bytef *>(packed.data()), packed.size())
-               == Z_OK
-           && length == bytes.size() && rows.ParseFromString(bytes);
-}
-
-} // namespace
-
 /// All states are told once to each instance: told again by each other one that it turns
 /// to, they fill the links just when many turn to others.
 Duration PeerSource::changedWithin() const
@@ -149,12 +125,14 @@
     answer.whole = news.whole();
     answer.direct = news.direct();
     m_toldMs = news.told_ms();
-    wire::RowList packed;
-    if (!news.packed_rows().empty() && !unpack(news, packed))
-        return {};
-    for (const auto *rows : {&news.rows(), &packed.rows()})
-        for (const wire::NewsRow &row : *rows)
-            answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
+    if (!news.packed_rows().empty()) {
+        auto rows = unpackRows({news.packed_from(), news.packed_rows()});
+        if (!rows)
+            return {};
+        answer.reply.rows = std::move(*rows);
+    }
+    for (const wire::NewsRow &row : news.rows())
+        answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
     const Time steady = steadyNow();
     if (news.domains_size() > 0)
         *m_reportsAt = steady;
--- a/src/fakes/newsemulator.cpp
+++ b/src/fakes/newsemulator.cpp
@@ -1,6 +1,9 @@
 #include "newsemulator.h"
 
+#include <balsamloft/newsanswer.h>
+
 #include <algorithm>
+#include <utility>
 
 namespace balsamloft::fakes {
 
@@ -9,8 +12,8 @@
 constexpr Duration Step {10'000};
 constexpr Duration StoreWait {700'000}; ///< how long the store holds a question
 constexpr Duration PeerWait {300'000}; ///< how long an instance does
+constexpr Duration FirstPeerWait {100'000}; ///< the same for a first question
 constexpr Duration StoreLimit {1'200'000}; ///< after which a silent store has failed
-constexpr Duration PeerLimit {500'000};
 constexpr Duration RetryPause {100'000};
 
 std::string nameOf(std::size_t index)
@@ -23,7 +26,11 @@
 NewsEmulator::NewsEmulator(const NewsSettings &settings)
     : m_settings(settings)
 {
+    constexpr double BytesPerMsOfMbps = 125;
     const std::size_t all = settings.domains * settings.instancesPerDomain;
+    const std::vector<StoreRow> rows {{"row", settings.row, 1, false}};
+    m_rowBytes = settings.row.empty() ? 0 : toldBytes(rows);
+    m_sending.assign(all, 0);
     for (std::size_t i = 0; i < all; ++i) {
         const std::size_t domain = i % settings.domains;
         m_list.push_back({nameOf(i), "d" + std::to_string(domain), "10.0.0.1:1"});
@@ -34,6 +41,8 @@
         m_instances.push_back({m_list[i], i % settings.domains, std::move(directory)});
         m_instances.back().knownAt = m_now;
         m_instances.back().version = 1;
+        m_instances.back().linkBytesPerMs =
+            (i < settings.domains ? settings.wideMbps : settings.narrowMbps) * BytesPerMsOfMbps;
     }
 }
 
@@ -53,6 +62,7 @@
 void NewsEmulator::kill(std::size_t instance)
 {
     m_instances[instance].alive = false;
+    endQuestion(m_instances[instance]);
 }
 
 void NewsEmulator::start(std::size_t instance, Duration busy)
@@ -62,7 +72,7 @@
     each.directory.replace(m_list);
     m_storeCalls += 1; // for the list of instances
     each.alive = true;
-    each.asking = false;
+    endQuestion(each);
     each.direct = false;
     each.version = 0;
     each.knownAt = m_begin;
@@ -78,13 +88,18 @@
 
 std::uint64_t NewsEmulator::versionAt(Time time) const
 {
-    return 1 + static_cast<std::uint64_t>((time - m_begin) / m_settings.writeEvery);
+    const auto written =
+        std::count_if(m_writes.begin(), m_writes.end(), [time](Time at) { return at <= time; });
+    const std::int64_t periodic =
+        m_settings.writeEvery > Duration {} ? (time - m_begin) / m_settings.writeEvery : 0;
+    return 1 + static_cast<std::uint64_t>(written + periodic);
 }
 
 void NewsEmulator::run(Duration length)
 {
     const Time end = m_now + length;
-    for (; m_now < end; m_now += Step)
+    for (; m_now < end; m_now += Step) {
+        transfer();
         for (Instance &each : m_instances) {
             if (!each.alive)
                 continue;
@@ -95,6 +110,22 @@
             if (each.version > 0 && each.version < versionAt(each.knownAt))
                 m_liars += 1;
         }
+    }
+}
+
+/// What arrives at one instance in a step: its own link and its share of the other's.
+double NewsEmulator::shareOf(const Instance &instance) const
+{
+    const Instance &asked = m_instances[instance.asked];
+    const double sent = asked.linkBytesPerMs / static_cast<double>(m_sending[instance.asked]);
+    return std::min(sent, instance.linkBytesPerMs) * (static_cast<double>(Step.count()) / 1000);
+}
+
+void NewsEmulator::transfer()
+{
+    for (Instance &each : m_instances)
+        if (each.answer && each.answer->bytesLeft > 0 && reaches(each, m_instances[each.asked]))
+            each.answer->bytesLeft -= shareOf(each);
 }
 
 void NewsEmulator::ask(Instance &instance)
@@ -115,8 +146,13 @@
     instance.asked = static_cast<std::size_t>(
         std::find(m_list.begin(), m_list.end(), *from.instance) - m_list.begin());
     instance.askedKnewAt = m_instances[instance.asked].knownAt;
-    const bool silent = !reaches(instance, m_instances[instance.asked]);
-    instance.until = m_now + (silent ? PeerLimit : PeerWait);
+    instance.heldUntil = m_now + waitOf(instance);
+    instance.until = m_now + answerLimits(instance.version == 0, waitOf(instance)).within;
+}
+
+Duration NewsEmulator::waitOf(const Instance &instance)
+{
+    return instance.version == 0 ? FirstPeerWait : PeerWait;
 }
 
 void NewsEmulator::hearStore(Instance &instance)
@@ -134,26 +170,65 @@
     }
 }
 
+void NewsEmulator::beginAnswer(Instance &instance, const Instance &asked)
+{
+    instance.answer = Answer {asked.version, asked.knownAt, asked.direct, 0};
+    if (m_rowBytes == 0 || asked.version <= instance.version)
+        return;
+    instance.answer->bytesLeft = static_cast<double>(m_rowBytes);
+    m_sending[instance.asked] += 1;
+    m_answersSent += 1;
+}
+
+void NewsEmulator::answered(Instance &instance)
+{
+    const Answer told = *instance.answer;
+    const std::string &name = m_instances[instance.asked].self.name;
+    endQuestion(instance);
+    if (told.version == 0)
+        return instance.directory.behind(name, m_now);
+    instance.direct = false;
+    instance.directory.told(name, m_now - told.knownAt, told.direct, m_now);
+    learn(instance, told.version, told.knownAt);
+}
+
+void NewsEmulator::overdue(Instance &instance)
+{
+    const Duration rest = answerLimits(instance.version == 0, waitOf(instance)).rest;
+    if (instance.answer && rest > Duration {} && !std::exchange(instance.waitedOn, true)) {
+        instance.until = m_now + rest;
+        return;
+    }
+    endQuestion(instance);
+    instance.directory.silent(m_instances[instance.asked].self.name, m_now);
+}
+
+/// Nothing more is taken from the instance that is asked.
+void NewsEmulator::endQuestion(Instance &instance)
+{
+    const bool sent =
+        instance.answer && m_rowBytes > 0 && instance.answer->version > instance.version;
+    if (sent)
+        m_sending[instance.asked] -= 1;
+    instance.answer.reset();
+    instance.waitedOn = false;
+    instance.asking = false;
+}
+
 void NewsEmulator::hear(Instance &instance)
 {
     if (instance.ofStore)
         return hearStore(instance);
     const Instance &asked = m_instances[instance.asked];
-    const bool over = m_now >= instance.until;
-    if (!reaches(instance, asked)) {
-        if (!over)
-            return;
-        instance.asking = false;
-        return instance.directory.silent(asked.self.name, m_now);
+    if (reaches(instance, asked)) {
+        const bool news = asked.version > instance.version || asked.knownAt > instance.askedKnewAt;
+        if (!instance.answer && (news || m_now >= instance.heldUntil))
+            beginAnswer(instance, asked);
+        if (instance.answer && instance.answer->bytesLeft <= 0)
+            return answered(instance);
     }
-    if (asked.version <= instance.version && asked.knownAt <= instance.askedKnewAt && !over)
-        return;
-    instance.asking = false;
-    if (asked.version == 0)
-        return instance.directory.behind(asked.self.name, m_now);
-    instance.direct = false;
-    instance.directory.told(asked.self.name, m_now - asked.knownAt, asked.direct, m_now);
-    learn(instance, asked.version, asked.knownAt);
+    if (m_now >= instance.until)
+        overdue(instance);
 }
 
 void NewsEmulator::learn(Instance &instance, std::uint64_t version, Time knownAt)
@@ -162,6 +237,16 @@
     instance.knownAt = std::max(instance.knownAt, knownAt);
 }
 
+std::size_t NewsEmulator::upToDate() const
+{
+    const std::uint64_t newest = versionAt(m_now);
+    const auto current =
+        std::count_if(m_instances.begin(), m_instances.end(), [newest](const Instance &each) {
+            return each.alive && each.version >= newest;
+        });
+    return static_cast<std::size_t>(current);
+}
+
 std::size_t NewsEmulator::mostAskers() const
 {
     std::vector<std::size_t> askers(m_instances.size());
--- a/src/fakes/newsemulator.h
+++ b/src/fakes/newsemulator.h
@@ -8,6 +8,8 @@
 #include <balsamloft/peerdirectory.h>
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace balsamloft::fakes {
@@ -20,7 +22,10 @@
 {
     std::size_t domains = 5;
     std::size_t instancesPerDomain = 59;
-    Duration writeEvery {200'000}; ///< to the store, by others
+    Duration writeEvery {200'000}; ///< to the store, by others; 0: only by write()
+    std::string row; ///< what is written, each time anew
+    double wideMbps = 200; ///< link of the first instance of each domain
+    double narrowMbps = 20; ///< links of all others
 };
 
 /// A fleet whose instances follow one table.
@@ -34,6 +39,9 @@
     void run(Duration length);
     void setStore(StoreMood mood);
 
+    /// Something is written to the store, besides what is written at intervals.
+    void write() { m_writes.push_back(m_now); }
+
     /// For one instance alone.
     void setStore(std::size_t instance, StoreMood mood) { m_instances[instance].mood = mood; }
 
@@ -57,10 +65,25 @@
     /// Of the instances, the most that ask one and the same instance now.
     std::size_t mostAskers() const;
 
+    /// Instances that know all that was written.
+    std::size_t upToDate() const;
+
+    /// Answers with rows that instances began to send each other, ever.
+    std::uint64_t answersSent() const { return m_answersSent; }
+
     /// Instances that took their knowledge for newer than it was, ever.
     std::uint64_t liars() const { return m_liars; }
 
 private:
+    /// What one instance tells another.
+    struct Answer
+    {
+        std::uint64_t version = 0;
+        Time knownAt {};
+        bool direct = false;
+        double bytesLeft = 0;
+    };
+
     struct Instance
     {
         PeerInstance self;
@@ -78,6 +101,10 @@
         std::size_t asked = 0; ///< the instance that is asked, otherwise
         Time askedKnewAt {}; ///< what the asked one knew when it was asked
         Time until {}; ///< the answer, or its failure, comes by then
+        Time heldUntil {}; ///< the asked one answers by then, news or not
+        std::optional<Answer> answer; ///< that is arriving
+        bool waitedOn = false; ///< beyond the limit, for the rest of it
+        double linkBytesPerMs = 0;
         Time nextAt {}; ///< nothing is asked before
     };
 
@@ -86,6 +113,13 @@
     void ask(Instance &instance);
     void hear(Instance &instance);
     void hearStore(Instance &instance);
+    void beginAnswer(Instance &instance, const Instance &asked);
+    void answered(Instance &instance);
+    void overdue(Instance &instance);
+    void endQuestion(Instance &instance);
+    void transfer();
+    static Duration waitOf(const Instance &instance);
+    double shareOf(const Instance &instance) const;
     void learn(Instance &instance, std::uint64_t version, Time knownAt);
 
     NewsSettings m_settings;
@@ -93,6 +127,10 @@
     std::vector<PeerInstance> m_list;
     Time m_begin {std::chrono::hours(1)};
     Time m_now = m_begin;
+    std::vector<Time> m_writes;
+    std::size_t m_rowBytes = 0; ///< as told
+    std::vector<std::size_t> m_sending; ///< answers that each instance sends now
+    std::uint64_t m_answersSent = 0;
     std::uint64_t m_storeCalls = 0;
     std::uint64_t m_liars = 0;
 };
--- /dev/null
+++ b/src/include/balsamloft/newsanswer.h
@@ -0,0 +1,41 @@
+/// \file
+/// How an instance tells another one rows of the store's tables, and how long its
+/// answer is waited for.
+
+#pragma once
+
+#include <balsamloft/tablecopy.h>
+
+#include <span>
+
+namespace balsamloft {
+
+/// How long an answer is waited for.
+struct AnswerLimits
+{
+    Duration within; ///< until it is there
+    Duration rest; ///< more, once it has begun by then
+};
+
+/// \a whole: all rows of a table are asked for; \a wait: how long the other one may hold
+/// the question.
+AnswerLimits answerLimits(bool whole, Duration wait);
+
+/// Rows, deflated.
+struct PackedRows
+{
+    std::uint32_t from = 0; ///< bytes before they were packed
+    std::string bytes;
+};
+
+/// Whether \a rows are to be packed when they are told.
+bool worthPacking(std::span<const StoreRow> rows);
+PackedRows packRows(std::span<const StoreRow> rows);
+
+/// \return the rows; nothing when \a packed is damaged.
+std::optional<std::vector<StoreRow>> unpackRows(const PackedRows &packed);
+
+/// Bytes that an answer with \a rows takes.
+std::size_t toldBytes(std::span<const StoreRow> rows);
+
+} // namespace balsamloft
--- a/src/libbalsamloft/newsspread_test.cpp
+++ b/src/libbalsamloft/newsspread_test.cpp
@@ -22,6 +22,35 @@
     return settings;
 }
 
+/// A configuration of so many routes, as an operator writes it.
+std::string configurationOf(std::size_t routes)
+{
+    std::mt19937_64 random(20261203);
+    std::string text;
+    for (std::size_t i = 0; i < routes; ++i) {
+        const std::string name = std::to_string(random());
+        text += R"({"name":"r-)" + name.substr(0, 7) + R"(","host":"h)" + name.substr(7, 5)
+                + R"(.example","prefix":"/)" + name.substr(12)
+                + R"(/","kind":"streaming","timeout_ms":20000,"target_latency_ms":600,)"
+                + R"("priority":1,"service":"s)" + name.substr(2, 6)
+                + R"(","max_attempts":2,"anonymous":false,"affinity":true,"resumption":true,)"
+                + R"("split":[{"service":"s)" + name.substr(3, 6)
+                + R"(","weight":90}],"target_gap_ms":300},)";
+    }
+    return text;
+}
+
+/// A fleet of small instances, one wide link in each domain, that follow a configuration.
+NewsSettings configuredFleet(std::size_t instances, std::string row)
+{
+    NewsSettings settings;
+    settings.domains = instances < 100 ? 3 : 5;
+    settings.instancesPerDomain = instances / settings.domains;
+    settings.writeEvery = Duration {};
+    settings.row = std::move(row);
+    return settings;
+}
+
 /// Calls to the store a second in the span.
 double callsPerSecond(NewsEmulator &fleet, Duration length)
 {
@@ -173,3 +202,36 @@
         REQUIRE(fleet.oldestAge() < milliseconds(1'700));
     }
 }
+
+// Guards against a configuration that stands in line behind copies of itself.
+TEST_CASE("a large configuration is in force everywhere within two seconds of each change")
+{
+    for (const std::size_t instances : {6U, 75U, 295U}) {
+        NewsEmulator fleet(configuredFleet(instances, configurationOf(2'000)));
+        fleet.run(seconds(3));
+        for (int change = 0; change < 4; ++change) {
+            fleet.write();
+            fleet.run(seconds(2));
+            CAPTURE(instances, change);
+            CHECK(fleet.upToDate() == fleet.size());
+        }
+    }
+}
+
+// Guards against an answer that is given up under way and sent again by others.
+TEST_CASE("each instance is told a change about once, however long it takes")
+{
+    constexpr std::size_t UnpackedBytes = 1'000'000;
+    std::mt19937_64 random(20261203);
+    std::string row;
+    for (std::size_t i = 0; i < UnpackedBytes; ++i)
+        row += static_cast<char>(random());
+    for (const std::size_t instances : {6U, 75U, 295U}) {
+        NewsEmulator fleet(configuredFleet(instances, row));
+        fleet.run(seconds(3));
+        fleet.write();
+        fleet.run(seconds(12));
+        CHECK(fleet.upToDate() == fleet.size());
+        CHECK(static_cast<double>(fleet.answersSent()) <= 1.1 * static_cast<double>(instances));
+    }
+}
--- /dev/null
+++ b/src/libpeer/newsanswer.cpp
@@ -0,0 +1,90 @@
+#include <balsamloft/newsanswer.h>
+
+#include "entrynews.pb.h"
+
+#include <zlib.h>
+
+namespace balsamloft {
+
+namespace {
+
+/// Beyond the time that was asked to wait, a call has failed.
+constexpr Duration ChangesWithin {200'000};
+constexpr Duration WholeWithin {600'000}; ///< the same for a whole table, which is made first
+/// The same for the rest of an answer that has begun: a whole table takes long on a small
+/// instance's link that many share.
+constexpr Duration RestWithin {3'000'000};
+
+/// Rows that are not worth packing.
+constexpr std::size_t FewRows = 6;
+
+/// Longest list of rows that is taken from another instance, in bytes.
+constexpr std::uint32_t MostUnpacked = 64U << 20U;
+
+wire::RowList listOf(std::span<const StoreRow> rows)
+{
+    wire::RowList list;
+    for (const StoreRow &row : rows) {
+        wire::NewsRow &each = *list.add_rows();
+        each.set_key(row.key);
+        each.set_value(row.value);
+        each.set_version(row.version);
+        each.set_dropped(row.dropped);
+    }
+    return list;
+}
+
+std::string deflated(const std::string &bytes)
+{
+    uLongf length = compressBound(bytes.size());
+    std::string packed(length, '\0');
+    compress2(reinterpret_cast<Bytef *>(packed.data()), &length,
+              reinterpret_cast<const Bytef *>(bytes.data()), bytes.size(), Z_BEST_SPEED);
+    packed.resize(length);
+    return packed;
+}
+
+} // namespace
+
+AnswerLimits answerLimits(bool whole, Duration wait)
+{
+    if (whole)
+        return {wait + WholeWithin, RestWithin};
+    return {wait + ChangesWithin, Duration {}};
+}
+
+bool worthPacking(std::span<const StoreRow> rows)
+{
+    return rows.size() >= FewRows;
+}
+
+PackedRows packRows(std::span<const StoreRow> rows)
+{
+    const std::string bytes = listOf(rows).SerializeAsString();
+    return {static_cast<std::uint32_t>(bytes.size()), deflated(bytes)};
+}
+
+std::optional<std::vector<StoreRow>> unpackRows(const PackedRows &packed)
+{
+    if (packed.from > MostUnpacked)
+        return std::nullopt;
+    std::string bytes(packed.from, '\0');
+    uLongf length = bytes.size();
+    const int result =
+        uncompress(reinterpret_cast<Bytef *>(bytes.data()), &length,
+                   reinterpret_cast<const Bytef *>(packed.bytes.data()), packed.bytes.size());
+    wire::RowList list;
+    if (result != Z_OK || length != bytes.size() || !list.ParseFromString(bytes))
+        return std::nullopt;
+    std::vector<StoreRow> rows;
+    for (const wire::NewsRow &row : list.rows())
+        rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
+    return rows;
+}
+
+std::size_t toldBytes(std::span<const StoreRow> rows)
+{
+    return worthPacking(rows) ? packRows(rows).bytes.size() : listOf(rows).ByteSizeLong();
+}
+
+} // namespace balsamloft
