--- a/src/libpeer/newsanswer.cpp
+++ b/src/libpeer/newsanswer.cpp
@@ -15,8 +15,9 @@
 /// instance's link that many share.
 constexpr Duration RestWithin {3'000'000};
 
-/// Rows that are not worth packing.
+/// Rows and bytes that are not worth packing.
 constexpr std::size_t FewRows = 6;
+constexpr std::size_t FewBytes = 4096;
 
 /// Longest list of rows that is taken from another instance, in bytes.
 constexpr std::uint32_t MostUnpacked = 64U << 20U;
@@ -55,7 +56,10 @@
 
 bool worthPacking(std::span<const StoreRow> rows)
 {
-    return rows.size() >= FewRows;
+    std::size_t bytes = 0;
+    for (const StoreRow &row : rows)
+        bytes += row.key.size() + row.value.size();
+    return rows.size() >= FewRows || bytes > FewBytes;
 }
 
 PackedRows packRows(std::span<const StoreRow> rows)
