--- a/src/fakes/newsemulator.cpp
+++ b/src/fakes/newsemulator.cpp
@@ -101,6 +101,9 @@
     for (; m_now < end; m_now += Step) {
         transfer();
         for (Instance &each : m_instances) {
+            noteHindered(each);
+            if (each.mood != StoreMood::Well)
+                m_storeHinderedAt = m_now;
             if (!each.alive)
                 continue;
             if (each.asking)
@@ -113,6 +116,12 @@
     }
 }
 
+void NewsEmulator::noteHindered(Instance &instance) const
+{
+    if (!instance.alive || instance.cut || m_now < instance.busyUntil)
+        instance.hinderedAt = m_now;
+}
+
 /// What arrives at one instance in a step: its own link and its share of the other's.
 double NewsEmulator::shareOf(const Instance &instance) const
 {
@@ -236,6 +245,17 @@
     instance.knownAt = std::max(instance.knownAt, knownAt);
 }
 
+Duration NewsEmulator::oldestAgeInTouch(Duration length) const
+{
+    Duration oldest {};
+    if (m_now - m_storeHinderedAt < length)
+        return oldest;
+    for (const Instance &each : m_instances)
+        if (each.version > 0 && m_now - each.hinderedAt >= length)
+            oldest = std::max(oldest, m_now - each.knownAt);
+    return oldest;
+}
+
 std::size_t NewsEmulator::upToDate() const
 {
     const std::uint64_t newest = versionAt(m_now);
--- a/src/fakes/newsemulator.h
+++ b/src/fakes/newsemulator.h
@@ -65,6 +65,12 @@
     /// Of the instances, the most that ask one and the same instance now.
     std::size_t mostAskers() const;
 
+    /// The oldest knowledge of those that know something and were in touch for \a length:
+    /// neither they were dead, slow or cut off, nor did the store fail anyone.
+    Duration oldestAgeInTouch(Duration length) const;
+
+    bool knows(std::size_t instance) const { return m_instances[instance].version > 0; }
+
     /// Instances that know all that was written.
     std::size_t upToDate() const;
 
@@ -91,6 +97,7 @@
         PeerDirectory directory;
         bool alive = true;
         Time busyUntil {};
+        Time hinderedAt {}; ///< last
         bool cut = false;
         StoreMood mood = StoreMood::Well;
         std::uint64_t version = 0; ///< of the store, as known
@@ -118,6 +125,7 @@
     void answered(Instance &instance);
     bool overdue(const Instance &instance) const;
     void endQuestion(Instance &instance);
+    void noteHindered(Instance &instance) const;
     void transfer();
     static Duration waitOf(const Instance &instance);
     double shareOf(const Instance &instance) const;
@@ -129,6 +137,7 @@
     Time m_begin {std::chrono::hours(1)};
     Time m_now = m_begin;
     std::vector<Time> m_writes;
+    Time m_storeHinderedAt {}; ///< for any instance, last
     std::size_t m_rowBytes = 0; ///< as told
     std::vector<std::size_t> m_sending; ///< answers that each instance sends now
     std::uint64_t m_answersSent = 0;
--- a/src/libbalsamloft/newsspread_test.cpp
+++ b/src/libbalsamloft/newsspread_test.cpp
@@ -235,3 +235,73 @@
         CHECK(static_cast<double>(fleet.answersSent()) <= 1.1 * static_cast<double>(instances));
     }
 }
+
+// Guards against an instance in touch that serves callers by an older configuration, while
+// those whom it reads from die, freeze or are cut off.
+TEST_CASE("what an instance in touch knows is never older than a change may take")
+{
+    struct Size
+    {
+        std::size_t instances;
+        int rounds;
+        Duration contact;
+        Duration most;
+    };
+    const std::vector<Size> sizes {{6, 200, seconds(3), seconds(2)},
+                                   {9, 200, seconds(3), seconds(2)},
+                                   {75, 60, seconds(4), seconds(3)},
+                                   {295, 12, seconds(5), seconds(4)}};
+    std::mt19937_64 random(20261203);
+    for (const Size &size : sizes) {
+        for (int round = 0; round < size.rounds; ++round) {
+            NewsEmulator fleet(configuredFleet(size.instances, configurationOf(200)));
+            const auto one = [&] { return static_cast<std::size_t>(random() % fleet.size()); };
+            for (int step = 0; step < 200; ++step) {
+                switch (random() % 12) {
+                case 0:
+                    fleet.kill(one());
+                    break;
+                case 1:
+                    fleet.start(one(), Duration(random() % 2'000'000));
+                    break;
+                case 2:
+                    fleet.cutDomain(random() % 3, random() % 3 == 0);
+                    break;
+                case 3:
+                    if (random() % 10 == 0)
+                        for (std::size_t i = 0; i < fleet.size(); ++i)
+                            if (random() % 2 == 0)
+                                fleet.start(i, Duration(random() % 3'000'000));
+                    break;
+                case 4:
+                    fleet.write();
+                    break;
+                default:
+                    break;
+                }
+                fleet.run(milliseconds(50));
+                CAPTURE(size.instances, round, step);
+                REQUIRE(fleet.oldestAgeInTouch(size.contact) <= size.most);
+            }
+        }
+    }
+}
+
+// Guards against an instance that asks two dead ones in turn for ever and serves nobody.
+TEST_CASE("an instance that starts knows all within three seconds, whoever is dead")
+{
+    std::mt19937_64 random(20261203);
+    for (const std::size_t instances : {6U, 9U, 75U, 295U})
+        for (int round = 0; round < 20; ++round) {
+            NewsEmulator fleet(configuredFleet(instances, configurationOf(200)));
+            fleet.run(seconds(1));
+            for (std::size_t i = 0; i < fleet.size(); ++i)
+                if (random() % 3 != 0)
+                    fleet.kill(i);
+            const std::size_t started = random() % fleet.size();
+            fleet.start(started);
+            fleet.run(seconds(3));
+            CAPTURE(instances, round, started);
+            CHECK(fleet.knows(started));
+        }
+}
