An instance that nobody tells anything reads the store itself (CONFIG)

Callers were served by an older configuration longer than allowed; and an instance that started while both whom it reads from were dead served nobody. Cause: only the two readers of a domain ever read the store. All others wait for those above them, whatever becomes of these: dead, starting anew, slow. Each silent one costs half a second, and at the start each is asked again after 0.3 s while a question takes 0.7 s, so that two dead ones are asked in turn for ever.

Ruled out: letting all read the store whose news are old. Old news that are told are therefore taken as word that the store fails for those above, and so is, at the start, one who has nothing to tell yet; only who is told nothing for 1.25 s reads the store, without a wait for changes.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -159,6 +159,7 @@
 {
     if (std::exchange(m_followsAll, true))
         return;
+    m_followsSince = bootNow();
     for (const NewsTable table :
          {NewsTable::Configuration, NewsTable::Endpoints, NewsTable::Crashes})
         m_followers[static_cast<std::size_t>(table)]->start();
@@ -202,19 +203,21 @@
     return m_directory.first(steadyNow());
 }
 
-TableSource *Control::source(NewsTable table)
+SourceChoice Control::source(NewsTable table)
 {
     const auto index = static_cast<std::size_t>(table);
-    const NewsSource from = m_directory.source(steadyNow());
+    const Time told = std::max(m_server.state(table).knownAt, m_followsSince);
+    const Duration untoldFor = toldSeldom(table) ? Duration {} : bootNow() - told;
+    const NewsSource from = m_directory.source(steadyNow(), untoldFor);
     if (from.kind == NewsSource::Kind::Nobody)
         return nullptr;
     if (from.kind == NewsSource::Kind::Store)
-        return m_storeSources[index].get();
+        return {m_storeSources[index].get(), from.atOnce};
     const PeerInstance &peer = *from.instance;
     auto &known = m_peerSources[index][peer.name + "@" + peer.address];
     if (!known)
         known = std::make_unique<PeerSource>(m_context, peer, index, m_reportsAt);
-    return known.get();
+    return {known.get(), from.atOnce};
 }
 
 void Control::sourceFailed(const TableSource &source, bool answered)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -80,7 +80,7 @@
     };
 
     TableEvents tableEvents(NewsTable table);
-    TableSource *source(NewsTable table);
+    SourceChoice source(NewsTable table);
     void sourceFailed(const TableSource &source, bool answered);
     void heard(NewsTable table, const TableSource &source, const TableAnswer &answer);
     bool leadsDomain() const;
@@ -158,6 +158,7 @@
     Time m_callsLoggedAt {};
     std::array<std::uint64_t, StoreUseNames.size()> m_callsLogged {}; ///< by use
     bool m_followsAll = false; ///< not only the list of instances
+    Time m_followsSince {}; ///< all tables; on the clock that counts suspension
     std::optional<Duration> m_storeOffset; ///< store's time minus own time
     /// Layers that nobody holds in the own domain, and anywhere: as logged last,
     /// by service. A first line is written also when there are none.
--- a/src/entry/tablefollower.cpp
+++ b/src/entry/tablefollower.cpp
@@ -58,12 +58,15 @@
 
 void TableFollower::watch()
 {
-    TableSource *source = m_events.source();
+    const SourceChoice choice = m_events.source();
+    TableSource *source = choice.source;
     if (!source)
         return later(m_settings.retry, [this] { watch(); });
     if (m_version == 0)
         return readPage({}, *source);
-    const Duration wait = source->isStore() ? m_settings.storeWait : m_settings.peerWait;
+    Duration wait = source->isStore() ? m_settings.storeWait : m_settings.peerWait;
+    if (choice.atOnce)
+        wait = Duration {};
     source->watch(m_version, wait, [this, source](TableAnswer answer) {
         changesArrived(std::move(answer), *source);
     });
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -7,6 +7,19 @@
 
 namespace balsamloft {
 
+/// Where to read from next.
+struct SourceChoice
+{
+    SourceChoice(TableSource *source, bool atOnce = false)
+        : source(source)
+        , atOnce(atOnce)
+    {
+    }
+
+    TableSource *source; ///< null: nobody may be asked now
+    bool atOnce; ///< the answer is not to be held until there are changes
+};
+
 /// What a follower tells its owner.
 struct TableEvents
 {
@@ -21,8 +34,7 @@
     /// whole() or changed().
     std::function<void(const TableSource &source, const TableAnswer &answer)> heard;
 
-    /// Where to read from next; null: nobody may be asked now.
-    std::function<TableSource *()> source;
+    std::function<SourceChoice()> source;
 
     /// A source failed; \a answered: it said so itself.
     std::function<void(const TableSource &source, bool answered)> failed;
--- a/src/fakes/newsemulator.cpp
+++ b/src/fakes/newsemulator.cpp
@@ -141,7 +141,8 @@
 
 void NewsEmulator::ask(Instance &instance)
 {
-    const NewsSource from = instance.directory.source(m_now);
+    const Time toldAt = instance.version > 0 ? instance.knownAt : instance.busyUntil;
+    const NewsSource from = instance.directory.source(m_now, m_now - toldAt);
     instance.ofStore = from.kind == NewsSource::Kind::Store;
     if (from.kind == NewsSource::Kind::Nobody) {
         instance.nextAt = m_now + RetryPause;
@@ -152,7 +153,7 @@
     if (instance.ofStore) {
         m_storeCalls += 1;
         const bool silent = instance.cut || instance.mood == StoreMood::Silent;
-        instance.until = m_now + (silent ? StoreLimit : StoreWait);
+        instance.until = m_now + (silent ? StoreLimit : from.atOnce ? Step : StoreWait);
         return;
     }
     instance.asked = static_cast<std::size_t>(
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -34,6 +34,7 @@
 
     Kind kind = Kind::Nobody;
     const PeerInstance *instance = nullptr; ///< only for Instance
+    bool atOnce = false; ///< the answer is not to be held until there are changes
 };
 
 /// Decides whom this instance reads the store's tables from. The first two good
@@ -44,11 +45,14 @@
 /// know reaches them as soon as there is more. Only when both are silent they turn to the
 /// readers, or to those of other domains, but never to the store.
 ///
-/// That keeps the store's calls at two instances a domain, whatever fails: were a
+/// That keeps the store's calls at two instances a domain while it fails: were a
 /// source that knows old news given up for the store, the whole fleet would turn
 /// on the store as soon as it failed for the readers, though nobody could learn
 /// more there. Every answer carries its age, so that instances which read from
 /// each other make nothing newer than it is.
+///
+/// One that nobody tells anything reads the store itself: those whom it asks are dead, slow
+/// or cut off from it, and it would serve by what is old, or nobody, until they are back.
 class PeerDirectory
 {
 public:
@@ -74,8 +78,9 @@
 
     // Queries
 
-    /// Where to read from now.
-    NewsSource source(Time now) const;
+    /// Where to read from now. \a untoldFor: the age of what is known; while nothing is,
+    /// how long it has been asked for.
+    NewsSource source(Time now, Duration untoldFor = {}) const;
 
     /// Whether this instance is the one that reads the store for its domain.
     bool first(Time now) const;
@@ -99,6 +104,7 @@
         std::uint32_t silences = 0; ///< in a row
     };
 
+    bool untold(Time now, Duration untoldFor) const;
     bool good(const PeerInstance &instance, Time now) const;
     bool useful(const PeerInstance &instance, Time now) const;
     std::vector<const PeerInstance *> before(Time now) const;
@@ -113,6 +119,8 @@
     std::map<std::string, Seen, std::less<>> m_seen;
     std::mt19937_64 m_random;
     bool m_told = false; ///< by another instance, ever
+    Time m_toldOldAt {}; ///< when one told what is too old to be of use, last
+    Time m_toldNothingAt {}; ///< when one knew nothing yet, last
     Time m_storeBadUntil {};
     std::uint32_t m_storeFailures = 0; ///< in a row
 };
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -26,6 +26,10 @@
 /// has lost the store without noticing yet.
 constexpr Duration MostAge {1'250'000};
 
+/// So long after the last answer of one who knows too little, an instance takes it that the
+/// store fails for those above it as well.
+constexpr Duration AnsweredLately {1'000'000};
+
 /// Pauses of a reader after the store failed, with full jitter.
 constexpr Duration FirstBackOff {300'000};
 constexpr Duration MostBackOff {2'400'000};
@@ -77,6 +81,7 @@
 void PeerDirectory::behind(const std::string &name, Time now)
 {
     m_seen[name].behindUntil = now + BehindFor;
+    m_toldNothingAt = now;
 }
 
 void PeerDirectory::told(const std::string &name, Duration age, bool direct, Time now)
@@ -90,7 +95,9 @@
     const std::vector<const PeerInstance *> earlier = before(now);
     const bool fromFirst = earlier.size() == 1 && earlier.front()->name == name;
     if (age > MostAge || (fromFirst && !direct))
-        behind(name, now);
+        seen.behindUntil = now + BehindFor;
+    if (age > MostAge)
+        m_toldOldAt = now;
 }
 
 void PeerDirectory::storeFailed(Time now)
@@ -140,8 +147,18 @@
     return before(now).empty();
 }
 
-NewsSource PeerDirectory::source(Time now) const
+/// Whether nobody tells this instance anything. Old news say that the store fails for those
+/// above; so does, at the start, one that has nothing to tell yet.
+bool PeerDirectory::untold(Time now, Duration untoldFor) const
+{
+    return untoldFor > MostAge && now - m_toldOldAt > AnsweredLately
+           && (m_told || now - m_toldNothingAt > AnsweredLately);
+}
+
+NewsSource PeerDirectory::source(Time now, Duration untoldFor) const
 {
+    if (untold(now, untoldFor) && storeUsable(now))
+        return {NewsSource::Kind::Store, nullptr, true};
     const std::vector<const PeerInstance *> earlier = before(now);
     if (earlier.size() == Readers) {
         const std::vector<const PeerInstance *> above = parents();
