Test, failing: an endpoint gets more than the limit that it names (LIMIT)

A world of 6, 76 and 295 instances before endpoints of which one names a limit of requests a second: plain calls and streams, limits of 0.5 to 30, a rush after a lull, instances that die and are listed as alive by others, clocks that differ, limits that change. What counts is what the bound of the promise counts: arrivals in 4 s from instances that were told half a second before. The limit is a field of the answer's head from here on, and nothing fills or reads it.

--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -1,5 +1,7 @@
 #include "relayharness.h"
 
+#include <algorithm>
+
 namespace balsamloft::fakes {
 
 LayeredModel testModel(std::uint32_t layers)
@@ -89,6 +91,19 @@
     return relay.submit(std::move(request), now, actions);
 }
 
+void RelayWorld::listInstances(const std::vector<PeerInstance> &instances, const std::string &self,
+                               Duration /*clock*/)
+{
+    const auto own = std::find_if(instances.begin(), instances.end(),
+                                  [&](const PeerInstance &each) { return each.name == self; });
+    if (own == instances.end())
+        return;
+    const auto near =
+        std::count_if(instances.begin(), instances.end(),
+                      [&](const PeerInstance &each) { return each.domain == own->domain; });
+    relay.setInstances(static_cast<std::size_t>(near), instances.size(), now);
+}
+
 void RelayWorld::pass(Duration duration, Duration step)
 {
     const Time until = now + duration;
--- a/src/fakes/relayharness.h
+++ b/src/fakes/relayharness.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <balsamloft/peerdirectory.h>
 #include <balsamloft/relay.h>
 
 namespace balsamloft::fakes {
@@ -29,6 +30,11 @@
     FlightId submit(RequestKind kind, Duration timeLeft = Duration(20'000'000),
                     std::string digest = {});
 
+    /// The instances that share the endpoints, this one under the name \a self.
+    /// \a clock: by how much it is behind the time that they share.
+    void listInstances(const std::vector<PeerInstance> &instances, const std::string &self,
+                       Duration clock = {});
+
     /// Lets time pass in steps, with a tick after each.
     void pass(Duration duration, Duration step = Duration(50'000));
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -44,6 +44,9 @@
     bool sealed = false; ///< bears the mark of an endpoint that ran the request
     std::string_view atAddress; ///< the engine at fault, when another one than asked
     std::optional<std::uint32_t> running; ///< requests at the endpoint
+    /// Requests a second that the endpoint takes from all instances together; nothing: as
+    /// many as it can.
+    std::optional<double> rateLimit;
 };
 
 // Actions
