--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -16,6 +16,21 @@
 
 # Name, file, text, replacement, programs to build, CTest name of the proof.
 SAFEGUARDS = [
+    ("a large row is told packed", "src/libpeer/newsanswer.cpp",
+     "rows.size() >= FewRows || bytes > FewBytes", "rows.size() >= FewRows",
+     "newsspread_test: a large configuration is in force everywhere within two seconds of each change"),
+    ("an answer under way is waited for", "src/libbalsamloft/calllimits.cpp",
+     "!readAt || silence == Duration {}", "true",
+     "newsspread_test: each instance is told a change about once, however long it takes"),
+    ("who is told nothing reads the store", "src/libbalsamloft/peerdirectory.cpp",
+     "if (untold(now, untoldFor) && storeUsable(now))", "if (false)",
+     "newsspread_test: an instance that starts knows all within three seconds, whoever is dead"),
+    ("who is told nothing asks the store at once", "src/libbalsamloft/peerdirectory.cpp",
+     "return {NewsSource::Kind::Store, nullptr, true};", "return {NewsSource::Kind::Store, nullptr, false};",
+     "newsspread_test: what an instance in touch knows is never older than a change may take"),
+    ("old news are a word of an outage", "src/libbalsamloft/peerdirectory.cpp",
+     "now - m_toldOldAt > AnsweredLately", "true",
+     "newsspread_test: the store's calls do not grow with the number of instances"),
     ("ends that another request explains", "src/libbalsamloft/quarantine.cpp",
      "&& !explainedByOther(digest, each.first, now)", "",
      "quarantine_test: nobody is held by ends that another request explains as well"),
