An endpoint's rate limit is kept by all instances together (LIMIT)

An engine in need named how many requests a second it takes, and got as many as before: 83 in 4 s where 44 are allowed. Cause: nothing read that header.

The limit is the fleet's, and each instance learns of it from its own answers. Ruled out: to give each instance a share that it may save up, or at least one request at once. That is within the bound at 6 instances, and 295 requests at one moment at 295. RateLimits divides the endpoint's second into slots on the store's clock, each of which belongs to one instance in turn and lasts a second. So what is saved up over the fleet is one second's worth, whoever is dead, cut off or by an older list. Three of four slots go to the endpoint's own domain.

A path may not begin at an engine without a free slot, and calls go to other endpoints; later parts of paths do not count, as the record shows.

A process test shows the header read.

--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -105,6 +105,7 @@
     answer.sealed = head.find(names.seal).has_value();
     answer.atAddress = head.find(names.atAddress).value_or("");
     answer.running = numberFrom<std::uint32_t>(head.find(names.load).value_or(""));
+    answer.rateLimit = numberFrom<double>(head.find(names.rateLimit).value_or(""));
     return answer;
 }
 
--- a/src/entry/controlinstances.cpp
+++ b/src/entry/controlinstances.cpp
@@ -10,6 +10,13 @@
 
 namespace balsamloft {
 
+namespace {
+
+/// The store's clock becomes known better with each answer; less is not told again.
+constexpr Duration NoticeableClock {20'000};
+
+} // namespace
+
 void Control::leaseActions(LeaseActions actions)
 {
     for (LeaseAction &action : actions) {
@@ -82,14 +89,16 @@
                  seen->get_int64()});
     }
     std::vector<PeerInstance> instances = m_instanceList.heard(rows, known.storeMs);
-    if (instances == m_instances)
+    const Duration clock = m_storeOffset.value_or(Duration {});
+    if (instances == m_instances && clock - m_toldClock < NoticeableClock)
         return;
+    m_toldClock = clock;
     m_instances = instances;
     m_directory.replace(std::move(instances));
     logDecision("instances", "counted",
                 {{"in_domain", std::int64_t(m_directory.inDomain())},
                  {"all", std::int64_t(m_directory.count())}});
-    m_events.instances(m_directory.inDomain(), m_directory.count());
+    m_events.instances({m_instances, m_directory.inDomain(), m_directory.count(), clock});
 }
 
 void Control::writeInstance(bool leaving, std::function<void()> done)
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <balsamloft/peerdirectory.h>
 #include <balsamloft/storeuse.h>
 #include <balsamloft/types.h>
 
@@ -10,6 +11,15 @@
 
 namespace balsamloft {
 
+/// The instances that are believed to live.
+struct InstancesKnown
+{
+    std::vector<PeerInstance> all;
+    std::size_t inDomain = 1;
+    std::size_t count = 1; ///< this one too, which may not be listed yet
+    Duration storeClock {}; ///< the store's time less this one's, which counts suspension
+};
+
 /// Written by the control thread, read by the traffic thread.
 struct EntryState
 {
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -96,8 +96,9 @@
         events.fleet = [this](FleetPtr fleet) {
             asio::post(m_traffic, [this, fleet] { m_front.setFleet(fleet); });
         };
-        events.instances = [this](std::size_t inDomain, std::size_t all) {
-            asio::post(m_traffic, [this, inDomain, all] { m_front.setInstances(inDomain, all); });
+        events.instances = [this](InstancesKnown known) {
+            asio::post(m_traffic,
+                       [this, known = std::move(known)] { m_front.setInstances(known); });
         };
         events.engines = [this](EngineReports reports) {
             asio::post(m_traffic,
--- a/src/entry/trafficfront.cpp
+++ b/src/entry/trafficfront.cpp
@@ -128,9 +128,11 @@
     run(std::move(actions));
 }
 
-void TrafficFront::setInstances(std::size_t inDomain, std::size_t all)
+void TrafficFront::setInstances(const InstancesKnown &known)
 {
-    m_relay.setInstances(inDomain, all, steadyNow());
+    const Time now = steadyNow();
+    m_relay.setInstances(known.inDomain, known.count, now);
+    m_relay.shareLimits(known.all, m_settings.name, known.storeClock + (bootNow() - now), now);
 }
 
 void TrafficFront::reload(const EntrySettings &settings)
@@ -413,6 +415,8 @@
     sample("requests_held_back_total", counts.heldBack);
     sample("contents_suspected", m_relay.quarantine().suspected());
     sample("contents_held", m_relay.quarantine().heldCount(steadyNow()));
+    sample("endpoints_with_rate_limit", m_relay.rateLimits().size());
+    sample("endpoints_passed_over_total", counts.passedOver);
     sample("requests_open", m_relay.flights());
     sample("caller_connections", m_sessions.size());
     sample("endpoint_connections_opened_total", m_pool.opened);
--- a/src/entry/trafficfront.h
+++ b/src/entry/trafficfront.h
@@ -33,7 +33,7 @@
 
     void setTable(RouteMapPtr table);
     void setFleet(FleetPtr fleet);
-    void setInstances(std::size_t inDomain, std::size_t all);
+    void setInstances(const InstancesKnown &known);
     void enginesSeen(const EngineReports &reports);
     void learnCrashes(const std::vector<CrashRecord> &all) { m_relay.learnCrashes(all); }
 
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -92,7 +92,7 @@
 }
 
 void RelayWorld::listInstances(const std::vector<PeerInstance> &instances, const std::string &self,
-                               Duration /*clock*/)
+                               Duration clock)
 {
     const auto own = std::find_if(instances.begin(), instances.end(),
                                   [&](const PeerInstance &each) { return each.name == self; });
@@ -102,6 +102,7 @@
         std::count_if(instances.begin(), instances.end(),
                       [&](const PeerInstance &each) { return each.domain == own->domain; });
     relay.setInstances(static_cast<std::size_t>(near), instances.size(), now);
+    relay.shareLimits(instances, self, clock, now);
 }
 
 void RelayWorld::pass(Duration duration, Duration step)
--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -64,6 +64,7 @@
             .notExecuted = "Not-Run",
             .load = "Load",
             .atAddress = "At-Fault",
+            .rateLimit = "Rate-Limit",
         };
         return Names;
     }
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -33,6 +33,7 @@
     std::string_view notExecuted; ///< the endpoint did not run the request
     std::string_view load; ///< "running,waiting,slots"
     std::string_view atAddress; ///< engine at fault
+    std::string_view rateLimit; ///< requests a second that an endpoint takes from all instances
 };
 
 /// A call to the store or to an engine.
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -6,6 +6,7 @@
 
 #include <balsamloft/pathchooser.h>
 #include <balsamloft/quarantine.h>
+#include <balsamloft/ratelimits.h>
 #include <balsamloft/retrybudget.h>
 #include <balsamloft/trialpermits.h>
 
@@ -199,6 +200,7 @@
     std::uint64_t pathsChanged = 0;
     std::uint64_t crashes = 0; ///< ends of endpoints under requests that were told to others
     std::uint64_t heldBack = 0; ///< requests that were not sent, or not again
+    std::uint64_t passedOver = 0; ///< choices that left an endpoint out for its rate limit
 };
 
 /// The state machine of all whole requests of one instance. No I/O: events and
@@ -265,6 +267,11 @@
     /// How many instances share the endpoints of this domain, and in all.
     void setInstances(std::size_t inDomain, std::size_t all, Time now);
 
+    /// Which instances share the rate limits of endpoints, this one under the name \a self;
+    /// \a clock: the time that they all know less the present time that is passed here.
+    void shareLimits(std::span<const PeerInstance> all, const std::string &self, Duration clock,
+                     Time now);
+
     /// Repeats for each request of this instance, and beyond that in a window by all.
     void setRetries(double ratio, double slack);
 
@@ -279,6 +286,7 @@
     const RelayCounts &counts() const { return m_counts; }
     const EngineBook &book() const { return m_book; }
     const Quarantine &quarantine() const { return m_quarantine; }
+    const RateLimits &rateLimits() const { return m_limits; }
 
 private:
     enum class State : std::uint8_t { Waiting, Sent, Streaming };
@@ -373,6 +381,7 @@
     static FlightEnd endOf(const Flight &flight, FlightEnd ran);
     void end(FlightId id, FlightEnd how, std::string reason, RelayActions &actions,
              std::optional<Duration> comeBack = {});
+    void noteLimit(const Flight &flight, const AnswerHead &head, Time now);
     void rejected(FlightId id, Flight &flight, const AnswerHead &head, Time now,
                   RelayActions &actions);
     void watch(FlightId id, Flight &flight, Time now, RelayActions &actions);
@@ -391,6 +400,7 @@
     PathChooser m_chooser;
     EngineBook m_book;
     Quarantine m_quarantine;
+    RateLimits m_limits;
     FleetPtr m_fleet;
     FlightMap m_flights;
     std::map<std::string, RepeatWindow, std::less<>> m_budgets; ///< by service
--- a/src/libbalsamloft/pathchooser.cpp
+++ b/src/libbalsamloft/pathchooser.cpp
@@ -20,6 +20,7 @@
     double factor = 1; ///< dearer when nearly full
     double fullness = 0;
     bool full = false;
+    bool mayBegin = true;
     std::size_t domain = 0; ///< number of its domain
 };
 
@@ -184,7 +185,7 @@
         const LayerRange held = each.endpoint->layers;
         if (m_cuts[cut] < held.begin || m_cuts[cut] >= held.end)
             return;
-        if (m_first && cut == 0 && each.endpoint->id != m_first->endpoint)
+        if (cut == 0 && (!each.mayBegin || (m_first && each.endpoint->id != m_first->endpoint)))
             return;
         const Step before = arrive(cut, engine);
         if (before.cost == NoCost)
@@ -262,6 +263,7 @@
         const double room = std::max(1.0, model.room(*kind, held));
         Candidate candidate;
         candidate.endpoint = &each;
+        candidate.mayBegin = !query.notFirst || !query.notFirst->contains(each.id);
         // What runs goes on growing; what waits takes its place first.
         const double growth = load.reported
                                   ? (load.streams * model.usualAnswer / 2
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -71,6 +71,13 @@
         budget.setSlack(slackShare());
 }
 
+void Relay::shareLimits(std::span<const PeerInstance> all, const std::string &self, Duration clock,
+                        Time now)
+{
+    m_limits.setClock(clock);
+    m_limits.setInstances(all, self, m_settings.domain, now);
+}
+
 void Relay::setRetries(double ratio, double slack)
 {
     m_settings.retryRatio = ratio;
@@ -132,6 +139,9 @@
                       ? &*flight.trial.first
                       : nullptr;
     query.leastSpread = flight.cutEarly ? m_settings.scatter : 0;
+    const std::set<std::string> closed = m_limits.closed(now);
+    m_counts.passedOver += closed.empty() ? 0 : 1;
+    query.notFirst = &closed;
     auto path = m_chooser.choose(*m_fleet, service(flight), m_book, query, now, m_random);
     if (!path && !without.empty()) {
         // Rather an engine that failed it once than none at all.
@@ -204,11 +214,16 @@
     const FleetEndpoint *best = nullptr;
     double bestCost = 0;
     const std::set<std::string> avoid = notToUse(flight);
+    const std::set<std::string> closed = m_limits.closed(now);
     const bool bound = flight.trial.state == Trial::State::Granted;
     for (const FleetEndpoint &each : m_fleet->endpoints) {
         if (each.service != service(flight).name || each.draining
             || (bound && each.id != flight.trial.endpoint))
             continue;
+        if (closed.contains(each.id)) {
+            m_counts.passedOver += 1;
+            continue;
+        }
         const double cost = endpointCost(each, avoid, now);
         if (!best || cost < bestCost) {
             best = &each;
@@ -216,7 +231,9 @@
         }
     }
     if (!best || avoid.contains(best->id)) {
-        flight.lastReason = best ? "all endpoints failed it" : "no endpoint";
+        flight.lastReason = best             ? "all endpoints failed it"
+                            : closed.empty() ? "no endpoint"
+                                             : "no endpoint within its rate limit";
         return false;
     }
     send.endpoint = best->id;
@@ -228,6 +245,7 @@
 
 void Relay::sent(Flight &flight, const SendWhole &send, Time now)
 {
+    m_limits.sent(send.endpoint, now);
     flight.state = State::Sent;
     flight.sends += 1;
     flight.endpoint = send.endpoint;
@@ -448,6 +466,14 @@
     again(id, flight, false, culprit, std::move(reason), now, actions);
 }
 
+void Relay::noteLimit(const Flight &flight, const AnswerHead &head, Time now)
+{
+    const FleetEndpoint *endpoint = m_fleet->find(flight.endpoint);
+    const bool ownWord = head.sealed || head.notExecuted;
+    if (endpoint && (ownWord || head.rateLimit))
+        m_limits.answered(*endpoint, head.rateLimit, now);
+}
+
 bool Relay::answered(FlightId id, std::uint32_t attempt, const AnswerHead &head, Time now,
                      RelayActions &actions)
 {
@@ -456,6 +482,7 @@
         return false;
     m_book.cleared(flight->endpoint);
     m_quarantine.endpointHeard(flight->endpoint, now);
+    noteLimit(*flight, head, now);
     if (head.running && !flight->path.empty())
         m_book.loadSeen(flight->endpoint, flight->domain, *head.running);
     if (head.notExecuted || head.status == Misdirected) {
--- a/testsuite/entry/entry_test.cpp
+++ b/testsuite/entry/entry_test.cpp
@@ -260,3 +260,24 @@
         entry.ask("/safe/x");
     CHECK(left.requests().empty());
 }
+
+// Guards against a limit in an endpoint's answers that is not read.
+TEST_CASE("an endpoint that names a rate limit gets few of the calls", "[process]")
+{
+    constexpr std::size_t Calls = 200;
+    Entry entry;
+    const auto answer = [](const std::string &request, const std::string &header) {
+        std::string text = good(request, "done");
+        text.insert(text.find("\r\n") + 2, header);
+        return RawAnswer {text};
+    };
+    RawServer limited(
+        [&](const std::string &request) { return answer(request, "Rate-Limit: 0.05\r\n"); });
+    RawServer other([&](const std::string &request) { return answer(request, ""); });
+    entry.endpoint("e1", "plain", limited.address());
+    entry.endpoint("e2", "plain", other.address());
+    for (std::size_t i = 0; i < Calls; ++i)
+        CHECK(entry.ask("/safe/x").starts_with("HTTP/1.1 200"));
+    CHECK(limited.requests().size() < Calls / 10);
+    CHECK(limited.requests().size() + other.requests().size() >= Calls);
+}
