--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -43,7 +43,7 @@
 /// each from one that comes before it by name, so that nobody tells more than a few, or
 /// from that one's neighbour. While both know too little they wait: what the readers
 /// know reaches them as soon as there is more. Only when both are silent they turn to the
-/// readers, or to those of other domains, but never to the store.
+/// readers, or to those of other domains.
 ///
 /// That keeps the store's calls at two instances a domain while it fails: were a
 /// source that knows old news given up for the store, the whole fleet would turn
--- a/src/libbalsamloft/ratelimits.cpp
+++ b/src/libbalsamloft/ratelimits.cpp
@@ -12,8 +12,7 @@
 /// Every so many slots one goes to the instances of other domains.
 constexpr std::int64_t OthersEvery = 4;
 
-/// Limits are taken for no more and no less. The rule of slots needs neither end, and counts
-/// each one within the time for which it lasts.
+/// Limits beyond these are taken for these.
 constexpr double MostPerSecond = 10'000;
 constexpr double LeastPerSecond = 0.01;
 
@@ -129,9 +128,9 @@
     return std::nullopt;
 }
 
-/// Endpoints that take less are asked again later. All instances of a large fleet learn of a
-/// limit at once and get a slot seldom: without their own names in it, they would all cease
-/// to believe at once.
+/// Who no longer believes in a limit may send a request to find out. The more instances share
+/// it, the longer each believes, so that these requests stay a small part of it; and for an
+/// own length each, since all may have heard of it at the same moment.
 Duration RateLimits::beliefOf(const Limit &limit) const
 {
     const double shared =
