Rows that instances tell each other are written and read in one place

What stood twice: a row as it is told, in the answer and in the packed list. No change of behaviour; all of testsuite, tablefollower_test and the cases of news on narrow links pass.

--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -1,6 +1,6 @@
 #include "peerserver.h"
 
-#include "../libpeer/entrynews.pb.h"
+#include "../libpeer/newsrows.h"
 #include "clock.h"
 
 #include <charconv>
@@ -42,22 +42,6 @@
            + std::to_string(question.changedWithin.count() / 1000);
 }
 
-namespace {
-
-void addRows(const std::vector<StoreRow> &rows,
-             google::protobuf::RepeatedPtrField<wire::NewsRow> &to)
-{
-    for (const StoreRow &row : rows) {
-        wire::NewsRow &each = *to.Add();
-        each.set_key(row.key);
-        each.set_value(row.value);
-        each.set_version(row.version);
-        each.set_dropped(row.dropped);
-    }
-}
-
-} // namespace
-
 void PeerServer::addPacked(const PackedRows &packed, wire::TableNews &news)
 {
     news.set_packed_rows(packed.bytes);
@@ -128,7 +112,8 @@
     else if (worthPacking(*rows))
         addPacked(packRows(*rows), news);
     else
-        addRows(*rows, *news.mutable_rows());
+        for (const StoreRow &row : *rows)
+            putRow(row, *news.add_rows());
     news.set_version(state.copy.version());
     news.set_clock_ms(milliseconds(bootNow()));
     news.set_known_ms(milliseconds(state.knownAt));
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -1,6 +1,6 @@
 #include "tablesource.h"
 
-#include "../libpeer/entrynews.pb.h"
+#include "../libpeer/newsrows.h"
 #include "clock.h"
 #include "peerserver.h"
 
@@ -138,7 +138,7 @@
         answer.reply.rows = std::move(*rows);
     }
     for (const wire::NewsRow &row : news.rows())
-        answer.reply.rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
+        answer.reply.rows.push_back(rowOf(row));
     const Time steady = steadyNow();
     if (news.domains_size() > 0)
         *m_reportsAt = steady;
--- a/src/libpeer/newsanswer.cpp
+++ b/src/libpeer/newsanswer.cpp
@@ -1,6 +1,6 @@
 #include <balsamloft/newsanswer.h>
 
-#include "entrynews.pb.h"
+#include "newsrows.h"
 
 #include <zlib.h>
 
@@ -26,13 +26,8 @@
 wire::RowList listOf(std::span<const StoreRow> rows)
 {
     wire::RowList list;
-    for (const StoreRow &row : rows) {
-        wire::NewsRow &each = *list.add_rows();
-        each.set_key(row.key);
-        each.set_value(row.value);
-        each.set_version(row.version);
-        each.set_dropped(row.dropped);
-    }
+    for (const StoreRow &row : rows)
+        putRow(row, *list.add_rows());
     return list;
 }
 
@@ -81,7 +76,7 @@
         return std::nullopt;
     std::vector<StoreRow> rows;
     for (const wire::NewsRow &row : list.rows())
-        rows.push_back({row.key(), row.value(), row.version(), row.dropped()});
+        rows.push_back(rowOf(row));
     return rows;
 }
 
--- /dev/null
+++ b/src/libpeer/newsrows.cpp
@@ -0,0 +1,18 @@
+#include "newsrows.h"
+
+namespace balsamloft {
+
+void putRow(const StoreRow &row, wire::NewsRow &told)
+{
+    told.set_key(row.key);
+    told.set_value(row.value);
+    told.set_version(row.version);
+    told.set_dropped(row.dropped);
+}
+
+StoreRow rowOf(const wire::NewsRow &told)
+{
+    return {told.key(), told.value(), told.version(), told.dropped()};
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/libpeer/newsrows.h
@@ -0,0 +1,15 @@
+/// \file
+/// Rows as entry instances tell them.
+
+#pragma once
+
+#include "entrynews.pb.h"
+
+#include <balsamloft/tablecopy.h>
+
+namespace balsamloft {
+
+void putRow(const StoreRow &row, wire::NewsRow &told);
+StoreRow rowOf(const wire::NewsRow &told);
+
+} // namespace balsamloft
