Choices limited by a rate are counted alike for calls and streams

What stood twice: which endpoints are closed by their limit, and the count of choices for it. The two differed: a stream's choice was counted while an endpoint of any service was closed, a call's once for each endpoint. The test gets 1 and 2 on the code before, 0 and 1 now. What is chosen is as before.

--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -342,6 +342,7 @@
     std::optional<EnginePath> findPath(const Flight &flight, const std::set<std::string> &without,
                                        Time now);
     static std::set<std::string> notToUse(const Flight &flight);
+    std::set<std::string> beyondLimit(const Flight &flight, Time now);
     bool choosePath(Flight &flight, Time now, SendWhole &send);
     void expect(Flight &flight, const EnginePath &path);
     void occupy(const Flight &flight);
--- a/src/libbalsamloft/ratelimits_test.cpp
+++ b/src/libbalsamloft/ratelimits_test.cpp
@@ -397,3 +397,20 @@
     CHECK(world.refused > 0);
     CHECK(world.refused + world.arrived(seconds(10)) > world.submitted * 9 / 10);
 }
+
+// Guards against a count of choices that another service's endpoint has no part in.
+TEST_CASE("a choice counts as limited where an endpoint of its own service was left out")
+{
+    RelayWorld world({{"engine", {0, 8}}, {"call", {}}});
+    world.listInstances({{"n1", "near", "10.0.0.1:1"}, {"n2", "near", "10.0.0.1:2"}}, "n1");
+    const FlightId call = world.submit(RequestKind::Unsafe);
+    AnswerHead head;
+    head.status = 200;
+    head.sealed = true;
+    head.rateLimit = 0.1;
+    world.relay.answered(call, world.sends(call).front().attempt, head, world.now, world.actions);
+    world.submit(RequestKind::Stream);
+    CHECK(world.relay.counts().passedOver == 0);
+    world.submit(RequestKind::Unsafe);
+    CHECK(world.relay.counts().passedOver == 1);
+}
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -126,6 +126,18 @@
            * part.layers.length();
 }
 
+/// Endpoints of the flight's service to which nothing may be sent now for their rate limits.
+std::set<std::string> Relay::beyondLimit(const Flight &flight, Time now)
+{
+    std::set<std::string> closed = m_limits.closed(now);
+    std::erase_if(closed, [&](const std::string &id) {
+        const FleetEndpoint *endpoint = m_fleet->find(id);
+        return !endpoint || endpoint->service != service(flight).name;
+    });
+    m_counts.passedOver += closed.empty() ? 0 : 1;
+    return closed;
+}
+
 /// A path, without the engines \a without if there is one.
 std::optional<EnginePath> Relay::findPath(const Flight &flight,
                                           const std::set<std::string> &without, Time now)
@@ -139,8 +151,7 @@
                       ? &*flight.trial.first
                       : nullptr;
     query.leastSpread = flight.cutEarly ? m_settings.scatter : 0;
-    const std::set<std::string> closed = m_limits.closed(now);
-    m_counts.passedOver += closed.empty() ? 0 : 1;
+    const std::set<std::string> closed = beyondLimit(flight, now);
     query.notFirst = &closed;
     auto path = m_chooser.choose(*m_fleet, service(flight), m_book, query, now, m_random);
     if (!path && !without.empty()) {
@@ -214,16 +225,12 @@
     const FleetEndpoint *best = nullptr;
     double bestCost = 0;
     const std::set<std::string> avoid = notToUse(flight);
-    const std::set<std::string> closed = m_limits.closed(now);
+    const std::set<std::string> closed = beyondLimit(flight, now);
     const bool bound = flight.trial.state == Trial::State::Granted;
     for (const FleetEndpoint &each : m_fleet->endpoints) {
         if (each.service != service(flight).name || each.draining
-            || (bound && each.id != flight.trial.endpoint))
+            || (bound && each.id != flight.trial.endpoint) || closed.contains(each.id))
             continue;
-        if (closed.contains(each.id)) {
-            m_counts.passedOver += 1;
-            continue;
-        }
         const double cost = endpointCost(each, avoid, now);
         if (!best || cost < bestCost) {
             best = &each;
