No copy of a whole table for each answer with changes

To see whether the changes are all of a table, all its rows were copied and compared in each answer of more than a few rows: thousands of endpoints for each of ten followers. TableCopy::areAll counts instead. What is told is as before.

--- a/src/libbalsamloft/tablecopy.cpp
+++ b/src/libbalsamloft/tablecopy.cpp
@@ -77,6 +77,15 @@
     return rows;
 }
 
+bool TableCopy::areAll(const std::vector<StoreRow> &changes) const
+{
+    const auto exists = [](const StoreRow &row) { return !row.dropped; };
+    return std::all_of(changes.begin(), changes.end(), exists)
+           && std::count_if(m_rows.begin(), m_rows.end(), [&](const auto &each) {
+                  return exists(each.second);
+              }) == std::ssize(changes);
+}
+
 std::optional<std::vector<StoreRow>> TableCopy::since(std::uint64_t after) const
 {
     if (!m_known || after < m_reachesBackTo)
