--- a/src/fakes/newsemulator.cpp
+++ b/src/fakes/newsemulator.cpp
@@ -184,10 +184,11 @@
 
 void NewsEmulator::beginAnswer(Instance &instance, const Instance &asked)
 {
-    instance.answer = Answer {asked.version, asked.knownAt, asked.direct, 0};
-    if (m_rowBytes == 0 || asked.version <= instance.version)
+    const bool withRows = m_rowBytes > 0 && asked.version > instance.version;
+    instance.answer = Answer {asked.version, asked.knownAt, asked.direct, withRows,
+                              withRows ? static_cast<double>(m_rowBytes) : 0};
+    if (!withRows)
         return;
-    instance.answer->bytesLeft = static_cast<double>(m_rowBytes);
     m_sending[instance.asked] += 1;
     m_answersSent += 1;
 }
@@ -213,9 +214,7 @@
 /// Nothing more is taken from the instance that is asked.
 void NewsEmulator::endQuestion(Instance &instance)
 {
-    const bool sent =
-        instance.answer && m_rowBytes > 0 && instance.answer->version > instance.version;
-    if (sent)
+    if (instance.answer && instance.answer->withRows)
         m_sending[instance.asked] -= 1;
     instance.answer.reset();
     instance.readAt.reset();
--- a/src/fakes/newsemulator.h
+++ b/src/fakes/newsemulator.h
@@ -1,7 +1,8 @@
 /// \file
 /// How knowledge of the store spreads among instances, in virtual time: a store
 /// that is written to, and instances that follow it or each other by questions that
-/// are held until there is news. Only whom to ask is the product's own decision.
+/// are held until there is news. Whom to ask, how rows are told and how long an answer is
+/// waited for are the product's own decisions.
 
 #pragma once
 
@@ -87,6 +88,7 @@
         std::uint64_t version = 0;
         Time knownAt {};
         bool direct = false;
+        bool withRows = false; ///< it takes a share of the other's link
         double bytesLeft = 0;
     };
 
