--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "control.h"
 #include "decisionlog.h"
+#include "rowfields.h"
 
 #include <boost/json.hpp>
 
@@ -22,46 +23,16 @@
     return record.digest + "/" + record.endpoint;
 }
 
-std::optional<json::object> objectOf(const StoreRow &row)
-{
-    boost::system::error_code error;
-    json::value value = json::parse(row.value, error);
-    return !error && value.is_object() ? std::optional(value.get_object()) : std::nullopt;
-}
-
-std::optional<std::int64_t> numberOf(const json::object &object, std::string_view name)
-{
-    const json::value *value = object.if_contains(name);
-    return value && value->is_int64() ? std::optional(value->get_int64()) : std::nullopt;
-}
-
-std::optional<std::string> textOf(const json::object &object, std::string_view name)
-{
-    const json::value *value = object.if_contains(name);
-    return value && value->is_string() ? std::optional(std::string(value->get_string()))
-                                       : std::nullopt;
-}
-
-Time timeOf(std::int64_t milliseconds)
-{
-    return Time(std::chrono::milliseconds(milliseconds));
-}
-
-std::int64_t millisecondsOf(Time time)
-{
-    return time.time_since_epoch().count() / 1000;
-}
-
 /// Nothing when another writer than an instance wrote the row.
 std::optional<TrialRow> trialOf(const StoreRow &row)
 {
-    const auto object = objectOf(row);
+    const auto object = rowObject(row);
     if (!object)
         return std::nullopt;
-    const auto at = textOf(*object, "at");
-    const auto holder = textOf(*object, "by");
-    const auto until = numberOf(*object, "until_ms");
-    const auto tries = numberOf(*object, "tries");
+    const auto at = rowText(*object, "at");
+    const auto holder = rowText(*object, "by");
+    const auto until = rowNumber(*object, "until_ms");
+    const auto tries = rowNumber(*object, "tries");
     if (!at || !holder || !until || !tries || *tries < 0)
         return std::nullopt;
     return TrialRow {row.key, row.version,    *at,
@@ -85,8 +56,8 @@
 std::optional<CrashRecord> crashOf(const StoreRow &row)
 {
     const std::size_t slash = row.key.find('/');
-    const auto object = objectOf(row);
-    const auto atMs = object ? numberOf(*object, "at_ms") : std::nullopt;
+    const auto object = rowObject(row);
+    const auto atMs = object ? rowNumber(*object, "at_ms") : std::nullopt;
     if (slash == std::string::npos || !atMs)
         return std::nullopt;
     return CrashRecord {row.key.substr(0, slash), row.key.substr(slash + 1), timeOf(*atMs)};
--- a/src/entry/controlinstances.cpp
+++ b/src/entry/controlinstances.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "control.h"
 #include "decisionlog.h"
+#include "rowfields.h"
 
 #include <boost/json.hpp>
 
@@ -77,27 +78,26 @@
     const NewsState &known = m_server.state(NewsTable::Instances);
     std::vector<InstanceRow> rows;
     for (const StoreRow &row : known.copy.all()) {
-        boost::system::error_code error;
-        const json::value value = json::parse(row.value, error);
-        const json::object *object = error ? nullptr : value.if_object();
-        const json::value *domain = object ? object->if_contains("domain") : nullptr;
-        const json::value *peer = object ? object->if_contains("peer") : nullptr;
-        const json::value *seen = object ? object->if_contains("seen_ms") : nullptr;
-        if (domain && peer && seen && domain->is_string() && peer->is_string() && seen->is_int64())
-            rows.push_back(
-                {{row.key, std::string(domain->get_string()), std::string(peer->get_string())},
-                 seen->get_int64()});
+        const auto object = rowObject(row);
+        const auto domain = object ? rowText(*object, "domain") : std::nullopt;
+        const auto peer = object ? rowText(*object, "peer") : std::nullopt;
+        const auto seen = object ? rowNumber(*object, "seen_ms") : std::nullopt;
+        if (domain && peer && seen)
+            rows.push_back({{row.key, *domain, *peer}, *seen});
     }
     std::vector<PeerInstance> instances = m_instanceList.heard(rows, known.storeMs);
     const Duration clock = m_storeOffset.value_or(Duration {});
-    if (instances == m_instances && clock - m_toldClock < NoticeableClock)
+    const bool others = instances != m_instances;
+    if (!others && clock - m_toldClock < NoticeableClock)
         return;
     m_toldClock = clock;
-    m_instances = instances;
-    m_directory.replace(std::move(instances));
-    logDecision("instances", "counted",
-                {{"in_domain", std::int64_t(m_directory.inDomain())},
-                 {"all", std::int64_t(m_directory.count())}});
+    if (others) {
+        m_instances = std::move(instances);
+        m_directory.replace(m_instances);
+        logDecision("instances", "counted",
+                    {{"in_domain", std::int64_t(m_directory.inDomain())},
+                     {"all", std::int64_t(m_directory.count())}});
+    }
     m_events.instances({m_instances, m_directory.inDomain(), m_directory.count(), clock});
 }
 
@@ -107,12 +107,10 @@
     RowWrite write;
     write.table = std::string(InstanceTable);
     write.key = m_settings.name;
-    if (!leaving) {
-        const Duration storeTime = m_writtenAt.time_since_epoch() + *m_storeOffset;
+    if (!leaving)
         write.value = json::serialize(json::object {{"domain", m_settings.domain},
                                                     {"peer", m_settings.peers},
-                                                    {"seen_ms", storeTime.count() / 1000}});
-    }
+                                                    {"seen_ms", millisecondsOf(storeNow())}});
     Transaction transaction;
     transaction.writes.push_back(std::move(write));
     m_channel.call(StoreUse::OwnRow, m_protocol.commit(transaction), StoreCallWithin,
--- /dev/null
+++ b/src/entry/rowfields.cpp
@@ -0,0 +1,37 @@
+#include "rowfields.h"
+
+namespace json = boost::json;
+
+namespace balsamloft {
+
+std::optional<json::object> rowObject(const StoreRow &row)
+{
+    boost::system::error_code error;
+    json::value value = json::parse(row.value, error);
+    return !error && value.is_object() ? std::optional(value.get_object()) : std::nullopt;
+}
+
+std::optional<std::int64_t> rowNumber(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_int64() ? std::optional(value->get_int64()) : std::nullopt;
+}
+
+std::optional<std::string> rowText(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value && value->is_string() ? std::optional(std::string(value->get_string()))
+                                       : std::nullopt;
+}
+
+Time timeOf(std::int64_t milliseconds)
+{
+    return Time(std::chrono::milliseconds(milliseconds));
+}
+
+std::int64_t millisecondsOf(Time time)
+{
+    return time.time_since_epoch().count() / 1000;
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/rowfields.h
@@ -0,0 +1,21 @@
+/// \file
+/// Members of the rows that instances write for each other. Nothing when a member is missing
+/// or of another type: another writer than an instance wrote the row.
+
+#pragma once
+
+#include <balsamloft/tablecopy.h>
+
+#include <boost/json.hpp>
+
+namespace balsamloft {
+
+std::optional<boost::json::object> rowObject(const StoreRow &row);
+std::optional<std::int64_t> rowNumber(const boost::json::object &object, std::string_view name);
+std::optional<std::string> rowText(const boost::json::object &object, std::string_view name);
+
+/// Times stand in rows as milliseconds of the store's clock.
+Time timeOf(std::int64_t milliseconds);
+std::int64_t millisecondsOf(Time time);
+
+} // namespace balsamloft
--- a/src/entry/tablesource.h
+++ b/src/entry/tablesource.h
@@ -87,13 +87,12 @@
 private:
     void ask(std::uint64_t after, Duration wait, Callback callback);
     TableAnswer decode(const CallOutcome &outcome, Time sentAt);
+    Duration changedWithin() const;
 
     EnginePool m_pool;
     PeerInstance m_peer;
     std::size_t m_table;
     ReadFreshness m_freshness;
-    Duration changedWithin() const;
-
     std::shared_ptr<Time> m_reportsAt;
     std::uint64_t m_toldMs = 0; ///< up to when it told of engines, on its own clock
     std::shared_ptr<OneCall> m_call;
