Test: a rate limit is kept while instances are added and a domain is cut off

The world of limits gets instances that begin anew and are listed late by the others, and a domain that hears of no change of the list.

--- a/src/libbalsamloft/ratelimits_test.cpp
+++ b/src/libbalsamloft/ratelimits_test.cpp
@@ -46,6 +46,13 @@
     /// The instance dies: it sends no more, and is no longer listed after \a unnoticed.
     void kill(std::size_t instance, Duration unnoticed);
 
+    /// An instance that was dead begins anew. It knows all others at once, and they know of
+    /// it after \a unnoticed.
+    void add(std::size_t instance, Duration unnoticed);
+
+    /// What changes in the list is heard no more in the domain.
+    void cut(std::size_t domain) { m_cut = "d" + std::to_string(domain); }
+
     Time now() const { return m_now; }
     std::size_t size() const { return m_worlds.size(); }
 
@@ -77,14 +84,22 @@
     void collect(std::size_t instance);
     void answer(const Call &call);
     void list();
+    void tellList(std::size_t instance);
 
     std::vector<std::unique_ptr<RelayWorld>> m_worlds;
     std::vector<std::optional<Time>> m_diedAt;
     std::vector<std::optional<Time>> m_toldAt;
     std::vector<PeerInstance> m_instances;
     std::vector<Duration> m_clocks;
-    std::vector<std::pair<Time, std::size_t>> m_unlistAt;
+    struct Listing
+    {
+        Time at {};
+        std::size_t instance = 0;
+        bool listed = false;
+    };
+    std::vector<Listing> m_listings; ///< to come
     std::vector<bool> m_listed;
+    std::string m_cut;
     std::deque<Call> m_calls;
     std::vector<Arrival> m_arrivals;
     std::optional<double> m_limit;
@@ -128,14 +143,19 @@
 
 /// What all instances know of each other.
 void LimitWorld::list()
+{
+    for (std::size_t i = 0; i < m_worlds.size(); ++i)
+        if (!m_diedAt[i] && m_instances[i].domain != m_cut)
+            tellList(i);
+}
+
+void LimitWorld::tellList(std::size_t instance)
 {
     std::vector<PeerInstance> listed;
     for (std::size_t i = 0; i < m_instances.size(); ++i)
-        if (m_listed[i])
+        if (m_listed[i] || i == instance)
             listed.push_back(m_instances[i]);
-    for (std::size_t i = 0; i < m_worlds.size(); ++i)
-        if (m_listed[i])
-            m_worlds[i]->listInstances(listed, m_instances[i].name, m_clocks[i]);
+    m_worlds[instance]->listInstances(listed, m_instances[instance].name, m_clocks[instance]);
 }
 
 void LimitWorld::name(std::optional<double> limit)
@@ -146,7 +166,15 @@
 void LimitWorld::kill(std::size_t instance, Duration unnoticed)
 {
     m_diedAt[instance] = m_now;
-    m_unlistAt.push_back({m_now + unnoticed, instance});
+    m_listings.push_back({m_now + unnoticed, instance, false});
+}
+
+void LimitWorld::add(std::size_t instance, Duration unnoticed)
+{
+    m_diedAt[instance].reset();
+    m_toldAt[instance].reset();
+    m_listings.push_back({m_now + unnoticed, instance, true});
+    tellList(instance);
 }
 
 void LimitWorld::run(Duration length)
@@ -157,11 +185,12 @@
 
 void LimitWorld::step()
 {
-    for (const auto &[at, instance] : m_unlistAt)
-        if (m_now >= at && m_listed[instance]) {
-            m_listed[instance] = false;
-            list();
-        }
+    const auto due = [this](const Listing &each) { return m_now >= each.at; };
+    for (const Listing &each : m_listings)
+        if (due(each))
+            m_listed[each.instance] = each.listed;
+    if (std::erase_if(m_listings, due) > 0)
+        list();
     while (!m_calls.empty() && m_calls.front().answerAt <= m_now) {
         const Call call = m_calls.front();
         m_calls.pop_front();
@@ -316,6 +345,33 @@
         }
 }
 
+// Guards against shares that do not shrink for those who come, or while a domain hears nothing.
+TEST_CASE("a limit is kept while instances are added and a domain is cut off")
+{
+    for (const std::size_t instances : {6U, 76U, 295U})
+        for (const std::uint64_t seed : {1U, 2U, 3U}) {
+            LimitWorldSettings settings;
+            settings.instances = instances;
+            settings.clockError = milliseconds(300);
+            settings.seed = seed;
+            LimitWorld world(settings);
+            for (std::size_t i = 1; i < instances; i += 2)
+                world.kill(i, {});
+            world.run(seconds(1));
+            world.name(6.8);
+            world.run(seconds(4));
+            world.cut(seed % settings.domains);
+            std::size_t most = 0;
+            for (std::size_t i = 1; i < instances; i += 2) {
+                world.add(i, seconds(2));
+                most = std::max(most, mostArrived(world, seconds(60) / instances));
+            }
+            most = std::max(most, mostArrived(world, seconds(10)));
+            CAPTURE(instances, seed);
+            CHECK(static_cast<double>(most) <= allowed(6.8));
+        }
+}
+
 // Guards against an instance that goes on by a limit of before.
 TEST_CASE("a limit that is lowered, raised or taken back holds soon after")
 {
