--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -151,6 +151,11 @@
     return Duration(std::uniform_int_distribution<std::int64_t>(least, most)(m_random));
 }
 
+Duration CrashWorld::upTo(Duration most)
+{
+    return most == Duration {} ? most : between(0, most.count());
+}
+
 std::size_t CrashWorld::pick(std::size_t count)
 {
     return static_cast<std::size_t>(between(0, static_cast<std::int64_t>(count) - 1).count());
@@ -441,7 +446,7 @@
     m_engines[engine].ended = true;
     for (const auto &run : std::vector(m_runs))
         if (run->engine == engine && !run->over)
-            after(Network, [this, run] {
+            after(Network + upTo(m_settings.breakSpread), [this, run] {
                 fail(run, run->events > 0 ? AttemptFailure::Garbled : AttemptFailure::Broken);
             });
     std::erase_if(m_runs, [&](const auto &run) { return run->over || run->engine == engine; });
--- a/src/fakes/crashworld.h
+++ b/src/fakes/crashworld.h
@@ -32,6 +32,8 @@
     Duration patience {2'000'000}; ///< callers leave after so long without an event
     Duration listLag {2'900'000}; ///< after which an engine that ended is no longer listed
     Duration restart {3'000'000}; ///< after which another engine takes its place
+    /// An engine's end breaks its connections one after another, over so long.
+    Duration breakSpread {0};
     Duration newsLag {700'000}; ///< from one instance to all others
     Duration storeTime {5'000}; ///< of one transaction
     std::uint64_t seed = 1;
@@ -156,6 +158,7 @@
     bool write(const TrialChange &change);
     std::size_t engineOf(const std::string &id) const;
     Duration between(std::int64_t least, std::int64_t most);
+    Duration upTo(Duration most);
     std::size_t pick(std::size_t count);
     template<typename Step>
     void step(std::size_t instance, Step what);
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -57,6 +57,23 @@
     CHECK(world.ends().size() <= MostEnds);
 }
 
+// Guards against a neighbour's broken connection, read a moment later, that is taken for a
+// sign that the engine was still alive after it broke the guilty one off.
+TEST_CASE("engines whose connections break one after another end under a request all the same")
+{
+    CrashWorldSettings settings;
+    settings.requestsPerSecond = 300;
+    settings.breakSpread = Duration(3'000);
+    settings.crashingEvery = Duration(1'000'000);
+    settings.enginesPerDomain = 2;
+    settings.seed = GENERATE(range(1, 9));
+    CrashWorld world(settings);
+    world.run(seconds(40));
+    INFO(world.ends().size() << " ends");
+    CHECK(world.sendsAfterThirdEnd(KnownEverywhere) == 0);
+    CHECK(world.ends().size() <= MostEnds);
+}
+
 // Guards against an earlier success that clears a request of all that it does later.
 TEST_CASE("a request that came through before is found out when it ends engines")
 {
