An engine that grew over a gap gives back what others hold again

Cause: a move keeps the usual number of layers or adds to them; none gives any up. So each repair leaves a little less room than before.

Change: what an engine holds may shrink to the part of it that serves best. Nothing is loaded for it, and a layer is given up only where others hold it.

--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -339,6 +339,9 @@
         };
         for (std::uint32_t begin = 0; usual > 0 && begin + usual <= model.layers; ++begin)
             consider({begin, begin + usual});
+        // Grown over a gap that others have closed since, it has little room for requests.
+        if (held.length() > 1)
+            consider(costs.best(each, 1, held.length() - 1, held));
         for (std::uint32_t more = 1; held.length() + more <= most; ++more) {
             if (held.begin >= more)
                 consider({held.begin - more, held.end});
--- a/src/libbalsamloft/layerplanner_test.cpp
+++ b/src/libbalsamloft/layerplanner_test.cpp
@@ -252,3 +252,17 @@
     plan.run(std::chrono::seconds(20));
     CHECK(plan.narrowest() >= 0.9 * before);
 }
+
+// Guards against neighbours that grew over a gap and keep little room for good.
+TEST_CASE("an engine that grew over a gap gives back what another one holds again")
+{
+    Plan plan = domainOfTwoLarge();
+    const double before = plan.narrowest();
+    const FleetEndpoint lost = plan.at("large-1");
+    const LayerRange held = plan.at("middle-0").layers;
+    REQUIRE(held.begin == lost.layers.end);
+    plan.at("middle-0").layers.begin -= 6;
+    plan.run(std::chrono::seconds(20));
+    CHECK(plan.at("middle-0").layers == held);
+    CHECK(plan.narrowest() >= 0.9 * before);
+}
