An empty engine that takes a gap without the lease keeps room for requests

Cause: whoever fills a gap by itself gave an empty engine all that fits.

Change: the gap, and beyond it only what leaves 0.4 of the engine's memory to requests.

Test, seen to fail before: 34 of 37 layers for a gap of 3.

--- a/src/include/balsamloft/gapfiller.h
+++ b/src/include/balsamloft/gapfiller.h
@@ -22,6 +22,8 @@
     Duration emptyGrace {1'500'000};
     double leastEngineRoom = 0.06; ///< share of each engine's memory kept for requests
     double freeEngineRoom = 0.15; ///< the same for an engine that held nothing
+    /// The same for layers that it takes beyond the gap.
+    double roomBeyondGap = 0.4;
     Duration orderLife {13'000'000}; ///< an order without an answer may act for so long
     Duration refusedFor {600'000}; ///< an engine that refused is told nothing so long
 };
@@ -48,6 +50,7 @@
         LayerRange layers;
         std::uint32_t most = 0; ///< layers that it can hold
         bool free = true; ///< may be told something now
+        std::uint32_t beyondGap = 0; ///< layers that it may hold beyond what a gap needs
 
         std::uint32_t spare() const;
     };
--- a/src/libbalsamloft/gapfiller.cpp
+++ b/src/libbalsamloft/gapfiller.cpp
@@ -40,7 +40,8 @@
         const double room =
             each.layers.length() > 0 ? m_settings.leastEngineRoom : m_settings.freeEngineRoom;
         const auto [layers, free] = m_orders.holding(each);
-        found.push_back({&each, layers, service.model->mostLayers(*kind, room), free});
+        found.push_back({&each, layers, service.model->mostLayers(*kind, room), free,
+                         service.model->mostLayers(*kind, m_settings.roomBeyondGap)});
     }
     return found;
 }
@@ -101,8 +102,9 @@
             give(*above, {gap.begin + fromBelow, above->layers.end}, GrowReason);
     } else if (empty && withEmpty) {
         // What it holds beyond the gap doubles the layers after it.
-        const std::uint32_t begin = std::min(gap.begin, layers - std::min(layers, empty->most));
-        give(*empty, {begin, std::min(layers, begin + empty->most)}, FreeReason);
+        const std::uint32_t count = std::min(layers, std::max(size, empty->beyondGap));
+        const std::uint32_t begin = std::min(gap.begin, layers - count);
+        give(*empty, {begin, begin + count}, FreeReason);
     }
     return orders;
 }
--- a/src/libbalsamloft/gapfiller_test.cpp
+++ b/src/libbalsamloft/gapfiller_test.cpp
@@ -220,3 +220,19 @@
     CHECK(coverage.singles() == 5);
     CHECK(Coverage(domain.fleet, domain.service, "far").gaps() == "0-8");
 }
+
+// Guards against an engine that comes back and is filled up for the sake of a small gap.
+TEST_CASE("an empty engine that takes a gap keeps room for requests")
+{
+    Domain domain(80);
+    domain.add("below", {0, domain.most()});
+    domain.add("above", {domain.most() + 3, 2 * domain.most() + 3});
+    domain.add("end", {2 * domain.most() + 3, 80});
+    domain.add("back", {});
+    GapFiller filler;
+    const auto orders = domain.fill(filler, std::chrono::seconds(2));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].endpoint == "back");
+    CHECK(orders[0].layers.length() >= 3);
+    CHECK(orders[0].layers.length() <= 0.7 * domain.most());
+}
