A request that ends engines in the middle of its path is found out

What callers saw: nothing of it yet, but each such request ends an engine for each path that it is sent or told along, as long as it comes.

Cause: an engine in the middle breaks nothing off when it ends. The first one lives, is asked, says where the stream stalls, and is told another path, which leads the request to the next engine; that the stalled engine ended is held against nobody.

Change: a stream that has not run well and stands still at an engine which does not answer is held in doubt against that engine, which is asked by itself; only a refused connection proves its end, so a domain that is cut off proves nothing. What is under suspicion is told no other path: it takes the way of all that is sent again, by the fleet's permit. Events from before a change of path say nothing of the engines after it.

--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -8,6 +8,8 @@
 
 constexpr Duration TickEvery {50'000};
 constexpr Duration Network {500}; ///< one way
+constexpr Duration StallCut {2'500'000}; ///< an engine cuts off what waits so long for another
+constexpr Duration QuestionWithin {450'000}; ///< answered, or it failed
 constexpr std::uint32_t Layers = 8;
 constexpr std::uint32_t ManyRetries = 1000;
 
@@ -44,7 +46,7 @@
     builder.route(std::move(once), {{"model", 1}});
     m_table = builder.build();
     for (std::size_t i = 0; i < m_settings.domains * m_settings.enginesPerDomain; ++i)
-        startEngine("d" + std::to_string(i % m_settings.domains));
+        startEngine("d" + std::to_string(i % m_settings.domains), layersOf(i / m_settings.domains));
     for (std::size_t i = 0; i < m_settings.instances; ++i) {
         startInstance(i);
         after(between(0, TickEvery.count()), [this, i] { tick(i); });
@@ -99,9 +101,18 @@
     after(m_settings.newsLag, [this] { learn(); });
 }
 
-void CrashWorld::startEngine(const std::string &domain)
+/// Where engines in the middle of paths end, every other one holds the second half.
+LayerRange CrashWorld::layersOf(std::size_t number) const
+{
+    if (m_settings.crashKind != CrashKind::EndsMiddle)
+        return {0, Layers};
+    return number % 2 == 0 ? LayerRange {0, Layers / 2} : LayerRange {Layers / 2, Layers};
+}
+
+void CrashWorld::startEngine(const std::string &domain, LayerRange layers)
 {
     Engine engine;
+    engine.layers = layers;
     engine.id = "engine-" + std::to_string(m_engines.size());
     engine.domain = domain;
     engine.address = "10.0.0.1:" + std::to_string(1000 + m_engines.size());
@@ -123,7 +134,7 @@
         endpoint.domain = each.domain;
         endpoint.kind = "fast";
         endpoint.slots = 100;
-        endpoint.layers = {0, Layers};
+        endpoint.layers = each.layers;
         fleet->endpoints.push_back(std::move(endpoint));
     }
     m_fleet = fleet;
@@ -242,6 +253,8 @@
             ended(instance, *end);
         else if (const auto *asked = std::get_if<AskEngine>(&action))
             ask(instance, *asked);
+        else if (const auto *change = std::get_if<ChangePath>(&action))
+            changePath(instance, *change);
         else if (const auto *told = std::get_if<TellCrashes>(&action))
             tell(told->news);
         else if (const auto *trial = std::get_if<AskTrial>(&action))
@@ -331,6 +344,8 @@
     run->flight = send.flight;
     run->attempt = send.attempt;
     run->engine = engineOf(send.endpoint);
+    if (send.path.size() > 1)
+        run->next = engineOf(send.path[1].endpoint);
     run->crashing = caller->second.crashing;
     run->digest = caller->second.digest;
     if (run->crashing)
@@ -391,10 +406,14 @@
 
 void CrashWorld::begin(const std::shared_ptr<Run> &run)
 {
-    if (run->over || m_engines[run->engine].ended)
+    if (run->over || stands(*run))
         return;
-    if (run->crashing)
+    if (run->next && m_engines[*run->next].ended)
+        run->stalled = true;
+    else if (run->crashing)
         return after(between(30'000, 100'000), [this, run] { endUnder(run); });
+    if (run->stalled)
+        return;
     AnswerHead head;
     head.status = 200;
     head.sealed = true;
@@ -407,16 +426,91 @@
 /// Also when the request was given up since the engine began it.
 void CrashWorld::endUnder(const std::shared_ptr<Run> &run)
 {
-    if (m_engines[run->engine].ended)
+    const bool middle = m_settings.crashKind == CrashKind::EndsMiddle;
+    if (stands(*run) || (middle && (run->over || !run->next || m_engines[*run->next].ended)))
         return;
     m_ends[run->digest].push_back(m_now);
+    if (middle)
+        return endMiddle(*run->next);
+    if (m_settings.crashKind == CrashKind::Hangs)
+        return hang(run->engine);
     endEngine(run->engine);
 }
 
+/// Whether the first engine of the run does nothing for it any more.
+bool CrashWorld::stands(const Run &run) const
+{
+    return m_engines[run.engine].ended || m_engines[run.engine].hangs;
+}
+
+void CrashWorld::hang(std::size_t engine)
+{
+    m_engines[engine].hangs = true;
+    after(m_settings.silentAfter, [this, engine] {
+        EngineState silent;
+        silent.id = m_engines[engine].id;
+        silent.silent = true;
+        silent.at = m_now;
+        for (std::size_t i = 0; i < m_relays.size(); ++i)
+            step(i, [&](Relay &relay, RelayActions &actions) {
+                relay.enginesSeen({{silent}, {}}, m_now, actions);
+            });
+    });
+    after(m_settings.restart, [this, engine] { endEngine(engine); });
+}
+
+/// Runs through it stand still at their first engines.
+void CrashWorld::endMiddle(std::size_t engine)
+{
+    for (const auto &run : m_runs)
+        run->stalled = run->stalled || run->next == engine;
+    for (const auto &run : m_runs)
+        if (run->stalled && run->next == engine)
+            after(StallCut, [this, run, engine] {
+                if (run->stalled && run->next == engine)
+                    fail(run, AttemptFailure::Broken);
+            });
+    endEngine(engine);
+}
+
+std::vector<std::string> CrashWorld::stalledAt(std::size_t engine) const
+{
+    std::set<std::string> addresses;
+    for (const auto &run : m_runs)
+        if (!run->over && run->stalled && run->engine == engine)
+            addresses.insert(m_engines[*run->next].address);
+    return {addresses.begin(), addresses.end()};
+}
+
+/// The first engine goes on along the new path.
+void CrashWorld::changePath(std::size_t instance, const ChangePath &change)
+{
+    after(Network, [this, instance, change] {
+        const auto found = std::find_if(m_runs.begin(), m_runs.end(), [&](const auto &run) {
+            return !run->over && run->instance == instance && run->flight == change.flight
+                   && run->attempt == change.attempt;
+        });
+        const std::size_t next = engineOf(change.path[1].endpoint);
+        const bool taken = found != m_runs.end() && !stands(**found) && !m_engines[next].ended;
+        if (taken) {
+            const std::shared_ptr<Run> run = *found;
+            run->next = next;
+            run->stalled = false;
+            if (run->crashing)
+                m_crashingSends[run->digest].push_back(m_now);
+            after(between(40'000, 200'000), [this, run] { begin(run); });
+        }
+        step(instance, [&](Relay &relay, RelayActions &actions) {
+            relay.pathChanged(change.flight, change.attempt,
+                              taken ? PathReply::Taken : PathReply::Lost, {}, m_now, actions);
+        });
+    });
+}
+
 void CrashWorld::nextEvent(const std::shared_ptr<Run> &run)
 {
     const auto caller = m_callers[run->instance].find(run->flight);
-    if (run->over || m_engines[run->engine].ended || caller == m_callers[run->instance].end())
+    if (run->over || stands(*run) || run->stalled || caller == m_callers[run->instance].end())
         return;
     run->events += 1;
     caller->second.eventsLeft -= 1;
@@ -454,7 +548,10 @@
         m_engines[engine].listed = false;
         tellFleet();
     });
-    after(m_settings.restart, [this, domain = m_engines[engine].domain] { startEngine(domain); });
+    const Duration back = m_engines[engine].hangs ? Duration(1) : m_settings.restart;
+    after(back, [this, domain = m_engines[engine].domain, layers = m_engines[engine].layers] {
+        startEngine(domain, layers);
+    });
 }
 
 void CrashWorld::fail(const std::shared_ptr<Run> &run, AttemptFailure failure)
@@ -495,12 +592,19 @@
 void CrashWorld::ask(std::size_t instance, const AskEngine &ask)
 {
     after(Network * 2, [this, instance, asked = m_now, endpoint = ask.endpoint] {
+        const std::size_t engine = engineOf(endpoint);
+        if (m_engines[engine].hangs && !m_engines[engine].ended)
+            return after(QuestionWithin, [this, instance, endpoint] {
+                step(instance, [&](Relay &relay, RelayActions &actions) {
+                    relay.reportFailed(endpoint, m_now, actions, false);
+                });
+            });
         step(instance, [&](Relay &relay, RelayActions &actions) {
-            if (m_engines[engineOf(endpoint)].ended)
+            if (m_engines[engine].ended)
                 relay.reportFailed(endpoint, m_now, actions, true);
             else {
                 relay.aliveSeen(endpoint, asked);
-                relay.reported(endpoint, {}, 1, m_now, actions);
+                relay.reported(endpoint, stalledAt(engine), 1, m_now, actions);
             }
         });
     });
--- a/src/fakes/crashworld.h
+++ b/src/fakes/crashworld.h
@@ -13,6 +13,13 @@
 
 namespace balsamloft::fakes {
 
+/// What the request that ends engines does to them.
+enum class CrashKind : std::uint8_t {
+    EndsFirst, ///< the engine on which its path begins ends
+    EndsMiddle, ///< the next one on its path does; the first one lives and waits for it
+    Hangs, ///< its first engine accepts what comes and answers nothing, until it is restarted
+};
+
 /// Settings of a CrashWorld.
 struct CrashWorldSettings
 {
@@ -26,12 +33,14 @@
     Duration crashingChanges {3'600'000'000}; ///< after which another such request comes instead
     std::size_t crashingTogether = 1; ///< so many of it at once, at different instances
     RequestKind crashingKind = RequestKind::Stream;
+    CrashKind crashKind = CrashKind::EndsFirst;
     std::uint32_t crashingRetries = 0; ///< of its caller, when told to come back
     Duration readTime {0}; ///< of one prompt, one after another; 0: side by side, up to 0.4 s each
     Duration mostWait {4'000'000}; ///< an engine whose work waits longer rejects
     Duration patience {2'000'000}; ///< callers leave after so long without an event
     Duration listLag {2'900'000}; ///< after which an engine that ended is no longer listed
     Duration restart {3'000'000}; ///< after which another engine takes its place
+    Duration silentAfter {1'200'000}; ///< a domain's reader says that an engine is silent
     /// An engine's end breaks its connections one after another, over so long.
     Duration breakSpread {0};
     Duration newsLag {700'000}; ///< from one instance to all others
@@ -92,7 +101,9 @@
         std::string id;
         std::string domain;
         std::string address;
+        LayerRange layers;
         bool ended = false;
+        bool hangs = false;
         bool listed = true;
         Time readsUntil {};
     };
@@ -102,7 +113,9 @@
         std::size_t instance = 0;
         FlightId flight = 0;
         std::uint32_t attempt = 0;
-        std::size_t engine = 0;
+        std::size_t engine = 0; ///< on which its path begins
+        std::optional<std::size_t> next; ///< on its path
+        bool stalled = false; ///< waits for the next engine, which ended
         std::uint64_t events = 0;
         std::string digest;
         bool crashing = false;
@@ -131,7 +144,8 @@
 
     void after(Duration delay, std::function<void()> what);
     void startInstance(std::size_t instance);
-    void startEngine(const std::string &domain);
+    LayerRange layersOf(std::size_t number) const;
+    void startEngine(const std::string &domain, LayerRange layers);
     void tellFleet();
     void tick(std::size_t instance);
     void arrive();
@@ -142,6 +156,11 @@
     void send(std::size_t instance, const SendWhole &send);
     void begin(const std::shared_ptr<Run> &run);
     void endUnder(const std::shared_ptr<Run> &run);
+    void hang(std::size_t engine);
+    void endMiddle(std::size_t engine);
+    void changePath(std::size_t instance, const ChangePath &change);
+    std::vector<std::string> stalledAt(std::size_t engine) const;
+    bool stands(const Run &run) const;
     void reject(const std::shared_ptr<Run> &run);
     void leaveIfSilent(std::size_t instance, FlightId flight, std::uint64_t eventsLeft);
     std::optional<Duration> readingTime(Engine &engine);
--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -51,6 +51,8 @@
     std::size_t crashesToHoldForSure = 5;
     /// An endpoint that has begun a request ends by then, also when it was given up.
     Duration endsWithin {200'000};
+    /// One at which a run stands still is asked by then; silence proves nothing after that.
+    Duration askedWithin {1'000'000};
     /// After an endpoint's end: all that stood beside are known everywhere by then.
     Duration settleAfter {2'000'000};
     /// Endpoints that ended under a request, from which on it is sent by trial only, and
@@ -90,6 +92,10 @@
     /// \a endpoint had just begun it, it may end all the same.
     void givenUp(const std::string &digest, const std::string &endpoint, Time now);
 
+    /// A run of the request stands still at \a endpoint in the middle of its path, which
+    /// does not answer. It may have ended, or be cut off.
+    void stalledAt(const std::string &digest, const std::string &endpoint, Time now);
+
     /// \a endpoint answered a question that was sent at \a asked: it ended under nothing
     /// before.
     void endpointAnswered(const std::string &endpoint, Time asked);
@@ -140,11 +146,18 @@
 private:
     enum class Stage : std::uint8_t { Doubtful, Own, Told, Shared };
 
+    /// How a run ended, or stopped, at an endpoint.
+    enum class Sign : std::uint8_t {
+        BrokenOff, ///< by the endpoint itself
+        GivenUp, ///< by an instance
+        Stalled, ///< it waits for the endpoint
+    };
+
     struct Crash
     {
         Time at {};
         Stage stage = Stage::Doubtful;
-        bool cut = false; ///< the endpoint itself broke the run off
+        Sign sign = Sign::BrokenOff;
         bool own = false; ///< seen by this instance itself
         Time settledFrom {}; ///< an endpoint that is alive from then on did not end under it
     };
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -363,7 +363,9 @@
     // Requests under which endpoints end
     void noteBrokenOff(Flight &flight, Time now, RelayActions &actions);
     void noteGivenUp(const Flight &flight, Time now);
+    void noteStalled(const Flight &flight, const std::string &endpoint, Time now);
     void noteProgress(Flight &flight, Time now, RelayActions &actions);
+    bool underSuspicion(const Flight &flight, Time now) const;
     bool awaitTrial(FlightId id, Flight &flight, Time now, RelayActions &actions);
     bool choose(Flight &flight, Time now, SendWhole &send);
     void endTrial(Flight &flight, TrialEnd end, RelayActions &actions);
@@ -391,7 +393,7 @@
     void recover(FlightId id, Flight &flight, std::string reason, Time now, RelayActions &actions);
     void ask(const std::string &endpoint, Time now, RelayActions &actions);
     void forgiveLostTime(Time now);
-    bool throughSuspect(const Flight &flight, Time now) const;
+    std::optional<std::string> firstSuspect(const Flight &flight, Time now) const;
     double slackShare() const;
     double ownNeed(const Flight &flight, const PathPart &part) const;
     std::vector<FlightId> flightIds() const;
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -130,6 +130,25 @@
     CHECK(world.waits().size() == 5);
 }
 
+// Guards against a request whose path leads to one engine after another behind a first one that
+// lives and answers for them.
+TEST_CASE("a request that ends engines in the middle of its path is found out")
+{
+    CrashWorldSettings settings;
+    settings.crashKind = CrashKind::EndsMiddle;
+    settings.enginesPerDomain = 8;
+    settings.instances = GENERATE(6, 76, 295);
+    settings.crashingEvery = Duration(2'000'000);
+    settings.seed = GENERATE(range(1, 6));
+    CrashWorld world(settings);
+    world.run(seconds(30));
+    INFO(settings.instances << " instances, " << world.ends().size() << " ends");
+    const std::size_t tries = world.sendsAfterThirdEnd(KnownEverywhere);
+    CHECK(tries <= MostLateSends);
+    CHECK(world.ends().size() <= MostEnds + tries);
+    CHECK(world.harmless().heldBack == 0);
+}
+
 // Guards against copies that wait at engines while it becomes known what they do.
 TEST_CASE(
     "a request that comes at three instances at once is known as soon as one that comes alone")
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -66,12 +66,18 @@
 void Quarantine::brokenOff(const std::string &digest, const std::string &endpoint, Time now)
 {
     endpointHeard(endpoint, now);
-    doubt(digest, endpoint, {now, Stage::Doubtful, true, true, now + Duration(1)});
+    doubt(digest, endpoint, {now, Stage::Doubtful, Sign::BrokenOff, true, now + Duration(1)});
 }
 
 void Quarantine::givenUp(const std::string &digest, const std::string &endpoint, Time now)
 {
-    doubt(digest, endpoint, {now, Stage::Doubtful, false, true, now + m_settings.endsWithin});
+    doubt(digest, endpoint,
+          {now, Stage::Doubtful, Sign::GivenUp, true, now + m_settings.endsWithin});
+}
+
+void Quarantine::stalledAt(const std::string &digest, const std::string &endpoint, Time now)
+{
+    doubt(digest, endpoint, {now, Stage::Doubtful, Sign::Stalled, true, now + Duration(1)});
 }
 
 void Quarantine::clearDoubts(const std::string &endpoint, Time aliveAt, bool ofThoseCut)
@@ -82,7 +88,7 @@
     for (const std::string &digest : std::set<std::string>(on->second)) {
         const Crash &crash = m_requests[digest][endpoint];
         if (crash.stage == Stage::Doubtful && aliveAt >= crash.settledFrom
-            && (ofThoseCut || !crash.cut))
+            && (ofThoseCut || crash.sign == Sign::GivenUp))
             forget(digest, endpoint);
     }
 }
@@ -105,7 +111,7 @@
     for (const std::string &digest : on->second) {
         Crash &crash = m_requests[digest][endpoint];
         if (crash.stage == Stage::Doubtful)
-            crash = {now, Stage::Own, true, true, {}};
+            crash = {now, Stage::Own, Sign::BrokenOff, true, {}};
     }
 }
 
@@ -116,7 +122,7 @@
         return;
     for (const std::string &digest : std::set<std::string>(on->second)) {
         const Crash &crash = m_requests[digest][endpoint];
-        if (crash.stage == Stage::Doubtful && !crash.cut)
+        if (crash.stage == Stage::Doubtful && crash.sign != Sign::BrokenOff)
             forget(digest, endpoint);
     }
     endpointEnded(endpoint, now);
@@ -169,7 +175,11 @@
             m_retracted.push_back(each);
         else
             add(each.digest, each.endpoint,
-                {each.at, Stage::Shared, true, sawItself(each.digest, each.endpoint), {}});
+                {each.at,
+                 Stage::Shared,
+                 Sign::BrokenOff,
+                 sawItself(each.digest, each.endpoint),
+                 {}});
     }
 }
 
@@ -232,10 +242,12 @@
     const auto it = m_requests.find(digest);
     if (it == m_requests.end())
         return false;
-    const auto cut = std::count_if(it->second.begin(), it->second.end(), [](const auto &each) {
-        return each.second.stage == Stage::Doubtful && each.second.cut;
+    const auto open = std::count_if(it->second.begin(), it->second.end(), [&](const auto &each) {
+        const Crash &crash = each.second;
+        const bool silent = crash.sign == Sign::Stalled && now - crash.at >= m_settings.askedWithin;
+        return crash.stage == Stage::Doubtful && crash.sign != Sign::GivenUp && !silent;
     });
-    return cut > 0 && static_cast<std::size_t>(cut) + crashes(digest, now) > 1;
+    return open > 0 && static_cast<std::size_t>(open) + crashes(digest, now) > 1;
 }
 
 /// Whether another request was there too that may just as well be the guilty one. By
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -461,6 +461,8 @@
                                                           : m_fleet->atAddress(head.atAddress);
     const std::string culprit = atFault ? atFault->id : flight.endpoint;
     const bool dead = now - flight.sentAt >= StallRefusal;
+    if (dead)
+        noteStalled(flight, culprit, now);
     if (dead || (head.status == Misdirected && flight.path.empty()))
         m_book.suspect(culprit, now);
     else
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -29,6 +29,25 @@
         m_quarantine.givenUp(flight.request.digest, flight.endpoint, now);
 }
 
+/// An engine in the middle of the path breaks nothing off when it ends: the first one
+/// lives, and waits for it.
+void Relay::noteStalled(const Flight &flight, const std::string &endpoint, Time now)
+{
+    const FleetEndpoint *found = m_fleet->find(endpoint);
+    if (!flight.runsWell && !flight.request.digest.empty() && endpoint != flight.endpoint && found
+        && !found->draining)
+        m_quarantine.stalledAt(flight.request.digest, endpoint, now);
+}
+
+/// Whether the flight may not be brought to another endpoint as if it were harmless.
+bool Relay::underSuspicion(const Flight &flight, Time now) const
+{
+    const std::string &digest = flight.request.digest;
+    return !flight.runsWell
+           && (m_quarantine.undecided(digest, now)
+               || m_quarantine.verdict(digest, now) != Verdict::Free);
+}
+
 void Relay::noteProgress(Flight &flight, Time now, RelayActions &actions)
 {
     m_quarantine.endpointHeard(flight.endpoint, now);
--- a/src/libbalsamloft/relaypath.cpp
+++ b/src/libbalsamloft/relaypath.cpp
@@ -12,7 +12,8 @@
 /// the first engine is told another path. What it cannot do is sent again.
 bool Relay::changePath(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
-    if (flight.path.size() < 2 || flight.pathChanges >= m_settings.mostPathChanges)
+    if (flight.path.size() < 2 || flight.pathChanges >= m_settings.mostPathChanges
+        || underSuspicion(flight, now))
         return false;
     const PathPart first = flight.path.front();
     const FleetEndpoint *engine = m_fleet->find(first.endpoint);
@@ -33,6 +34,9 @@
     crossDomains(flight, now);
     flight.pathChanges += 1;
     flight.pathAskedAt = now;
+    // What it passed so far says nothing of its new engines.
+    if (!flight.runsWell)
+        flight.firstEventAt.reset();
     m_counts.pathsChanged += 1;
     actions.push_back(ChangePath {id, flight.attempt, flight.request.id, first.endpoint,
                                   engine->address, flight.path, flight.lastReason});
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -6,13 +6,17 @@
 
 namespace balsamloft {
 
-bool Relay::throughSuspect(const Flight &flight, Time now) const
+/// The first endpoint on the flight's way that does not answer or is gone.
+std::optional<std::string> Relay::firstSuspect(const Flight &flight, Time now) const
 {
     if (flight.path.empty())
-        return m_book.suspected(flight.endpoint, now);
-    return std::any_of(flight.path.begin(), flight.path.end(), [&](const PathPart &part) {
-        return m_book.suspected(part.endpoint, now) || !m_fleet->find(part.endpoint);
-    });
+        return m_book.suspected(flight.endpoint, now) ? std::make_optional(flight.endpoint)
+                                                      : std::nullopt;
+    const auto found =
+        std::find_if(flight.path.begin(), flight.path.end(), [&](const PathPart &part) {
+            return m_book.suspected(part.endpoint, now) || !m_fleet->find(part.endpoint);
+        });
+    return found == flight.path.end() ? std::nullopt : std::make_optional(found->endpoint);
 }
 
 void Relay::ask(const std::string &endpoint, Time now, RelayActions &actions)
@@ -166,9 +170,10 @@
     const Duration pause = now - flight.progressAt;
     const Duration expected =
         flight.state == State::Streaming ? flight.expectedGap : flight.expectedFirst;
-    const bool suspected = throughSuspect(flight, now);
+    const std::optional<std::string> suspect = firstSuspect(flight, now);
     const bool idempotent = flight.request.route->idempotent();
-    if (suspected && pause >= m_settings.brokenPause + expected) {
+    if (suspect && pause >= m_settings.brokenPause + expected) {
+        noteStalled(flight, *suspect, now);
         flight.lastReason = "an engine of its path does not answer";
         if (changePath(id, flight, now, actions))
             return;
