A request that hangs its engines is found out

What callers saw: nothing of it yet. An engine that hangs under a request accepts what comes and answers nobody until somebody restarts it; the request goes on to the next one.

Cause: silence of an endpoint proves nothing to the instance that meets it, which may itself be cut off, so no run was ever held against an engine that is silent and not gone.

Change: the reader of an engine's own domain, which hears the engines beside it, says which are silent; runs that were given up there before count as if it had ended.

--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -107,6 +107,9 @@
     /// The process of \a endpoint is surely gone.
     void endpointEnded(const std::string &endpoint, Time now);
 
+    /// As of \a at \a endpoint answered nobody, as those say who hear all others beside it.
+    void endpointSilent(const std::string &endpoint, Time at);
+
     /// \a endpoint is no longer listed, which it may also be since it is cut off: only
     /// what it broke off itself tells that it ended.
     void endpointVanished(const std::string &endpoint, Time now);
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -149,6 +149,24 @@
     CHECK(world.harmless().heldBack == 0);
 }
 
+// Guards against engines that are silent and not gone, one after another.
+TEST_CASE("a request that hangs its engines is found out")
+{
+    CrashWorldSettings settings;
+    settings.crashKind = CrashKind::Hangs;
+    settings.restart = Duration(30'000'000);
+    settings.instances = GENERATE(6, 76, 295);
+    settings.crashingEvery = Duration(2'000'000);
+    settings.seed = GENERATE(range(1, 3));
+    CrashWorld world(settings);
+    world.run(seconds(25));
+    INFO(settings.instances << " instances, " << world.ends().size() << " ends");
+    const std::size_t tries = world.sendsAfterThirdEnd(KnownEverywhere);
+    CHECK(tries <= MostLateSends);
+    CHECK(world.ends().size() <= MostEnds + tries);
+    CHECK(world.harmless().heldBack == 0);
+}
+
 // Guards against copies that wait at engines while it becomes known what they do.
 TEST_CASE(
     "a request that comes at three instances at once is known as soon as one that comes alone")
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -115,6 +115,18 @@
     }
 }
 
+void Quarantine::endpointSilent(const std::string &endpoint, Time at)
+{
+    const auto on = m_onEndpoint.find(endpoint);
+    if (on == m_onEndpoint.end())
+        return;
+    for (const std::string &digest : on->second) {
+        Crash &crash = m_requests[digest][endpoint];
+        if (crash.stage == Stage::Doubtful && crash.at <= at)
+            crash = {at, Stage::Own, Sign::BrokenOff, true, {}};
+    }
+}
+
 void Quarantine::endpointVanished(const std::string &endpoint, Time now)
 {
     const auto on = m_onEndpoint.find(endpoint);
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -42,9 +42,13 @@
 
 void Relay::enginesSeen(const EngineReports &reports, Time now, RelayActions &actions)
 {
-    for (const EngineState &state : reports.changed)
-        if (m_fleet->find(state.id))
-            m_book.reported(state, now);
+    for (const EngineState &state : reports.changed) {
+        if (!m_fleet->find(state.id))
+            continue;
+        m_book.reported(state, now);
+        if (state.silent)
+            m_quarantine.endpointSilent(state.id, state.at);
+    }
     for (const FleetEndpoint &each : m_fleet->endpoints)
         if (const auto asOf = reports.asOf.find(each.domain); asOf != reports.asOf.end())
             m_book.stillSo(each.id, asOf->second, now);
