An engine that comes back during a gap is left to the holder of the lease first

Cause: the time for which an engine that holds nothing is left to the holder of the lease was counted from the gap, which is 3 s old when the engine is back. So both gave it layers in the same moment (9.34 and 9.37 s); the one was taken, the other refused, and the holder of the lease, which cannot know what the engine is going to hold, moved six others over the same gap (10.27 s).

Change: the time counts from when the engine is first seen beside a gap.

Test, seen to fail before: the engine was given layers at once.

--- a/src/include/balsamloft/gapfiller.h
+++ b/src/include/balsamloft/gapfiller.h
@@ -17,8 +17,8 @@
     /// How long a gap lasts before it is filled: less than any load takes, longer
     /// than the news of a load that has just ended.
     Duration grace {150'000};
-    /// How long an engine that holds nothing is left to whoever holds the lease,
-    /// who gives it layers at once.
+    /// How long an engine that holds nothing is left to whoever holds the lease, who
+    /// gives it layers at once; from when it is first seen so beside a gap.
     Duration emptyGrace {1'500'000};
     double leastEngineRoom = 0.06; ///< share of each engine's memory kept for requests
     double freeEngineRoom = 0.15; ///< the same for an engine that held nothing
@@ -77,7 +77,8 @@
     /// since would drop what it has just loaded. To be asked right before it is sent.
     static bool stillAdds(const LayerOrder &order, LayerRange held);
 
-    /// Whether additions to \a engines would close all gaps in \a layers layers.
+    /// Whether additions to \a engines that hold something would close all gaps in
+    /// \a layers layers.
     static bool closesAll(std::vector<Engine> engines, std::uint32_t layers);
 
 private:
@@ -87,11 +88,13 @@
     static LayerRange firstGap(const std::vector<Engine> &engines, std::uint32_t layers,
                                std::uint32_t from);
     static std::vector<LayerOrder> close(std::vector<Engine> &engines, LayerRange gap,
-                                         std::uint32_t layers, bool withEmpty);
+                                         std::uint32_t layers);
+    void noteEmpty(std::vector<Engine> &engines, Time now);
 
     GapFillerSettings m_settings;
     PendingOrders m_orders;
     std::map<std::string, Time, std::less<>> m_gapSince; ///< by service
+    std::map<std::string, Time, std::less<>> m_emptySince; ///< by endpoint, beside a gap
 };
 
 } // namespace balsamloft
--- a/src/libbalsamloft/gapfiller.cpp
+++ b/src/libbalsamloft/gapfiller.cpp
@@ -64,7 +64,7 @@
 /// Orders that close \a gap as a whole, with the fewest layers to load; none when
 /// additions cannot.
 std::vector<LayerOrder> GapFiller::close(std::vector<Engine> &engines, LayerRange gap,
-                                         std::uint32_t layers, bool withEmpty)
+                                         std::uint32_t layers)
 {
     const std::uint32_t size = gap.length();
     Engine *below = nullptr; // ends where the gap begins
@@ -100,7 +100,7 @@
             give(*below, {below->layers.begin, gap.begin + fromBelow}, GrowReason);
         if (fromBelow < size)
             give(*above, {gap.begin + fromBelow, above->layers.end}, GrowReason);
-    } else if (empty && withEmpty) {
+    } else if (empty) {
         // What it holds beyond the gap doubles the layers after it.
         const std::uint32_t count = std::min(layers, std::max(size, empty->beyondGap));
         const std::uint32_t begin = std::min(gap.begin, layers - count);
@@ -111,9 +111,11 @@
 
 bool GapFiller::closesAll(std::vector<Engine> engines, std::uint32_t layers)
 {
+    for (Engine &each : engines)
+        each.free = each.free && each.layers.length() > 0;
     for (LayerRange gap = firstGap(engines, layers, 0); gap.length() > 0;
          gap = firstGap(engines, layers, gap.end))
-        if (close(engines, gap, layers, false).empty())
+        if (close(engines, gap, layers).empty())
             return false;
     return true;
 }
@@ -123,6 +125,21 @@
     return held.length() == 0 || (order.layers.begin <= held.begin && order.layers.end >= held.end);
 }
 
+/// Engines that have not held nothing for long enough are told nothing: two that give
+/// them layers at once know nothing of each other's orders, and one of them closes the
+/// same gap with engines that are needed elsewhere.
+void GapFiller::noteEmpty(std::vector<Engine> &engines, Time now)
+{
+    for (Engine &each : engines) {
+        if (each.layers.length() > 0) {
+            m_emptySince.erase(each.endpoint->id);
+            continue;
+        }
+        const auto [since, fresh] = m_emptySince.try_emplace(each.endpoint->id, now);
+        each.free = each.free && now - since->second >= m_settings.emptyGrace;
+    }
+}
+
 std::vector<LayerOrder> GapFiller::fill(const FleetSnapshot &fleet, const RoutedService &service,
                                         std::string_view domain,
                                         const std::set<std::string> &silent, Time now)
@@ -138,14 +155,16 @@
     LayerRange gap = firstGap(all, layers, 0);
     if (empty || gap.length() == 0) {
         m_gapSince.erase(service.name);
+        for (const Engine &each : all)
+            m_emptySince.erase(each.endpoint->id);
         return orders;
     }
+    noteEmpty(all, now);
     const auto [since, fresh] = m_gapSince.try_emplace(service.name, now);
     if (now - since->second < m_settings.grace)
         return orders;
-    const bool withEmpty = now - since->second >= m_settings.emptyGrace;
     for (; gap.length() > 0; gap = firstGap(all, layers, gap.end))
-        for (LayerOrder &order : close(all, gap, layers, withEmpty))
+        for (LayerOrder &order : close(all, gap, layers))
             orders.push_back(std::move(order));
     return orders;
 }
--- a/src/libbalsamloft/gapfiller_test.cpp
+++ b/src/libbalsamloft/gapfiller_test.cpp
@@ -236,3 +236,17 @@
     CHECK(orders[0].layers.length() >= 3);
     CHECK(orders[0].layers.length() <= 0.7 * domain.most());
 }
+
+// Guards against two who give an engine that came back layers in the same moment.
+TEST_CASE("an engine that comes back during a gap is left to the holder of the lease first")
+{
+    Domain domain(80);
+    domain.add("below", {0, domain.most()});
+    domain.add("above", {domain.most() + 3, 2 * domain.most() + 3});
+    domain.add("end", {2 * domain.most() + 3, 80});
+    GapFiller filler;
+    REQUIRE(domain.fill(filler, std::chrono::seconds(3)).empty());
+    domain.add("back", {});
+    CHECK(domain.fill(filler, milliseconds(500)).empty());
+    CHECK(domain.fill(filler, milliseconds(1100)).size() == 1);
+}
