Nobody is moved over a gap that an engine fills by another's order

Cause: an engine that holds nothing and refuses orders since it carries out another's looked like one that will hold nothing.

Test, seen to fail before: two engines were moved in the first five seconds.

--- a/src/include/balsamloft/layerplanner.h
+++ b/src/include/balsamloft/layerplanner.h
@@ -87,6 +87,7 @@
         std::size_t engines = 0;
         Time changedAt {};
         std::optional<Time> gapSince;
+        std::optional<Time> filledSince; ///< by others, with an engine that held nothing
         Time movedAt {};
     };
 
@@ -102,6 +103,7 @@
                        std::string_view reason, std::vector<LayerOrder> &orders);
     void placeFree(Group &group, const LayeredModel &model, std::vector<LayerOrder> &orders);
     bool additionsClose(const Group &group, const LayeredModel &model) const;
+    bool othersFill(const Group &group, Watch &watch, Time now) const;
     void mend(Group &group, const LayeredModel &model, Watch &watch, Time now,
               std::vector<LayerOrder> &orders);
     bool bestMove(Group &group, const LayeredModel &model, double leastGain,
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -367,6 +367,21 @@
     return GapFiller::closesAll(std::move(engines), model.layers);
 }
 
+/// Whether an engine that holds nothing carries out an order that was not given here.
+/// What it is to hold is not told; moved over its gap as well, other engines give up
+/// layers that are needed.
+bool LayerPlanner::othersFill(const Group &group, Watch &watch, Time now) const
+{
+    const bool fill =
+        std::any_of(group.engines.begin(), group.engines.end(),
+                    [](const Engine &each) { return !each.movable && each.layers.length() == 0; });
+    if (!fill)
+        watch.filledSince.reset();
+    else if (!watch.filledSince)
+        watch.filledSince = now;
+    return fill && now - *watch.filledSince < m_settings.replanAfter;
+}
+
 void LayerPlanner::mend(Group &group, const LayeredModel &model, Watch &watch, Time now,
                         std::vector<LayerOrder> &orders)
 {
@@ -374,8 +389,11 @@
         const std::vector<std::uint32_t> counts = copies(group, model);
         return counts.empty() ? 0 : *std::min_element(counts.begin(), counts.end());
     };
+    const bool filled = othersFill(group, watch, now);
     if (least() > 0) {
         watch.gapSince.reset();
+    } else if (filled) {
+        return;
     } else if (!watch.gapSince) {
         watch.gapSince = now;
     } else if (now - *watch.gapSince
--- a/src/libbalsamloft/layerplanner_test.cpp
+++ b/src/libbalsamloft/layerplanner_test.cpp
@@ -266,3 +266,17 @@
     CHECK(plan.at("middle-0").layers == held);
     CHECK(plan.narrowest() >= 0.9 * before);
 }
+
+// Guards against a gap that is closed twice, the second time by engines that are needed.
+TEST_CASE("nobody is moved over a gap that an engine fills by another's order")
+{
+    Plan plan = domainOfTwoLarge();
+    plan.at("large-0").layers = {};
+    plan.at("large-0").busy = true;
+    plan.at("large-0").id = "back";
+    const std::size_t before = plan.orders;
+    plan.run(std::chrono::seconds(5));
+    CHECK(plan.orders == before);
+    plan.run(std::chrono::seconds(5));
+    CHECK(plan.least() >= 1);
+}
