Streams that an engine in the middle passed on are not suspected of its end

Change: what an engine in the middle has passed an event of, it has run. What stalled is scattered like what was cut.

Test, seen to fail before: a stream that had passed events was held in doubt.

--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -363,7 +363,7 @@
     // Requests under which endpoints end
     void noteBrokenOff(Flight &flight, Time now, RelayActions &actions);
     void noteGivenUp(const Flight &flight, Time now);
-    void noteStalled(const Flight &flight, const std::string &endpoint, Time now);
+    void noteStalled(Flight &flight, const std::string &endpoint, Time now);
     void noteProgress(Flight &flight, Time now, RelayActions &actions);
     bool underSuspicion(const Flight &flight, Time now) const;
     bool awaitTrial(FlightId id, Flight &flight, Time now, RelayActions &actions);
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -280,6 +280,24 @@
     CHECK(world.relay.quarantine().crashes("bad", world.now) == 0);
 }
 
+// Guards against harmless streams that are suspected of all ends along their path.
+TEST_CASE("an engine in the middle that passed events of a stream on did not end under it")
+{
+    RelayWorld world({{"first", {0, 4}}, {"middle", {4, 8}}, {"other", {4, 8}}});
+    const FlightId flight = submitBad(world);
+    REQUIRE(world.sends(flight).back().path.size() == 2);
+    const std::string middle = world.sends(flight).back().path[1].endpoint;
+    REQUIRE(world.answer(flight, 200));
+    const bool passedOn = GENERATE(true, false);
+    if (passedOn)
+        world.events(flight, 1);
+    world.pass(seconds(1));
+    world.relay.reported("first", {world.addressOf(middle)}, 1, world.now, world.actions);
+    world.pass(milliseconds(100));
+    world.relay.reportFailed(middle, world.now, world.actions, true);
+    CHECK(world.relay.quarantine().crashes("bad", world.now) == (passedOn ? 0 : 1));
+}
+
 // Guards against a planned stop that is held against the requests that it cuts.
 TEST_CASE("an engine that leaves ends under nothing")
 {
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -30,13 +30,15 @@
 }
 
 /// An engine in the middle of the path breaks nothing off when it ends: the first one
-/// lives, and waits for it.
-void Relay::noteStalled(const Flight &flight, const std::string &endpoint, Time now)
+/// lives, and waits for it. One that passed an event on has run the request.
+void Relay::noteStalled(Flight &flight, const std::string &endpoint, Time now)
 {
     const FleetEndpoint *found = m_fleet->find(endpoint);
-    if (!flight.runsWell && !flight.request.digest.empty() && endpoint != flight.endpoint && found
-        && !found->draining)
-        m_quarantine.stalledAt(flight.request.digest, endpoint, now);
+    if (flight.runsWell || flight.firstEventAt || flight.request.digest.empty()
+        || endpoint == flight.endpoint || !found || found->draining)
+        return;
+    flight.cutEarly = true;
+    m_quarantine.stalledAt(flight.request.digest, endpoint, now);
 }
 
 /// Whether the flight may not be brought to another endpoint as if it were harmless.
