News of an engine's silence that are older than its answer shut it out no more

An engine's answer to an instance, or its reader's report, clear it; news of its silence from before, told on by another instance and up to some tenths of a second old, shut it out for four seconds all the same.

Test, seen to fail before: both ways of being heard again.

--- a/src/include/balsamloft/enginebook.h
+++ b/src/include/balsamloft/enginebook.h
@@ -57,6 +57,7 @@
     std::uint32_t streams = 0; ///< own requests on it
     double tokenLayers = 0; ///< KV memory that they need, in tokens times layers
     Time suspectUntil {};
+    Time heardAt {}; ///< it answered this instance last
     Time shortUntil {};
     std::uint32_t shortages = 0; ///< refusals in a row
     double pace = 1; ///< over 1: slower than its kind
@@ -101,8 +102,8 @@
     /// The endpoint did not answer or broke off.
     void suspect(const std::string &id, Time now);
 
-    /// The endpoint answered: it is alive.
-    void cleared(const std::string &id);
+    /// The endpoint answered this instance: it is alive.
+    void cleared(const std::string &id, Time now);
 
     /// The endpoint refused for want of room, or of a part that it gave up. One
     /// that goes on refusing is left alone for longer and longer: each refusal
--- a/src/libbalsamloft/enginebook.cpp
+++ b/src/libbalsamloft/enginebook.cpp
@@ -60,11 +60,13 @@
     belief(id).suspectUntil = now + m_settings.suspicion;
 }
 
-void EngineBook::cleared(const std::string &id)
+void EngineBook::cleared(const std::string &id, Time now)
 {
     const auto it = m_beliefs.find(id);
-    if (it != m_beliefs.end())
-        it->second.suspectUntil = Time {};
+    if (it == m_beliefs.end())
+        return;
+    it->second.suspectUntil = Time {};
+    it->second.heardAt = now;
 }
 
 void EngineBook::outOfRoom(const std::string &id, Time now)
@@ -176,11 +178,15 @@
 
 void EngineBook::reported(const EngineState &state, Time now)
 {
-    if (state.silent)
-        return suspect(state.id, now);
     EngineBelief &each = belief(state.id);
     if (state.at <= each.reportedAt)
         return;
+    if (state.silent) {
+        // News that was under way when the engine answered is older than the answer.
+        if (state.at > each.heardAt)
+            suspect(state.id, now);
+        return;
+    }
     paced(state.id, state.pace, now);
     each.reportedAt = state.at;
     each.validAt = std::max(each.validAt, state.at);
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -583,3 +583,28 @@
     world.pass(seconds(3));
     CHECK_FALSE(world.relay.book().load("e1", "near", world.now).reported);
 }
+
+// Guards against news of an engine's silence that arrive after it was heard again.
+TEST_CASE("late news of silence shut no engine out that has answered since")
+{
+    RelayWorld world({{"engine", {0, 8}}});
+    const Time silentAt = world.now;
+    world.pass(milliseconds(500));
+    EngineState state;
+    state.id = "engine";
+    const bool heardItself = GENERATE(true, false);
+    if (heardItself) {
+        world.answer(world.submit(RequestKind::Stream), 200);
+    } else {
+        state.at = world.now;
+        world.relay.enginesSeen({{state}, {}}, world.now, world.actions);
+    }
+    state.at = silentAt;
+    state.silent = true;
+    world.relay.enginesSeen({{state}, {}}, world.now, world.actions);
+    CHECK(world.relay.book().usable("engine", world.now));
+    world.pass(milliseconds(500));
+    state.at = world.now;
+    world.relay.enginesSeen({{state}, {}}, world.now, world.actions);
+    CHECK_FALSE(world.relay.book().usable("engine", world.now));
+}
