--- a/src/fakes/crashworld.cpp
+++ b/src/fakes/crashworld.cpp
@@ -271,6 +271,8 @@
 
 void CrashWorld::tell(const CrashNews &news)
 {
+    if (m_settings.storeAway)
+        return;
     for (const CrashRecord &each : news.added)
         m_told.push_back(each);
     for (const CrashRecord &each : news.removed)
@@ -301,12 +303,14 @@
 
 void CrashWorld::askTrial(std::size_t instance, const AskTrial &ask)
 {
-    const auto decision = m_permits[instance].ask(ask.request, *m_fleet, m_now);
     const auto answer = [this, instance, ask](const TrialAnswer &given) {
         step(instance, [&](Relay &relay, RelayActions &actions) {
             relay.trialAnswered(ask.flight, ask.request, given, m_now, actions);
         });
     };
+    if (m_settings.storeAway)
+        return after(Duration(1), [answer] { answer({.wait = std::chrono::seconds(2)}); });
+    const auto decision = m_permits[instance].ask(ask.request, *m_fleet, m_now);
     if (const auto *refused = std::get_if<TrialAnswer>(&decision))
         return after(Duration(1), [answer, given = *refused] { answer(given); });
     after(m_settings.storeTime,
--- a/src/fakes/crashworld.h
+++ b/src/fakes/crashworld.h
@@ -45,6 +45,7 @@
     Duration breakSpread {0};
     Duration newsLag {700'000}; ///< from one instance to all others
     Duration storeTime {5'000}; ///< of one transaction
+    bool storeAway = false; ///< instances learn nothing through it, and it permits no trials
     std::uint64_t seed = 1;
 };
 
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -180,6 +180,19 @@
     CHECK(world.harmless().heldBack == 0);
 }
 
+// Guards against a domain without the store, where each instance learns by its own ends alone.
+TEST_CASE("instances that cannot reach the store send a request that ends engines to few")
+{
+    CrashWorldSettings settings;
+    settings.storeAway = true;
+    settings.instances = GENERATE(6, 76, 295);
+    settings.crashingEvery = Duration(500'000);
+    CrashWorld world(settings);
+    world.run(seconds(40));
+    INFO(settings.instances << " instances, " << world.ends().size() << " ends");
+    CHECK(world.ends().size() <= MostEnds);
+}
+
 // Guards against single attempts, each at another instance, that add up nowhere.
 TEST_CASE("a request that may run once only and ends its engines is found out over its attempts")
 {
