--- a/src/include/balsamloft/gapfiller.h
+++ b/src/include/balsamloft/gapfiller.h
@@ -17,8 +17,8 @@
     /// How long a gap lasts before it is filled: less than any load takes, longer
     /// than the news of a load that has just ended.
     Duration grace {150'000};
-    /// How long an engine that holds nothing is left to whoever holds the lease, who
-    /// gives it layers at once; from when it is first seen so beside a gap.
+    /// How long an engine that holds nothing is left to whoever holds the lease, who gives
+    /// it layers at once. Counted from when it is first seen beside a gap.
     Duration emptyGrace {1'500'000};
     double leastEngineRoom = 0.06; ///< share of each engine's memory kept for requests
     double freeEngineRoom = 0.15; ///< the same for an engine that held nothing
--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -107,7 +107,8 @@
     /// The process of \a endpoint is surely gone.
     void endpointEnded(const std::string &endpoint, Time now);
 
-    /// As of \a at \a endpoint answered nobody, as those say who hear all others beside it.
+    /// \a endpoint answered nobody as of \a at, by the word of the reader of its domain,
+    /// which hears the endpoints beside it.
     void endpointSilent(const std::string &endpoint, Time at);
 
     /// \a endpoint is no longer listed, which it may also be since it is cut off: only
@@ -170,6 +171,7 @@
     Duration unsettledFor(const std::string &digest, Time now) const;
     Time lastEnd(const std::string &digest) const;
     bool cameThroughBefore(const std::string &digest, const Crashes &under) const;
+    void settle(const std::string &endpoint, Time endedAt, Time last);
     void clearDoubts(const std::string &endpoint, Time aliveAt, bool ofThoseCut);
     void doubt(const std::string &digest, const std::string &endpoint, Crash crash);
     bool counts(const Crash &crash, Time now) const;
--- a/src/libbalsamloft/gapfiller.cpp
+++ b/src/libbalsamloft/gapfiller.cpp
@@ -126,9 +126,9 @@
     return held.length() == 0 || (order.layers.begin <= held.begin && order.layers.end >= held.end);
 }
 
-/// Engines that have not held nothing for long enough are told nothing: two that give
-/// them layers at once know nothing of each other's orders, and one of them closes the
-/// same gap with engines that are needed elsewhere.
+/// An engine that has only just been seen without layers is told nothing. The holder of
+/// the lease sees it too; were both to give it layers, neither would know of the other's
+/// order, and one of them would close the gap again with engines that are needed elsewhere.
 void GapFiller::noteEmpty(std::vector<Engine> &engines, Time now)
 {
     for (Engine &each : engines) {
--- a/src/libbalsamloft/layerplanner.cpp
+++ b/src/libbalsamloft/layerplanner.cpp
@@ -131,15 +131,14 @@
         return cost;
     }
 
-    /// The range of the given numbers of layers at which \a engine adds most, within
-    /// \a bounds.
-    LayerRange best(const Engine &engine, std::uint32_t least, std::uint32_t most,
-                    LayerRange bounds) const
+    /// The range within \a bounds, of \a most layers at most, that saves most when \a engine
+    /// holds it too.
+    LayerRange best(const Engine &engine, std::uint32_t most, LayerRange bounds) const
     {
         LayerRange best;
         double bestChange = 0;
         std::vector<double> changes(m_model.layers + 1, 0); // of the layers before each
-        for (std::uint32_t count = std::max(1U, least); count <= most; ++count) {
+        for (std::uint32_t count = 1; count <= most; ++count) {
             const double streams = fits(engine, count);
             for (std::uint32_t layer = 0; layer < m_model.layers; ++layer)
                 changes[layer + 1] = changes[layer]
@@ -304,7 +303,7 @@
         const std::uint32_t most = each->most(model, m_settings.freeEngineRoom);
         if (most == 0)
             continue;
-        const LayerRange best = costs.best(*each, 1, most, {0, model.layers});
+        const LayerRange best = costs.best(*each, most, {0, model.layers});
         each->layers = best;
         costs.put(*each, best);
         orders.push_back(layerOrder(*each->endpoint, best, "an engine that holds nothing"));
@@ -342,7 +341,7 @@
             consider({begin, begin + usual});
         // Grown over a gap that others have closed since, it has little room for requests.
         if (held.length() > 1)
-            consider(costs.best(each, 1, held.length() - 1, held));
+            consider(costs.best(each, held.length() - 1, held));
         for (std::uint32_t more = 1; held.length() + more <= most; ++more) {
             if (held.begin >= more)
                 consider({held.begin - more, held.end});
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -103,28 +103,27 @@
     clearDoubts(endpoint, now, false);
 }
 
-void Quarantine::endpointEnded(const std::string &endpoint, Time now)
+/// What is in doubt there since \a last or before ended with the endpoint.
+void Quarantine::settle(const std::string &endpoint, Time endedAt, Time last)
 {
     const auto on = m_onEndpoint.find(endpoint);
     if (on == m_onEndpoint.end())
         return;
     for (const std::string &digest : on->second) {
         Crash &crash = m_requests[digest][endpoint];
-        if (crash.stage == Stage::Doubtful)
-            crash = {now, Stage::Own, Sign::BrokenOff, true, {}};
+        if (crash.stage == Stage::Doubtful && crash.at <= last)
+            crash = {endedAt, Stage::Own, Sign::BrokenOff, true, {}};
     }
 }
 
+void Quarantine::endpointEnded(const std::string &endpoint, Time now)
+{
+    settle(endpoint, now, Time::max());
+}
+
 void Quarantine::endpointSilent(const std::string &endpoint, Time at)
 {
-    const auto on = m_onEndpoint.find(endpoint);
-    if (on == m_onEndpoint.end())
-        return;
-    for (const std::string &digest : on->second) {
-        Crash &crash = m_requests[digest][endpoint];
-        if (crash.stage == Stage::Doubtful && crash.at <= at)
-            crash = {at, Stage::Own, Sign::BrokenOff, true, {}};
-    }
+    settle(endpoint, at, at);
 }
 
 void Quarantine::endpointVanished(const std::string &endpoint, Time now)
