--- a/testsuite/entry/entryharness.h
+++ b/testsuite/entry/entryharness.h
@@ -9,6 +9,10 @@
 #include "../common/wait.h"
 #include "rawserver.h"
 
+#include <boost/algorithm/string/replace.hpp>
+
+#include <map>
+
 namespace balsamloft::testsuite {
 
 /// Serves tables to the instance over HTTP in place of the platform's store. A test can change rows
@@ -45,6 +49,23 @@
 
     std::string address() const { return m_server.address(); }
 
+    /// Returns the address of a server that answers from the same tables with the texts \a
+    /// replaced, for example with other addresses of endpoints.
+    std::string addView(std::map<std::string, std::string> replaced)
+    {
+        m_views.push_back(std::make_unique<RawServer>(
+            [this, replaced = std::move(replaced)](const std::string &request) {
+                RawAnswer result = answer(request);
+                const std::size_t head = result.bytes.find("\r\n\r\n") + 4;
+                std::string body = result.bytes.substr(head);
+                for (const auto &[from, to] : replaced)
+                    boost::replace_all(body, from, to);
+                const int status = std::stoi(result.bytes.substr(9, 3));
+                return reply(status, body);
+            }));
+        return m_views.back()->address();
+    }
+
 private:
     RawAnswer answer(const std::string &request)
     {
@@ -93,6 +114,7 @@
     std::mutex m_mutex;
     FeedTables m_tables;
     RawServer m_server {[this](const std::string &request) { return answer(request); }};
+    std::vector<std::unique_ptr<RawServer>> m_views;
 };
 
 inline std::string headerOf(const std::string &request, const std::string &name)
--- a/testsuite/soak/link.cpp
+++ b/testsuite/soak/link.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <utility>
 
 namespace asio = boost::asio;
 
@@ -32,13 +33,39 @@
     : m_context(context)
     , m_target(endpointOf(target))
     , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , m_address(m_acceptor.local_endpoint())
 {
     asio::co_spawn(context, accept(), asio::detached);
 }
 
 std::string Link::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_address.port());
+}
+
+void Link::listen(int backlog)
+{
+    m_acceptor.close();
+    m_acceptor.open(m_address.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(m_address);
+    m_acceptor.listen(backlog);
+}
+
+void Link::cut(CutManner manner)
+{
+    m_cut = true;
+    if (manner == CutManner::Silence) {
+        // The kernel drops the packets of new connections while the queue is full.
+        silenceOpen();
+        listen(0);
+        m_queueFiller.emplace(m_context);
+        m_queueFiller->connect(m_address);
+        return;
+    }
+    m_acceptor.close();
+    if (manner == CutManner::Reset)
+        resetOpen();
 }
 
 awaitable<void> Link::accept()
@@ -115,6 +142,11 @@
 
 void Link::heal()
 {
+    if (std::exchange(m_cut, false)) {
+        listen(asio::socket_base::max_listen_connections);
+        m_queueFiller.reset();
+        asio::co_spawn(m_context, accept(), asio::detached);
+    }
     m_delay = Milliseconds(0);
     m_dropAnswers = false;
     m_refuse = false;
--- a/testsuite/soak/link.h
+++ b/testsuite/soak/link.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -24,6 +25,13 @@
 /// Converts "IP:port" to a TCP endpoint.
 tcp::endpoint endpointOf(const std::string &address);
 
+/// How a link that is cut treats connections.
+enum class CutManner {
+    Refuse, ///< refuses new connections; open ones live on
+    Reset, ///< refuses new connections and resets open ones
+    Silence, ///< does not answer, neither on open connections nor to new ones
+};
+
 /// Forwards connections to a target.
 class Link
 {
@@ -44,6 +52,7 @@
     /// Stops forwarding on all open connections without closing them.
     void silenceOpen();
     void resetOpen();
+    void cut(CutManner manner);
     /// Ends all faults. Silent connections stay silent.
     void heal();
 
@@ -62,6 +71,7 @@
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
+    void listen(int backlog);
     awaitable<void> accept();
     awaitable<void> serve(ConnectionPtr connection);
     awaitable<void> pump(ConnectionPtr connection, bool toCaller);
@@ -69,6 +79,9 @@
     boost::asio::io_context &m_context;
     tcp::endpoint m_target;
     tcp::acceptor m_acceptor;
+    tcp::endpoint m_address;
+    std::optional<tcp::socket> m_queueFiller; ///< fills the queue of new connections while silent
+    bool m_cut = false;
     std::set<ConnectionPtr> m_open;
     Milliseconds m_delay {0};
     bool m_dropAnswers = false;
--- /dev/null
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -0,0 +1,182 @@
+// Tests of instances whose own links to the endpoints are broken, while other instances reach them.
+
+#include "../entry/entryharness.h"
+#include "../soak/link.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace asio = boost::asio;
+
+using namespace balsamloft::testsuite;
+using balsamloft::soak::CutManner;
+using balsamloft::soak::Link;
+
+namespace {
+
+constexpr std::string_view Configuration =
+    R"({"version":1,"keys":{},"services":[{"name":"plain"},{"name":"model","layers":4}],"routes":[
+       {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"},
+       {"name":"unsafe","host":"h","prefix":"/unsafe/","kind":"unsafe","attempts":1,"service":"plain"},
+       {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","service":"model"}]})";
+
+std::string answerOf(const std::string &request)
+{
+    return request.starts_with("GET /state") ? okAnswer(request, R"({"layers":[0,4],"orders":1})")
+           : request.starts_with("POST /stream")
+               ? streamHead(request) + chunk(event(1)) + "0\r\n\r\n"
+               : okAnswer(request, "done");
+}
+
+/// Several instances, each in a domain of its own and with links of its own to all endpoints.
+class Site
+{
+public:
+    explicit Site(std::size_t instances)
+        : m_thread([this] { m_context.run(); })
+    {
+        m_store.put("configuration", "current", std::string(Configuration));
+        for (const std::string id : {"e1", "e2", "m1", "m2"})
+            addEndpoint(id);
+        for (std::size_t i = 0; i < instances; ++i)
+            startInstance(i);
+        for (std::size_t i = 0; i < instances; ++i)
+            waitUntil([&] { return serves(i, "/stream/x") && serves(i, "/safe/x"); });
+    }
+
+    ~Site()
+    {
+        for (auto &each : m_instances)
+            each.process.reset();
+        m_work.reset();
+        m_context.stop();
+        m_thread.join();
+    }
+
+    /// Calls \a change for each link of an instance, on the thread of the links.
+    void changeLinks(std::size_t instance, const std::function<void(Link &)> &change)
+    {
+        std::promise<void> done;
+        asio::post(m_context, [&] {
+            for (const auto &link : m_instances[instance].links)
+                change(*link);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    void cut(std::size_t instance, CutManner manner)
+    {
+        changeLinks(instance, [manner](Link &link) { link.cut(manner); });
+    }
+
+    void heal(std::size_t instance)
+    {
+        changeLinks(instance, [](Link &link) { link.heal(); });
+    }
+
+    std::string post(std::size_t instance, const std::string &path)
+    {
+        const std::string id = "r" + std::to_string(++m_requests);
+        return exchange(m_instances[instance].callers,
+                        "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
+                            + "\r\nDeadline-Ms: 5000\r\nTokens: 10,10\r\n"
+                              "Content-Length: 2\r\n\r\nhi",
+                        completeAnswer);
+    }
+
+    bool serves(std::size_t instance, const std::string &path)
+    {
+        const std::string answer = post(instance, path);
+        return answer.starts_with("HTTP/1.1 200") && completeAnswer(answer);
+    }
+
+    /// How many of \a count requests, each tried once, are served.
+    int served(std::size_t instance, const std::string &path, int count)
+    {
+        int result = 0;
+        for (int i = 0; i < count; ++i)
+            result += serves(instance, path) ? 1 : 0;
+        return result;
+    }
+
+    Process &process(std::size_t instance) { return *m_instances[instance].process; }
+
+    /// How often endpoints received a request to \a target.
+    std::size_t received(const std::string &target) const
+    {
+        std::size_t count = 0;
+        for (const auto &each : m_endpoints)
+            for (const std::string &request : each->requests())
+                count += request.starts_with(target) ? 1 : 0;
+        return count;
+    }
+
+private:
+    struct Instance
+    {
+        std::string callers;
+        std::vector<std::unique_ptr<Link>> links;
+        std::unique_ptr<Process> process;
+    };
+
+    void addEndpoint(const std::string &id)
+    {
+        m_endpoints.push_back(std::make_unique<RawServer>(
+            [](const std::string &request) { return RawAnswer {answerOf(request)}; }));
+        const bool model = id[0] == 'm';
+        m_store.put("endpoints", id,
+                    R"({"service":")" + std::string(model ? "model" : "plain") + R"(","address":")"
+                        + m_endpoints.back()->address() + R"(","domain":"d0","kind":"card")"
+                        + (model ? R"(,"layers":[0,4]})" : "}"));
+    }
+
+    void startInstance(std::size_t number)
+    {
+        Instance &instance = m_instances.emplace_back();
+        instance.callers = freeAddress();
+        std::map<std::string, std::string> addresses;
+        for (const auto &each : m_endpoints) {
+            instance.links.push_back(std::make_unique<Link>(m_context, each->address()));
+            addresses[each->address()] = instance.links.back()->address();
+        }
+        instance.process = std::make_unique<Process>(
+            "balsamloft-entry-standin",
+            std::vector<std::string> {
+                "--name=entry-" + std::to_string(number), "--domain=d" + std::to_string(number),
+                "--listen=" + instance.callers, "--ready_listen=" + freeAddress(),
+                "--peer_listen=" + freeAddress(),
+                "--store=" + m_store.addView(std::move(addresses)), "--grace_s=4", "--log_all"});
+    }
+
+    FakeStore m_store;
+    asio::io_context m_context;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work {m_context.get_executor()};
+    std::thread m_thread;
+    std::vector<std::unique_ptr<RawServer>> m_endpoints;
+    std::vector<Instance> m_instances;
+    int m_requests = 0;
+};
+
+} // namespace
+
+TEST_CASE("an instance without links to the endpoints serves its callers", "[process]")
+{
+    const CutManner manner = GENERATE(CutManner::Refuse, CutManner::Reset, CutManner::Silence);
+    Site site(2);
+    site.cut(0, manner);
+    constexpr int Tries = 6;
+    for (const std::string path : {"/safe/x", "/unsafe/x", "/stream/x"}) {
+        INFO(path << " manner " << static_cast<int>(manner));
+        // The first requests may be spent on finding out that the links are broken.
+        for (int i = 0; i < Tries && !site.serves(0, path); ++i)
+            continue;
+        // Two thirds of what the other instance serves is the least that callers are promised.
+        CHECK(site.served(0, path, Tries) * 3 >= site.served(1, path, Tries) * 2);
+    }
+}
