An instance whose own links are broken reaches the endpoints through another one

Cause: an instance took each connection that failed for the fault of the endpoint.

Ruled out: readiness alone (where most of a domain is cut all its instances are used, and open connections stay); the crash records as the cause (0 requests held back).

Change: EndpointLinks decides how a connection is opened. If the direct one fails, or takes 40 ms, up to three other instances are asked to open it (ConnectionForwarder: CONNECT with the endpoint's id; the bytes of the endpoint come back in chunks, so that a forwarder that dies does not complete an answer). What another instance reaches is alive: the link is broken, nothing is suspected or published, and connections are forwarded until a direct one opens again, which is tried each 0.5 s. All decisions on requests stay where they were; queries, polls and orders take the same way.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr Duration ConnectTimeout {200'000};
 constexpr Duration MinIdleBeforeClose {400'000}; ///< before a planned stop closes a connection
 constexpr std::size_t MaxReadAhead = 64 * 1024;
 
@@ -253,11 +252,8 @@
 void CallerSession::tick(Time now)
 {
     const auto self = shared_from_this();
-    if (m_exchange && m_exchange->connectingSince()
-        && now - *m_exchange->connectingSince() >= ConnectTimeout) {
-        const auto exchange = m_exchange;
-        exchange->connectTimedOut();
-    }
+    if (const auto exchange = m_exchange)
+        exchange->tick(now);
     if (m_flight || m_writing || m_closed)
         return;
     const RouteMapPtr &table = m_server.table();
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -38,6 +38,15 @@
     /// Closes the connection if it has no request in progress and has been idle for a short time.
     void closeIfIdle(Time now);
     void close();
+
+    /// Number of the current attempt, if it uses a direct connection to \a endpoint that was opened
+    /// before \a time.
+    std::optional<std::uint32_t> directAttemptAt(std::string_view endpoint, Time time) const
+    {
+        const bool direct = m_exchange && !m_exchange->isConnecting() && !m_exchange->isForwarded()
+                            && m_sentAt < time;
+        return direct && m_firstEndpoint == endpoint ? std::optional(m_attempt) : std::nullopt;
+    }
     bool idle() const { return !m_flight && m_unread.empty() && !m_writing; }
 
 private:
--- /dev/null
+++ b/src/entry/connectionforwarder.cpp
@@ -0,0 +1,292 @@
+#include "connectionforwarder.h"
+
+#include "clock.h"
+#include "sockets.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace balsamloft {
+
+namespace {
+
+constexpr std::size_t MaxConnections = 600;
+constexpr Duration ConnectTimeout {100'000};
+/// Longer without a tick means that the process was paused.
+constexpr Duration MaxTickInterval {1'500'000};
+/// An answer without data for this long is considered finished.
+constexpr Duration AnswerPause {2'000'000};
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+std::string answerText(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + (status == forwarding::Opened ? " OK" : " No")
+           + (status == forwarding::Opened ? "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                           : "\r\nContent-Length: 0\r\n\r\n");
+}
+
+std::string chunkHead(std::size_t size)
+{
+    std::array<char, 16> text {};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), size, 16).ptr;
+    return std::string(text.data(), end) + "\r\n";
+}
+
+} // namespace
+
+std::string forwardingRequest(const std::string &endpoint)
+{
+    return "CONNECT " + endpoint + " HTTP/1.1\r\nHost: " + endpoint + "\r\n\r\n";
+}
+
+/// The connection of another instance and the one to the endpoint.
+class ConnectionForwarder::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(ConnectionForwarder &forwarder, tcp::socket instance)
+        : m_forwarder(forwarder)
+        , m_instance(std::move(instance))
+        , m_endpoint(forwarder.m_context)
+        , m_timer(forwarder.m_context)
+    {
+    }
+
+    void start()
+    {
+        setSocketOptions(m_instance);
+        readRequest();
+    }
+
+    void close(bool orderly)
+    {
+        error_code ignored;
+        // A reset, in place of an orderly close, tells the instance that the answer is truncated.
+        if (!orderly)
+            m_instance.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_instance.close(ignored);
+        m_endpoint.close(ignored);
+        m_timer.cancel();
+        m_forwarder.m_connections.erase(shared_from_this());
+    }
+
+    bool isUnfinished(Time now) const
+    {
+        return m_awaitsAnswer || (m_answeredAt != Time {} && now - m_answeredAt < AnswerPause);
+    }
+
+private:
+    using Handler = void (Connection::*)(const error_code &, std::size_t);
+
+    /// Wraps \a handler so that it keeps this object alive.
+    auto bind(Handler handler)
+    {
+        return [self = shared_from_this(), handler](const error_code &error, std::size_t count) {
+            (*self.*handler)(error, count);
+        };
+    }
+
+    void readRequest()
+    {
+        m_instance.async_read_some(asio::buffer(m_toEndpoint), bind(&Connection::requestRead));
+    }
+
+    void requestRead(const error_code &error, std::size_t count)
+    {
+        if (error)
+            return close(false);
+        m_unread.append(m_toEndpoint.data(), count);
+        m_unread.erase(0, m_request.consume(m_unread));
+        if (m_request.failure() != MessageReader::Failure::None)
+            return close(false);
+        if (!m_request.headDone())
+            return readRequest();
+        connect();
+    }
+
+    void connect()
+    {
+        m_id = m_request.head().target;
+        const FleetEndpoint *endpoint =
+            m_forwarder.m_fleet ? m_forwarder.m_fleet->find(m_id) : nullptr;
+        const auto address = endpoint ? parseTcpEndpoint(endpoint->address) : std::nullopt;
+        if (m_request.head().method != "CONNECT" || !address)
+            return refuse(forwarding::NotListed);
+        if (m_forwarder.m_stopping || m_forwarder.m_connections.size() > MaxConnections
+            || endpoint->draining)
+            return refuse(forwarding::Unavailable);
+        if (m_forwarder.m_links.isBroken(m_id))
+            return refuse(forwarding::TimedOut);
+        m_timer.expires_after(ConnectTimeout);
+        m_timer.async_wait([self = shared_from_this()](const error_code &stopped) {
+            error_code ignored;
+            if (!stopped)
+                self->m_endpoint.close(ignored);
+        });
+        m_endpoint.async_connect(*address, [self = shared_from_this()](const error_code &error) {
+            self->connected(error);
+        });
+    }
+
+    void connected(const error_code &error)
+    {
+        m_timer.cancel();
+        const Time now = steadyNow();
+        if (error) {
+            const bool refused = error == asio::error::connection_refused;
+            m_forwarder.m_links.recordDirectFailure(
+                m_id, refused ? ConnectFailure::Refused : ConnectFailure::TimedOut, now);
+            return refuse(refused ? forwarding::NotReached : forwarding::TimedOut);
+        }
+        m_forwarder.m_links.recordDirectSuccess(m_id, now);
+        m_forwarder.m_opened += 1;
+        setSocketOptions(m_endpoint);
+        m_text = answerText(forwarding::Opened);
+        asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
+        if (m_unread.empty())
+            return readFromInstance();
+        m_awaitsAnswer = true;
+        asio::async_write(m_endpoint, asio::buffer(m_unread), bind(&Connection::writtenToEndpoint));
+    }
+
+    void refuse(int status)
+    {
+        m_text = answerText(status);
+        asio::async_write(
+            m_instance, asio::buffer(m_text),
+            [self = shared_from_this()](const error_code &, std::size_t) { self->close(true); });
+    }
+
+    void answerWritten(const error_code &error, std::size_t /*count*/)
+    {
+        error ? close(false) : readFromEndpoint();
+    }
+
+    // From the instance to the endpoint
+
+    void readFromInstance()
+    {
+        m_instance.async_read_some(asio::buffer(m_toEndpoint), bind(&Connection::readInstance));
+    }
+
+    void readInstance(const error_code &error, std::size_t count)
+    {
+        if (error)
+            return close(false);
+        if (m_forwarder.wasPaused())
+            return m_forwarder.closeAll();
+        m_awaitsAnswer = true;
+        asio::async_write(m_endpoint, asio::buffer(m_toEndpoint.data(), count),
+                          bind(&Connection::writtenToEndpoint));
+    }
+
+    void writtenToEndpoint(const error_code &error, std::size_t /*count*/)
+    {
+        // The endpoint may have answered before it closed, so its answer is still read.
+        if (!error)
+            readFromInstance();
+    }
+
+    // From the endpoint to the instance
+
+    void readFromEndpoint()
+    {
+        m_endpoint.async_read_some(asio::buffer(m_toInstance), bind(&Connection::readEndpoint));
+    }
+
+    void readEndpoint(const error_code &error, std::size_t count)
+    {
+        if (error == asio::error::eof) {
+            m_text = LastChunk;
+            asio::async_write(m_instance, asio::buffer(m_text),
+                              [self = shared_from_this()](const error_code &failed, std::size_t) {
+                                  self->close(!failed);
+                              });
+            return;
+        }
+        if (error)
+            return close(false);
+        m_awaitsAnswer = false;
+        m_answeredAt = steadyNow();
+        m_text = chunkHead(count);
+        m_text.append(m_toInstance.data(), count).append("\r\n");
+        asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
+    }
+
+    ConnectionForwarder &m_forwarder;
+    tcp::socket m_instance;
+    tcp::socket m_endpoint;
+    asio::steady_timer m_timer;
+    MessageReader m_request {MessageReader::Kind::Request, {}};
+    std::string m_id; ///< of the endpoint
+    std::string m_unread; ///< bytes for the endpoint that followed the request
+    std::string m_text; ///< being written to the instance
+    std::array<char, 8192> m_toEndpoint {};
+    std::array<char, 8192> m_toInstance {};
+    bool m_awaitsAnswer = false; ///< the last bytes came from the instance
+    Time m_answeredAt {}; ///< when the endpoint last sent bytes
+};
+
+ConnectionForwarder::ConnectionForwarder(asio::io_context &context, EndpointLinks &links)
+    : m_context(context)
+    , m_links(links)
+    , m_acceptor(context)
+{
+}
+
+ConnectionForwarder::~ConnectionForwarder() = default;
+
+bool ConnectionForwarder::listen(const std::string &address, Reason &reason)
+{
+    if (!listenAt(m_acceptor, address, reason))
+        return false;
+    m_tickedAt = bootNow();
+    accept();
+    return true;
+}
+
+void ConnectionForwarder::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error) {
+            auto connection = std::make_shared<Connection>(*this, std::move(socket));
+            m_connections.insert(connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+bool ConnectionForwarder::wasPaused() const
+{
+    return bootNow() - m_tickedAt > MaxTickInterval;
+}
+
+void ConnectionForwarder::tick(Time now)
+{
+    if (wasPaused())
+        closeAll();
+    m_tickedAt = now;
+}
+
+void ConnectionForwarder::closeAll()
+{
+    for (const auto &each : std::set<std::shared_ptr<Connection>>(m_connections))
+        each->close(false);
+}
+
+bool ConnectionForwarder::hasUnfinished(Time now) const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [now](const auto &each) { return each->isUnfinished(now); });
+}
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/entry/connectionforwarder.h
@@ -0,0 +1,82 @@
+/// \file
+/// Opens connections to endpoints on behalf of other instances, whose own links to them are broken.
+
+#pragma once
+
+#include "httpmessage.h"
+
+#include <balsamloft/endpointlinks.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <set>
+
+namespace balsamloft {
+
+/// Status codes with which a ConnectionForwarder answers a request to connect.
+namespace forwarding {
+inline constexpr int Opened = 200;
+inline constexpr int NotListed = 404; ///< the endpoint is not in this instance's list
+inline constexpr int NotReached = 502; ///< the endpoint refuses connections
+inline constexpr int Unavailable = 503; ///< this instance stops, or forwards too many connections
+inline constexpr int TimedOut = 504; ///< the endpoint does not answer
+} // namespace forwarding
+
+/// Formats the request to open a connection to \a endpoint.
+std::string forwardingRequest(const std::string &endpoint);
+
+/// Listens for other instances. An instance requests a connection with `CONNECT endpoint-id`. Once
+/// it is open, all bytes that follow the request go to the endpoint unchanged. The bytes of the
+/// endpoint come back as the chunks of the answer's body. Its last chunk tells that the endpoint
+/// closed the connection in an orderly way: if the forwarding process is killed or the endpoint
+/// resets the connection, the last chunk is missing, so a truncated answer does not look complete.
+///
+/// Only listed endpoints that are not leaving are connected, and only directly, so that connections
+/// can't be forwarded in a loop.
+class ConnectionForwarder
+{
+public:
+    ConnectionForwarder(boost::asio::io_context &context, EndpointLinks &links);
+    ~ConnectionForwarder();
+
+    /// \return whether listening succeeded; otherwise \a reason is set.
+    bool listen(const std::string &address, Reason &reason);
+
+    // Commands
+
+    void setFleet(FleetPtr fleet) { m_fleet = std::move(fleet); }
+
+    /// To be called regularly. After a pause of the process, closes all connections: the requests
+    /// that wait in their buffers are outdated.
+    void tick(Time now);
+
+    /// Forwards no further connections; open ones are kept.
+    void stop() { m_stopping = true; }
+
+    // Queries
+
+    /// Whether a forwarded connection awaits an answer, or is in the middle of one.
+    bool hasUnfinished(Time now) const;
+    std::size_t open() const { return m_connections.size(); }
+    std::uint64_t opened() const { return m_opened; }
+
+private:
+    class Connection;
+
+    void accept();
+    bool wasPaused() const;
+    void closeAll();
+
+    boost::asio::io_context &m_context;
+    EndpointLinks &m_links;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    FleetPtr m_fleet;
+    std::set<std::shared_ptr<Connection>> m_connections;
+    std::uint64_t m_opened = 0;
+    Time m_tickedAt {}; ///< bootNow()
+    bool m_stopping = false;
+};
+
+} // namespace balsamloft
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include "connectionpool.h"
 
 #include "clock.h"
+#include "connector.h"
 #include "sockets.h"
 
 #include <boost/asio/post.hpp>
@@ -33,6 +34,23 @@
 
 } // namespace
 
+void PooledConnection::received(std::size_t count)
+{
+    if (!channel) {
+        unread.append(buffer.data(), count);
+        return;
+    }
+    undecoded.append(buffer.data(), count);
+    while (!undecoded.empty() && !channel->done()
+           && channel->failure() == MessageReader::Failure::None) {
+        const std::size_t consumed = channel->consume(undecoded);
+        if (consumed == 0)
+            break;
+        undecoded.erase(0, consumed);
+    }
+    unread += std::exchange(channel->body(), {});
+}
+
 ConnectionPool::ConnectionPool(asio::io_context &context)
     : m_context(context)
 {
@@ -41,16 +59,29 @@
 PooledConnectionPtr ConnectionPool::take(const std::string &endpoint, Time now)
 {
     const auto it = m_idle.find(endpoint);
+    // A new connection is needed from time to time to find out that a broken link works again.
+    if (m_links && m_links->isBroken(endpoint) && m_links->shouldTryDirect(endpoint, now))
+        return nullptr;
     while (it != m_idle.end() && !it->second.empty()) {
         PooledConnectionPtr connection = std::move(it->second.back());
         it->second.pop_back();
-        if (now - connection->idleSince < connection->idleTimeout
-            && isIdleConnection(connection->socket))
+        if (mayReuse(*connection, now))
             return connection;
     }
     return nullptr;
 }
 
+bool ConnectionPool::mayReuse(PooledConnection &connection, Time now) const
+{
+    // While a link is broken, direct connections over it may be dead without an error. Once it
+    // works, forwarded ones cost needless time.
+    const bool direct = connection.forwardedBy.empty();
+    if (m_links && direct != m_links->mayReuseDirect(connection.endpoint, now))
+        return false;
+    return now - connection.idleSince < connection.idleTimeout && !connection.isEnded()
+           && isIdleConnection(connection.socket);
+}
+
 void ConnectionPool::put(PooledConnectionPtr connection, Time now)
 {
     auto &idle = m_idle[connection->endpoint];
@@ -94,32 +125,34 @@
         asio::post(m_pool.context(), [self = shared_from_this()] { self->send(); });
         return;
     }
-    m_connectingSince = now;
-    connect();
+    connect(now);
 }
 
-void Exchange::connect()
+void Exchange::connect(Time now)
 {
-    const auto address = parseTcpEndpoint(m_settings.address);
-    if (!address) {
-        asio::post(m_pool.context(),
-                   [self = shared_from_this()] { self->fail(AttemptFailure::NotSent); });
-        return;
+    m_connector =
+        std::make_shared<Connector>(m_pool, m_settings.endpoint, m_settings.address,
+                                    [self = shared_from_this()](PooledConnectionPtr connection) {
+                                        self->connected(std::move(connection));
+                                    });
+    m_connector->start(now);
+}
+
+void Exchange::connected(PooledConnectionPtr connection)
+{
+    const auto connector = std::exchange(m_connector, nullptr);
+    if (!connection) {
+        m_connectionRefused = connector->isRefused(steadyNow());
+        return fail(AttemptFailure::NotSent);
     }
-    m_connection = std::make_unique<PooledConnection>(m_pool.context());
-    m_connection->endpoint = m_settings.endpoint;
-    m_pool.opened += 1;
-    m_connection->socket.async_connect(
-        *address, [self = shared_from_this()](const boost::system::error_code &error) {
-            if (!self->m_handler)
-                return;
-            self->m_connectionRefused = error == asio::error::connection_refused;
-            if (error)
-                return self->fail(AttemptFailure::NotSent);
-            self->m_connectingSince.reset();
-            setSocketOptions(self->m_connection->socket);
-            self->send();
-        });
+    m_connection = std::move(connection);
+    send();
+}
+
+void Exchange::tick(Time now)
+{
+    if (const auto connector = m_connector)
+        connector->tick(now);
 }
 
 void Exchange::send()
@@ -128,6 +161,7 @@
         return;
     if (!m_handler->maySend())
         return;
+    m_forwarded = !m_connection->forwardedBy.empty();
     m_mayHaveSent = true;
     m_pool.writes += 1;
     asio::async_write(m_connection->socket, asio::buffer(m_request),
@@ -158,15 +192,16 @@
     if (!m_handler)
         return;
     m_pool.reads += 1;
-    if (count > 0)
-        m_connection->unread.append(m_connection->buffer.data(), count);
-    if (error) {
+    m_connection->received(count);
+    const bool forwarded = m_connection->channel.has_value();
+    const bool ended = forwarded ? m_connection->isEnded() : error == asio::error::eof;
+    if (error || ended) {
         process();
         if (!m_handler)
             return;
         // Only an orderly close completes an answer without a length. After a reset, the answer may
         // be truncated.
-        if (error == asio::error::eof)
+        if (ended)
             m_reader->connectionClosed();
         if (m_reader->done() && !m_skipsAnswer)
             return complete();
@@ -182,6 +217,8 @@
 bool Exchange::processHead()
 {
     MessageHead &head = m_reader->head();
+    if (m_pool.links() && !m_forwarded)
+        m_pool.links()->recordDirectData(steadyNow());
     const auto echoed = head.find(m_settings.requestIdName);
     const bool interim = head.status >= 100 && head.status < 200;
     m_skipsAnswer =
@@ -235,7 +272,7 @@
     // next request as the rest of this request.
     const bool reusable = m_connection->unread.empty() && m_requestWritten && m_reader->keepAlive();
     PooledConnectionPtr connection = std::move(m_connection);
-    if (reusable && connection->socket.is_open())
+    if (reusable && connection->socket.is_open() && !connection->isEnded())
         m_pool.put(std::move(connection), steadyNow());
     handler->answerReceived(*m_reader);
 }
@@ -246,18 +283,20 @@
     if (!handler)
         return;
     const auto self = shared_from_this();
-    m_connectingSince.reset();
-    if (m_connection) {
-        boost::system::error_code ignored;
-        m_connection->socket.close(ignored);
-    }
+    closeConnection();
     handler->exchangeFailed(m_mayHaveSent ? failure : AttemptFailure::NotSent);
 }
 
 void Exchange::cancel()
 {
     m_handler = nullptr;
-    m_connectingSince.reset();
+    closeConnection();
+}
+
+void Exchange::closeConnection()
+{
+    if (const auto connector = std::exchange(m_connector, nullptr))
+        connector->cancel();
     if (m_connection) {
         boost::system::error_code ignored;
         m_connection->socket.close(ignored);
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -5,6 +5,7 @@
 
 #include "httpmessage.h"
 
+#include <balsamloft/endpointlinks.h>
 #include <balsamloft/relay.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -24,10 +25,20 @@
     {
     }
 
+    /// Handles \a count bytes in `buffer`: appends those of the called process to `unread`.
+    void received(std::size_t count);
+
+    /// Whether the called process closed a forwarded connection in an orderly way.
+    bool isEnded() const { return channel && channel->done(); }
+
     boost::asio::ip::tcp::socket socket;
     std::string endpoint; ///< id
     std::string unread; ///< received and not yet parsed
     std::array<char, 8192> buffer {};
+    std::string forwardedBy; ///< name of the instance that forwards the connection; empty: none
+    /// Answer of the forwarding instance, whose body are the bytes of the called process.
+    std::optional<MessageReader> channel;
+    std::string undecoded; ///< received and not yet parsed by `channel`
     Time idleSince {};
     /// Maximum idle time before reuse: the endpoint's keep-alive time less a margin.
     Duration idleTimeout {4'000'000};
@@ -49,12 +60,22 @@
     /// Closes connections that exceeded their idle timeout or whose endpoint is not in \a fleet.
     void prune(const FleetSnapshot &fleet, Time now);
     boost::asio::io_context &context() { return m_context; }
-    std::uint64_t opened = 0; ///< number of connections opened
+
+    /// Lets \a links decide how connections are opened. Without it, all are direct.
+    void useLinks(EndpointLinks &links) { m_links = &links; }
+    EndpointLinks *links() { return m_links; }
+    std::uint64_t opened = 0; ///< number of connections opened, including failed ones
+    std::uint64_t refused = 0; ///< number of direct connections that were refused
+    std::uint64_t timedOut = 0; ///< number of direct connections that were not opened in time
+    std::uint64_t forwarded = 0; ///< number of connections that another instance forwards
     std::uint64_t reads = 0; ///< number of completed reads
     std::uint64_t writes = 0; ///< number of writes
 
 private:
+    bool mayReuse(PooledConnection &connection, Time now) const;
+
     boost::asio::io_context &m_context;
+    EndpointLinks *m_links = nullptr;
     std::map<std::string, std::vector<PooledConnectionPtr>> m_idle;
 };
 
@@ -88,6 +109,8 @@
     std::string requestId; ///< empty: not checked
 };
 
+class Connector;
+
 /// Sends one request and reads its answer. Answers with the id of another request are skipped.
 /// The connection returns to the pool only if the request was written completely and no bytes
 /// follow the answer.
@@ -101,17 +124,23 @@
     /// Closes the connection. No further callbacks are made.
     void cancel();
 
-    /// Start of the current connection attempt; empty once connected.
-    std::optional<Time> connectingSince() const { return m_connectingSince; }
+    /// Checks the time limits of opening a connection. To be called regularly.
+    void tick(Time now);
+
+    ConnectionPool &pool() { return m_pool; }
+
+    /// Whether a connection is being opened.
+    bool isConnecting() const { return m_connector != nullptr; }
 
     /// Whether the connection attempt was refused because no process listens at the address.
     bool connectionRefused() const { return m_connectionRefused; }
 
-    /// Fails the connection attempt.
-    void connectTimedOut() { fail(AttemptFailure::NotSent); }
+    /// Whether another instance forwards the connection.
+    bool isForwarded() const { return m_forwarded; }
 
 private:
-    void connect();
+    void connect(Time now);
+    void connected(PooledConnectionPtr connection);
     void send();
     void writeFinished(const boost::system::error_code &error);
     void read();
@@ -121,6 +150,7 @@
     void complete();
     void resetReader();
     void fail(AttemptFailure failure);
+    void closeConnection();
 
     ConnectionPool &m_pool;
     ExchangeSettings m_settings;
@@ -128,8 +158,9 @@
     ExchangeHandler *m_handler = nullptr;
     PooledConnectionPtr m_connection;
     std::optional<MessageReader> m_reader;
-    std::optional<Time> m_connectingSince;
+    std::shared_ptr<Connector> m_connector; ///< while a connection is being opened
     bool m_connectionRefused = false;
+    bool m_forwarded = false;
     bool m_requestWritten = false;
     bool m_mayHaveSent = false; ///< bytes of the request may have been sent
     bool m_incremental = false; ///< the body is delivered in pieces
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -127,6 +127,7 @@
     , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.storeAddress, protocol, state)
     , m_crashChannel(context, settings.storeAddress, protocol, state)
+    , m_links(settings.name, settings.domain)
     , m_engines(context)
     , m_fleet(fleetSettings(settings))
     , m_fleetSnapshot(std::make_shared<FleetSnapshot>())
@@ -134,6 +135,7 @@
     , m_planner(plannerSettings(settings))
     , m_trialPermits(trialSettings(settings))
 {
+    m_engines.useLinks(m_links);
     for (std::size_t i = 0; i < SharedTableCount; ++i) {
         const auto table = static_cast<SharedTable>(i);
         m_storeSources[i] =
@@ -359,6 +361,7 @@
         return;
     const FleetPtr before = std::exchange(m_fleetSnapshot, m_fleet.snapshot());
     m_server.pruneEngines(*m_fleetSnapshot);
+    m_links.removeUnlisted(*m_fleetSnapshot);
     logDepartures(*before, *m_fleetSnapshot);
     logDecision("endpoints", "changed",
                 {{"number", std::int64_t(m_fleetSnapshot->number)},
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -147,6 +147,7 @@
     Time m_otherDomainsQueriedAt {};
     StoreChannel m_channel;
     StoreChannel m_crashChannel; ///< separate, so that trial permits don't wait for slower calls
+    EndpointLinks m_links; ///< of the control thread's own connections
     ConnectionPool m_engines;
     FleetTracker m_fleet;
     FleetPtr m_fleetSnapshot;
--- a/src/entry/controlinstances.cpp
+++ b/src/entry/controlinstances.cpp
@@ -85,7 +85,8 @@
         const auto peer = object ? textField(*object, "peer") : std::nullopt;
         const auto seenMs = object ? numberField(*object, "seen_ms") : std::nullopt;
         if (domain && peer && seenMs)
-            rows.push_back({{row.key, *domain, *peer}, *seenMs});
+            rows.push_back(
+                {{row.key, *domain, *peer, textField(*object, "forward").value_or("")}, *seenMs});
     }
     std::vector<PeerInstance> instances = m_instanceList.update(rows, state.storeMs);
     const Duration clockOffset = m_storeOffset.value_or(Duration {});
@@ -96,6 +97,7 @@
     if (listChanged) {
         m_instances = std::move(instances);
         m_directory.setInstances(m_instances);
+        m_links.setInstances(m_instances);
         logDecision("instances", "counted",
                     {{"in_domain", std::int64_t(m_directory.instancesInDomain())},
                      {"all", std::int64_t(m_directory.instanceCount())}});
@@ -113,6 +115,7 @@
     if (!leaving)
         write.value = json::serialize(json::object {{"domain", m_settings.domain},
                                                     {"peer", m_settings.peerAddress},
+                                                    {"forward", m_settings.forwardAddress},
                                                     {"seen_ms", toMilliseconds(storeNow())}});
     Transaction transaction;
     transaction.writes.push_back(std::move(write));
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -11,6 +11,9 @@
 DEFINE_string(listen, "", "IP:port to listen at for callers");
 DEFINE_string(ready_listen, "", "IP:port of the readiness check for the load balancer");
 DEFINE_string(peer_listen, "", "IP:port to listen at for update queries of other instances");
+DEFINE_string(forward_listen, "",
+              "IP:port to listen at for instances whose own links to endpoints are broken; "
+              "empty: forward no connections");
 DEFINE_string(metrics_listen, "", "IP:port of the metrics; empty: none");
 DEFINE_string(store, "", "IP:port of the platform's store");
 DEFINE_double(revocation_ms, 5000, "time after which no instance accepts a withdrawn key");
@@ -56,6 +59,7 @@
         || !isAddress("ready_listen", FLAGS_ready_listen, false, reason)
         || !isAddress("peer_listen", FLAGS_peer_listen, false, reason)
         || !isAddress("store", FLAGS_store, false, reason)
+        || !isAddress("forward_listen", FLAGS_forward_listen, true, reason)
         || !isAddress("metrics_listen", FLAGS_metrics_listen, true, reason)
         || !isPositive("revocation_ms", FLAGS_revocation_ms, reason)
         || !isPositive("beat_ms", FLAGS_beat_ms, reason)
@@ -68,6 +72,7 @@
     settings.callerAddress = FLAGS_listen;
     settings.readinessAddress = FLAGS_ready_listen;
     settings.peerAddress = FLAGS_peer_listen;
+    settings.forwardAddress = FLAGS_forward_listen;
     settings.metricsAddress = FLAGS_metrics_listen;
     settings.storeAddress = FLAGS_store;
     settings.revocationTime = milliseconds(FLAGS_revocation_ms);
@@ -141,6 +146,7 @@
                                          {"listen", &EntrySettings::callerAddress},
                                          {"ready_listen", &EntrySettings::readinessAddress},
                                          {"peer_listen", &EntrySettings::peerAddress},
+                                         {"forward_listen", &EntrySettings::forwardAddress},
                                          {"metrics_listen", &EntrySettings::metricsAddress},
                                          {"store", &EntrySettings::storeAddress}};
     std::string names;
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -18,6 +18,8 @@
     std::string callerAddress; ///< "IP:port" to listen at for callers
     std::string readinessAddress; ///< "IP:port" of the readiness check
     std::string peerAddress; ///< "IP:port" to listen at for other instances
+    /// "IP:port" to listen at for instances whose links to endpoints are broken; empty: none.
+    std::string forwardAddress;
     std::string metricsAddress; ///< "IP:port" of the metrics; empty: none
     std::string storeAddress; ///< "IP:port"
     Duration revocationTime {}; ///< after this time no instance accepts a withdrawn key
--- a/src/entry/timedcall.cpp
+++ b/src/entry/timedcall.cpp
@@ -1,6 +1,7 @@
 #include "timedcall.h"
 
 #include "clock.h"
+#include "connector.h"
 
 namespace balsamloft {
 
@@ -23,12 +24,18 @@
 
 void TimedCall::armTimer()
 {
-    m_timer.expires_after(deadline() - steadyNow());
+    const Time now = steadyNow();
+    const bool asksPeers = m_exchange->isConnecting() && m_exchange->pool().links();
+    m_timer.expires_after(asksPeers ? std::min(deadline() - now, AskPeerInterval)
+                                    : deadline() - now);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (error || self->m_finished)
             return;
-        if (steadyNow() < self->deadline())
-            return self->armTimer();
+        const Time now = steadyNow();
+        if (now < self->deadline()) {
+            self->m_exchange->tick(now);
+            return self->m_finished ? void() : self->armTimer();
+        }
         self->m_exchange->cancel();
         self->finish();
     });
@@ -81,6 +88,7 @@
         return;
     const auto self = shared_from_this();
     m_timer.cancel();
+    m_outcome.forwarded = m_exchange->isForwarded();
     m_callback(std::move(m_outcome));
 }
 
--- a/src/entry/timedcall.h
+++ b/src/entry/timedcall.h
@@ -19,6 +19,7 @@
     std::string body;
     bool mayHaveArrived = false; ///< the request may have reached the called process
     bool connectionRefused = false; ///< no process listens at the address
+    bool forwarded = false; ///< another instance forwarded the connection
 };
 
 /// Sends one request and passes the complete answer, or a failure, to a callback. An empty request
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -47,6 +47,13 @@
     return relay;
 }
 
+EndpointLinkSettings linkSettings(const EntrySettings &settings)
+{
+    EndpointLinkSettings links;
+    links.seed = std::hash<std::string> {}(settings.name);
+    return links;
+}
+
 } // namespace
 
 TrafficServer::TrafficServer(asio::io_context &context, const EntrySettings &settings,
@@ -57,17 +64,22 @@
     , m_state(state)
     , m_acceptor(context)
     , m_timer(context)
+    , m_links(settings.name, settings.domain, linkSettings(settings))
     , m_pool(context)
+    , m_forwarder(context, m_links)
     , m_relay(relaySettings(settings))
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
+    m_pool.useLinks(m_links);
 }
 
 TrafficServer::~TrafficServer() = default;
 
 bool TrafficServer::listen(Reason &reason)
 {
-    if (!listenAt(m_acceptor, m_settings.callerAddress, reason))
+    if (!listenAt(m_acceptor, m_settings.callerAddress, reason)
+        || (!m_settings.forwardAddress.empty()
+            && !m_forwarder.listen(m_settings.forwardAddress, reason)))
         return false;
     accept();
     armTimer();
@@ -112,6 +124,7 @@
         m_prunedAt = now;
         m_pool.prune(*m_fleet, now);
     }
+    m_forwarder.tick(bootNow());
     if (m_stopping)
         continueStop();
     flushDecisionLog();
@@ -126,6 +139,8 @@
 void TrafficServer::setFleet(FleetPtr fleet)
 {
     m_fleet = fleet;
+    m_links.removeUnlisted(*fleet);
+    m_forwarder.setFleet(fleet);
     RelayActions actions;
     m_relay.setFleet(std::move(fleet), steadyNow(), actions);
     run(std::move(actions));
@@ -134,6 +149,7 @@
 void TrafficServer::setInstances(const KnownInstances &known)
 {
     const Time now = steadyNow();
+    m_links.setInstances(known.all);
     m_relay.setInstances(known.inDomain, known.count, now);
     m_relay.shareLimits(known.all, m_settings.name, known.storeClockOffset + (bootNow() - now),
                         now);
@@ -276,11 +292,25 @@
                  {"pace", report->slowdown},
                  {"stalled_at", std::string_view(stalled)}});
     m_relay.endpointAnswered(endpoint, sentAt);
+    if (outcome.forwarded)
+        repeatOnBrokenLink(endpoint, sentAt, actions);
     m_relay.queryAnswered(endpoint, report->stalledAddresses, report->slowdown, steadyNow(),
                           actions);
     run(std::move(actions));
 }
 
+/// Repeats the requests on direct connections to an endpoint that only another instance reached.
+void TrafficServer::repeatOnBrokenLink(const std::string &endpoint, Time queriedAt,
+                                       RelayActions &actions)
+{
+    if (!m_links.isBroken(endpoint))
+        return;
+    const Time now = steadyNow();
+    for (const auto &[flight, session] : m_flights)
+        if (const auto attempt = session->directAttemptAt(endpoint, queriedAt))
+            m_relay.connectionLost(flight, *attempt, now, actions);
+}
+
 void TrafficServer::changePath(const ChangePath &change)
 {
     startCall(m_pool, change.endpoint, change.address,
@@ -387,6 +417,7 @@
         return;
     m_stopping = true;
     m_stopStartedAt = steadyNow();
+    m_forwarder.stop();
     m_stopped = std::move(stopped);
 }
 
@@ -399,7 +430,8 @@
                                                                m_sessions.end());
     for (const auto &session : sessions)
         session->closeIfIdle(now);
-    if (m_sessions.empty() || now - m_stopStartedAt >= m_settings.gracePeriod - StopMargin) {
+    const bool finished = m_sessions.empty() && !m_forwarder.hasUnfinished(now);
+    if (finished || now - m_stopStartedAt >= m_settings.gracePeriod - StopMargin) {
         m_acceptor.close();
         if (m_stopped)
             std::exchange(m_stopped, nullptr)();
@@ -431,6 +463,12 @@
     sample("requests_open", m_relay.flights());
     sample("caller_connections", m_sessions.size());
     sample("endpoint_connections_opened_total", m_pool.opened);
+    sample("endpoint_connections_refused_total", m_pool.refused);
+    sample("endpoint_connections_timed_out_total", m_pool.timedOut);
+    sample("endpoint_connections_forwarded_total", m_pool.forwarded);
+    sample("endpoint_links_broken", m_links.brokenCount());
+    sample("connections_forwarded_for_others", m_forwarder.open());
+    sample("connections_forwarded_for_others_total", m_forwarder.opened());
     sample("endpoint_reads_total", m_pool.reads);
     sample("endpoint_writes_total", m_pool.writes);
     sample("caller_reads_total", m_callerSocketCalls.reads);
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "connectionforwarder.h"
 #include "entrystate.h"
 #include "requestmetrics.h"
 #include "settings.h"
@@ -116,6 +117,7 @@
     void queryEngine(const QueryEngine &query);
 
     void engineAnswered(const std::string &endpoint, Time sentAt, const CallOutcome &outcome);
+    void repeatOnBrokenLink(const std::string &endpoint, Time queriedAt, RelayActions &actions);
     void changePath(const ChangePath &change);
     void publishCrashes(const CrashUpdate &update);
     void requestTrial(const RequestTrial &request);
@@ -131,7 +133,9 @@
     boost::asio::steady_timer m_timer;
     RequestMetrics m_requestMetrics;
     SocketCalls m_callerSocketCalls;
+    EndpointLinks m_links;
     ConnectionPool m_pool;
+    ConnectionForwarder m_forwarder;
     Relay m_relay;
     RouteMapPtr m_table;
     FleetPtr m_fleet;
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -19,6 +19,8 @@
     std::string name;
     std::string domain;
     std::string address; ///< "IP:port" for other instances
+    /// "IP:port" at which the instance forwards connections to endpoints; empty: it does not.
+    std::string forwardAddress = {};
 
     bool operator==(const PeerInstance &) const = default;
 };
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -166,7 +166,8 @@
     /// The same as a multiple of the expected pause. The longer of the two applies.
     double queryAfterPauses = 4;
     Duration queryInterval {350'000}; ///< minimum time between two queries to one engine
-    /// Pause beyond the expected one that moves a stream off a suspected engine.
+    /// Pause beyond the expected one that moves a stream off a suspected engine, or off a
+    /// connection over a broken link.
     Duration suspectPause {120'000};
     Duration startTimeout {1'700'000}; ///< until the first event; then the request is moved
     Duration stallTimeout {1'200'000}; ///< the same if no engine is suspected
@@ -252,6 +253,10 @@
     void queryFailed(const std::string &endpoint, Time now, RelayActions &actions,
                      bool refused = false);
 
+    /// The connection of an attempt is dead although its endpoint is alive: the link between them
+    /// is broken. An idempotent attempt that is overdue is repeated.
+    void connectionLost(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions);
+
     /// The endpoint answered a query that was sent at \a queriedAt, whatever the answer.
     void endpointAnswered(const std::string &endpoint, Time queriedAt)
     {
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -64,6 +64,18 @@
     tick(now, actions);
 }
 
+void Relay::connectionLost(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions)
+{
+    Flight *flight = current(id, attempt);
+    if (!flight || !flight->request.route->idempotent())
+        return;
+    const Duration expected = flight->state == State::Streaming ? flight->expectedEventInterval
+                                                                : flight->expectedFirstEvent;
+    if (now - flight->progressAt >= m_settings.suspectPause + expected && worthMoving(*flight, now))
+        abandonAndRetry(id, *flight, "the link to " + flight->endpoint + " is broken", now,
+                        actions);
+}
+
 void Relay::setFleet(FleetPtr fleet, Time now, RelayActions &actions)
 {
     m_fleet = std::move(fleet);
--- a/testsuite/soak/link.cpp
+++ b/testsuite/soak/link.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <fcntl.h>
+
 #include <array>
 #include <utility>
 
@@ -15,6 +17,16 @@
 
 namespace balsamloft::soak {
 
+namespace {
+
+/// Keeps the instances that are started later from inheriting the socket, which would keep it open.
+void closeOnExec(tcp::acceptor &acceptor)
+{
+    ::fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+}
+
+} // namespace
+
 awaitable<void> pause(Milliseconds time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
@@ -35,6 +47,7 @@
     , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     , m_address(m_acceptor.local_endpoint())
 {
+    closeOnExec(m_acceptor);
     asio::co_spawn(context, accept(), asio::detached);
 }
 
@@ -47,6 +60,7 @@
 {
     m_acceptor.close();
     m_acceptor.open(m_address.protocol());
+    closeOnExec(m_acceptor);
     m_acceptor.set_option(tcp::acceptor::reuse_address(true));
     m_acceptor.bind(m_address);
     m_acceptor.listen(backlog);
--- a/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -45,8 +45,10 @@
             addEndpoint(id);
         for (std::size_t i = 0; i < instances; ++i)
             startInstance(i);
-        for (std::size_t i = 0; i < instances; ++i)
+        for (std::size_t i = 0; i < instances; ++i) {
+            process(i).waitFor("\"all\":" + std::to_string(instances));
             waitUntil([&] { return serves(i, "/stream/x") && serves(i, "/safe/x"); });
+        }
     }
 
     ~Site()
@@ -150,7 +152,7 @@
             std::vector<std::string> {
                 "--name=entry-" + std::to_string(number), "--domain=d" + std::to_string(number),
                 "--listen=" + instance.callers, "--ready_listen=" + freeAddress(),
-                "--peer_listen=" + freeAddress(),
+                "--peer_listen=" + freeAddress(), "--forward_listen=" + freeAddress(),
                 "--store=" + m_store.addView(std::move(addresses)), "--grace_s=4", "--log_all"});
     }
 
