Emulated fleets with cut links; a domain with few instances left is not overloaded

What callers would have seen: with 18 of 19 instances of a domain cut, all 18 asked the one that is left, which forwarded 1,769 connections in 9 s where 180 are its own; on a real instance its callers would wait.

Cause: an instance of the own domain was preferred however few were left, and the first ones that helped were kept.

Change: other domains' instances help too while fewer than two of the own domain do; up to eight share an instance's connections. After two failures in the own domain an instance of another one is asked. An instance whose links are in doubt does not confirm a refusal.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -142,7 +142,8 @@
             const bool refused = error == asio::error::connection_refused;
             m_forwarder.m_links.recordDirectFailure(
                 m_id, refused ? ConnectFailure::Refused : ConnectFailure::TimedOut, now);
-            return refuse(refused ? forwarding::NotReached : forwarding::TimedOut);
+            const bool certain = refused && m_forwarder.m_links.mayReportCrash(now);
+            return refuse(certain ? forwarding::NotReached : forwarding::TimedOut);
         }
         m_forwarder.m_links.recordDirectSuccess(m_id, now);
         m_forwarder.m_opened += 1;
--- a/src/entry/connectionforwarder.h
+++ b/src/entry/connectionforwarder.h
@@ -21,7 +21,8 @@
 inline constexpr int NotListed = 404; ///< the endpoint is not in this instance's list
 inline constexpr int NotReached = 502; ///< the endpoint refuses connections
 inline constexpr int Unavailable = 503; ///< this instance stops, or forwards too many connections
-inline constexpr int TimedOut = 504; ///< the endpoint does not answer
+inline constexpr int TimedOut =
+    504; ///< the endpoint does not answer, or this instance's link to it is in doubt
 } // namespace forwarding
 
 /// Formats the request to open a connection to \a endpoint.
--- a/src/include/balsamloft/endpointlinks.h
+++ b/src/include/balsamloft/endpointlinks.h
@@ -30,8 +30,10 @@
     Duration doubtDuration {2'000'000}; ///< since another instance last reached a broken endpoint
     Duration peerFailureLifetime {2'000'000}; ///< how long a peer that failed is avoided
     Duration peerSuccessLifetime {5'000'000}; ///< how long a peer that succeeded is preferred
-    std::size_t maxPreferredPeers = 4; ///< peers that share the connections of this instance
+    std::size_t maxPreferredPeers = 8; ///< peers that share the connections of this instance
     double exploreShare = 0.25; ///< of connections try a new peer while there are fewer
+    /// Working peers of the own domain below which those of other domains are used too.
+    std::size_t minOwnPeers = 2;
     std::size_t failuresUntilOtherDomains = 2; ///< failed peers of the own domain
     std::size_t maxPeersPerConnection = 3; ///< peers that are asked for one connection
     /// How long no peer is asked for an endpoint that nobody reached.
--- a/src/libbalsamloft/endpointlinks.cpp
+++ b/src/libbalsamloft/endpointlinks.cpp
@@ -173,7 +173,7 @@
     if (known && now < link->second.unreachableUntil)
         return std::nullopt;
     std::array<std::vector<const Peer *>, 2> preferred; // own domain, all
-    std::array<std::vector<const Peer *>, 2> others;
+    std::array<std::vector<const Peer *>, 2> others; // own domain, other domains
     std::size_t ownFailures = 0;
     for (const Peer &each : m_peers) {
         const bool own = each.instance.domain == m_domain;
@@ -183,18 +183,22 @@
             ownFailures += 1;
         if (failedHere || isAvoided(each, now))
             continue;
-        auto &lists = isPreferred(each, now) ? preferred : others;
-        lists[1].push_back(&each);
+        if (!isPreferred(each, now)) {
+            others[own ? 0 : 1].push_back(&each);
+            continue;
+        }
+        preferred[1].push_back(&each);
         if (own)
-            lists[0].push_back(&each);
+            preferred[0].push_back(&each);
     }
-    const bool beyondDomain =
-        others[0].empty()
-        || (preferred[0].empty() && ownFailures >= m_settings.failuresUntilOtherDomains);
-    const std::vector<const Peer *> &working = preferred[preferred[0].empty() ? 1 : 0];
-    const std::vector<const Peer *> &untested = others[beyondDomain ? 1 : 0];
+    // A domain with few instances left would be overloaded if it helped all its others alone.
+    const bool ownSuffices = preferred[0].size() >= m_settings.minOwnPeers;
+    const bool beyondDomain = !ownSuffices
+                              && (others[0].empty() || !preferred[0].empty()
+                                  || ownFailures >= m_settings.failuresUntilOtherDomains);
+    const std::vector<const Peer *> &working = preferred[ownSuffices ? 0 : 1];
+    const std::vector<const Peer *> &untested = others[beyondDomain && !others[1].empty() ? 1 : 0];
     const bool explore = working.size() < m_settings.maxPreferredPeers && !untested.empty()
-                         && (beyondDomain ? preferred[0].empty() : true)
                          && std::bernoulli_distribution(m_settings.exploreShare)(m_random);
     const Peer *chosen = randomPeer(working.empty() || explore ? untested : working);
     return chosen ? std::make_optional(chosen->instance) : std::nullopt;
--- a/src/libbalsamloft/endpointlinks_test.cpp
+++ b/src/libbalsamloft/endpointlinks_test.cpp
@@ -1,3 +1,5 @@
+#include "../fakes/linkemulator.h"
+
 #include <balsamloft/endpointlinks.h>
 
 #include <catch2/catch.hpp>
@@ -145,3 +147,120 @@
     CHECK(links.shouldTryDirect("e", at(0)));
     CHECK(links.mayReportCrash(at(0)));
 }
+
+// Fleets
+
+namespace {
+
+using fakes::CutLink;
+using fakes::LinkEmulator;
+using fakes::LinkFleetSettings;
+
+constexpr auto Second = std::chrono::seconds(1);
+
+LinkFleetSettings fleetOf(std::size_t instances)
+{
+    LinkFleetSettings settings;
+    settings.domains = instances == 6 ? 3 : instances == 76 ? 4 : 5;
+    settings.instancesPerDomain = instances / settings.domains;
+    settings.endpoints = instances == 6 ? 33 : 90;
+    return settings;
+}
+
+/// The first \a count instances; the domains follow each other.
+void cutFirst(LinkEmulator &fleet, std::size_t count, CutLink manner)
+{
+    for (std::size_t i = 0; i < count; ++i)
+        fleet.cut(i, manner);
+}
+
+} // namespace
+
+TEST_CASE("instances without links open connections as often as the others, at all sizes")
+{
+    const std::size_t size = GENERATE(6, 76, 295);
+    const CutLink manner = GENERATE(CutLink::Refuses, CutLink::Silent);
+    const LinkFleetSettings settings = fleetOf(size);
+    const std::size_t domain = settings.instancesPerDomain;
+    const std::size_t count =
+        GENERATE_COPY(std::size_t(1), (domain + 1) / 2, domain - 1, domain, size / 2);
+    LinkEmulator fleet(settings);
+    fleet.run(Second * 2);
+    cutFirst(fleet, count, manner);
+    fleet.run(Second * 3);
+    INFO(size << " instances, " << count << " cut, manner " << static_cast<int>(manner));
+    fleet.run(Second * 9);
+    const auto cut = fleet.counts(true);
+    CHECK(fleet.counts(false).openedShare() == 1);
+    CHECK(cut.openedShare() >= 0.95);
+    CHECK(cut.forwarded == cut.opened);
+    CHECK(cut.reportedCrashes == 0);
+    // Forwarding takes less than a request of the instance's own, so four times its own load fits.
+    CHECK(fleet.mostForwardedByOne() <= 4 * cut.tried / count);
+    for (std::size_t i = 0; i < count; ++i)
+        fleet.heal(i);
+    fleet.run(Second * 2);
+    fleet.run(Second * 2);
+    CHECK(fleet.counts(false).forwarded == 0);
+}
+
+TEST_CASE("instances that are refused by all endpoints report no crashes")
+{
+    const std::size_t size = GENERATE(6, 76, 295);
+    const std::size_t domain = fleetOf(size).instancesPerDomain;
+    const std::size_t count =
+        GENERATE_COPY(std::size_t(1), (domain + 1) / 2, domain, size / 2, size);
+    LinkEmulator fleet(fleetOf(size));
+    fleet.run(Second * 2);
+    cutFirst(fleet, count, CutLink::Refuses);
+    fleet.run(Second * 3);
+    INFO(size << " instances, " << count << " cut");
+    CHECK(fleet.counts(true).reportedCrashes == 0);
+}
+
+TEST_CASE("a cut from some endpoints only affects the connections to these")
+{
+    LinkEmulator fleet(fleetOf(76));
+    fleet.cut(0, CutLink::Silent, {0, 1, 2, 3, 4, 5, 6, 7, 8, 9});
+    fleet.run(Second * 3);
+    fleet.run(Second * 9);
+    const auto cut = fleet.counts(true);
+    CHECK(cut.openedShare() >= 0.95);
+    CHECK(cut.forwarded <= cut.tried / 4);
+}
+
+TEST_CASE("a second cut is found like the first one")
+{
+    LinkEmulator fleet(fleetOf(6));
+    for (int i = 0; i < 2; ++i) {
+        cutFirst(fleet, 4, CutLink::Silent);
+        fleet.run(Second * 3);
+        fleet.run(Second * 3);
+        CHECK(fleet.counts(true).openedShare() >= 0.95);
+        for (std::size_t each = 0; each < 4; ++each)
+            fleet.heal(each);
+        fleet.run(Second * 4);
+    }
+}
+
+TEST_CASE("a fleet that was cut as a whole opens connections again at once")
+{
+    LinkEmulator fleet(fleetOf(295));
+    cutFirst(fleet, fleet.instances(), CutLink::Refuses);
+    fleet.run(Second * 6);
+    CHECK(fleet.counts(true).opened == 0);
+    for (std::size_t i = 0; i < fleet.instances(); ++i)
+        fleet.heal(i);
+    fleet.run(Second * 1);
+    CHECK(fleet.counts(false).openedShare() >= 0.95);
+}
+
+TEST_CASE("a dead endpoint is reached through nobody and breaks no link")
+{
+    LinkEmulator fleet(fleetOf(6));
+    fleet.killEndpoint(0);
+    fleet.run(Second * 10);
+    const auto all = fleet.counts(false);
+    CHECK(all.forwarded == 0);
+    CHECK(all.tried - all.opened <= all.tried / 20);
+}
