Tests of forwarded connections: a forwarder that is killed or stops, links that come back

A call that may run once runs once when its forwarder is killed; an answer without a length that a killed forwarder cuts off is not passed on as complete; a planned stop of a forwarder finishes others' answers; a link that works again is used directly.

--- a/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -37,8 +37,11 @@
 class Site
 {
 public:
-    explicit Site(std::size_t instances)
-        : m_thread([this] { m_context.run(); })
+    using Answer = std::function<std::string(const std::string &request)>;
+
+    explicit Site(std::size_t instances, Answer answer = answerOf)
+        : m_answer(std::move(answer))
+        , m_thread([this] { m_context.run(); })
     {
         m_store.put("configuration", "current", std::string(Configuration));
         for (const std::string id : {"e1", "e2", "m1", "m2"})
@@ -130,7 +133,7 @@
     void addEndpoint(const std::string &id)
     {
         m_endpoints.push_back(std::make_unique<RawServer>(
-            [](const std::string &request) { return RawAnswer {answerOf(request)}; }));
+            [this](const std::string &request) { return RawAnswer {m_answer(request)}; }));
         const bool model = id[0] == 'm';
         m_store.put("endpoints", id,
                     R"({"service":")" + std::string(model ? "model" : "plain") + R"(","address":")"
@@ -156,6 +159,7 @@
                 "--store=" + m_store.addView(std::move(addresses)), "--grace_s=4", "--log_all"});
     }
 
+    Answer m_answer;
     FakeStore m_store;
     asio::io_context m_context;
     asio::executor_work_guard<asio::io_context::executor_type> m_work {m_context.get_executor()};
@@ -182,3 +186,83 @@
         CHECK(site.served(0, path, Tries) * 3 >= site.served(1, path, Tries) * 2);
     }
 }
+
+TEST_CASE("an instance whose links are back connects directly again", "[process]")
+{
+    Site site(2);
+    site.cut(0, CutManner::Reset);
+    CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
+    site.process(0).waitFor("\"part\":\"link\",\"event\":\"(broken)\"");
+    site.heal(0);
+    CHECK(waitUntil([&] {
+        site.serves(0, "/unsafe/x");
+        return site.process(0).output().find("\"event\":\"restored\"") != std::string::npos;
+    }));
+    site.cut(1, CutManner::Reset);
+    CHECK(waitUntil([&] { return site.serves(1, "/unsafe/x"); }));
+}
+
+TEST_CASE("a request that may run once runs once when its forwarding instance is killed",
+          "[process]")
+{
+    std::atomic<bool> released {false};
+    Site site(2, [&released](const std::string &request) {
+        if (request.starts_with("POST /unsafe/slow"))
+            waitUntil([&] { return released.load(); });
+        return answerOf(request);
+    });
+    site.cut(0, CutManner::Reset);
+    CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
+    std::string answer;
+    std::thread caller([&] { answer = site.post(0, "/unsafe/slow"); });
+    CHECK(waitUntil([&] { return site.received("POST /unsafe/slow") == 1; }));
+    site.process(1).signal(SIGKILL);
+    caller.join();
+    released = true;
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK(site.received("POST /unsafe/slow") == 1);
+}
+
+TEST_CASE("an answer without a length that is cut off by its forwarding instance is not passed on",
+          "[process]")
+{
+    std::atomic<bool> released {false};
+    Site site(2, [&released](const std::string &request) -> std::string {
+        if (!request.starts_with("POST /unsafe/part"))
+            return answerOf(request);
+        waitUntil([&] { return released.load(); });
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
+               + "\r\nSeal: s\r\n\r\nfirst half";
+    });
+    site.cut(0, CutManner::Reset);
+    CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
+    std::string answer;
+    std::thread caller([&] { answer = site.post(0, "/unsafe/part"); });
+    CHECK(waitUntil([&] { return site.received("POST /unsafe/part") == 1; }));
+    released = true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    site.process(1).signal(SIGKILL);
+    caller.join();
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE("a planned stop finishes the answers that the instance forwards for others", "[process]")
+{
+    std::atomic<bool> released {false};
+    Site site(2, [&released](const std::string &request) {
+        if (request.starts_with("POST /unsafe/slow"))
+            waitUntil([&] { return released.load(); });
+        return answerOf(request);
+    });
+    site.cut(0, CutManner::Reset);
+    CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
+    std::string answer;
+    std::thread caller([&] { answer = site.post(0, "/unsafe/slow"); });
+    CHECK(waitUntil([&] { return site.received("POST /unsafe/slow") == 1; }));
+    site.process(1).signal(SIGTERM);
+    site.process(1).waitFor("\"event\":\"(stopping)\"");
+    released = true;
+    caller.join();
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(site.process(1).wait() == 0);
+}
