The soak cuts instances from the endpoints; a stream on a dead connection is repeated once

With odd seeds each instance has links of its own to all endpoints; one instance, or all but one, is cut from them: refused, reset or silent. relay_test: a stream whose connection is dead while its engine lives is repeated after its last event and the engine not suspected; a call that may have run is not repeated.

--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -311,6 +311,35 @@
     CHECK(harness.finished(route));
 }
 
+TEST_CASE("a stream on a dead connection to a live engine is repeated, others are not")
+{
+    RelayHarness harness(twoPaths());
+    const FlightId overdue = harness.submit(RequestKind::Stream);
+    harness.answer(overdue, 200);
+    harness.forwardEvents(overdue, 3);
+    harness.advance(std::chrono::milliseconds(600));
+    const FlightId running = harness.submit(RequestKind::Stream);
+    for (const FlightId stream : {overdue, running})
+        harness.relay.connectionLost(stream, harness.sends(stream).back().attempt, harness.now,
+                                     harness.actions);
+    REQUIRE(harness.sends(overdue).size() == 2);
+    CHECK(harness.sends(overdue).back().afterEvent == 3);
+    CHECK(harness.sends(running).size() == 1);
+    CHECK_FALSE(
+        harness.relay.engines().suspected(harness.sends(overdue).front().endpoint, harness.now));
+}
+
+TEST_CASE("a call on a dead connection that may have run is not repeated")
+{
+    RelayHarness harness(twoPaths());
+    const FlightId call = harness.submit(RequestKind::Unsafe);
+    harness.advance(std::chrono::milliseconds(600));
+    harness.relay.connectionLost(call, harness.sends(call).back().attempt, harness.now,
+                                 harness.actions);
+    CHECK(harness.sends(call).size() == 1);
+    CHECK_FALSE(harness.finished(call));
+}
+
 TEST_CASE("a request without a path is refused within a second, with a retry delay")
 {
     RelayHarness harness({{"a1", {0, 4}}});
--- a/testsuite/soak/link.cpp
+++ b/testsuite/soak/link.cpp
@@ -68,6 +68,8 @@
 
 void Link::cut(CutManner manner)
 {
+    if (std::exchange(m_cut, true))
+        heal(); // overlapping faults: the last one counts
     m_cut = true;
     if (manner == CutManner::Silence) {
         // The kernel drops the packets of new connections while the queue is full.
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -1,5 +1,6 @@
 #include "platform.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -52,14 +53,22 @@
 
 Store::Store(asio::io_context &context)
     : m_context(context)
-    , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
 {
-    asio::co_spawn(context, accept(), asio::detached);
+    addView({});
 }
 
 std::string Store::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_views.front().acceptor.local_endpoint().port());
+}
+
+std::string Store::addView(std::map<std::string, std::string> replaced)
+{
+    View &view = m_views.emplace_back(
+        View {tcp::acceptor(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+              std::move(replaced)});
+    asio::co_spawn(m_context, accept(view), asio::detached);
+    return "127.0.0.1:" + std::to_string(view.acceptor.local_endpoint().port());
 }
 
 void Store::heal()
@@ -68,15 +77,15 @@
     slow = Milliseconds(0);
 }
 
-awaitable<void> Store::accept()
+awaitable<void> Store::accept(View &view)
 {
     for (;;) {
-        tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
-        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        tcp::socket socket = co_await view.acceptor.async_accept(asio::use_awaitable);
+        asio::co_spawn(m_context, serve(std::move(socket), view), asio::detached);
     }
 }
 
-awaitable<void> Store::serve(tcp::socket socket)
+awaitable<void> Store::serve(tcp::socket socket, const View &view)
 {
     boost::system::error_code error;
     boost::beast::flat_buffer buffer;
@@ -88,7 +97,9 @@
             co_return;
         if (slow.count() > 0)
             co_await pause(slow);
-        const auto [status, body] = co_await answer(request);
+        auto [status, body] = co_await answer(request);
+        for (const auto &[from, to] : view.replaced)
+            boost::replace_all(body, from, to);
         if (losesAnswers)
             co_return;
         if (status == NoAnswer)
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -11,6 +11,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/json/object.hpp>
 
+#include <list>
+#include <map>
 #include <random>
 
 namespace balsamloft::soak {
@@ -24,6 +26,10 @@
     explicit Store(boost::asio::io_context &context);
 
     std::string address() const;
+
+    /// Returns another address of the store, whose answers have the texts \a replaced: an instance
+    /// that reads there has links of its own to the endpoints.
+    std::string addView(std::map<std::string, std::string> replaced);
     testsuite::FeedTables &tables() { return m_tables; }
 
     // Faults
@@ -37,12 +43,19 @@
     void heal();
 
 private:
-    awaitable<void> accept();
-    awaitable<void> serve(tcp::socket socket);
+    /// An address of the store.
+    struct View
+    {
+        tcp::acceptor acceptor;
+        std::map<std::string, std::string> replaced;
+    };
+
+    awaitable<void> accept(View &view);
+    awaitable<void> serve(tcp::socket socket, const View &view);
     awaitable<std::pair<int, std::string>> answer(const Request &request);
 
     boost::asio::io_context &m_context;
-    tcp::acceptor m_acceptor;
+    std::list<View> m_views;
     testsuite::FeedTables m_tables;
     std::uint64_t m_historyStart = 0;
 };
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -98,14 +98,19 @@
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         Instance &each = m_instances[i];
         each.name = "entry-" + std::to_string(i);
-        each.domain = i % 3 == 2 ? "south" : "north";
+        // Instances of one domain read the list of endpoints from each other, so only those with a
+        // domain of their own can have links of their own.
+        const bool ownLinks = m_settings.seed % 2 == 1;
+        each.domain = ownLinks ? each.name : i % 3 == 2 ? "south" : "north";
         each.callers = testsuite::freeAddress();
-        each.store = std::make_unique<Link>(m_context, m_store.address());
+        each.store =
+            std::make_unique<Link>(m_context, ownLinks ? ownView(each) : m_store.address());
         each.arguments = {"--name=" + each.name,
                           "--domain=" + each.domain,
                           "--listen=" + each.callers,
                           "--ready_listen=" + testsuite::freeAddress(),
                           "--peer_listen=" + testsuite::freeAddress(),
+                          "--forward_listen=" + testsuite::freeAddress(),
                           "--store=" + each.store->address(),
                           "--retry_slack=300",
                           "--grace_s=4"};
@@ -113,6 +118,19 @@
     }
 }
 
+/// Gives an instance links of its own to all endpoints. Returns the address of a store that lists
+/// these links.
+std::string Soak::ownView(Instance &instance)
+{
+    std::map<std::string, std::string> addresses;
+    for (const auto &endpoint : m_endpoints) {
+        const std::string address = endpoint->link().address();
+        instance.endpoints.push_back(std::make_unique<Link>(m_context, address));
+        addresses[address] = instance.endpoints.back()->address();
+    }
+    return m_store.addView(std::move(addresses));
+}
+
 void Soak::startProcess(Instance &instance)
 {
     if (instance.process)
@@ -288,7 +306,9 @@
 awaitable<void> Soak::injectFault(std::mt19937_64 &random)
 {
     const Milliseconds time(draw(random, 150, 2500));
-    switch (draw(random, 0, 3)) {
+    switch (draw(random, 0, 4)) {
+    case 4:
+        return cutFault(random, time);
     case 0:
         return processFault(random, time);
     case 1:
@@ -390,6 +410,27 @@
     link.heal();
 }
 
+/// Cuts one instance from all endpoints, or all instances but one.
+awaitable<void> Soak::cutFault(std::mt19937_64 &random, Milliseconds time)
+{
+    const std::size_t chosen = random() % m_instances.size();
+    const bool allButOne = draw(random, 0, 2) == 0;
+    const auto manner = static_cast<CutManner>(draw(random, 0, 2));
+    static constexpr std::string_view Names[] = {"refused", "reset", "silent"};
+    logFault((allButOne ? "all instances but " : "") + m_instances[chosen].name
+             + " cut from the endpoints, " + std::string(Names[static_cast<std::size_t>(manner)])
+             + " for " + std::to_string(time.count()));
+    const auto changeLinks = [&](auto change) {
+        for (std::size_t i = 0; i < m_instances.size(); ++i)
+            if ((i == chosen) != allButOne)
+                for (const auto &link : m_instances[i].endpoints)
+                    change(*link);
+    };
+    changeLinks([manner](Link &link) { link.cut(manner); });
+    co_await pause(time);
+    changeLinks([](Link &link) { link.heal(); });
+}
+
 awaitable<void> Soak::endpointFault(std::mt19937_64 &random, Milliseconds time)
 {
     Endpoint &endpoint = *m_endpoints[random() % m_endpoints.size()];
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -48,6 +48,8 @@
         std::string callers; ///< address for callers
         std::vector<std::string> arguments;
         std::unique_ptr<Link> store; ///< link to the store
+        /// Links of its own to the endpoints; empty: it uses those of all instances.
+        std::vector<std::unique_ptr<Link>> endpoints;
         std::unique_ptr<testsuite::Process> process;
         std::string formerOutput; ///< output of the instance's earlier processes
         bool busy = false; ///< a fault of the instance's process is in progress
@@ -63,6 +65,8 @@
     awaitable<void> waitForExit(Instance &instance, int expectedCode);
     awaitable<void> storeFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> linkFault(std::mt19937_64 &random, Milliseconds time);
+    awaitable<void> cutFault(std::mt19937_64 &random, Milliseconds time);
+    std::string ownView(Instance &instance);
     awaitable<void> endpointFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> runCaller(std::size_t instance, std::uint64_t seed);
     awaitable<void> runCrashingCaller(std::uint64_t seed);
