--- a/src/fakes/linkemulator.h
+++ b/src/fakes/linkemulator.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
