--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -195,7 +195,7 @@
     m_connection->received(count);
     const bool forwarded = m_connection->channel.has_value();
     const bool ended = forwarded ? m_connection->isEnded() : error == asio::error::eof;
-    if (error || ended) {
+    if (error || ended || m_connection->isGarbled()) {
         process();
         if (!m_handler)
             return;
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -31,6 +31,9 @@
     /// Whether the called process closed a forwarded connection in an orderly way.
     bool isEnded() const { return channel && channel->done(); }
 
+    /// Whether the forwarding instance sent what cannot be decoded.
+    bool isGarbled() const { return channel && channel->failure() != MessageReader::Failure::None; }
+
     boost::asio::ip::tcp::socket socket;
     std::string endpoint; ///< id
     std::string unread; ///< received and not yet parsed
