One race for real and emulated connections; chunks, pauses and link settings written once

- Connector, which does I/O, decided when to ask another instance, when to give up and what a refusal means, and LinkEmulator had a second copy of that with constants of its own: the proofs at 6, 76 and 295 instances tested the copy.
ConnectionRace is the one now, in the library, without I/O; both drive it.
- The head of a chunk stood in callerattempts.cpp and again in the forwarder: appendChunk.
- The pause expected of a flight was worked out in two places of relaywatch.cpp.
- linkSettings() twice, for two threads; closing a socket twice; the test cases of a killed or stopped forwarder set the same call up three times (ForwardedCall, assertions as before).
- State that nobody read (Link::forwardedAt) or that follows from other state (PooledConnection::forwardedBy); a limit beside its siblings; the forwarder's time limit no longer bears the name of another one.

--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -32,7 +32,7 @@
      "if (m_brokenCount > 0 && now - m_lastForwardedAt < m_settings.doubtDuration)", "if (false)",
      "endpointlinks_test: a link is broken only if another instance reaches the endpoint"),
     ("the end of a forwarded answer is told apart from a lost forwarder", "src/entry/connectionpool.cpp",
-     "const bool ended = forwarded ? m_connection->isEnded() : error == asio::error::eof;",
+     "const bool ended = m_forwarded ? m_connection->isEnded() : error == asio::error::eof;",
      "const bool ended = error == asio::error::eof;",
      "testsuite: an answer without a length that is cut off by its forwarding instance is not passed on"),
     ("large rows are sent compressed", "src/libpeer/tableupdate.cpp",
--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -50,7 +50,7 @@
 {
     const auto self = shared_from_this();
     if (m_streamBegun) {
-        m_output += "0\r\n\r\n";
+        m_output += LastChunk;
         logOutcome("passed", 200, "");
     } else if (m_answer) {
         writeHead(m_answer->head(), m_answer->body().size());
--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -147,10 +147,7 @@
     }
     m_lastEventAt = now;
     m_passedEvents += count;
-    std::array<char, 20> size {};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), events.size(), 16).ptr;
-    m_output.append(size.data(), static_cast<std::size_t>(end - size.data()));
-    m_output.append("\r\n").append(events).append("\r\n");
+    appendChunk(events, m_output);
     RelayActions actions;
     m_server.relay().eventsForwarded(*m_flight, m_attempt, m_events->lastId(), now, actions);
     m_server.run(std::move(actions));
--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -18,12 +17,11 @@
 namespace {
 
 constexpr std::size_t MaxConnections = 600;
-constexpr Duration ConnectTimeout {100'000};
+constexpr Duration EndpointConnectTimeout {100'000};
 /// Longer without a tick means that the process was paused.
 constexpr Duration MaxTickInterval {1'500'000};
 /// An answer without data for this long is considered finished.
 constexpr Duration AnswerPause {2'000'000};
-constexpr std::string_view LastChunk = "0\r\n\r\n";
 
 std::string answerText(int status)
 {
@@ -32,13 +30,6 @@
                                            : "\r\nContent-Length: 0\r\n\r\n");
 }
 
-std::string chunkHead(std::size_t size)
-{
-    std::array<char, 16> text {};
-    const auto end = std::to_chars(text.data(), text.data() + text.size(), size, 16).ptr;
-    return std::string(text.data(), end) + "\r\n";
-}
-
 } // namespace
 
 std::string forwardingRequest(const std::string &endpoint)
@@ -123,7 +114,7 @@
             return refuse(forwarding::Unavailable);
         if (m_forwarder.m_links.isBroken(m_id))
             return refuse(forwarding::TimedOut);
-        m_timer.expires_after(ConnectTimeout);
+        m_timer.expires_after(EndpointConnectTimeout);
         m_timer.async_wait([self = shared_from_this()](const error_code &stopped) {
             error_code ignored;
             if (!stopped)
@@ -215,8 +206,8 @@
             return close(false);
         m_awaitsAnswer = false;
         m_answeredAt = steadyNow();
-        m_text = chunkHead(count);
-        m_text.append(m_toInstance.data(), count).append("\r\n");
+        m_text.clear();
+        appendChunk(std::string_view(m_toInstance.data(), count), m_text);
         asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
     }
 
@@ -271,11 +262,11 @@
     return bootNow() - m_tickedAt > MaxTickInterval;
 }
 
-void ConnectionForwarder::tick(Time now)
+void ConnectionForwarder::tick(Time bootTime)
 {
     if (wasPaused())
         closeAll();
-    m_tickedAt = now;
+    m_tickedAt = bootTime;
 }
 
 void ConnectionForwarder::closeAll()
--- a/src/entry/connectionforwarder.h
+++ b/src/entry/connectionforwarder.h
@@ -49,9 +49,9 @@
 
     void setFleet(FleetPtr fleet) { m_fleet = std::move(fleet); }
 
-    /// To be called regularly. After a pause of the process, closes all connections: the requests
-    /// that wait in their buffers are outdated.
-    void tick(Time now);
+    /// To be called regularly, with bootNow(). After a pause of the process, closes all
+    /// connections: the requests that wait in their buffers are outdated.
+    void tick(Time bootTime);
 
     /// Forwards no further connections; open ones are kept.
     void stop() { m_stopping = true; }
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -51,6 +51,12 @@
     unread += std::exchange(channel->body(), {});
 }
 
+void PooledConnection::close()
+{
+    boost::system::error_code ignored;
+    socket.close(ignored);
+}
+
 ConnectionPool::ConnectionPool(asio::io_context &context)
     : m_context(context)
 {
@@ -75,8 +81,7 @@
 {
     // While a link is broken, direct connections over it may be dead without an error. Once it
     // works, forwarded ones cost needless time.
-    const bool direct = connection.forwardedBy.empty();
-    if (m_links && direct != m_links->mayReuseDirect(connection.endpoint, now))
+    if (m_links && connection.isForwarded() == m_links->mayReuseDirect(connection.endpoint, now))
         return false;
     return now - connection.idleSince < connection.idleTimeout && !connection.isEnded()
            && isIdleConnection(connection.socket);
@@ -161,7 +166,7 @@
         return;
     if (!m_handler->maySend())
         return;
-    m_forwarded = !m_connection->forwardedBy.empty();
+    m_forwarded = m_connection->isForwarded();
     m_mayHaveSent = true;
     m_pool.writes += 1;
     asio::async_write(m_connection->socket, asio::buffer(m_request),
@@ -193,8 +198,7 @@
         return;
     m_pool.reads += 1;
     m_connection->received(count);
-    const bool forwarded = m_connection->channel.has_value();
-    const bool ended = forwarded ? m_connection->isEnded() : error == asio::error::eof;
+    const bool ended = m_forwarded ? m_connection->isEnded() : error == asio::error::eof;
     if (error || ended || m_connection->isGarbled()) {
         process();
         if (!m_handler)
@@ -297,10 +301,8 @@
 {
     if (const auto connector = std::exchange(m_connector, nullptr))
         connector->cancel();
-    if (m_connection) {
-        boost::system::error_code ignored;
-        m_connection->socket.close(ignored);
-    }
+    if (m_connection)
+        m_connection->close();
 }
 
 } // namespace balsamloft
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -28,6 +28,11 @@
     /// Handles \a count bytes in `buffer`: appends those of the called process to `unread`.
     void received(std::size_t count);
 
+    void close();
+
+    /// Whether another instance forwards the connection.
+    bool isForwarded() const { return channel.has_value(); }
+
     /// Whether the called process closed a forwarded connection in an orderly way.
     bool isEnded() const { return channel && channel->done(); }
 
@@ -38,8 +43,8 @@
     std::string endpoint; ///< id
     std::string unread; ///< received and not yet parsed
     std::array<char, 8192> buffer {};
-    std::string forwardedBy; ///< name of the instance that forwards the connection; empty: none
-    /// Answer of the forwarding instance, whose body are the bytes of the called process.
+    /// If another instance forwards the connection: its answer, whose body are the bytes of the
+    /// called process.
     std::optional<MessageReader> channel;
     std::string undecoded; ///< received and not yet parsed by `channel`
     Time idleSince {};
--- a/src/entry/connector.cpp
+++ b/src/entry/connector.cpp
@@ -18,12 +18,6 @@
 
 namespace {
 
-void closeSocket(PooledConnection &connection)
-{
-    error_code ignored;
-    connection.socket.close(ignored);
-}
-
 /// A forwarded connection carries any number of answers in the body of one message.
 constexpr MessageLimits ForwardedLimits {16384, std::numeric_limits<std::uint64_t>::max()};
 
@@ -32,20 +26,29 @@
 Connector::Connector(ConnectionPool &pool, std::string endpoint, std::string address,
                      Callback callback)
     : m_pool(pool)
-    , m_links(pool.links())
     , m_endpoint(std::move(endpoint))
     , m_address(std::move(address))
     , m_callback(std::move(callback))
+    , m_race(pool.links(), m_endpoint)
 {
 }
 
 void Connector::start(Time now)
 {
-    m_startedAt = now;
-    if (m_links && m_links->shouldAskPeerAtOnce(m_endpoint, now))
-        askPeer(now);
-    if (m_pending.empty() || !m_links || m_links->shouldTryDirect(m_endpoint, now))
-        connectDirectly();
+    begin(m_race.start(now));
+}
+
+void Connector::tick(Time now)
+{
+    begin(m_race.tick(now));
+}
+
+void Connector::begin(const ConnectionRace::Attempts &attempts)
+{
+    for (const std::optional<PeerInstance> &peer : attempts)
+        peer ? askPeer(*peer) : connectDirectly();
+    if (m_race.hasFailed())
+        finish(nullptr);
 }
 
 Connector::AttemptPtr Connector::addAttempt(const std::string &peer)
@@ -74,8 +77,6 @@
         return;
     }
     const AttemptPtr attempt = addAttempt({});
-    if (m_links)
-        m_links->recordDirectAttempt(m_endpoint, m_startedAt);
     attempt->connection->socket.async_connect(
         *address, [self = shared_from_this(), attempt](const error_code &error) {
             self->directFinished(attempt, error);
@@ -90,18 +91,13 @@
         return;
     if (!error) {
         setSocketOptions(attempt->connection->socket);
-        return opened(attempt);
+        directOpened();
+        return finish(std::move(attempt->connection));
     }
-    m_directRefused = error == asio::error::connection_refused;
-    recordDirectFailure(m_directRefused ? ConnectFailure::Refused : ConnectFailure::TimedOut);
-    failed(attempt);
-}
-
-void Connector::recordDirectFailure(ConnectFailure failure)
-{
-    (failure == ConnectFailure::Refused ? m_pool.refused : m_pool.timedOut) += 1;
-    if (m_links)
-        m_links->recordDirectFailure(m_endpoint, failure, steadyNow());
+    std::erase(m_pending, attempt);
+    begin(m_race.directFailed(error == asio::error::connection_refused ? ConnectFailure::Refused
+                                                                       : ConnectFailure::TimedOut,
+                              steadyNow()));
 }
 
 /// Lets the direct attempt continue after another instance was faster. If it succeeds, the link
@@ -115,7 +111,7 @@
         each->timer.emplace(m_pool.context(), ConnectTimeout);
         each->timer->async_wait([each](const error_code &stopped) {
             if (!stopped && each->connection)
-                closeSocket(*each->connection);
+                each->connection->close();
         });
     }
 }
@@ -126,44 +122,42 @@
     if (error)
         return;
     setSocketOptions(attempt->connection->socket);
-    recordDirectSuccess();
+    directOpened();
     m_pool.put(std::move(attempt->connection), steadyNow());
 }
 
-void Connector::recordDirectSuccess()
+void Connector::directOpened()
 {
-    if (m_links && m_links->recordDirectSuccess(m_endpoint, steadyNow()))
+    if (m_race.directOpened(steadyNow()))
         logDecision("link", "restored", {{"endpoint", std::string_view(m_endpoint)}});
 }
 
 // Connection forwarded by another instance
 
-bool Connector::askPeer(Time now)
+void Connector::askPeer(const PeerInstance &peer)
 {
-    const auto peer = m_links->choosePeer(m_endpoint, m_askedPeers, now);
-    const auto address = peer ? parseTcpEndpoint(peer->forwardAddress) : std::nullopt;
-    if (!address)
-        return false;
-    m_askedPeers.insert(peer->name);
-    const AttemptPtr attempt = addAttempt(peer->name);
-    attempt->connection->forwardedBy = peer->name;
+    const AttemptPtr attempt = addAttempt(peer.name);
+    const auto address = parseTcpEndpoint(peer.forwardAddress);
+    if (!address) {
+        asio::post(m_pool.context(), [self = shared_from_this(), attempt] {
+            self->peerFailed(attempt, PeerFailure::Unavailable);
+        });
+        return;
+    }
     attempt->connection->channel.emplace(MessageReader::Kind::Response, ForwardedLimits);
     attempt->request = forwardingRequest(m_endpoint);
     attempt->connection->socket.async_connect(
         *address, [self = shared_from_this(), attempt](const error_code &error) {
             self->peerConnected(attempt, error);
         });
-    return true;
 }
 
 void Connector::peerConnected(const AttemptPtr &attempt, const error_code &error)
 {
+    if (error)
+        return peerFailed(attempt, PeerFailure::Unavailable);
     if (!isPending(attempt))
         return;
-    if (error) {
-        m_links->recordPeerFailure(attempt->peer, steadyNow());
-        return failed(attempt);
-    }
     setSocketOptions(attempt->connection->socket);
     // If the write fails, so does the read.
     asio::async_write(attempt->connection->socket, asio::buffer(attempt->request),
@@ -187,68 +181,38 @@
         return;
     PooledConnection &connection = *attempt->connection;
     connection.received(count);
-    if (!error && !connection.channel->headDone()
-        && connection.channel->failure() == MessageReader::Failure::None)
+    if (!error && !connection.channel->headDone() && !connection.isGarbled())
         return readReply(attempt);
-    const int status = connection.channel->headDone() ? connection.channel->head().status : 0;
-    if (status == forwarding::Opened)
-        return opened(attempt);
-    if (status == forwarding::NotReached || status == forwarding::TimedOut)
-        m_links->recordForwardingFailure(m_endpoint, attempt->peer, steadyNow());
-    else
-        m_links->recordPeerFailure(attempt->peer, steadyNow());
-    m_refusals += status == forwarding::NotReached ? 1 : 0;
-    failed(attempt);
+    switch (connection.channel->headDone() ? connection.channel->head().status : 0) {
+    case forwarding::Opened:
+        return peerOpened(attempt);
+    case forwarding::NotReached:
+        return peerFailed(attempt, PeerFailure::Refused);
+    case forwarding::TimedOut:
+        return peerFailed(attempt, PeerFailure::NotReached);
+    default:
+        return peerFailed(attempt, PeerFailure::Unavailable);
+    }
 }
 
-// Outcome
-
-void Connector::opened(const AttemptPtr &attempt)
+void Connector::peerOpened(const AttemptPtr &attempt)
 {
-    const Time now = steadyNow();
-    if (attempt->peer.empty()) {
-        recordDirectSuccess();
-    } else {
-        m_pool.forwarded += 1;
-        continueDirect();
-        const bool directIsSlow = std::any_of(m_pending.begin(), m_pending.end(),
-                                              [](const auto &each) { return each->late; })
-                                  && now - m_startedAt >= AskPeerInterval;
-        if (directIsSlow)
-            recordDirectFailure(ConnectFailure::TimedOut);
-        if (m_links->recordForwarded(m_endpoint, attempt->peer, now))
-            logDecision("link", "broken",
-                        {{"endpoint", std::string_view(m_endpoint)},
-                         {"forwarded_by", std::string_view(attempt->peer)}});
-    }
+    m_pool.forwarded += 1;
+    continueDirect();
+    if (m_race.peerOpened(attempt->peer, steadyNow()))
+        logDecision("link", "broken",
+                    {{"endpoint", std::string_view(m_endpoint)},
+                     {"forwarded_by", std::string_view(attempt->peer)}});
     finish(std::move(attempt->connection));
 }
 
-void Connector::failed(const AttemptPtr &attempt)
+void Connector::peerFailed(const AttemptPtr &attempt, PeerFailure failure)
 {
-    std::erase(m_pending, attempt);
-    if (m_links && askPeer(steadyNow()))
-        return;
-    if (m_pending.empty())
-        finish(nullptr);
+    if (std::erase(m_pending, attempt) > 0)
+        begin(m_race.peerFailed(attempt->peer, failure, steadyNow()));
 }
 
-void Connector::tick(Time now)
-{
-    const Duration elapsed = now - m_startedAt;
-    if (elapsed < ConnectTimeout) {
-        if (m_links && elapsed >= AskPeerInterval * static_cast<int>(m_askedPeers.size() + 1))
-            askPeer(now);
-        return;
-    }
-    for (const AttemptPtr &each : m_pending) {
-        if (each->peer.empty())
-            recordDirectFailure(ConnectFailure::TimedOut);
-        else
-            m_links->recordForwardingFailure(m_endpoint, each->peer, now);
-    }
-    finish(nullptr);
-}
+// Outcome
 
 void Connector::cancel()
 {
@@ -260,18 +224,13 @@
 {
     for (const AttemptPtr &each : std::exchange(m_pending, {}))
         if (each->connection && !each->late)
-            closeSocket(*each->connection);
+            each->connection->close();
+    if (std::exchange(m_finished, true))
+        return;
+    if (const auto failure = m_race.directFailure())
+        (*failure == ConnectFailure::Refused ? m_pool.refused : m_pool.timedOut) += 1;
     if (const Callback callback = std::exchange(m_callback, nullptr))
         callback(std::move(connection));
 }
 
-bool Connector::isRefused(Time now) const
-{
-    if (!m_directRefused || !m_links || !m_links->hasPeers())
-        return m_directRefused;
-    const bool confirmed = m_askedPeers.empty() ? m_links->isUnreachable(m_endpoint, now)
-                                                : m_refusals == m_askedPeers.size();
-    return confirmed && m_links->mayReportCrash(now);
-}
-
 } // namespace balsamloft
--- a/src/entry/connector.h
+++ b/src/entry/connector.h
@@ -5,22 +5,14 @@
 
 #include "connectionpool.h"
 
-#include <balsamloft/endpointlinks.h>
+#include <balsamloft/connectionrace.h>
 
 #include <boost/asio/steady_timer.hpp>
 
 namespace balsamloft {
 
-/// Time after which a connection attempt to an endpoint fails.
-inline constexpr Duration ConnectTimeout {200'000};
-
-/// Time without a connection after which a further instance is asked to forward it.
-inline constexpr Duration AskPeerInterval {40'000};
-
-/// Opens one connection to an endpoint. The direct connection is tried first, as long as the link
-/// is not known to be broken. If it fails, or takes long, other instances are asked in turn, and
-/// the first connection that opens is used. The pool's EndpointLinks decide; without them, only the
-/// direct connection is tried.
+/// Opens one connection to an endpoint: makes the attempts that a ConnectionRace asks for. The
+/// pool's EndpointLinks decide; without them, the connection is direct.
 class Connector : public std::enable_shared_from_this<Connector>
 {
 public:
@@ -42,9 +34,8 @@
 
     // Queries
 
-    /// Whether no process listens at the endpoint's address, as far as this instance and the others
-    /// can tell.
-    bool isRefused(Time now) const;
+    /// Whether the endpoint refuses connections, see ConnectionRace::isRefused().
+    bool isRefused(Time now) const { return m_race.isRefused(now); }
 
 private:
     /// One way to the endpoint.
@@ -58,33 +49,30 @@
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
 
+    void begin(const ConnectionRace::Attempts &attempts);
     AttemptPtr addAttempt(const std::string &peer);
     bool isPending(const AttemptPtr &attempt) const;
     void connectDirectly();
     void directFinished(const AttemptPtr &attempt, const boost::system::error_code &error);
     void lateDirectFinished(const AttemptPtr &attempt, const boost::system::error_code &error);
     void continueDirect();
-    void recordDirectFailure(ConnectFailure failure);
-    void recordDirectSuccess();
-    bool askPeer(Time now);
+    void directOpened();
+    void askPeer(const PeerInstance &peer);
     void peerConnected(const AttemptPtr &attempt, const boost::system::error_code &error);
     void readReply(const AttemptPtr &attempt);
     void replyRead(const AttemptPtr &attempt, const boost::system::error_code &error,
                    std::size_t count);
-    void opened(const AttemptPtr &attempt);
-    void failed(const AttemptPtr &attempt);
+    void peerOpened(const AttemptPtr &attempt);
+    void peerFailed(const AttemptPtr &attempt, PeerFailure failure);
     void finish(PooledConnectionPtr connection);
 
     ConnectionPool &m_pool;
-    EndpointLinks *m_links;
     std::string m_endpoint; ///< id
     std::string m_address;
     Callback m_callback;
+    ConnectionRace m_race;
     std::vector<AttemptPtr> m_pending;
-    std::set<std::string> m_askedPeers;
-    std::size_t m_refusals = 0; ///< peers that were refused by the endpoint
-    bool m_directRefused = false;
-    Time m_startedAt {};
+    bool m_finished = false;
 };
 
 } // namespace balsamloft
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -101,15 +101,6 @@
     return trials;
 }
 
-EndpointLinkSettings linkSettings(const EntrySettings &settings)
-{
-    EndpointLinkSettings links;
-    // Another seed than that of the traffic thread, and a different one at each instance:
-    // otherwise all instances would ask the same ones to forward.
-    links.seed = std::hash<std::string> {}(settings.name) + 1;
-    return links;
-}
-
 LeaseSettings leaseSettings(const EntrySettings &settings)
 {
     LeaseSettings lease;
@@ -136,7 +127,7 @@
     , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.storeAddress, protocol, state)
     , m_crashChannel(context, settings.storeAddress, protocol, state)
-    , m_links(settings.name, settings.domain, linkSettings(settings))
+    , m_links(settings.name, settings.domain, linkSettings(settings, EntryThread::Control))
     , m_engines(context)
     , m_fleet(fleetSettings(settings))
     , m_fleetSnapshot(std::make_shared<FleetSnapshot>())
--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
@@ -43,6 +44,14 @@
     return names;
 }
 
+void appendChunk(std::string_view data, std::string &out)
+{
+    std::array<char, 2 * sizeof(std::size_t)> size {};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
+    out.append(size.data(), static_cast<std::size_t>(end - size.data()));
+    out.append("\r\n").append(data).append("\r\n");
+}
+
 namespace {
 
 /// The parts of a message that both kinds of parser collect.
--- a/src/entry/httpmessage.h
+++ b/src/entry/httpmessage.h
@@ -40,6 +40,12 @@
 /// The options that the Connection fields of \a head list.
 std::vector<std::string> connectionOptions(const MessageHead &head);
 
+/// Ends a chunked body.
+inline constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+/// Appends \a data, which is not empty, to \a out as a chunk of a chunked body.
+void appendChunk(std::string_view data, std::string &out);
+
 /// Size limits of a message.
 struct MessageLimits
 {
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -134,6 +134,13 @@
     return settingsFromFlags(reason);
 }
 
+EndpointLinkSettings linkSettings(const EntrySettings &settings, EntryThread thread)
+{
+    EndpointLinkSettings links;
+    links.seed = std::hash<std::string> {}(settings.name) + static_cast<std::uint64_t>(thread);
+    return links;
+}
+
 std::string flagsNeedingRestart(const EntrySettings &before, const EntrySettings &after)
 {
     struct Member
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include <balsamloft/types.h>
+#include <balsamloft/endpointlinks.h>
 
 #include <optional>
 #include <string>
@@ -31,6 +31,13 @@
     bool logAll = false; ///< log successful requests too
 };
 
+/// The threads that open connections to endpoints, each with EndpointLinks of its own.
+enum class EntryThread : std::uint8_t { Traffic, Control };
+
+/// Returns the settings for the links of \a thread. Their seed differs at each instance: otherwise
+/// all instances would ask the same ones to forward.
+EndpointLinkSettings linkSettings(const EntrySettings &settings, EntryThread thread);
+
 /// Exit code for invalid settings.
 inline constexpr int InvalidSettingsExitCode = 2;
 
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -47,13 +47,6 @@
     return relay;
 }
 
-EndpointLinkSettings linkSettings(const EntrySettings &settings)
-{
-    EndpointLinkSettings links;
-    links.seed = std::hash<std::string> {}(settings.name);
-    return links;
-}
-
 } // namespace
 
 TrafficServer::TrafficServer(asio::io_context &context, const EntrySettings &settings,
@@ -64,7 +57,7 @@
     , m_state(state)
     , m_acceptor(context)
     , m_timer(context)
-    , m_links(settings.name, settings.domain, linkSettings(settings))
+    , m_links(settings.name, settings.domain, linkSettings(settings, EntryThread::Traffic))
     , m_pool(context)
     , m_forwarder(context, m_links)
     , m_relay(relaySettings(settings))
--- a/src/fakes/linkemulator.cpp
+++ b/src/fakes/linkemulator.cpp
@@ -1,14 +1,16 @@
 #include "linkemulator.h"
 
+#include <balsamloft/connectionrace.h>
+
 #include <algorithm>
 
 namespace balsamloft::fakes {
 
 namespace {
 
+/// Instances are called by numbers of equal length, so that their names are in order.
+constexpr std::size_t FirstInstanceNumber = 1000;
 constexpr Duration RoundTrip {1'000};
-constexpr Duration ConnectTimeout {200'000};
-constexpr Duration AskPeerInterval {40'000};
 constexpr Duration ForwarderTimeout {100'000};
 
 std::string endpointName(std::size_t endpoint)
@@ -26,8 +28,8 @@
     std::vector<PeerInstance> all;
     for (std::size_t domain = 0; domain < settings.domains; ++domain)
         for (std::size_t i = 0; i < settings.instancesPerDomain; ++i)
-            all.push_back(
-                {std::to_string(1000 + all.size()), "d" + std::to_string(domain), "", "forward"});
+            all.push_back({std::to_string(FirstInstanceNumber + all.size()),
+                           "d" + std::to_string(domain), "", "forward"});
     std::uniform_int_distribution<std::int64_t> phase(0, m_interval.count());
     for (const PeerInstance &each : all) {
         Instance &instance = m_instances.emplace_back();
@@ -103,72 +105,60 @@
             certain ? Reaction::Refuses : Reaction::Silent};
 }
 
-bool LinkEmulator::askPeer(Instance &instance, std::size_t endpoint, std::set<std::string> &asked,
-                           Time now, std::vector<Pending> &pending)
+/// When and how an attempt that begins now will react; nothing if it never does.
+std::optional<LinkEmulator::Pending> LinkEmulator::begin(const Instance &instance,
+                                                         std::size_t endpoint,
+                                                         const std::optional<PeerInstance> &peer,
+                                                         Time now)
 {
-    const auto chosen = instance.links->choosePeer(endpointName(endpoint), asked, now);
-    if (!chosen)
-        return false;
-    asked.insert(chosen->name);
-    pending.push_back(forward(std::stoul(chosen->name) - 1000, endpoint, now));
-    return true;
+    if (peer)
+        return forward(std::stoul(peer->name) - FirstInstanceNumber, endpoint, now);
+    const Reaction reaction = react(instance, endpoint);
+    return reaction == Reaction::Silent
+               ? std::nullopt
+               : std::make_optional(Pending {now + RoundTrip, {}, reaction});
 }
 
 void LinkEmulator::open(Instance &instance, std::size_t endpoint, Time now)
 {
-    EndpointLinks &links = *instance.links;
-    const std::string name = endpointName(endpoint);
+    ConnectionRace race(instance.links.get(), endpointName(endpoint));
     instance.counts.tried += 1;
     std::vector<Pending> pending;
-    std::set<std::string> asked;
-    bool directRefused = false;
-    if (links.shouldAskPeerAtOnce(name, now))
-        askPeer(instance, endpoint, asked, now, pending);
-    if (pending.empty() || links.shouldTryDirect(name, now)) {
-        links.recordDirectAttempt(name, now);
-        const Reaction reaction = react(instance, endpoint);
-        pending.push_back(
-            {now + (reaction == Reaction::Silent ? ConnectTimeout : RoundTrip), {}, reaction});
-    }
-    std::size_t refusals = 0;
-    while (!pending.empty()) {
+    const auto beginAll = [&](const ConnectionRace::Attempts &attempts, Time at) {
+        for (const auto &peer : attempts)
+            if (const auto reaction = begin(instance, endpoint, peer, at))
+                pending.push_back(*reaction);
+    };
+    beginAll(race.start(now), now);
+    Time nextTick = now + AskPeerInterval;
+    while (!race.hasFailed()) {
         const auto next =
             std::min_element(pending.begin(), pending.end(),
                              [](const Pending &a, const Pending &b) { return a.at < b.at; });
-        const Time askAt = now + AskPeerInterval * static_cast<int>(asked.size() + 1);
-        if (askAt < next->at && askAt < now + ConnectTimeout
-            && askPeer(instance, endpoint, asked, askAt, pending))
+        if (next == pending.end() || nextTick <= next->at) {
+            beginAll(race.tick(nextTick), nextTick);
+            nextTick += AskPeerInterval;
             continue;
+        }
         const Pending event = *next;
         pending.erase(next);
-        if (event.at >= now + ConnectTimeout) {
-            if (!event.peer)
-                links.recordDirectFailure(name, ConnectFailure::TimedOut, event.at);
-            continue;
-        }
         if (event.reaction == Reaction::Opens) {
-            const bool directIsSlow = std::any_of(pending.begin(), pending.end(),
-                                                  [](const auto &each) { return !each.peer; });
-            if (event.peer && directIsSlow && event.at - now >= AskPeerInterval)
-                links.recordDirectFailure(name, ConnectFailure::TimedOut, event.at);
-            event.peer ? links.recordForwarded(name, m_instances[*event.peer].name, event.at)
-                       : links.recordDirectSuccess(name, event.at);
+            if (event.peer)
+                race.peerOpened(m_instances[*event.peer].name, event.at);
+            else
+                race.directOpened(event.at);
             instance.counts.opened += 1;
             instance.counts.forwarded += event.peer ? 1 : 0;
             return;
         }
-        if (event.peer) {
-            refusals += event.reaction == Reaction::Refuses ? 1 : 0;
-            links.recordForwardingFailure(name, m_instances[*event.peer].name, event.at);
-        } else {
-            directRefused = true;
-            links.recordDirectFailure(name, ConnectFailure::Refused, event.at);
-        }
-        askPeer(instance, endpoint, asked, event.at, pending);
+        const bool refused = event.reaction == Reaction::Refuses;
+        beginAll(event.peer ? race.peerFailed(
+                     m_instances[*event.peer].name,
+                     refused ? PeerFailure::Refused : PeerFailure::NotReached, event.at)
+                            : race.directFailed(ConnectFailure::Refused, event.at),
+                 event.at);
     }
-    const bool confirmed =
-        asked.empty() ? links.isUnreachable(name, now) : refusals == asked.size();
-    if (directRefused && confirmed && links.mayReportCrash(now) && !m_dead.contains(endpoint))
+    if (race.isRefused(now) && !m_dead.contains(endpoint))
         instance.counts.reportedCrashes += 1;
 }
 
--- a/src/fakes/linkemulator.h
+++ b/src/fakes/linkemulator.h
@@ -1,6 +1,7 @@
 /// \file
 /// Simulates in virtual time how the instances of a fleet open connections to endpoints while
-/// links are cut. The decisions are those of EndpointLinks; the network is modelled.
+/// links are cut. The decisions are those of ConnectionRace and EndpointLinks; the network is
+/// modelled.
 
 #pragma once
 
@@ -93,8 +94,8 @@
 
     Reaction react(const Instance &instance, std::size_t endpoint) const;
     void open(Instance &instance, std::size_t endpoint, Time now);
-    bool askPeer(Instance &instance, std::size_t endpoint, std::set<std::string> &asked, Time now,
-                 std::vector<Pending> &pending);
+    std::optional<Pending> begin(const Instance &instance, std::size_t endpoint,
+                                 const std::optional<PeerInstance> &peer, Time now);
     Pending forward(std::size_t peer, std::size_t endpoint, Time now);
 
     std::mt19937_64 m_random;
--- a/src/include/balsamloft/endpointlinks.h
+++ b/src/include/balsamloft/endpointlinks.h
@@ -27,6 +27,9 @@
     std::uint32_t timeoutsUntilBroken = 2;
     Duration directRetryInterval {500'000}; ///< between two direct attempts over a broken link
     std::size_t brokenUntilDoubt = 2; ///< broken links that put all other links in doubt
+    /// Endpoints without a connection, while none opened one, that put the instance itself in
+    /// doubt.
+    std::size_t failuresUntilDoubt = 3;
     Duration doubtDuration {2'000'000}; ///< since another instance last reached a broken endpoint
     Duration peerFailureLifetime {2'000'000}; ///< how long a peer that failed is avoided
     Duration peerSuccessLifetime {5'000'000}; ///< how long a peer that succeeded is preferred
@@ -105,8 +108,8 @@
     bool shouldAskPeerAtOnce(const std::string &endpoint, Time now) const;
 
     /// Whether a refused connection may be reported as the crash of an endpoint. False if this
-    /// instance's own links are broken, or if several endpoints refused connections and
-    /// none accepted one since.
+    /// instance's own links are broken, or if connections to several endpoints failed and
+    /// none works since.
     bool mayReportCrash(Time now) const;
 
     std::size_t brokenCount() const { return m_brokenCount; }
@@ -120,7 +123,6 @@
         bool broken = false;
         Time failedAt {}; ///< last failed direct connection
         Time triedAt {}; ///< start of the last direct attempt
-        Time forwardedAt {}; ///< when a peer last reached the endpoint
         Time unreachableUntil {}; ///< no peer is asked until then
         std::set<std::string> failedPeers; ///< since the endpoint was last reached
     };
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -396,6 +396,7 @@
     void forwardAnswer(FlightId id, Flight &flight, bool succeeded, Time now,
                        RelayActions &actions);
 
+    static Duration expectedPause(const Flight &flight);
     bool worthMoving(const Flight &flight, Time now);
 
     /// The outcome if the flight finishes now; \a ifMayHaveRun: if it may have been executed.
--- a/src/libbalsamloft/endpointlinks.cpp
+++ b/src/libbalsamloft/endpointlinks.cpp
@@ -6,14 +6,6 @@
 
 namespace balsamloft {
 
-namespace {
-
-/// Endpoints that refuse connections, with none that accepts one, until the instance doubts its own
-/// links.
-constexpr std::size_t RefusalsUntilDoubt = 3;
-
-} // namespace
-
 EndpointLinks::EndpointLinks(std::string self, std::string domain, EndpointLinkSettings settings)
     : m_self(std::move(self))
     , m_domain(std::move(domain))
@@ -108,7 +100,6 @@
     if (it == m_links.end())
         return false;
     Link &link = it->second;
-    link.forwardedAt = now;
     link.unreachableUntil = {};
     // The endpoint is alive, so the peers that did not reach it have broken links of their own.
     for (const std::string &each : std::exchange(link.failedPeers, {}))
@@ -248,11 +239,11 @@
 {
     if (m_brokenCount > 0 && now - m_lastForwardedAt < m_settings.doubtDuration)
         return false;
-    const auto refusals = std::count_if(m_links.begin(), m_links.end(), [&](const auto &each) {
+    const auto failed = std::count_if(m_links.begin(), m_links.end(), [&](const auto &each) {
         return each.second.failedAt > m_directWorkedAt
                && now - each.second.failedAt < m_settings.doubtDuration;
     });
-    return static_cast<std::size_t>(refusals) < RefusalsUntilDoubt;
+    return static_cast<std::size_t>(failed) < m_settings.failuresUntilDoubt;
 }
 
 } // namespace balsamloft
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -20,6 +20,13 @@
     return found == flight.path.end() ? std::nullopt : std::make_optional(found->endpoint);
 }
 
+/// The pause until the next event that is normal on the flight's path.
+Duration Relay::expectedPause(const Flight &flight)
+{
+    return flight.state == State::Streaming ? flight.expectedEventInterval
+                                            : flight.expectedFirstEvent;
+}
+
 void Relay::queryEngine(const std::string &endpoint, Time now, RelayActions &actions)
 {
     const auto [it, inserted] = m_queriedAt.try_emplace(endpoint, now);
@@ -69,9 +76,8 @@
     Flight *flight = current(id, attempt);
     if (!flight || !flight->request.route->idempotent())
         return;
-    const Duration expected = flight->state == State::Streaming ? flight->expectedEventInterval
-                                                                : flight->expectedFirstEvent;
-    if (now - flight->progressAt >= m_settings.suspectPause + expected && worthMoving(*flight, now))
+    if (now - flight->progressAt >= m_settings.suspectPause + expectedPause(*flight)
+        && worthMoving(*flight, now))
         abandonAndRetry(id, *flight, "the link to " + flight->endpoint + " is broken", now,
                         actions);
 }
@@ -185,8 +191,7 @@
         return;
     }
     const Duration pause = now - flight.progressAt;
-    const Duration expected =
-        flight.state == State::Streaming ? flight.expectedEventInterval : flight.expectedFirstEvent;
+    const Duration expected = expectedPause(flight);
     const std::optional<std::string> suspectedEngine = firstSuspect(flight, now);
     const bool idempotent = flight.request.route->idempotent();
     if (suspectedEngine && pause >= m_settings.suspectPause + expected) {
--- a/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -169,6 +169,55 @@
     int m_requests = 0;
 };
 
+/// A call to an instance without links, forwarded by another one, whose answer waits for release().
+class ForwardedCall
+{
+public:
+    /// \a answer: that of the endpoint.
+    explicit ForwardedCall(Site::Answer answer = answerOf)
+        : site(2, [this, answer = std::move(answer)](const std::string &request) {
+            if (!request.starts_with(Target))
+                return answerOf(request);
+            waitUntil([&] { return m_released.load(); });
+            return answer(request);
+        })
+    {
+        site.cut(0, CutManner::Reset);
+        CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
+        m_caller = std::thread([this] { m_answer = site.post(0, "/unsafe/slow"); });
+        CHECK(waitUntil([&] { return received() == 1; }));
+    }
+
+    ~ForwardedCall()
+    {
+        release();
+        answer();
+    }
+
+    void release() { m_released = true; }
+
+    /// Waits for the caller's answer.
+    std::string answer()
+    {
+        if (m_caller.joinable())
+            m_caller.join();
+        return m_answer;
+    }
+
+    std::size_t received() const { return site.received(Target); }
+
+private:
+    inline static const std::string Target = "POST /unsafe/slow";
+    std::atomic<bool> m_released {false};
+
+public:
+    Site site;
+
+private:
+    std::string m_answer;
+    std::thread m_caller;
+};
+
 } // namespace
 
 TEST_CASE("an instance without links to the endpoints serves its callers", "[process]")
@@ -205,64 +254,33 @@
 TEST_CASE("a request that may run once runs once when its forwarding instance is killed",
           "[process]")
 {
-    std::atomic<bool> released {false};
-    Site site(2, [&released](const std::string &request) {
-        if (request.starts_with("POST /unsafe/slow"))
-            waitUntil([&] { return released.load(); });
-        return answerOf(request);
-    });
-    site.cut(0, CutManner::Reset);
-    CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
-    std::string answer;
-    std::thread caller([&] { answer = site.post(0, "/unsafe/slow"); });
-    CHECK(waitUntil([&] { return site.received("POST /unsafe/slow") == 1; }));
-    site.process(1).signal(SIGKILL);
-    caller.join();
-    released = true;
+    ForwardedCall call;
+    call.site.process(1).signal(SIGKILL);
+    const std::string answer = call.answer();
+    call.release();
     CHECK(answer.starts_with("HTTP/1.1 502"));
-    CHECK(site.received("POST /unsafe/slow") == 1);
+    CHECK(call.received() == 1);
 }
 
 TEST_CASE("an answer without a length that is cut off by its forwarding instance is not passed on",
           "[process]")
 {
-    std::atomic<bool> released {false};
-    Site site(2, [&released](const std::string &request) -> std::string {
-        if (!request.starts_with("POST /unsafe/part"))
-            return answerOf(request);
-        waitUntil([&] { return released.load(); });
+    ForwardedCall call([](const std::string &request) {
         return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
                + "\r\nSeal: s\r\n\r\nfirst half";
     });
-    site.cut(0, CutManner::Reset);
-    CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
-    std::string answer;
-    std::thread caller([&] { answer = site.post(0, "/unsafe/part"); });
-    CHECK(waitUntil([&] { return site.received("POST /unsafe/part") == 1; }));
-    released = true;
+    call.release();
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
-    site.process(1).signal(SIGKILL);
-    caller.join();
-    CHECK(answer.starts_with("HTTP/1.1 502"));
+    call.site.process(1).signal(SIGKILL);
+    CHECK(call.answer().starts_with("HTTP/1.1 502"));
 }
 
 TEST_CASE("a planned stop finishes the answers that the instance forwards for others", "[process]")
 {
-    std::atomic<bool> released {false};
-    Site site(2, [&released](const std::string &request) {
-        if (request.starts_with("POST /unsafe/slow"))
-            waitUntil([&] { return released.load(); });
-        return answerOf(request);
-    });
-    site.cut(0, CutManner::Reset);
-    CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
-    std::string answer;
-    std::thread caller([&] { answer = site.post(0, "/unsafe/slow"); });
-    CHECK(waitUntil([&] { return site.received("POST /unsafe/slow") == 1; }));
-    site.process(1).signal(SIGTERM);
-    site.process(1).waitFor("\"event\":\"(stopping)\"");
-    released = true;
-    caller.join();
-    CHECK(answer.starts_with("HTTP/1.1 200"));
-    CHECK(site.process(1).wait() == 0);
+    ForwardedCall call;
+    call.site.process(1).signal(SIGTERM);
+    call.site.process(1).waitFor("\"event\":\"(stopping)\"");
+    call.release();
+    CHECK(call.answer().starts_with("HTTP/1.1 200"));
+    CHECK(call.site.process(1).wait() == 0);
 }
