Choosing who forwards reads in steps: candidates sorted first, then the choice

Two arrays with indexes for domains became a struct with names. The draws are the same: endpointlinks_test gives the same figures to the last one. Two rows of safeguards.py follow the code.

--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -17,7 +17,7 @@
 # Name, file, code text, replacement, and the proof: test program and test name.
 SAFEGUARDS = [
     ("another instance is asked when a connection fails", "src/libbalsamloft/endpointlinks.cpp",
-     "if (tried.size() >= m_settings.maxPeersPerConnection)", "if (true)",
+     "tried.size() >= m_settings.maxPeersPerConnection || isUnreachable(endpoint, now)", "true",
      "endpointlinks_test: instances without links open connections as often as the others, at all sizes"),
     ("a link is broken only by another instance's proof", "src/libbalsamloft/endpointlinks.cpp",
      "link.failures >= m_settings.timeoutsUntilBroken", "link.failures >= 1",
@@ -26,7 +26,7 @@
      "|| now - it->second.triedAt >= m_settings.directRetryInterval", "",
      "endpointlinks_test: a broken link is tried again at intervals"),
     ("an endpoint that nobody reaches is not asked for again", "src/libbalsamloft/endpointlinks.cpp",
-     "if (known && now < link->second.unreachableUntil)", "if (false)",
+     "maxPeersPerConnection || isUnreachable(endpoint, now)", "maxPeersPerConnection",
      "endpointlinks_test: an endpoint that nobody reaches is not asked for again at once"),
     ("an instance with broken links reports no crash", "src/libbalsamloft/endpointlinks.cpp",
      "if (m_brokenCount > 0 && now - m_lastForwardedAt < m_settings.doubtDuration)", "if (false)",
--- a/src/include/balsamloft/endpointlinks.h
+++ b/src/include/balsamloft/endpointlinks.h
@@ -134,12 +134,26 @@
         Time succeededAt {};
     };
 
+    using Peers = std::vector<const Peer *>;
+
+    /// Peers that may be asked for an endpoint.
+    struct Candidates
+    {
+        Peers working; ///< succeeded a short time ago, in any domain
+        Peers workingOwn; ///< those of them in this instance's domain
+        Peers untestedOwn;
+        Peers untestedElsewhere;
+        std::size_t ownFailures = 0; ///< peers of this instance's domain that failed
+    };
+
     void setBroken(Link &link, bool broken);
     Peer *findPeer(const std::string &name);
     bool isPreferred(const Peer &peer, Time now) const;
     bool isAvoided(const Peer &peer, Time now) const;
     bool inDoubt(Time now) const;
-    const Peer *randomPeer(const std::vector<const Peer *> &candidates);
+    Candidates candidates(const std::string &endpoint, const std::set<std::string> &tried,
+                          Time now) const;
+    const Peer *randomPeer(const Peers &peers);
 
     std::string m_self;
     std::string m_domain;
--- a/src/libbalsamloft/endpointlinks.cpp
+++ b/src/libbalsamloft/endpointlinks.cpp
@@ -1,7 +1,6 @@
 #include <balsamloft/endpointlinks.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace balsamloft {
@@ -146,49 +145,56 @@
            && now - peer.failedAt < m_settings.peerFailureLifetime;
 }
 
-const EndpointLinks::Peer *EndpointLinks::randomPeer(const std::vector<const Peer *> &candidates)
+const EndpointLinks::Peer *EndpointLinks::randomPeer(const Peers &peers)
 {
-    if (candidates.empty())
+    if (peers.empty())
         return nullptr;
-    return candidates[std::uniform_int_distribution<std::size_t>(0,
-                                                                 candidates.size() - 1)(m_random)];
+    std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
+    return peers[any(m_random)];
 }
 
-std::optional<PeerInstance> EndpointLinks::choosePeer(const std::string &endpoint,
-                                                      const std::set<std::string> &tried, Time now)
+/// Sorts the peers that may be asked for \a endpoint by what is known of them.
+EndpointLinks::Candidates EndpointLinks::candidates(const std::string &endpoint,
+                                                    const std::set<std::string> &tried,
+                                                    Time now) const
 {
-    if (tried.size() >= m_settings.maxPeersPerConnection)
-        return std::nullopt;
     const auto link = m_links.find(endpoint);
-    const bool known = link != m_links.end();
-    if (known && now < link->second.unreachableUntil)
-        return std::nullopt;
-    std::array<std::vector<const Peer *>, 2> preferred; // own domain, all
-    std::array<std::vector<const Peer *>, 2> others; // own domain, other domains
-    std::size_t ownFailures = 0;
+    const auto failedHere = [&](const std::string &peer) {
+        return tried.contains(peer)
+               || (link != m_links.end() && link->second.failedPeers.contains(peer));
+    };
+    Candidates result;
     for (const Peer &each : m_peers) {
         const bool own = each.instance.domain == m_domain;
-        const bool failedHere = tried.contains(each.instance.name)
-                                || (known && link->second.failedPeers.contains(each.instance.name));
-        if (own && (failedHere || isAvoided(each, now)))
-            ownFailures += 1;
-        if (failedHere || isAvoided(each, now))
+        if (failedHere(each.instance.name) || isAvoided(each, now)) {
+            result.ownFailures += own ? 1 : 0;
             continue;
+        }
         if (!isPreferred(each, now)) {
-            others[own ? 0 : 1].push_back(&each);
+            (own ? result.untestedOwn : result.untestedElsewhere).push_back(&each);
             continue;
         }
-        preferred[1].push_back(&each);
+        result.working.push_back(&each);
         if (own)
-            preferred[0].push_back(&each);
+            result.workingOwn.push_back(&each);
     }
+    return result;
+}
+
+std::optional<PeerInstance> EndpointLinks::choosePeer(const std::string &endpoint,
+                                                      const std::set<std::string> &tried, Time now)
+{
+    if (tried.size() >= m_settings.maxPeersPerConnection || isUnreachable(endpoint, now))
+        return std::nullopt;
+    const Candidates all = candidates(endpoint, tried, now);
     // A domain with few instances left would be overloaded if it helped all its others alone.
-    const bool ownSuffices = preferred[0].size() >= m_settings.minOwnPeers;
-    const bool beyondDomain = !ownSuffices
-                              && (others[0].empty() || !preferred[0].empty()
-                                  || ownFailures >= m_settings.failuresUntilOtherDomains);
-    const std::vector<const Peer *> &working = preferred[ownSuffices ? 0 : 1];
-    const std::vector<const Peer *> &untested = others[beyondDomain && !others[1].empty() ? 1 : 0];
+    const bool ownSuffices = all.workingOwn.size() >= m_settings.minOwnPeers;
+    const bool ownFails = all.ownFailures >= m_settings.failuresUntilOtherDomains;
+    const bool beyondDomain =
+        !ownSuffices && (all.untestedOwn.empty() || !all.workingOwn.empty() || ownFails);
+    const auto &working = ownSuffices ? all.workingOwn : all.working;
+    const auto &untested =
+        beyondDomain && !all.untestedElsewhere.empty() ? all.untestedElsewhere : all.untestedOwn;
     const bool explore = working.size() < m_settings.maxPreferredPeers && !untested.empty()
                          && std::bernoulli_distribution(m_settings.exploreShare)(m_random);
     const Peer *chosen = randomPeer(working.empty() || explore ? untested : working);
