Logs and counters of what endpoints announce in answers: Retry-After, and that they exit

Retry-After (seconds, fractions, dates; the longest of several; at most ten minutes are believed) and the announced exit are read and logged, and counted in retry_after_answers_total and draining_answers_total. No decision reads them yet. Answers 421 announce nothing: another process may have taken over the address.

--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -1,5 +1,6 @@
 // The part of CallerSession that carries out attempts at endpoints.
 
+#include "announcements.h"
 #include "callersession.h"
 #include "clock.h"
 #include "fieldtext.h"
@@ -108,12 +109,14 @@
     answer.faultyAddress = head.find(names.faultyAddress).value_or("");
     answer.running = leadingNumber<std::uint32_t>(head.find(names.load).value_or(""));
     answer.rateLimit = leadingNumber<double>(head.find(names.rateLimit).value_or(""));
+    answer.announcement = announcementOf(head, names);
     return answer;
 }
 
 bool CallerSession::headReceived(MessageReader &answer)
 {
     const AnswerHead head = answerHead(answer.head());
+    logAnnouncement(m_firstEndpoint, answer.head(), head.announcement);
     const bool stream = m_route->kind == RequestKind::Stream;
     if (!stream || head.status != 200 || !head.provenExecuted || head.notExecuted)
         return false;
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -453,6 +453,8 @@
     sample("contents_held", m_relay.quarantine().quarantinedCount(steadyNow()));
     sample("endpoints_with_rate_limit", m_relay.rateLimits().size());
     sample("endpoints_passed_over_total", counts.rateLimitSkips);
+    sample("retry_after_answers_total", counts.retryAfterAnswers);
+    sample("draining_answers_total", counts.drainingAnswers);
     sample("requests_open", m_relay.flights());
     sample("caller_connections", m_sessions.size());
     sample("endpoint_connections_opened_total", m_pool.opened);
--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -65,6 +65,7 @@
             .load = "Load",
             .faultyAddress = "At-Fault",
             .rateLimit = "Rate-Limit",
+            .draining = "Draining",
         };
         return Names;
     }
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -35,6 +35,7 @@
     std::string_view load; ///< "running,waiting,slots"
     std::string_view faultyAddress; ///< address of the engine that caused a failure
     std::string_view rateLimit; ///< requests per second that an endpoint accepts in total
+    std::string_view draining; ///< "1": the endpoint is about to exit
 };
 
 /// An HTTP request to the store or to an engine.
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include <balsamloft/announcement.h>
 #include <balsamloft/pathchooser.h>
 #include <balsamloft/quarantine.h>
 #include <balsamloft/ratelimits.h>
@@ -51,6 +52,7 @@
     /// Requests per second that the endpoint accepts from all instances together; empty: no
     /// limit.
     std::optional<double> rateLimit;
+    Announcement announcement;
 };
 
 // Actions
@@ -211,6 +213,8 @@
     std::uint64_t crashes = 0; ///< published crash records
     std::uint64_t quarantined = 0; ///< requests refused because of crashes
     std::uint64_t rateLimitSkips = 0; ///< choices that excluded an endpoint for its rate limit
+    std::uint64_t retryAfterAnswers = 0; ///< refusals that announced when to come back
+    std::uint64_t drainingAnswers = 0; ///< answers that announced the exit of their endpoint
 };
 
 /// The state machine of all forwarded requests of one instance. It does no I/O: events and
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -499,6 +499,8 @@
     m_engines.recordAnswer(flight->endpoint, now);
     m_quarantine.endpointSentData(flight->endpoint, now);
     recordRateLimit(*flight, head, now);
+    m_counts.retryAfterAnswers += head.announcement.retryAfter ? 1 : 0;
+    m_counts.drainingAnswers += head.announcement.draining ? 1 : 0;
     if (head.running && !flight->path.empty())
         m_engines.updateWorkRatio(flight->endpoint, flight->domain, *head.running);
     if (head.notExecuted || head.status == Misdirected) {
