An endpoint that refuses with Retry-After gets no request until then

While all endpoints refused, callers waited 0.8 s and were told to return after 0.47 to 0.93 s where 3 s were asked.

Cause: nothing read the answer's Retry-After; EngineTracker's estimate (0.15 s, doubled with each refusal) stood in its place, and Relay::maySend() did not ask it again. Ruled out: the change of the configuration (the virtual-time test has none and fails alike), choices made before the refusal (only within its first milliseconds).

AnnouncedPauses holds what each endpoint asked of this instance, by process: the latest end holds, and no success, reload or lapse of the list ends it. Choice of first engines and plain endpoints, second attempts, resumed streams and trials leave a paused endpoint out; a later part of a path runs there only if no other engine can. maySend() asks again before the bytes; what it withholds chooses anew, without a retry and without suspecting the endpoint. Where all that could serve are paused for longer than the caller would wait, it is refused at once with the first end, spread over 0.6 of the pause. After a pause, unanswered requests are limited to one, plus one with each round of accepted ones.

--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -80,16 +80,16 @@
     }
     if (m_flight && m_server.maySend(*m_flight, m_attempt))
         return true;
-    exchangeFailed(AttemptFailure::NotSent);
+    exchangeFailed(AttemptFailure::Withheld);
     return false;
 }
 
 void CallerSession::exchangeFailed(AttemptFailure failure)
 {
-    static constexpr std::array<std::string_view, 3> Names {"not sent", "broken off",
-                                                            "invalid answer"};
+    static constexpr std::array<std::string_view, 4> Names {"not sent", "broken off",
+                                                            "invalid answer", "withheld"};
     addToTrail(Names[static_cast<std::size_t>(failure)]);
-    if (failure != AttemptFailure::NotSent)
+    if (failure == AttemptFailure::Broken || failure == AttemptFailure::InvalidAnswer)
         logBrokenAttempt();
     abandonAttempt();
     if (!m_flight)
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -453,6 +453,10 @@
     sample("contents_held", m_relay.quarantine().quarantinedCount(steadyNow()));
     sample("endpoints_with_rate_limit", m_relay.rateLimits().size());
     sample("endpoints_passed_over_total", counts.rateLimitSkips);
+    sample("endpoints_paused", m_relay.pauses().size(steadyNow()));
+    sample("endpoints_paused_skips_total", counts.pauseSkips);
+    sample("requests_refused_all_paused_total", counts.pauseRefusals);
+    sample("attempts_withheld_total", counts.withheld);
     sample("retry_after_answers_total", counts.retryAfterAnswers);
     sample("draining_answers_total", counts.drainingAnswers);
     sample("requests_open", m_relay.flights());
--- a/src/fakes/pausesimulation.cpp
+++ b/src/fakes/pausesimulation.cpp
@@ -33,7 +33,7 @@
         endpoints.push_back({"e" + std::to_string(i), layered ? LayerRange {0, 8} : LayerRange {},
                              "d" + std::to_string(i % settings.domains)});
     for (std::size_t i = 0; i < settings.instances; ++i) {
-        RelaySettings relay = RelayHarness::defaults();
+        RelaySettings relay = settings.relay;
         relay.domain = "d" + std::to_string(i % settings.domains);
         relay.seed = settings.seed * 1000 + i;
         m_harnesses.push_back(std::make_unique<RelayHarness>(endpoints, relay));
@@ -184,12 +184,4 @@
     return countSince(m_refusals, m_now - length);
 }
 
-std::size_t PauseSimulation::flights() const
-{
-    std::size_t sum = 0;
-    for (const auto &each : m_harnesses)
-        sum += each->relay.flights();
-    return sum;
-}
-
 } // namespace balsamloft::fakes
--- a/src/fakes/pausesimulation.h
+++ b/src/fakes/pausesimulation.h
@@ -22,6 +22,7 @@
     RequestKind kind = RequestKind::Safe;
     Duration answerTime {100'000}; ///< of a request that is executed
     Duration patience {8'000'000}; ///< time that a caller waits in all
+    RelaySettings relay = RelayHarness::defaults();
     std::uint64_t seed = 1;
 };
 
@@ -41,6 +42,7 @@
     /// others with the same pause.
     void accept(std::size_t maxRunning = 1'000'000);
     void run(Duration length);
+    void resetCallers() { m_callers = {}; }
 
     // Queries
 
@@ -67,7 +69,6 @@
     };
     const Callers &callers() const { return m_callers; }
     Time now() const { return m_now; }
-    std::size_t flights() const;
 
 private:
     struct Call
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -53,18 +53,27 @@
     route("unsafe", RequestKind::Unsafe, "plain");
     route("stream", RequestKind::Stream, "model");
     m_table = builder.build();
-    int port = 1;
-    for (const RelayEngine &each : engines) {
-        FleetEndpoint endpoint;
-        endpoint.id = endpoint.name = each.id;
-        endpoint.service = each.layers.end == 0 ? "plain" : "model";
-        endpoint.address = "10.0.0.1:" + std::to_string(port++);
-        endpoint.domain = each.domain;
-        endpoint.kind = each.layers.end == 0 ? "" : each.kind;
-        endpoint.slots = 8;
-        endpoint.layers = each.layers;
-        m_endpoints.push_back(std::move(endpoint));
-    }
+    for (const RelayEngine &each : engines)
+        list(each);
+    publishFleet();
+}
+
+void RelayHarness::list(const RelayEngine &engine)
+{
+    FleetEndpoint endpoint;
+    endpoint.id = endpoint.name = engine.id;
+    endpoint.service = engine.layers.end == 0 ? "plain" : "model";
+    endpoint.address = "10.0.0.1:" + std::to_string(m_nextPort++);
+    endpoint.domain = engine.domain;
+    endpoint.kind = engine.layers.end == 0 ? "" : engine.kind;
+    endpoint.slots = 8;
+    endpoint.layers = engine.layers;
+    m_endpoints.push_back(std::move(endpoint));
+}
+
+void RelayHarness::add(const RelayEngine &engine)
+{
+    list(engine);
     publishFleet();
 }
 
@@ -125,6 +134,16 @@
     return relay.answered(flight, sends(flight).back().attempt, head, now, actions);
 }
 
+void RelayHarness::refuse(FlightId flight, Duration retryAfter, std::string_view faultyAddress)
+{
+    AnswerHead head;
+    head.status = 503;
+    head.notExecuted = true;
+    head.faultyAddress = faultyAddress;
+    head.announcement.retryAfter = retryAfter;
+    relay.answered(flight, sends(flight).back().attempt, head, now, actions);
+}
+
 void RelayHarness::forwardEvents(FlightId flight, std::uint64_t lastEvent)
 {
     relay.eventsForwarded(flight, sends(flight).back().attempt, lastEvent, now, actions);
--- a/src/fakes/relayharness.h
+++ b/src/fakes/relayharness.h
@@ -42,6 +42,9 @@
 
     bool answer(FlightId flight, int status, bool provenExecuted = true, bool notExecuted = false,
                 std::string_view faultyAddress = {});
+
+    /// Refuses the flight's request as not executed, with the announced pause \a retryAfter.
+    void refuse(FlightId flight, Duration retryAfter, std::string_view faultyAddress = {});
     void forwardEvents(FlightId flight, std::uint64_t lastEvent);
     void fail(FlightId flight, AttemptFailure failure);
     void completeStream(FlightId flight);
@@ -58,6 +61,9 @@
     /// Delists the endpoint \a id.
     void remove(const std::string &id);
 
+    /// Lists a further endpoint.
+    void add(const RelayEngine &engine);
+
     std::string addressOf(const std::string &id) const;
 
     // Actions of the relay
@@ -76,11 +82,13 @@
     RelayActions actions;
 
 private:
+    void list(const RelayEngine &engine);
     void publishFleet();
 
     RouteMapPtr m_table;
     std::vector<FleetEndpoint> m_endpoints;
     std::uint64_t m_next = 1;
+    int m_nextPort = 1;
 };
 
 /// A model of \a layers layers with two kinds of accelerator, "fast" and "slow".
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include <balsamloft/announcedpauses.h>
 #include <balsamloft/announcement.h>
 #include <balsamloft/pathchooser.h>
 #include <balsamloft/quarantine.h>
@@ -39,6 +40,7 @@
     NotSent, ///< no byte was sent, so the request was not executed
     Broken, ///< the connection was reset or closed early; the request may have been executed
     InvalidAnswer, ///< malformed, or the answer to another request
+    Withheld, ///< no byte was sent, because Relay::maySend() forbade it
 };
 
 /// The head of an endpoint's answer, reduced to what decisions need.
@@ -195,6 +197,12 @@
     /// Cost noise for requests interrupted by a crash. It spreads them over the endpoints: if
     /// all went to the same one, the request that causes crashes could not be identified.
     double rerouteSpread = 1;
+    AnnouncedPauseSettings pauses;
+    /// Callers that are refused because all endpoints are paused return within this share of the
+    /// pause after its end, but within minReturnSpread to maxReturnSpread.
+    double returnSpreadShare = 0.6;
+    Duration minReturnSpread {300'000};
+    Duration maxReturnSpread {5'000'000};
     std::uint64_t seed = 1;
 };
 
@@ -213,6 +221,9 @@
     std::uint64_t crashes = 0; ///< published crash records
     std::uint64_t quarantined = 0; ///< requests refused because of crashes
     std::uint64_t rateLimitSkips = 0; ///< choices that excluded an endpoint for its rate limit
+    std::uint64_t pauseSkips = 0; ///< choices that excluded an endpoint for its announced pause
+    std::uint64_t pauseRefusals = 0; ///< requests refused because all endpoints are paused
+    std::uint64_t withheld = 0; ///< attempts that were chosen, but no longer permitted to be sent
     std::uint64_t retryAfterAnswers = 0; ///< refusals that announced when to come back
     std::uint64_t drainingAnswers = 0; ///< answers that announced the exit of their endpoint
 };
@@ -307,6 +318,7 @@
     const EngineTracker &engines() const { return m_engines; }
     const Quarantine &quarantine() const { return m_quarantine; }
     const RateLimits &rateLimits() const { return m_limits; }
+    const AnnouncedPauses &pauses() const { return m_pauses; }
 
 private:
     enum class State : std::uint8_t { Waiting, Sent, Streaming };
@@ -337,6 +349,7 @@
         std::string endpoint; ///< first engine or plain endpoint
         std::string domain;
         Time sentAt {};
+        bool answered = false; ///< the endpoint answered the current attempt
         Time progressAt {}; ///< time of the last event, or of the send if there was none
         Duration expectedEventInterval {};
         Duration expectedFirstEvent {};
@@ -362,7 +375,20 @@
     std::optional<EnginePath> findPath(const Flight &flight, const std::set<std::string> &without,
                                        Time now);
     static std::set<std::string> excludedEndpoints(const Flight &flight);
+    std::set<std::string> ofService(const Flight &flight, std::set<std::string> endpoints) const;
     std::set<std::string> rateLimitedEndpoints(const Flight &flight, Time now);
+    void recordAnswered(Flight &flight, bool accepted);
+    void recordAnnouncement(const Flight &flight, const AnswerHead &head, Time now);
+
+    // Endpoints that announced a pause
+    std::set<std::string> pausedEndpoints(const Flight &flight, Time now);
+    std::optional<AnnouncedPause> firstPauseToEnd(const Flight &flight, Time now);
+    Duration returnSpread(const AnnouncedPause &pause);
+    bool canRunWith(const Flight &flight, const std::set<std::string> &excludedAsFirst, Time now);
+    bool refuseIfPaused(FlightId id, const Flight &flight, Time now, RelayActions &actions);
+
+    void withhold(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    Duration maxWait(const Flight &flight) const;
     bool choosePath(Flight &flight, Time now, SendRequest &send);
     void setExpectedTimes(Flight &flight, const EnginePath &path);
     void addLoad(const Flight &flight);
@@ -428,6 +454,7 @@
     EngineTracker m_engines;
     Quarantine m_quarantine;
     RateLimits m_limits;
+    AnnouncedPauses m_pauses;
     FleetPtr m_fleet;
     FlightMap m_flights;
     std::map<std::string, RetryWindow, std::less<>> m_budgets; ///< by service
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -1,6 +1,7 @@
 #include <balsamloft/relay.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace balsamloft {
 
@@ -24,6 +25,7 @@
 Relay::Relay(RelaySettings settings)
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
+    , m_pauses(m_settings.pauses)
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
 }
@@ -126,19 +128,35 @@
            * part.layers.length();
 }
 
-/// Endpoints of the flight's service that are at their rate limits now.
-std::set<std::string> Relay::rateLimitedEndpoints(const Flight &flight, Time now)
+/// Those of \a endpoints that belong to the flight's service.
+std::set<std::string> Relay::ofService(const Flight &flight, std::set<std::string> endpoints) const
 {
-    std::set<std::string> rateLimited = m_limits.blockedEndpoints(now);
-    std::erase_if(rateLimited, [&](const std::string &id) {
+    std::erase_if(endpoints, [&](const std::string &id) {
         const FleetEndpoint *endpoint = m_fleet->find(id);
         return !endpoint || endpoint->service != service(flight).name;
     });
+    return endpoints;
+}
+
+/// Endpoints of the flight's service that are at their rate limits now.
+std::set<std::string> Relay::rateLimitedEndpoints(const Flight &flight, Time now)
+{
+    std::set<std::string> rateLimited = ofService(flight, m_limits.blockedEndpoints(now));
     m_counts.rateLimitSkips += rateLimited.empty() ? 0 : 1;
     return rateLimited;
 }
 
-/// Finds a path that avoids the engines \a without if possible.
+/// Endpoints of the flight's service to which an announced pause forbids a request now.
+std::set<std::string> Relay::pausedEndpoints(const Flight &flight, Time now)
+{
+    std::set<std::string> paused = ofService(flight, m_pauses.blockedEndpoints(now));
+    m_counts.pauseSkips += paused.empty() ? 0 : 1;
+    return paused;
+}
+
+/// Finds a path that avoids the engines \a without if possible. It never begins at an engine that
+/// is paused or at its rate limit. Later parts run at a paused engine only if no other path exists:
+/// such an engine gets no request from this instance.
 std::optional<EnginePath> Relay::findPath(const Flight &flight,
                                           const std::set<std::string> &without, Time now)
 {
@@ -146,14 +164,22 @@
     query.domain = m_settings.domain;
     query.promptTokens = flight.request.promptTokens;
     query.answerTokens = flight.request.answerTokens;
-    query.excluded = &without;
+    const std::set<std::string> paused = pausedEndpoints(flight, now);
+    std::set<std::string> unwanted = without;
+    unwanted.insert(paused.begin(), paused.end());
+    query.excluded = &unwanted;
     query.firstPart = flight.trial.state == Trial::State::Granted && flight.trial.first
                           ? &*flight.trial.first
                           : nullptr;
     query.minCostNoise = flight.failedEarly ? m_settings.rerouteSpread : 0;
-    const std::set<std::string> rateLimited = rateLimitedEndpoints(flight, now);
-    query.excludedAsFirst = &rateLimited;
+    std::set<std::string> excludedAsFirst = rateLimitedEndpoints(flight, now);
+    excludedAsFirst.insert(paused.begin(), paused.end());
+    query.excludedAsFirst = &excludedAsFirst;
     auto path = m_chooser.choose(*m_fleet, service(flight), m_engines, query, now, m_random);
+    if (!path && !paused.empty()) {
+        query.excluded = &without;
+        path = m_chooser.choose(*m_fleet, service(flight), m_engines, query, now, m_random);
+    }
     if (!path && !without.empty()) {
         // An engine where the request failed once is better than none.
         query.excluded = nullptr;
@@ -226,10 +252,12 @@
     double bestCost = 0;
     const std::set<std::string> avoid = excludedEndpoints(flight);
     const std::set<std::string> rateLimited = rateLimitedEndpoints(flight, now);
+    const std::set<std::string> paused = pausedEndpoints(flight, now);
     const bool boundToTrial = flight.trial.state == Trial::State::Granted;
     for (const FleetEndpoint &each : m_fleet->endpoints) {
         if (each.service != service(flight).name || each.draining
-            || (boundToTrial && each.id != flight.trial.endpoint) || rateLimited.contains(each.id))
+            || (boundToTrial && each.id != flight.trial.endpoint) || rateLimited.contains(each.id)
+            || paused.contains(each.id))
             continue;
         const double cost = endpointCost(each, avoid, now);
         if (!best || cost < bestCost) {
@@ -238,9 +266,10 @@
         }
     }
     if (!best || avoid.contains(best->id)) {
-        flight.lastReason = best                  ? "the request failed at all endpoints"
-                            : rateLimited.empty() ? "no endpoint available"
-                                                  : "all endpoints are at their rate limits";
+        flight.lastReason = best                   ? "the request failed at all endpoints"
+                            : !rateLimited.empty() ? "all endpoints are at their rate limits"
+                            : !paused.empty()      ? "all endpoints announced a pause"
+                                                   : "no endpoint available";
         return false;
     }
     send.endpoint = best->id;
@@ -253,8 +282,10 @@
 void Relay::recordSent(Flight &flight, const SendRequest &send, Time now)
 {
     m_limits.recordSend(send.endpoint, now);
+    m_pauses.recordSend(send.endpoint, now);
     flight.state = State::Sent;
     flight.sends += 1;
+    flight.answered = false;
     flight.endpoint = send.endpoint;
     flight.path = send.path;
     flight.sentAt = now;
@@ -305,6 +336,7 @@
 {
     if (flight.state == State::Waiting)
         return;
+    recordAnswered(flight, false);
     removeLoad(flight);
     flight.path.clear();
     flight.state = State::Waiting;
@@ -321,8 +353,11 @@
     if (flight.nextSendIsRetry && !budget(flight).canWithdraw(now))
         return;
     SendRequest send;
-    if (!choose(flight, now, send))
-        return finishTrial(flight, TrialOutcome::NotSent, actions);
+    if (!choose(flight, now, send)) {
+        finishTrial(flight, TrialOutcome::NotSent, actions);
+        refuseIfPaused(id, flight, now, actions);
+        return;
+    }
     if (flight.nextSendIsRetry && !withdrawRetry(flight, now))
         return;
     flight.nextSendIsRetry = false;
@@ -394,6 +429,8 @@
     const FlightOutcome outcome = outcomeOf(flight, FlightOutcome::Failed);
     if (!flight.mayHaveRunAt.empty() && !mayRunAgain(flight))
         return finish(id, outcome, std::move(reason), actions);
+    if (refuseIfPaused(id, flight, now, actions))
+        return;
     if (sendLimitReached(flight))
         return finish(id, outcome, reason + "; send limit reached", actions);
     if (blockIfSuspected(id, flight, now, actions))
@@ -441,6 +478,8 @@
     Flight *flight = current(id, attempt);
     if (!flight)
         return;
+    if (failure == AttemptFailure::Withheld)
+        return withhold(id, *flight, now, actions);
     m_engines.recordOutcome(flight->endpoint, true, now);
     if (failure != AttemptFailure::NotSent)
         recordBroken(*flight, now, actions);
@@ -456,9 +495,23 @@
     case AttemptFailure::InvalidAnswer:
         return retry(id, *flight, true, flight->endpoint, "invalid answer from " + flight->endpoint,
                      now, actions);
+    case AttemptFailure::Withheld:
+        return;
     }
 }
 
+/// Chooses again for an attempt of which nothing was sent. The endpoint has not failed, and since
+/// it received nothing, the next send is not a retry.
+void Relay::withhold(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    m_counts.withheld += 1;
+    finishTrial(flight, TrialOutcome::NotSent, actions);
+    endAttempt(flight);
+    flight.sends -= 1;
+    flight.waitingSince = now;
+    dispatch(id, flight, now, actions);
+}
+
 void Relay::handleRejection(FlightId id, Flight &flight, const AnswerHead &head, Time now,
                             RelayActions &actions)
 {
@@ -471,7 +524,7 @@
         recordStalled(flight, faultyEndpoint, now);
     if (stalled || (head.status == Misdirected && flight.path.empty()))
         m_engines.suspect(faultyEndpoint, now);
-    else
+    else if (!head.announcement.retryAfter)
         m_engines.refusedBusy(faultyEndpoint, now);
     std::string reason =
         "rejected by " + faultyEndpoint + " with status " + std::to_string(head.status);
@@ -490,6 +543,29 @@
         m_limits.recordAnswer(*endpoint, head.rateLimit, now);
 }
 
+/// Records that the current attempt was answered, or ends without an answer.
+void Relay::recordAnswered(Flight &flight, bool accepted)
+{
+    if (!std::exchange(flight.answered, true))
+        m_pauses.recordResult(flight.endpoint, flight.sentAt, accepted);
+}
+
+/// Records what the endpoint that answered announced. If another engine of the path refused, the
+/// announced pause holds for both: the answer does not say which one is meant.
+void Relay::recordAnnouncement(const Flight &flight, const AnswerHead &head, Time now)
+{
+    const Announcement &announced = head.announcement;
+    m_counts.retryAfterAnswers += announced.retryAfter ? 1 : 0;
+    m_counts.drainingAnswers += announced.draining ? 1 : 0;
+    if (!announced.retryAfter)
+        return;
+    m_pauses.recordRefusal(flight.endpoint, *announced.retryAfter, now);
+    const FleetEndpoint *faulty =
+        head.faultyAddress.empty() ? nullptr : m_fleet->findByAddress(head.faultyAddress);
+    if (faulty && faulty->id != flight.endpoint)
+        m_pauses.recordRefusal(faulty->id, *announced.retryAfter, now);
+}
+
 bool Relay::answered(FlightId id, std::uint32_t attempt, const AnswerHead &head, Time now,
                      RelayActions &actions)
 {
@@ -499,8 +575,8 @@
     m_engines.recordAnswer(flight->endpoint, now);
     m_quarantine.endpointSentData(flight->endpoint, now);
     recordRateLimit(*flight, head, now);
-    m_counts.retryAfterAnswers += head.announcement.retryAfter ? 1 : 0;
-    m_counts.drainingAnswers += head.announcement.draining ? 1 : 0;
+    recordAnnouncement(*flight, head, now);
+    recordAnswered(*flight, head.provenExecuted && !head.notExecuted);
     if (head.running && !flight->path.empty())
         m_engines.updateWorkRatio(flight->endpoint, flight->domain, *head.running);
     if (head.notExecuted || head.status == Misdirected) {
@@ -605,7 +681,7 @@
     const Flight &flight = it->second;
     if (!mayRun(flight, now))
         return false;
-    return acceptsWork(flight.endpoint)
+    return acceptsWork(flight.endpoint) && !m_pauses.isPaused(flight.endpoint, now)
            && std::all_of(flight.path.begin(), flight.path.end(),
                           [&](const PathPart &part) { return acceptsWork(part.endpoint); });
 }
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -113,6 +113,7 @@
         if (it != m_flights.end())
             watch(id, it->second, now, actions);
     }
+    m_pauses.removeEnded(now);
     queryUnconfirmed(now, actions);
     publishCrashes(now, actions);
 }
@@ -138,6 +139,15 @@
         abandonAndRetry(id, flight, "no answer from " + flight.endpoint, now, actions);
 }
 
+/// How long the flight waits for an endpoint before it is refused.
+Duration Relay::maxWait(const Flight &flight) const
+{
+    const double share =
+        service(flight).model ? m_settings.streamWaitShare : m_settings.callWaitShare;
+    return Duration(static_cast<std::int64_t>(
+        static_cast<double>(flight.request.route->targetLatency.count()) * share));
+}
+
 void Relay::watchWaiting(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     dispatch(id, flight, now, actions);
@@ -145,13 +155,10 @@
     if (it == m_flights.end() || it->second.state != State::Waiting)
         return;
     const Duration waited = now - flight.waitingSince;
-    const auto maxWait = Duration(static_cast<std::int64_t>(
-        static_cast<double>(flight.request.route->targetLatency.count())
-        * (service(flight).model ? m_settings.streamWaitShare : m_settings.callWaitShare)));
     const Duration paused = now - flight.progressAt;
     const bool expired = flight.eventsForwarded         ? paused >= m_settings.resumeTimeout
                          : !flight.mayHaveRunAt.empty() ? paused >= m_settings.rerunTimeout
-                                                        : waited >= maxWait;
+                                                        : waited >= maxWait(flight);
     if (!expired)
         return;
     const FlightOutcome outcome = outcomeOf(flight, FlightOutcome::Failed);
