An endpoint that announces its exit in its answers gets no new requests

Seen by callers: nothing yet; a request sent to an exiting endpoint is lost when it exits.

Only the list's entry made an endpoint draining; nothing read the header in which it says so itself, which comes first, or alone where the entry is late, lapses or is never written.

The relay marks the endpoint draining at once, so that choice, maySend(), path changes and crash records treat it as the list's word, and reports it to FleetTracker, where it outlasts a lapse of the entry and ends with the process: gap filling, placement and forwarding see it too. Answers to polls and queries count as well. Streams that it began go on.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -354,6 +354,12 @@
                  {"reason", std::string_view(reason)}});
 }
 
+void Control::endpointDraining(const std::string &id)
+{
+    m_fleet.announcedExit(id, steadyNow());
+    publishFleet();
+}
+
 void Control::publishFleet()
 {
     m_state.fleetKnown = m_fleet.loaded();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -55,6 +55,10 @@
     /// Polls an engine immediately because it did not answer the traffic thread.
     void engineSilent(const std::string &id);
 
+    /// An endpoint announced its exit in an answer. It gets no new requests or layers, whatever the
+    /// list of endpoints says.
+    void endpointDraining(const std::string &id);
+
     /// Writes crashes that occurred during requests to the store, and deletes records that the
     /// relay withdrew.
     void publishCrashes(const CrashUpdate &update);
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -1,5 +1,6 @@
 // The part of Control that polls engines for their state and orders layers.
 
+#include "announcements.h"
 #include "clock.h"
 #include "control.h"
 #include "decisionlog.h"
@@ -110,6 +111,8 @@
         polled.busy = report->busy;
         polled.answeredAt = polled.state.at;
     }
+    if (answered && announcementOf(outcome.head, m_protocol.headers()).draining)
+        m_fleet.announcedExit(id, polled.state.at);
     m_polledDirty = true;
 }
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -62,6 +62,10 @@
             asio::post(m_controlContext,
                        [this, id = std::move(id)] { m_control.engineSilent(id); });
         });
+        m_trafficServer.onDraining([this](std::string id) {
+            asio::post(m_controlContext,
+                       [this, id = std::move(id)] { m_control.endpointDraining(id); });
+        });
         m_trafficServer.onCrashes([this](CrashUpdate update) {
             asio::post(m_controlContext,
                        [this, update = std::move(update)] { m_control.publishCrashes(update); });
--- a/src/entry/timedcall.cpp
+++ b/src/entry/timedcall.cpp
@@ -78,6 +78,7 @@
 void TimedCall::answerReceived(MessageReader &answer)
 {
     m_outcome.status = answer.head().status;
+    m_outcome.head = std::move(answer.head());
     m_outcome.body = std::move(answer.body());
     finish();
 }
--- a/src/entry/timedcall.h
+++ b/src/entry/timedcall.h
@@ -16,6 +16,7 @@
 struct CallOutcome
 {
     int status = 0; ///< 0: no answer
+    MessageHead head;
     std::string body;
     bool mayHaveArrived = false; ///< the request may have reached the called process
     bool connectionRefused = false; ///< no process listens at the address
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -1,5 +1,6 @@
 #include "trafficserver.h"
 
+#include "announcements.h"
 #include "callersession.h"
 #include "clock.h"
 #include "decisionlog.h"
@@ -285,6 +286,8 @@
                  {"pace", report->slowdown},
                  {"stalled_at", std::string_view(stalled)}});
     m_relay.endpointAnswered(endpoint, sentAt);
+    if (announcementOf(outcome.head, m_protocol.headers()).draining)
+        m_relay.endpointDraining(endpoint, actions);
     if (outcome.forwarded)
         repeatOnBrokenLink(endpoint, sentAt, actions);
     m_relay.queryAnswered(endpoint, report->stalledAddresses, report->slowdown, steadyNow(),
@@ -381,6 +384,9 @@
                 session->addToTrail("path change at " + change->endpoint + " (" + change->reason
                                     + ") to " + m_protocol.formatPath(change->path));
             changePath(*change);
+        } else if (const auto *draining = std::get_if<ReportDraining>(&action)) {
+            if (m_endpointDraining)
+                m_endpointDraining(draining->endpoint);
         } else if (const auto *crashes = std::get_if<PublishCrashes>(&action)) {
             publishCrashes(crashes->update);
         } else if (const auto *trial = std::get_if<RequestTrial>(&action)) {
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -48,6 +48,12 @@
         m_engineSilent = std::move(silent);
     }
 
+    /// \a draining is called with the id of each endpoint that announced its exit in an answer.
+    void onDraining(std::function<void(std::string)> draining)
+    {
+        m_endpointDraining = std::move(draining);
+    }
+
     /// \a publish is called with crashes of endpoints during requests, to send them to the other
     /// instances.
     void onCrashes(std::function<void(CrashUpdate)> publish)
@@ -147,6 +153,7 @@
     Time m_prunedAt {};
     std::function<void()> m_stopped;
     std::function<void(std::string)> m_engineSilent;
+    std::function<void(std::string)> m_endpointDraining;
     std::function<void(CrashUpdate)> m_publishCrashes;
     TrialRequester m_requestTrial;
     std::function<void(FinishTrial)> m_finishTrial;
--- a/src/include/balsamloft/enginefleet.h
+++ b/src/include/balsamloft/enginefleet.h
@@ -95,6 +95,9 @@
     /// The entry under \a name was deleted, or is no valid endpoint any more.
     void dropped(std::string_view name, Time now);
 
+    /// The process \a id announced its exit in an answer, whatever its entry says.
+    void announcedExit(std::string_view id, Time now);
+
     /// The last received state of the list was still current at \a now.
     void listConfirmed(Time now);
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -152,9 +152,15 @@
     TrialOutcome outcome = TrialOutcome::Inconclusive;
 };
 
+/// Report to the list of endpoints that an endpoint announced its exit.
+struct ReportDraining
+{
+    std::string endpoint;
+};
+
 using RelayAction =
     std::variant<SendRequest, AbandonAttempt, ForwardAnswer, FinishFlight, QueryEngine, ChangePath,
-                 PublishCrashes, RequestTrial, FinishTrial>;
+                 PublishCrashes, RequestTrial, FinishTrial, ReportDraining>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Retry budget, timeouts and limits of a Relay.
@@ -278,6 +284,9 @@
         m_quarantine.endpointAnswered(endpoint, queriedAt);
     }
 
+    /// The endpoint announced in an answer that it is about to exit.
+    void endpointDraining(const std::string &endpoint, RelayActions &actions);
+
     /// Replaces the crash records published by all instances.
     void setSharedCrashes(const std::vector<CrashRecord> &all) { m_quarantine.setShared(all); }
 
@@ -378,7 +387,9 @@
     std::set<std::string> ofService(const Flight &flight, std::set<std::string> endpoints) const;
     std::set<std::string> rateLimitedEndpoints(const Flight &flight, Time now);
     void recordAnswered(Flight &flight, bool accepted);
-    void recordAnnouncement(const Flight &flight, const AnswerHead &head, Time now);
+    void recordAnnouncement(const Flight &flight, const AnswerHead &head, Time now,
+                            RelayActions &actions);
+    void applyAnnouncedExits();
 
     // Endpoints that announced a pause
     std::set<std::string> pausedEndpoints(const Flight &flight, Time now);
@@ -456,6 +467,8 @@
     RateLimits m_limits;
     AnnouncedPauses m_pauses;
     FleetPtr m_fleet;
+    /// Endpoints that announced their exit and are not yet listed as draining.
+    std::set<std::string> m_announcedExits;
     FlightMap m_flights;
     std::map<std::string, RetryWindow, std::less<>> m_budgets; ///< by service
     /// Number of instances over time, in the last window.
--- a/src/libbalsamloft/enginefleet.cpp
+++ b/src/libbalsamloft/enginefleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace balsamloft {
 
@@ -130,6 +131,19 @@
     m_dirty = true;
 }
 
+void FleetTracker::announcedExit(std::string_view id, Time now)
+{
+    for (auto &[name, start] : m_starts) {
+        if (processId(name, start.startedAt) != id)
+            continue;
+        start.leaving = true;
+        start.seenAt = now;
+        const auto entry = m_entries.find(name);
+        if (entry != m_entries.end() && !std::exchange(entry->second.endpoint.draining, true))
+            m_dirty = true;
+    }
+}
+
 /// Whether a newer process is known under the same name. The entry of an old process may
 /// arrive late, from another instance or in a slow answer. If it were applied, requests and
 /// orders would be based on the layers of the old process.
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -552,11 +552,14 @@
 
 /// Records what the endpoint that answered announced. If another engine of the path refused, the
 /// announced pause holds for both: the answer does not say which one is meant.
-void Relay::recordAnnouncement(const Flight &flight, const AnswerHead &head, Time now)
+void Relay::recordAnnouncement(const Flight &flight, const AnswerHead &head, Time now,
+                               RelayActions &actions)
 {
     const Announcement &announced = head.announcement;
     m_counts.retryAfterAnswers += announced.retryAfter ? 1 : 0;
     m_counts.drainingAnswers += announced.draining ? 1 : 0;
+    if (announced.draining)
+        endpointDraining(flight.endpoint, actions);
     if (!announced.retryAfter)
         return;
     m_pauses.recordRefusal(flight.endpoint, *announced.retryAfter, now);
@@ -566,6 +569,31 @@
         m_pauses.recordRefusal(faulty->id, *announced.retryAfter, now);
 }
 
+void Relay::endpointDraining(const std::string &endpoint, RelayActions &actions)
+{
+    const FleetEndpoint *listed = m_fleet->find(endpoint);
+    if (!listed || listed->draining)
+        return;
+    m_announcedExits.insert(endpoint);
+    applyAnnouncedExits();
+    actions.push_back(ReportDraining {endpoint});
+}
+
+/// Marks the endpoints that announced their exit as draining, until the list does.
+void Relay::applyAnnouncedExits()
+{
+    std::erase_if(m_announcedExits, [&](const std::string &id) {
+        const FleetEndpoint *listed = m_fleet->find(id);
+        return !listed || listed->draining;
+    });
+    if (m_announcedExits.empty())
+        return;
+    auto fleet = std::make_shared<FleetSnapshot>(*m_fleet);
+    for (FleetEndpoint &each : fleet->endpoints)
+        each.draining = each.draining || m_announcedExits.contains(each.id);
+    m_fleet = std::move(fleet);
+}
+
 bool Relay::answered(FlightId id, std::uint32_t attempt, const AnswerHead &head, Time now,
                      RelayActions &actions)
 {
@@ -575,7 +603,7 @@
     m_engines.recordAnswer(flight->endpoint, now);
     m_quarantine.endpointSentData(flight->endpoint, now);
     recordRateLimit(*flight, head, now);
-    recordAnnouncement(*flight, head, now);
+    recordAnnouncement(*flight, head, now, actions);
     recordAnswered(*flight, head.provenExecuted && !head.notExecuted);
     if (head.running && !flight->path.empty())
         m_engines.updateWorkRatio(flight->endpoint, flight->domain, *head.running);
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -633,3 +633,32 @@
     harness.relay.applyEngineReports({{state}, {}}, harness.now, harness.actions);
     CHECK_FALSE(harness.relay.engines().usable("engine", harness.now));
 }
+
+// Guards against new requests to an endpoint that exits while its entry still says that it is
+// ready.
+TEST_CASE("an endpoint that announces its exit in an answer gets no new requests")
+{
+    const RequestKind kind = GENERATE(RequestKind::Unsafe, RequestKind::Stream);
+    RelayHarness harness({{"a", {0, 8}}, {"b", {0, 8}}, {"p", {}}, {"q", {}}});
+    const FlightId first = harness.submit(kind);
+    const std::string endpoint = harness.sends(first).back().endpoint;
+    FlightId waiting = 0;
+    do
+        waiting = harness.submit(kind);
+    while (harness.sends(waiting).back().endpoint != endpoint);
+    AnswerHead head;
+    head.status = 200;
+    head.provenExecuted = true;
+    head.announcement.draining = true;
+    harness.relay.answered(first, 1, head, harness.now, harness.actions);
+    // The answer itself, and a stream that it begins, are served.
+    CHECK_FALSE(harness.finished(first));
+    const std::uint32_t attempt = harness.sends(waiting).back().attempt;
+    CHECK_FALSE(harness.relay.maySend(waiting, attempt, harness.now));
+    harness.fail(waiting, AttemptFailure::Withheld);
+    CHECK_FALSE(passesThrough(harness.sends(waiting).back(), endpoint));
+    // The list of endpoints changes, but still says that it is ready.
+    harness.add({"r", {}});
+    for (int i = 0; i < 20; ++i)
+        CHECK_FALSE(passesThrough(harness.sends(harness.submit(kind)).back(), endpoint));
+}
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -85,6 +85,7 @@
 void Relay::setFleet(FleetPtr fleet, Time now, RelayActions &actions)
 {
     m_fleet = std::move(fleet);
+    applyAnnouncedExits();
     m_engines.removeUnlisted(*m_fleet);
     m_limits.removeUnlisted(*m_fleet);
     std::erase_if(m_queriedAt, [&](const auto &each) { return !m_fleet->find(each.first); });
--- a/src/libbalsamloft/replicatedstate_test.cpp
+++ b/src/libbalsamloft/replicatedstate_test.cpp
@@ -566,3 +566,27 @@
     CHECK(pollInterval({20, 300, 1000}) < defaultInterval / 2); // it may fill up again as quickly
     CHECK(pollInterval({0, 0, 0}) == defaultInterval); // no layers, hence no capacity
 }
+
+// Guards against new requests to an exiting endpoint whose entry lapses and comes back.
+TEST_CASE("an exit announced in an answer outlasts the entry of its process, and no further")
+{
+    FleetTracker tracker;
+    FleetEndpoint process = endpoint("a");
+    process.startedAt = 1;
+    process.id = processId("a", 1);
+    tracker.listed({process, endpoint("b")}, Start);
+    tracker.snapshot();
+    tracker.announcedExit("an unknown process", Start);
+    CHECK_FALSE(tracker.dirty());
+    tracker.announcedExit(process.id, Start);
+    CHECK(tracker.dirty());
+    CHECK(tracker.snapshot()->find(process.id)->draining);
+    tracker.dropped("a", Start + milliseconds(500));
+    tracker.announcedExit(process.id, Start + milliseconds(600));
+    tracker.changed(process, Start + milliseconds(900));
+    CHECK(tracker.snapshot()->find(process.id)->draining);
+    process.startedAt = 2;
+    process.id = processId("a", 2);
+    tracker.changed(process, Start + milliseconds(1200));
+    CHECK_FALSE(tracker.snapshot()->find(process.id)->draining);
+}
