What an endpoint announces holds for requests that an instance forwards for others

Seen by endpoints only: an instance cut from them went by way of one that an endpoint had asked for 8 s of quiet, and eight requests reached it together (measured earlier on the real program). To the endpoint they are requests of the forwarding instance.

ConnectionForwarder asked the list alone, once, when a connection was opened, and copied bytes without reading what the endpoint answered. So neither the forwarder's own knowledge counted for others, nor what the endpoint told the forwarder for the forwarder itself.

ForwardingPolicy is asked before each forwarded request (at CONNECT, when its first bytes arrive) and idle connections to such endpoints are closed; the heads of forwarded answers are followed. The other instance is told that the endpoint declines, and asks another one without holding it against the first.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -67,6 +67,13 @@
         m_forwarder.m_connections.erase(shared_from_this());
     }
 
+    /// Whether no request was forwarded, or its answer is complete.
+    bool isIdle() const { return !m_awaitsAnswer && (!m_answer || m_answer->done()); }
+
+    bool isDeclined(Time now) const { return !m_forwarder.m_policy.mayForward(m_id, now); }
+
+    bool isConnected() const { return m_connected; }
+
     bool isUnfinished(Time now) const
     {
         return m_awaitsAnswer || (m_answeredAt != Time {} && now - m_answeredAt < AnswerPause);
@@ -109,9 +116,10 @@
         const auto address = endpoint ? parseTcpEndpoint(endpoint->address) : std::nullopt;
         if (m_request.head().method != "CONNECT" || !address)
             return refuse(forwarding::NotListed);
-        if (m_forwarder.m_stopping || m_forwarder.m_connections.size() > MaxConnections
-            || endpoint->draining)
+        if (m_forwarder.m_stopping || m_forwarder.m_connections.size() > MaxConnections)
             return refuse(forwarding::Unavailable);
+        if (isDeclined(steadyNow()))
+            return refuse(forwarding::Declined);
         if (m_forwarder.m_links.isBroken(m_id))
             return refuse(forwarding::TimedOut);
         m_timer.expires_after(EndpointConnectTimeout);
@@ -137,12 +145,16 @@
             return refuse(certain ? forwarding::NotReached : forwarding::TimedOut);
         }
         m_forwarder.m_links.recordDirectSuccess(m_id, now);
+        if (isDeclined(now))
+            return refuse(forwarding::Declined);
+        m_connected = true;
         m_forwarder.m_opened += 1;
         setSocketOptions(m_endpoint);
         m_text = answerText(forwarding::Opened);
         asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
         if (m_unread.empty())
             return readFromInstance();
+        m_answer.emplace(MessageReader::Kind::Response, MessageLimits {});
         m_awaitsAnswer = true;
         asio::async_write(m_endpoint, asio::buffer(m_unread), bind(&Connection::writtenToEndpoint));
     }
@@ -173,6 +185,11 @@
             return close(false);
         if (m_forwarder.wasPaused())
             return m_forwarder.closeAll();
+        if (isIdle()) {
+            if (isDeclined(steadyNow()))
+                return close(false);
+            m_answer.emplace(MessageReader::Kind::Response, MessageLimits {});
+        }
         m_awaitsAnswer = true;
         asio::async_write(m_endpoint, asio::buffer(m_toEndpoint.data(), count),
                           bind(&Connection::writtenToEndpoint));
@@ -206,11 +223,34 @@
             return close(false);
         m_awaitsAnswer = false;
         m_answeredAt = steadyNow();
+        readAnswer(std::string_view(m_toInstance.data(), count));
         m_text.clear();
         appendChunk(std::string_view(m_toInstance.data(), count), m_text);
         asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
     }
 
+    /// Follows the answer in the bytes of the endpoint. What cannot be parsed is forwarded all the
+    /// same.
+    void readAnswer(std::string_view bytes)
+    {
+        if (!m_answer)
+            return;
+        const bool hadHead = m_answer->headDone();
+        m_unparsed += bytes;
+        while (!m_unparsed.empty() && !m_answer->done()
+               && m_answer->failure() == MessageReader::Failure::None) {
+            const std::size_t consumed = m_answer->consume(m_unparsed);
+            if (consumed == 0)
+                break;
+            m_unparsed.erase(0, consumed);
+            m_answer->body().clear();
+        }
+        if (!hadHead && m_answer->headDone())
+            m_forwarder.m_policy.forwardedAnswer(m_id, m_answer->head());
+        if (m_answer->done() || m_answer->failure() != MessageReader::Failure::None)
+            m_unparsed.clear();
+    }
+
     ConnectionForwarder &m_forwarder;
     tcp::socket m_instance;
     tcp::socket m_endpoint;
@@ -218,6 +258,9 @@
     MessageReader m_request {MessageReader::Kind::Request, {}};
     std::string m_id; ///< of the endpoint
     std::string m_unread; ///< bytes for the endpoint that followed the request
+    std::optional<MessageReader> m_answer; ///< to the last request
+    std::string m_unparsed; ///< received from the endpoint and not yet parsed by `m_answer`
+    bool m_connected = false; ///< to the endpoint
     std::string m_text; ///< being written to the instance
     std::array<char, 8192> m_toEndpoint {};
     std::array<char, 8192> m_toInstance {};
@@ -225,9 +268,11 @@
     Time m_answeredAt {}; ///< when the endpoint last sent bytes
 };
 
-ConnectionForwarder::ConnectionForwarder(asio::io_context &context, EndpointLinks &links)
+ConnectionForwarder::ConnectionForwarder(asio::io_context &context, EndpointLinks &links,
+                                         ForwardingPolicy &policy)
     : m_context(context)
     , m_links(links)
+    , m_policy(policy)
     , m_acceptor(context)
 {
 }
@@ -269,6 +314,13 @@
     m_tickedAt = bootTime;
 }
 
+void ConnectionForwarder::closeDeclined(Time now)
+{
+    for (const auto &each : std::set<std::shared_ptr<Connection>>(m_connections))
+        if (each->isConnected() && each->isIdle() && each->isDeclined(now))
+            each->close(false);
+}
+
 void ConnectionForwarder::closeAll()
 {
     for (const auto &each : std::set<std::shared_ptr<Connection>>(m_connections))
--- a/src/entry/connectionforwarder.h
+++ b/src/entry/connectionforwarder.h
@@ -20,6 +20,8 @@
 inline constexpr int Opened = 200;
 inline constexpr int NotListed = 404; ///< the endpoint is not in this instance's list
 inline constexpr int NotReached = 502; ///< the endpoint refuses connections
+/// The endpoint wants no requests from this instance now.
+inline constexpr int Declined = 429;
 inline constexpr int Unavailable = 503; ///< this instance stops, or forwards too many connections
 inline constexpr int TimedOut =
     504; ///< the endpoint does not answer, or this instance's link to it is in doubt
@@ -28,18 +30,34 @@
 /// Formats the request to open a connection to \a endpoint.
 std::string forwardingRequest(const std::string &endpoint);
 
+/// Decides whether requests of other instances may be forwarded. To the endpoint they are requests
+/// of this instance.
+class ForwardingPolicy
+{
+public:
+    virtual ~ForwardingPolicy() = default;
+
+    /// Whether a request may be forwarded to \a endpoint at \a now.
+    virtual bool mayForward(const std::string &endpoint, Time now) const = 0;
+
+    /// \a endpoint answered a forwarded request.
+    virtual void forwardedAnswer(const std::string &endpoint, const MessageHead &answer) = 0;
+};
+
 /// Listens for other instances. An instance requests a connection with `CONNECT endpoint-id`. Once
 /// it is open, all bytes that follow the request go to the endpoint unchanged. The bytes of the
 /// endpoint come back as the chunks of the answer's body. Its last chunk tells that the endpoint
 /// closed the connection in an orderly way: if the forwarding process is killed or the endpoint
 /// resets the connection, the last chunk is missing, so a truncated answer does not look complete.
 ///
-/// Only listed endpoints that are not leaving are connected, and only directly, so that connections
-/// can't be forwarded in a loop.
+/// Only listed endpoints are connected, and only directly, so that connections can't be forwarded
+/// in a loop. Before each request, ForwardingPolicy is asked; if it does not permit the request,
+/// the connection is closed and nothing is forwarded.
 class ConnectionForwarder
 {
 public:
-    ConnectionForwarder(boost::asio::io_context &context, EndpointLinks &links);
+    ConnectionForwarder(boost::asio::io_context &context, EndpointLinks &links,
+                        ForwardingPolicy &policy);
     ~ConnectionForwarder();
 
     /// \return whether listening succeeded; otherwise \a reason is set.
@@ -53,6 +71,10 @@
     /// connections: the requests that wait in their buffers are outdated.
     void tick(Time bootTime);
 
+    /// Closes idle connections to endpoints that get no requests now, so that the other instances
+    /// don't use them.
+    void closeDeclined(Time now);
+
     /// Forwards no further connections; open ones are kept.
     void stop() { m_stopping = true; }
 
@@ -72,6 +94,7 @@
 
     boost::asio::io_context &m_context;
     EndpointLinks &m_links;
+    ForwardingPolicy &m_policy;
     boost::asio::ip::tcp::acceptor m_acceptor;
     FleetPtr m_fleet;
     std::set<std::shared_ptr<Connection>> m_connections;
--- a/src/entry/connector.cpp
+++ b/src/entry/connector.cpp
@@ -188,6 +188,8 @@
         return peerOpened(attempt);
     case forwarding::NotReached:
         return peerFailed(attempt, PeerFailure::Refused);
+    case forwarding::Declined:
+        return peerFailed(attempt, PeerFailure::Declined);
     case forwarding::TimedOut:
         return peerFailed(attempt, PeerFailure::NotReached);
     default:
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -60,7 +60,7 @@
     , m_timer(context)
     , m_links(settings.name, settings.domain, linkSettings(settings, EntryThread::Traffic))
     , m_pool(context)
-    , m_forwarder(context, m_links)
+    , m_forwarder(context, m_links, *this)
     , m_relay(relaySettings(settings))
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
@@ -119,12 +119,27 @@
         m_pool.prune(*m_fleet, now);
     }
     m_forwarder.tick(bootNow());
+    m_forwarder.closeDeclined(now);
     if (m_stopping)
         continueStop();
     flushDecisionLog();
     armTimer();
 }
 
+bool TrafficServer::mayForward(const std::string &endpoint, Time now) const
+{
+    return m_relay.acceptsRequests(endpoint, now);
+}
+
+void TrafficServer::forwardedAnswer(const std::string &endpoint, const MessageHead &answer)
+{
+    RelayActions actions;
+    const Announcement announcement = announcementOf(answer, m_protocol.headers());
+    logAnnouncement(endpoint, answer, announcement);
+    m_relay.endpointAnnounced(endpoint, announcement, steadyNow(), actions);
+    run(std::move(actions));
+}
+
 void TrafficServer::setTable(RouteMapPtr table)
 {
     m_table = std::move(table);
@@ -286,8 +301,8 @@
                  {"pace", report->slowdown},
                  {"stalled_at", std::string_view(stalled)}});
     m_relay.endpointAnswered(endpoint, sentAt);
-    if (announcementOf(outcome.head, m_protocol.headers()).draining)
-        m_relay.endpointDraining(endpoint, actions);
+    m_relay.endpointAnnounced(endpoint, announcementOf(outcome.head, m_protocol.headers()),
+                              steadyNow(), actions);
     if (outcome.forwarded)
         repeatOnBrokenLink(endpoint, sentAt, actions);
     m_relay.queryAnswered(endpoint, report->stalledAddresses, report->slowdown, steadyNow(),
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -20,12 +20,12 @@
 class CallerSession;
 
 /// Serves callers on the traffic thread, and executes the actions of the relay.
-class TrafficServer
+class TrafficServer : private ForwardingPolicy
 {
 public:
     TrafficServer(boost::asio::io_context &context, const EntrySettings &settings,
                   const EntryProtocol &protocol, EntryState &state);
-    ~TrafficServer();
+    ~TrafficServer() override;
 
     /// \return whether listening succeeded; otherwise \a reason is set.
     bool listen(Reason &reason);
@@ -112,6 +112,9 @@
     std::string metrics() const;
 
 private:
+    bool mayForward(const std::string &endpoint, Time now) const override;
+    void forwardedAnswer(const std::string &endpoint, const MessageHead &answer) override;
+
     void accept();
     void tick();
     void armTimer();
--- a/src/include/balsamloft/connectionrace.h
+++ b/src/include/balsamloft/connectionrace.h
@@ -17,6 +17,7 @@
 enum class PeerFailure : std::uint8_t {
     Unavailable, ///< it did not answer, or does not forward now
     NotReached, ///< it does not reach the endpoint
+    Declined, ///< the endpoint wants no requests from it now
     Refused, ///< no process listens at the endpoint's address
 };
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -284,8 +284,9 @@
         m_quarantine.endpointAnswered(endpoint, queriedAt);
     }
 
-    /// The endpoint announced in an answer that it is about to exit.
-    void endpointDraining(const std::string &endpoint, RelayActions &actions);
+    /// The endpoint announced \a announcement in an answer to this instance, whatever it answered.
+    void endpointAnnounced(const std::string &endpoint, const Announcement &announcement, Time now,
+                           RelayActions &actions);
 
     /// Replaces the crash records published by all instances.
     void setSharedCrashes(const std::vector<CrashRecord> &all) { m_quarantine.setShared(all); }
@@ -320,6 +321,9 @@
     /// since the process may have been paused after the decision.
     bool maySend(FlightId id, std::uint32_t attempt, Time now) const;
 
+    /// Whether the endpoint accepts requests that this instance sends on behalf of others.
+    bool acceptsRequests(const std::string &endpoint, Time now) const;
+
     /// The id of the last event that was forwarded to the caller.
     std::optional<std::uint64_t> lastEvent(FlightId id) const;
     std::size_t flights() const { return m_flights.size(); }
@@ -389,6 +393,8 @@
     void recordAnswered(Flight &flight, bool accepted);
     void recordAnnouncement(const Flight &flight, const AnswerHead &head, Time now,
                             RelayActions &actions);
+    bool isActive(const std::string &endpoint) const;
+    void markDraining(const std::string &endpoint, RelayActions &actions);
     void applyAnnouncedExits();
 
     // Endpoints that announced a pause
--- a/src/libbalsamloft/connectionrace.cpp
+++ b/src/libbalsamloft/connectionrace.cpp
@@ -55,7 +55,7 @@
     m_pendingPeers.erase(peer);
     if (failure == PeerFailure::Unavailable)
         m_links->recordPeerFailure(peer, now);
-    else
+    else if (failure != PeerFailure::Declined)
         m_links->recordForwardingFailure(m_endpoint, peer, now);
     m_refusals += failure == PeerFailure::Refused ? 1 : 0;
     return askPeer(now);
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -555,21 +555,25 @@
 void Relay::recordAnnouncement(const Flight &flight, const AnswerHead &head, Time now,
                                RelayActions &actions)
 {
-    const Announcement &announced = head.announcement;
-    m_counts.retryAfterAnswers += announced.retryAfter ? 1 : 0;
-    m_counts.drainingAnswers += announced.draining ? 1 : 0;
-    if (announced.draining)
-        endpointDraining(flight.endpoint, actions);
-    if (!announced.retryAfter)
-        return;
-    m_pauses.recordRefusal(flight.endpoint, *announced.retryAfter, now);
+    endpointAnnounced(flight.endpoint, head.announcement, now, actions);
     const FleetEndpoint *faulty =
         head.faultyAddress.empty() ? nullptr : m_fleet->findByAddress(head.faultyAddress);
-    if (faulty && faulty->id != flight.endpoint)
-        m_pauses.recordRefusal(faulty->id, *announced.retryAfter, now);
+    if (head.announcement.retryAfter && faulty && faulty->id != flight.endpoint)
+        m_pauses.recordRefusal(faulty->id, *head.announcement.retryAfter, now);
+}
+
+void Relay::endpointAnnounced(const std::string &endpoint, const Announcement &announcement,
+                              Time now, RelayActions &actions)
+{
+    m_counts.retryAfterAnswers += announcement.retryAfter ? 1 : 0;
+    m_counts.drainingAnswers += announcement.draining ? 1 : 0;
+    if (announcement.retryAfter)
+        m_pauses.recordRefusal(endpoint, *announcement.retryAfter, now);
+    if (announcement.draining)
+        markDraining(endpoint, actions);
 }
 
-void Relay::endpointDraining(const std::string &endpoint, RelayActions &actions)
+void Relay::markDraining(const std::string &endpoint, RelayActions &actions)
 {
     const FleetEndpoint *listed = m_fleet->find(endpoint);
     if (!listed || listed->draining)
@@ -702,16 +706,24 @@
     const auto it = m_flights.find(id);
     if (it == m_flights.end() || it->second.attempt != attempt || now >= it->second.deadline)
         return false;
-    const auto acceptsWork = [this](const std::string &id) {
-        const FleetEndpoint *endpoint = m_fleet->find(id);
-        return endpoint && !endpoint->draining;
-    };
     const Flight &flight = it->second;
     if (!mayRun(flight, now))
         return false;
-    return acceptsWork(flight.endpoint) && !m_pauses.isPaused(flight.endpoint, now)
+    return acceptsRequests(flight.endpoint, now)
            && std::all_of(flight.path.begin(), flight.path.end(),
-                          [&](const PathPart &part) { return acceptsWork(part.endpoint); });
+                          [&](const PathPart &part) { return isActive(part.endpoint); });
+}
+
+/// Whether the endpoint is listed and not about to exit.
+bool Relay::isActive(const std::string &endpoint) const
+{
+    const FleetEndpoint *listed = m_fleet->find(endpoint);
+    return listed && !listed->draining;
+}
+
+bool Relay::acceptsRequests(const std::string &endpoint, Time now) const
+{
+    return isActive(endpoint) && !m_pauses.isPaused(endpoint, now);
 }
 
 } // namespace balsamloft
--- a/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -284,3 +284,67 @@
     CHECK(call.answer().starts_with("HTTP/1.1 200"));
     CHECK(call.site.process(1).wait() == 0);
 }
+
+namespace {
+
+enum class Announced { Pause, Exit };
+
+/// Two instances, of which the first one reaches the endpoints through the second one only. The
+/// endpoints e1 and m1 announce a pause or their exit once the test asks for it.
+struct AnnouncingSite
+{
+    explicit AnnouncingSite(Announced announced)
+        : site(2, [this, announced](const std::string &request) {
+            const std::string endpoint = headerOf(request, "Endpoint-Id");
+            if (!announces || (endpoint != "e1" && endpoint != "m1"))
+                return answerOf(request);
+            received += 1;
+            if (announced == Announced::Pause)
+                return "HTTP/1.1 503 No\r\nRequest-Id: " + headerOf(request, "Request-Id")
+                       + "\r\nNot-Run: 1\r\nRetry-After: 120\r\nContent-Length: 0\r\n\r\n";
+            std::string answer = answerOf(request);
+            return answer.insert(answer.find("\r\n") + 2, "Draining: 1\r\n");
+        })
+    {
+        site.cut(0, CutManner::Reset);
+        for (const std::string path : {"/safe/x", "/stream/x"})
+            CHECK(waitUntil([&] { return site.served(0, path, 10) == 10; }));
+        announces = true;
+    }
+
+    std::atomic<bool> announces {false};
+    std::atomic<int> received {0}; ///< by e1 and m1, since they announce
+    Site site;
+};
+
+} // namespace
+
+// Guards against requests of others to an endpoint that wants none from the forwarding instance.
+TEST_CASE("what an endpoint announces to an instance holds for requests that it forwards",
+          "[process]")
+{
+    const Announced announced = GENERATE(Announced::Pause, Announced::Exit);
+    const std::string path = GENERATE("/safe/x", "/stream/x");
+    AnnouncingSite announcing(announced);
+    CHECK(waitUntil([&] {
+        announcing.site.serves(1, path);
+        return announcing.received == 1;
+    }));
+    CHECK(announcing.site.served(0, path, 30) >= 20);
+    CHECK(announcing.received == 1);
+}
+
+// Guards against requests of the forwarding instance to an endpoint that refused a forwarded one.
+TEST_CASE("what an endpoint answers to a forwarded request holds for the forwarding instance",
+          "[process]")
+{
+    const Announced announced = GENERATE(Announced::Pause, Announced::Exit);
+    const std::string path = GENERATE("/safe/x", "/unsafe/x", "/stream/x");
+    AnnouncingSite announcing(announced);
+    CHECK(waitUntil([&] {
+        announcing.site.serves(0, path);
+        return announcing.received == 1;
+    }));
+    CHECK(announcing.site.served(1, path, 30) == 30);
+    CHECK(announcing.received == 1);
+}
