The soak lets endpoints announce pauses and their exit

Judged by the endpoints: no more than four requests of one process (one for each of its callers, which links may delay) later than two seconds after it was told.

--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -14,6 +14,8 @@
 DEFINE_int32(series, 3, "number of concurrent series of faults");
 DEFINE_bool(ending, false, "repeatedly send a request that crashes the endpoints that execute it");
 DEFINE_bool(own_links, false, "cut instances from all endpoints in a further series of faults");
+DEFINE_bool(announcements, false,
+            "let endpoints announce pauses and their exit in a further series of faults");
 DEFINE_string(logs, "", "directory for the instances' logs of failing seeds");
 
 namespace {
@@ -27,6 +29,7 @@
     settings.series = FLAGS_series;
     settings.crashingRequest = FLAGS_ending;
     settings.ownLinks = FLAGS_own_links;
+    settings.announcements = FLAGS_announcements;
     balsamloft::soak::Soak soak(settings);
     const std::vector<std::string> violations = soak.run();
     std::printf("seed %lu: %s, %zu faults, %s\n", seed, violations.empty() ? "passed" : "FAILED",
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -168,6 +168,8 @@
     if (!m_id.empty())
         return;
     m_id = m_name + "-" + std::to_string(++m_starts);
+    announcesExit = false;
+    m_pausedUntil = {};
     m_link.refuse(false);
     write("ready");
 }
@@ -258,6 +260,21 @@
     m_open.erase(socket);
 }
 
+/// The header fields in which the answer to \a request announces a pause or the exit.
+std::string Endpoint::announcedFields(const std::string &request)
+{
+    const auto now = Clock::now();
+    if (announcesExit) {
+        m_record.announced(m_id, instanceOf(request), Clock::time_point::max());
+        return "Draining: 1\r\n";
+    }
+    if (now >= m_pausedUntil)
+        return {};
+    m_record.announced(m_id, instanceOf(request), m_pausedUntil);
+    const std::chrono::duration<double> left = m_pausedUntil - now;
+    return "Retry-After: " + std::to_string(left.count()) + "\r\n";
+}
+
 awaitable<bool> Endpoint::run(tcp::socket &socket, const Request &request)
 {
     const std::string id = field(request, "Request-Id");
@@ -269,8 +286,8 @@
         text = answerText(404, {});
     else if (field(request, "Endpoint-Id") != m_id)
         text = answerText(421, {}, echo + "Not-Run: 1\r\n");
-    else if (busy)
-        text = answerText(Unavailable, {}, echo + "Not-Run: 1\r\n");
+    else if (m_record.arrived(m_id, instanceOf(id)); busy || Clock::now() < m_pausedUntil)
+        text = answerText(Unavailable, {}, echo + announcedFields(id) + "Not-Run: 1\r\n");
     else
         m_record.executed(id, m_id);
     if (text.empty() && request.body() == CrashingBody) {
@@ -284,7 +301,7 @@
         if (losesAnswers)
             co_return false;
         text = failing ? answerText(500, "failed", echo + "Seal: s\r\n")
-                       : answerText(Ok, callBody(id), echo + "Seal: s\r\n");
+                       : answerText(Ok, callBody(id), echo + announcedFields(id) + "Seal: s\r\n");
         if (sendsExtraAnswers)
             text += "HTTP/1.1 200 OK\r\nRequest-Id: x\r\nSeal: s\r\nContent-Length: 1\r\n\r\n!";
     }
@@ -299,8 +316,9 @@
     const std::string id = field(request, "Request-Id");
     const std::string after = field(request, "Last-Event-Id");
     const int events = std::stoi(partsOf(std::string(request.target()))[1]);
-    std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: " + id
-                       + "\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
+    std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSeal: s\r\n"
+                       + announcedFields(id)
+                       + "Content-Type: text/event-stream\r\n"
                          "Transfer-Encoding: chunked\r\n\r\n";
     boost::system::error_code error;
     for (int i = after.empty() ? 1 : std::stoi(after) + 1; i <= events; ++i) {
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -87,6 +87,9 @@
     void writeFormerEntry();
     /// Deletes its entry, but keeps running.
     void deleteEntry();
+    /// Refuses requests until \a until, and announces so.
+    void pauseUntil(Clock::time_point until) { m_pausedUntil = until; }
+    bool announcesExit = false; ///< in each answer, while its entry says that it is ready
     bool failing = false; ///< answers 500
     bool busy = false; ///< refuses requests as not executed
     bool losesAnswers = false; ///< executes calls, but closes the connection instead of answering
@@ -99,6 +102,7 @@
     awaitable<bool> run(tcp::socket &socket, const Request &request);
     awaitable<bool> stream(tcp::socket &socket, const Request &request);
     void write(const std::string &state);
+    std::string announcedFields(const std::string &request);
 
     boost::asio::io_context &m_context;
     Store &m_store;
@@ -111,6 +115,7 @@
     Link m_link;
     std::string m_id; ///< empty while not running
     int m_starts = 0;
+    Clock::time_point m_pausedUntil {};
     std::set<std::shared_ptr<tcp::socket>> m_open;
 };
 
--- a/testsuite/soak/record.cpp
+++ b/testsuite/soak/record.cpp
@@ -12,6 +12,12 @@
 /// for a slow machine.
 constexpr auto LeavingPropagation = std::chrono::seconds(10);
 
+/// Time after an announcement in which requests may still arrive, since they were sent before.
+constexpr auto AnnouncementDelay = std::chrono::seconds(2);
+
+/// Requests that may arrive even later: a link may delay one of each of an instance's callers.
+constexpr int MaxDelayed = 4;
+
 bool meansNotExecuted(int status)
 {
     return status == 503 || status == 429 || status == 408 || status == 421;
@@ -19,6 +25,16 @@
 
 } // namespace
 
+std::string requestId(std::uint64_t number, const std::string &instance)
+{
+    return "r" + std::to_string(number) + "." + instance;
+}
+
+std::string instanceOf(const std::string &request)
+{
+    return request.substr(request.find('.') + 1);
+}
+
 std::string callBody(const std::string &request)
 {
     return "done " + request;
@@ -38,6 +54,32 @@
         addViolation("a leaving endpoint got a new request: " + endpoint + ", " + request);
 }
 
+void Record::announced(const std::string &endpoint, const std::string &instance,
+                       Clock::time_point until)
+{
+    const auto now = Clock::now();
+    Announcement &each = m_announcements[{endpoint, instance}];
+    if (now >= each.until)
+        each = {now, until, 0};
+    each.until = std::max(each.until, until);
+}
+
+void Record::arrived(const std::string &endpoint, const std::string &instance)
+{
+    const auto found = m_announcements.find({endpoint, instance});
+    const auto now = Clock::now();
+    if (found == m_announcements.end() || now < found->second.at + AnnouncementDelay
+        || now >= found->second.until)
+        return;
+    if (++found->second.late == MaxDelayed + 1)
+        addViolation("requests of " + instance + " to an endpoint that wants none: " + endpoint);
+}
+
+void Record::instanceStarted(const std::string &instance)
+{
+    std::erase_if(m_announcements, [&](const auto &each) { return each.first.second == instance; });
+}
+
 void Record::received(const std::string &request, Exchange exchange)
 {
     m_received[request] = std::move(exchange);
--- a/testsuite/soak/record.h
+++ b/testsuite/soak/record.h
@@ -39,6 +39,13 @@
 
     /// The endpoint with the id \a endpoint has reported that it is leaving.
     void leaving(const std::string &endpoint) { m_leavingAt[endpoint] = Clock::now(); }
+    /// An answer of \a endpoint to \a instance asks for no requests until \a until.
+    void announced(const std::string &endpoint, const std::string &instance,
+                   Clock::time_point until);
+    /// A request of \a instance has reached \a endpoint.
+    void arrived(const std::string &endpoint, const std::string &instance);
+    /// A new process of \a instance begins without the announcements to the previous one.
+    void instanceStarted(const std::string &instance);
     /// A request has crashed \a endpoint.
     void crashed(const std::string &endpoint) { m_crashed.push_back(endpoint); }
     std::size_t crashCount() const { return m_crashed.size(); }
@@ -53,14 +60,29 @@
     void checkBody(const std::string &request, const Exchange &exchange,
                    std::vector<std::string> &violations) const;
 
+    /// A time in which an endpoint wants no requests from an instance.
+    struct Announcement
+    {
+        Clock::time_point at;
+        Clock::time_point until;
+        int late = 0; ///< requests that reached the endpoint all the same
+    };
+
     /// Endpoints that executed each request.
     std::map<std::string, std::vector<std::string>> m_executed;
     std::map<std::string, Exchange> m_received;
     std::map<std::string, Clock::time_point> m_leavingAt;
+    std::map<std::pair<std::string, std::string>, Announcement> m_announcements;
     std::vector<std::string> m_crashed;
     std::vector<std::string> m_violations;
 };
 
+/// The id of the request number \a number, which is sent to \a instance.
+std::string requestId(std::uint64_t number, const std::string &instance);
+
+/// The instance that the request was sent to.
+std::string instanceOf(const std::string &request);
+
 /// Body of an endpoint's answer to a call.
 std::string callBody(const std::string &request);
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -135,6 +135,7 @@
 {
     if (instance.process)
         instance.formerOutput += instance.process->output();
+    m_record.instanceStarted(instance.name);
     instance.process =
         std::make_unique<testsuite::Process>("balsamloft-entry-standin", instance.arguments);
 }
@@ -170,6 +171,8 @@
         spawn(runSeries(m_random()));
     if (m_settings.ownLinks)
         spawn(runCuts(m_random()));
+    if (m_settings.announcements)
+        spawn(runAnnouncements(m_random()));
     if (m_settings.crashingRequest)
         spawn(runCrashingCaller(m_random()));
     co_await pause(std::chrono::duration_cast<Milliseconds>(m_settings.length));
@@ -231,7 +234,7 @@
             co_await pause(Milliseconds(50));
             continue;
         }
-        const std::string id = "r" + std::to_string(m_nextRequest++);
+        const std::string id = requestId(m_nextRequest++, m_instances[instance].name);
         Exchange exchange;
         exchange.kind = static_cast<Kind>(draw(random, 0, 2));
         exchange.events = draw(random, 1, 60);
@@ -256,7 +259,7 @@
         exchange.kind = Kind::Stream;
         exchange.events = 1;
         exchange.crashing = true;
-        const std::string id = "r" + std::to_string(m_nextRequest++);
+        const std::string id = requestId(m_nextRequest++, instance.name);
         if (!error)
             co_await send(socket, id, exchange);
         m_record.received(id, std::move(exchange));
@@ -276,7 +279,7 @@
         co_await socket.async_connect(endpointOf(m_instances[instance].callers),
                                       asio::redirect_error(asio::use_awaitable, error));
         if (!error) {
-            const std::string id = "r" + std::to_string(m_nextRequest++);
+            const std::string id = requestId(m_nextRequest++, m_instances[instance].name);
             Exchange exchange;
             exchange.kind = kind;
             exchange.events = 5;
@@ -441,6 +444,37 @@
     changeLinks([](Link &link) { link.heal(); });
 }
 
+/// Repeatedly lets an endpoint announce a pause, or its exit, in its answers.
+awaitable<void> Soak::runAnnouncements(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    while (!m_stopping) {
+        co_await pause(Milliseconds(draw(random, 100, 900)));
+        if (!m_stopping)
+            co_await announcement(random);
+    }
+}
+
+awaitable<void> Soak::announcement(std::mt19937_64 &random)
+{
+    const bool all = draw(random, 0, 4) == 0;
+    Endpoint &chosen = *m_endpoints[random() % m_endpoints.size()];
+    const Milliseconds time(draw(random, 300, 6000));
+    const bool exits = !all && draw(random, 0, 2) == 0;
+    logFault(std::string(all ? "all endpoints announce" : "an endpoint announces")
+             + (exits ? " its exit for " : " a pause of ") + std::to_string(time.count()));
+    if (exits)
+        chosen.announcesExit = true;
+    for (const auto &each : m_endpoints)
+        if (!exits && (all || each.get() == &chosen))
+            each->pauseUntil(Clock::now() + time);
+    co_await pause(time);
+    if (!chosen.announcesExit)
+        co_return;
+    chosen.crash();
+    chosen.start();
+}
+
 awaitable<void> Soak::endpointFault(std::mt19937_64 &random, Milliseconds time)
 {
     Endpoint &endpoint = *m_endpoints[random() % m_endpoints.size()];
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -23,6 +23,8 @@
     /// Each instance has links of its own to the endpoints, and a domain of its own. In a further
     /// series, instances are cut from all endpoints.
     bool ownLinks = false;
+    /// In a further series, endpoints announce pauses, or their exit, in their answers.
+    bool announcements = false;
 };
 
 /// Runs one seed. The seed determines the faults, their times and durations, but not the timing of
@@ -70,6 +72,8 @@
     awaitable<void> linkFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> runCuts(std::uint64_t seed);
     awaitable<void> cutFault(std::mt19937_64 &random, Milliseconds time);
+    awaitable<void> runAnnouncements(std::uint64_t seed);
+    awaitable<void> announcement(std::mt19937_64 &random);
     std::string ownView(Instance &instance);
     awaitable<void> endpointFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> runCaller(std::size_t instance, std::uint64_t seed);
