An instance that knows few others reads the list of instances without delay

Seen by callers: an instance that starts without links to the endpoints, together with all others after a planned stop, refused them for 5 s. Cause: the list is empty at first; its first change is the instance's own row, and the next one is read 5 s later, so nobody is known who could forward connections. Ruled out: a start into a running fleet (served at once before too).

Until an instance knows more others than one connection asks (three), changes are read after 0.1 s. At a common start that is one more call an instance; a lone one is only answered when rows change.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -196,6 +196,12 @@
         tableAnswered(table, source, answer);
     };
     events.chooseSource = [this, table] { return chooseSource(table); };
+    // An instance that starts together with the others, without links to the endpoints, can serve
+    // nobody until it knows some that forward its connections.
+    if (table == SharedTable::Instances)
+        events.needsChangesSoon = [this] {
+            return m_directory.instanceCount() <= EndpointLinkSettings {}.maxPeersPerConnection;
+        };
     events.failed = [this](const TableSource &failed, bool answered) {
         sourceFailed(failed, answered);
     };
--- a/src/entry/tablefollower.cpp
+++ b/src/entry/tablefollower.cpp
@@ -127,8 +127,10 @@
         else if (hasChanges)
             m_events.changed(answer.reply.rows, m_version, answer);
         m_events.answered(source, answer);
-        const Duration minInterval =
-            source.isStore() ? m_settings.minInterval : m_settings.peerMinInterval;
+        const bool soon = m_events.needsChangesSoon && m_events.needsChangesSoon();
+        const Duration minInterval = soon               ? m_settings.retryInterval
+                                     : source.isStore() ? m_settings.minInterval
+                                                        : m_settings.peerMinInterval;
         if (minInterval > Duration {} && hasChanges)
             return scheduleAfter(minInterval, [this] { watch(); });
         return watch();
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -36,6 +36,10 @@
 
     std::function<SourceChoice()> chooseSource;
 
+    /// Whether further changes are needed soon, so that the next query is not delayed by the
+    /// minimum interval. May be empty: they are not.
+    std::function<bool()> needsChangesSoon;
+
     /// A source failed. \a answered: the source sent an answer, but the answer is not usable.
     std::function<void(const TableSource &source, bool answered)> failed;
 };
