An announced exit is kept while another endpoint announces its own

Found by reading the change: marking a second endpoint as draining forgot the first one, since the relay took its own mark for the list's word. Until the control thread's list followed (milliseconds), a list published before could bring the first endpoint back. The mark is dropped only when the list itself says draining, or lists the endpoint no more. relay_test has two endpoints announce, and a list between.

--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -396,14 +396,6 @@
     bool isActive(const std::string &endpoint) const;
     void markDraining(const std::string &endpoint, RelayActions &actions);
     void applyAnnouncedExits();
-
-    // Endpoints that announced a pause
-    std::set<std::string> pausedEndpoints(const Flight &flight, Time now);
-    std::optional<AnnouncedPause> firstPauseToEnd(const Flight &flight, Time now);
-    Duration returnSpread(const AnnouncedPause &pause);
-    bool canRunWith(const Flight &flight, const std::set<std::string> &excludedAsFirst, Time now);
-    bool refuseIfPaused(FlightId id, const Flight &flight, Time now, RelayActions &actions);
-
     void withhold(FlightId id, Flight &flight, Time now, RelayActions &actions);
     Duration maxWait(const Flight &flight) const;
     bool choosePath(Flight &flight, Time now, SendRequest &send);
@@ -443,6 +435,13 @@
     void forwardAnswer(FlightId id, Flight &flight, bool succeeded, Time now,
                        RelayActions &actions);
 
+    // Endpoints that announced a pause
+    std::set<std::string> pausedEndpoints(const Flight &flight, Time now);
+    std::optional<AnnouncedPause> firstPauseToEnd(const Flight &flight, Time now);
+    Duration returnSpread(const AnnouncedPause &pause);
+    bool canRunWith(const Flight &flight, const std::set<std::string> &excludedAsFirst, Time now);
+    bool refuseIfPaused(FlightId id, const Flight &flight, Time now, RelayActions &actions);
+
     static Duration expectedPause(const Flight &flight);
     bool worthMoving(const Flight &flight, Time now);
 
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -583,13 +583,9 @@
     actions.push_back(ReportDraining {endpoint});
 }
 
-/// Marks the endpoints that announced their exit as draining, until the list does.
+/// Marks the endpoints that announced their exit as draining.
 void Relay::applyAnnouncedExits()
 {
-    std::erase_if(m_announcedExits, [&](const std::string &id) {
-        const FleetEndpoint *listed = m_fleet->find(id);
-        return !listed || listed->draining;
-    });
     if (m_announcedExits.empty())
         return;
     auto fleet = std::make_shared<FleetSnapshot>(*m_fleet);
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -657,8 +657,14 @@
     CHECK_FALSE(harness.relay.maySend(waiting, attempt, harness.now));
     harness.fail(waiting, AttemptFailure::Withheld);
     CHECK_FALSE(passesThrough(harness.sends(waiting).back(), endpoint));
-    // The list of endpoints changes, but still says that it is ready.
+    // Another endpoint announces its exit too. The list changes, but still says that both are
+    // ready.
+    const std::string other = harness.sends(waiting).back().endpoint;
+    harness.add({"c", {0, 8}});
     harness.add({"r", {}});
+    harness.relay.answered(waiting, attempt + 1, head, harness.now, harness.actions);
+    harness.add({"s", {}});
     for (int i = 0; i < 20; ++i)
-        CHECK_FALSE(passesThrough(harness.sends(harness.submit(kind)).back(), endpoint));
+        for (const std::string &draining : {endpoint, other})
+            CHECK_FALSE(passesThrough(harness.sends(harness.submit(kind)).back(), draining));
 }
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -85,6 +85,10 @@
 void Relay::setFleet(FleetPtr fleet, Time now, RelayActions &actions)
 {
     m_fleet = std::move(fleet);
+    std::erase_if(m_announcedExits, [&](const std::string &id) {
+        const FleetEndpoint *listed = m_fleet->find(id);
+        return !listed || listed->draining;
+    });
     applyAnnouncedExits();
     m_engines.removeUnlisted(*m_fleet);
     m_limits.removeUnlisted(*m_fleet);
