Instances return to an endpoint after a pause at different times

Seen by endpoints: all instances that were refused together came back at the same moment after all. Cause: the random part of a pause had a seed of its own, which nothing set, so each instance drew the same delays. Found by reading the change; the tests compared no two instances.

The new test failed before (one moment for ten instances) and passes. Another new test shows that refused callers are told different times: taking that safeguard out had not failed any test.

--- a/src/include/balsamloft/announcedpauses.h
+++ b/src/include/balsamloft/announcedpauses.h
@@ -26,7 +26,6 @@
     /// refused at the same time, and would return at the same moment.
     double spreadShare = 0.1;
     Duration maxSpread {1'000'000};
-    std::uint64_t seed = 1;
 };
 
 /// Decides when this instance may send requests again to endpoints that refused one and announced
@@ -41,13 +40,18 @@
 class AnnouncedPauses
 {
 public:
-    explicit AnnouncedPauses(AnnouncedPauseSettings settings = {});
+    explicit AnnouncedPauses(AnnouncedPauseSettings settings = {})
+        : m_settings(settings)
+    {
+    }
 
     // Commands
 
-    /// The endpoint refused a request and wants none for \a pause.
+    /// The endpoint refused a request and wants none for \a pause. \a random must differ between
+    /// instances.
     /// \return whether it was not paused before.
-    bool recordRefusal(const std::string &endpoint, Duration pause, Time now);
+    bool recordRefusal(const std::string &endpoint, Duration pause, Time now,
+                       std::mt19937_64 &random);
 
     /// A request is sent to the endpoint.
     void recordSend(const std::string &endpoint, Time now);
@@ -84,7 +88,6 @@
     const Pause *find(const std::string &endpoint) const;
 
     AnnouncedPauseSettings m_settings;
-    std::mt19937_64 m_random;
     std::map<std::string, Pause, std::less<>> m_pauses; ///< by endpoint
 };
 
--- a/src/libbalsamloft/announcedpauses.cpp
+++ b/src/libbalsamloft/announcedpauses.cpp
@@ -11,13 +11,8 @@
 
 } // namespace
 
-AnnouncedPauses::AnnouncedPauses(AnnouncedPauseSettings settings)
-    : m_settings(settings)
-    , m_random(settings.seed)
-{
-}
-
-bool AnnouncedPauses::recordRefusal(const std::string &endpoint, Duration pause, Time now)
+bool AnnouncedPauses::recordRefusal(const std::string &endpoint, Duration pause, Time now,
+                                    std::mt19937_64 &random)
 {
     Pause &each = m_pauses[endpoint];
     const bool begins = now >= each.until;
@@ -31,7 +26,7 @@
     std::uniform_int_distribution<std::int64_t> spread(0, maxSpread.count());
     if (now + pause > each.until) {
         each.length = pause;
-        each.until = now + pause + Duration(spread(m_random));
+        each.until = now + pause + Duration(spread(random));
     }
     return begins;
 }
--- a/src/libbalsamloft/announcedpauses_test.cpp
+++ b/src/libbalsamloft/announcedpauses_test.cpp
@@ -101,13 +101,14 @@
 TEST_CASE("only its end, or the end of its endpoint's process, ends an announced pause")
 {
     const Time start {std::chrono::hours(1)};
-    AnnouncedPauses pauses({0, {}, 1});
-    CHECK(pauses.recordRefusal("e", seconds(6), start));
-    CHECK_FALSE(pauses.recordRefusal("e", seconds(1), start + seconds(1)));
+    AnnouncedPauses pauses({0, {}});
+    std::mt19937_64 random;
+    CHECK(pauses.recordRefusal("e", seconds(6), start, random));
+    CHECK_FALSE(pauses.recordRefusal("e", seconds(1), start + seconds(1), random));
     pauses.recordResult("e", start, true);
     CHECK(pauses.isPaused("e", start + milliseconds(5999)));
     CHECK_FALSE(pauses.isPaused("e", start + seconds(6)));
-    CHECK_FALSE(pauses.recordRefusal("e", seconds(9), start + seconds(2)));
+    CHECK_FALSE(pauses.recordRefusal("e", seconds(9), start + seconds(2), random));
     CHECK(pauses.isPaused("e", start + milliseconds(10'999)));
     CHECK_FALSE(pauses.isPaused("another", start));
 }
@@ -117,14 +118,15 @@
 {
     const Time start {std::chrono::hours(1)};
     const Time end = start + seconds(3);
-    AnnouncedPauses pauses({0, {}, 1});
+    AnnouncedPauses pauses({0, {}});
+    std::mt19937_64 random;
     const auto sendAll = [&](Time now) {
         int sent = 0;
         for (; !pauses.blockedEndpoints(now).contains("e"); ++sent)
             pauses.recordSend("e", now);
         return sent;
     };
-    pauses.recordRefusal("e", seconds(3), start);
+    pauses.recordRefusal("e", seconds(3), start, random);
     CHECK(sendAll(end) == 1);
     // Abandoned without an answer: the next one may be sent, but not two.
     pauses.recordResult("e", end, false);
@@ -211,3 +213,34 @@
     harness.advance(milliseconds(600));
     CHECK(harness.sends(stream).size() == 1);
 }
+
+// Guards against instances that were refused together and return to the endpoint together.
+TEST_CASE("instances that are refused at the same time return at different times")
+{
+    std::set<Time> ends;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        RelaySettings settings = RelayHarness::defaults();
+        settings.seed = seed;
+        RelayHarness harness(std::vector<RelayEngine> {{"p", {}}}, settings);
+        harness.refuse(harness.submit(RequestKind::Safe), seconds(10));
+        ends.insert(harness.relay.pauses().lastPause("p").until);
+    }
+    CHECK(ends.size() == 10);
+}
+
+// Guards against callers that are refused in a pause and return together when it ends.
+TEST_CASE("callers that are refused in a pause are told different times to return")
+{
+    RelayHarness harness(std::vector<RelayEngine> {{"p", {}}});
+    harness.refuse(harness.submit(RequestKind::Safe), seconds(10));
+    std::vector<Duration> delays;
+    for (int i = 0; i < 50; ++i) {
+        const auto refused = harness.finished(harness.submit(RequestKind::Safe));
+        REQUIRE(refused);
+        delays.push_back(refused->retryAfter);
+    }
+    const auto [first, last] = std::minmax_element(delays.begin(), delays.end());
+    CHECK(*first >= seconds(10));
+    // Half of the most that a pause of this length permits.
+    CHECK(*last - *first >= RelaySettings {}.maxReturnSpread / 2);
+}
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -559,7 +559,7 @@
     const FleetEndpoint *faulty =
         head.faultyAddress.empty() ? nullptr : m_fleet->findByAddress(head.faultyAddress);
     if (head.announcement.retryAfter && faulty && faulty->id != flight.endpoint)
-        m_pauses.recordRefusal(faulty->id, *head.announcement.retryAfter, now);
+        m_pauses.recordRefusal(faulty->id, *head.announcement.retryAfter, now, m_random);
 }
 
 void Relay::endpointAnnounced(const std::string &endpoint, const Announcement &announcement,
@@ -568,7 +568,7 @@
     m_counts.retryAfterAnswers += announcement.retryAfter ? 1 : 0;
     m_counts.drainingAnswers += announcement.draining ? 1 : 0;
     if (announcement.retryAfter)
-        m_pauses.recordRefusal(endpoint, *announcement.retryAfter, now);
+        m_pauses.recordRefusal(endpoint, *announcement.retryAfter, now, m_random);
     if (announcement.draining)
         markDraining(endpoint, actions);
 }
