One loop each for a message's bytes, the soak's series and the simulation's due items

Read once more: the forwarder had a copy of the loop that PooledConnection uses to parse what arrived (now MessageReader::consumeFrom()); the soak had three equal series of faults (now one, with a pointer to the fault; the order of draws is as it was); the pause simulation took due items twice alike. The counter of choices that left an endpoint out no longer counts the search for the first pause to end, which is no choice.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -237,14 +237,8 @@
             return;
         const bool hadHead = m_answer->headDone();
         m_unparsed += bytes;
-        while (!m_unparsed.empty() && !m_answer->done()
-               && m_answer->failure() == MessageReader::Failure::None) {
-            const std::size_t consumed = m_answer->consume(m_unparsed);
-            if (consumed == 0)
-                break;
-            m_unparsed.erase(0, consumed);
-            m_answer->body().clear();
-        }
+        m_answer->consumeFrom(m_unparsed);
+        m_answer->body().clear();
         if (!hadHead && m_answer->headDone())
             m_forwarder.m_policy.forwardedAnswer(m_id, m_answer->head());
         if (m_answer->done() || m_answer->failure() != MessageReader::Failure::None)
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -41,13 +41,7 @@
         return;
     }
     undecoded.append(buffer.data(), count);
-    while (!undecoded.empty() && !channel->done()
-           && channel->failure() == MessageReader::Failure::None) {
-        const std::size_t consumed = channel->consume(undecoded);
-        if (consumed == 0)
-            break;
-        undecoded.erase(0, consumed);
-    }
+    channel->consumeFrom(undecoded);
     unread += std::exchange(channel->body(), {});
 }
 
--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -185,6 +185,16 @@
     });
 }
 
+void MessageReader::consumeFrom(std::string &bytes)
+{
+    while (!bytes.empty() && !done() && failure() == Failure::None) {
+        const std::size_t consumed = consume(bytes);
+        if (consumed == 0)
+            break;
+        bytes.erase(0, consumed);
+    }
+}
+
 void MessageReader::connectionClosed()
 {
     Impl &impl = *m_impl;
--- a/src/entry/httpmessage.h
+++ b/src/entry/httpmessage.h
@@ -72,6 +72,10 @@
     /// \return the number of bytes consumed; the caller passes the rest again with more bytes.
     std::size_t consume(std::string_view bytes);
 
+    /// Parses from the front of \a bytes and removes what was consumed, until the message is done,
+    /// more bytes are needed or the message fails.
+    void consumeFrom(std::string &bytes);
+
     /// Reports that the peer closed the connection, which completes an answer without a length.
     void connectionClosed();
 
--- a/src/fakes/pausesimulation.cpp
+++ b/src/fakes/pausesimulation.cpp
@@ -18,6 +18,17 @@
         std::count_if(times.begin(), times.end(), [begin](Time each) { return each > begin; }));
 }
 
+/// Removes and returns the items whose time \a at has come.
+template<typename Item>
+std::vector<Item> takeDue(std::vector<Item> &items, Time Item::*at, Time now)
+{
+    const auto due = std::stable_partition(items.begin(), items.end(),
+                                           [&](const Item &each) { return each.*at > now; });
+    std::vector<Item> taken(due, items.end());
+    items.erase(due, items.end());
+    return taken;
+}
+
 } // namespace
 
 PauseSimulation::PauseSimulation(const PauseSimulationSettings &settings)
@@ -62,23 +73,9 @@
 
 void PauseSimulation::step()
 {
-    std::vector<Call> answered;
-    std::erase_if(m_calls, [&](const Call &each) {
-        if (each.answerAt > m_now)
-            return false;
-        answered.push_back(each);
-        return true;
-    });
-    for (const Call &each : answered)
+    for (const Call &each : takeDue(m_calls, &Call::answerAt, m_now))
         answer(each);
-    std::vector<Return> returning;
-    std::erase_if(m_returns, [&](const Return &each) {
-        if (each.at > m_now)
-            return false;
-        returning.push_back(each);
-        return true;
-    });
-    for (const Return &each : returning)
+    for (const Return &each : takeDue(m_returns, &Return::at, m_now))
         submit(each.firstTryAt);
     std::poisson_distribution<int> arrivals(m_settings.requestsPerSecond
                                             * std::chrono::duration<double>(Step).count());
--- a/src/libbalsamloft/relaypauses.cpp
+++ b/src/libbalsamloft/relaypauses.cpp
@@ -21,7 +21,7 @@
 /// pauses are not the reason, or not the only one, that no endpoint can serve it.
 std::optional<AnnouncedPause> Relay::firstPauseToEnd(const Flight &flight, Time now)
 {
-    const std::set<std::string> paused = pausedEndpoints(flight, now);
+    const std::set<std::string> paused = ofService(flight, m_pauses.blockedEndpoints(now));
     if (paused.empty())
         return std::nullopt;
     const bool layered = service(flight).model.has_value();
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -168,11 +168,11 @@
         for (int n = 0; n < m_settings.callers; ++n)
             spawn(runCaller(i, m_random()));
     for (int i = 0; i < m_settings.series; ++i)
-        spawn(runSeries(m_random()));
+        spawn(runSeries(m_random(), &Soak::injectFault));
     if (m_settings.ownLinks)
-        spawn(runCuts(m_random()));
+        spawn(runSeries(m_random(), &Soak::cutFault));
     if (m_settings.announcements)
-        spawn(runAnnouncements(m_random()));
+        spawn(runSeries(m_random(), &Soak::announcement));
     if (m_settings.crashingRequest)
         spawn(runCrashingCaller(m_random()));
     co_await pause(std::chrono::duration_cast<Milliseconds>(m_settings.length));
@@ -298,13 +298,14 @@
 
 // Faults
 
-awaitable<void> Soak::runSeries(std::uint64_t seed)
+/// Injects one fault after another, with pauses between them.
+awaitable<void> Soak::runSeries(std::uint64_t seed, Fault fault)
 {
     std::mt19937_64 random(seed);
     while (!m_stopping) {
         co_await pause(Milliseconds(draw(random, 100, 900)));
         if (!m_stopping)
-            co_await injectFault(random);
+            co_await (this->*fault)(random);
     }
 }
 
@@ -413,19 +414,10 @@
     link.heal();
 }
 
-/// Repeatedly cuts one instance, or all but one, from all endpoints.
-awaitable<void> Soak::runCuts(std::uint64_t seed)
-{
-    std::mt19937_64 random(seed);
-    while (!m_stopping) {
-        co_await pause(Milliseconds(draw(random, 100, 900)));
-        if (!m_stopping)
-            co_await cutFault(random, Milliseconds(draw(random, 150, 2500)));
-    }
-}
-
-awaitable<void> Soak::cutFault(std::mt19937_64 &random, Milliseconds time)
+/// Cuts one instance, or all but one, from all endpoints.
+awaitable<void> Soak::cutFault(std::mt19937_64 &random)
 {
+    const Milliseconds time(draw(random, 150, 2500));
     const std::size_t chosen = random() % m_instances.size();
     const bool allButOne = draw(random, 0, 2) == 0;
     const auto manner = static_cast<CutManner>(draw(random, 0, 2));
@@ -444,17 +436,7 @@
     changeLinks([](Link &link) { link.heal(); });
 }
 
-/// Repeatedly lets an endpoint announce a pause, or its exit, in its answers.
-awaitable<void> Soak::runAnnouncements(std::uint64_t seed)
-{
-    std::mt19937_64 random(seed);
-    while (!m_stopping) {
-        co_await pause(Milliseconds(draw(random, 100, 900)));
-        if (!m_stopping)
-            co_await announcement(random);
-    }
-}
-
+/// Lets an endpoint announce a pause, or its exit, in its answers.
 awaitable<void> Soak::announcement(std::mt19937_64 &random)
 {
     const bool all = draw(random, 0, 4) == 0;
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -64,15 +64,14 @@
     void makeInstances();
     void startProcess(Instance &instance);
     awaitable<void> runPhases();
-    awaitable<void> runSeries(std::uint64_t seed);
+    using Fault = awaitable<void> (Soak::*)(std::mt19937_64 &random);
+    awaitable<void> runSeries(std::uint64_t seed, Fault fault);
     awaitable<void> injectFault(std::mt19937_64 &random);
     awaitable<void> processFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> waitForExit(Instance &instance, int expectedCode);
     awaitable<void> storeFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> linkFault(std::mt19937_64 &random, Milliseconds time);
-    awaitable<void> runCuts(std::uint64_t seed);
-    awaitable<void> cutFault(std::mt19937_64 &random, Milliseconds time);
-    awaitable<void> runAnnouncements(std::uint64_t seed);
+    awaitable<void> cutFault(std::mt19937_64 &random);
     awaitable<void> announcement(std::mt19937_64 &random);
     std::string ownView(Instance &instance);
     awaitable<void> endpointFault(std::mt19937_64 &random, Milliseconds time);
