Tests keep the ports of the servers that they start later

Cause: freeAddress() closed the port that it returned. Until the server listened there, anyone who listened at port 0, or connected, could be given it. Link released its port for each cut in the same way. And when the process of a test ends at its start, the constructor of Site throws, and the thread that it had started ends the program without its message.

Ruled out: a fault of the program. It reports the address in use, exit code 1, as a test of its own demands.

Change: a reservation holds a bound socket that never listens. SO_REUSEADDR lets a server listen beside it, again and again; the kernel gives such a port to nobody who asks for a free one. The thread of Site is its last member and ends first, also when the constructor throws.

--- a/testsuite/cost/main.cpp
+++ b/testsuite/cost/main.cpp
@@ -3,6 +3,7 @@
 // socket operations and store calls. The counts have bounds, the times have none. The program exits
 // with 1 if a bound is exceeded.
 
+#include "../common/ports.h"
 #include "../common/process.h"
 #include "../common/wait.h"
 #include "../entry/rawserver.h"
--- a/testsuite/entry/entryharness.h
+++ b/testsuite/entry/entryharness.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "../common/feedtables.h"
+#include "../common/ports.h"
 #include "../common/process.h"
 #include "../common/wait.h"
 #include "rawserver.h"
--- a/testsuite/entry/rawserver.cpp
+++ b/testsuite/entry/rawserver.cpp
@@ -157,11 +157,4 @@
     return text.ends_with("0\r\n\r\n");
 }
 
-std::string freeAddress()
-{
-    int port = 0;
-    ::close(listenAtFreePort(port));
-    return "127.0.0.1:" + std::to_string(port);
-}
-
 } // namespace balsamloft::testsuite
--- a/testsuite/entry/rawserver.h
+++ b/testsuite/entry/rawserver.h
@@ -59,7 +59,4 @@
 /// Whether \a text is a complete answer, with a length or chunked.
 bool completeAnswer(const std::string &text);
 
-/// A free loopback port, as "127.0.0.1:port".
-std::string freeAddress();
-
 } // namespace balsamloft::testsuite
--- a/testsuite/soak/link.cpp
+++ b/testsuite/soak/link.cpp
@@ -44,25 +44,20 @@
 Link::Link(asio::io_context &context, std::string target)
     : m_context(context)
     , m_target(endpointOf(target))
-    , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-    , m_address(m_acceptor.local_endpoint())
+    , m_acceptor(context, endpointOf(m_port.address()))
 {
     closeOnExec(m_acceptor);
     asio::co_spawn(context, accept(), asio::detached);
 }
 
-std::string Link::address() const
-{
-    return "127.0.0.1:" + std::to_string(m_address.port());
-}
-
 void Link::listen(int backlog)
 {
     m_acceptor.close();
-    m_acceptor.open(m_address.protocol());
+    const tcp::endpoint address = endpointOf(m_port.address());
+    m_acceptor.open(address.protocol());
     closeOnExec(m_acceptor);
     m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-    m_acceptor.bind(m_address);
+    m_acceptor.bind(address);
     m_acceptor.listen(backlog);
 }
 
@@ -77,7 +72,8 @@
         listen(0);
         m_queueFiller.emplace(m_context);
         // Not awaited: if another connection fills the queue first, this one hangs too.
-        m_queueFiller->async_connect(m_address, [](const boost::system::error_code &) {});
+        m_queueFiller->async_connect(endpointOf(m_port.address()),
+                                     [](const boost::system::error_code &) {});
         return;
     }
     m_acceptor.close();
--- a/testsuite/soak/link.h
+++ b/testsuite/soak/link.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include "../common/ports.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -38,7 +40,7 @@
 public:
     Link(boost::asio::io_context &context, std::string target);
 
-    std::string address() const;
+    const std::string &address() const { return m_port.address(); }
 
     // Faults
 
@@ -78,8 +80,8 @@
 
     boost::asio::io_context &m_context;
     tcp::endpoint m_target;
+    testsuite::PortReservation m_port;
     tcp::acceptor m_acceptor;
-    tcp::endpoint m_address;
     std::optional<tcp::socket> m_queueFiller; ///< fills the queue of new connections while silent
     bool m_cut = false;
     std::set<ConnectionPtr> m_open;
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -1,6 +1,6 @@
 #include "soak.h"
 
-#include "../entry/rawserver.h"
+#include "../common/ports.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -41,7 +41,6 @@
 
     explicit Site(std::size_t instances, Answer answer = answerOf)
         : m_answer(std::move(answer))
-        , m_thread([this] { m_context.run(); })
     {
         m_store.put("configuration", "current", std::string(Configuration));
         for (const std::string id : {"e1", "e2", "m1", "m2"})
@@ -58,9 +57,6 @@
     {
         for (auto &each : m_instances)
             each.process.reset();
-        m_work.reset();
-        m_context.stop();
-        m_thread.join();
     }
 
     /// Calls \a change for each link of an instance, on the thread of the links.
@@ -163,10 +159,14 @@
     FakeStore m_store;
     asio::io_context m_context;
     asio::executor_work_guard<asio::io_context::executor_type> m_work {m_context.get_executor()};
-    std::thread m_thread;
     std::vector<std::unique_ptr<RawServer>> m_endpoints;
     std::vector<Instance> m_instances;
     int m_requests = 0;
+    // Last, so that it ends before what it uses, also when the constructor throws.
+    std::jthread m_thread {[this](const std::stop_token &stop) {
+        const std::stop_callback onStop(stop, [this] { m_context.stop(); });
+        m_context.run();
+    }};
 };
 
 /// A call to an instance without links, forwarded by another one, whose answer waits for release().
