A refused connection proves a crash only beside one that opens

Cause: a crash counts when the up to three instances that are asked are refused as well. They judged themselves by failures in the past, and in the first moment of a cut there are none. The same guess stood a second time in isRefused(): within the second after nobody had reached the endpoint, that counted as refused by all, also when the others had only not answered.

Ruled out: longer memory of failures (nothing to remember yet), a delay of the report (it would hold back true crashes by as long as a cut takes to be found), more instances asked (all may be cut).

Change: the instance that is asked and refused opens a connection to another endpoint of the same domain, then to one more, and closes it. Only if one opens it answers that the endpoint refuses. When a whole domain refuses nobody reports a crash; the list tells.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -122,27 +122,67 @@
             return refuse(forwarding::Declined);
         if (m_forwarder.m_links.isBroken(m_id))
             return refuse(forwarding::TimedOut);
+        connectTo(*address, &Connection::connected);
+    }
+
+    void connectTo(const tcp::endpoint &address, void (Connection::*handler)(const error_code &))
+    {
         m_timer.expires_after(EndpointConnectTimeout);
         m_timer.async_wait([self = shared_from_this()](const error_code &stopped) {
             error_code ignored;
             if (!stopped)
                 self->m_endpoint.close(ignored);
         });
-        m_endpoint.async_connect(*address, [self = shared_from_this()](const error_code &error) {
-            self->connected(error);
-        });
+        m_endpoint.async_connect(address,
+                                 [self = shared_from_this(), handler](const error_code &error) {
+                                     self->m_timer.cancel();
+                                     (*self.*handler)(error);
+                                 });
+    }
+
+    void recordFailure(const std::string &endpoint, const error_code &error, Time now)
+    {
+        m_forwarder.m_links.recordDirectFailure(endpoint,
+                                                error == asio::error::connection_refused
+                                                    ? ConnectFailure::Refused
+                                                    : ConnectFailure::TimedOut,
+                                                now);
+    }
+
+    /// Opens a connection to an endpoint other than the one that refused.
+    void tryReference()
+    {
+        error_code ignored;
+        m_endpoint.close(ignored);
+        const FleetEndpoint *reference =
+            m_forwarder.m_links.chooseReference(*m_forwarder.m_fleet, m_id, m_references);
+        const auto address = reference ? parseTcpEndpoint(reference->address) : std::nullopt;
+        if (!address)
+            return refuse(forwarding::TimedOut);
+        m_reference = reference->id;
+        m_references.insert(m_reference);
+        connectTo(*address, &Connection::referenceConnected);
+    }
+
+    void referenceConnected(const error_code &error)
+    {
+        const Time now = steadyNow();
+        if (error) {
+            recordFailure(m_reference, error, now);
+            return tryReference();
+        }
+        m_forwarder.m_links.recordDirectSuccess(m_reference, now);
+        refuse(m_forwarder.m_links.mayReportCrash(now) ? forwarding::NotReached
+                                                       : forwarding::TimedOut);
     }
 
     void connected(const error_code &error)
     {
-        m_timer.cancel();
         const Time now = steadyNow();
         if (error) {
-            const bool refused = error == asio::error::connection_refused;
-            m_forwarder.m_links.recordDirectFailure(
-                m_id, refused ? ConnectFailure::Refused : ConnectFailure::TimedOut, now);
-            const bool certain = refused && m_forwarder.m_links.mayReportCrash(now);
-            return refuse(certain ? forwarding::NotReached : forwarding::TimedOut);
+            recordFailure(m_id, error, now);
+            return error == asio::error::connection_refused ? tryReference()
+                                                            : refuse(forwarding::TimedOut);
         }
         m_forwarder.m_links.recordDirectSuccess(m_id, now);
         if (isDeclined(now))
@@ -251,6 +291,8 @@
     asio::steady_timer m_timer;
     MessageReader m_request {MessageReader::Kind::Request, {}};
     std::string m_id; ///< of the endpoint
+    std::string m_reference; ///< id of the endpoint that is tried after a refusal
+    std::set<std::string> m_references; ///< all that were tried
     std::string m_unread; ///< bytes for the endpoint that followed the request
     std::optional<MessageReader> m_answer; ///< to the last request
     std::string m_unparsed; ///< received from the endpoint and not yet parsed by `m_answer`
--- a/src/entry/connectionforwarder.h
+++ b/src/entry/connectionforwarder.h
@@ -19,7 +19,8 @@
 namespace forwarding {
 inline constexpr int Opened = 200;
 inline constexpr int NotListed = 404; ///< the endpoint is not in this instance's list
-inline constexpr int NotReached = 502; ///< the endpoint refuses connections
+/// The endpoint refuses connections, while another one accepts them.
+inline constexpr int NotReached = 502;
 /// The endpoint wants no requests from this instance now.
 inline constexpr int Declined = 429;
 inline constexpr int Unavailable = 503; ///< this instance stops, or forwards too many connections
@@ -50,6 +51,9 @@
 /// closed the connection in an orderly way: if the forwarding process is killed or the endpoint
 /// resets the connection, the last chunk is missing, so a truncated answer does not look complete.
 ///
+/// An endpoint that refuses the connection may be gone, or this instance's own links may be
+/// broken. To tell the two apart, a connection to another endpoint is opened, and closed again.
+///
 /// Only listed endpoints are connected, and only directly, so that connections can't be forwarded
 /// in a loop. Before each request, ForwardingPolicy is asked; if it does not permit the request,
 /// the connection is closed and nothing is forwarded.
--- a/src/fakes/linkemulator.cpp
+++ b/src/fakes/linkemulator.cpp
@@ -30,6 +30,12 @@
         for (std::size_t i = 0; i < settings.instancesPerDomain; ++i)
             all.push_back({std::to_string(FirstInstanceNumber + all.size()),
                            "d" + std::to_string(domain), "", "forward"});
+    for (std::size_t i = 0; i < m_endpoints; ++i) {
+        FleetEndpoint &endpoint = m_fleet.endpoints.emplace_back();
+        endpoint.id = endpointName(i);
+        endpoint.address = endpoint.id;
+        endpoint.domain = "d" + std::to_string(i % settings.domains);
+    }
     std::uniform_int_distribution<std::int64_t> phase(0, m_interval.count());
     for (const PeerInstance &each : all) {
         Instance &instance = m_instances.emplace_back();
@@ -84,6 +90,26 @@
     m_now = end;
 }
 
+/// Whether a connection of the instance to another endpoint opens after \a refused refused one.
+bool LinkEmulator::provesItsLinks(Instance &instance, std::size_t refused, Time now)
+{
+    std::set<std::string> tried;
+    while (const FleetEndpoint *reference =
+               instance.links->chooseReference(m_fleet, endpointName(refused), tried)) {
+        tried.insert(reference->id);
+        const Reaction reaction = react(instance, std::stoul(reference->id.substr(1)));
+        if (reaction == Reaction::Opens) {
+            instance.links->recordDirectSuccess(reference->id, now);
+            return true;
+        }
+        instance.links->recordDirectFailure(
+            reference->id,
+            reaction == Reaction::Refuses ? ConnectFailure::Refused : ConnectFailure::TimedOut,
+            now);
+    }
+    return false;
+}
+
 /// Lets a peer open a connection to \a endpoint.
 LinkEmulator::Pending LinkEmulator::forward(std::size_t peer, std::size_t endpoint, Time now)
 {
@@ -100,7 +126,8 @@
     const bool refused = reaction == Reaction::Refuses;
     instance.links->recordDirectFailure(
         name, refused ? ConnectFailure::Refused : ConnectFailure::TimedOut, now);
-    const bool certain = refused && instance.links->mayReportCrash(now);
+    const bool certain =
+        refused && provesItsLinks(instance, endpoint, now) && instance.links->mayReportCrash(now);
     return {now + RoundTrip + (refused ? RoundTrip : ForwarderTimeout), peer,
             certain ? Reaction::Refuses : Reaction::Silent};
 }
@@ -158,8 +185,9 @@
                             : race.directFailed(ConnectFailure::Refused, event.at),
                  event.at);
     }
-    if (race.isRefused(now) && !m_dead.contains(endpoint))
-        instance.counts.reportedCrashes += 1;
+    if (race.isRefused(now))
+        (m_dead.contains(endpoint) ? instance.counts.foundCrashes
+                                   : instance.counts.reportedCrashes) += 1;
 }
 
 ConnectionCounts LinkEmulator::counts(bool cutInstances) const
@@ -172,6 +200,7 @@
         sum.opened += each.counts.opened;
         sum.forwarded += each.counts.forwarded;
         sum.reportedCrashes += each.counts.reportedCrashes;
+        sum.foundCrashes += each.counts.foundCrashes;
     }
     return sum;
 }
--- a/src/fakes/linkemulator.h
+++ b/src/fakes/linkemulator.h
@@ -34,7 +34,8 @@
     std::size_t tried = 0;
     std::size_t opened = 0;
     std::size_t forwarded = 0; ///< of those opened
-    std::size_t reportedCrashes = 0; ///< refusals that would be reported as crashes
+    std::size_t reportedCrashes = 0; ///< refusals by live endpoints, reported as crashes
+    std::size_t foundCrashes = 0; ///< refusals by dead endpoints, reported as crashes
 
     double openedShare() const
     {
@@ -94,6 +95,7 @@
 
     Reaction react(const Instance &instance, std::size_t endpoint) const;
     void open(Instance &instance, std::size_t endpoint, Time now);
+    bool provesItsLinks(Instance &instance, std::size_t refused, Time now);
     std::optional<Pending> begin(const Instance &instance, std::size_t endpoint,
                                  const std::optional<PeerInstance> &peer, Time now);
     Pending forward(std::size_t peer, std::size_t endpoint, Time now);
@@ -101,6 +103,7 @@
     std::mt19937_64 m_random;
     Duration m_interval;
     std::size_t m_endpoints;
+    FleetSnapshot m_fleet;
     std::vector<Instance> m_instances;
     std::set<std::size_t> m_dead;
     Time m_now {Duration(1'000'000'000)};
--- a/src/include/balsamloft/connectionrace.h
+++ b/src/include/balsamloft/connectionrace.h
@@ -18,7 +18,7 @@
     Unavailable, ///< it did not answer, or does not forward now
     NotReached, ///< it does not reach the endpoint
     Declined, ///< the endpoint wants no requests from it now
-    Refused, ///< no process listens at the endpoint's address
+    Refused, ///< its link works, and no process listens at the endpoint's address
 };
 
 /// Races the attempts to open one connection: the first one that opens is used. The direct attempt
--- a/src/include/balsamloft/endpointlinks.h
+++ b/src/include/balsamloft/endpointlinks.h
@@ -41,6 +41,8 @@
     std::size_t maxPeersPerConnection = 3; ///< peers that are asked for one connection
     /// How long no peer is asked for an endpoint that nobody reached.
     Duration unreachablePause {1'000'000};
+    /// Endpoints that are tried to find out whether a refusal comes from the own link.
+    std::size_t maxReferences = 2;
     std::uint64_t seed = 1;
 };
 
@@ -79,8 +81,10 @@
     /// \return whether the link counts as broken from now on, and did not before.
     bool recordForwarded(const std::string &endpoint, const std::string &peer, Time now);
 
-    /// The instance \a peer could not open a connection to the endpoint.
-    void recordForwardingFailure(const std::string &endpoint, const std::string &peer, Time now);
+    /// The instance \a peer could not open a connection to the endpoint. \a refused: its link
+    /// works, and no process listens at the endpoint's address.
+    void recordForwardingFailure(const std::string &endpoint, const std::string &peer, bool refused,
+                                 Time now);
 
     /// The instance \a peer did not answer, or refused to forward.
     void recordPeerFailure(const std::string &peer, Time now);
@@ -90,6 +94,12 @@
     std::optional<PeerInstance> choosePeer(const std::string &endpoint,
                                            const std::set<std::string> &tried, Time now);
 
+    /// Chooses an endpoint whose connection, opened after \a refused refused one, proves that this
+    /// instance's links work: in the same domain if that has others. Endpoints in \a tried are not
+    /// chosen again. Returns nothing if no further endpoint should be tried.
+    const FleetEndpoint *chooseReference(const FleetSnapshot &fleet, const std::string &refused,
+                                         const std::set<std::string> &tried);
+
     // Queries
 
     /// Whether the direct link is broken while another instance reaches the endpoint.
@@ -98,6 +108,10 @@
     /// Whether no other instance reached the endpoint a short time ago.
     bool isUnreachable(const std::string &endpoint, Time now) const;
 
+    /// Whether all instances that were asked a short time ago found that no process listens at the
+    /// endpoint's address.
+    bool isRefusedEverywhere(const std::string &endpoint, Time now) const;
+
     /// Whether a direct connection should be tried now.
     bool shouldTryDirect(const std::string &endpoint, Time now) const;
 
@@ -124,7 +138,9 @@
         Time failedAt {}; ///< last failed direct connection
         Time triedAt {}; ///< start of the last direct attempt
         Time unreachableUntil {}; ///< no peer is asked until then
+        bool refusedEverywhere = false; ///< by all peers that were asked before that
         std::set<std::string> failedPeers; ///< since the endpoint was last reached
+        std::size_t refusals = 0; ///< of failedPeers, that the endpoint refused
     };
 
     struct Peer
--- a/src/libbalsamloft/connectionrace.cpp
+++ b/src/libbalsamloft/connectionrace.cpp
@@ -56,7 +56,7 @@
     if (failure == PeerFailure::Unavailable)
         m_links->recordPeerFailure(peer, now);
     else if (failure != PeerFailure::Declined)
-        m_links->recordForwardingFailure(m_endpoint, peer, now);
+        m_links->recordForwardingFailure(m_endpoint, peer, failure == PeerFailure::Refused, now);
     m_refusals += failure == PeerFailure::Refused ? 1 : 0;
     return askPeer(now);
 }
@@ -71,7 +71,7 @@
     if (std::exchange(m_directPending, false))
         recordDirectFailure(ConnectFailure::TimedOut, now);
     for (const std::string &peer : std::exchange(m_pendingPeers, {}))
-        m_links->recordForwardingFailure(m_endpoint, peer, now);
+        m_links->recordForwardingFailure(m_endpoint, peer, false, now);
     return {};
 }
 
@@ -92,7 +92,7 @@
     const bool directRefused = m_directFailure == ConnectFailure::Refused;
     if (!directRefused || !m_links || !m_links->hasPeers())
         return directRefused;
-    const bool confirmed = m_askedPeers.empty() ? m_links->isUnreachable(m_endpoint, now)
+    const bool confirmed = m_askedPeers.empty() ? m_links->isRefusedEverywhere(m_endpoint, now)
                                                 : m_refusals == m_askedPeers.size();
     return confirmed && m_links->mayReportCrash(now);
 }
--- a/src/libbalsamloft/endpointlinks.cpp
+++ b/src/libbalsamloft/endpointlinks.cpp
@@ -100,6 +100,7 @@
         return false;
     Link &link = it->second;
     link.unreachableUntil = {};
+    link.refusals = 0;
     // The endpoint is alive, so the peers that did not reach it have broken links of their own.
     for (const std::string &each : std::exchange(link.failedPeers, {}))
         if (each != peer)
@@ -117,14 +118,40 @@
 }
 
 void EndpointLinks::recordForwardingFailure(const std::string &endpoint, const std::string &peer,
-                                            Time now)
+                                            bool refused, Time now)
 {
     Link &link = m_links[endpoint];
-    link.failedPeers.insert(peer);
+    if (link.failedPeers.insert(peer).second && refused)
+        link.refusals += 1;
     if (link.failedPeers.size() < std::min(m_settings.maxPeersPerConnection, m_peers.size()))
         return;
     link.unreachableUntil = now + m_settings.unreachablePause;
+    link.refusedEverywhere = link.refusals == link.failedPeers.size();
     link.failedPeers.clear();
+    link.refusals = 0;
+}
+
+const FleetEndpoint *EndpointLinks::chooseReference(const FleetSnapshot &fleet,
+                                                    const std::string &refused,
+                                                    const std::set<std::string> &tried)
+{
+    const FleetEndpoint *endpoint = fleet.find(refused);
+    if (!endpoint || tried.size() >= m_settings.maxReferences)
+        return nullptr;
+    std::vector<const FleetEndpoint *> sameDomain;
+    std::vector<const FleetEndpoint *> elsewhere;
+    for (const FleetEndpoint &each : fleet.endpoints)
+        if (!each.draining && each.address != endpoint->address)
+            (each.domain == endpoint->domain ? sameDomain : elsewhere).push_back(&each);
+    // A domain whose other endpoints fail too is no domain without others: it may be cut off.
+    std::vector<const FleetEndpoint *> &candidates = sameDomain.empty() ? elsewhere : sameDomain;
+    std::erase_if(candidates, [&](const FleetEndpoint *each) {
+        return m_links.contains(each->id) || tried.contains(each->id);
+    });
+    if (candidates.empty())
+        return nullptr;
+    std::uniform_int_distribution<std::size_t> any(0, candidates.size() - 1);
+    return candidates[any(m_random)];
 }
 
 void EndpointLinks::recordPeerFailure(const std::string &peer, Time now)
@@ -213,6 +240,12 @@
     return it != m_links.end() && now < it->second.unreachableUntil;
 }
 
+bool EndpointLinks::isRefusedEverywhere(const std::string &endpoint, Time now) const
+{
+    const auto it = m_links.find(endpoint);
+    return it != m_links.end() && now < it->second.unreachableUntil && it->second.refusedEverywhere;
+}
+
 bool EndpointLinks::inDoubt(Time now) const
 {
     return m_brokenCount >= m_settings.brokenUntilDoubt
--- a/src/libbalsamloft/endpointlinks_test.cpp
+++ b/src/libbalsamloft/endpointlinks_test.cpp
@@ -91,7 +91,7 @@
     std::set<std::string> asked;
     while (const auto peer = links.choosePeer("e", asked, at(0))) {
         asked.insert(peer->name);
-        links.recordForwardingFailure("e", peer->name, at(1));
+        links.recordForwardingFailure("e", peer->name, false, at(1));
     }
     CHECK(asked.size() == 3);
     CHECK(links.isUnreachable("e", at(2)));
@@ -102,6 +102,47 @@
     CHECK(links.mayReportCrash(at(2)));
 }
 
+// Guards against crashes that are reported because the links of all asked instances are broken.
+TEST_CASE("an endpoint that nobody reaches has crashed only if all found that it refuses")
+{
+    const bool refused = GENERATE(true, false);
+    EndpointLinks links = makeLinks(3);
+    links.recordDirectFailure("e", ConnectFailure::Refused, at(0));
+    links.recordForwardingFailure("e", "i101", true, at(1));
+    links.recordForwardingFailure("e", "i102", refused, at(2));
+    CHECK(links.isUnreachable("e", at(3)));
+    CHECK(links.isRefusedEverywhere("e", at(3)) == refused);
+    CHECK_FALSE(links.isRefusedEverywhere("e", at(1100)));
+}
+
+TEST_CASE("a link is proved by endpoints of the domain of the one that refused")
+{
+    FleetSnapshot fleet;
+    const auto add = [&fleet](const std::string &id, const std::string &domain) {
+        FleetEndpoint &endpoint = fleet.endpoints.emplace_back();
+        endpoint.id = id;
+        endpoint.address = "at " + id;
+        endpoint.domain = domain;
+    };
+    add("e", "north");
+    add("other", "south");
+    EndpointLinks links = makeLinks(2);
+    CHECK(links.chooseReference(fleet, "e", {})->id == "other");
+    add("a", "north");
+    add("b", "north");
+    add("gone", "north");
+    add("leaving", "north");
+    fleet.endpoints.back().draining = true;
+    links.recordDirectFailure("gone", ConnectFailure::Refused, at(0));
+    CHECK(links.chooseReference(fleet, "e", {"b"})->id == "a");
+    CHECK(links.chooseReference(fleet, "e", {"a"})->id == "b");
+    CHECK_FALSE(links.chooseReference(fleet, "e", {"a", "b"}));
+    // The domain may be cut off as a whole, which an endpoint elsewhere would not show.
+    links.recordDirectFailure("a", ConnectFailure::Refused, at(0));
+    links.recordDirectFailure("b", ConnectFailure::Refused, at(0));
+    CHECK_FALSE(links.chooseReference(fleet, "e", {}));
+}
+
 TEST_CASE("several endpoints that refuse connections at once are not reported as crashed")
 {
     EndpointLinks links = makeLinks(1);
@@ -116,8 +157,8 @@
 {
     EndpointLinks links = makeLinks(4);
     links.recordDirectFailure("e", ConnectFailure::Refused, at(0));
-    links.recordForwardingFailure("e", "i101", at(1));
-    links.recordForwardingFailure("e", "i102", at(2));
+    links.recordForwardingFailure("e", "i101", false, at(1));
+    links.recordForwardingFailure("e", "i102", false, at(2));
     links.recordForwarded("e", "i103", at(3));
     for (int i = 0; i < 50; ++i)
         CHECK(links.choosePeer("f", {}, at(4 + i))->name == "i103");
@@ -135,7 +176,7 @@
         CHECK((peer->domain == "north" || i == 2));
         asked.insert(peer->name);
         if (peer->domain == "north")
-            links.recordForwardingFailure("e", peer->name, at(i));
+            links.recordForwardingFailure("e", peer->name, false, at(i));
     }
 }
 
@@ -263,4 +304,5 @@
     const auto all = fleet.counts(false);
     CHECK(all.forwarded == 0);
     CHECK(all.tried - all.opened <= all.tried / 20);
+    CHECK(all.foundCrashes > 0);
 }
--- a/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -76,6 +76,23 @@
         changeLinks(instance, [manner](Link &link) { link.cut(manner); });
     }
 
+    /// Cuts the link to the endpoint that was added first, e1.
+    void cutFirstLink(std::size_t instance, CutManner manner)
+    {
+        Link *first = m_instances[instance].links.front().get();
+        changeLinks(instance, [first, manner](Link &link) {
+            if (&link == first)
+                link.cut(manner);
+        });
+    }
+
+    /// Asks an instance to connect to \a endpoint, as another instance does.
+    std::string connectThrough(std::size_t instance, const std::string &endpoint)
+    {
+        return exchange(m_instances[instance].forward,
+                        "CONNECT " + endpoint + " HTTP/1.1\r\nHost: h\r\n\r\n", completeAnswer);
+    }
+
     void heal(std::size_t instance)
     {
         changeLinks(instance, [](Link &link) { link.heal(); });
@@ -122,6 +139,7 @@
     struct Instance
     {
         std::string callers;
+        std::string forward;
         std::vector<std::unique_ptr<Link>> links;
         std::unique_ptr<Process> process;
     };
@@ -141,6 +159,7 @@
     {
         Instance &instance = m_instances.emplace_back();
         instance.callers = freeAddress();
+        instance.forward = freeAddress();
         std::map<std::string, std::string> addresses;
         for (const auto &each : m_endpoints) {
             instance.links.push_back(std::make_unique<Link>(m_context, each->address()));
@@ -151,7 +170,7 @@
             std::vector<std::string> {
                 "--name=entry-" + std::to_string(number), "--domain=d" + std::to_string(number),
                 "--listen=" + instance.callers, "--ready_listen=" + freeAddress(),
-                "--peer_listen=" + freeAddress(), "--forward_listen=" + freeAddress(),
+                "--peer_listen=" + freeAddress(), "--forward_listen=" + instance.forward,
                 "--store=" + m_store.addView(std::move(addresses)), "--grace_s=4", "--log_all"});
     }
 
@@ -251,6 +270,16 @@
     CHECK(waitUntil([&] { return site.serves(1, "/unsafe/x"); }));
 }
 
+// Guards against a crash that is reported because the instance that confirms it is cut as well.
+TEST_CASE("an instance that is refused by all endpoints does not confirm that one has crashed",
+          "[process]")
+{
+    Site site(2);
+    const bool all = GENERATE(true, false);
+    all ? site.cut(1, CutManner::Refuse) : site.cutFirstLink(1, CutManner::Refuse);
+    CHECK(site.connectThrough(1, "e1").starts_with(all ? "HTTP/1.1 504" : "HTTP/1.1 502"));
+}
+
 TEST_CASE("a request that may run once runs once when its forwarding instance is killed",
           "[process]")
 {
