Instances send crash records to each other directly, beside the store

Cause: records went through the store alone, so each instance needed two crashes of its own. The class: what all must know at once depends on one way.

Ruled out: the readers' updates of the table (they go from the store downwards; a follower has no way up), all tell all (294 messages each time), gossip only while the store is away (a mode that begins in the worst moment).

Change: CrashGossip, without I/O: who learns of a record, or of its withdrawal, sends it on to eight instances, once. Records of requests with several crashes go at once, single ones each 0.15 s. The store remains what outlasts processes, and the authority on what it held. Without the store a request with a single crash is sent on as before; trials stay forbidden.

CrashSimulation: callers of addSuspects() are documented to retry until they are served, but one who left or got a truncated answer didn't. Trace: the request had run for 15 of 20 events (so it was cleared) when another's trial crashed its engine; the instance, with 0.2 requests a second, had no retry left, and the caller left after 2 s.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -101,6 +101,14 @@
     return trials;
 }
 
+CrashGossipSettings gossipSettings(const EntrySettings &settings)
+{
+    CrashGossipSettings gossip;
+    gossip.self = settings.name;
+    gossip.seed = std::hash<std::string> {}(settings.name);
+    return gossip;
+}
+
 LeaseSettings leaseSettings(const EntrySettings &settings)
 {
     LeaseSettings lease;
@@ -123,9 +131,12 @@
     , m_state(state)
     , m_events(std::move(events))
     , m_timer(context)
-    , m_server(context)
+    , m_server(context,
+               [this](std::span<const CrashNotice> notices) { crashNoticesReceived(notices); })
     , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.storeAddress, protocol, state)
+    , m_peers(context)
+    , m_crashGossip(gossipSettings(settings))
     , m_crashChannel(context, settings.storeAddress, protocol, state)
     , m_links(settings.name, settings.domain, linkSettings(settings, EntryThread::Control))
     , m_engines(context)
@@ -450,6 +461,7 @@
     logStoreCalls(now);
     fillGaps(steadyNow());
     writeCrashes(steadyNow());
+    sendCrashNotices();
     pollEngines(steadyNow());
     publishEngineStates();
     m_timer.expires_after(TickInterval);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -8,6 +8,7 @@
 #include "settings.h"
 #include "tablefollower.h"
 
+#include <balsamloft/crashgossip.h>
 #include <balsamloft/gapfiller.h>
 #include <balsamloft/instancelist.h>
 #include <balsamloft/layerplanner.h>
@@ -107,9 +108,12 @@
     void writeLease(WriteLease write);
     void updateInstances();
     void writeInstanceRow(bool leaving, std::function<void()> done);
+    void queueCrashWrites(const CrashUpdate &update);
     void writeCrashes(Time now);
     void crashWriteFinished(const std::vector<RowWrite> &writes, bool done);
     void applyCrashRows();
+    void crashNoticesReceived(std::span<const CrashNotice> notices);
+    void sendCrashNotices();
     void writeTrial(const TrialChange &change, std::function<void(bool done)> written);
     Time storeNow() const;
     void pollEngines(Time now);
@@ -150,6 +154,8 @@
     std::map<std::string, std::unique_ptr<PeerSource>> m_otherDomainSources;
     Time m_otherDomainsQueriedAt {};
     StoreChannel m_channel;
+    ConnectionPool m_peers; ///< to other instances, for crash notices
+    CrashGossip m_crashGossip;
     StoreChannel m_crashChannel; ///< separate, so that trial permits don't wait for slower calls
     EndpointLinks m_links; ///< of the control thread's own connections
     ConnectionPool m_engines;
--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -1,5 +1,6 @@
 // The part of Control that maintains the table of trials and of crashes during requests.
 
+#include "../libpeer/noticecodec.h"
 #include "clock.h"
 #include "control.h"
 #include "decisionlog.h"
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr std::size_t MaxWritesPerTransaction = 100; ///< limit of the store
+constexpr Duration NoticeTimeout {500'000};
 constexpr std::size_t MaxPendingWrites = 1000; ///< kept while the store is down
 /// Pause after a failed write; doubles with each further failure.
 constexpr Duration InitialRetryPause {300'000};
@@ -72,6 +74,42 @@
 } // namespace
 
 void Control::publishCrashes(const CrashUpdate &update)
+{
+    m_crashGossip.publish(update, steadyNow());
+    m_events.crashes(m_crashGossip.records());
+    sendCrashNotices();
+    queueCrashWrites(update);
+}
+
+void Control::crashNoticesReceived(std::span<const CrashNotice> notices)
+{
+    m_state.crashNotices += notices.size();
+    if (!m_crashGossip.receive(notices, steadyNow()))
+        return;
+    std::vector<CrashRecord> records = m_crashGossip.records();
+    logDecision(
+        "quarantine", "learnt from instance",
+        {{"notices", std::int64_t(notices.size())}, {"records", std::int64_t(records.size())}});
+    m_events.crashes(std::move(records));
+    sendCrashNotices();
+}
+
+void Control::sendCrashNotices()
+{
+    const Time now = steadyNow();
+    const auto message = m_crashGossip.takeMessage(m_instances, now);
+    if (!message)
+        return;
+    // What is lost is not repeated: the other recipients send it on.
+    const OutgoingCall call {"POST", std::string(NoticeTarget),
+                             encodeNotices(message->notices, now), "Connection: close"};
+    for (const PeerInstance &each : message->recipients)
+        startCall(m_peers, each.name, each.address, call, NoticeTimeout,
+                  [](const CallOutcome &) {});
+}
+
+/// Queues the writes of \a update to the store.
+void Control::queueCrashWrites(const CrashUpdate &update)
 {
     if (!m_storeOffset) {
         m_unpublishedCrashes.added.insert(m_unpublishedCrashes.added.end(), update.added.begin(),
@@ -97,7 +135,7 @@
 void Control::writeCrashes(Time now)
 {
     if (m_storeOffset && !m_unpublishedCrashes.empty())
-        publishCrashes(std::exchange(m_unpublishedCrashes, {}));
+        queueCrashWrites(std::exchange(m_unpublishedCrashes, {}));
     if (m_pendingCrashWrites.empty() || m_writingCrashes || now < m_crashPauseUntil)
         return;
     Transaction transaction;
@@ -157,7 +195,8 @@
     logDecision("quarantine", "learnt",
                 {{"records", std::int64_t(crashes.size())},
                  {"trials", std::int64_t(m_trialPermits.rows().size())}});
-    m_events.crashes(std::move(crashes));
+    m_crashGossip.setStored(std::move(crashes));
+    m_events.crashes(m_crashGossip.records());
 }
 
 Time Control::storeNow() const
@@ -167,9 +206,8 @@
 
 void Control::requestTrial(const TrialRequest &request, std::function<void(TrialAnswer)> answered)
 {
-    constexpr Duration StoreUnavailableWait {2'000'000};
     if (!m_storeOffset || !m_directory.storeUsable(steadyNow()))
-        return answered({.wait = StoreUnavailableWait});
+        return answered(m_trialPermits.answerWithoutStore(request));
     auto decision = m_trialPermits.decide(request, *m_fleetSnapshot, storeNow());
     if (const auto *refused = std::get_if<TrialAnswer>(&decision))
         return answered(*refused);
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -32,6 +32,7 @@
     std::atomic<std::uint64_t> storeFailures {0};
     std::atomic<std::uint64_t> ordersSent {0}; ///< orders to engines
     std::atomic<std::uint64_t> invalidRows {0};
+    std::atomic<std::uint64_t> crashNotices {0}; ///< received from other instances
 
     /// Age of the API keys at \a bootTime; the maximum if they were never read.
     Duration keyAge(Time bootTime) const
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -31,15 +31,17 @@
         , m_protocol(makeEntryProtocol())
         , m_trafficServer(m_trafficContext, m_settings, *m_protocol, m_state)
         , m_control(m_controlContext, m_settings, *m_protocol, m_state, events())
-        , m_readiness(m_trafficContext,
-                      [this](std::string_view, const SimpleHttpServer::Reply &reply) {
-                          reply(m_trafficServer.ready() ? HttpAnswer {200, "ready\n"}
-                                                        : HttpAnswer {503, "not ready\n"});
-                      })
-        , m_metrics(m_trafficContext,
-                    [this](std::string_view, const SimpleHttpServer::Reply &reply) {
-                        reply({200, m_trafficServer.metrics()});
-                    })
+        , m_readiness(
+              m_trafficContext,
+              [this](std::string_view, std::string_view, const SimpleHttpServer::Reply &reply) {
+                  reply(m_trafficServer.ready() ? HttpAnswer {200, "ready\n"}
+                                                : HttpAnswer {503, "not ready\n"});
+              })
+        , m_metrics(
+              m_trafficContext,
+              [this](std::string_view, std::string_view, const SimpleHttpServer::Reply &reply) {
+                  reply({200, m_trafficServer.metrics()});
+              })
         , m_signals(m_trafficContext, SIGTERM, SIGINT, SIGHUP)
     {
     }
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -1,5 +1,6 @@
 #include "peerserver.h"
 
+#include "../libpeer/noticecodec.h"
 #include "../libpeer/rowcodec.h"
 #include "clock.h"
 
@@ -60,11 +61,16 @@
     addCompressed(compressed.rows, update);
 }
 
-PeerServer::PeerServer(boost::asio::io_context &context)
-    : m_server(context,
-               [this](std::string_view target, SimpleHttpServer::Reply reply) {
-                   handleQuery(target, std::move(reply));
-               })
+PeerServer::PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived)
+    : m_server(
+        context,
+        [this](std::string_view target, std::string_view body, SimpleHttpServer::Reply reply) {
+            if (target == NoticeTarget)
+                reply(receiveNotices(body));
+            else
+                handleQuery(target, std::move(reply));
+        })
+    , m_noticesReceived(std::move(noticesReceived))
     , m_timer(context)
 {
 }
@@ -74,6 +80,15 @@
     return m_server.listen(address, reason);
 }
 
+HttpAnswer PeerServer::receiveNotices(std::string_view body)
+{
+    const auto notices = decodeNotices(body, steadyNow());
+    if (!notices)
+        return {400, {}};
+    m_noticesReceived(*notices);
+    return {};
+}
+
 /// Handles a query with a target from updateTarget().
 void PeerServer::handleQuery(std::string_view target, SimpleHttpServer::Reply reply)
 {
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -5,6 +5,7 @@
 
 #include "simplehttpserver.h"
 
+#include <balsamloft/crashgossip.h>
 #include <balsamloft/enginefleet.h>
 #include <balsamloft/enginetracker.h>
 #include <balsamloft/tableupdate.h>
@@ -40,6 +41,9 @@
 /// The request target that encodes \a query.
 std::string updateTarget(const UpdateQuery &query);
 
+/// The request target to which crash notices are posted, see encodeNotices().
+inline constexpr std::string_view NoticeTarget = "/crashes";
+
 /// A replica of a table and how recent it is.
 struct TableState
 {
@@ -49,13 +53,16 @@
     bool fromStore = false; ///< last read from the store, without a failure since
 };
 
-/// Answers update queries, immediately or as soon as there are changes. HTTP with a protobuf
-/// message as the body is used because a query has exactly one answer and a time limit, and ends
-/// when the peer disconnects.
+/// Receives crash notices, and answers update queries, immediately or as soon as there are changes.
+/// HTTP with a protobuf message as the body is used because a query has exactly one answer and a
+/// time limit, and ends when the peer disconnects.
 class PeerServer
 {
 public:
-    explicit PeerServer(boost::asio::io_context &context);
+    using NoticeHandler = std::function<void(std::span<const CrashNotice>)>;
+
+    /// \a noticesReceived: called with the crash notices of other instances.
+    PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived);
 
     bool listen(const std::string &address, Reason &reason);
     TableState &state(SharedTable table) { return m_states[static_cast<std::size_t>(table)]; }
@@ -106,6 +113,7 @@
     };
 
     void handleQuery(std::string_view target, SimpleHttpServer::Reply reply);
+    HttpAnswer receiveNotices(std::string_view body);
     HttpAnswer answer(std::size_t table, std::uint64_t after, std::uint64_t statesSinceMs) const;
     std::string encodeUpdate(std::size_t table, std::uint64_t after,
                              std::uint64_t statesSinceMs) const;
@@ -116,6 +124,7 @@
     void expireQueries();
 
     SimpleHttpServer m_server;
+    NoticeHandler m_noticesReceived;
     boost::asio::steady_timer m_timer;
     bool m_timerRunning = false;
     std::array<TableState, SharedTableCount> m_states;
--- a/src/entry/simplehttpserver.cpp
+++ b/src/entry/simplehttpserver.cpp
@@ -43,7 +43,7 @@
         if (!m_request.done())
             return read();
         m_keepAlive = m_request.keepAlive();
-        m_handler(m_request.head().target,
+        m_handler(m_request.head().target, m_request.body(),
                   [self = shared_from_this()](const HttpAnswer &answer) { self->write(answer); });
     }
 
--- a/src/entry/simplehttpserver.h
+++ b/src/entry/simplehttpserver.h
@@ -27,7 +27,8 @@
     using Reply = std::function<void(HttpAnswer)>;
 
     /// Handles a request. Calls \a reply once, immediately or later, on the same thread.
-    using Handler = std::function<void(std::string_view target, Reply reply)>;
+    using Handler =
+        std::function<void(std::string_view target, std::string_view body, Reply reply)>;
 
     SimpleHttpServer(boost::asio::io_context &context, Handler handler);
 
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -507,6 +507,7 @@
     sample("store_calls_total", storeCalls);
     sample("store_failures_total", m_state.storeFailures);
     sample("orders_total", m_state.ordersSent);
+    sample("crash_notices_total", m_state.crashNotices);
     sample("bad_rows_total", m_state.invalidRows);
     sample("lease_held", m_state.holdsLease ? 1 : 0);
     sample("log_lines_dropped_total", droppedLogLines());
--- a/src/fakes/crashsimulation.cpp
+++ b/src/fakes/crashsimulation.cpp
@@ -36,7 +36,10 @@
     , m_relays(settings.instances)
     , m_callers(settings.instances)
     , m_permits(settings.instances, TrialPermits({}))
+    , m_gossip(settings.instances)
 {
+    for (std::size_t i = 0; i < m_settings.instances; ++i)
+        m_instances.push_back({std::to_string(i), {}, {}, {}});
     RouteMapBuilder builder(1);
     builder.service({"model", 100, testModel(Layers)});
     builder.route(streamRoute(), {{"model", 1}});
@@ -68,6 +71,10 @@
     TrialSettings trials;
     trials.holder = "instance " + std::to_string(m_nextNumber++);
     m_permits[instance] = TrialPermits(trials);
+    CrashGossipSettings gossip;
+    gossip.self = std::to_string(instance);
+    gossip.seed = settings.seed;
+    m_gossip[instance] = CrashGossip(gossip);
     publishFleet();
 }
 
@@ -189,6 +196,7 @@
 void CrashSimulation::tick(std::size_t instance)
 {
     step(instance, [&](Relay &relay, RelayActions &actions) { relay.tick(m_now, actions); });
+    sendGossip(instance);
     after(TickInterval, [this, instance] { tick(instance); });
 }
 
@@ -259,7 +267,7 @@
         else if (const auto *change = std::get_if<ChangePath>(&action))
             changePath(instance, *change);
         else if (const auto *published = std::get_if<PublishCrashes>(&action))
-            publish(published->update);
+            publish(instance, published->update);
         else if (const auto *trial = std::get_if<RequestTrial>(&action))
             requestTrial(instance, *trial);
         else if (const auto *trialFinish = std::get_if<FinishTrial>(&action))
@@ -272,8 +280,11 @@
     }
 }
 
-void CrashSimulation::publish(const CrashUpdate &update)
+void CrashSimulation::publish(std::size_t instance, const CrashUpdate &update)
 {
+    m_gossip[instance].publish(update, m_now);
+    setCrashes(instance);
+    sendGossip(instance);
     if (m_settings.storeUnreachable)
         return;
     for (const CrashRecord &each : update.added)
@@ -285,12 +296,38 @@
     after(m_settings.updateDelay, [this] { distribute(); });
 }
 
+void CrashSimulation::sendGossip(std::size_t instance)
+{
+    const auto message = m_gossip[instance].takeMessage(m_instances, m_now);
+    if (!message)
+        return;
+    std::bernoulli_distribution isLost(m_settings.gossipLoss);
+    for (const PeerInstance &recipient : message->recipients)
+        if (!isLost(m_random))
+            after(NetworkDelay * 2, [this, to = std::stoul(recipient.name),
+                                     notices = message->notices] { receiveGossip(to, notices); });
+}
+
+void CrashSimulation::receiveGossip(std::size_t instance, const std::vector<CrashNotice> &notices)
+{
+    if (!m_gossip[instance].receive(notices, m_now))
+        return;
+    setCrashes(instance);
+    sendGossip(instance);
+}
+
+void CrashSimulation::setCrashes(std::size_t instance)
+{
+    m_relays[instance]->setSharedCrashes(m_gossip[instance].records());
+}
+
 void CrashSimulation::distribute()
 {
-    for (const auto &relay : m_relays)
-        relay->setSharedCrashes(m_sharedCrashes);
-    for (TrialPermits &permits : m_permits)
-        permits.setRows(m_trials.rows(), m_sharedCrashes);
+    for (std::size_t i = 0; i < m_relays.size(); ++i) {
+        m_gossip[i].setStored(m_sharedCrashes);
+        setCrashes(i);
+        m_permits[i].setRows(m_trials.rows(), m_sharedCrashes);
+    }
 }
 
 /// \return whether the rows still had the versions given by \a change.
@@ -312,7 +349,8 @@
         });
     };
     if (m_settings.storeUnreachable)
-        return after(Duration(1), [answer] { answer({.wait = std::chrono::seconds(2)}); });
+        return after(Duration(1), [answer, given = m_permits[instance].answerWithoutStore(
+                                               request.request)] { answer(given); });
     const auto decision = m_permits[instance].decide(request.request, *m_fleet, m_now);
     if (const auto *refused = std::get_if<TrialAnswer>(&decision))
         return after(Duration(1), [answer, given = *refused] { answer(given); });
@@ -403,10 +441,11 @@
         return;
     if (caller->second.eventsLeft == eventsLeft) {
         m_harmless.callersLeft += caller->second.crashing ? 0 : 1;
-        m_callers[instance].erase(caller);
-        return step(instance, [&](Relay &relay, RelayActions &actions) {
+        const Caller left = m_callers[instance].extract(caller).mapped();
+        step(instance, [&](Relay &relay, RelayActions &actions) {
             relay.callerGone(flight, m_now, actions);
         });
+        return retryUntilServed(left);
     }
     after(m_settings.patience, [this, instance, flight, left = caller->second.eventsLeft] {
         leaveIfIdle(instance, flight, left);
@@ -602,6 +641,14 @@
     if (!caller.crashing)
         (finish.outcome == FlightOutcome::NotExecuted ? m_harmless.refused : m_harmless.broken) +=
             1;
+    retryUntilServed(caller);
+}
+
+/// Sends a request of addSuspects() again whose caller left, or received a truncated answer.
+void CrashSimulation::retryUntilServed(const Caller &caller)
+{
+    if (caller.suspectedSince)
+        after(Duration(20'000), [this, caller] { submit(pick(m_settings.instances), caller); });
 }
 
 void CrashSimulation::queryEngine(std::size_t instance, const QueryEngine &query)
--- a/src/fakes/crashsimulation.h
+++ b/src/fakes/crashsimulation.h
@@ -6,6 +6,7 @@
 
 #include "trialstore.h"
 
+#include <balsamloft/crashgossip.h>
 #include <balsamloft/relay.h>
 
 #include <functional>
@@ -44,9 +45,10 @@
     Duration silenceReportDelay {1'200'000}; ///< until a domain's reader reports a hung engine
     /// The connections of a crashed engine break one after another within this time.
     Duration breakSpread {0};
-    Duration updateDelay {700'000}; ///< from one instance to all others
+    Duration updateDelay {700'000}; ///< from one instance to all others, by the store
+    double gossipLoss = 0; ///< share of messages between instances that are lost
     Duration storeLatency {5'000}; ///< of a transaction
-    bool storeUnreachable = false; ///< no crash records are exchanged, no trials permitted
+    bool storeUnreachable = false; ///< records are exchanged by gossip only, no trials permitted
     std::uint64_t seed = 1;
 };
 
@@ -171,10 +173,14 @@
     void nextEvent(const std::shared_ptr<Run> &run);
     void crashEngine(std::size_t engine);
     void fail(const std::shared_ptr<Run> &run, AttemptFailure failure);
+    void retryUntilServed(const Caller &caller);
     void finished(std::size_t instance, const FinishFlight &finish);
     void passed(std::size_t instance, FlightId flight);
     void queryEngine(std::size_t instance, const QueryEngine &query);
-    void publish(const CrashUpdate &update);
+    void publish(std::size_t instance, const CrashUpdate &update);
+    void sendGossip(std::size_t instance);
+    void receiveGossip(std::size_t instance, const std::vector<CrashNotice> &notices);
+    void setCrashes(std::size_t instance);
     void distribute();
     void requestTrial(std::size_t instance, const RequestTrial &request);
     void finishTrial(std::size_t instance, const FinishTrial &finish);
@@ -199,6 +205,8 @@
     FleetPtr m_fleet;
     std::vector<std::shared_ptr<Run>> m_runs;
     std::vector<CrashRecord> m_sharedCrashes; ///< published by all instances
+    std::vector<CrashGossip> m_gossip; ///< by instance
+    std::vector<PeerInstance> m_instances;
     std::vector<TrialPermits> m_permits; ///< by instance
     TrialStore m_trials;
     std::map<std::string, std::vector<Time>> m_crashes; ///< by crashing request
--- a/src/include/balsamloft/trialpermits.h
+++ b/src/include/balsamloft/trialpermits.h
@@ -40,6 +40,7 @@
     std::string endpoint; ///< the first endpoint that would run the request
     /// Whether TrialSettings::maxTrials applies, because the request is close to quarantine.
     bool limited = false;
+    std::size_t crashes = 0; ///< of endpoints that ran the request, see Quarantine::crashes()
 };
 
 /// Rows to be written in one transaction, provided that they still have the given versions.
@@ -78,6 +79,10 @@
     Duration retention {600'000'000}; ///< see QuarantineSettings
     std::uint32_t maxTrials = 3; ///< per content, if limited
     Duration retryInterval {1'000'000}; ///< minimum wait before the next request for a permit
+    /// While the store cannot be reached, requests with more crashes get no permit. One crash
+    /// proves nothing: every request on the endpoint has it.
+    std::size_t maxCrashesWithoutStore = 1;
+    Duration waitForStore {2'000'000}; ///< before the next request for a permit without the store
 };
 
 /// Grants permits by conditional writes to rows that all instances share.
@@ -111,6 +116,9 @@
     TrialAnswer answer(const TrialRequest &request, const TrialChange &change, bool committed,
                        Time storeNow) const;
 
+    /// Returns the answer while the store cannot be reached.
+    TrialAnswer answerWithoutStore(const TrialRequest &request) const;
+
     /// Returns the rows to be written when a trial of this process finished; nothing if its
     /// permit expired and was granted to another process.
     std::optional<TrialChange> release(const std::string &digest, TrialOutcome outcome) const;
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -138,9 +138,9 @@
     trial.endpoint = send.endpoint;
     trial.first = send.path.empty() ? std::nullopt : std::make_optional(send.path.front());
     const std::string &digest = flight.request.digest;
-    const bool limited =
-        m_quarantine.crashes(digest, now) >= m_quarantine.settings().crashesToQuarantine;
-    actions.push_back(RequestTrial {id, {digest, send.endpoint, limited}});
+    const std::size_t crashes = m_quarantine.crashes(digest, now);
+    const bool limited = crashes >= m_quarantine.settings().crashesToQuarantine;
+    actions.push_back(RequestTrial {id, {digest, send.endpoint, limited, crashes}});
     return true;
 }
 
--- a/src/libbalsamloft/trialpermits.cpp
+++ b/src/libbalsamloft/trialpermits.cpp
@@ -112,6 +112,13 @@
     return {false, {}, endpointBusy, retryDelay(content, storeNow)};
 }
 
+TrialAnswer TrialPermits::answerWithoutStore(const TrialRequest &request) const
+{
+    if (request.crashes <= m_settings.maxCrashesWithoutStore)
+        return {true, m_settings.validFor, false, {}};
+    return {false, {}, false, m_settings.waitForStore};
+}
+
 void TrialPermits::recordWrite(const TrialChange &change, bool committed, std::uint64_t version,
                                std::span<const TrialRow> found)
 {
--- a/src/libbalsamloft/trialpermits_test.cpp
+++ b/src/libbalsamloft/trialpermits_test.cpp
@@ -184,3 +184,13 @@
     fleet.shareRows();
     CHECK_FALSE(fleet.requestPermit(0, {"bad", "e3"}).granted);
 }
+
+// Guards against harmless requests that are refused for as long as the store is away.
+TEST_CASE("without the store only requests with a single crash are permitted")
+{
+    const TrialPermits permits({});
+    CHECK(permits.answerWithoutStore({"digest", "e1", false, 1}).granted);
+    const TrialAnswer refused = permits.answerWithoutStore({"digest", "e1", false, 2});
+    CHECK_FALSE(refused.granted);
+    CHECK(refused.wait > Duration {});
+}
--- a/testsuite/crashing-requests/crashing_requests_test.cpp
+++ b/testsuite/crashing-requests/crashing_requests_test.cpp
@@ -125,6 +125,12 @@
             REQUIRE(waitUntil([&] { return send(i, "fine").starts_with("HTTP/1.1 200"); }));
     }
 
+    void waitUntilAllKnowEachOther()
+    {
+        for (const auto &each : m_processes)
+            each->waitFor("\"all\":" + std::to_string(m_processes.size()));
+    }
+
     std::string send(std::size_t instance, const std::string &body)
     {
         const std::string id = "r" + std::to_string(m_next++);
@@ -182,3 +188,22 @@
         CHECK(fleet.send(i, "end!").starts_with("HTTP/1.1 503"));
     CHECK(fleet.crashes() == crashes);
 }
+
+// Guards against a series of crashes per instance while the store is down.
+TEST_CASE("instances without the store tell each other which request crashes endpoints",
+          "[process]")
+{
+    CrashingFleet fleet(GENERATE("model", "plain"));
+    fleet.waitUntilAllKnowEachOther();
+    fleet.store.down = true;
+    for (std::size_t i = 0; i < fleet.instances(); ++i) {
+        fleet.send(i, "end!");
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    }
+    CHECK(fleet.crashes() >= 2);
+    CHECK(fleet.crashes() <= 4);
+    for (std::size_t i = 0; i < fleet.instances(); ++i) {
+        CHECK(fleet.send(i, "end!").starts_with("HTTP/1.1 503"));
+        CHECK(fleet.send(i, "fine").starts_with("HTTP/1.1 200"));
+    }
+}
