--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -14,6 +14,7 @@
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/lease.h>
 #include <balsamloft/peerdirectory.h>
+#include <balsamloft/silencedetector.h>
 #include <balsamloft/trialpermits.h>
 
 #include <functional>
@@ -78,7 +79,6 @@
     struct PolledEngine
     {
         EngineState state;
-        std::uint32_t misses = 0; ///< consecutive polls without an answer
         LayerRange layers; ///< as reported by the engine
         bool busy = false;
         Time answeredAt {};
@@ -128,7 +128,6 @@
     void placeLayers(Time now);
     void fillGaps(Time now);
     FleetSnapshot ownDomainSnapshot(Time now) const;
-    std::optional<std::set<std::string>> silentEngines() const;
     void startOrder(const LayerOrder &order);
     void sendOrder(const LayerOrder &order, std::uint64_t expectedOrders);
     void orderFinished(const LayerOrder &order, OrderReply reply, int status);
@@ -147,6 +146,7 @@
     std::array<std::map<std::string, std::unique_ptr<PeerSource>>, SharedTableCount> m_peerSources;
     std::array<std::unique_ptr<TableFollower>, SharedTableCount> m_followers;
     std::map<std::string, PolledEngine> m_polled; ///< by id
+    SilenceDetector m_silence; ///< of the engines in m_polled
     bool m_polledDirty = false;
     /// When another instance of the domain last sent engine states.
     std::shared_ptr<Time> m_lastReportAt = std::make_shared<Time>();
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -14,7 +14,6 @@
 constexpr Duration EngineCallTimeout {450'000};
 constexpr Duration SilentEnginePollInterval {1'000'000};
 constexpr Duration OtherDomainsQueryInterval {1'000'000};
-constexpr std::uint32_t MissesUntilSilent = 2;
 
 } // namespace
 
@@ -29,6 +28,7 @@
         queryOtherDomains(now);
     }
     std::erase_if(m_polled, [&](const auto &each) { return !m_fleetSnapshot->find(each.first); });
+    m_silence.removeUnlisted(*m_fleetSnapshot);
     for (const FleetEndpoint &each : m_fleetSnapshot->endpoints)
         if (each.domain == m_settings.domain && each.layers.end > each.layers.begin
             && isPollDue(each, now))
@@ -56,7 +56,7 @@
     // An engine that did not answer is polled at a fixed interval, regardless of its memory usage:
     // several polls missed within a short time do not prove that the engine is unresponsive.
     const Duration pause =
-        polled.misses > 0
+        m_silence.missedLast(engine.id)
             ? SilentEnginePollInterval
             : pollInterval({polled.state.used, polled.previousUsed, kvCapacity(engine)});
     return now - polled.polledAt >= pause;
@@ -67,6 +67,7 @@
     PolledEngine &polled = m_polled[engine.id];
     polled.pollPending = true;
     polled.polledAt = steadyNow();
+    m_silence.recordPoll(engine.id, polled.polledAt);
     engineCall(engine.id, engine.address, {"GET", std::string(m_protocol.reportTarget()), {}},
                [this, id = engine.id](const CallOutcome &outcome) { engineAnswered(id, outcome); });
 }
@@ -77,9 +78,9 @@
     const FleetEndpoint *engine = m_fleetSnapshot->find(id);
     const auto polled = m_polled.find(id);
     if (!engine || polled == m_polled.end() || engine->domain != m_settings.domain
-        || !isDomainReader() || polled->second.misses >= MissesUntilSilent)
+        || !isDomainReader() || m_silence.hasMissed(id))
         return;
-    polled->second.misses = MissesUntilSilent - 1;
+    m_silence.expectMiss(id);
     queryEngine(*engine);
 }
 
@@ -96,11 +97,17 @@
     const bool answered = outcome.status == 200 && report && !replaced;
     PolledEngine &polled = m_polled[id];
     polled.pollPending = false;
-    polled.misses = replaced ? MissesUntilSilent : outcome.status == 0 ? polled.misses + 1 : 0;
-    if (polled.misses == MissesUntilSilent)
-        logDecision("engine", "silent", {{"endpoint", std::string_view(id)}});
     polled.state.id = id;
     polled.state.at = steadyNow();
+    const bool hadMissed = m_silence.hasMissed(id);
+    if (replaced)
+        m_silence.recordReplaced(id);
+    else if (outcome.status == 0)
+        m_silence.recordMiss(id);
+    else
+        m_silence.recordAnswer(id, polled.state.at);
+    if (!hadMissed && m_silence.hasMissed(id))
+        logDecision("engine", "silent", {{"endpoint", std::string_view(id)}});
     if (answered) {
         polled.previousUsed = polled.state.used;
         polled.state.used = report->usedKv;
@@ -151,7 +158,7 @@
 {
     EngineReports reports = std::exchange(m_otherDomainReports, {});
     if (std::exchange(m_polledDirty, false)) {
-        const auto silent = silentEngines();
+        const auto silent = m_silence.silent();
         for (const auto &[id, polled] : m_polled) {
             const FleetEndpoint *engine = m_fleetSnapshot->find(id);
             EngineState now = polled.state;
@@ -187,20 +194,6 @@
     }
 }
 
-/// Returns the engines of this instance's domain that do not answer. Returns nullopt if they are
-/// more than half of the engines: in that case this instance itself is slow or partitioned, and
-/// publishing the engines as unresponsive would leave the whole domain without paths.
-std::optional<std::set<std::string>> Control::silentEngines() const
-{
-    std::set<std::string> silent;
-    for (const auto &[id, polled] : m_polled)
-        if (polled.misses >= MissesUntilSilent)
-            silent.insert(id);
-    if (silent.size() * 2 > m_polled.size())
-        return std::nullopt;
-    return silent;
-}
-
 /// Returns the engines of this instance's domain, with layers from recent polls where available.
 /// The list of endpoints lags by a heartbeat, and is not updated while the store is down.
 FleetSnapshot Control::ownDomainSnapshot(Time now) const
@@ -226,7 +219,7 @@
 {
     if (m_stopping || !m_table || !m_fleet.loaded() || !isDomainReader())
         return;
-    const auto silent = silentEngines();
+    const auto silent = m_silence.silent();
     if (!silent)
         return;
     const FleetSnapshot fleet = ownDomainSnapshot(now);
