Log lines name the parts of a request's prompt

Callers saw engines crash one after the other. The logs could not tell whether what ends them is something that the requests share or the engines' own doing: a line names the request's content as a whole, and no two contents were alike.

The parts that requests share (all of the prompt's list but the last) are read at the edge, as digests that belong to a service; 'request ended' and 'request broken off' name them. Nothing decides by them yet.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -192,14 +192,26 @@
     m_trail += text;
 }
 
+/// The digests of the prompt's first parts, so that a log line stays short.
+std::string CallerSession::loggedParts() const
+{
+    constexpr std::size_t MaxLoggedParts = 8;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(m_promptParts.size(), MaxLoggedParts); ++i)
+        text += (i == 0 ? "" : ",") + m_promptParts[i];
+    return text;
+}
+
 /// Logs the request of an attempt that failed after it may have been sent, with the time and the
 /// number of events until the failure. When an engine crashes, an operator can find the requests
 /// that may have caused the crash.
 void CallerSession::logBrokenAttempt() const
 {
+    const std::string parts = loggedParts();
     logDecision("request", "broken off",
                 {{"request", std::string_view(m_requestId)},
                  {"digest", std::string_view(m_digest)},
+                 {"parts", std::string_view(parts)},
                  {"endpoint", std::string_view(m_firstEndpoint)},
                  {"sent_ms", milliseconds(steadyNow() - m_sentAt)},
                  {"events", std::int64_t(m_passedEvents - m_eventsBeforeAttempt)}});
@@ -228,9 +240,11 @@
     const bool unremarkable = outcome == "passed" && status < 400 && !late;
     if (unremarkable && !m_server.settings().logAll)
         return;
+    const std::string parts = loggedParts();
     logDecision("request", "ended",
                 {{"request", std::string_view(m_requestId)},
                  {"digest", std::string_view(m_digest)},
+                 {"parts", std::string_view(parts)},
                  {"outcome", outcome},
                  {"status", std::int64_t(status)},
                  {"reason", reason},
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -7,6 +7,7 @@
 #include "sockets.h"
 #include "trafficserver.h"
 
+#include <balsamloft/promptparts.h>
 #include <balsamloft/requestdigest.h>
 
 #include <algorithm>
@@ -119,6 +120,7 @@
     m_trail.clear();
     m_routeName.clear();
     m_digest.clear();
+    m_promptParts.clear();
     m_closeAfterAnswer = m_closeAfterAnswer || !m_request->keepAlive();
     m_requestId = std::string(head.find(m_server.protocol().headers().requestId).value_or(""));
     m_body = std::move(m_request->body());
@@ -177,6 +179,7 @@
     request.service = table->target(route, m_requestId);
     const auto deadline = leadingNumber<std::int64_t>(head.find(names.deadline).value_or(""));
     request.timeLeft = deadline ? Duration(*deadline * 1000) : route.timeout;
+    request.promptParts = m_promptParts = promptParts(table->services()[request.service].name);
     const std::string_view tokens = head.find(names.tokenCounts).value_or("");
     request.promptTokens = leadingNumber<std::uint32_t>(tokens).value_or(0);
     const std::size_t comma = tokens.find(',');
@@ -199,6 +202,16 @@
     return requestDigest({m_teamName, head.method, host, head.target, m_body});
 }
 
+std::vector<std::string> CallerSession::promptParts(std::string_view service)
+{
+    const std::string_view name = m_server.protocol().headers().promptParts;
+    std::string list;
+    for (const HeaderField &field : m_request->head().fields)
+        if (sameFieldName(field.name, name))
+            list += (list.empty() ? "" : ",") + field.value;
+    return sharedPromptParts(service, list);
+}
+
 void CallerSession::buildForwardedHead()
 {
     const HeaderNames &names = m_server.protocol().headers();
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -78,6 +78,8 @@
     /// The fields of \a head that the relay needs.
     AnswerHead answerHead(const MessageHead &head) const;
     std::string contentDigest();
+    std::vector<std::string> promptParts(std::string_view service);
+    std::string loggedParts() const;
     void logBrokenAttempt() const;
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
 
@@ -90,6 +92,7 @@
     std::optional<MessageReader> m_request;
     std::string m_requestId;
     std::string m_digest; ///< of the request's content, see requestDigest()
+    std::vector<std::string> m_promptParts; ///< digests, see sharedPromptParts()
     std::string m_teamName;
     std::string m_teamKey;
     std::string m_routeName;
--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -58,6 +58,7 @@
             .urgency = "Urgency",
             .expectedVersion = "Weights-Version",
             .tokenCounts = "Tokens",
+            .promptParts = "Prompt-Parts",
             .lengthHint = "Length-Hint",
             .lastEventId = "Last-Event-Id",
             .executionProof = "Seal",
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -28,6 +28,8 @@
     std::string_view urgency;
     std::string_view expectedVersion;
     std::string_view tokenCounts; ///< "prompt,maximum answer"
+    /// "ID:TOKENS" of each part of the prompt, see sharedPromptParts()
+    std::string_view promptParts;
     std::string_view lengthHint; ///< expected number of tokens in the answer
     std::string_view lastEventId; ///< id of the event after which a stream resumes
     std::string_view executionProof; ///< proof by the endpoint that it executed the request
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -24,6 +24,8 @@
 {
     std::string id;
     std::string digest; ///< of the content, see requestDigest(); equal for repeated requests
+    /// Digests of the prompt's parts that other requests may share, see sharedPromptParts().
+    std::vector<std::string> promptParts;
     RouteMapPtr table; ///< version of the routes that applies to this request
     const Route *route = nullptr; ///< in \a table
     std::uint32_t service = 0; ///< index in \a table
