--- a/src/fakes/crashsimulation.cpp
+++ b/src/fakes/crashsimulation.cpp
@@ -2,6 +2,8 @@
 
 #include "relayharness.h"
 
+#include <balsamloft/promptparts.h>
+
 namespace balsamloft::fakes {
 
 namespace {
@@ -57,7 +59,7 @@
         after(between(0, TickInterval.count()), [this, i] { tick(i); });
     }
     after(Duration(1), [this] { arrive(); });
-    after(m_settings.crashingInterval, [this] { arriveCrashing(); });
+    after(m_settings.crashingFrom + m_settings.crashingInterval, [this] { arriveCrashing(); });
 }
 
 void CrashSimulation::startInstance(std::size_t instance)
@@ -201,12 +203,63 @@
     after(TickInterval, [this, instance] { tick(instance); });
 }
 
-void CrashSimulation::arrive()
+std::string CrashSimulation::sharedPart()
+{
+    return promptPartDigest("model", "shared " + std::to_string(pick(m_settings.parts.shared)));
+}
+
+CrashSimulation::Caller CrashSimulation::harmlessCaller()
 {
     Caller caller;
     caller.digest = "harmless " + std::to_string(m_nextNumber++);
     caller.eventsLeft = static_cast<std::uint64_t>(between(10, 40).count());
-    m_harmless.sent += 1;
+    if (m_settings.parts.crashing == 0)
+        return caller;
+    if (m_settings.parts.shared > 0)
+        caller.parts.push_back(sharedPart());
+    std::bernoulli_distribution hasCompanion(m_settings.parts.companionShare);
+    if (hasCompanion(m_random))
+        caller.parts.push_back(promptPartDigest("model", "companion"));
+    caller.besideCrashing =
+        !caller.parts.empty() && caller.parts.front() == promptPartDigest("model", "shared 0");
+    return caller;
+}
+
+/// The caller of a crashing request. With crashing parts, all of them follow the same first part.
+CrashSimulation::Caller CrashSimulation::crashingCaller(std::size_t copy)
+{
+    const SimulatedParts &parts = m_settings.parts;
+    Caller caller;
+    caller.cause = caller.digest = crashingDigest();
+    caller.crashing = m_now - m_startedAt >= m_settings.harmlessFor;
+    caller.eventsLeft = 20;
+    caller.retries = m_settings.crashingRetries;
+    if (parts.crashing == 0)
+        return caller;
+    caller.digest = "crashing " + std::to_string(m_nextNumber++);
+    if (parts.shared > 0)
+        caller.parts.push_back(promptPartDigest("model", "shared 0"));
+    caller.cause = promptPartDigest(
+        "model", "crashing " + std::to_string((m_arrivals + copy) % parts.crashing));
+    caller.parts.push_back(caller.cause);
+    if (parts.companionShare > 0)
+        caller.parts.push_back(promptPartDigest("model", "companion"));
+    return caller;
+}
+
+/// Counts an outcome of a harmless request.
+void CrashSimulation::count(const Caller &caller, std::size_t Harmless::*counter)
+{
+    if (caller.crashing)
+        return;
+    m_harmless.*counter += 1;
+    m_besideCrashing.*counter += caller.besideCrashing ? 1 : 0;
+}
+
+void CrashSimulation::arrive()
+{
+    Caller caller = harmlessCaller();
+    count(caller, &Harmless::sent);
     submit(pick(m_settings.instances), std::move(caller));
     std::exponential_distribution<double> interval(m_settings.requestsPerSecond);
     after(Duration(static_cast<std::int64_t>(1'000'000 * interval(m_random))),
@@ -218,14 +271,9 @@
     if (m_now - m_startedAt >= m_settings.crashingUntil)
         return;
     const auto first = static_cast<std::size_t>(between(0, 1000).count());
-    for (std::size_t i = 0; i < m_settings.crashingCopies; ++i) {
-        Caller caller;
-        caller.digest = crashingDigest();
-        caller.crashing = m_now - m_startedAt >= m_settings.harmlessFor;
-        caller.eventsLeft = 20;
-        caller.retries = m_settings.crashingRetries;
-        submit((first + i) % m_settings.instances, std::move(caller));
-    }
+    for (std::size_t i = 0; i < m_settings.crashingCopies; ++i)
+        submit((first + i) % m_settings.instances, crashingCaller(i));
+    m_arrivals += m_settings.crashingCopies;
     after(m_settings.crashingInterval, [this] { arriveCrashing(); });
 }
 
@@ -239,6 +287,7 @@
     RelayRequest request;
     request.id = "request-" + std::to_string(m_nextNumber++);
     request.digest = caller.digest;
+    request.promptParts = caller.parts;
     request.table = m_table;
     const bool once = caller.crashing && m_settings.crashingKind == RequestKind::Unsafe;
     request.route = &m_table->routes()[once ? 1 : 0];
@@ -248,6 +297,7 @@
     RelayActions actions;
     const FlightId flight = m_relays[instance]->submit(std::move(request), m_now, actions);
     const std::uint64_t eventsLeft = caller.eventsLeft;
+    caller.submittedAt = m_now;
     m_callers[instance][flight] = std::move(caller);
     after(m_settings.patience,
           [this, instance, flight, eventsLeft] { leaveIfIdle(instance, flight, eventsLeft); });
@@ -393,9 +443,9 @@
     if (send.path.size() > 1)
         run->next = engineOf(send.path[1].endpoint);
     run->crashing = caller->second.crashing;
-    run->digest = caller->second.digest;
+    run->cause = caller->second.cause;
     if (run->crashing)
-        m_crashingSends[run->digest].push_back(m_now);
+        m_crashingSends[run->cause].push_back(m_now);
     m_runs.push_back(run);
     if (m_engines[run->engine].crashed) {
         after(NetworkDelay * 2, [this, run] { fail(run, AttemptFailure::NotSent); });
@@ -441,7 +491,7 @@
     if (caller == m_callers[instance].end())
         return;
     if (caller->second.eventsLeft == eventsLeft) {
-        m_harmless.callersLeft += caller->second.crashing ? 0 : 1;
+        count(caller->second, &Harmless::callersLeft);
         const Caller left = m_callers[instance].extract(caller).mapped();
         step(instance, [&](Relay &relay, RelayActions &actions) {
             relay.callerGone(flight, m_now, actions);
@@ -480,7 +530,7 @@
     if (isStopped(*run)
         || (middle && (run->finished || !run->next || m_engines[*run->next].crashed)))
         return;
-    m_crashes[run->digest].push_back(m_now);
+    m_crashes[run->cause].push_back(m_now);
     if (middle)
         return crashMiddle(*run->next);
     if (m_settings.crashKind == CrashKind::Hangs)
@@ -550,7 +600,7 @@
             run->next = next;
             run->stalled = false;
             if (run->crashing)
-                m_crashingSends[run->digest].push_back(m_now);
+                m_crashingSends[run->cause].push_back(m_now);
             after(between(40'000, 200'000), [this, run] { start(run); });
         }
         step(instance, [&](Relay &relay, RelayActions &actions) {
@@ -620,7 +670,7 @@
 void CrashSimulation::passed(std::size_t instance, FlightId flight)
 {
     const auto caller = m_callers[instance].find(flight);
-    m_harmless.passed += caller->second.crashing ? 0 : 1;
+    count(caller->second, &Harmless::passed);
     if (caller->second.suspectedSince)
         m_waits.push_back(m_now - *caller->second.suspectedSince);
     m_callers[instance].erase(caller);
@@ -631,17 +681,18 @@
     const auto it = m_callers[instance].find(finish.flight);
     Caller caller = it->second;
     m_callers[instance].erase(it);
-    if (!caller.crashing && finish.reason.starts_with("request quarantined"))
-        m_harmless.quarantined += 1;
+    if (finish.reason.starts_with("request quarantined"))
+        count(caller, &Harmless::quarantined);
+    if (caller.crashing && finish.outcome == FlightOutcome::NotExecuted)
+        m_refusals.emplace_back(m_now, m_now - caller.submittedAt);
     if (finish.outcome != FlightOutcome::Truncated && caller.retries > 0) {
         caller.retries -= 1;
         after(std::max(finish.retryAfter, Duration(20'000)),
               [this, caller] { submit(pick(m_settings.instances), caller); });
         return;
     }
-    if (!caller.crashing)
-        (finish.outcome == FlightOutcome::NotExecuted ? m_harmless.refused : m_harmless.broken) +=
-            1;
+    count(caller,
+          finish.outcome == FlightOutcome::NotExecuted ? &Harmless::refused : &Harmless::broken);
     retryUntilServed(caller);
 }
 
@@ -682,14 +733,22 @@
     return result;
 }
 
-std::size_t CrashSimulation::sendsAfterThirdCrash(Duration after) const
+std::size_t CrashSimulation::allCrashes() const
+{
+    std::size_t all = 0;
+    for (const auto &[cause, crashes] : m_crashes)
+        all += crashes.size();
+    return all;
+}
+
+std::size_t CrashSimulation::sendsAfterCrash(std::size_t crash, Duration after) const
 {
     std::size_t result = 0;
-    for (const auto &[digest, crashes] : m_crashes) {
-        if (crashes.size() < 3)
+    for (const auto &[cause, crashes] : m_crashes) {
+        if (crashes.size() < crash)
             continue;
-        const Time since = crashes[2] + after;
-        const std::vector<Time> &sends = m_crashingSends.at(digest);
+        const Time since = crashes[crash - 1] + after;
+        const std::vector<Time> &sends = m_crashingSends.at(cause);
         const auto late =
             std::count_if(sends.begin(), sends.end(), [&](Time at) { return at > since; });
         result = std::max(result, static_cast<std::size_t>(late));
@@ -697,4 +756,13 @@
     return result;
 }
 
+Duration CrashSimulation::longestRefusal(Duration from) const
+{
+    Duration longest {};
+    for (const auto &[at, duration] : m_refusals)
+        if (at - m_startedAt >= from)
+            longest = std::max(longest, duration);
+    return longest;
+}
+
 } // namespace balsamloft::fakes
--- a/src/fakes/crashsimulation.h
+++ b/src/fakes/crashsimulation.h
@@ -21,6 +21,18 @@
     Hangs, ///< the first engine accepts data and sends nothing until it is restarted
 };
 
+/// Prompt parts of the simulated requests. If there are crashing parts, each crashing request has
+/// other content, and one of the crashing parts.
+struct SimulatedParts
+{
+    std::size_t crashing = 0; ///< parts that crash engines, with as many requests each
+    /// First parts that harmless requests share, the crashing requests too; 0: none, and the
+    /// crashing part is the first.
+    std::size_t shared = 12;
+    /// Crashing requests have a second harmless part, which this share of harmless requests has.
+    double companionShare = 0;
+};
+
 /// Settings of a CrashSimulation.
 struct CrashSimulationSettings
 {
@@ -29,9 +41,11 @@
     std::size_t enginesPerDomain = 4;
     double requestsPerSecond = 60; ///< harmless requests, each with different content
     Duration crashingInterval {4'000'000}; ///< between two arrivals of the crashing request
+    Duration crashingFrom {0}; ///< the first arrival is one interval later
     Duration crashingUntil {60'000'000};
     Duration harmlessFor {0}; ///< initial time in which the crashing request succeeds
     Duration crashingLifetime {3'600'000'000}; ///< after this, another crashing request replaces it
+    SimulatedParts parts;
     std::size_t crashingCopies = 1; ///< copies that arrive together at different instances
     RequestKind crashingKind = RequestKind::Stream;
     CrashKind crashKind = CrashKind::CrashesFirst;
@@ -81,7 +95,14 @@
 
     /// How often a crashing request was sent, to a live or crashed engine, once the duration \a
     /// after had passed since its third crash. This is the maximum over all crashing requests.
-    std::size_t sendsAfterThirdCrash(Duration after) const;
+    std::size_t sendsAfterThirdCrash(Duration after) const { return sendsAfterCrash(3, after); }
+
+    /// The same since crash number \a crash, counting from 1. Requests that share a crashing part
+    /// count together.
+    std::size_t sendsAfterCrash(std::size_t crash, Duration after) const;
+
+    /// Crashes by all crashing requests.
+    std::size_t allCrashes() const;
 
     /// Outcomes of the harmless requests.
     struct Harmless
@@ -95,6 +116,12 @@
     };
     const Harmless &harmless() const { return m_harmless; }
 
+    /// Outcomes of the harmless requests whose first part crashing requests have too.
+    const Harmless &besideCrashing() const { return m_besideCrashing; }
+
+    /// Longest time from the arrival of a crashing request until its refusal, from \a from on.
+    Duration longestRefusal(Duration from) const;
+
     /// Times from addSuspects() until each of its harmless requests was served. Requests that
     /// were not served are omitted.
     const std::vector<Duration> &waits() const { return m_waits; }
@@ -122,7 +149,7 @@
         std::optional<std::size_t> next; ///< second engine of its path
         bool stalled = false; ///< waits for the second engine, which crashed
         std::uint64_t events = 0;
-        std::string digest;
+        std::string cause; ///< see Caller
         bool crashing = false;
         bool finished = false;
     };
@@ -130,6 +157,10 @@
     struct Caller
     {
         std::string digest;
+        std::vector<std::string> parts; ///< of the prompt, without the last one
+        std::string cause; ///< of its crashes: its crashing part, or its digest
+        bool besideCrashing = false; ///< its first part is one of the crashing requests
+        Time submittedAt {};
         bool crashing = false;
         std::uint64_t eventsLeft = 0;
         std::uint32_t retries = 1;
@@ -157,6 +188,10 @@
     void arrive();
     void arriveCrashing();
     std::string crashingDigest() const;
+    Caller harmlessCaller();
+    Caller crashingCaller(std::size_t copy);
+    std::string sharedPart();
+    void count(const Caller &caller, std::size_t Harmless::*counter);
     void submit(std::size_t instance, Caller caller);
     void act(std::size_t instance, RelayActions actions);
     void send(std::size_t instance, const SendRequest &send);
@@ -200,6 +235,7 @@
     Time m_now {std::chrono::hours(1)};
     Time m_startedAt = m_now;
     std::uint64_t m_nextNumber = 1;
+    std::size_t m_arrivals = 0; ///< of crashing requests
     std::priority_queue<Event> m_events;
     std::vector<std::unique_ptr<Relay>> m_relays;
     std::vector<std::map<FlightId, Caller>> m_callers; ///< by instance
@@ -211,9 +247,11 @@
     std::vector<PeerInstance> m_instances;
     std::vector<TrialPermits> m_permits; ///< by instance
     TrialStore m_trials;
-    std::map<std::string, std::vector<Time>> m_crashes; ///< by crashing request
-    std::map<std::string, std::vector<Time>> m_crashingSends; ///< by crashing request
+    std::map<std::string, std::vector<Time>> m_crashes; ///< by cause
+    std::map<std::string, std::vector<Time>> m_crashingSends; ///< by cause
     Harmless m_harmless;
+    Harmless m_besideCrashing;
+    std::vector<std::pair<Time, Duration>> m_refusals; ///< of crashing requests
     std::vector<Duration> m_waits;
 };
 
