Quarantined parts have log lines and a metric, and a test with real processes

Operators could not see which part of a prompt is held: 'part quarantined' and 'part released' name it, balsamloft_prompt_parts_held counts them.

--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -117,6 +117,7 @@
     if (now - m_prunedAt >= PruneInterval) {
         m_prunedAt = now;
         m_pool.prune(*m_fleet, now);
+        logQuarantinedParts(now);
     }
     m_forwarder.tick(bootNow());
     m_forwarder.closeDeclined(now);
@@ -356,6 +357,20 @@
         m_publishCrashes(update);
 }
 
+/// Logs the parts of prompts whose quarantine began or ended since the last call.
+void TrafficServer::logQuarantinedParts(Time now)
+{
+    std::vector<std::string> parts = m_relay.quarantine().quarantinedParts(now);
+    const auto logMissing = [](std::string_view event, const auto &from, const auto &in) {
+        for (const std::string &part : from)
+            if (!std::binary_search(in.begin(), in.end(), part))
+                logDecision("quarantine", event, {{"digest", std::string_view(part)}});
+    };
+    logMissing("part quarantined", parts, m_quarantinedParts);
+    logMissing("part released", m_quarantinedParts, parts);
+    m_quarantinedParts = std::move(parts);
+}
+
 void TrafficServer::requestTrial(const RequestTrial &request)
 {
     if (!m_requestTrial)
@@ -472,6 +487,7 @@
     sample("requests_held_back_total", counts.quarantined);
     sample("contents_suspected", m_relay.quarantine().suspectCount());
     sample("contents_held", m_relay.quarantine().quarantinedCount(steadyNow()));
+    sample("prompt_parts_held", m_relay.quarantine().quarantinedParts(steadyNow()).size());
     sample("endpoints_with_rate_limit", m_relay.rateLimits().size());
     sample("endpoints_passed_over_total", counts.rateLimitSkips);
     sample("endpoints_paused", m_relay.pauses().size(steadyNow()));
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -129,6 +129,7 @@
     void repeatOnBrokenLink(const std::string &endpoint, Time queriedAt, RelayActions &actions);
     void changePath(const ChangePath &change);
     void publishCrashes(const CrashUpdate &update);
+    void logQuarantinedParts(Time now);
     void requestTrial(const RequestTrial &request);
     void checkSuspension();
     void continueStop();
@@ -160,6 +161,7 @@
     std::function<void(CrashUpdate)> m_publishCrashes;
     TrialRequester m_requestTrial;
     std::function<void(FinishTrial)> m_finishTrial;
+    std::vector<std::string> m_quarantinedParts; ///< as last logged, sorted
     Duration m_suspendedTime {Duration::max()}; ///< bootNow() minus steadyNow(); maximum: unknown
 };
 
--- a/testsuite/crashing-requests/crashing_requests_test.cpp
+++ b/testsuite/crashing-requests/crashing_requests_test.cpp
@@ -16,8 +16,13 @@
 constexpr auto CrashPollInterval = std::chrono::milliseconds(5);
 constexpr auto RestartDelay = std::chrono::milliseconds(300);
 
-/// Simulates an endpoint whose process crashes when it receives a request with the body "end!". It
-/// then stops listening, and a new process starts at another address after RestartDelay.
+/// A part of a prompt that crashes endpoints, and one that all requests share.
+constexpr auto CrashingPart = "bad0";
+constexpr auto CommonPart = "c0de";
+
+/// Simulates an endpoint whose process crashes when it receives a request with the body "end!", or
+/// with CrashingPart in its prompt before the last part. It then stops listening, and a new process
+/// starts at another address after RestartDelay.
 class CrashingEndpoint
 {
 public:
@@ -45,7 +50,9 @@
         m_server = std::make_unique<RawServer>([this](const std::string &request) {
             if (request.starts_with("GET /state"))
                 return RawAnswer {okAnswer(request, R"({"layers":[0,4],"orders":1})")};
-            if (request.ends_with("end!")) {
+            if (request.ends_with("end!")
+                || headerOf(request, "Prompt-Parts").find(std::string(CrashingPart) + ":5,")
+                       != std::string::npos) {
                 m_crashed = true;
                 return RawAnswer {"", RawAnswer::Then::Silence};
             }
@@ -131,14 +138,14 @@
             each->waitFor("\"all\":" + std::to_string(m_processes.size()));
     }
 
-    std::string send(std::size_t instance, const std::string &body)
+    std::string send(std::size_t instance, const std::string &body, const std::string &parts = {})
     {
         const std::string id = "r" + std::to_string(m_next++);
         return exchange(m_callers[instance],
                         "POST " + m_path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
                             + "\r\nTeam-Key: good-key\r\nDeadline-Ms: 5000\r\nTokens: 10,10\r\n"
-                              "Content-Length: 4\r\n\r\n"
-                            + body,
+                            + (parts.empty() ? parts : "Prompt-Parts: " + parts + "\r\n")
+                            + "Content-Length: 4\r\n\r\n" + body,
                         completeAnswer);
     }
 
@@ -207,3 +214,35 @@
         CHECK(fleet.send(i, "fine").starts_with("HTTP/1.1 200"));
     }
 }
+
+// Guards against crashes that are not added up because no two of the requests are alike.
+TEST_CASE("requests that share a part which crashes endpoints are refused, those that share others "
+          "are served",
+          "[process]")
+{
+    CrashingFleet fleet("model");
+    fleet.waitUntilAllKnowEachOther();
+    const std::string common = std::string(CommonPart) + ":5,";
+    const std::string crashing = common + CrashingPart + ":5,";
+    int number = 1000;
+    for (int i = 0; i < 12; ++i) {
+        const std::string own = std::to_string(number++);
+        fleet.send(static_cast<std::size_t>(i) % fleet.instances(), own, crashing + own + ":5");
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    }
+    std::this_thread::sleep_for(PropagationTime);
+    CHECK(fleet.crashes() >= 2);
+    CHECK(fleet.crashes() <= 8);
+    const int crashes = fleet.crashes();
+    for (std::size_t i = 0; i < fleet.instances(); ++i) {
+        const std::string own = std::to_string(number++);
+        CHECK(fleet.send(i, own, crashing + own + ":5").starts_with("HTTP/1.1 503"));
+        CHECK(waitUntil([&] {
+            const std::string other = std::to_string(number++);
+            return fleet.send(i, other, common + other + ":5").starts_with("HTTP/1.1 200");
+        }));
+        const std::string last = std::to_string(number++);
+        CHECK(fleet.send(i, last, common + CrashingPart + ":5").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(fleet.crashes() == crashes);
+}
