A content does not excuse a part that has more crashes than it

Callers: two more engines crashed under a part with four crashes. Cause: one request that is sent on after each crash has three of them by itself within 10 ms; so its content 'explained' three crashes of the part that it holds, one was left, and requests with the part went on as trials. Evidence: the process test's log (trial permitted at four crashes; the three records of content and part at the same engines); the new unit test fails before. Change: a content explains crashes of a part only if it has at least as many.

--- a/src/include/balsamloft/quarantine.h
+++ b/src/include/balsamloft/quarantine.h
@@ -258,7 +258,7 @@
     bool isConfirmedPart(const Suspect &suspect, std::size_t count, Time now) const;
     bool isConfirmed(const std::string &digest, Time now) const;
     std::size_t crashesToExplain(const std::string &other, const std::string &digest,
-                                 std::size_t minCrashes) const;
+                                 std::size_t minCrashes, Time now) const;
     bool isLessSuspicious(const std::string &other, const std::string &digest, Time now) const;
     bool isExonerated(const Suspect &suspect, Time now) const;
     std::size_t unexplainedCrashes(const Suspect &suspect, std::size_t minCrashes, Time now) const;
--- a/src/libbalsamloft/quarantine.cpp
+++ b/src/libbalsamloft/quarantine.cpp
@@ -348,20 +348,24 @@
         digests->second.begin(), digests->second.end(), [&](const std::string &other) {
             return other != suspect.digest
                    && isCounted(other, m_records.at(other).at(endpoint), now)
-                   && crashes(other, now) >= crashesToExplain(other, suspect.digest, minCrashes)
+                   && crashes(other, now)
+                          >= crashesToExplain(other, suspect.digest, minCrashes, now)
                    && std::find(own.begin(), own.end(), other) == own.end()
                    && !isLessSuspicious(other, suspect.digest, now) && condition(other);
         });
 }
 
-/// A part explains crashes of a content sooner than another content does: it comes again in other
-/// requests, and each of them may have added a crash that is not known yet.
+/// Crashes that \a other needs to explain one of \a digest. A part explains crashes of a content
+/// sooner than another content does: it comes again in other requests, and each may have added a
+/// crash that is not known yet. A content does not explain a part that has more crashes than it:
+/// the content may itself be one of those that have the part.
 std::size_t Quarantine::crashesToExplain(const std::string &other, const std::string &digest,
-                                         std::size_t minCrashes) const
+                                         std::size_t minCrashes, Time now) const
 {
-    return isPromptPartDigest(other) && !isPromptPartDigest(digest)
-               ? std::min(minCrashes, m_settings.crashesToRequireTrial)
-               : minCrashes;
+    if (isPromptPartDigest(other) == isPromptPartDigest(digest))
+        return minCrashes;
+    return isPromptPartDigest(other) ? std::min(minCrashes, m_settings.crashesToRequireTrial)
+                                     : std::max(minCrashes, crashes(digest, now));
 }
 
 /// Whether the part \a other is a worse explanation than \a digest: requests with it succeed now,
--- a/src/libbalsamloft/quarantine_test.cpp
+++ b/src/libbalsamloft/quarantine_test.cpp
@@ -292,6 +292,17 @@
     CHECK(quarantine.blockedFor(next, later) == seconds(27));
 }
 
+// Guards against a request that crashes several endpoints and by that excuses the part it has.
+TEST_CASE("a content with some of a part's crashes does not explain them")
+{
+    Quarantine quarantine;
+    for (const char *endpoint : {"e1", "e2", "e3"})
+        crashUnder(quarantine, endpoint, {"retried", "part-bad"});
+    crashUnder(quarantine, "e4", {"b", "part-bad"});
+    CHECK(quarantine.sendPermission(Causes {"c", "part-bad"}, Start + seconds(3))
+          == SendPermission::Quarantined);
+}
+
 // Guards against a common part that is blocked because all crashing requests have it too.
 TEST_CASE(
     "a part that crashing requests always have is tried alone, and sent if it succeeded before")
