--- a/src/libbalsamloft/ratelimits_test.cpp
+++ b/src/libbalsamloft/ratelimits_test.cpp
@@ -25,7 +25,8 @@
 {
     std::size_t instances = 6;
     std::size_t domains = 3;
-    std::size_t endpoints = 5; ///< the first one announces a limit
+    std::size_t endpoints = 5;
+    std::size_t limitedEndpoints = 1; ///< the first ones, which announce a limit
     double requestsPerSecond = 120; ///< of all callers
     RequestKind kind = RequestKind::Safe;
     Duration clockError {}; ///< maximum error of an instance's clock
@@ -41,6 +42,9 @@
     /// Sets the limit of the first endpoint; no value: it announces no limit.
     void setLimit(std::optional<double> limit);
     void setRate(double requestsPerSecond) { m_rate = requestsPerSecond; }
+
+    /// Sends this share of the requests to the first instance, besides its even share of the rest.
+    void setSkew(double share) { m_skew = share; }
     void run(Duration length);
 
     /// Crashes the instance. It stays in the list of instances for \a listDelay.
@@ -105,6 +109,8 @@
     std::optional<double> m_limit;
     RequestKind m_kind;
     double m_rate;
+    double m_skew = 0;
+    std::size_t m_limitedEndpoints;
     double m_due = 0;
     std::mt19937_64 m_random;
     Time m_now {std::chrono::hours(1)};
@@ -121,6 +127,7 @@
     , m_listed(settings.instances, true)
     , m_kind(settings.kind)
     , m_rate(settings.requestsPerSecond)
+    , m_limitedEndpoints(settings.limitedEndpoints)
     , m_random(settings.seed)
 {
     std::vector<RelayEngine> endpoints;
@@ -207,7 +214,9 @@
 
 void LimitSimulation::submitRequest()
 {
-    const std::size_t instance = m_random() % m_harnesses.size();
+    std::size_t instance = m_random() % m_harnesses.size();
+    if (m_skew > 0 && std::bernoulli_distribution(m_skew)(m_random))
+        instance = 0;
     if (m_crashedAt[instance])
         return;
     submitted += 1;
@@ -242,9 +251,9 @@
     AnswerHead head;
     head.status = 200;
     head.provenExecuted = true;
-    if (call.endpoint == "e0") {
+    if (std::stoul(call.endpoint.substr(1)) < m_limitedEndpoints) {
         head.rateLimit = m_limit;
-        if (m_limit && !m_limitReceivedAt[call.instance])
+        if (m_limit && call.endpoint == "e0" && !m_limitReceivedAt[call.instance])
             m_limitReceivedAt[call.instance] = m_now;
     }
     if (harness.relay.answered(call.flight, call.attempt, head, harness.now, harness.actions))
@@ -475,3 +484,33 @@
     harness.submit(RequestKind::Unsafe);
     CHECK(harness.relay.counts().rateLimitSkips == 1);
 }
+
+// Guards against shares of a limit that assume as many callers at each instance.
+TEST_CASE("callers that are mostly at one instance are served while endpoints announce limits")
+{
+    constexpr double MinServed = 0.75; // of before
+    for (const std::size_t instances : {6U, 76U, 295U}) {
+        LimitSimulationSettings settings;
+        settings.instances = instances;
+        settings.endpoints = settings.limitedEndpoints = 3;
+        settings.requestsPerSecond = 200;
+        LimitSimulation simulation(settings);
+        simulation.setLimit(80);
+        simulation.run(LimitPropagationTime * 2);
+        const auto servedShare = [&](Duration length) {
+            const std::size_t submitted = simulation.submitted;
+            const std::size_t refused = simulation.refused;
+            simulation.run(length);
+            return 1
+                   - static_cast<double>(simulation.refused - refused)
+                         / static_cast<double>(simulation.submitted - submitted);
+        };
+        const double before = servedShare(seconds(5));
+        simulation.setSkew(5.0 / 6);
+        simulation.run(LimitPropagationTime);
+        const double skewed = servedShare(seconds(10));
+        CAPTURE(instances, before, skewed);
+        CHECK(skewed >= MinServed * before);
+        CHECK(static_cast<double>(maxArrived(simulation, seconds(5))) <= maxAllowed(80));
+    }
+}
