The fake endpoints end only streams with their connection

The new test of unframed streams closed connections after any answer without length. Answers to calls keep their connection again, as before; that test and its check are unchanged.

--- a/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -123,7 +123,7 @@
         return result;
     }
 
-    /// What an endpoint does after an answer without length or chunks that ends inside an event.
+    /// What an endpoint does after a stream without chunks that ends inside an event.
     std::atomic<RawAnswer::Then> afterPartialEvent {RawAnswer::Then::Close};
 
     Process &process(std::size_t instance) { return *m_instances[instance].process; }
@@ -147,10 +147,10 @@
         std::unique_ptr<Process> process;
     };
 
-    /// Ends an answer without length or chunks with its connection.
+    /// Ends a stream without chunks with its connection.
     RawAnswer framed(std::string bytes) const
     {
-        if (bytes.find("Content-Length") != std::string::npos
+        if (bytes.find("text/event-stream") == std::string::npos
             || bytes.find("chunked") != std::string::npos)
             return {std::move(bytes)};
         const bool whole = bytes.ends_with("\n\n");
