Tests of a store that comes back from a copy, failing

Callers: a request was handled by a configuration that had been replaced 5 s before; an endpoint that leaves would get requests for as long.

Five tests with real processes against a fake store that loses its last writes and states a new era.

--- a/testsuite/entry/entryharness.h
+++ b/testsuite/entry/entryharness.h
@@ -48,6 +48,29 @@
         m_tables.drop(table, key);
     }
 
+    /// Remembers the tables as they are now, for restoreCopy().
+    void takeCopy()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_copy = m_tables;
+    }
+
+    /// Loses all writes since takeCopy(): their version numbers are given out again, and the era
+    /// rises.
+    void restoreCopy()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tables = m_copy;
+        m_era += 1;
+    }
+
+    /// Returns an answer with all rows of \a table.
+    std::string rows(const std::string &table)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_tables.rows(table);
+    }
+
     std::string address() const { return m_server.address(); }
 
     /// Returns the address of a server that answers from the same tables with the texts \a
@@ -55,7 +78,7 @@
     std::string addView(std::map<std::string, std::string> replaced)
     {
         m_views.push_back(std::make_unique<RawServer>(
-            [this, replaced = std::move(replaced)](const std::string &request) {
+            [this, replaced = std::move(replaced)](const std::string &request) -> RawAnswer {
                 RawAnswer result = answer(request);
                 const std::size_t head = result.bytes.find("\r\n\r\n") + 4;
                 std::string body = result.bytes.substr(head);
@@ -73,7 +96,7 @@
         if (silent)
             return {"", RawAnswer::Then::Silence};
         if (down)
-            return {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"};
+            return reply(503, "");
         if (request.starts_with("POST /commit"))
             return commit(request.substr(request.find("\r\n\r\n") + 4));
         const std::string target = request.substr(4, request.find(' ', 4) - 4);
@@ -90,6 +113,8 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(5));
         }
         const std::lock_guard lock(m_mutex);
+        if (after > m_tables.version())
+            return reply(410, "{}");
         return reply(200, changes ? m_tables.changes(table, after) : m_tables.rows(table));
     }
 
@@ -106,14 +131,16 @@
         return reply(status, answer);
     }
 
-    static RawAnswer reply(int status, const std::string &body)
+    RawAnswer reply(int status, const std::string &body) const
     {
-        return {"HTTP/1.1 " + std::to_string(status)
-                + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+        return {"HTTP/1.1 " + std::to_string(status) + " X\r\nEra: " + std::to_string(m_era)
+                + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
     }
 
     std::mutex m_mutex;
     FeedTables m_tables;
+    FeedTables m_copy;
+    std::atomic<std::uint64_t> m_era {1};
     RawServer m_server {[this](const std::string &request) { return answer(request); }};
     std::vector<std::unique_ptr<RawServer>> m_views;
 };
