--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -131,13 +131,15 @@
     , m_state(state)
     , m_events(std::move(events))
     , m_timer(context)
-    , m_server(context,
-               [this](std::span<const CrashNotice> notices) { crashNoticesReceived(notices); })
+    , m_server(
+          context, [this](std::span<const CrashNotice> notices) { crashNoticesReceived(notices); },
+          [this](const InstanceState &state) { stateReceived(state); },
+          [this] { return ownState(); })
     , m_directory(settings.name, settings.domain)
-    , m_channel(context, settings.storeAddress, protocol, state)
+    , m_channel(context, settings.storeAddress, protocol, state, m_eras)
     , m_peers(context)
     , m_crashGossip(gossipSettings(settings))
-    , m_crashChannel(context, settings.storeAddress, protocol, state)
+    , m_crashChannel(context, settings.storeAddress, protocol, state, m_eras)
     , m_links(settings.name, settings.domain, linkSettings(settings, EntryThread::Control))
     , m_engines(context)
     , m_fleet(fleetSettings(settings))
@@ -150,10 +152,11 @@
     for (std::size_t i = 0; i < SharedTableCount; ++i) {
         const auto table = static_cast<SharedTable>(i);
         m_storeSources[i] =
-            std::make_unique<StoreSource>(context, settings.storeAddress, protocol, state,
+            std::make_unique<StoreSource>(context, settings.storeAddress, protocol, state, m_eras,
                                           std::string(tableName(protocol, table)));
-        m_followers[i] =
-            std::make_unique<TableFollower>(context, followerSettings(table), tableEvents(table));
+        m_server.state(table).copy = TableCopy(restorePolicy(table));
+        m_followers[i] = std::make_unique<TableFollower>(timerOf(context), followerSettings(table),
+                                                         tableEvents(table));
     }
 }
 
@@ -183,25 +186,36 @@
 
 TableEvents Control::tableEvents(SharedTable table)
 {
-    const auto apply = [this, table](const std::vector<StoreRow> &changed, bool isSnapshot,
+    const auto apply = [this, table](const std::vector<StoreRow> &changed, ListUpdate update,
                                      const TableAnswer &answer) {
         if (table == SharedTable::Configuration)
             applyConfigurationRows(changed);
         else if (table == SharedTable::Endpoints)
-            applyEndpointRows(changed, isSnapshot, steadyNow() - answer.age(bootNow()));
+            applyEndpointRows(changed, update, steadyNow() - answer.age(bootNow()));
         else if (table == SharedTable::Crashes && !changed.empty())
             applyCrashRows();
     };
     TableEvents events;
-    events.snapshot = [this, table, apply](const auto &all, std::uint64_t version,
+    events.snapshot = [this, table, apply](const auto &all, StoreVersion version,
                                            const TableAnswer &answer) {
+        noticeEra();
         TableCopy &copy = m_server.state(table).copy;
+        const bool restored = copy.known() && version.era > copy.version().era;
         copy.replaceAll(all, version);
-        apply(copy.rows(), true, answer);
+        if (restored)
+            logDecision("store", "restored",
+                        {{"table", tableName(m_protocol, table)},
+                         {"era", std::int64_t(version.era)},
+                         {"version", std::int64_t(version.number)},
+                         {"rows", std::int64_t(all.size())},
+                         {"rows_lost", std::int64_t(copy.lostRows().size())}});
+        apply(copy.rows(), restored ? ListUpdate::Restored : ListUpdate::Snapshot, answer);
     };
-    events.changed = [this, table, apply](const auto &changed, std::uint64_t version,
+    events.changed = [this, table, apply](const auto &changed, StoreVersion version,
                                           const TableAnswer &answer) {
-        apply(m_server.state(table).copy.applyChanges(changed, version), false, answer);
+        noticeEra();
+        apply(m_server.state(table).copy.applyChanges(changed, version), ListUpdate::Changes,
+              answer);
     };
     events.answered = [this, table](const TableSource &source, const TableAnswer &answer) {
         tableAnswered(table, source, answer);
@@ -231,7 +245,10 @@
     const auto index = static_cast<std::size_t>(table);
     const Time lastUpdate = std::max(m_server.state(table).knownAt, m_followingSince);
     const Duration updateAge = usesLongWaits(table) ? Duration {} : bootNow() - lastUpdate;
-    const ReadSource from = m_directory.source(steadyNow(), updateAge);
+    // A store that was restored a moment ago may list what others know to be outdated, so the first
+    // snapshot comes from another instance, if one answers.
+    const bool hasData = m_server.state(table).copy.known() || table == SharedTable::Instances;
+    const ReadSource from = m_directory.source(steadyNow(), updateAge, hasData);
     if (from.kind == ReadSource::Kind::None)
         return nullptr;
     if (from.kind == ReadSource::Kind::Store)
@@ -239,10 +256,17 @@
     const PeerInstance &peer = *from.instance;
     auto &source = m_peerSources[index][peer.name + "@" + peer.address];
     if (!source)
-        source = std::make_unique<PeerSource>(m_context, peer, index, m_lastReportAt);
+        source = makePeerSource(peer, table, m_lastReportAt);
     return {source.get(), from.immediate};
 }
 
+std::unique_ptr<PeerSource> Control::makePeerSource(const PeerInstance &peer, SharedTable table,
+                                                    std::shared_ptr<Time> lastReportAt)
+{
+    return std::make_unique<PeerSource>(m_context, peer, static_cast<std::size_t>(table),
+                                        std::move(lastReportAt), [this] { return ownState(); });
+}
+
 void Control::sourceFailed(const TableSource &source, bool answered)
 {
     const Time now = steadyNow();
@@ -258,6 +282,7 @@
 
 void Control::tableAnswered(SharedTable table, const TableSource &source, const TableAnswer &answer)
 {
+    noticeEra();
     TableState &state = m_server.state(table);
     const Time now = steadyNow();
     const Duration age = answer.age(bootNow());
@@ -269,11 +294,15 @@
     // small, and the largest offset is the most accurate.
     const Duration offset = Duration(answer.reply.storeMs * 1000) - bootNow().time_since_epoch();
     m_storeOffset = std::max(offset, m_storeOffset.value_or(offset));
+    if (const auto peer = m_directory.find(source.peer()))
+        peerAnswered(answer, *peer);
     if (source.isStore())
         m_directory.storeAnswered();
     else if (!usesLongWaits(table))
         m_directory.recordAnswer(source.peer(), age, answer.fromStore, now);
-    if (table == SharedTable::Configuration && m_table)
+    // Right after a restore, the store may lack a configuration that withdrew a key.
+    const bool mayLackKeys = m_eraBeganAt && now - *m_eraBeganAt < RewriteTime;
+    if (table == SharedTable::Configuration && m_table && !mayLackKeys)
         m_state.keysKnownAt = state.knownAt.time_since_epoch().count();
     if (table == SharedTable::Endpoints) {
         m_fleet.listConfirmed(now - age);
@@ -290,39 +319,51 @@
 void Control::applyConfigurationRows(const std::vector<StoreRow> &rows)
 {
     for (const StoreRow &row : rows) {
-        if (row.key != m_protocol.configurationKey() || row.dropped
-            || row.version <= m_tableRowVersion)
+        const StoreVersion version {m_server.state(SharedTable::Configuration).copy.version().era,
+                                    row.version};
+        if (row.key != m_protocol.configurationKey() || row.dropped || version == m_tableRowVersion)
             continue;
-        Reason reason;
-        std::vector<Reason> skippedEntries;
-        RouteMapPtr table = m_protocol.parseRouteTable(row.value, skippedEntries, reason);
-        m_tableRowVersion = row.version;
-        for (const Reason &each : skippedEntries) {
-            m_state.invalidRows += 1;
-            logDecision("configuration", "entry left out", {{"reason", std::string_view(each)}});
-        }
-        if (!table) {
-            // The last valid configuration stays in force.
-            m_state.invalidRows += 1;
-            logDecision("configuration", "not taken", {{"reason", std::string_view(reason)}});
-            continue;
-        }
-        if (m_table && table->version() <= m_table->version())
-            continue;
-        m_table = std::move(table);
-        logDecision("configuration", "in force",
-                    {{"version", std::int64_t(m_table->version())},
-                     {"routes", std::int64_t(m_table->routes().size())}});
-        m_events.table(m_table);
+        m_tableRowVersion = version;
+        takeConfiguration(row.value, version);
+    }
+}
+
+/// Puts the configuration \a text in force if it is valid and, by its operators' order, newer than
+/// the present one. The store's order does not tell: after a restore it may have an older one
+/// again.
+bool Control::takeConfiguration(const std::string &text, StoreVersion version)
+{
+    Reason reason;
+    std::vector<Reason> skippedEntries;
+    RouteMapPtr table = m_protocol.parseRouteTable(text, skippedEntries, reason);
+    for (const Reason &each : skippedEntries) {
+        m_state.invalidRows += 1;
+        logDecision("configuration", "entry left out", {{"reason", std::string_view(each)}});
+    }
+    if (!table) {
+        // The last valid configuration stays in force.
+        m_state.invalidRows += 1;
+        logDecision("configuration", "not taken", {{"reason", std::string_view(reason)}});
+        return false;
     }
+    if (m_table && table->version() <= m_table->version())
+        return false;
+    m_table = std::move(table);
+    logDecision("configuration", "in force",
+                {{"version", std::int64_t(m_table->version())},
+                 {"routes", std::int64_t(m_table->routes().size())},
+                 {"era", std::int64_t(version.era)},
+                 {"row_version", std::int64_t(version.number)}});
+    m_events.table(m_table);
+    return true;
 }
 
 /// Applies \a rows, which are valid as of \a knownAt. Stale rows from another instance must not
 /// count as a current list of endpoints: an outage of the store would go unnoticed, and endpoints
 /// whose rows expired during the outage would be removed although they are alive.
-void Control::applyEndpointRows(const std::vector<StoreRow> &rows, bool isSnapshot, Time knownAt)
+void Control::applyEndpointRows(const std::vector<StoreRow> &rows, ListUpdate update, Time knownAt)
 {
-    if (!isSnapshot) {
+    if (update == ListUpdate::Changes) {
         // Rows are applied in the store's order: one answer may hold both the write and the
         // deletion of a row. If deletions were applied first, the endpoint would stay listed and
         // receive requests forever.
@@ -334,7 +375,10 @@
     for (const StoreRow &row : rows)
         if (auto endpoint = parseEndpointRow(row))
             endpoints.push_back(std::move(*endpoint));
-    m_fleet.listed(std::move(endpoints), knownAt);
+    if (update == ListUpdate::Restored)
+        m_fleet.listedAfterRestore(std::move(endpoints), knownAt);
+    else
+        m_fleet.listed(std::move(endpoints), knownAt);
 }
 
 void Control::applyEndpointRow(const StoreRow &row, Time knownAt)
@@ -440,6 +484,7 @@
 void Control::tick()
 {
     const Time now = bootNow();
+    noticeEra();
     m_fleet.tick(steadyNow());
     publishFleet();
     LeaseActions actions;
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -8,6 +8,7 @@
 #include "settings.h"
 #include "tablefollower.h"
 
+#include <balsamloft/configurationfetch.h>
 #include <balsamloft/crashgossip.h>
 #include <balsamloft/gapfiller.h>
 #include <balsamloft/instancelist.h>
@@ -15,6 +16,7 @@
 #include <balsamloft/lease.h>
 #include <balsamloft/peerdirectory.h>
 #include <balsamloft/silencedetector.h>
+#include <balsamloft/storeeras.h>
 #include <balsamloft/trialpermits.h>
 
 #include <functional>
@@ -32,6 +34,16 @@
 /// Timeout of a call to the store.
 inline constexpr Duration StoreCallTimeout {900'000};
 
+/// How rows of the list of endpoints were read.
+enum class ListUpdate : std::uint8_t {
+    Changes,
+    Snapshot,
+    Restored, ///< the first snapshot of an era of the store
+};
+
+/// Time in which operators and endpoints write again what a restored store has lost.
+inline constexpr Duration RewriteTime {2'000'000};
+
 /// Callbacks from the control thread to the traffic thread.
 struct ControlEvents
 {
@@ -88,13 +100,24 @@
     };
 
     TableEvents tableEvents(SharedTable table);
+    RestorePolicy restorePolicy(SharedTable table) const;
+    void noticeEra();
+    void eraBegan();
+    InstanceState ownState() const;
+    void stateReceived(const InstanceState &state);
+    void peerAnswered(const TableAnswer &answer, const PeerInstance &peer);
+    void configurationHeard(std::uint64_t version, const PeerInstance &peer);
+    void fetchConfiguration(const PeerInstance &peer);
+    std::unique_ptr<PeerSource> makePeerSource(const PeerInstance &peer, SharedTable table,
+                                               std::shared_ptr<Time> lastReportAt);
     SourceChoice chooseSource(SharedTable table);
     void sourceFailed(const TableSource &source, bool answered);
     void tableAnswered(SharedTable table, const TableSource &source, const TableAnswer &answer);
     bool isDomainReader() const;
     void logSkippedRow(const StoreRow &row, const Reason &reason);
     void applyConfigurationRows(const std::vector<StoreRow> &rows);
-    void applyEndpointRows(const std::vector<StoreRow> &rows, bool isSnapshot, Time knownAt);
+    bool takeConfiguration(const std::string &text, StoreVersion version);
+    void applyEndpointRows(const std::vector<StoreRow> &rows, ListUpdate update, Time knownAt);
     void applyEndpointRow(const StoreRow &row, Time knownAt);
     std::optional<FleetEndpoint> parseEndpointRow(const StoreRow &row);
     void publishFleet();
@@ -139,6 +162,9 @@
     const EntryProtocol &m_protocol;
     EntryState &m_state;
     ControlEvents m_events;
+    StoreEras m_eras;
+    std::optional<std::uint64_t> m_seenEra; ///< set with the first answer
+    std::optional<Time> m_eraBeganAt; ///< steadyNow() when this process saw the present era begin
     boost::asio::steady_timer m_timer;
     PeerServer m_server;
     PeerDirectory m_directory;
@@ -162,7 +188,10 @@
     FleetTracker m_fleet;
     FleetPtr m_fleetSnapshot;
     RouteMapPtr m_table;
-    std::uint64_t m_tableRowVersion = 0; ///< version of the row that m_table comes from
+    StoreVersion m_tableRowVersion; ///< version of the row that m_table comes from
+    /// Sources that a newer configuration is fetched from, if it does not come the usual way.
+    std::map<std::string, std::unique_ptr<PeerSource>> m_configurationSources;
+    ConfigurationFetch m_configurationFetch;
     InstanceList m_instanceList;
     std::vector<PeerInstance> m_instances;
     Duration m_publishedClockOffset {}; ///< last published KnownInstances::storeClockOffset
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -128,15 +128,17 @@
 /// time.
 void Control::queryOtherDomains(Time now)
 {
-    const auto endpoints = static_cast<std::size_t>(SharedTable::Endpoints);
-    const std::uint64_t known = m_server.state(SharedTable::Endpoints).copy.version();
+    StoreVersion known = m_server.state(SharedTable::Endpoints).copy.version();
+    // The rows are not needed, only the states of engines.
+    known.number = std::max<std::uint64_t>(1, known.number);
     for (const PeerInstance &each : m_directory.remoteReaders(now)) {
         auto &source = m_otherDomainSources[each.name + "@" + each.address];
         if (!source)
-            source =
-                std::make_unique<PeerSource>(m_context, each, endpoints, std::make_shared<Time>());
-        source->watch(std::max<std::uint64_t>(1, known), Duration {},
-                      [this](const TableAnswer &answer) { otherDomainsReported(answer.engines); });
+            source = makePeerSource(each, SharedTable::Endpoints, std::make_shared<Time>());
+        source->watch(known, Duration {}, [this, each](const TableAnswer &answer) {
+            peerAnswered(answer, each);
+            otherDomainsReported(answer.engines);
+        });
     }
 }
 
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -2,6 +2,7 @@
 
 #include "../libpeer/noticecodec.h"
 #include "../libpeer/rowcodec.h"
+#include "../libpeer/statecodec.h"
 #include "clock.h"
 
 #include <charconv>
@@ -57,20 +58,23 @@
     const TableCopy &copy = m_states[table].copy;
     CompressedTable &compressed = m_compressed[table];
     if (compressed.version != copy.version() || compressed.rows.bytes.empty())
-        compressed = {copy.version(), compressRows(copy.rows())};
+        compressed = {copy.version(), compressRows(copy.snapshot())};
     addCompressed(compressed.rows, update);
 }
 
-PeerServer::PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived)
+PeerServer::PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived,
+                       StateHandler stateReceived, std::function<InstanceState()> self)
     : m_server(
         context,
         [this](std::string_view target, std::string_view body, SimpleHttpServer::Reply reply) {
             if (target == NoticeTarget)
                 reply(receiveNotices(body));
             else
-                handleQuery(target, std::move(reply));
+                handleQuery(target, body, std::move(reply));
         })
     , m_noticesReceived(std::move(noticesReceived))
+    , m_stateReceived(std::move(stateReceived))
+    , m_self(std::move(self))
     , m_timer(context)
 {
 }
@@ -89,22 +93,28 @@
     return {};
 }
 
-/// Handles a query with a target from updateTarget().
-void PeerServer::handleQuery(std::string_view target, SimpleHttpServer::Reply reply)
+/// Handles a query with a target from updateTarget() and a body from encodeQuery().
+void PeerServer::handleQuery(std::string_view target, std::string_view body,
+                             SimpleHttpServer::Reply reply)
 {
     std::array<std::uint64_t, 5> numbers {};
     if (!target.starts_with(TargetPrefix)
         || !readNumbers(target.substr(TargetPrefix.size()), numbers)
         || numbers[0] >= SharedTableCount)
         return reply({404, {}});
-    const auto [table, after, waitMs, receivedUntilMs, changedWithinMs] = numbers;
+    const auto details = decodeQuery(body);
+    if (!details)
+        return reply({400, {}});
+    m_stateReceived(details->sender);
+    const auto [table, afterNumber, waitMs, receivedUntilMs, changedWithinMs] = numbers;
+    const StoreVersion after {details->era, afterNumber};
     const TableState &state = m_states[table];
     const std::uint64_t nowMs = milliseconds(steadyNow());
     const std::uint64_t statesSinceMs = receivedUntilMs > 0 || changedWithinMs == 0
                                             ? receivedUntilMs
                                             : nowMs - std::min(nowMs, changedWithinMs);
     const bool known = state.copy.known();
-    if (waitMs == 0 || (known && (state.copy.version() > after || after == 0)))
+    if (waitMs == 0 || (known && (state.copy.version() > after || !after.known())))
         return reply(answer(table, after, statesSinceMs));
     m_pendingQueries.push_back({table, after, statesSinceMs, state.knownAt,
                                 steadyNow() + Duration(waitMs * 1000), std::move(reply)});
@@ -113,21 +123,22 @@
 }
 
 /// Answers 503 while the table has not been read yet, so that the follower does not treat the
-/// table as empty.
-HttpAnswer PeerServer::answer(std::size_t table, std::uint64_t after,
+/// table as empty, nor takes over one of an earlier era.
+HttpAnswer PeerServer::answer(std::size_t table, StoreVersion after,
                               std::uint64_t statesSinceMs) const
 {
-    if (!m_states[table].copy.known())
+    const TableCopy &copy = m_states[table].copy;
+    if (!copy.known() || copy.version().era < after.era)
         return {503, {}};
     return {200, encodeUpdate(table, after, statesSinceMs)};
 }
 
-std::string PeerServer::encodeUpdate(std::size_t table, std::uint64_t after,
+std::string PeerServer::encodeUpdate(std::size_t table, StoreVersion after,
                                      std::uint64_t statesSinceMs) const
 {
     const TableState &state = m_states[table];
     wire::TableNews update;
-    auto rows = after == 0 ? std::nullopt : state.copy.changesSince(after);
+    auto rows = after.known() ? state.copy.changesSince(after) : std::nullopt;
     update.set_whole(!rows);
     // If the changes cover all rows, for example in a table with one row, the snapshot is sent
     // instead: its compressed form is shared by all queries.
@@ -138,7 +149,11 @@
     else
         for (const StoreRow &row : *rows)
             encodeRow(row, *update.add_rows());
-    update.set_version(state.copy.version());
+    update.set_version(state.copy.version().number);
+    update.set_era(state.copy.version().era);
+    InstanceState self = m_self();
+    self.name.clear(); // the follower knows whom it asked
+    encodeState(self, *update.mutable_sender());
     update.set_clock_ms(milliseconds(bootNow()));
     update.set_known_ms(milliseconds(state.knownAt));
     update.set_store_ms(static_cast<std::uint64_t>(state.storeMs));
@@ -202,6 +217,11 @@
     }
 }
 
+void PeerServer::rowsAdopted(SharedTable table)
+{
+    m_compressed[static_cast<std::size_t>(table)] = {};
+}
+
 void PeerServer::markStoreUnavailable()
 {
     for (TableState &state : m_states)
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -8,6 +8,7 @@
 #include <balsamloft/crashgossip.h>
 #include <balsamloft/enginefleet.h>
 #include <balsamloft/enginetracker.h>
+#include <balsamloft/instancestate.h>
 #include <balsamloft/tableupdate.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -30,7 +31,7 @@
 struct UpdateQuery
 {
     std::size_t table = 0; ///< a SharedTable
-    std::uint64_t after = 0; ///< the version that the follower has; 0: none
+    std::uint64_t after = 0; ///< number of the version that the follower has; 0: none
     Duration wait {}; ///< how long the answer may be delayed until there are changes
     /// Time on this server's clock up to which the follower has all engine states; 0: none.
     std::uint64_t statesSinceMs = 0;
@@ -38,7 +39,8 @@
     Duration changedWithin {};
 };
 
-/// The request target that encodes \a query.
+/// The request target that encodes \a query; the era of the version is in the body, see
+/// encodeQuery().
 std::string updateTarget(const UpdateQuery &query);
 
 /// The request target to which crash notices are posted, see encodeNotices().
@@ -60,9 +62,12 @@
 {
 public:
     using NoticeHandler = std::function<void(std::span<const CrashNotice>)>;
+    using StateHandler = std::function<void(const InstanceState &)>;
 
-    /// \a noticesReceived: called with the crash notices of other instances.
-    PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived);
+    /// \a noticesReceived: called with the crash notices of other instances; \a stateReceived: with
+    /// what an instance tells in its query; \a self: returns what this instance tells.
+    PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived,
+               StateHandler stateReceived, std::function<InstanceState()> self);
 
     bool listen(const std::string &address, Reason &reason);
     TableState &state(SharedTable table) { return m_states[static_cast<std::size_t>(table)]; }
@@ -72,6 +77,9 @@
     /// instance on its way from the store.
     void tableChanged(SharedTable table);
 
+    /// The rows of \a table changed without a new version, see TableCopy::adopt().
+    void rowsAdopted(SharedTable table);
+
     /// Marks the replicas as no longer up to date with the store, because the store does not
     /// answer.
     void markStoreUnavailable();
@@ -91,7 +99,7 @@
     struct PendingQuery
     {
         std::size_t table;
-        std::uint64_t after;
+        StoreVersion after;
         std::uint64_t statesSinceMs;
         Time knownAt; ///< TableState::knownAt when the query arrived
         Time until;
@@ -108,14 +116,14 @@
     /// A compressed snapshot of a table.
     struct CompressedTable
     {
-        std::uint64_t version = 0;
+        StoreVersion version;
         CompressedRows rows;
     };
 
-    void handleQuery(std::string_view target, SimpleHttpServer::Reply reply);
+    void handleQuery(std::string_view target, std::string_view body, SimpleHttpServer::Reply reply);
     HttpAnswer receiveNotices(std::string_view body);
-    HttpAnswer answer(std::size_t table, std::uint64_t after, std::uint64_t statesSinceMs) const;
-    std::string encodeUpdate(std::size_t table, std::uint64_t after,
+    HttpAnswer answer(std::size_t table, StoreVersion after, std::uint64_t statesSinceMs) const;
+    std::string encodeUpdate(std::size_t table, StoreVersion after,
                              std::uint64_t statesSinceMs) const;
     static void addCompressed(const CompressedRows &compressed, wire::TableNews &update);
     void addAllRows(std::size_t table, wire::TableNews &update) const;
@@ -125,6 +133,8 @@
 
     SimpleHttpServer m_server;
     NoticeHandler m_noticesReceived;
+    StateHandler m_stateReceived;
+    std::function<InstanceState()> m_self;
     boost::asio::steady_timer m_timer;
     bool m_timerRunning = false;
     std::array<TableState, SharedTableCount> m_states;
--- a/src/entry/storechannel.h
+++ b/src/entry/storechannel.h
@@ -7,6 +7,7 @@
 #include "timedcall.h"
 
 #include <balsamloft/entryprotocol.h>
+#include <balsamloft/storeeras.h>
 
 #include <deque>
 
@@ -28,12 +29,17 @@
 public:
     using Callback = std::function<void(StoreAnswer)>;
 
+    /// \a eras: shared by all channels to the store.
     StoreChannel(boost::asio::io_context &context, std::string address,
-                 const EntryProtocol &protocol, EntryState &state);
+                 const EntryProtocol &protocol, EntryState &state, StoreEras &eras);
     ~StoreChannel();
 
+    /// The answer is Failed if it belongs to an earlier era than the latest known one.
     void call(StoreUse use, OutgoingCall call, CallLimits limits, Callback callback);
 
+    /// Drops all calls; their callbacks are not called.
+    void cancelAll();
+
 private:
     struct PendingCall
     {
@@ -44,12 +50,15 @@
     };
 
     void startNext();
-    void callFinished(const CallOutcome &outcome, Time sentAt, const Callback &callback);
+    void callFinished(const CallOutcome &outcome, Time sentAt, StoreVersion newestBefore,
+                      const Callback &callback);
+    StoreReply parse(const CallOutcome &outcome, StoreVersion newestBefore);
 
     ConnectionPool m_pool;
     std::string m_address;
     const EntryProtocol &m_protocol;
     EntryState &m_state;
+    StoreEras &m_eras;
     std::deque<PendingCall> m_pendingCalls;
     std::shared_ptr<TimedCall> m_currentCall;
 };
--- a/src/entry/tablefollower.cpp
+++ b/src/entry/tablefollower.cpp
@@ -14,11 +14,22 @@
 
 } // namespace
 
-TableFollower::TableFollower(boost::asio::io_context &context, FollowerSettings settings,
-                             TableEvents events)
+FollowerTimer timerOf(boost::asio::io_context &context)
+{
+    return [timer = std::make_shared<boost::asio::steady_timer>(context)](
+               Duration pause, std::function<void()> callback) {
+        timer->expires_after(pause);
+        timer->async_wait([callback = std::move(callback)](const boost::system::error_code &error) {
+            if (!error)
+                callback();
+        });
+    };
+}
+
+TableFollower::TableFollower(FollowerTimer timer, FollowerSettings settings, TableEvents events)
     : m_settings(std::move(settings))
     , m_events(std::move(events))
-    , m_timer(context)
+    , m_timer(std::move(timer))
 {
 }
 
@@ -27,15 +38,6 @@
     watch();
 }
 
-void TableFollower::scheduleAfter(Duration pause, std::function<void()> callback)
-{
-    m_timer.expires_after(pause);
-    m_timer.async_wait([callback = std::move(callback)](const boost::system::error_code &error) {
-        if (!error)
-            callback();
-    });
-}
-
 void TableFollower::sourceFailed(const TableSource &source, bool answered)
 {
     m_failures += 1;
@@ -61,24 +63,36 @@
     const SourceChoice choice = m_events.chooseSource();
     TableSource *source = choice.source;
     if (!source)
-        return scheduleAfter(m_settings.retryInterval, [this] { watch(); });
-    if (m_version == 0)
-        return readPage({}, *source);
+        return m_timer(m_settings.retryInterval, [this] { watch(); });
+    if (!m_version.known())
+        return readPage({}, *source, choice.noWait);
     Duration wait = source->isStore() ? m_settings.storeWait : m_settings.peerWait;
     if (choice.noWait)
         wait = Duration {};
+    m_waitingFor = source;
     source->watch(m_version, wait, [this, source](TableAnswer answer) {
+        m_waitingFor = nullptr;
         changesReceived(std::move(answer), *source);
     });
 }
 
-void TableFollower::readPage(const std::string &from, TableSource &source)
+void TableFollower::eraBegan()
+{
+    // Another instance answers as soon as it has rows of the new era.
+    if (!m_waitingFor || !m_waitingFor->isStore())
+        return;
+    std::exchange(m_waitingFor, nullptr)->cancel();
+    watch();
+}
+
+void TableFollower::readPage(const std::string &from, TableSource &source, bool noWait)
 {
     if (from.empty())
         m_snapshotRows.clear();
-    source.read(from, m_settings.firstPeerWait, [this, from, &source](TableAnswer answer) {
-        pageReceived(std::move(answer), from, source);
-    });
+    source.read(from, noWait ? Duration {} : m_settings.firstPeerWait,
+                [this, from, &source](TableAnswer answer) {
+                    pageReceived(std::move(answer), from, source);
+                });
 }
 
 void TableFollower::pageReceived(TableAnswer answer, const std::string &from, TableSource &source)
@@ -86,14 +100,17 @@
     // Another instance may send data older than a version this instance has already had, for
     // example because the other instance cannot read the store. Such data would list endpoints that
     // have since left, and they would receive requests.
-    const bool outdated = !source.isStore() && answer.reply.version < m_newestVersion;
+    const bool outdated = !source.isStore() && answer.version() < m_newestVersion;
     if (answer.reply.kind != StoreReply::Kind::Done || outdated) {
         sourceFailed(source, answer.answered);
         return watch();
     }
     sourceSucceeded(source);
     if (from.empty())
-        m_firstPageVersion = answer.reply.version;
+        m_firstPageVersion = answer.version();
+    // Pages of two eras are not one snapshot.
+    if (answer.reply.era != m_firstPageVersion.era)
+        return readPage({}, source);
     for (StoreRow &row : answer.reply.rows)
         if (m_snapshotRows.empty() || m_snapshotRows.back().key < row.key)
             m_snapshotRows.push_back(std::move(row));
@@ -113,14 +130,29 @@
 {
     switch (answer.reply.kind) {
     case StoreReply::Kind::Done: {
+        if (answer.reply.era < m_newestVersion.era) {
+            sourceFailed(source, answer.answered);
+            return watch();
+        }
         sourceSucceeded(source);
+        if (answer.reply.era > m_version.era && !answer.isSnapshot) {
+            logDecision("store", "era began",
+                        {{"table", std::string_view(m_settings.table)},
+                         {"from", nameOf(source)},
+                         {"era", std::int64_t(answer.reply.era)},
+                         {"version", std::int64_t(answer.reply.version)},
+                         {"former_era", std::int64_t(m_version.era)},
+                         {"former_version", std::int64_t(m_version.number)}});
+            m_version = {};
+            return watch();
+        }
         const bool hasChanges = !answer.reply.rows.empty();
         // An answer without changes does not advance the version. A store that is about to drop its
         // history may hold back changes and still report its newest version. A follower that
         // continued from the newest version would miss these changes and use old rows until the
         // next change. If it queries from the old version, the store reports HistoryExpired.
         if (hasChanges || answer.isSnapshot)
-            m_version = std::max(m_version, answer.reply.version);
+            m_version = std::max(m_version, answer.version());
         m_newestVersion = std::max(m_newestVersion, m_version);
         if (answer.isSnapshot)
             m_events.snapshot(answer.reply.rows, m_version, answer);
@@ -132,12 +164,12 @@
                                      : source.isStore() ? m_settings.minInterval
                                                         : m_settings.peerMinInterval;
         if (minInterval > Duration {} && hasChanges)
-            return scheduleAfter(minInterval, [this] { watch(); });
+            return m_timer(minInterval, [this] { watch(); });
         return watch();
     }
     case StoreReply::Kind::HistoryExpired:
         logDecision("store", "history gone", {{"table", std::string_view(m_settings.table)}});
-        m_version = 0;
+        m_version = {};
         return watch();
     default:
         sourceFailed(source, answer.answered);
@@ -145,7 +177,7 @@
         // be in the store's history. Another instance sends a snapshot without being asked if its
         // history is too short.
         if (source.isStore())
-            m_version = 0;
+            m_version = {};
         watch();
     }
 }
--- a/src/entry/tablefollower.h
+++ b/src/entry/tablefollower.h
@@ -23,7 +23,7 @@
 /// Callbacks of a TableFollower.
 struct TableEvents
 {
-    using Rows = std::function<void(const std::vector<StoreRow> &rows, std::uint64_t version,
+    using Rows = std::function<void(const std::vector<StoreRow> &rows, StoreVersion version,
                                     const TableAnswer &answer)>;
 
     /// A full snapshot of the table; \a answer holds its last page.
@@ -59,30 +59,39 @@
     Duration peerMinInterval {0}; ///< pause after changes from another instance
 };
 
+/// Calls a function after a pause.
+using FollowerTimer = std::function<void(Duration pause, std::function<void()> callback)>;
+
+/// Returns a timer that runs on \a context.
+FollowerTimer timerOf(boost::asio::io_context &context);
+
 /// Keeps a replica of a table up to date.
 class TableFollower
 {
 public:
-    TableFollower(boost::asio::io_context &context, FollowerSettings settings, TableEvents events);
+    TableFollower(FollowerTimer timer, FollowerSettings settings, TableEvents events);
 
     void start();
 
+    /// The store has begun a new era. A query that waits for changes of the former one is repeated.
+    void eraBegan();
+
 private:
-    void readPage(const std::string &from, TableSource &source);
+    void readPage(const std::string &from, TableSource &source, bool noWait = false);
     void pageReceived(TableAnswer answer, const std::string &from, TableSource &source);
     void watch();
     void changesReceived(TableAnswer answer, const TableSource &source);
-    void scheduleAfter(Duration pause, std::function<void()> callback);
     void sourceFailed(const TableSource &source, bool answered);
     void sourceSucceeded(const TableSource &source);
 
     FollowerSettings m_settings;
     TableEvents m_events;
-    boost::asio::steady_timer m_timer;
+    FollowerTimer m_timer;
     std::vector<StoreRow> m_snapshotRows;
-    std::uint64_t m_firstPageVersion = 0;
-    std::uint64_t m_version = 0; ///< of the replica; 0: a snapshot has to be read
-    std::uint64_t m_newestVersion = 0; ///< newest version that the replica ever had
+    StoreVersion m_firstPageVersion;
+    StoreVersion m_version; ///< of the replica; not known(): a snapshot has to be read
+    StoreVersion m_newestVersion; ///< newest version that the replica ever had
+    TableSource *m_waitingFor = nullptr; ///< the source that holds a query for changes
     bool m_sourceHealthy = true;
     std::string m_lastPeer;
     std::uint32_t m_failures = 0;
--- a/src/entry/tablefollower_test.cpp
+++ b/src/entry/tablefollower_test.cpp
@@ -26,22 +26,29 @@
         next(0, callback);
     }
 
-    void watch(std::uint64_t after, Duration /*wait*/, Callback callback) override
+    void watch(StoreVersion after, Duration /*wait*/, Callback callback) override
     {
-        next(after, callback);
+        next(after.number, callback);
     }
 
+    void cancel() override { m_open.reset(); }
+
     /// Adds an answer with \a rows as of \a version.
-    void add(std::vector<StoreRow> rows, std::uint64_t version)
+    void add(std::vector<StoreRow> rows, std::uint64_t version, bool more = false)
     {
         TableAnswer answer;
         answer.answered = true;
         answer.reply.kind = StoreReply::Kind::Done;
         answer.reply.rows = std::move(rows);
         answer.reply.version = version;
+        answer.reply.era = m_era;
+        answer.reply.more = more;
         m_answers.push_back(std::move(answer));
     }
 
+    /// The answers from now on are of \a era.
+    void setEra(std::uint64_t era) { m_era = era; }
+
     void addHistoryExpired()
     {
         m_answers.emplace_back();
@@ -55,15 +62,19 @@
     void next(std::uint64_t after, const Callback &callback)
     {
         queriedVersions.push_back(after);
-        if (m_answers.empty())
-            return; // the query stays open
+        if (m_answers.empty()) {
+            m_open = callback; // the query stays open
+            return;
+        }
         TableAnswer answer = std::move(m_answers.front());
         m_answers.pop_front();
         callback(std::move(answer));
     }
 
     std::string m_peer;
+    std::uint64_t m_era = 0;
     std::deque<TableAnswer> m_answers;
+    std::optional<Callback> m_open;
 };
 
 struct FollowerHarness
@@ -72,7 +83,7 @@
                              std::function<bool()> needsChangesSoon = {})
     {
         TableEvents events;
-        events.snapshot = [this](const auto &rows, std::uint64_t, const TableAnswer &) {
+        events.snapshot = [this](const auto &rows, StoreVersion, const TableAnswer &) {
             for (const StoreRow &row : rows)
                 values.push_back(row.value);
         };
@@ -85,7 +96,7 @@
             failedPeers.push_back(source.peer());
         };
         events.needsChangesSoon = std::move(needsChangesSoon);
-        follower = std::make_unique<TableFollower>(context, std::move(settings), events);
+        follower = std::make_unique<TableFollower>(timerOf(context), std::move(settings), events);
     }
 
     boost::asio::io_context context;
@@ -150,3 +161,74 @@
     // The snapshot, and three answers with changes, after the last of which none are needed soon.
     CHECK(store.queriedVersions == std::vector<std::uint64_t> {0, 10, 11, 12});
 }
+
+// Guards against rows written after the store was restored that are missed because the numbers have
+// passed the old ones before anybody reads.
+TEST_CASE("changes of a later era are not taken, but a snapshot is read", "[restored]")
+{
+    FollowerHarness harness;
+    ScriptedSource store("");
+    harness.sources = {&store};
+    store.setEra(1);
+    store.add({{"k", "old", 5, false}}, 10);
+    store.setEra(2);
+    store.add({{"k", "part", 12, false}}, 12);
+    store.add({{"k", "whole", 12, false}, {"m", "whole", 8, false}}, 13);
+    harness.follower->start();
+    CHECK(store.queriedVersions == std::vector<std::uint64_t> {0, 10, 0, 13});
+    CHECK(harness.values == std::vector<std::string> {"old", "whole", "whole"});
+}
+
+// Guards against an instance that nobody can update because its old version is the higher number.
+TEST_CASE("a snapshot of a later era is taken from another instance, one of an earlier is not",
+          "[restored]")
+{
+    FollowerHarness harness;
+    ScriptedSource store("");
+    ScriptedSource former("n1");
+    ScriptedSource present("n2");
+    harness.sources = {&store, &store, &present, &former, &present};
+    store.setEra(1);
+    store.add({{"k", "old", 50, false}}, 50);
+    store.addHistoryExpired();
+    present.setEra(2);
+    present.add({{"k", "new", 30, false}}, 31);
+    former.setEra(1);
+    former.add({{"k", "late", 60, false}}, 60);
+    harness.follower->start();
+    CHECK(harness.values == std::vector<std::string> {"old", "new"});
+    CHECK(harness.failedPeers == std::vector<std::string> {"n1"});
+}
+
+// Guards against a list that has one part from before the restore and one from after it.
+TEST_CASE("pages of two eras are not joined", "[restored]")
+{
+    FollowerHarness harness;
+    ScriptedSource store("");
+    harness.sources = {&store};
+    store.setEra(1);
+    store.add({{"a", "old", 5, false}}, 10, true);
+    store.setEra(2);
+    store.add({{"b", "new", 6, false}}, 9);
+    store.add({{"a", "new", 7, false}}, 9, true);
+    store.add({{"b", "new", 6, false}}, 9);
+    harness.follower->start();
+    CHECK(harness.values == std::vector<std::string> {"new", "new"});
+}
+
+// Guards against an era that is noticed only when a long poll of the former one ends.
+TEST_CASE("a query that waits at the store is repeated when an era begins", "[restored]")
+{
+    FollowerHarness harness;
+    ScriptedSource store("");
+    harness.sources = {&store};
+    store.setEra(1);
+    store.add({{"k", "old", 5, false}}, 10);
+    harness.follower->start();
+    REQUIRE(store.queriedVersions == std::vector<std::uint64_t> {0, 10});
+    store.addHistoryExpired();
+    store.setEra(2);
+    store.add({{"k", "new", 6, false}}, 7);
+    harness.follower->eraBegan();
+    CHECK(harness.values == std::vector<std::string> {"old", "new"});
+}
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -1,6 +1,7 @@
 #include "tablesource.h"
 
 #include "../libpeer/rowcodec.h"
+#include "../libpeer/statecodec.h"
 #include "clock.h"
 #include "peerserver.h"
 
@@ -26,10 +27,11 @@
 } // namespace
 
 StoreSource::StoreSource(boost::asio::io_context &context, const std::string &address,
-                         const EntryProtocol &protocol, EntryState &state, std::string table)
+                         const EntryProtocol &protocol, EntryState &state, StoreEras &eras,
+                         std::string table)
     : m_protocol(protocol)
     , m_table(std::move(table))
-    , m_channel(context, address, protocol, state)
+    , m_channel(context, address, protocol, state, eras)
 {
 }
 
@@ -41,14 +43,19 @@
                    });
 }
 
-void StoreSource::watch(std::uint64_t after, Duration wait, Callback callback)
+void StoreSource::watch(StoreVersion after, Duration wait, Callback callback)
 {
-    m_channel.call(StoreUse::Follow, m_protocol.watchCall(m_table, after, wait), storeLimits(wait),
-                   [this, callback = std::move(callback)](StoreAnswer answer) {
+    m_channel.call(StoreUse::Follow, m_protocol.watchCall(m_table, after.number, wait),
+                   storeLimits(wait), [this, callback = std::move(callback)](StoreAnswer answer) {
                        deliver(std::move(answer), callback);
                    });
 }
 
+void StoreSource::cancel()
+{
+    m_channel.cancelAll();
+}
+
 void StoreSource::deliver(StoreAnswer answer, const Callback &callback)
 {
     TableAnswer result;
@@ -63,42 +70,53 @@
 }
 
 PeerSource::PeerSource(boost::asio::io_context &context, PeerInstance peer, std::size_t table,
-                       std::shared_ptr<Time> lastReportAt)
+                       std::shared_ptr<Time> lastReportAt, std::function<InstanceState()> self)
     : m_pool(context)
     , m_peer(std::move(peer))
     , m_table(table)
     , m_lastReportAt(std::move(lastReportAt))
+    , m_self(std::move(self))
 {
 }
 
 PeerSource::~PeerSource()
 {
-    if (m_call)
-        m_call->cancel();
+    cancel();
+}
+
+void PeerSource::cancel()
+{
+    if (const auto call = std::exchange(m_call, nullptr))
+        call->cancel();
 }
 
 void PeerSource::read(const std::string & /*from*/, Duration wait, Callback callback)
 {
-    sendQuery(0, wait, std::move(callback));
+    sendQuery({}, wait, std::move(callback));
 }
 
-void PeerSource::watch(std::uint64_t after, Duration wait, Callback callback)
+void PeerSource::watch(StoreVersion after, Duration wait, Callback callback)
 {
     sendQuery(after, wait, std::move(callback));
 }
 
-void PeerSource::sendQuery(std::uint64_t after, Duration wait, Callback callback)
+void PeerSource::sendQuery(StoreVersion after, Duration wait, Callback callback)
 {
     ExchangeSettings settings;
     settings.endpoint = m_peer.name;
     settings.address = m_peer.address;
+    InstanceState self = m_self();
+    // The peer needs the name only to fetch a configuration that it lacks.
+    if (self.configuration <= m_peerConfiguration)
+        self.name.clear();
     const Time sentAt = bootNow();
     m_call = std::make_shared<TimedCall>(
         m_pool, std::move(settings),
         formatRequest(
-            {"GET", updateTarget({m_table, after, wait, m_statesUntilMs, changedWithin()}), {}},
+            {"GET", updateTarget({m_table, after.number, wait, m_statesUntilMs, changedWithin()}),
+             encodeQuery(after.era, self)},
             m_peer.address),
-        answerLimits(after == 0, wait),
+        answerLimits(!after.known(), wait),
         [this, sentAt, callback = std::move(callback)](const CallOutcome &outcome) {
             callback(decode(outcome, sentAt));
         });
@@ -130,6 +148,11 @@
     answer.knownAt = *m_freshness.knownAt() - age;
     answer.reply.kind = StoreReply::Kind::Done;
     answer.reply.version = update.version();
+    answer.reply.era = update.era();
+    if (update.has_sender())
+        answer.sender = decodeState(update.sender());
+    if (answer.sender)
+        m_peerConfiguration = answer.sender->configuration;
     answer.reply.storeMs = static_cast<std::int64_t>(update.store_ms());
     answer.isSnapshot = update.whole();
     answer.fromStore = update.direct();
--- a/src/entry/tablesource.h
+++ b/src/entry/tablesource.h
@@ -5,9 +5,12 @@
 
 #include "storechannel.h"
 
+#include <balsamloft/instancestate.h>
 #include <balsamloft/peerdirectory.h>
 #include <balsamloft/readfreshness.h>
 
+#include <limits>
+
 namespace balsamloft {
 
 /// An answer of a source.
@@ -19,6 +22,10 @@
     std::optional<Time> knownAt; ///< the rows are complete as of this time (bootNow())
     bool fromStore = false; ///< from the store, or from an instance that last read the store
     EngineReports engines; ///< engine states that another instance sent along
+    std::optional<InstanceState> sender; ///< what the other instance knows
+
+    /// The version of the rows.
+    StoreVersion version() const { return {reply.era, reply.version}; }
 
     /// Age of the answer at \a now; 0 if unknown.
     Duration age(Time now) const
@@ -45,7 +52,10 @@
     virtual void read(const std::string &from, Duration wait, Callback callback) = 0;
 
     /// Reads the changes after the version \a after, as soon as there are any or after \a wait.
-    virtual void watch(std::uint64_t after, Duration wait, Callback callback) = 0;
+    virtual void watch(StoreVersion after, Duration wait, Callback callback) = 0;
+
+    /// Drops the query that is under way; its callback is not called.
+    virtual void cancel() = 0;
 };
 
 /// Reads from the store.
@@ -53,11 +63,13 @@
 {
 public:
     StoreSource(boost::asio::io_context &context, const std::string &address,
-                const EntryProtocol &protocol, EntryState &state, std::string table);
+                const EntryProtocol &protocol, EntryState &state, StoreEras &eras,
+                std::string table);
 
     const std::string &peer() const override { return m_noPeer; }
     void read(const std::string &from, Duration wait, Callback callback) override;
-    void watch(std::uint64_t after, Duration wait, Callback callback) override;
+    void watch(StoreVersion after, Duration wait, Callback callback) override;
+    void cancel() override;
 
 private:
     void deliver(StoreAnswer answer, const Callback &callback);
@@ -75,17 +87,19 @@
 public:
     /// \a table: a SharedTable. \a lastReportAt: time at which any of the sources that share this
     /// pointer last sent engine states; default: never.
+    /// \a self: returns what this instance tells the other one.
     PeerSource(boost::asio::io_context &context, PeerInstance peer, std::size_t table,
-               std::shared_ptr<Time> lastReportAt);
+               std::shared_ptr<Time> lastReportAt, std::function<InstanceState()> self);
     ~PeerSource() override;
 
     const std::string &peer() const override { return m_peer.name; }
     const PeerInstance &instance() const { return m_peer; }
     void read(const std::string &from, Duration wait, Callback callback) override;
-    void watch(std::uint64_t after, Duration wait, Callback callback) override;
+    void watch(StoreVersion after, Duration wait, Callback callback) override;
+    void cancel() override;
 
 private:
-    void sendQuery(std::uint64_t after, Duration wait, Callback callback);
+    void sendQuery(StoreVersion after, Duration wait, Callback callback);
     TableAnswer decode(const CallOutcome &outcome, Time sentAt);
     Duration changedWithin() const;
 
@@ -94,7 +108,10 @@
     std::size_t m_table;
     ReadFreshness m_freshness;
     std::shared_ptr<Time> m_lastReportAt;
+    std::function<InstanceState()> m_self;
     std::uint64_t m_statesUntilMs = 0; ///< on the peer's clock: all states until then were received
+    /// Configuration that the peer had in force when it last answered.
+    std::uint64_t m_peerConfiguration = std::numeric_limits<std::uint64_t>::max();
     std::shared_ptr<TimedCall> m_call;
 };
 
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -522,6 +522,9 @@
     }
     sample("store_calls_total", storeCalls);
     sample("store_failures_total", m_state.storeFailures);
+    sample("store_era", m_state.storeEra);
+    sample("store_era_changes_total", m_state.storeEraChanges);
+    sample("store_void_answers_total", m_state.voidStoreAnswers);
     sample("orders_total", m_state.ordersSent);
     sample("crash_notices_total", m_state.crashNotices);
     sample("bad_rows_total", m_state.invalidRows);
--- a/src/fakes/propagationemulator.cpp
+++ b/src/fakes/propagationemulator.cpp
@@ -149,7 +149,8 @@
 void PropagationEmulator::startQuery(Instance &instance)
 {
     const Time knownSince = instance.version > 0 ? instance.knownAt : instance.busyUntil;
-    const ReadSource from = instance.directory.source(m_now, m_now - knownSince);
+    const ReadSource from =
+        instance.directory.source(m_now, m_now - knownSince, instance.version > 0);
     instance.queriesStore = from.kind == ReadSource::Kind::Store;
     if (from.kind == ReadSource::Kind::None) {
         instance.nextQueryAt = m_now + RetryPause;
@@ -169,7 +170,7 @@
     instance.source = static_cast<std::size_t>(
         std::find(m_list.begin(), m_list.end(), *from.instance) - m_list.begin());
     instance.sourceKnownAtStart = m_instances[instance.source].knownAt;
-    instance.holdUntil = m_now + holdTime(instance);
+    instance.holdUntil = from.immediate ? m_now : m_now + holdTime(instance);
 }
 
 Duration PropagationEmulator::holdTime(const Instance &instance)
--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -67,6 +67,7 @@
             .faultyAddress = "At-Fault",
             .rateLimit = "Rate-Limit",
             .draining = "Draining",
+            .storeEra = "Era",
         };
         return Names;
     }
--- a/src/include/balsamloft/enginefleet.h
+++ b/src/include/balsamloft/enginefleet.h
@@ -89,6 +89,11 @@
     /// The whole list, as read at \a now.
     void listed(std::vector<FleetEndpoint> endpoints, Time now);
 
+    /// The whole list, read at \a now from a store that has lost its last writes. Entries that it
+    /// lacks and older contents of known entries count only if their endpoints do not write them
+    /// again in time.
+    void listedAfterRestore(std::vector<FleetEndpoint> endpoints, Time now);
+
     /// An entry was written.
     void changed(FleetEndpoint endpoint, Time now);
 
@@ -118,11 +123,13 @@
     {
         FleetEndpoint endpoint;
         std::optional<Time> removeAt; ///< set if it disappeared right after an outage
+        std::optional<FleetEndpoint> restored {}; ///< what a restored store lists
     };
 
     Duration minOutage() const;
     bool isOutdated(const FleetEndpoint &endpoint) const;
     void removeOldStarts(Time now);
+    void takeRestoredEntries(Time now);
     void removeOrDelay(std::map<std::string, Entry, std::less<>>::iterator it, Time now);
 
     FleetSettings m_settings;
--- a/src/include/balsamloft/entryprotocol.h
+++ b/src/include/balsamloft/entryprotocol.h
@@ -38,6 +38,7 @@
     std::string_view faultyAddress; ///< address of the engine that caused a failure
     std::string_view rateLimit; ///< requests per second that an endpoint accepts in total
     std::string_view draining; ///< "1": the endpoint is about to exit
+    std::string_view storeEra; ///< in answers of the store: number of its era
 };
 
 /// An HTTP request to the store or to an engine.
@@ -61,7 +62,8 @@
     };
     Kind kind = Kind::Failed;
     std::vector<StoreRow> rows;
-    std::uint64_t version = 0; ///< version of the newest row
+    std::uint64_t version = 0; ///< number of the newest row
+    std::uint64_t era = 0; ///< in which the numbers of rows and newest row are valid
     std::int64_t storeMs = 0; ///< time on the store's monotonic clock
     bool more = false; ///< further pages follow
 };
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -81,8 +81,12 @@
     // Queries
 
     /// Returns the source to read from at \a now. \a updateAge: the age of this instance's
-    /// data; if it has none yet, the time since its first query.
-    ReadSource source(Time now, Duration updateAge = {}) const;
+    /// data; if it has none yet, the time since its first query. \a hasData: if not, a domain
+    /// reader asks another instance before the store, which may have lost what that one knows.
+    ReadSource source(Time now, Duration updateAge = {}, bool hasData = true) const;
+
+    /// Returns the listed instance \a name, if there is one.
+    std::optional<PeerInstance> find(std::string_view name) const;
 
     /// Whether this instance is the first reader of its domain.
     bool isFirstReader(Time now) const;
@@ -115,6 +119,7 @@
     const PeerInstance *nextResponsive(Time now) const;
     std::vector<const PeerInstance *> remoteCandidates(std::size_t maxPerDomain, Time now) const;
     const PeerInstance *remoteReader(Time now) const;
+    const PeerInstance *firstSource(Time now) const;
 
     std::string m_self;
     std::string m_domain;
--- a/src/libbalsamloft/enginefleet.cpp
+++ b/src/libbalsamloft/enginefleet.cpp
@@ -108,6 +108,24 @@
     m_loaded = true;
 }
 
+void FleetTracker::listedAfterRestore(std::vector<FleetEndpoint> endpoints, Time now)
+{
+    m_outageEndedAt = std::max(m_outageEndedAt, now);
+    m_confirmedAt = std::max(m_confirmedAt, now);
+    std::vector<FleetEndpoint> current;
+    for (FleetEndpoint &each : endpoints) {
+        const auto known = m_entries.find(each.name);
+        const bool sameProcess =
+            known != m_entries.end() && known->second.endpoint.id == each.id && !each.draining;
+        current.push_back(sameProcess ? known->second.endpoint : each);
+    }
+    listed(current, now);
+    for (std::size_t i = 0; i < endpoints.size(); ++i)
+        if (const auto entry = m_entries.find(endpoints[i].name);
+            entry != m_entries.end() && endpoints[i] != current[i])
+            entry->second.restored = std::move(endpoints[i]);
+}
+
 void FleetTracker::changed(FleetEndpoint endpoint, Time now)
 {
     listConfirmed(now);
@@ -125,6 +143,7 @@
     endpoint.draining = start.leaving;
     Entry &entry = m_entries[endpoint.name];
     entry.removeAt.reset();
+    entry.restored.reset();
     if (entry.endpoint == endpoint)
         return;
     entry.endpoint = std::move(endpoint);
@@ -191,9 +210,23 @@
         return each.second.removeAt && now >= *each.second.removeAt;
     });
     m_dirty = m_dirty || erased > 0;
+    takeRestoredEntries(now);
     removeOldStarts(now);
 }
 
+/// Applies what a restored store lists of endpoints that have not written their entries again.
+void FleetTracker::takeRestoredEntries(Time now)
+{
+    if (m_outageEndedAt == Time {} || now - m_outageEndedAt < m_settings.recoveryTime)
+        return;
+    std::vector<FleetEndpoint> due;
+    for (auto &[name, entry] : m_entries)
+        if (entry.restored)
+            due.push_back(std::move(*std::exchange(entry.restored, std::nullopt)));
+    for (FleetEndpoint &each : due)
+        changed(std::move(each), m_confirmedAt);
+}
+
 FleetPtr FleetTracker::snapshot()
 {
     auto snapshot = std::make_shared<FleetSnapshot>();
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -1,6 +1,7 @@
 #include <balsamloft/peerdirectory.h>
 
 #include <algorithm>
+#include <utility>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -43,6 +44,9 @@
 /// endpoints; a smaller one makes the tree deeper and updates slower.
 constexpr std::size_t FanOut = 8;
 
+/// A domain reader whose data is older has the store answer at once, whether or not it has changes.
+constexpr Duration RecentUpdate {500'000};
+
 std::uint64_t seedOf(std::string_view name)
 {
     return XXH3_64bits(name.data(), name.size());
@@ -162,7 +166,28 @@
            && (m_everAnswered || now - m_emptyAnswerAt > RecentAnswer);
 }
 
-ReadSource PeerDirectory::source(Time now, Duration updateAge) const
+/// Returns another instance, of this domain if there is one, unless it is known not to be usable.
+/// It does not depend on who answers: a starting instance that asked several would read the store
+/// late if they are dead.
+const PeerInstance *PeerDirectory::firstSource(Time now) const
+{
+    const auto isOther = [this](const PeerInstance &each) { return each.name != m_self; };
+    auto it = std::find_if(m_instances.begin(), m_instances.end(), [&](const PeerInstance &each) {
+        return isOther(each) && each.domain == m_domain;
+    });
+    if (it == m_instances.end())
+        it = std::find_if(m_instances.begin(), m_instances.end(), isOther);
+    return it != m_instances.end() && isUsable(*it, now) ? &*it : nullptr;
+}
+
+std::optional<PeerInstance> PeerDirectory::find(std::string_view name) const
+{
+    const auto it = std::find_if(m_instances.begin(), m_instances.end(),
+                                 [name](const PeerInstance &each) { return each.name == name; });
+    return it == m_instances.end() ? std::nullopt : std::optional(*it);
+}
+
+ReadSource PeerDirectory::source(Time now, Duration updateAge, bool hasData) const
 {
     if (lacksUpdates(now, updateAge) && storeUsable(now))
         return {ReadSource::Kind::Store, nullptr, true};
@@ -179,8 +204,12 @@
     for (const PeerInstance *each : earlier)
         if (isUsable(*each, now))
             return {ReadSource::Kind::Instance, each};
+    if (!hasData && earlier.size() < ReadersPerDomain)
+        if (const PeerInstance *each = firstSource(now))
+            return {ReadSource::Kind::Instance, each, true};
+    // A first snapshot that another instance sent may be old, which the store shows at once.
     if (earlier.size() < ReadersPerDomain && storeUsable(now))
-        return {ReadSource::Kind::Store, nullptr};
+        return {ReadSource::Kind::Store, nullptr, updateAge > RecentUpdate};
     // This instance is the first reader and the store fails: read from the second reader.
     if (earlier.empty())
         if (const PeerInstance *other = nextResponsive(now); other && isUsable(*other, now))
--- a/src/libbalsamloft/replicatedstate_test.cpp
+++ b/src/libbalsamloft/replicatedstate_test.cpp
@@ -415,13 +415,13 @@
 TEST_CASE("changesSince returns rows changed and deleted after a version")
 {
     TableCopy copy;
-    copy.replaceAll({{"a", "1", 5, false}, {"b", "1", 6, false}}, 10);
-    CHECK_FALSE(copy.changesSince(9)); // before the start of the history
-    copy.applyChanges({{"a", "2", 12, false}}, 12);
-    REQUIRE(copy.changesSince(10));
-    CHECK(copy.changesSince(10)->size() == 1);
-    copy.replaceAll({{"a", "2", 12, false}}, 20); // new snapshot without b
-    const auto changes = copy.changesSince(12);
+    copy.replaceAll({{"a", "1", 5, false}, {"b", "1", 6, false}}, {0, 10});
+    CHECK_FALSE(copy.changesSince({0, 9})); // before the start of the history
+    copy.applyChanges({{"a", "2", 12, false}}, {0, 12});
+    REQUIRE(copy.changesSince({0, 10}));
+    CHECK(copy.changesSince({0, 10})->size() == 1);
+    copy.replaceAll({{"a", "2", 12, false}}, {0, 20}); // new snapshot without b
+    const auto changes = copy.changesSince({0, 12});
     REQUIRE(changes);
     REQUIRE(changes->size() == 1);
     CHECK(changes->front().key == "b");
@@ -446,13 +446,13 @@
 TEST_CASE("applyChanges returns new rows in version order and skips known ones")
 {
     TableCopy copy;
-    copy.replaceAll({}, 10);
+    copy.replaceAll({}, {0, 10});
     const auto applied = copy.applyChanges(
-        {{"a", "", 13, true}, {"a", "ready", 11, false}, {"a", "leaving", 12, false}}, 13);
+        {{"a", "", 13, true}, {"a", "ready", 11, false}, {"a", "leaving", 12, false}}, {0, 13});
     const std::vector<std::pair<std::uint64_t, bool>> versions {
         {11, false}, {12, false}, {13, true}};
     CHECK(versionsOf(applied) == versions);
-    CHECK(copy.applyChanges({{"a", "", 13, true}}, 13).empty());
+    CHECK(copy.applyChanges({{"a", "", 13, true}}, {0, 13}).empty());
     CHECK(copy.rows().empty());
 }
 
@@ -463,10 +463,10 @@
 TEST_CASE("changesSince returns a row written many times once, in its latest version")
 {
     TableCopy copy;
-    copy.replaceAll({}, 10);
+    copy.replaceAll({}, {0, 10});
     for (std::uint64_t version = 11; version <= 80; ++version)
-        copy.applyChanges({{"current", std::string(50'000, 'x'), version, false}}, version);
-    const auto rows = copy.changesSince(10);
+        copy.applyChanges({{"current", std::string(50'000, 'x'), version, false}}, {0, version});
+    const auto rows = copy.changesSince({0, 10});
     REQUIRE(rows);
     REQUIRE(rows->size() == 1);
     CHECK(rows->front().version == 80);
@@ -477,42 +477,42 @@
 TEST_CASE("an older row does not restore a deleted row")
 {
     TableCopy copy;
-    copy.replaceAll({{"a", "ready", 5, false}, {"b", "ready", 6, false}}, 10);
-    copy.applyChanges({{"a", "", 12, true}}, 12);
+    copy.replaceAll({{"a", "ready", 5, false}, {"b", "ready", 6, false}}, {0, 10});
+    copy.applyChanges({{"a", "", 12, true}}, {0, 12});
     if (GENERATE(false, true))
-        CHECK(copy.applyChanges({{"a", "ready", 5, false}}, 12).empty());
+        CHECK(copy.applyChanges({{"a", "ready", 5, false}}, {0, 12}).empty());
     else
-        copy.replaceAll({{"a", "ready", 5, false}, {"b", "ready", 6, false}}, 11);
+        copy.replaceAll({{"a", "ready", 5, false}, {"b", "ready", 6, false}}, {0, 11});
     REQUIRE(copy.rows().size() == 1);
     CHECK(copy.rows().front().key == "b");
     // A newer write restores the row, which had expired although the endpoint is alive.
-    CHECK(copy.applyChanges({{"a", "ready", 14, false}}, 14).size() == 1);
+    CHECK(copy.applyChanges({{"a", "ready", 14, false}}, {0, 14}).size() == 1);
     CHECK(copy.rows().size() == 2);
 }
 
 TEST_CASE("isFullSnapshot recognises changes that contain all existing rows")
 {
     TableCopy copy;
-    copy.replaceAll({{"a", "1", 5, false}}, 10);
-    copy.applyChanges({{"a", "2", 12, false}}, 12);
-    CHECK(copy.isFullSnapshot(*copy.changesSince(10)));
-    copy.applyChanges({{"b", "1", 13, false}}, 13);
-    CHECK(copy.isFullSnapshot(*copy.changesSince(10)));
-    CHECK_FALSE(copy.isFullSnapshot(*copy.changesSince(12)));
-    copy.applyChanges({{"a", "", 14, true}}, 14);
+    copy.replaceAll({{"a", "1", 5, false}}, {0, 10});
+    copy.applyChanges({{"a", "2", 12, false}}, {0, 12});
+    CHECK(copy.isFullSnapshot(*copy.changesSince({0, 10})));
+    copy.applyChanges({{"b", "1", 13, false}}, {0, 13});
+    CHECK(copy.isFullSnapshot(*copy.changesSince({0, 10})));
+    CHECK_FALSE(copy.isFullSnapshot(*copy.changesSince({0, 12})));
+    copy.applyChanges({{"a", "", 14, true}}, {0, 14});
     CHECK_FALSE(
-        copy.isFullSnapshot(*copy.changesSince(10))); // the same number, but one is a deletion
+        copy.isFullSnapshot(*copy.changesSince({0, 10}))); // the same number, but one is a deletion
 }
 
 TEST_CASE("changesSince returns nullopt for versions before pruned deletions")
 {
     TableCopy copy;
-    copy.replaceAll({}, 10);
+    copy.replaceAll({}, {0, 10});
     for (std::uint64_t version = 11; version <= 511; ++version)
-        copy.applyChanges({{"k" + std::to_string(version), "", version, true}}, version);
-    CHECK_FALSE(copy.changesSince(10));
-    REQUIRE(copy.changesSince(400));
-    CHECK(copy.changesSince(400)->size() == 111);
+        copy.applyChanges({{"k" + std::to_string(version), "", version, true}}, {0, version});
+    CHECK_FALSE(copy.changesSince({0, 10}));
+    REQUIRE(copy.changesSince({0, 400}));
+    CHECK(copy.changesSince({0, 400})->size() == 111);
 }
 
 TEST_CASE("the longest matching prefix wins, and an invalid route does not affect others")
