Permits for trials are not granted while a restored store may have lost others

Callers: a request that crashes engines could be tried by two instances at a time, one with a permit that the store had lost; its engine ends cost all who ran on it.

Cause: TrialPermits kept the row with the higher number, an own permit of the former era; a condition read in one era was sent in the next, where another row may have the number; and a permit that was lost is not in the way of a second one.

Change: rows carry era and number and are compared as a whole; a change whose rows are of another era is not sent, and one that is answered in another era grants nothing; from the beginning of an era, or from hearing of it at a start, no permit is granted for the lifetime of a permit. Of two rows of a trial, the one with more trials counts.

Evidence: "no permit is granted until..." and "trial rows of a later era..." in restoredstore_test; the second fails with the former comparison by number. Why it is enough: all permits of the era before have expired by then.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -44,6 +44,10 @@
 /// Time in which operators and endpoints write again what a restored store has lost.
 inline constexpr Duration RewriteTime {2'000'000};
 
+/// Parses the row of a trial, as of \a era of the store. Returns nothing if the row was not written
+/// by an instance.
+std::optional<TrialRow> parseTrial(const StoreRow &row, std::uint64_t era);
+
 /// Callbacks from the control thread to the traffic thread.
 struct ControlEvents
 {
--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -26,26 +26,6 @@
     return record.digest + "/" + record.endpoint;
 }
 
-/// Parses the row of a trial. Returns nothing if the row was not written by an instance.
-std::optional<TrialRow> parseTrial(const StoreRow &row)
-{
-    const auto object = parseRow(row);
-    if (!object)
-        return std::nullopt;
-    const auto at = textField(*object, "at");
-    const auto holder = textField(*object, "by");
-    const auto until = numberField(*object, "until_ms");
-    const auto tries = numberField(*object, "tries");
-    if (!at || !holder || !until || !tries || *tries < 0)
-        return std::nullopt;
-    return TrialRow {row.key,
-                     row.version,
-                     *at,
-                     *holder,
-                     timeFromMilliseconds(*until),
-                     static_cast<std::uint32_t>(*tries)};
-}
-
 std::string trialText(const TrialRow &row)
 {
     return json::serialize(json::object {{"at", row.counterpart},
@@ -73,6 +53,21 @@
 
 } // namespace
 
+std::optional<TrialRow> parseTrial(const StoreRow &row, std::uint64_t era)
+{
+    const auto object = parseRow(row);
+    if (!object)
+        return std::nullopt;
+    const auto at = textField(*object, "at");
+    const auto holder = textField(*object, "by");
+    const auto until = numberField(*object, "until_ms");
+    const auto tries = numberField(*object, "tries");
+    if (!at || !holder || !until || !tries || *tries < 0)
+        return std::nullopt;
+    return TrialRow {row.key, StoreVersion {era, row.version}, *at,
+                     *holder, timeFromMilliseconds(*until),    static_cast<std::uint32_t>(*tries)};
+}
+
 void Control::publishCrashes(const CrashUpdate &update)
 {
     m_crashGossip.publish(update, steadyNow());
@@ -151,6 +146,7 @@
     m_crashChannel.call(StoreUse::OwnRow, m_protocol.commitCall(transaction), StoreCallTimeout,
                         [this, writes = transaction.writes](const StoreAnswer &answer) {
                             m_writingCrashes = false;
+                            noticeEra();
                             crashWriteFinished(writes, answer.reply.kind == StoreReply::Kind::Done);
                         });
 }
@@ -176,9 +172,10 @@
 {
     std::vector<CrashRecord> crashes;
     std::vector<TrialRow> trials;
-    for (const StoreRow &row : m_server.state(SharedTable::Crashes).copy.rows()) {
+    const TableCopy &copy = m_server.state(SharedTable::Crashes).copy;
+    for (const StoreRow &row : copy.rows()) {
         if (isTrialKey(row.key)) {
-            if (auto trial = parseTrial(row))
+            if (auto trial = parseTrial(row, copy.version().era))
                 trials.push_back(std::move(*trial));
             else
                 m_state.invalidRows += 1;
@@ -208,6 +205,9 @@
 {
     if (!m_storeOffset || !m_directory.storeUsable(steadyNow()))
         return answered(m_trialPermits.answerWithoutStore(request));
+    noticeEra();
+    if (const auto refused = m_trialPermits.refusalAfterRestore(steadyNow()))
+        return answered(*refused);
     auto decision = m_trialPermits.decide(request, *m_fleetSnapshot, storeNow());
     if (const auto *refused = std::get_if<TrialAnswer>(&decision))
         return answered(*refused);
@@ -228,28 +228,37 @@
 void Control::writeTrial(const TrialChange &change, std::function<void(bool done)> written)
 {
     Transaction transaction;
+    const std::uint64_t era = m_eras.era();
+    bool outdated = false;
     const auto put = [&](const TrialRow &row, std::optional<std::string> value) {
-        transaction.checks.push_back({std::string(CrashTable), row.key, row.version});
+        // In another era, another row may have the number that the condition names.
+        outdated = outdated || (row.version.known() && row.version.era != era);
+        transaction.checks.push_back({std::string(CrashTable), row.key, row.version.number});
         transaction.writes.push_back({std::string(CrashTable), row.key, std::move(value)});
     };
     for (const TrialRow &each : change.rows)
         put(each, trialText(each));
     for (const TrialRow &each : change.removed)
         put(each, std::nullopt);
+    if (outdated)
+        return written(false);
     if (change.crash)
         transaction.writes.push_back(
             {std::string(CrashTable), crashKey(*change.crash),
              crashText(toMilliseconds(change.crash->at), m_settings.name)});
-    m_crashChannel.call(StoreUse::OwnRow, m_protocol.commitCall(transaction), StoreCallTimeout,
-                        [this, change, written = std::move(written)](const StoreAnswer &answer) {
-                            const bool done = answer.reply.kind == StoreReply::Kind::Done;
-                            std::vector<TrialRow> found;
-                            for (const StoreRow &row : answer.reply.rows)
-                                if (auto trial = done ? std::nullopt : parseTrial(row))
-                                    found.push_back(std::move(*trial));
-                            m_trialPermits.recordWrite(change, done, answer.reply.version, found);
-                            written(done);
-                        });
+    m_crashChannel.call(
+        StoreUse::OwnRow, m_protocol.commitCall(transaction), StoreCallTimeout,
+        [this, change, era, written = std::move(written)](const StoreAnswer &answer) {
+            const StoreReply &reply = answer.reply;
+            const bool done = reply.kind == StoreReply::Kind::Done && reply.era == era;
+            std::vector<TrialRow> found;
+            if (reply.kind == StoreReply::Kind::Conflict)
+                for (const StoreRow &row : reply.rows)
+                    if (auto trial = parseTrial(row, reply.era))
+                        found.push_back(std::move(*trial));
+            m_trialPermits.recordWrite(change, done, {reply.era, reply.version}, found);
+            written(done);
+        });
 }
 
 void Control::finishTrial(const FinishTrial &trial)
--- a/src/entry/controleras.cpp
+++ b/src/entry/controleras.cpp
@@ -39,6 +39,7 @@
     m_state.storeEra = m_eras.era();
     m_state.storeEraChanges += 1;
     m_lease.setEra(m_eras.era(), bootNow());
+    m_trialPermits.storeRestored(now);
     m_configurationFetch.storeRestored(now);
     m_skippedRows.clear();
     for (const auto &each : m_followers)
@@ -75,6 +76,7 @@
     if (age && !m_eraBeganAt) {
         m_eraBeganAt = steadyNow() - *age;
         m_lease.storeRestored(bootNow() - *age);
+        m_trialPermits.storeRestored(*m_eraBeganAt);
         m_configurationFetch.storeRestored(*m_eraBeganAt);
     }
     configurationHeard(state.configuration, peer);
@@ -141,6 +143,14 @@
             return before && after && after->startedAt > before->startedAt;
         };
     }
+    if (table == SharedTable::Crashes)
+        policy.isLater = [](const StoreRow &known, const StoreRow &listed) {
+            const auto before = parseTrial(known, 0);
+            const auto after = parseTrial(listed, 0);
+            return isTrialKey(known.key) && before && after
+                   && std::pair(before->trials, before->until)
+                          > std::pair(after->trials, after->until);
+        };
     return policy;
 }
 
--- a/src/fakes/trialstore.h
+++ b/src/fakes/trialstore.h
@@ -19,12 +19,12 @@
     {
         const auto versionMatches = [this](const TrialRow &row) {
             const auto it = m_rows.find(row.key);
-            return (it == m_rows.end() ? 0 : it->second.version) == row.version;
+            return (it == m_rows.end() ? StoreVersion {} : it->second.version) == row.version;
         };
         if (!std::all_of(change.rows.begin(), change.rows.end(), versionMatches)
             || !std::all_of(change.removed.begin(), change.removed.end(), versionMatches))
             return false;
-        m_version += 1;
+        m_version.number += 1;
         for (TrialRow row : change.rows) {
             row.version = m_version;
             m_rows[row.key] = row;
@@ -42,11 +42,11 @@
         return all;
     }
 
-    std::uint64_t version() const { return m_version; }
+    StoreVersion version() const { return m_version; }
 
 private:
     std::map<std::string, TrialRow> m_rows;
-    std::uint64_t m_version = 0;
+    StoreVersion m_version;
 };
 
 } // namespace balsamloft::fakes
--- a/src/include/balsamloft/trialpermits.h
+++ b/src/include/balsamloft/trialpermits.h
@@ -6,6 +6,7 @@
 
 #include <balsamloft/enginefleet.h>
 #include <balsamloft/quarantine.h>
+#include <balsamloft/storeversion.h>
 
 #include <set>
 #include <span>
@@ -18,7 +19,7 @@
 struct TrialRow
 {
     std::string key; ///< see contentTrialKey() and endpointTrialKey()
-    std::uint64_t version = 0; ///< 0: the row does not exist
+    StoreVersion version; ///< not known(): the row does not exist
     /// Of a content row: the endpoint of the trial. Of an endpoint row: the digest of the
     /// content. Empty: the trial has finished.
     std::string counterpart;
@@ -98,16 +99,23 @@
 
     // Commands
 
+    /// The store has lost its last writes, permits perhaps among them. Until all permits that were
+    /// granted before \a now have expired, none is granted.
+    void storeRestored(Time now) { m_restoredAt = now; }
+
     /// Replaces the rows and the published crash records with the current ones of the store.
     void setRows(std::vector<TrialRow> rows, std::span<const CrashRecord> crashes);
 
     /// Applies the result of the transaction that wrote \a change. If it was committed, the
     /// rows now have \a version; if a condition failed, \a found holds the current rows.
-    void recordWrite(const TrialChange &change, bool committed, std::uint64_t version,
+    void recordWrite(const TrialChange &change, bool committed, StoreVersion version,
                      std::span<const TrialRow> found);
 
     // Queries
 
+    /// Returns a refusal if no permit is granted at \a now because of storeRestored().
+    std::optional<TrialAnswer> refusalAfterRestore(Time now) const;
+
     /// Returns the rows to be written to grant \a request, or a refusal.
     std::variant<TrialChange, TrialAnswer> decide(const TrialRequest &request,
                                                   const FleetSnapshot &fleet, Time storeNow) const;
@@ -135,6 +143,7 @@
     Duration retryDelay(const TrialRow &row, Time storeNow) const;
 
     TrialSettings m_settings;
+    std::optional<Time> m_restoredAt;
     std::map<std::string, TrialRow, std::less<>> m_rows; ///< by key
     std::set<std::pair<std::string, std::string>> m_crashes; ///< digest and endpoint
 };
--- a/src/libbalsamloft/restoredstore_test.cpp
+++ b/src/libbalsamloft/restoredstore_test.cpp
@@ -3,6 +3,7 @@
 #include <balsamloft/configurationfetch.h>
 #include <balsamloft/enginefleet.h>
 #include <balsamloft/tablecopy.h>
+#include <balsamloft/trialpermits.h>
 
 #include <catch2/catch.hpp>
 
@@ -201,6 +202,35 @@
     CHECK(layersOf("b") == LayerRange {0, 4});
 }
 
+// Guards against two instances that try a request at the same time, one by a permit that was lost.
+TEST_CASE("no permit is granted until those that a restored store may have lost have expired",
+          "[restored]")
+{
+    TrialPermits permits({.holder = "h"});
+    CHECK_FALSE(permits.refusalAfterRestore(Start));
+    permits.storeRestored(Start);
+    const auto refused = permits.refusalAfterRestore(Start + milliseconds(1000));
+    REQUIRE(refused);
+    CHECK_FALSE(refused->granted);
+    CHECK(refused->wait == TrialSettings {}.validFor - milliseconds(1000));
+    CHECK_FALSE(permits.refusalAfterRestore(Start + TrialSettings {}.validFor));
+}
+
+// Guards against an own permit of the former era that hides the row of another holder.
+TEST_CASE("trial rows of a later era replace those with higher numbers", "[restored]")
+{
+    TrialPermits permits({.holder = "h"});
+    TrialRow row;
+    row.key = contentTrialKey("d");
+    row.version = {1, 90};
+    row.holder = "former";
+    permits.setRows({row}, {});
+    row.version = {2, 61};
+    row.holder = "present";
+    permits.setRows({row}, {});
+    CHECK(permits.rows().at(row.key).holder == "present");
+}
+
 // Guards against a fleet in which every change of the configuration is fetched a second time.
 TEST_CASE("a newer configuration is fetched if it may be lost, or does not come otherwise",
           "[restored]")
--- a/src/libbalsamloft/trialpermits.cpp
+++ b/src/libbalsamloft/trialpermits.cpp
@@ -73,6 +73,13 @@
     return std::max(m_settings.retryInterval, row.until - storeNow);
 }
 
+std::optional<TrialAnswer> TrialPermits::refusalAfterRestore(Time now) const
+{
+    if (!m_restoredAt || now >= *m_restoredAt + m_settings.validFor)
+        return std::nullopt;
+    return TrialAnswer {false, {}, false, *m_restoredAt + m_settings.validFor - now};
+}
+
 std::variant<TrialChange, TrialAnswer>
 TrialPermits::decide(const TrialRequest &request, const FleetSnapshot &fleet, Time storeNow) const
 {
@@ -119,7 +126,7 @@
     return {false, {}, false, m_settings.waitForStore};
 }
 
-void TrialPermits::recordWrite(const TrialChange &change, bool committed, std::uint64_t version,
+void TrialPermits::recordWrite(const TrialChange &change, bool committed, StoreVersion version,
                                std::span<const TrialRow> found)
 {
     for (const TrialRow &each : found)
