Crash records, withdrawals and instance rows that the store lost are written again

Callers: a request that had crashed engines, and that all instances held back, was sent on again after a restore, since its records were gone; an instance that the copy did not have was not counted by the others for up to 25 s.

Cause: a record that the store dropped is void, and a restore looked like a drop; whoever had written a record forgot it once the store had confirmed it. Withdrawn records that the copy has were in force again.

Change: a copy keeps the rows that the store lost, and deletions that it undid, until they are written again. Who knows writes them: domain readers after 0.2 to 0.6 s, all others after 2 to 6 s if the row is still missing, so that hundreds of instances do not write at the same time. Writes that the store confirmed are remembered until they are read. Trials are written under the condition that the store has the row that was read.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -147,6 +147,7 @@
     , m_lease(leaseSettings(settings))
     , m_planner(plannerSettings(settings))
     , m_trialPermits(trialSettings(settings))
+    , m_random(std::hash<std::string> {}(settings.name))
 {
     m_engines.useLinks(m_links);
     for (std::size_t i = 0; i < SharedTableCount; ++i) {
@@ -506,6 +507,7 @@
         placeLayers(steadyNow());
     logStoreCalls(now);
     fillGaps(steadyNow());
+    writeLostRows(steadyNow());
     writeCrashes(steadyNow());
     sendCrashNotices();
     pollEngines(steadyNow());
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -20,6 +20,7 @@
 #include <balsamloft/trialpermits.h>
 
 #include <functional>
+#include <random>
 
 namespace balsamloft {
 
@@ -112,6 +113,8 @@
     void peerAnswered(const TableAnswer &answer, const PeerInstance &peer);
     void configurationHeard(std::uint64_t version, const PeerInstance &peer);
     void fetchConfiguration(const PeerInstance &peer);
+    void writeLostRows(Time now);
+    void writeLostTrial(const StoreRow &row);
     std::unique_ptr<PeerSource> makePeerSource(const PeerInstance &peer, SharedTable table,
                                                std::shared_ptr<Time> lastReportAt);
     SourceChoice chooseSource(SharedTable table);
@@ -169,6 +172,7 @@
     StoreEras m_eras;
     std::optional<std::uint64_t> m_seenEra; ///< set with the first answer
     std::optional<Time> m_eraBeganAt; ///< steadyNow() when this process saw the present era begin
+    Time m_lostRowsDueAt = Time::max(); ///< steadyNow() at which lost rows are written again
     boost::asio::steady_timer m_timer;
     PeerServer m_server;
     PeerDirectory m_directory;
@@ -217,6 +221,9 @@
     CrashUpdate m_unpublishedCrashes; ///< kept until the store's clock is known
     /// Writes that the store has not confirmed, by row key; no value: the row is deleted.
     std::map<std::string, std::optional<std::string>> m_pendingCrashWrites;
+    /// Writes that the store has confirmed, but that were not read from it yet.
+    std::map<std::string, std::optional<std::string>> m_unreadCrashWrites;
+    std::mt19937_64 m_random;
     bool m_writingCrashes = false; ///< a write is in progress
     std::uint32_t m_crashFailures = 0; ///< consecutive failed writes
     Time m_crashPauseUntil {};
--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -156,6 +156,9 @@
     const Time now = steadyNow();
     if (done) {
         m_crashFailures = 0;
+        for (const RowWrite &each : writes)
+            if (m_unreadCrashWrites.size() < MaxPendingWrites)
+                m_unreadCrashWrites.insert_or_assign(each.key, each.value);
         return writeCrashes(now);
     }
     logDecision(
@@ -173,6 +176,9 @@
     std::vector<CrashRecord> crashes;
     std::vector<TrialRow> trials;
     const TableCopy &copy = m_server.state(SharedTable::Crashes).copy;
+    std::erase_if(m_unreadCrashWrites, [&copy](const auto &each) {
+        return copy.contains(each.first) == each.second.has_value();
+    });
     for (const StoreRow &row : copy.rows()) {
         if (isTrialKey(row.key)) {
             if (auto trial = parseTrial(row, copy.version().era))
--- a/src/entry/controleras.cpp
+++ b/src/entry/controleras.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "control.h"
 #include "decisionlog.h"
+#include "rowfields.h"
 
 namespace balsamloft {
 
@@ -11,6 +12,13 @@
 /// How long ago an era may have begun for instances to tell each other.
 constexpr Duration RecentEra {60'000'000};
 
+/// Delays before rows that the store lost are written again. Domain readers come first, so that the
+/// instances of a large fleet do not all write at the same time.
+constexpr Duration MinReaderDelay {200'000};
+constexpr Duration MaxReaderDelay {600'000};
+constexpr Duration MinDelay {2'000'000};
+constexpr Duration MaxDelay {6'000'000};
+constexpr Duration RetryInterval {300'000};
 
 } // namespace
 
@@ -42,6 +50,12 @@
     m_trialPermits.storeRestored(now);
     m_configurationFetch.storeRestored(now);
     m_skippedRows.clear();
+    for (auto &[key, value] : std::exchange(m_unreadCrashWrites, {}))
+        m_pendingCrashWrites.try_emplace(key, std::move(value));
+    const bool reader = isDomainReader();
+    std::uniform_int_distribution<std::int64_t> delay((reader ? MinReaderDelay : MinDelay).count(),
+                                                      (reader ? MaxReaderDelay : MaxDelay).count());
+    m_lostRowsDueAt = now + Duration(delay(m_random));
     for (const auto &each : m_followers)
         each->eraBegan();
 }
@@ -114,7 +128,7 @@
 RestorePolicy Control::restorePolicy(SharedTable table) const
 {
     RestorePolicy policy;
-    policy.keepsMissing = table == SharedTable::Configuration;
+    policy.keepsMissing = table != SharedTable::Endpoints;
     if (table == SharedTable::Configuration)
         policy.isLater = [this](const StoreRow &known, const StoreRow &listed) {
             const auto version = [this](const StoreRow &row) {
@@ -143,6 +157,14 @@
             return before && after && after->startedAt > before->startedAt;
         };
     }
+    if (table == SharedTable::Instances)
+        policy.isRewritten = [](const StoreRow &listed, const StoreRow &deleted) {
+            const auto seen = [](const StoreRow &row) {
+                const auto object = parseRow(row);
+                return object ? numberField(*object, "seen_ms").value_or(0) : 0;
+            };
+            return seen(listed) > seen(deleted);
+        };
     if (table == SharedTable::Crashes)
         policy.isLater = [](const StoreRow &known, const StoreRow &listed) {
             const auto before = parseTrial(known, 0);
@@ -154,4 +176,44 @@
     return policy;
 }
 
+/// Writes the rows of this fleet that the store lost, some time after an era began.
+void Control::writeLostRows(Time now)
+{
+    if (now < m_lostRowsDueAt || m_stopping)
+        return;
+    const TableCopy &crashes = m_server.state(SharedTable::Crashes).copy;
+    const TableCopy &instances = m_server.state(SharedTable::Instances).copy;
+    m_lostRowsDueAt = now + RetryInterval;
+    if (!m_directory.storeUsable(now) || crashes.version().era != m_eras.era()
+        || instances.version().era != m_eras.era())
+        return;
+    std::size_t count = 0;
+    for (StoreRow &row : crashes.lostRows()) {
+        count += 1;
+        if (isTrialKey(row.key))
+            writeLostTrial(row);
+        else
+            m_pendingCrashWrites.try_emplace(
+                row.key, row.dropped ? std::nullopt : std::optional(std::move(row.value)));
+    }
+    if (instances.isLost(m_settings.name) || !instances.contains(m_settings.name)) {
+        count += 1;
+        writeInstanceRow(false, nullptr);
+    }
+    m_state.rowsWrittenAgain += count;
+    if (count > 0)
+        logDecision("store", "rows written again", {{"rows", std::int64_t(count)}});
+    m_lostRowsDueAt = count > 0 ? now + MaxDelay : Time::max();
+}
+
+void Control::writeLostTrial(const StoreRow &row)
+{
+    Transaction transaction;
+    transaction.checks.push_back({std::string(CrashTable), row.key, row.version});
+    transaction.writes.push_back(
+        {std::string(CrashTable), row.key, row.dropped ? std::nullopt : std::optional(row.value)});
+    m_crashChannel.call(StoreUse::OwnRow, m_protocol.commitCall(transaction), StoreCallTimeout,
+                        [](const StoreAnswer &) {});
+}
+
 } // namespace balsamloft
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -33,6 +33,7 @@
     std::atomic<std::uint64_t> storeEra {0}; ///< latest known era of the store
     std::atomic<std::uint64_t> storeEraChanges {0}; ///< that this process has seen
     std::atomic<std::uint64_t> voidStoreAnswers {0}; ///< answers of an earlier era
+    std::atomic<std::uint64_t> rowsWrittenAgain {0}; ///< rows that the store had lost
     std::atomic<std::uint64_t> ordersSent {0}; ///< orders to engines
     std::atomic<std::uint64_t> invalidRows {0};
     std::atomic<std::uint64_t> crashNotices {0}; ///< received from other instances
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -525,6 +525,7 @@
     sample("store_era", m_state.storeEra);
     sample("store_era_changes_total", m_state.storeEraChanges);
     sample("store_void_answers_total", m_state.voidStoreAnswers);
+    sample("store_rows_written_again_total", m_state.rowsWrittenAgain);
     sample("orders_total", m_state.ordersSent);
     sample("crash_notices_total", m_state.crashNotices);
     sample("bad_rows_total", m_state.invalidRows);
