Times of the store's clock are not compared across its eras

Callers: keys could count as read more recently than they were, so that one that had been withdrawn worked for longer; all instances could count as dead, or dead ones as alive forever; crash records could expire at once.

Cause: a restored store may run on another machine, with another clock. The offset to it was the largest ever measured, the newest time of the list of instances never fell, and the age of a record was computed anew with each read.

Change: the offset, the freshness of answers and the list of instances begin anew with each era; in the minute after it no instance counts as dead by its row; a crash record keeps the time that was computed first.

Evidence: three tests in restoredstore_test, with a clock an hour ahead or behind. Not covered: an instance that starts after the restore computes the ages of records of the former era with the new clock.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -200,6 +200,7 @@
     events.snapshot = [this, table, apply](const auto &all, StoreVersion version,
                                            const TableAnswer &answer) {
         noticeEra();
+        updateClock(answer);
         TableCopy &copy = m_server.state(table).copy;
         const bool restored = copy.known() && version.era > copy.version().era;
         copy.replaceAll(all, version);
@@ -215,6 +216,7 @@
     events.changed = [this, table, apply](const auto &changed, StoreVersion version,
                                           const TableAnswer &answer) {
         noticeEra();
+        updateClock(answer);
         apply(m_server.state(table).copy.applyChanges(changed, version), ListUpdate::Changes,
               answer);
     };
@@ -284,17 +286,18 @@
 void Control::tableAnswered(SharedTable table, const TableSource &source, const TableAnswer &answer)
 {
     noticeEra();
+    updateClock(answer);
     TableState &state = m_server.state(table);
     const Time now = steadyNow();
     const Duration age = answer.age(bootNow());
     if (answer.knownAt)
         state.knownAt = std::max(state.knownAt, *answer.knownAt);
-    state.storeMs = std::max(state.storeMs, answer.reply.storeMs);
+    if (answer.reply.era >= state.storeMsEra)
+        state.storeMs = answer.reply.era > state.storeMsEra
+                            ? answer.reply.storeMs
+                            : std::max(state.storeMs, answer.reply.storeMs);
+    state.storeMsEra = std::max(state.storeMsEra, answer.reply.era);
     state.fromStore = source.isStore();
-    // The store reads its clock before its answer arrives here, so every computed offset is too
-    // small, and the largest offset is the most accurate.
-    const Duration offset = Duration(answer.reply.storeMs * 1000) - bootNow().time_since_epoch();
-    m_storeOffset = std::max(offset, m_storeOffset.value_or(offset));
     if (const auto peer = m_directory.find(source.peer()))
         peerAnswered(answer, *peer);
     if (source.isStore())
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -115,6 +115,7 @@
     void fetchConfiguration(const PeerInstance &peer);
     void writeLostRows(Time now);
     void writeLostTrial(const StoreRow &row);
+    void updateClock(const TableAnswer &answer);
     std::unique_ptr<PeerSource> makePeerSource(const PeerInstance &peer, SharedTable table,
                                                std::shared_ptr<Time> lastReportAt);
     SourceChoice chooseSource(SharedTable table);
@@ -212,6 +213,7 @@
     bool m_followingAll = false; ///< follows all tables, not only the list of instances
     Time m_followingSince {}; ///< bootNow() when m_followingAll was set
     std::optional<Duration> m_storeOffset; ///< store's clock minus bootNow()
+    std::uint64_t m_storeOffsetEra = 0; ///< era of the store in which it was measured
     /// Last logged coverage gaps of this instance's domain and of all domains, by service. Empty
     /// until the first log line, which is written even if there are no gaps.
     std::map<std::string, std::optional<std::pair<std::string, std::string>>> m_loggedGaps;
--- a/src/entry/controleras.cpp
+++ b/src/entry/controleras.cpp
@@ -216,4 +216,17 @@
                         [](const StoreAnswer &) {});
 }
 
+/// Measures the clock of the store, which may be another one in each era.
+void Control::updateClock(const TableAnswer &answer)
+{
+    if (m_storeOffset && answer.reply.era < m_storeOffsetEra)
+        return;
+    // The store reads its clock before its answer arrives here, so every computed offset is too
+    // small, and the largest offset is the most accurate.
+    const Duration offset = Duration(answer.reply.storeMs * 1000) - bootNow().time_since_epoch();
+    const bool sameClock = m_storeOffset && answer.reply.era == m_storeOffsetEra;
+    m_storeOffset = sameClock ? std::max(offset, *m_storeOffset) : offset;
+    m_storeOffsetEra = answer.reply.era;
+}
+
 } // namespace balsamloft
--- a/src/entry/controlinstances.cpp
+++ b/src/entry/controlinstances.cpp
@@ -95,10 +95,10 @@
                 {{row.key, *domain, *peer, textField(*object, "forward").value_or("")}, *seenMs});
     }
     std::vector<PeerInstance> instances =
-        m_instanceList.update(rows, state.storeMs);
+        m_instanceList.update(rows, state.storeMs, state.storeMsEra);
     const Duration clockOffset = m_storeOffset.value_or(Duration {});
     const bool listChanged = instances != m_instances;
-    if (!listChanged && clockOffset - m_publishedClockOffset < ClockTolerance)
+    if (!listChanged && std::chrono::abs(clockOffset - m_publishedClockOffset) < ClockTolerance)
         return;
     m_publishedClockOffset = clockOffset;
     if (listChanged) {
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -51,7 +51,8 @@
 {
     TableCopy copy;
     Time knownAt {}; ///< complete as of this time (bootNow()); default: never read
-    std::int64_t storeMs = 0; ///< store's clock when the store last answered
+    std::int64_t storeMs = 0; ///< store's clock when the store last answered, in \a storeMsEra
+    std::uint64_t storeMsEra = 0;
     bool fromStore = false; ///< last read from the store, without a failure since
 };
 
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -60,7 +60,8 @@
 {
     TableAnswer result;
     if (answer.reply.kind == StoreReply::Kind::Done) {
-        m_freshness.recordAnswer(answer.sentAt, answer.arrivedAt, answer.reply.storeMs);
+        m_freshness.recordAnswer(answer.sentAt, answer.arrivedAt, answer.reply.storeMs,
+                                 answer.reply.era);
         result.knownAt = m_freshness.knownAt();
         result.fromStore = true;
     }
--- a/src/include/balsamloft/instancelist.h
+++ b/src/include/balsamloft/instancelist.h
@@ -29,10 +29,14 @@
     // Commands
 
     /// Applies the rows that the store held at \a storeMs on its clock, and returns the live
-    /// instances.
-    std::vector<PeerInstance> update(std::span<const InstanceRow> rows, std::int64_t storeMs);
+    /// instances. \a era: the store's clock may be another one in each era.
+    std::vector<PeerInstance> update(std::span<const InstanceRow> rows, std::int64_t storeMs,
+                                     std::uint64_t era = 0);
 
 private:
+    bool m_afterRestore = false; ///< rows may have times of the store's former clock
+    std::int64_t m_restoredMs = 0;
+    std::uint64_t m_era = 0;
     std::int64_t m_lastUpdateMs = 0;
     std::int64_t m_outageMs = 0; ///< duration of the last outage
     std::int64_t m_outageEndMs = 0;
--- a/src/include/balsamloft/readfreshness.h
+++ b/src/include/balsamloft/readfreshness.h
@@ -21,8 +21,9 @@
 public:
     /// Records an answer that the store created at \a storeMs on its own clock, to a call that
     /// was sent at \a sentAt and answered at \a arrivedAt. Both local times must come from a
-    /// clock that also runs while this process is suspended.
-    void recordAnswer(Time sentAt, Time arrivedAt, std::int64_t storeMs);
+    /// clock that also runs while this process is suspended. \a era: the store's clock may be
+    /// another one in each era.
+    void recordAnswer(Time sentAt, Time arrivedAt, std::int64_t storeMs, std::uint64_t era = 0);
 
     /// Time at which the last read data was current; nullopt before the first answer.
     std::optional<Time> knownAt() const { return m_knownAt; }
@@ -33,6 +34,7 @@
 private:
     std::optional<Duration> m_offset; ///< lower bound of local time minus store time
     std::int64_t m_lastStoreMs = 0;
+    std::uint64_t m_era = 0;
     std::optional<Time> m_knownAt;
 };
 
--- a/src/libbalsamloft/crashgossip.cpp
+++ b/src/libbalsamloft/crashgossip.cpp
@@ -101,10 +101,17 @@
 
 void CrashGossip::setStored(std::vector<CrashRecord> records)
 {
+    // A record keeps the time that was computed first: the clock of the store may have changed.
+    std::map<Key, Time> known;
+    for (const CrashRecord &each : m_stored)
+        known.emplace(Key(each.digest, each.endpoint), each.at);
     m_stored = std::move(records);
     std::set<Key> stored;
-    for (const CrashRecord &each : m_stored)
-        stored.emplace(each.digest, each.endpoint);
+    for (CrashRecord &each : m_stored) {
+        const auto key = stored.emplace(each.digest, each.endpoint).first;
+        if (const auto before = known.find(*key); before != known.end())
+            each.at = before->second;
+    }
     std::erase_if(m_entries, [&](const auto &each) {
         return each.second.wasStored && !each.second.withdrawn && !stored.contains(each.first);
     });
--- a/src/libbalsamloft/instancelist.cpp
+++ b/src/libbalsamloft/instancelist.cpp
@@ -1,6 +1,7 @@
 #include <balsamloft/instancelist.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace balsamloft {
 
@@ -17,8 +18,16 @@
 } // namespace
 
 std::vector<PeerInstance> InstanceList::update(std::span<const InstanceRow> rows,
-                                               std::int64_t storeMs)
+                                               std::int64_t storeMs, std::uint64_t era)
 {
+    if (era > std::exchange(m_era, std::max(m_era, era)) && m_lastUpdateMs > 0) {
+        m_afterRestore = true;
+        m_restoredMs = storeMs;
+        m_lastUpdateMs = storeMs;
+        m_outageMs = 0;
+    }
+    if (storeMs - m_restoredMs >= RowLifetimeMs)
+        m_afterRestore = false;
     if (m_lastUpdateMs > 0 && storeMs - m_lastUpdateMs > MinOutageMs) {
         m_outageMs = storeMs - m_lastUpdateMs;
         m_outageEndMs = storeMs;
@@ -29,9 +38,12 @@
     const bool afterOutage = m_lastUpdateMs - m_outageEndMs < RowLifetimeMs;
     const std::int64_t lifetimeMs = RowLifetimeMs + (afterOutage ? m_outageMs : 0);
     std::vector<PeerInstance> alive;
-    for (const InstanceRow &each : rows)
-        if (m_lastUpdateMs - each.seenMs < lifetimeMs)
+    for (const InstanceRow &each : rows) {
+        const std::int64_t ageMs = m_lastUpdateMs - each.seenMs;
+        // A time far ahead was written by the store's former clock.
+        if (m_afterRestore || (ageMs < lifetimeMs && ageMs > -RowLifetimeMs))
             alive.push_back(each.instance);
+    }
     return alive;
 }
 
--- a/src/libbalsamloft/restoredstore_test.cpp
+++ b/src/libbalsamloft/restoredstore_test.cpp
@@ -1,13 +1,18 @@
 // What an instance keeps when the store comes back from a copy of its content some seconds old.
 
+#include "../fakes/trialstore.h"
+
 #include <balsamloft/configurationfetch.h>
+#include <balsamloft/crashgossip.h>
 #include <balsamloft/enginefleet.h>
+#include <balsamloft/instancelist.h>
+#include <balsamloft/readfreshness.h>
 #include <balsamloft/tablecopy.h>
-#include <balsamloft/trialpermits.h>
 
 #include <catch2/catch.hpp>
 
 using namespace balsamloft;
+using namespace balsamloft::fakes;
 
 namespace {
 
@@ -231,6 +236,46 @@
     CHECK(permits.rows().at(row.key).holder == "present");
 }
 
+// Guards against data that counts as fresher than it is because the store has another clock.
+TEST_CASE("the age of an answer is not computed with the clock of a former era", "[restored]")
+{
+    ReadFreshness freshness;
+    freshness.recordAnswer(Start, Start + milliseconds(2), 1000, 1);
+    const Time sent = Start + milliseconds(1000);
+    // The new clock is an hour ahead; the answer took two seconds.
+    freshness.recordAnswer(sent, sent + milliseconds(2000), 3'600'000, 2);
+    CHECK(*freshness.knownAt() == sent);
+}
+
+// Guards against instances that count as dead, or live forever, by times of a former clock.
+TEST_CASE("instances stay listed when the store's clock changes, until they wrote their rows again",
+          "[restored]")
+{
+    const std::int64_t shiftMs = GENERATE(-3'600'000, 3'600'000);
+    InstanceList list;
+    const InstanceRow alive {{"a", "d", "x"}, 90'000'000};
+    const InstanceRow dead {{"b", "d", "y"}, 90'000'000};
+    REQUIRE(list.update(std::vector {alive, dead}, 90'001'000, 1).size() == 2);
+    const std::int64_t nowMs = 90'003'000 + shiftMs;
+    CHECK(list.update(std::vector {alive, dead}, nowMs, 2).size() == 2);
+    InstanceRow again = alive;
+    again.seenMs = nowMs + 20'000;
+    CHECK(list.update(std::vector {again, dead}, nowMs + 21'000, 2).size() == 2);
+    again.seenMs = nowMs + 70'000;
+    CHECK(list.update(std::vector {again, dead}, nowMs + 71'000, 2).size() == 1);
+}
+
+// Guards against crash records that expire early because the store's clock has changed.
+TEST_CASE("a crash record keeps the time at which it was learnt", "[restored]")
+{
+    CrashGossip gossip {CrashGossipSettings {}};
+    gossip.setStored({{"d", "e", Start}});
+    gossip.setStored({{"d", "e", Start - std::chrono::hours(1)}, {"d", "f", Start}});
+    REQUIRE(gossip.records().size() == 2);
+    for (const CrashRecord &each : gossip.records())
+        CHECK(each.at == Start);
+}
+
 // Guards against a fleet in which every change of the configuration is fetched a second time.
 TEST_CASE("a newer configuration is fetched if it may be lost, or does not come otherwise",
           "[restored]")
