The soak restores the store from copies while the configuration changes

A further series (--restores): copies up to 4 s old, away for 0 to 0.6 s, at times twice in a row, beside all other faults; the operator and the endpoints write again. Checked from outside: no process uses an older configuration after a newer one, and in the end each uses the newest.

--- a/testsuite/common/feedtables.cpp
+++ b/testsuite/common/feedtables.cpp
@@ -59,6 +59,16 @@
     return withVersion({{"rows", std::move(list)}}, version);
 }
 
+std::vector<std::string> FeedTables::keys(const std::string &table) const
+{
+    std::vector<std::string> keys;
+    if (const auto found = m_tables.find(table); found != m_tables.end())
+        for (const auto &[key, row] : found->second.rows)
+            if (!row.dropped)
+                keys.push_back(key);
+    return keys;
+}
+
 std::string FeedTables::rows(const std::string &table) const
 {
     std::vector<Row> rows;
--- a/testsuite/common/feedtables.h
+++ b/testsuite/common/feedtables.h
@@ -26,6 +26,9 @@
     /// Version of the last write to any table.
     std::uint64_t version() const { return m_version; }
 
+    /// Keys of the current rows of \a table.
+    std::vector<std::string> keys(const std::string &table) const;
+
     /// Returns the body of an answer with all current rows of \a table.
     std::string rows(const std::string &table) const;
 
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -17,6 +17,9 @@
              "number of prompt parts, in otherwise different requests, that crash endpoints");
 DEFINE_bool(store_down, false, "keep the store down from the first fault to the last");
 DEFINE_bool(own_links, false, "cut instances from all endpoints in a further series of faults");
+DEFINE_bool(
+    restores, false,
+    "let the store come back from copies while the configuration changes, in a further series");
 DEFINE_bool(announcements, false,
             "let endpoints announce pauses and their exit in a further series of faults");
 DEFINE_string(logs, "", "directory for the instances' logs of failing seeds");
@@ -35,6 +38,7 @@
     settings.storeDown = FLAGS_store_down;
     settings.ownLinks = FLAGS_own_links;
     settings.announcements = FLAGS_announcements;
+    settings.restores = FLAGS_restores;
     balsamloft::soak::Soak soak(settings);
     const std::vector<std::string> violations = soak.run();
     std::printf("seed %lu: %s, %zu faults, %s\n", seed, violations.empty() ? "passed" : "FAILED",
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -71,6 +71,27 @@
     return "127.0.0.1:" + std::to_string(view.acceptor.local_endpoint().port());
 }
 
+void Store::copyTables()
+{
+    constexpr std::size_t MaxCopies = 60;
+    m_copies.push_back({Clock::now(), m_tables, m_historyStart});
+    if (m_copies.size() > MaxCopies)
+        m_copies.pop_front();
+}
+
+void Store::restore(Milliseconds age)
+{
+    const auto oldest = std::find_if(m_copies.begin(), m_copies.end(), [&](const Copy &each) {
+        return Clock::now() - each.at <= age;
+    });
+    if (oldest == m_copies.end())
+        return;
+    m_tables = oldest->tables;
+    m_historyStart = oldest->historyStart;
+    m_copies.clear();
+    m_era += 1;
+}
+
 void Store::heal()
 {
     down = silent = losesAnswers = false;
@@ -104,7 +125,7 @@
             co_return;
         if (status == NoAnswer)
             continue;
-        const std::string text = answerText(status, body);
+        const std::string text = answerText(status, body, "Era: " + std::to_string(m_era) + "\r\n");
         co_await asio::async_write(socket, asio::buffer(text),
                                    asio::redirect_error(asio::use_awaitable, error));
         if (error)
@@ -130,7 +151,7 @@
         co_await pause(PollInterval);
     if (down)
         co_return std::pair(Unavailable, std::string());
-    if (after < m_historyStart)
+    if (after < m_historyStart || after > m_tables.version())
         co_return std::pair(HistoryGone, std::string("{}"));
     co_return std::pair(Ok, m_tables.changes(parts[1], after));
 }
@@ -161,6 +182,13 @@
     if (m_service == "model")
         row["layers"] = {0, 4};
     m_store.tables().put("endpoints", m_id, json::serialize(row));
+    m_state = state;
+}
+
+void Endpoint::writeAgain()
+{
+    if (!listedId().empty())
+        write(m_state);
 }
 
 void Endpoint::start()
@@ -186,6 +214,7 @@
     m_link.resetOpen();
     m_store.tables().drop("endpoints", m_id);
     m_id.clear();
+    m_state.clear();
 }
 
 void Endpoint::leave()
@@ -217,6 +246,7 @@
 {
     if (!m_id.empty())
         m_store.tables().drop("endpoints", m_id);
+    m_state.clear();
 }
 
 void Endpoint::heal()
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/json/object.hpp>
 
+#include <deque>
 #include <list>
 #include <map>
 #include <random>
@@ -40,6 +41,11 @@
     Milliseconds slow {0}; ///< delay of each answer
     /// From now on, answers 410 to queries for changes since a version before the current one.
     void forgetHistory() { m_historyStart = m_tables.version(); }
+    /// Remembers the tables as they are now, for restore().
+    void copyTables();
+    /// Brings back tables that are up to \a age old. Numbers are given out again, and the era
+    /// rises.
+    void restore(Milliseconds age);
     void heal();
 
 private:
@@ -54,10 +60,20 @@
     awaitable<void> serve(tcp::socket socket, const View &view);
     awaitable<std::pair<int, std::string>> answer(const Request &request);
 
+    /// Tables at an earlier time.
+    struct Copy
+    {
+        Clock::time_point at;
+        testsuite::FeedTables tables;
+        std::uint64_t historyStart = 0;
+    };
+
     boost::asio::io_context &m_context;
     std::list<View> m_views;
     testsuite::FeedTables m_tables;
     std::uint64_t m_historyStart = 0;
+    std::deque<Copy> m_copies;
+    std::uint64_t m_era = 1;
 };
 
 /// Body of a request that crashes each endpoint that executes it.
@@ -90,6 +106,10 @@
     void writeFormerEntry();
     /// Deletes its entry, but keeps running.
     void deleteEntry();
+    /// Writes its entry again, if it has one, after the store was restored.
+    void writeAgain();
+    /// Its id, if it has an entry; otherwise empty.
+    std::string listedId() const { return m_state.empty() ? std::string() : m_id; }
     /// Refuses requests until \a until, and announces so.
     void pauseUntil(Clock::time_point until) { m_pausedUntil = until; }
     bool announcesExit = false; ///< in each answer, while its entry says that it is ready
@@ -117,6 +137,7 @@
     tcp::acceptor m_acceptor;
     Link m_link;
     std::string m_id; ///< empty while not running
+    std::string m_state; ///< in its entry; empty: it has none
     int m_starts = 0;
     Clock::time_point m_pausedUntil {};
     std::set<std::shared_ptr<tcp::socket>> m_open;
--- a/testsuite/soak/record.h
+++ b/testsuite/soak/record.h
@@ -26,6 +26,7 @@
     bool crashing = false; ///< crashes each endpoint that executes the request
     /// Parts of the prompt, "ID:TOKENS" separated by commas; empty: the request lists none.
     std::string parts;
+    std::string key = "good-key"; ///< of the caller's team
     std::string body;
 };
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -41,9 +41,9 @@
 constexpr std::size_t MaxCrashesWithoutStore = 4;
 constexpr int NormalExit = 0;
 constexpr int KilledExit = 128 + SIGKILL;
+/// Without the version and its keys.
 constexpr std::string_view Configuration =
-    R"({"version":1,"keys":{"good-key":"team-a"},
-        "services":[{"name":"plain"},{"name":"model","layers":4}],"routes":[
+    R"("services":[{"name":"plain"},{"name":"model","layers":4}],"routes":[
         {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"},
         {"name":"unsafe","host":"h","prefix":"/unsafe/","kind":"unsafe","attempts":2,"service":"plain"},
         {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","service":"model"}]})";
@@ -59,8 +59,8 @@
     std::string path(Paths[static_cast<std::size_t>(exchange.kind)]);
     if (exchange.kind == Kind::Stream)
         path += std::to_string(exchange.events);
-    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
-           + "\r\nTeam-Key: good-key\r\nDeadline-Ms: 8000\r\nTokens: 10,60\r\nPrompt-Parts: "
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nTeam-Key: "
+           + exchange.key + "\r\nDeadline-Ms: 8000\r\nTokens: 10,60\r\nPrompt-Parts: "
            + (exchange.parts.empty() ? std::string(CommonPart) + id + ":5" : exchange.parts)
            + "\r\nContent-Length: "
            + (exchange.crashing ? "4\r\n\r\n" + std::string(CrashingBody)
@@ -74,7 +74,7 @@
     , m_random(settings.seed)
     , m_store(m_context)
 {
-    m_store.tables().put("configuration", "current", std::string(Configuration));
+    writeConfiguration();
     makeEndpoints();
     makeInstances();
 }
@@ -146,6 +146,7 @@
     if (instance.process)
         instance.formerOutput += instance.process->output();
     m_record.instanceStarted(instance.name);
+    instance.starts += 1;
     instance.process =
         std::make_unique<testsuite::Process>("balsamloft-entry-standin", instance.arguments);
 }
@@ -191,6 +192,12 @@
         spawn(runSeries(m_random(), &Soak::cutFault));
     if (m_settings.announcements)
         spawn(runSeries(m_random(), &Soak::announcement));
+    if (m_settings.restores) {
+        spawn(runSeries(m_random(), &Soak::restoreFault));
+        spawn(runOperator(m_random()));
+        for (std::size_t i = 0; i < m_instances.size(); ++i)
+            spawn(runProbe(i));
+    }
     if (m_settings.crashingRequest)
         spawn(runCrashingCaller(m_random(), {}));
     for (int i = 0; i < m_settings.crashingParts; ++i)
@@ -207,6 +214,8 @@
         for (const Kind kind : {Kind::Safe, Kind::Unsafe, Kind::Stream})
             if (!co_await waitUntilServed(i, kind))
                 m_record.addViolation("not served after the faults ended: " + m_instances[i].name);
+        if (m_settings.restores)
+            co_await checkNewestVersion(i);
     }
     m_context.stop();
 }
@@ -266,6 +275,80 @@
     }
 }
 
+/// Writes the present version of the configuration, with a key of its own.
+void Soak::writeConfiguration()
+{
+    const std::string version = std::to_string(m_version);
+    m_store.tables().put("configuration", "current",
+                         R"({"version":)" + version + R"(,"keys":{"good-key":"team-a","key)"
+                             + version + R"(":"team-a"},)" + std::string(Configuration));
+}
+
+awaitable<void> Soak::runOperator(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    while (!m_stopping) {
+        co_await pause(Milliseconds(draw(random, 300, 1200)));
+        if (m_store.down)
+            continue;
+        m_version += 1;
+        writeConfiguration();
+    }
+}
+
+/// Whether the instance accepts the key that only \a version has.
+awaitable<bool> Soak::acceptsVersion(std::size_t instance, int version)
+{
+    tcp::socket socket(m_context);
+    boost::system::error_code error;
+    co_await socket.async_connect(endpointOf(m_instances[instance].callers),
+                                  asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return false;
+    Exchange exchange;
+    exchange.key = "key" + std::to_string(version);
+    const std::string id = requestId(m_nextRequest++, m_instances[instance].name);
+    co_await send(socket, id, exchange);
+    const bool accepted = exchange.status == 200;
+    constexpr int Unauthorized = 401;
+    if (exchange.status != Unauthorized)
+        m_record.received(id, std::move(exchange));
+    co_return accepted;
+}
+
+/// Checks that no process of the instance uses an older configuration after a newer one.
+awaitable<void> Soak::runProbe(std::size_t instance)
+{
+    int newest = 0;
+    int starts = 0;
+    while (!m_stopping) {
+        co_await pause(Milliseconds(100));
+        if (std::exchange(starts, m_instances[instance].starts) != m_instances[instance].starts)
+            newest = 0;
+        const int version = m_version;
+        const int before = newest;
+        if (co_await acceptsVersion(instance, version) && starts == m_instances[instance].starts)
+            newest = std::max(newest, version);
+        if (before > 1 && co_await acceptsVersion(instance, before - 1)
+            && starts == m_instances[instance].starts)
+            m_record.addViolation("configuration " + std::to_string(before - 1) + " after "
+                                  + std::to_string(before) + ": " + m_instances[instance].name);
+    }
+}
+
+awaitable<void> Soak::checkNewestVersion(std::size_t instance)
+{
+    const auto end = Clock::now() + RecoveryTimeout;
+    bool accepted = false;
+    while (!accepted && Clock::now() < end) {
+        accepted = co_await acceptsVersion(instance, m_version);
+        if (!accepted)
+            co_await pause(Milliseconds(50));
+    }
+    if (!accepted)
+        m_record.addViolation("newest configuration not in force: " + m_instances[instance].name);
+}
+
 /// Repeatedly sends the same request, each time to a random instance. With \a part, the requests
 /// have only that part and the first part of all other requests in common.
 awaitable<void> Soak::runCrashingCaller(std::uint64_t seed, std::string part)
@@ -443,6 +526,36 @@
     link.heal();
 }
 
+/// The store comes back from a copy, at times twice in a row. Endpoints and the operator write
+/// again what they had written, and entries that nobody writes expire.
+awaitable<void> Soak::restoreFault(std::mt19937_64 &random)
+{
+    for (int i = 0; i < 20; ++i) {
+        m_store.copyTables();
+        co_await pause(Milliseconds(100));
+    }
+    const Milliseconds age(draw(random, 100, 4000));
+    const Milliseconds away(draw(random, 0, 2) * 300);
+    logFault("store restored from a copy " + std::to_string(age.count()) + " ms old, away for "
+             + std::to_string(away.count()));
+    m_store.down = away.count() > 0;
+    m_store.restore(age);
+    co_await pause(away);
+    m_store.heal();
+    co_await pause(Milliseconds(draw(random, 100, 700)));
+    writeConfiguration();
+    for (const auto &endpoint : m_endpoints) {
+        co_await pause(Milliseconds(draw(random, 0, 150)));
+        endpoint->writeAgain();
+    }
+    std::set<std::string> listed;
+    for (const auto &endpoint : m_endpoints)
+        listed.insert(endpoint->listedId());
+    for (const std::string &key : m_store.tables().keys("endpoints"))
+        if (!listed.contains(key))
+            m_store.tables().drop("endpoints", key);
+}
+
 /// Cuts one instance, or all but one, from all endpoints.
 awaitable<void> Soak::cutFault(std::mt19937_64 &random)
 {
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -26,6 +26,9 @@
     /// Each instance has links of its own to the endpoints, and a domain of its own. In a further
     /// series, instances are cut from all endpoints.
     bool ownLinks = false;
+    /// In a further series, the store comes back from copies of its tables, while operators change
+    /// the configuration.
+    bool restores = false;
     /// In a further series, endpoints announce pauses, or their exit, in their answers.
     bool announcements = false;
 };
@@ -61,6 +64,7 @@
         std::unique_ptr<testsuite::Process> process;
         std::string formerOutput; ///< output of the instance's earlier processes
         bool busy = false; ///< a fault of the instance's process is in progress
+        int starts = 0; ///< number of its processes so far
     };
 
     void makeEndpoints();
@@ -79,6 +83,12 @@
     std::string ownView(Instance &instance);
     awaitable<void> endpointFault(std::mt19937_64 &random, Milliseconds time);
     awaitable<void> runCaller(std::size_t instance, std::uint64_t seed);
+    awaitable<void> restoreFault(std::mt19937_64 &random);
+    awaitable<void> runOperator(std::uint64_t seed);
+    awaitable<void> runProbe(std::size_t instance);
+    awaitable<bool> acceptsVersion(std::size_t instance, int version);
+    awaitable<void> checkNewestVersion(std::size_t instance);
+    void writeConfiguration();
     awaitable<void> runCrashingCaller(std::uint64_t seed, std::string part);
     /// Sends the request of \a exchange and stores the answer in \a exchange.
     /// \return whether the connection can be used again.
@@ -96,6 +106,7 @@
     std::vector<Instance> m_instances;
     std::vector<std::string> m_faults;
     Clock::time_point m_begin = Clock::now();
+    int m_version = 1; ///< of the configuration
     bool m_stopping = false;
     int m_running = 0; ///< number of running callers and series
     std::uint64_t m_nextRequest = 1;
