--- a/src/include/balsamloft/storeversion.h
+++ b/src/include/balsamloft/storeversion.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace balsamloft {
 
@@ -16,7 +17,11 @@
     std::uint64_t era = 0; ///< 0: the store states none
     std::uint64_t number = 0;
 
-    auto operator<=>(const StoreVersion &) const = default;
+    bool operator==(const StoreVersion &) const = default;
+    auto operator<=>(const StoreVersion &other) const
+    {
+        return std::tie(era, number) <=> std::tie(other.era, other.number);
+    }
 
     /// Whether there is a version at all.
     bool known() const { return number > 0; }
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -88,7 +88,8 @@
         return;
     m_tables = oldest->tables;
     m_historyStart = oldest->historyStart;
-    m_copies.clear();
+    // Those that the restore has lost never were.
+    m_copies.erase(oldest + 1, m_copies.end());
     m_era += 1;
 }
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -39,6 +39,8 @@
 constexpr std::string_view CommonPart = "c0de:5,";
 /// The same as MaxCrashes while the store is down, in which no engine is replaced.
 constexpr std::size_t MaxCrashesWithoutStore = 4;
+/// Writes that the store loses in a restore, more than are made in the rest of a run.
+constexpr int LostWrites = 2'000;
 constexpr int NormalExit = 0;
 constexpr int KilledExit = 128 + SIGKILL;
 /// Without the version and its keys.
@@ -208,6 +210,10 @@
         co_await pause(Milliseconds(20));
     logFault("all faults have ended");
     m_store.heal();
+    if (m_settings.restores) {
+        m_version += 1;
+        writeConfiguration();
+    }
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         if (!m_instances[i].process->running())
             m_record.addViolation("terminated unexpectedly: " + m_instances[i].name);
@@ -538,8 +544,15 @@
     const Milliseconds away(draw(random, 0, 2) * 300);
     logFault("store restored from a copy " + std::to_string(age.count()) + " ms old, away for "
              + std::to_string(away.count()));
+    // Instances read a configuration whose number is not reached again in this run.
+    const auto copiesEnd = Clock::now();
+    for (int i = 0; i < LostWrites; ++i)
+        m_store.tables().put("other", "row", std::to_string(i));
+    m_version += 1;
+    writeConfiguration();
+    co_await pause(Milliseconds(300));
     m_store.down = away.count() > 0;
-    m_store.restore(age);
+    m_store.restore(age + std::chrono::duration_cast<Milliseconds>(Clock::now() - copiesEnd));
     co_await pause(away);
     m_store.heal();
     co_await pause(Milliseconds(draw(random, 100, 700)));
