--- a/src/include/balsamloft/tablecopy.h
+++ b/src/include/balsamloft/tablecopy.h
@@ -32,8 +32,8 @@
     /// Whether the value of \a known is later than the one of \a listed by its writer's own order.
     /// Numbers of the store do not tell, since the two come from different eras. Empty: never.
     std::function<bool(const StoreRow &known, const StoreRow &listed)> isLater;
-    /// Whether \a listed was written after \a deleted, a row that was deleted, by their writer's own
-    /// order. If not, it is taken for one that the store has again. Empty: never.
+    /// Whether \a listed was written after \a deleted, a row that was deleted, by their writer's
+    /// own order. If not, it is taken for one that the store has again. Empty: never.
     std::function<bool(const StoreRow &listed, const StoreRow &deleted)> isRewritten {};
     bool keepsMissing = false; ///< rows that the store lacks are kept, until it has them again
 };
@@ -73,8 +73,8 @@
     /// All rows that are not deleted.
     std::vector<StoreRow> rows() const;
 
-    /// The same with the latest deletions, for an instance that starts: if the store is restored, it
-    /// must not take the rows for present ones.
+    /// The same with the latest deletions, for an instance that starts: if the store is restored,
+    /// it must not take the rows for present ones.
     std::vector<StoreRow> snapshot() const;
 
     /// Whether \a changes, a result of changesSince(), are exactly the existing rows.
