--- a/src/entry/tablefollower_test.cpp
+++ b/src/entry/tablefollower_test.cpp
@@ -162,8 +162,7 @@
     CHECK(store.queriedVersions == std::vector<std::uint64_t> {0, 10, 11, 12});
 }
 
-// Guards against rows written after the store was restored that are missed because the numbers have
-// passed the old ones before anybody reads.
+// Guards against missed rows if the numbers pass the lost ones before anybody reads.
 TEST_CASE("changes of a later era are not taken, but a snapshot is read", "[restored]")
 {
     FollowerHarness harness;
--- a/src/libbalsamloft/lease_test.cpp
+++ b/src/libbalsamloft/lease_test.cpp
@@ -227,8 +227,7 @@
     CHECK(actions.empty());
 }
 
-// Guards against two holders, or a token that two processes were given, after the store was
-// restored.
+// Guards against two holders of the lease, and tokens given twice, after a restore.
 TEST_CASE("the lease has one holder and each token is given once, whatever the store loses",
           "[lease][failure]")
 {
--- a/src/libbalsamloft/restoredstore_test.cpp
+++ b/src/libbalsamloft/restoredstore_test.cpp
@@ -112,8 +112,7 @@
     CHECK(copy.lostRows().empty());
 }
 
-// Guards against an endpoint that has started again under the name of one that left, and that gets
-// no requests.
+// Guards against an endpoint without requests whose name another had that left.
 TEST_CASE("a deleted row of which the writer has a later one exists", "[restored]")
 {
     RestorePolicy policy = byValue();
@@ -125,8 +124,7 @@
     CHECK(valuesOf(copy) == Values {"b=7"});
 }
 
-// Guards against an instance that starts beside others that know of a deletion, and does not learn
-// it.
+// Guards against a starting instance that uses an endpoint of which the others know that it left.
 TEST_CASE("a snapshot has the latest deletions", "[restored]")
 {
     TableCopy copy;
--- a/src/libbalsamloft/storeeras_test.cpp
+++ b/src/libbalsamloft/storeeras_test.cpp
@@ -30,8 +30,7 @@
     CHECK(eras.recordAnswer(eras.newest(), 0, 0) == 1U);
 }
 
-// Guards against an era that begins because two answers on different connections overtake each
-// other.
+// Guards against a false era when answers on two connections overtake each other.
 TEST_CASE("without a stated era, answers that overtake each other begin no era", "[storeeras]")
 {
     StoreEras eras;
--- a/testsuite/restored-store/restored_store_test.cpp
+++ b/testsuite/restored-store/restored_store_test.cpp
@@ -124,8 +124,7 @@
 
 } // namespace
 
-// Guards against configurations that are ignored until the store's counter has passed its old
-// value.
+// Guards against configurations that are ignored while the counter is below its old value.
 TEST_CASE("versions written after the store lost its last writes are in force at all instances",
           "[process][failure]")
 {
@@ -218,8 +217,7 @@
     }));
 }
 
-// Guards against a crashing request that is tried again because the records of its crashes are
-// lost.
+// Guards against a crashing request that is tried again since its records are lost.
 TEST_CASE("what instances wrote and the store lost is written again", "[process][failure]")
 {
     Fleet fleet(3);
