--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -306,7 +306,7 @@
      "if (hasChanges || answer.isSnapshot)\n", "if (true)\n",
      "tablefollower_test: an answer without changes does not advance the version"),
     ("snapshots older than the replica are not applied", "src/entry/tablefollower.cpp",
-     "answer.reply.version < m_newestVersion", "false",
+     "answer.version() < m_newestVersion", "false",
      "tablefollower_test: a snapshot older than the replica is not applied"),
     ("retries for started streams", "src/libbalsamloft/relay.cpp",
      "leavesReserve ? m_settings.streamReserve : 0", "0",
