One place says that the store was restored; state that nothing used is gone

Control told the lease, the permits and the configuration's fetch of a restore in two places; TableState's clock was advanced by three statements that are the maximum of a pair; RestoreFleet took a seed that it never used, and restoredstore_test included a fake that it does not use.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -292,11 +292,9 @@
     const Duration age = answer.age(bootNow());
     if (answer.knownAt)
         state.knownAt = std::max(state.knownAt, *answer.knownAt);
-    if (answer.reply.era >= state.storeMsEra)
-        state.storeMs = answer.reply.era > state.storeMsEra
-                            ? answer.reply.storeMs
-                            : std::max(state.storeMs, answer.reply.storeMs);
-    state.storeMsEra = std::max(state.storeMsEra, answer.reply.era);
+    std::tie(state.storeMsEra, state.storeMs) =
+        std::max(std::pair(state.storeMsEra, state.storeMs),
+                 std::pair(answer.reply.era, answer.reply.storeMs));
     state.fromStore = source.isStore();
     if (const auto peer = m_directory.find(source.peer()))
         peerAnswered(answer, *peer);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -108,6 +108,7 @@
     RestorePolicy restorePolicy(SharedTable table) const;
     void noticeEra();
     void eraBegan();
+    void storeRestored(Duration age);
     InstanceState ownState() const;
     void stateReceived(const InstanceState &state);
     void peerAnswered(const TableAnswer &answer, const PeerInstance &peer);
--- a/src/entry/controleras.cpp
+++ b/src/entry/controleras.cpp
@@ -43,12 +43,10 @@
     logDecision("store", "era learnt",
                 {{"era", std::int64_t(m_eras.era())}, {"former_era", std::int64_t(*m_seenEra)}});
     m_seenEra = m_eras.era();
-    m_eraBeganAt = now;
     m_state.storeEra = m_eras.era();
     m_state.storeEraChanges += 1;
     m_lease.setEra(m_eras.era(), bootNow());
-    m_trialPermits.storeRestored(now);
-    m_configurationFetch.storeRestored(now);
+    storeRestored({});
     m_skippedRows.clear();
     for (auto &[key, value] : std::exchange(m_unreadCrashWrites, {}))
         m_pendingCrashWrites.try_emplace(key, std::move(value));
@@ -60,6 +58,15 @@
         each->eraBegan();
 }
 
+/// The present era began \a age ago.
+void Control::storeRestored(Duration age)
+{
+    m_eraBeganAt = steadyNow() - age;
+    m_lease.storeRestored(bootNow() - age);
+    m_trialPermits.storeRestored(*m_eraBeganAt);
+    m_configurationFetch.storeRestored(*m_eraBeganAt);
+}
+
 InstanceState Control::ownState() const
 {
     InstanceState state {m_settings.name, m_eras.era(), m_table ? m_table->version() : 0,
@@ -87,12 +94,8 @@
     noticeEra();
     // A peer that does not know the era yet shows that it began a moment ago.
     const auto age = state.era < m_seenEra ? std::optional(Duration {}) : state.eraAge;
-    if (age && !m_eraBeganAt) {
-        m_eraBeganAt = steadyNow() - *age;
-        m_lease.storeRestored(bootNow() - *age);
-        m_trialPermits.storeRestored(*m_eraBeganAt);
-        m_configurationFetch.storeRestored(*m_eraBeganAt);
-    }
+    if (age && !m_eraBeganAt)
+        storeRestored(*age);
     configurationHeard(state.configuration, peer);
 }
 
--- a/src/entry/restorefleet_test.cpp
+++ b/src/entry/restorefleet_test.cpp
@@ -45,7 +45,7 @@
 std::unique_ptr<RestoreFleet> restoredFleet(const Restored &how)
 {
     boost::log::core::get()->set_logging_enabled(false);
-    auto fleet = std::make_unique<RestoreFleet>(how.instances, endpointsOf(how.instances), 1);
+    auto fleet = std::make_unique<RestoreFleet>(how.instances, endpointsOf(how.instances));
     fleet->writeConfiguration(20);
     REQUIRE(timeUntilInForce(*fleet, 20) < seconds(5));
     fleet->run(seconds(2));
@@ -162,7 +162,7 @@
 {
     const std::size_t instances = GENERATE(6, 76, 295);
     boost::log::core::get()->set_logging_enabled(false);
-    RestoreFleet fleet(instances, endpointsOf(instances), 1);
+    RestoreFleet fleet(instances, endpointsOf(instances));
     fleet.writeConfiguration(20);
     REQUIRE(timeUntilInForce(fleet, 20) < seconds(5));
     fleet.run(seconds(2));
--- a/src/fakes/restorefleet.cpp
+++ b/src/fakes/restorefleet.cpp
@@ -136,8 +136,7 @@
                                  m_cancelled});
 }
 
-RestoreFleet::RestoreFleet(std::size_t instances, std::size_t endpoints, std::uint64_t seed)
-    : m_random(seed)
+RestoreFleet::RestoreFleet(std::size_t instances, std::size_t endpoints)
 {
     for (std::size_t i = 0; i < endpoints; ++i)
         writeEndpoint(i);
--- a/src/fakes/restorefleet.h
+++ b/src/fakes/restorefleet.h
@@ -15,7 +15,6 @@
 #include <array>
 #include <map>
 #include <memory>
-#include <random>
 
 namespace balsamloft::fakes {
 
@@ -23,7 +22,7 @@
 class RestoreFleet
 {
 public:
-    RestoreFleet(std::size_t instances, std::size_t endpoints, std::uint64_t seed);
+    RestoreFleet(std::size_t instances, std::size_t endpoints);
     ~RestoreFleet();
 
     // Commands
@@ -100,7 +99,6 @@
     void takeConfiguration(Instance &instance, const std::string &text);
 
     Time m_now {std::chrono::hours(1)};
-    std::mt19937_64 m_random;
     Content m_store;
     Content m_copy;
     std::uint64_t m_era = 1;
--- a/src/libbalsamloft/restoredstore_test.cpp
+++ b/src/libbalsamloft/restoredstore_test.cpp
@@ -1,18 +1,16 @@
 // What an instance keeps when the store comes back from a copy of its content some seconds old.
 
-#include "../fakes/trialstore.h"
-
 #include <balsamloft/configurationfetch.h>
 #include <balsamloft/crashgossip.h>
 #include <balsamloft/enginefleet.h>
 #include <balsamloft/instancelist.h>
 #include <balsamloft/readfreshness.h>
 #include <balsamloft/tablecopy.h>
+#include <balsamloft/trialpermits.h>
 
 #include <catch2/catch.hpp>
 
 using namespace balsamloft;
-using namespace balsamloft::fakes;
 
 namespace {
 
