--- /dev/null
+++ b/testsuite/departed-callers/departed_callers_test.cpp
@@ -0,0 +1,164 @@
+// Tests of callers that leave before their request was read, sent or answered.
+
+#include "../entry/entryharness.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+
+using namespace balsamloft::testsuite;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Callers = 60;
+
+/// How a caller ends its connection.
+enum class Departure { Close, Reset };
+
+/// A connection of a caller.
+class CallerConnection
+{
+public:
+    explicit CallerConnection(const std::string &address)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const std::size_t colon = address.find(':');
+        sockaddr_in peer {};
+        peer.sin_family = AF_INET;
+        peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+        ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &peer.sin_addr);
+        if (::connect(m_socket, reinterpret_cast<sockaddr *>(&peer), sizeof peer) != 0)
+            throw std::runtime_error("cannot connect to " + address);
+    }
+    ~CallerConnection()
+    {
+        if (m_socket >= 0)
+            ::close(m_socket);
+    }
+    CallerConnection(const CallerConnection &) = delete;
+    CallerConnection &operator=(const CallerConnection &) = delete;
+
+    void send(std::string_view text) { ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL); }
+
+    /// Reads until the answer is complete.
+    std::string receive()
+    {
+        std::string text;
+        char buffer[4096];
+        while (!completeAnswer(text)) {
+            const auto count = ::recv(m_socket, buffer, sizeof buffer, 0);
+            if (count <= 0)
+                break;
+            text.append(buffer, static_cast<std::size_t>(count));
+        }
+        return text;
+    }
+
+    void leave(Departure departure)
+    {
+        const linger resetOnClose {1, 0};
+        if (departure == Departure::Reset)
+            ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
+        ::close(std::exchange(m_socket, -1));
+    }
+
+    /// The caller sends no more, but waits for the answer.
+    void endOutput() { ::shutdown(m_socket, SHUT_WR); }
+
+private:
+    int m_socket;
+};
+
+std::string request(const std::string &path, const std::string &id)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
+           + "\r\nTeam-Key: good-key\r\nDeadline-Ms: 9000\r\nTokens: 10,10\r\nContent-Length: "
+             "2\r\n\r\nhi";
+}
+
+/// Two plain endpoints and two engines that answer after a pause.
+struct Endpoints
+{
+    explicit Endpoints(EntryHarness &entry)
+    {
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            const bool engine = i >= 2;
+            entry.addEndpoint("e" + std::to_string(i), engine ? "model" : "plain",
+                              servers[i]->address(), engine ? R"(,"layers":[0,4])" : "");
+        }
+    }
+
+    /// Number of requests of callers that reached an endpoint.
+    int received() const
+    {
+        int count = 0;
+        for (const auto &server : servers)
+            for (const std::string &each : server->requests())
+                count += each.starts_with("POST ");
+        return count;
+    }
+
+    std::unique_ptr<RawServer> server()
+    {
+        return std::make_unique<RawServer>([this](const std::string &request) -> RawAnswer {
+            if (request.starts_with("GET /state"))
+                return {okAnswer(request, R"({"layers":[0,4],"orders":1})")};
+            std::this_thread::sleep_for(pause.load());
+            if (request.starts_with("POST /stream"))
+                return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
+            return {okAnswer(request, "done")};
+        });
+    }
+
+    std::atomic<std::chrono::milliseconds> pause {100ms};
+    std::array<std::unique_ptr<RawServer>, 4> servers {server(), server(), server(), server()};
+};
+
+std::vector<std::unique_ptr<CallerConnection>> connectCallers(const EntryHarness &entry)
+{
+    std::vector<std::unique_ptr<CallerConnection>> callers;
+    for (int i = 0; i < Callers; ++i)
+        callers.push_back(std::make_unique<CallerConnection>(entry.callers));
+    return callers;
+}
+
+} // namespace
+
+TEST_CASE("requests whose callers left while the instance stood still reach no endpoint",
+          "[process]")
+{
+    const bool kept = GENERATE(false, true);
+    const std::string path = GENERATE("/safe/x", "/unsafe/x", "/stream/x");
+    const Departure departure = GENERATE(Departure::Close, Departure::Reset);
+    CAPTURE(kept, path, departure == Departure::Reset);
+    EntryHarness entry;
+    Endpoints endpoints(entry);
+    // The first requests leave idle connections to the endpoints behind.
+    auto callers = connectCallers(entry);
+    for (int i = 0; i < Callers; ++i)
+        callers[i]->send(request(path, "first" + std::to_string(i)));
+    for (const auto &each : callers)
+        each->receive();
+    const int before = endpoints.received();
+
+    entry.process->signal(SIGSTOP);
+    if (!kept)
+        callers = connectCallers(entry);
+    for (int i = 0; i < Callers; ++i)
+        callers[i]->send(request(path, "second" + std::to_string(i)));
+    std::this_thread::sleep_for(100ms);
+    for (const auto &each : callers)
+        each->leave(departure);
+    std::this_thread::sleep_for(600ms);
+    entry.process->signal(SIGCONT);
+    // A later caller is served, so the instance has handled those that left.
+    CallerConnection later(entry.callers);
+    later.send(request(path, "later"));
+    CHECK(later.receive().starts_with("HTTP/1.1 200"));
+    CHECK(endpoints.received() - before == 1);
+}
