--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "decisionlog.h"
+#include "fieldtext.h"
 
 #include <balsamloft/coverage.h>
 
@@ -515,8 +516,12 @@
     publishEngineStates();
     m_timer.expires_after(TickInterval);
     m_timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error)
-            tick();
+        if (error)
+            return;
+        const Time due = std::chrono::time_point_cast<Duration>(m_timer.expiry());
+        logLoopDelay("control", m_loopDelay.recordTimer(due, steadyNow()), m_loopDelay);
+        m_state.controlDelayMs = milliseconds(m_loopDelay.last());
+        tick();
     });
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -14,6 +14,7 @@
 #include <balsamloft/instancelist.h>
 #include <balsamloft/layerplanner.h>
 #include <balsamloft/lease.h>
+#include <balsamloft/loopdelay.h>
 #include <balsamloft/peerdirectory.h>
 #include <balsamloft/silencedetector.h>
 #include <balsamloft/storeeras.h>
@@ -176,6 +177,7 @@
     std::optional<Time> m_eraBeganAt; ///< steadyNow() when this process saw the present era begin
     Time m_lostRowsDueAt = Time::max(); ///< steadyNow() at which lost rows are written again
     boost::asio::steady_timer m_timer;
+    LoopDelay m_loopDelay;
     PeerServer m_server;
     PeerDirectory m_directory;
     std::array<std::unique_ptr<StoreSource>, SharedTableCount> m_storeSources;
--- a/src/entry/decisionlog.cpp
+++ b/src/entry/decisionlog.cpp
@@ -1,5 +1,7 @@
 #include "decisionlog.h"
 
+#include "fieldtext.h"
+
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
@@ -114,8 +116,10 @@
 {
     using namespace std::chrono;
     thread_local boost::log::sources::logger logger;
-    const auto wall = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-    const auto steady = duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+    const auto wall =
+        duration_cast<std::chrono::milliseconds>(system_clock::now().time_since_epoch()).count();
+    const auto steady =
+        duration_cast<std::chrono::milliseconds>(steady_clock::now().time_since_epoch()).count();
     std::string line = "{\"at\":" + std::to_string(wall) + ",\"up\":" + std::to_string(steady)
                        + ",\"part\":\"" + std::string(part) + "\",\"event\":\"" + std::string(event)
                        + "\"";
@@ -127,6 +131,18 @@
     BOOST_LOG(logger) << line;
 }
 
+void logLoopDelay(std::string_view thread, LoopDelay::Change change, const LoopDelay &delay)
+{
+    if (change == LoopDelay::Change::FellBehind)
+        logDecision("loop", "behind",
+                    {{"thread", thread}, {"delay_ms", milliseconds(delay.last())}});
+    else if (change == LoopDelay::Change::CaughtUp)
+        logDecision("loop", "caught up",
+                    {{"thread", thread},
+                     {"behind_ms", milliseconds(delay.behindFor())},
+                     {"longest_ms", milliseconds(delay.longest())}});
+}
+
 void flushDecisionLog()
 {
     sink()->locked_backend()->flushAll();
--- a/src/entry/decisionlog.h
+++ b/src/entry/decisionlog.h
@@ -4,6 +4,8 @@
 
 #pragma once
 
+#include <balsamloft/loopdelay.h>
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -29,6 +31,9 @@
 void logDecision(std::string_view part, std::string_view event,
                  std::initializer_list<LogField> fields);
 
+/// Logs that \a thread, whose delays \a delay recorded, fell behind or caught up.
+void logLoopDelay(std::string_view thread, LoopDelay::Change change, const LoopDelay &delay);
+
 /// Writes buffered lines to standard output, as far as that does not block.
 void flushDecisionLog();
 
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -37,6 +37,7 @@
     std::atomic<std::uint64_t> ordersSent {0}; ///< orders to engines
     std::atomic<std::uint64_t> invalidRows {0};
     std::atomic<std::uint64_t> crashNotices {0}; ///< received from other instances
+    std::atomic<std::int64_t> controlDelayMs {0}; ///< how late the control thread's last timer ran
 
     /// Age of the API keys at \a bootTime; the maximum if they were never read.
     Duration keyAge(Time bootTime) const
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -107,6 +107,9 @@
 void TrafficServer::tick()
 {
     const Time now = steadyNow();
+    const Time due = std::chrono::time_point_cast<Duration>(m_timer.expiry());
+    logLoopDelay("traffic", m_loopDelay.recordTimer(due, now), m_loopDelay);
+    m_loopDelays.add(m_loopDelay.last());
     RelayActions actions;
     m_relay.tick(now, actions);
     run(std::move(actions));
@@ -531,6 +534,8 @@
     sample("bad_rows_total", m_state.invalidRows);
     sample("lease_held", m_state.holdsLease ? 1 : 0);
     sample("log_lines_dropped_total", droppedLogLines());
+    sample("control_loop_delay_ms", static_cast<std::uint64_t>(m_state.controlDelayMs));
+    m_loopDelays.render("balsamloft_loop_delay_seconds", "", text);
     m_requestMetrics.render(text);
     return text;
 }
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -10,6 +10,7 @@
 #include "timedcall.h"
 
 #include <balsamloft/entryprotocol.h>
+#include <balsamloft/loopdelay.h>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -155,6 +156,8 @@
     bool m_stopping = false;
     Time m_stopStartedAt {};
     Time m_prunedAt {};
+    LoopDelay m_loopDelay;
+    DurationSummary m_loopDelays;
     std::function<void()> m_stopped;
     std::function<void(std::string)> m_engineSilent;
     std::function<void(std::string)> m_endpointDraining;
