No request is sent whose caller has left

What callers saw: requests of callers that had left ran at endpoints (GONE). Cause: the bytes of a request and the caller's close are read in two steps, and the turn of the loop that reads the first decides and sends; nothing asks whether the caller still waits. An instance that stood still, or that reads connections late, so works for callers that are gone. Now each send (first, repeat, dispatched later, resumed) asks the socket right before it, with poll(POLLRDHUP), which sees a close behind unread bytes. A connection that was taken from the pool and not used goes back to it, else sixty departures would close sixty connections. A caller that only ends its output counts as having left, as before.

--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -62,6 +62,12 @@
 bool CallerSession::maySend()
 {
     const Time now = steadyNow();
+    // The caller's close may lie behind the bytes that were read last.
+    if (callerLeft()) {
+        m_server.departures().beforeSend += 1;
+        close();
+        return false;
+    }
     // The key may have been withdrawn while the request waited for a connection or while this
     // process was paused.
     const bool requiresKey = !m_teamKey.empty() && !m_streamBegun;
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -254,6 +254,11 @@
     m_server.sessionClosed(*this);
 }
 
+bool CallerSession::callerLeft()
+{
+    return isEndedByPeer(m_socket.native_handle());
+}
+
 void CallerSession::closeIfIdle(Time now)
 {
     // A caller that has just connected may be about to send a request, which would be lost if the
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -39,6 +39,9 @@
     void closeIfIdle(Time now);
     void close();
 
+    /// Whether the caller has closed the connection, even if its last bytes were not read yet.
+    bool callerLeft();
+
     /// Number of the current attempt, if it uses a direct connection to \a endpoint that was opened
     /// before \a time.
     std::optional<std::uint32_t> directAttemptAt(std::string_view endpoint, Time time) const
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -83,8 +83,13 @@
 
 void ConnectionPool::put(PooledConnectionPtr connection, Time now)
 {
-    auto &idle = m_idle[connection->endpoint];
     connection->idleSince = now;
+    giveBack(std::move(connection));
+}
+
+void ConnectionPool::giveBack(PooledConnectionPtr connection)
+{
+    auto &idle = m_idle[connection->endpoint];
     if (idle.size() < MaxIdlePerEndpoint)
         idle.push_back(std::move(connection));
 }
@@ -145,6 +150,7 @@
         return fail(AttemptFailure::NotSent);
     }
     m_connection = std::move(connection);
+    m_connection->idleSince = steadyNow();
     send();
 }
 
@@ -288,6 +294,8 @@
 void Exchange::cancel()
 {
     m_handler = nullptr;
+    if (m_connection && !m_mayHaveSent)
+        m_pool.giveBack(std::move(m_connection));
     closeConnection();
 }
 
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -65,6 +65,9 @@
     PooledConnectionPtr take(const std::string &endpoint, Time now);
     void put(PooledConnectionPtr connection, Time now);
 
+    /// Returns a connection that was taken or opened, but not used.
+    void giveBack(PooledConnectionPtr connection);
+
     /// Closes connections that exceeded their idle timeout or whose endpoint is not in \a fleet.
     void prune(const FleetSnapshot &fleet, Time now);
     boost::asio::io_context &context() { return m_context; }
--- a/src/entry/sockets.h
+++ b/src/entry/sockets.h
@@ -20,6 +20,10 @@
 /// \return whether that succeeded; otherwise \a reason is set.
 bool listenAt(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address, Reason &reason);
 
+/// Whether the other side of \a socket has ended its output or reset the connection. Also sees an
+/// end that lies behind bytes not read yet.
+bool isEndedByPeer(int socket);
+
 /// Whether the connection is open and has no bytes to read.
 bool isIdleConnection(boost::asio::ip::tcp::socket &socket);
 
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -512,6 +512,7 @@
     sample("endpoint_writes_total", m_pool.writes);
     sample("caller_reads_total", m_callerSocketCalls.reads);
     sample("caller_writes_total", m_callerSocketCalls.writes);
+    sample("callers_left_before_send_total", m_departures.beforeSend);
     sample("endpoints", m_fleet->endpoints.size());
     sample("configuration_version", m_table ? m_table->version() : 0);
     sample("key_age_ms",
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -110,6 +110,13 @@
         std::uint64_t writes = 0;
     };
     SocketCalls &callerSocketCalls() { return m_callerSocketCalls; }
+
+    /// Numbers of callers that left before this instance worked on their request.
+    struct Departures
+    {
+        std::uint64_t beforeSend = 0; ///< before an attempt was sent
+    };
+    Departures &departures() { return m_departures; }
     std::string metrics() const;
 
 private:
@@ -144,6 +151,7 @@
     boost::asio::steady_timer m_timer;
     RequestMetrics m_requestMetrics;
     SocketCalls m_callerSocketCalls;
+    Departures m_departures;
     EndpointLinks m_links;
     ConnectionPool m_pool;
     ConnectionForwarder m_forwarder;
--- a/testsuite/overload/main.cpp
+++ b/testsuite/overload/main.cpp
@@ -22,6 +22,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -72,7 +73,8 @@
             if (child == 0) {
                 ::prctl(PR_SET_PDEATHSIG, SIGKILL);
                 useCores(0, true);
-                for (volatile std::uint64_t n = 0;; n = n + 1) { }
+                for (std::atomic<std::uint64_t> count {0};;)
+                    count += 1;
             }
             m_children.push_back(child);
         }
