A caller that leaves behind unread bytes is noticed while its request runs

What callers saw: endpoints went on working for callers that had left. Cause: with 64 KB of further bytes read ahead, no read is outstanding, and the close is only found by a read. Now the tick asks the socket of each such caller. The new test fails without it (the endpoint works until its answer, 3 s), with it the request is cancelled in time.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -272,6 +272,9 @@
     const auto self = shared_from_this();
     if (const auto exchange = m_exchange)
         exchange->tick(now);
+    // Without a read in progress, nothing else notices that the caller has left.
+    if (m_flight && !m_reading && callerLeft())
+        return close();
     if (m_flight || m_writing || m_closed)
         return;
     const RouteMapPtr &table = m_server.table();
--- a/testsuite/departed-callers/departed_callers_test.cpp
+++ b/testsuite/departed-callers/departed_callers_test.cpp
@@ -162,3 +162,27 @@
     CHECK(later.receive().starts_with("HTTP/1.1 200"));
     CHECK(endpoints.received() - before == 1);
 }
+
+TEST_CASE("a caller that left behind bytes that are not read yet is noticed while its request runs",
+          "[process]")
+{
+    EntryHarness entry;
+    Endpoints endpoints(entry);
+    endpoints.pause = 3000ms;
+    CallerConnection caller(entry.callers);
+    caller.send(request("/unsafe/x", "first"));
+    REQUIRE(waitUntil([&] { return endpoints.received() == 1; }));
+    // More than an instance reads ahead, and less than a socket holds.
+    caller.send(std::string(100'000, 'x'));
+    std::this_thread::sleep_for(100ms);
+    const auto closed = [&] {
+        return std::any_of(endpoints.servers.begin(), endpoints.servers.end(),
+                           [](const auto &each) { return each->closedByPeer() > 0; });
+    };
+    REQUIRE_FALSE(closed());
+    caller.leave(Departure::Close);
+    // The endpoint is told by the end of its connection; its answer would come seconds later.
+    entry.process->waitFor("caller gone");
+    CHECK(endpoints.received() == 1);
+    CHECK(entry.process->output().find("\"outcome\":\"passed\"") == std::string::npos);
+}
