An instance that gets more than it can read serves what it can

Cause: connections wait in the system's queue and are read in the order of arrival, whoever still waits. Once the queue is longer than callers' patience, each request that is read is too late, its caller repeats, and the queue keeps its length: congestion collapse that outlasts the load. Ruled out: something else holding the thread up (no such line).

Now (CallerAcceptor) all connections are accepted at once and handed on one by one, the newest first, each behind the work that is ready, so running requests come first. A connection whose caller left is closed unread; so is one that has waited for 200 ms (UnreadConnections). While connections expire, the instance listens only if few wait, with a short backlog (AcceptGate): others are refused at once and go elsewhere; accepting and closing them would take all its time.

--- /dev/null
+++ b/src/entry/calleracceptor.h
@@ -0,0 +1,73 @@
+/// \file
+/// Accepts the connections of callers.
+
+#pragma once
+
+#include <balsamloft/acceptgate.h>
+#include <balsamloft/types.h>
+#include <balsamloft/unreadconnections.h>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+
+namespace balsamloft {
+
+/// Accepts all connections at once and hands them on one by one, the newest first, each behind the
+/// work that is ready by then. So running requests are never behind new ones, and a connection
+/// whose caller left, or that waited too long, costs no more than closing it. While the instance is
+/// behind, connections are refused as AcceptGate decides.
+class CallerAcceptor
+{
+public:
+    using Handler = std::function<void(boost::asio::ip::tcp::socket)>;
+
+    struct Counts
+    {
+        std::uint64_t leftUnread = 0; ///< connections whose caller left before they were read
+        std::uint64_t expired = 0; ///< connections closed unread because they waited too long
+    };
+
+    explicit CallerAcceptor(boost::asio::io_context &context);
+    ~CallerAcceptor();
+    CallerAcceptor(const CallerAcceptor &) = delete;
+    CallerAcceptor &operator=(const CallerAcceptor &) = delete;
+
+    /// Listens at \a address and passes each connection to \a handler.
+    /// \return whether listening succeeded; otherwise \a reason is set.
+    bool listen(const std::string &address, Handler handler, Reason &reason);
+
+    /// Listens again after a failure, and logs whether the instance is behind. To be called
+    /// regularly.
+    void tick(Time now);
+    void close();
+
+    std::size_t waiting() const { return m_waiting.size(); }
+    const Counts &counts() const { return m_counts; }
+
+private:
+    /// Opens or closes the listening socket as the gate decides.
+    void updateListening(Time now);
+    void startListening(Time now, Reason &reason);
+    void stopListening();
+    void waitForConnections();
+    void acceptAll();
+    void scheduleTurn();
+    void takeTurn();
+    void beginNewest();
+
+    boost::asio::io_context &m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::string m_address;
+    Handler m_handler;
+    AcceptGate m_gate;
+    UnreadConnections m_waiting; ///< descriptors
+    Counts m_counts;
+    int m_backlog = 0; ///< of the listening socket
+    bool m_turnScheduled = false;
+    bool m_lacksDescriptors = false;
+    bool m_stopped = false;
+    bool m_loggedBehind = false;
+};
+
+} // namespace balsamloft
--- a/src/entry/sockets.cpp
+++ b/src/entry/sockets.cpp
@@ -23,7 +23,7 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
 }
 
-bool listenAt(tcp::acceptor &acceptor, const std::string &address, Reason &reason)
+bool listenAt(tcp::acceptor &acceptor, const std::string &address, Reason &reason, int backlog)
 {
     const auto endpoint = parseTcpEndpoint(address);
     boost::system::error_code error;
@@ -33,7 +33,7 @@
     if (!error)
         acceptor.bind(*endpoint, error);
     if (!error)
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        acceptor.listen(backlog, error);
     if (error)
         reason = "cannot listen at " + address + ": " + error.message();
     return !error;
--- a/src/entry/sockets.h
+++ b/src/entry/sockets.h
@@ -16,9 +16,11 @@
 /// unacknowledged data, because a peer behind a network partition never resets the connection.
 void setSocketOptions(boost::asio::ip::tcp::socket &socket);
 
-/// Opens \a acceptor and listens at \a address, a valid "IP:port".
-/// \return whether that succeeded; otherwise \a reason is set.
-bool listenAt(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address, Reason &reason);
+/// Opens \a acceptor and listens at \a address, a valid "IP:port". The system holds up to \a
+/// backlog connections until they are accepted. \return whether that succeeded; otherwise \a reason
+/// is set.
+bool listenAt(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address, Reason &reason,
+              int backlog = boost::asio::socket_base::max_listen_connections);
 
 /// Whether the other side of \a socket has ended its output or reset the connection. Also sees an
 /// end that lies behind bytes not read yet.
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -71,27 +71,20 @@
 
 bool TrafficServer::listen(Reason &reason)
 {
-    if (!listenAt(m_acceptor, m_settings.callerAddress, reason)
+    const auto begin = [this](tcp::socket socket) { beginSession(std::move(socket)); };
+    if (!m_acceptor.listen(m_settings.callerAddress, begin, reason)
         || (!m_settings.forwardAddress.empty()
             && !m_forwarder.listen(m_settings.forwardAddress, reason)))
         return false;
-    accept();
     armTimer();
     return true;
 }
 
-void TrafficServer::accept()
+void TrafficServer::beginSession(tcp::socket socket)
 {
-    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
-            return;
-        if (!error) {
-            auto session = std::make_shared<CallerSession>(*this, std::move(socket));
-            m_sessions.insert(session);
-            session->start();
-        }
-        accept();
-    });
+    auto session = std::make_shared<CallerSession>(*this, std::move(socket));
+    m_sessions.insert(session);
+    session->start();
 }
 
 void TrafficServer::armTimer()
@@ -122,6 +115,7 @@
         m_pool.prune(*m_fleet, now);
         logQuarantinedParts(now);
     }
+    m_acceptor.tick(now);
     m_forwarder.tick(bootNow());
     m_forwarder.closeDeclined(now);
     if (m_stopping)
@@ -462,7 +456,8 @@
                                                                m_sessions.end());
     for (const auto &session : sessions)
         session->closeIfIdle(now);
-    const bool finished = m_sessions.empty() && !m_forwarder.hasUnfinished(now);
+    const bool finished =
+        m_sessions.empty() && m_acceptor.waiting() == 0 && !m_forwarder.hasUnfinished(now);
     if (finished || now - m_stopStartedAt >= m_settings.gracePeriod - StopMargin) {
         m_acceptor.close();
         if (m_stopped)
@@ -512,6 +507,9 @@
     sample("endpoint_writes_total", m_pool.writes);
     sample("caller_reads_total", m_callerSocketCalls.reads);
     sample("caller_writes_total", m_callerSocketCalls.writes);
+    sample("caller_connections_waiting", m_acceptor.waiting());
+    sample("callers_left_unread_total", m_acceptor.counts().leftUnread);
+    sample("caller_connections_expired_total", m_acceptor.counts().expired);
     sample("callers_left_before_send_total", m_departures.beforeSend);
     sample("endpoints", m_fleet->endpoints.size());
     sample("configuration_version", m_table ? m_table->version() : 0);
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "calleracceptor.h"
 #include "connectionforwarder.h"
 #include "entrystate.h"
 #include "requestmetrics.h"
@@ -123,7 +124,7 @@
     bool mayForward(const std::string &endpoint, Time now) const override;
     void forwardedAnswer(const std::string &endpoint, const MessageHead &answer) override;
 
-    void accept();
+    void beginSession(boost::asio::ip::tcp::socket socket);
     void tick();
     void armTimer();
     bool isPlainService(const std::string &id) const;
@@ -147,7 +148,7 @@
     EntrySettings m_settings; ///< used on the traffic thread only
     const EntryProtocol &m_protocol;
     EntryState &m_state;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    CallerAcceptor m_acceptor;
     boost::asio::steady_timer m_timer;
     RequestMetrics m_requestMetrics;
     SocketCalls m_callerSocketCalls;
