A forwarding instance sends no request that was given up behind it

Cause: the forwarder reads the bytes of a request, whose close lies behind them, and writes them to the endpoint. It asks the socket now, as each send does.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -70,6 +70,10 @@
     /// Whether no request was forwarded, or its answer is complete.
     bool isIdle() const { return !m_awaitsAnswer && (!m_answer || m_answer->done()); }
 
+    /// Whether the instance has closed the connection behind its last bytes, as it does when the
+    /// caller of the request has left.
+    bool instanceLeft() { return isEndedByPeer(m_instance.native_handle()); }
+
     bool isDeclined(Time now) const { return !m_forwarder.m_policy.mayForward(m_id, now); }
 
     bool isConnected() const { return m_connected; }
@@ -187,6 +191,8 @@
         m_forwarder.m_links.recordDirectSuccess(m_id, now);
         if (isDeclined(now))
             return refuse(forwarding::Declined);
+        if (instanceLeft())
+            return close(false);
         m_connected = true;
         m_forwarder.m_opened += 1;
         setSocketOptions(m_endpoint);
@@ -225,6 +231,8 @@
             return close(false);
         if (m_forwarder.wasPaused())
             return m_forwarder.closeAll();
+        if (instanceLeft())
+            return close(false);
         if (isIdle()) {
             if (isDeclined(steadyNow()))
                 return close(false);
--- a/testsuite/departed-callers/departed_callers_test.cpp
+++ b/testsuite/departed-callers/departed_callers_test.cpp
@@ -1,13 +1,10 @@
 // Tests of callers that leave before their request was read, sent or answered.
 
+#include "../entry/callerconnection.h"
 #include "../entry/entryharness.h"
 
 #include <catch2/catch.hpp>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <csignal>
 
 using namespace balsamloft::testsuite;
@@ -17,63 +14,6 @@
 
 constexpr int Callers = 60;
 
-/// How a caller ends its connection.
-enum class Departure { Close, Reset };
-
-/// A connection of a caller.
-class CallerConnection
-{
-public:
-    explicit CallerConnection(const std::string &address)
-        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const std::size_t colon = address.find(':');
-        sockaddr_in peer {};
-        peer.sin_family = AF_INET;
-        peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
-        ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &peer.sin_addr);
-        if (::connect(m_socket, reinterpret_cast<sockaddr *>(&peer), sizeof peer) != 0)
-            throw std::runtime_error("cannot connect to " + address);
-    }
-    ~CallerConnection()
-    {
-        if (m_socket >= 0)
-            ::close(m_socket);
-    }
-    CallerConnection(const CallerConnection &) = delete;
-    CallerConnection &operator=(const CallerConnection &) = delete;
-
-    void send(std::string_view text) { ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL); }
-
-    /// Reads until the answer is complete.
-    std::string receive()
-    {
-        std::string text;
-        char buffer[4096];
-        while (!completeAnswer(text)) {
-            const auto count = ::recv(m_socket, buffer, sizeof buffer, 0);
-            if (count <= 0)
-                break;
-            text.append(buffer, static_cast<std::size_t>(count));
-        }
-        return text;
-    }
-
-    void leave(Departure departure)
-    {
-        const linger resetOnClose {1, 0};
-        if (departure == Departure::Reset)
-            ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
-        ::close(std::exchange(m_socket, -1));
-    }
-
-    /// The caller sends no more, but waits for the answer.
-    void endOutput() { ::shutdown(m_socket, SHUT_WR); }
-
-private:
-    int m_socket;
-};
-
 std::string request(const std::string &path, const std::string &id)
 {
     return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
--- a/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
+++ b/testsuite/unreachable-endpoints/unreachable_endpoints_test.cpp
@@ -1,5 +1,6 @@
 // Tests of instances whose own links to the endpoints are broken, while other instances reach them.
 
+#include "../entry/callerconnection.h"
 #include "../entry/entryharness.h"
 #include "../soak/link.h"
 
@@ -93,6 +94,11 @@
                         "CONNECT " + endpoint + " HTTP/1.1\r\nHost: h\r\n\r\n", completeAnswer);
     }
 
+    const std::string &forwardAddress(std::size_t instance) const
+    {
+        return m_instances[instance].forward;
+    }
+
     void heal(std::size_t instance)
     {
         changeLinks(instance, [](Link &link) { link.heal(); });
@@ -407,6 +413,23 @@
 
 } // namespace
 
+TEST_CASE("a forwarding instance that stood still sends no request whose instance gave it up",
+          "[process]")
+{
+    Site site(1);
+    CallerConnection forwarded(site.forwardAddress(0));
+    forwarded.send("CONNECT e1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(forwarded.receiveSome().starts_with("HTTP/1.1 200"));
+    site.process(0).signal(SIGSTOP);
+    forwarded.send("POST /unsafe/late HTTP/1.1\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nhi");
+    forwarded.leave(Departure::Close);
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    site.process(0).signal(SIGCONT);
+    // A later request is served, so the instance has handled the one before.
+    CHECK(waitUntil([&] { return site.serves(0, "/unsafe/x"); }));
+    CHECK(site.received("POST /unsafe/late") == 0);
+}
+
 // Guards against requests of others to an endpoint that wants none from the forwarding instance.
 TEST_CASE("what an endpoint announces to an instance holds for requests that it forwards",
           "[process]")
