The soak lets callers leave while instances stand still

--departures: bursts of callers that leave without an answer, after 0 to 0.4 s, closed or reset; in a further series instances stand still for 0.2 to 1.3 s. Judged at the endpoints: at most three requests executed later than half a second, and a link's longest delay, after their callers left.

--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -22,6 +22,8 @@
     "let the store come back from copies while the configuration changes, in a further series");
 DEFINE_bool(announcements, false,
             "let endpoints announce pauses and their exit in a further series of faults");
+DEFINE_bool(departures, false,
+            "let callers leave while instances stand still for short times in a further series");
 DEFINE_string(logs, "", "directory for the instances' logs of failing seeds");
 
 namespace {
@@ -39,6 +41,7 @@
     settings.ownLinks = FLAGS_own_links;
     settings.announcements = FLAGS_announcements;
     settings.restores = FLAGS_restores;
+    settings.departures = FLAGS_departures;
     balsamloft::soak::Soak soak(settings);
     const std::vector<std::string> violations = soak.run();
     std::printf("seed %lu: %s, %zu faults, %s\n", seed, violations.empty() ? "passed" : "FAILED",
--- a/testsuite/soak/record.cpp
+++ b/testsuite/soak/record.cpp
@@ -19,6 +19,13 @@
 /// Requests that may arrive even later: a link may delay one of each of an instance's callers.
 constexpr int MaxDelayed = 4;
 
+/// Time after its caller left in which a request may still be executed: half a second, and the
+/// longest delay of a link.
+constexpr auto MaxDepartureDelay = std::chrono::milliseconds(700);
+
+/// Requests that may be executed even later.
+constexpr int MaxExecutedAfterLeaving = 3;
+
 bool meansNotExecuted(int status)
 {
     return status == 503 || status == 429 || status == 408 || status == 421;
@@ -53,6 +60,10 @@
     const auto found = m_leavingAt.find(endpoint);
     if (found != m_leavingAt.end() && Clock::now() - found->second > LeavingPropagation)
         addViolation("a leaving endpoint got a new request: " + endpoint + ", " + request);
+    const auto left = m_leftAt.find(request);
+    if (left != m_leftAt.end() && Clock::now() - left->second > MaxDepartureDelay
+        && ++m_executedAfterLeaving == MaxExecutedAfterLeaving + 1)
+        addViolation("requests executed long after their callers left, the last: " + request);
 }
 
 void Record::announced(const std::string &endpoint, const std::string &instance,
--- a/testsuite/soak/record.h
+++ b/testsuite/soak/record.h
@@ -42,6 +42,9 @@
     /// The caller of \a request has received its answer.
     void received(const std::string &request, Exchange exchange);
 
+    /// The caller of \a request has closed its connection without an answer.
+    void left(const std::string &request) { m_leftAt[request] = Clock::now(); }
+
     /// The endpoint with the id \a endpoint has reported that it is leaving.
     void leaving(const std::string &endpoint) { m_leavingAt[endpoint] = Clock::now(); }
     /// An answer of \a endpoint to \a instance asks for no requests until \a until.
@@ -79,6 +82,8 @@
     std::map<std::string, Clock::time_point> m_leavingAt;
     std::map<std::pair<std::string, std::string>, Announcement> m_announcements;
     std::vector<std::string> m_crashed;
+    std::map<std::string, Clock::time_point> m_leftAt;
+    int m_executedAfterLeaving = 0; ///< requests executed long after their callers left
     std::vector<std::string> m_violations;
 };
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -163,6 +163,16 @@
     return m_record.check();
 }
 
+void Soak::spawn(awaitable<void> work)
+{
+    m_running += 1;
+    asio::co_spawn(m_context, std::move(work), [this](const std::exception_ptr &error) {
+        m_running -= 1;
+        if (error)
+            std::rethrow_exception(error);
+    });
+}
+
 awaitable<void> Soak::runPhases()
 {
     for (std::size_t i = 0; i < m_instances.size(); ++i)
@@ -177,14 +187,6 @@
         logFault("store down until all faults have ended");
         m_store.down = true;
     }
-    const auto spawn = [this](awaitable<void> work) {
-        m_running += 1;
-        asio::co_spawn(m_context, std::move(work), [this](const std::exception_ptr &error) {
-            m_running -= 1;
-            if (error)
-                std::rethrow_exception(error);
-        });
-    };
     for (std::size_t i = 0; i < m_instances.size(); ++i)
         for (int n = 0; n < m_settings.callers; ++n)
             spawn(runCaller(i, m_random()));
@@ -200,6 +202,11 @@
         for (std::size_t i = 0; i < m_instances.size(); ++i)
             spawn(runProbe(i));
     }
+    if (m_settings.departures) {
+        spawn(runSeries(m_random(), &Soak::holdUpFault));
+        for (std::size_t i = 0; i < m_instances.size(); ++i)
+            spawn(runLeavingCallers(i, m_random()));
+    }
     if (m_settings.crashingRequest)
         spawn(runCrashingCaller(m_random(), {}));
     for (int i = 0; i < m_settings.crashingParts; ++i)
@@ -281,6 +288,40 @@
     }
 }
 
+awaitable<void> Soak::runLeavingCallers(std::size_t instance, std::uint64_t seed)
+{
+    constexpr int MaxCallers = 25;
+    std::mt19937_64 random(seed);
+    while (!m_stopping) {
+        co_await pause(Milliseconds(draw(random, 30, 300)));
+        for (int count = draw(random, 1, MaxCallers); count > 0; --count)
+            spawn(runLeavingCaller(instance, random()));
+    }
+}
+
+awaitable<void> Soak::runLeavingCaller(std::size_t instance, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    boost::system::error_code error;
+    tcp::socket socket(m_context);
+    co_await socket.async_connect(endpointOf(m_instances[instance].callers),
+                                  asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return;
+    const std::string id = requestId(m_nextRequest++, m_instances[instance].name);
+    Exchange exchange;
+    exchange.kind = static_cast<Kind>(draw(random, 0, 2));
+    exchange.events = draw(random, 1, 60);
+    co_await asio::async_write(socket, asio::buffer(requestText(id, exchange)),
+                               asio::redirect_error(asio::use_awaitable, error));
+    m_record.received(id, std::move(exchange));
+    co_await pause(Milliseconds(draw(random, 0, 400)));
+    if (draw(random, 0, 1) == 0)
+        socket.set_option(asio::socket_base::linger(true, 0), error);
+    socket.close(error);
+    m_record.left(id);
+}
+
 /// Writes the present version of the configuration, with a key of its own.
 void Soak::writeConfiguration()
 {
@@ -474,6 +515,20 @@
     instance.busy = false;
 }
 
+awaitable<void> Soak::holdUpFault(std::mt19937_64 &random)
+{
+    Instance &instance = m_instances[random() % m_instances.size()];
+    const Milliseconds time(draw(random, 200, 1300));
+    if (instance.busy)
+        co_return;
+    instance.busy = true;
+    logFault(instance.name + " stands still for " + std::to_string(time.count()));
+    instance.process->signal(SIGSTOP);
+    co_await pause(time);
+    instance.process->signal(SIGCONT);
+    instance.busy = false;
+}
+
 awaitable<void> Soak::storeFault(std::mt19937_64 &random, Milliseconds time)
 {
     const int kind = draw(random, 0, 4);
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -31,6 +31,9 @@
     bool restores = false;
     /// In a further series, endpoints announce pauses, or their exit, in their answers.
     bool announcements = false;
+    /// Callers leave without an answer, and in a further series instances stand still for a short
+    /// time.
+    bool departures = false;
 };
 
 /// Runs one seed. The seed determines the faults, their times and durations, but not the timing of
@@ -82,6 +85,8 @@
     awaitable<void> announcement(std::mt19937_64 &random);
     std::string ownView(Instance &instance);
     awaitable<void> endpointFault(std::mt19937_64 &random, Milliseconds time);
+    /// Runs \a work as one of the tasks that run() waits for.
+    void spawn(awaitable<void> work);
     awaitable<void> runCaller(std::size_t instance, std::uint64_t seed);
     awaitable<void> restoreFault(std::mt19937_64 &random);
     awaitable<void> runOperator(std::uint64_t seed);
@@ -89,6 +94,10 @@
     awaitable<bool> acceptsVersion(std::size_t instance, int version);
     awaitable<void> checkNewestVersion(std::size_t instance);
     void writeConfiguration();
+    /// Callers that leave without an answer come to an instance in bursts.
+    awaitable<void> runLeavingCallers(std::size_t instance, std::uint64_t seed);
+    awaitable<void> runLeavingCaller(std::size_t instance, std::uint64_t seed);
+    awaitable<void> holdUpFault(std::mt19937_64 &random);
     awaitable<void> runCrashingCaller(std::uint64_t seed, std::string part);
     /// Sends the request of \a exchange and stores the answer in \a exchange.
     /// \return whether the connection can be used again.
