balsamloftd sends no step or call whose caller has left

What callers saw: the same GONE at the daemon. Cause: it watches its callers by reads that come after the handler, so a request whose close lies behind it is sent first. Every step and call asks the caller's socket right before it leaves. The new test (stopped for 0.6 s, 20 callers leave meanwhile) failed before: 21 calls ran; 1 now. Which connections balsamloftd reads first is unchanged.

--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -266,19 +266,34 @@
     pending.id = std::move(requestId);
     pending.submittedAt = pending.lastTokenAt = now;
     pending.call.request.id = id;
-    exchange->onCallerGone([this, id] {
-        asio::post(m_context, [this, id] {
-            Actions actions;
-            m_router.callerGone(id, steadyNow(), actions);
-            perform(actions);
-        });
-    });
+    exchange->onCallerGone([this, id] { postCallerGone(id); });
     Request request = pending.call.request;
     Actions actions;
     m_router.submit(std::move(request), now, actions);
     perform(actions);
 }
 
+void TrafficWorker::postCallerGone(RequestId id)
+{
+    asio::post(m_context, [this, id] {
+        Actions actions;
+        m_router.callerGone(id, steadyNow(), actions);
+        perform(actions);
+    });
+}
+
+/// Whether the caller still waits. Its close may lie behind the bytes that were read last.
+bool TrafficWorker::callerWaits(RequestId id)
+{
+    const auto it = m_pendingRequests.find(id);
+    if (it == m_pendingRequests.end())
+        return false;
+    if (!it->second.exchange->callerLeft())
+        return true;
+    postCallerGone(id);
+    return false;
+}
+
 void TrafficWorker::perform(Actions &actions)
 {
     for (Action &action : actions)
@@ -310,7 +325,9 @@
 {
     HttpClient::Options result;
     result.timeout = std::max(Duration(1), deadline - steadyNow());
-    result.maySend = [this, id, attempt] { return m_router.maySend(id, attempt, steadyNow()); };
+    result.maySend = [this, id, attempt] {
+        return callerWaits(id) && m_router.maySend(id, attempt, steadyNow());
+    };
     return result;
 }
 
--- a/src/balsamloftd/trafficworker.h
+++ b/src/balsamloftd/trafficworker.h
@@ -97,6 +97,8 @@
 
     void handle(const HttpExchangePtr &exchange);
     void handleCaller(const HttpExchangePtr &exchange);
+    void postCallerGone(RequestId id);
+    bool callerWaits(RequestId id);
     void perform(Actions &actions);
     void schedule();
     void checkIdle();
--- a/src/entry/sockets.cpp
+++ b/src/entry/sockets.cpp
@@ -1,7 +1,6 @@
 #include "sockets.h"
 
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 
 using boost::asio::ip::tcp;
@@ -39,12 +38,6 @@
     return !error;
 }
 
-bool isEndedByPeer(int socket)
-{
-    pollfd poll {socket, POLLRDHUP, 0};
-    return ::poll(&poll, 1, 0) > 0;
-}
-
 bool isIdleConnection(tcp::socket &socket)
 {
     char byte = 0;
--- a/src/entry/sockets.h
+++ b/src/entry/sockets.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <balsamloft/address.h>
+#include <balsamloft/socketstate.h>
 #include <balsamloft/types.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -22,10 +23,6 @@
 bool listenAt(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address, Reason &reason,
               int backlog = boost::asio::socket_base::max_listen_connections);
 
-/// Whether the other side of \a socket has ended its output or reset the connection. Also sees an
-/// end that lies behind bytes not read yet.
-bool isEndedByPeer(int socket);
-
 /// Whether the connection is open and has no bytes to read.
 bool isIdleConnection(boost::asio::ip::tcp::socket &socket);
 
--- a/src/include/balsamloft/httpserver.h
+++ b/src/include/balsamloft/httpserver.h
@@ -57,6 +57,10 @@
     /// Calls \a callback if the caller closes its side of the connection or the connection fails
     /// before the answer is complete. The handler may still try to send an answer.
     virtual void onCallerGone(std::function<void()> callback) = 0;
+
+    /// Whether the caller has closed its side of the connection, even if the callback was not
+    /// called yet.
+    virtual bool callerLeft() = 0;
 };
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -1,4 +1,5 @@
 #include <balsamloft/httpserver.h>
+#include <balsamloft/socketstate.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,6 +47,7 @@
     void beginStream(HttpResponse response);
     bool write(std::string_view data);
     void endStream();
+    bool callerLeft() { return m_callerClosed || isEndedByPeer(m_stream.socket().native_handle()); }
     void setCallerGoneCallback(std::function<void()> callback)
     {
         m_callerGoneCallback = std::move(callback);
@@ -126,6 +128,7 @@
     {
         m_session->setCallerGoneCallback(std::move(callback));
     }
+    bool callerLeft() override { return m_session->callerLeft(); }
 
 private:
     std::shared_ptr<Session> m_session;
--- a/testsuite/departed-callers/departed_callers_test.cpp
+++ b/testsuite/departed-callers/departed_callers_test.cpp
@@ -1,5 +1,6 @@
 // Tests of callers that leave before their request was read, sent or answered.
 
+#include "../common/fleet.h"
 #include "../entry/callerconnection.h"
 #include "../entry/entryharness.h"
 
@@ -126,3 +127,38 @@
     CHECK(endpoints.received() == 1);
     CHECK(entry.process->output().find("\"outcome\":\"passed\"") == std::string::npos);
 }
+
+TEST_CASE("a daemon that stood still sends no call whose caller left meanwhile", "[process]")
+{
+    constexpr int DaemonCallers = 20;
+    Fleet fleet;
+    fleet.startService("s1");
+    Daemon &daemon = fleet.startDaemon("i1");
+    fleet.configure();
+    const auto calls = [&] { return fleet.log("s1").at("calls").as_array().size(); };
+    const std::string call = "POST /services/s/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer t\r\n"
+                             "Balsamloft-Deadline-Ms: 60000\r\nContent-Length: 2\r\n\r\nhi";
+    std::vector<std::unique_ptr<CallerConnection>> callers;
+    const auto sendAgain = [&] {
+        callers.clear();
+        for (int i = 0; i < DaemonCallers; ++i) {
+            callers.push_back(std::make_unique<CallerConnection>(daemon.callers));
+            callers.back()->send(call);
+        }
+    };
+    // The first calls leave idle connections to the service behind.
+    sendAgain();
+    for (const auto &each : callers)
+        CHECK(each->receive().starts_with("HTTP/1.1 200"));
+    const std::size_t before = calls();
+
+    daemon.process->signal(SIGSTOP);
+    sendAgain();
+    callers.clear();
+    std::this_thread::sleep_for(600ms);
+    daemon.process->signal(SIGCONT);
+    CallerConnection later(daemon.callers);
+    later.send(call);
+    CHECK(later.receive().starts_with("HTTP/1.1 200"));
+    CHECK(calls() - before == 1);
+}
