--- a/src/fakes/overloadsimulation.cpp
+++ b/src/fakes/overloadsimulation.cpp
@@ -60,14 +60,14 @@
     return double(m_served) / count;
 }
 
-double OverloadSimulation::readAndServed() const
+double OverloadSimulation::servedOfRead() const
 {
     return m_read == 0 ? 0 : double(m_readServed) / m_read;
 }
 
 void OverloadSimulation::standStill(Duration length)
 {
-    m_stillUntil[0] = m_now + length;
+    m_stillUntil = m_now + length;
 }
 
 void OverloadSimulation::handle(const Event &event)
@@ -96,7 +96,8 @@
     caller.leavesAt = m_now + m_settings.patience;
     std::size_t chosen =
         std::uniform_int_distribution<std::size_t>(0, m_instances.size() - 1)(m_random);
-    if (caller.attempt == 1 && std::bernoulli_distribution(m_settings.skew)(m_random))
+    if (m_now < m_firstOnlyUntil
+        || (caller.attempt == 1 && std::bernoulli_distribution(m_settings.skew)(m_random)))
         chosen = 0;
     Instance &instance = m_instances[chosen];
     if (!instance.listens)
@@ -107,11 +108,9 @@
         && instance.backlog.size() >= std::size_t(instance.gate.backlog(m_now)))
         return;
     instance.backlog.push_back(number);
-    if (!std::exchange(instance.turnScheduled, true)) {
-        const auto still = m_stillUntil.find(chosen);
-        schedule(still == m_stillUntil.end() ? m_now : std::max(m_now, still->second),
-                 Event::Kind::Turn, int(chosen));
-    }
+    if (!std::exchange(instance.turnScheduled, true))
+        schedule(chosen == 0 ? std::max(m_now, m_stillUntil) : m_now, Event::Kind::Turn,
+                 int(chosen));
 }
 
 /// The attempt of the caller has failed at \a at.
--- a/src/fakes/overloadsimulation.h
+++ b/src/fakes/overloadsimulation.h
@@ -6,7 +6,6 @@
 #include <balsamloft/acceptgate.h>
 #include <balsamloft/unreadconnections.h>
 
-#include <map>
 #include <queue>
 #include <random>
 #include <vector>
@@ -45,12 +44,15 @@
     /// Lets the first instance stand still for \a length.
     void standStill(Duration length);
 
+    /// Sends all callers to the first instance for \a length, as while it alone has started.
+    void useFirstOnly(Duration length) { m_firstOnlyUntil = m_now + length; }
+
     /// Requests per second that one instance can read if it does nothing else.
     double capacity() const;
 
     /// Shares of requests of which an attempt was read, and among them those whose first attempt
     /// that was read was served, over the last run().
-    double readAndServed() const;
+    double servedOfRead() const;
 
 private:
     struct Caller
@@ -105,7 +107,8 @@
     std::priority_queue<Event, std::vector<Event>, Later> m_events;
     std::vector<Caller> m_callers;
     std::vector<Instance> m_instances;
-    std::map<std::size_t, Time> m_stillUntil;
+    Time m_stillUntil {}; ///< of the first instance
+    Time m_firstOnlyUntil {};
     std::uint64_t m_run = 0;
     int m_served = 0;
     int m_read = 0;
--- a/src/libbalsamloft/overload_test.cpp
+++ b/src/libbalsamloft/overload_test.cpp
@@ -72,14 +72,31 @@
     OverloadSimulation even(settings);
     const double rate = 4 * even.capacity();
     const double before = even.run(rate, 4 * Second);
-    const double readBefore = even.readAndServed();
+    const double readBefore = even.servedOfRead();
     settings.skew = 5.0 / 6;
     OverloadSimulation skewed(settings);
     const double served = skewed.run(rate, 6 * Second);
-    CHECK(skewed.readAndServed() >= 0.75 * readBefore);
+    CHECK(skewed.servedOfRead() >= 0.75 * readBefore);
     CHECK(served >= 0.75 * before);
 }
 
+TEST_CASE(
+    "after all instances started again, those that come first do not keep the others' callers")
+{
+    const std::size_t instances = GENERATE(6, 60, 295);
+    CAPTURE(instances);
+    OverloadSimulation::Settings settings;
+    settings.instances = instances;
+    settings.processorShare = 0.12;
+    OverloadSimulation simulation(settings);
+    const double rate = double(instances) * simulation.capacity() / 2;
+    const double share = 1 / double(instances);
+    simulation.useFirstOnly(3 * Second);
+    CHECK(simulation.run(rate, 3 * Second) >= 0.75 * 2 * share);
+    simulation.run(rate, 2 * Second);
+    CHECK(simulation.run(rate, 4 * Second) >= 0.9);
+}
+
 TEST_CASE("after an instance stood still, it serves the callers that still wait")
 {
     OverloadSimulation::Settings settings;
