--- a/src/entry/calleracceptor.cpp
+++ b/src/entry/calleracceptor.cpp
@@ -80,8 +80,10 @@
 {
     const Time now = steadyNow();
     int socket = -1;
-    while ((socket = ::accept(m_acceptor.native_handle(), nullptr, nullptr)) >= 0)
+    while ((socket = ::accept(m_acceptor.native_handle(), nullptr, nullptr)) >= 0) {
         m_waiting.add(socket, now);
+        closeExpired(now); // else a long queue would take all descriptors of the process
+    }
     // Waiting for connections that cannot be accepted would keep the loop busy.
     m_lacksDescriptors = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
     if (!m_lacksDescriptors)
@@ -118,15 +120,20 @@
 void CallerAcceptor::takeTurn()
 {
     const Time now = steadyNow();
+    closeExpired(now);
+    beginNewest();
+    if (m_waiting.size() > 0)
+        scheduleTurn();
+    updateListening(now);
+}
+
+void CallerAcceptor::closeExpired(Time now)
+{
     while (const auto expired = m_waiting.takeExpired(now)) {
         ::close(*expired);
         m_counts.expired += 1;
         m_gate.recordExpired(now);
     }
-    beginNewest();
-    if (m_waiting.size() > 0)
-        scheduleTurn();
-    updateListening(now);
 }
 
 void CallerAcceptor::beginNewest()
--- a/src/entry/calleracceptor.h
+++ b/src/entry/calleracceptor.h
@@ -54,6 +54,7 @@
     void acceptAll();
     void scheduleTurn();
     void takeTurn();
+    void closeExpired(Time now);
     void beginNewest();
 
     boost::asio::io_context &m_context;
