--- a/testsuite/overload/main.cpp
+++ b/testsuite/overload/main.cpp
@@ -192,8 +192,8 @@
     {
         if (second < BeforeSeconds)
             return FLAGS_rate;
-        return second < std::size_t(BeforeSeconds + FLAGS_seconds) ? FLAGS_rate * FLAGS_multiple
-                                                                   : FLAGS_rate / 2;
+        const auto overloadEnd = static_cast<std::size_t>(FLAGS_seconds) + BeforeSeconds;
+        return second < overloadEnd ? FLAGS_rate * FLAGS_multiple : FLAGS_rate / 2;
     }
 
     awaitable<void> runPhases()
