--- a/testsuite/common/process.cpp
+++ b/testsuite/common/process.cpp
@@ -32,9 +32,7 @@
 Process::Process(const std::string &program, const std::vector<std::string> &arguments,
                  const std::vector<std::string> &environment)
     : m_child(programDirectory() + "/" + program, bp::args(arguments), environmentWith(environment),
-              (bp::std_out & bp::std_err) > m_stream, bp::std_in < bp::null,
-              // Else a connection that a test closes lives on in the child.
-              bp::limit_handles)
+              (bp::std_out & bp::std_err) > m_stream, bp::std_in < bp::null)
     , m_reader([this] {
         std::string line;
         while (std::getline(m_stream, line)) {
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <fcntl.h>
+
 #include <csignal>
 #include <fstream>
 
@@ -308,6 +310,8 @@
                                   asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return;
+    // Else the connection that the caller closes would live on in instances started meanwhile.
+    ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
     const std::string id = requestId(m_nextRequest++, m_instances[instance].name);
     Exchange exchange;
     exchange.kind = static_cast<Kind>(draw(random, 0, 2));
