--- a/src/fakes/overloadsimulation.cpp
+++ b/src/fakes/overloadsimulation.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Costs on a whole processor, as measured on the real process.
+// Assumed costs on a whole processor.
 constexpr Duration AcceptCost {4};
 constexpr Duration CloseCost {5};
 constexpr Duration RequestCost {80};
