Move fairqueue, teamlimits, ratelimits and retrybudget into the folder admission

Cause: the core is one flat folder; what admits, limits and orders requests gets a folder of its own before it grows.

--- a/src/include/balsamloft/actions.h
+++ b/src/include/balsamloft/actions.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include <balsamloft/fairqueue.h>
+#include <balsamloft/admission/fairqueue.h>
 #include <balsamloft/loadview.h>
 
 #include <string>
--- a/src/include/balsamloft/membership.h
+++ b/src/include/balsamloft/membership.h
@@ -4,9 +4,9 @@
 
 #pragma once
 
+#include <balsamloft/admission/teamlimits.h>
 #include <balsamloft/peermessage.h>
 #include <balsamloft/platform.h>
-#include <balsamloft/teamlimits.h>
 
 #include <deque>
 #include <random>
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -5,12 +5,12 @@
 
 #pragma once
 
+#include <balsamloft/admission/ratelimits.h>
+#include <balsamloft/admission/retrybudget.h>
 #include <balsamloft/announcedpauses.h>
 #include <balsamloft/announcement.h>
 #include <balsamloft/pathchooser.h>
 #include <balsamloft/quarantine.h>
-#include <balsamloft/ratelimits.h>
-#include <balsamloft/retrybudget.h>
 #include <balsamloft/trialpermits.h>
 
 #include <unordered_map>
--- a/src/include/balsamloft/router.h
+++ b/src/include/balsamloft/router.h
@@ -6,9 +6,9 @@
 #pragma once
 
 #include <balsamloft/actions.h>
-#include <balsamloft/retrybudget.h>
+#include <balsamloft/admission/retrybudget.h>
+#include <balsamloft/admission/teamlimits.h>
 #include <balsamloft/routing.h>
-#include <balsamloft/teamlimits.h>
 
 #include <memory>
 #include <optional>
--- a/src/libbalsamloft/fairqueue.cpp
+++ b/src/libbalsamloft/admission/fairqueue.cpp
@@ -1,4 +1,4 @@
-#include <balsamloft/fairqueue.h>
+#include <balsamloft/admission/fairqueue.h>
 
 #include <algorithm>
 
--- a/src/libbalsamloft/limits_test.cpp
+++ b/src/libbalsamloft/admission/limits_test.cpp
@@ -1,9 +1,9 @@
 // Queues, limits of teams, retry budgets, and the division of limits between instances.
 
-#include <balsamloft/fairqueue.h>
+#include <balsamloft/admission/fairqueue.h>
+#include <balsamloft/admission/retrybudget.h>
+#include <balsamloft/admission/teamlimits.h>
 #include <balsamloft/membership.h>
-#include <balsamloft/retrybudget.h>
-#include <balsamloft/teamlimits.h>
 
 #include <catch2/catch.hpp>
 
--- a/src/libbalsamloft/ratelimits.cpp
+++ b/src/libbalsamloft/admission/ratelimits.cpp
@@ -1,4 +1,4 @@
-#include <balsamloft/ratelimits.h>
+#include <balsamloft/admission/ratelimits.h>
 
 #include <algorithm>
 #include <cmath>
--- a/src/libbalsamloft/retrybudget.cpp
+++ b/src/libbalsamloft/admission/retrybudget.cpp
@@ -1,4 +1,4 @@
-#include <balsamloft/retrybudget.h>
+#include <balsamloft/admission/retrybudget.h>
 
 #include <algorithm>
 
--- a/src/libbalsamloft/teamlimits.cpp
+++ b/src/libbalsamloft/admission/teamlimits.cpp
@@ -1,4 +1,4 @@
-#include <balsamloft/teamlimits.h>
+#include <balsamloft/admission/teamlimits.h>
 
 #include <algorithm>
 #include <cmath>
