--- /dev/null
+++ b/src/include/balsamloft/admission/capacityshares.h
@@ -0,0 +1,50 @@
+/// \file
+/// Divides the capacity of a service among the instances.
+
+#pragma once
+
+#include <balsamloft/admission/serviceload.h>
+
+#include <map>
+
+namespace balsamloft {
+
+/// Settings of CapacityShares.
+struct CapacityShareSettings
+{
+    /// Part of the capacity that is divided equally. It lets an instance that had no demand yet
+    /// serve its first callers.
+    double equalPart = 0.1;
+    /// After this age of the fleet's load, the share begins to change to an equal one.
+    Duration loadLifetime {3'000'000};
+    Duration decayTime {5'000'000}; ///< until the share is an equal one
+    double averagingSeconds = 2; ///< time constant of the demand
+};
+
+/// Computes the share of a service's capacity that this instance may use. Shares follow the demand
+/// of the instances' callers, since callers are divided unevenly. The shares of all instances sum
+/// to one while they use the same total. An instance without a recent total moves to an equal share
+/// of those instances that it knows, which is also what a new instance begins with.
+class CapacityShares
+{
+public:
+    explicit CapacityShares(CapacityShareSettings settings = {});
+
+    // Commands
+
+    /// Sets the number of live instances, including this one.
+    void setInstances(std::size_t count);
+
+    /// Applies the load of all instances.
+    void update(const FleetLoad &load, Time now);
+
+    // Queries
+
+    /// The share of this instance, greater than 0 and at most 1.
+    double share(std::string_view service, Time now) const;
+
+private:
+    // The implementer of this class adds its state.
+};
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/include/balsamloft/admission/loadexchange.h
@@ -0,0 +1,65 @@
+/// \file
+/// Sums the loads of all instances over the tree in which they replicate the store's tables.
+
+#pragma once
+
+#include <balsamloft/admission/serviceload.h>
+
+#include <map>
+#include <optional>
+
+namespace balsamloft {
+
+/// A load report with its age, as instances send it to each other.
+struct AgedLoadReport
+{
+    LoadReport report;
+    Duration age {}; ///< of its oldest part
+};
+
+/// Settings of a LoadExchange.
+struct LoadExchangeSettings
+{
+    /// How long the report of another instance is included. Longer than the time between two
+    /// queries, shorter than the time in which the callers of a dead instance reach other ones.
+    Duration reportLifetime {3'000'000};
+};
+
+/// Collects the loads of this instance, of the instances that read from it and of other domains,
+/// and keeps the total that it receives from the instance that it reads from.
+class LoadExchange
+{
+public:
+    explicit LoadExchange(std::string domain, LoadExchangeSettings settings = {});
+
+    // Commands
+
+    void setOwn(LoadReport own, Time now);
+
+    /// The instance \a name, which reads from this one, reports the sum over itself and those that
+    /// read from it.
+    void receiveSubtree(const std::string &name, AgedLoadReport report, Time now);
+
+    /// The reader of \a domain reports the sum over its domain.
+    void receiveDomain(const std::string &domain, AgedLoadReport report, Time now);
+
+    /// The instance that this one reads from reports the sum over all instances.
+    void receiveTotal(AgedLoadReport report, Time now);
+
+    // Queries
+
+    /// The sum over this instance and those that read from it, to report to its source.
+    AgedLoadReport subtree(Time now) const;
+
+    /// The sum over all instances, to report to the instances that read from this one. A domain
+    /// reader sums it up itself; \a reader: whether this instance is one now.
+    AgedLoadReport total(bool reader, Time now) const;
+
+    /// The total with the own load that it includes; nothing without a recent total.
+    std::optional<FleetLoad> fleet(bool reader, Time now) const;
+
+private:
+    // The implementer of this class adds its state.
+};
+
+} // namespace balsamloft
--- /dev/null
+++ b/src/include/balsamloft/admission/serviceload.h
@@ -0,0 +1,50 @@
+/// \file
+/// What instances ask of a service, and what they receive from it.
+
+#pragma once
+
+#include <balsamloft/types.h>
+
+#include <string>
+#include <vector>
+
+namespace balsamloft {
+
+/// The load of one service by one instance, or the sum over several instances. Work is measured in
+/// tokens of prompt and answer for a model, and in requests for a plain service.
+struct ServiceLoad
+{
+    std::string service;
+    double demand = 0; ///< work requested per second, refused requests included
+    double inFlight = 0; ///< work admitted and not finished
+    double onTime = 0; ///< requests per second that began within their target latency
+    double late = 0; ///< requests per second that began later
+    double rejected = 0; ///< attempts per second that endpoints rejected for lack of capacity
+
+    bool operator==(const ServiceLoad &) const = default;
+};
+
+/// Loads of all services, summed over \a instances.
+struct LoadReport
+{
+    std::vector<ServiceLoad> services;
+    std::uint32_t instances = 0; ///< whose loads are included
+
+    /// Returns the load of \a service, or null.
+    const ServiceLoad *find(std::string_view service) const;
+
+    /// Adds the loads of \a other.
+    void add(const LoadReport &other);
+
+    bool operator==(const LoadReport &) const = default;
+};
+
+/// The load of all instances, as known to one of them.
+struct FleetLoad
+{
+    LoadReport total;
+    LoadReport own; ///< of this instance, as included in \a total
+    Time asOf {}; ///< when the oldest part of \a total was measured
+};
+
+} // namespace balsamloft
