FairQueue has a class for each priority number

Cause: it had the three classes of balsamloftd only; routes and teams of balsamloft-entry have numbers. Change: classes are kept by number; balsamloftd's order is the same.

--- a/src/include/balsamloft/admission/fairqueue.h
+++ b/src/include/balsamloft/admission/fairqueue.h
@@ -5,8 +5,7 @@
 
 #include <balsamloft/types.h>
 
-#include <array>
-#include <optional>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -22,7 +21,7 @@
     RequestId request = 0;
     std::string team;
     double share = 1; ///< weight of the team, greater than zero
-    Priority priority = Priority::Normal;
+    int priority = 0; ///< of its class; smaller ones are served first
     Time deadline {};
     double cost = 1; ///< expected work in tokens; the shares divide work, not request counts
 };
@@ -58,7 +57,7 @@
     /// \a priority. The estimate adds up the cost of all requests of higher classes and, for this
     /// class, the cost of the team's waiting requests divided by the team's share among the waiting
     /// teams, but at most the cost of the whole class.
-    double costAhead(Priority priority, std::string_view team, double share) const;
+    double costAhead(int priority, std::string_view team, double share) const;
 
 private:
     struct TeamQueue
@@ -81,7 +80,7 @@
 
     void erase(PriorityClass &queueClass, const QueueItem &item);
 
-    std::array<PriorityClass, PriorityCount> m_classes;
+    std::map<int, PriorityClass> m_classes; ///< by priority
     std::unordered_map<RequestId, QueueItem> m_items;
 };
 
--- a/src/libbalsamloft/admission/fairqueue.cpp
+++ b/src/libbalsamloft/admission/fairqueue.cpp
@@ -6,7 +6,7 @@
 
 void FairQueue::push(QueueItem item)
 {
-    PriorityClass &queueClass = m_classes[static_cast<std::size_t>(item.priority)];
+    PriorityClass &queueClass = m_classes[item.priority];
     TeamQueue &team = queueClass.teams[item.team];
     if (team.byDeadline.empty()) {
         // A team that was idle starts at the virtual time of the class, so that it cannot use at
@@ -25,7 +25,7 @@
 
 void FairQueue::pushResumed(QueueItem item)
 {
-    PriorityClass &queueClass = m_classes[static_cast<std::size_t>(item.priority)];
+    PriorityClass &queueClass = m_classes[item.priority];
     queueClass.resumed.emplace(item.deadline, item.request);
     queueClass.cost += item.cost;
     const RequestId request = item.request;
@@ -51,14 +51,14 @@
     const auto it = m_items.find(request);
     if (it == m_items.end())
         return false;
-    erase(m_classes[static_cast<std::size_t>(it->second.priority)], it->second);
+    erase(m_classes[it->second.priority], it->second);
     m_items.erase(it);
     return true;
 }
 
 const QueueItem *FairQueue::front() const
 {
-    for (const PriorityClass &queueClass : m_classes) {
+    for (const auto &[priority, queueClass] : m_classes) {
         if (!queueClass.resumed.empty())
             return &m_items.at(queueClass.resumed.begin()->second);
         if (!queueClass.active.empty()) {
@@ -75,7 +75,7 @@
     if (!next)
         return;
     const QueueItem item = *next;
-    PriorityClass &queueClass = m_classes[static_cast<std::size_t>(item.priority)];
+    PriorityClass &queueClass = m_classes[item.priority];
     const bool resumed = queueClass.resumed.contains({item.deadline, item.request});
     erase(queueClass, item);
     m_items.erase(item.request);
@@ -91,12 +91,15 @@
     team.virtualTime = served;
 }
 
-double FairQueue::costAhead(Priority priority, std::string_view teamName, double share) const
+double FairQueue::costAhead(int priority, std::string_view teamName, double share) const
 {
     double ahead = 0;
-    for (std::size_t i = 0; i < static_cast<std::size_t>(priority); ++i)
-        ahead += m_classes[i].cost;
-    const PriorityClass &queueClass = m_classes[static_cast<std::size_t>(priority)];
+    const auto found = m_classes.find(priority);
+    for (auto each = m_classes.begin(); each != m_classes.lower_bound(priority); ++each)
+        ahead += each->second.cost;
+    if (found == m_classes.end())
+        return ahead;
+    const PriorityClass &queueClass = found->second;
     const auto it = queueClass.teams.find(teamName);
     const bool waits = it != queueClass.teams.end() && !it->second.byDeadline.empty();
     const double others = queueClass.activeShare - (waits ? it->second.share : 0);
--- a/src/libbalsamloft/admission/limits_test.cpp
+++ b/src/libbalsamloft/admission/limits_test.cpp
@@ -21,7 +21,7 @@
 QueueItem item(RequestId id, const std::string &team, double share, double deadline,
                Priority priority = Priority::Normal)
 {
-    return {id, team, share, priority, at(deadline), 10};
+    return {id, team, share, static_cast<int>(priority), at(deadline), 10};
 }
 
 std::vector<RequestId> drain(FairQueue &queue)
@@ -83,11 +83,11 @@
     FairQueue queue;
     queue.push(item(1, "a", 0.5, 5));
     queue.push(item(2, "b", 0.5, 5));
-    CHECK(queue.costAhead(Priority::Normal, "a", 0.5) == Approx(20));
+    CHECK(queue.costAhead(static_cast<int>(Priority::Normal), "a", 0.5) == Approx(20));
     CHECK(queue.remove(1));
     CHECK_FALSE(queue.remove(1));
     CHECK(queue.size() == 1);
-    CHECK(queue.costAhead(Priority::Normal, "a", 0.5) == Approx(0));
+    CHECK(queue.costAhead(static_cast<int>(Priority::Normal), "a", 0.5) == Approx(0));
     CHECK(drain(queue) == std::vector<RequestId> {2});
 }
 
--- a/src/libbalsamloft/routeradmission.cpp
+++ b/src/libbalsamloft/routeradmission.cpp
@@ -152,7 +152,8 @@
 Duration Router::Impl::expectedWait(const Target &target, const Request &request, double share,
                                     Time now) const
 {
-    const double ahead = target.queue.costAhead(request.priority, request.team, share);
+    const double ahead =
+        target.queue.costAhead(static_cast<int>(request.priority), request.team, share);
     const double rate = drainRate(target, now);
     if (ahead <= 0 || rate <= 0)
         return Duration::zero();
@@ -236,7 +237,7 @@
     QueueItem item {flight.request.id,
                     flight.request.team,
                     team ? std::max(MinShare, team->share) : MinShare,
-                    flight.request.priority,
+                    static_cast<int>(flight.request.priority),
                     flight.request.deadline,
                     flight.cost};
     if (resumed)
