Admission, CapacityEstimate and their place in Relay

Cause: Relay dispatches each request at once, whatever its endpoints hold. Off: all is admitted as before.

--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -21,6 +21,8 @@
     add(names.expectedEndpoint, send.name);
     if (!send.path.empty())
         add(names.path, m_server.protocol().formatPath(send.path));
+    if (send.urgency)
+        add(names.urgency, std::to_string(*send.urgency));
     const auto lastEventId = send.afterEvent ? send.afterEvent : m_callerLastEventId;
     if (lastEventId)
         add(names.lastEventId, std::to_string(*lastEventId));
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -146,6 +146,7 @@
 {
     m_teamName.clear();
     m_teamKey.clear();
+    m_priority = route.priority;
     m_routeName = route.name;
     if (route.anonymous || !table.hasTeams())
         return true;
@@ -161,6 +162,7 @@
         return false;
     }
     m_teamName = team->name;
+    m_priority = team->priority.value_or(route.priority);
     return true;
 }
 
@@ -177,6 +179,8 @@
     request.table = table;
     request.route = m_route = &route;
     request.service = table->target(route, m_requestId);
+    request.team = m_teamName;
+    request.priority = m_priority;
     const auto deadline = leadingNumber<std::int64_t>(head.find(names.deadline).value_or(""));
     request.timeLeft = deadline ? Duration(*deadline * 1000) : route.timeout;
     request.promptParts = m_promptParts = promptParts(table->services()[request.service].name);
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include <balsamloft/admission/admission.h>
 #include <balsamloft/admission/ratelimits.h>
 #include <balsamloft/admission/retrybudget.h>
 #include <balsamloft/announcedpauses.h>
@@ -29,6 +30,8 @@
     RouteMapPtr table; ///< version of the routes that applies to this request
     const Route *route = nullptr; ///< in \a table
     std::uint32_t service = 0; ///< index in \a table
+    std::string team; ///< empty: none
+    int priority = 0; ///< of the team or else of the route; 0 is the highest
     Duration timeLeft {}; ///< until the caller's deadline
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0; ///< expected
@@ -61,6 +64,9 @@
 
 // Actions
 
+/// Lowest urgency that engines distinguish.
+inline constexpr int MaxUrgency = 9;
+
 /// Send the request to an endpoint, or request the rest of its stream there.
 struct SendRequest
 {
@@ -73,6 +79,7 @@
     Duration timeLeft {};
     std::optional<std::uint64_t> afterEvent; ///< resume the stream after this event
     bool freshConnection = false;
+    std::optional<int> urgency; ///< for the engines' queues; 0 is the highest, at most MaxUrgency
     std::string reason; ///< for the log: why the attempt is made
 };
 
@@ -211,6 +218,7 @@
     double returnSpreadShare = 0.6;
     Duration minReturnSpread {300'000};
     Duration maxReturnSpread {5'000'000};
+    AdmissionSettings admission;
     std::uint64_t seed = 1;
 };
 
@@ -314,6 +322,9 @@
     void shareLimits(std::span<const PeerInstance> all, const std::string &self,
                      Duration clockOffset, Time now);
 
+    /// Applies the load of all instances, of which Relay::load() is the part of this instance.
+    void applyFleetLoad(const FleetLoad &load, Time now) { m_admission.applyFleetLoad(load, now); }
+
     /// Sets RelaySettings::retryRatio and RelaySettings::retrySlack.
     void setRetries(double ratio, double slack);
 
@@ -329,6 +340,10 @@
     /// The id of the last event that was forwarded to the caller.
     std::optional<std::uint64_t> lastEvent(FlightId id) const;
     std::size_t flights() const { return m_flights.size(); }
+
+    /// The load by this instance's callers.
+    LoadReport load(Time now) const { return m_admission.load(now); }
+    const Admission &admission() const { return m_admission; }
     const RelayCounts &counts() const { return m_counts; }
     const EngineTracker &engines() const { return m_engines; }
     const Quarantine &quarantine() const { return m_quarantine; }
@@ -357,6 +372,8 @@
         RelayRequest request;
         std::vector<std::string> causes; ///< its content and prompt parts, see CauseDigests
         State state = State::Waiting;
+        bool awaitsAdmission = false;
+        Time submittedAt {};
         Time deadline {};
         Time waitingSince {};
         std::uint32_t attempt = 0; ///< number of the current attempt
@@ -389,6 +406,12 @@
     const RoutedService &service(const Flight &flight) const;
     RetryWindow &budget(const Flight &flight);
     void dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions);
+
+    // Admission
+    bool admit(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void updateCapacity(const Flight &flight);
+    void dispatchAdmitted(Time now, RelayActions &actions);
+    std::optional<int> urgency(const Flight &flight) const;
     std::optional<EnginePath> findPath(const Flight &flight, const std::set<std::string> &without,
                                        Time now);
     static std::set<std::string> excludedEndpoints(const Flight &flight);
@@ -452,7 +475,8 @@
 
     /// The outcome if the flight finishes now; \a ifMayHaveRun: if it may have been executed.
     static FlightOutcome outcomeOf(const Flight &flight, FlightOutcome ifMayHaveRun);
-    void finish(FlightId id, FlightOutcome outcome, std::string reason, RelayActions &actions,
+    void finish(FlightId id, FlightOutcome outcome, std::string reason, Time now,
+                RelayActions &actions,
                 std::optional<Duration> retryAfter = {});
     void recordRateLimit(const Flight &flight, const AnswerHead &head, Time now);
     void handleRejection(FlightId id, Flight &flight, const AnswerHead &head, Time now,
@@ -476,6 +500,9 @@
     Quarantine m_quarantine;
     RateLimits m_limits;
     AnnouncedPauses m_pauses;
+    Admission m_admission;
+    /// Versions of the fleet and of the routes for which a service's capacity was last computed.
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>, std::less<>> m_capacityVersions;
     FleetPtr m_fleet;
     /// Endpoints that announced their exit and are not yet listed as draining.
     std::set<std::string> m_announcedExits;
--- /dev/null
+++ b/src/libbalsamloft/admission/capacityestimate.cpp
@@ -0,0 +1,94 @@
+#include <balsamloft/admission/capacityestimate.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+namespace {
+
+/// Requests per second below which shares of them say nothing.
+constexpr double MinRate = 2;
+
+/// Longest time between two updates that counts as time in which the service was observed.
+constexpr double MaxUpdateSeconds = 2;
+
+/// Tokens that the engines of \a domain hold for each layer, or those of all domains if it is
+/// empty.
+std::vector<double> tokensByLayer(const FleetSnapshot &fleet, const RoutedService &service,
+                                  std::string_view domain)
+{
+    const LayeredModel &model = *service.model;
+    std::vector<double> tokens(model.layers, 0);
+    for (const FleetEndpoint &each : fleet.endpoints) {
+        const AcceleratorKind *kind = model.kind(each.kind);
+        const LayerRange held {each.layers.begin, std::min(each.layers.end, model.layers)};
+        if (each.service != service.name || each.draining || !kind || held.length() == 0
+            || (!domain.empty() && each.domain != domain))
+            continue;
+        const double perLayer = model.kvCapacity(*kind, each.layers.length()) / held.length();
+        for (std::uint32_t layer = held.begin; layer < held.end; ++layer)
+            tokens[layer] += perLayer;
+    }
+    return tokens;
+}
+
+double leastOf(const std::vector<double> &tokens)
+{
+    return tokens.empty() ? 0 : *std::min_element(tokens.begin(), tokens.end());
+}
+
+} // namespace
+
+double nominalCapacity(const FleetSnapshot &fleet, const RoutedService &service)
+{
+    std::set<std::string_view> domains;
+    double slots = 0;
+    for (const FleetEndpoint &each : fleet.endpoints) {
+        if (each.service != service.name || each.draining)
+            continue;
+        domains.insert(each.domain);
+        slots += each.slots;
+    }
+    if (!service.model)
+        return slots;
+    double tokens = 0;
+    for (const std::string_view domain : domains)
+        tokens += leastOf(tokensByLayer(fleet, service, domain));
+    // Without a domain that holds all layers, paths go through several domains.
+    return tokens > 0 ? tokens : leastOf(tokensByLayer(fleet, service, {}));
+}
+
+CapacityEstimate::CapacityEstimate(CapacityEstimateSettings settings)
+    : m_settings(settings)
+    , m_factor(settings.initialFactor)
+{
+}
+
+bool CapacityEstimate::isOverloaded(const ServiceLoad &total) const
+{
+    const double started = total.onTime + total.late;
+    const double attempts = started + total.rejected;
+    return attempts >= MinRate
+           && (total.rejected > m_settings.maxRejectedShare * attempts
+               || total.late > m_settings.maxLateShare * started);
+}
+
+void CapacityEstimate::update(const ServiceLoad &total, Time now)
+{
+    const std::chrono::duration<double> elapsed = now - m_updatedAt;
+    m_updatedAt = now;
+    if (total.inFlight < m_settings.limitingUse * capacity())
+        return;
+    if (isOverloaded(total)) {
+        if (now - m_decreasedAt < m_settings.decreaseInterval)
+            return;
+        m_decreasedAt = now;
+        m_factor = std::max(m_settings.minFactor, m_factor * m_settings.decrease);
+        return;
+    }
+    m_factor = std::min(
+        m_settings.maxFactor,
+        m_factor + m_settings.increasePerSecond * std::min(elapsed.count(), MaxUpdateSeconds));
+}
+
+} // namespace balsamloft
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -26,6 +26,7 @@
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
     , m_pauses(m_settings.pauses)
+    , m_admission(m_settings.admission)
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
 }
@@ -64,6 +65,7 @@
 {
     m_engines.setSharingInstances(static_cast<double>(inDomain));
     m_engines.setInstances(static_cast<double>(all));
+    m_admission.setInstances(all);
     // Keeps one count from before the window: it was valid at the beginning of the window.
     while (m_instanceCounts.size() > 1
            && now - m_instanceCounts[1].first > m_settings.retryWindow * 6 / 5)
@@ -118,11 +120,13 @@
         flight.causes.push_back(flight.request.digest);
     flight.causes.insert(flight.causes.end(), flight.request.promptParts.begin(),
                          flight.request.promptParts.end());
+    flight.submittedAt = now;
     flight.waitingSince = now;
     flight.deadline = now + std::min(flight.request.timeLeft, flight.request.route->timeout);
     m_counts.submitted += 1;
     budget(flight).requestStarted(now);
-    dispatch(id, flight, now, actions);
+    if (admit(id, flight, now, actions))
+        dispatch(id, flight, now, actions);
     return id;
 }
 
@@ -349,7 +353,7 @@
 void Relay::dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     if (now >= flight.deadline)
-        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", actions);
+        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", now, actions);
     if (blockIfSuspected(id, flight, now, actions))
         return;
     // This runs at each tick while the flight waits: skip the path search while no retry is
@@ -370,6 +374,7 @@
     send.timeLeft = flight.deadline - now;
     send.afterEvent = flight.lastEvent;
     send.freshConnection = !flight.request.route->idempotent();
+    send.urgency = urgency(flight);
     send.reason = flight.sends == 0 ? "first attempt" : flight.lastReason;
     recordSent(flight, send, now);
     if (flight.trial.state == Trial::State::Granted)
@@ -432,18 +437,18 @@
     flight.lastReason = reason;
     const FlightOutcome outcome = outcomeOf(flight, FlightOutcome::Failed);
     if (!flight.mayHaveRunAt.empty() && !mayRunAgain(flight))
-        return finish(id, outcome, std::move(reason), actions);
+        return finish(id, outcome, std::move(reason), now, actions);
     if (refuseIfPaused(id, flight, now, actions))
         return;
     if (sendLimitReached(flight))
-        return finish(id, outcome, reason + "; send limit reached", actions);
+        return finish(id, outcome, reason + "; send limit reached", now, actions);
     if (blockIfSuspected(id, flight, now, actions))
         return;
     if (!withdrawRetry(flight, now)) {
         m_counts.budgetExhausted += 1;
         reason += "; retry budget exhausted";
         if (!flight.eventsForwarded)
-            return finish(id, outcome, std::move(reason), actions);
+            return finish(id, outcome, std::move(reason), now, actions);
         // The caller waits some time for the next event, and the window may free a retry
         // meanwhile. Truncating the answer now would lose it for certain.
         flight.nextSendIsRetry = true;
@@ -454,7 +459,7 @@
     dispatch(id, flight, now, actions);
 }
 
-void Relay::finish(FlightId id, FlightOutcome outcome, std::string reason, RelayActions &actions,
+void Relay::finish(FlightId id, FlightOutcome outcome, std::string reason, Time now, RelayActions &actions,
                    std::optional<Duration> retryAfter)
 {
     const auto it = m_flights.find(id);
@@ -472,6 +477,7 @@
                                                     &RelayCounts::timedOut,
                                                     &RelayCounts::truncated};
     m_counts.*counters[static_cast<std::size_t>(outcome)] += 1;
+    m_admission.finished(id, now);
     m_flights.erase(it);
     actions.push_back(FinishFlight {id, outcome, delay, std::move(reason)});
 }
@@ -528,13 +534,15 @@
         recordStalled(flight, faultyEndpoint, now);
     if (stalled || (head.status == Misdirected && flight.path.empty()))
         m_engines.suspect(faultyEndpoint, now);
-    else if (!head.announcement.retryAfter)
+    else if (!head.announcement.retryAfter) {
         m_engines.refusedBusy(faultyEndpoint, now);
+        m_admission.rejected(id, now);
+    }
     std::string reason =
         "rejected by " + faultyEndpoint + " with status " + std::to_string(head.status);
     if (flight.trial.state == Trial::State::Sent) {
         finishTrial(flight, TrialOutcome::Inconclusive, actions);
-        return finish(id, outcomeOf(flight, FlightOutcome::Failed), std::move(reason), actions);
+        return finish(id, outcomeOf(flight, FlightOutcome::Failed), std::move(reason), now, actions);
     }
     retry(id, flight, false, faultyEndpoint, std::move(reason), now, actions);
 }
@@ -640,7 +648,7 @@
     // The caller has received the head and events of an earlier attempt. Only truncation can
     // report a failure after them.
     if (flight->eventsForwarded) {
-        finish(id, FlightOutcome::Truncated, "server error from " + flight->endpoint, actions);
+        finish(id, FlightOutcome::Truncated, "server error from " + flight->endpoint, now, actions);
         return false;
     }
     forwardAnswer(id, *flight, !failed, now, actions);
@@ -654,6 +662,8 @@
         recordSuccess(flight, now);
     finishTrial(flight, succeeded ? TrialOutcome::Succeeded : TrialOutcome::Inconclusive, actions);
     endAttempt(flight);
+    m_admission.started(id, now - flight.submittedAt, now);
+    m_admission.finished(id, now);
     m_flights.erase(id);
     m_counts.passed += 1;
     actions.push_back(ForwardAnswer {id});
@@ -665,7 +675,8 @@
     Flight *flight = current(id, attempt);
     if (!flight)
         return;
-    flight->eventsForwarded = true;
+    if (!std::exchange(flight->eventsForwarded, true))
+        m_admission.started(id, now - flight->submittedAt, now);
     flight->progressAt = now;
     recordProgress(*flight, now, actions);
     if (lastEvent)
@@ -690,6 +701,7 @@
     if (sent)
         recordAbandoned(it->second, now);
     endAttempt(it->second);
+    m_admission.finished(id, now);
     m_flights.erase(it);
     if (sent)
         actions.push_back(AbandonAttempt {id, attempt});
--- /dev/null
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -0,0 +1,99 @@
+// The part of Relay that admits requests to services.
+
+#include <balsamloft/admission/capacityestimate.h>
+#include <balsamloft/relay.h>
+
+#include <algorithm>
+
+namespace balsamloft {
+
+namespace {
+
+/// The work of a request, see ServiceLoad.
+double workOf(const RelayRequest &request, const RoutedService &service)
+{
+    if (!service.model)
+        return 1;
+    const LayeredModel &model = *service.model;
+    const std::uint32_t prompt =
+        request.promptTokens > 0 ? request.promptTokens : model.typicalPromptTokens;
+    const std::uint32_t answer =
+        request.answerTokens > 0 ? request.answerTokens : model.typicalAnswerTokens;
+    return std::max(1.0, static_cast<double>(prompt) + answer);
+}
+
+} // namespace
+
+/// Computes the capacity of the flight's service anew if the fleet or the routes have changed.
+void Relay::updateCapacity(const Flight &flight)
+{
+    const RoutedService &target = service(flight);
+    const std::pair version(m_fleet->number, flight.request.table->version());
+    const auto [it, inserted] = m_capacityVersions.try_emplace(target.name, version);
+    if (!inserted && it->second == version)
+        return;
+    it->second = version;
+    m_admission.setNominalCapacity(target.name, nominalCapacity(*m_fleet, target));
+}
+
+/// Asks for the admission of a new flight. Refuses it if it is not admitted.
+/// \return whether the flight may be sent now.
+bool Relay::admit(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    const Route &route = *flight.request.route;
+    if (!m_settings.admission.enabled || route.targetLatency <= Duration {})
+        return true;
+    updateCapacity(flight);
+    AdmissionRequest request;
+    request.id = id;
+    request.service = service(flight).name;
+    request.priority = flight.request.priority;
+    request.team = flight.request.team;
+    request.work = workOf(flight.request, service(flight));
+    request.target = route.targetLatency;
+    request.timeLeft = flight.deadline - now;
+    AdmissionDecision decision = m_admission.submit(request, now);
+    switch (decision.kind) {
+    case AdmissionDecision::Kind::Admit:
+        return true;
+    case AdmissionDecision::Kind::Wait:
+        flight.awaitsAdmission = true;
+        return false;
+    case AdmissionDecision::Kind::Refuse:
+        finish(id, FlightOutcome::NotExecuted, std::move(decision.reason), now, actions,
+               decision.retryAfter);
+        return false;
+    }
+    return false;
+}
+
+/// Sends or refuses the flights on which Admission has decided.
+void Relay::dispatchAdmitted(Time now, RelayActions &actions)
+{
+    if (!m_settings.admission.enabled)
+        return;
+    for (AdmissionDecision &decision : m_admission.poll(now)) {
+        const auto it = m_flights.find(decision.id);
+        if (it == m_flights.end())
+            continue;
+        if (decision.kind == AdmissionDecision::Kind::Refuse) {
+            finish(decision.id, FlightOutcome::NotExecuted, std::move(decision.reason), now,
+                   actions, decision.retryAfter);
+            continue;
+        }
+        it->second.awaitsAdmission = false;
+        it->second.waitingSince = now;
+        dispatch(decision.id, it->second, now, actions);
+    }
+}
+
+/// The urgency that engines are told, so that requests of a higher priority do not queue behind
+/// others there.
+std::optional<int> Relay::urgency(const Flight &flight) const
+{
+    if (!m_settings.admission.enabled || !service(flight).model)
+        return std::nullopt;
+    return std::clamp(flight.request.priority, 0, MaxUrgency);
+}
+
+} // namespace balsamloft
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -207,7 +207,7 @@
     finish(id, outcomeOf(flight, FlightOutcome::Failed),
            quarantined ? "request quarantined: endpoints crashed while running it"
                        : "endpoints crashed while running the request; no trial is permitted now",
-           actions, wait + Duration(spread(m_random)));
+           now, actions, wait + Duration(spread(m_random)));
 }
 
 /// Abandons an attempt whose request was found to crash endpoints. The request may still be queued
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -113,6 +113,7 @@
 void Relay::tick(Time now, RelayActions &actions)
 {
     discountPause(now);
+    dispatchAdmitted(now, actions);
     for (const FlightId id : flightIds()) {
         const auto it = m_flights.find(id);
         if (it != m_flights.end())
@@ -131,9 +132,9 @@
             flight.mayHaveRunAt.push_back(flight.endpoint);
             actions.push_back(AbandonAttempt {id, flight.attempt});
         }
-        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", actions);
+        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", now, actions);
     }
-    if (abandonSuspectedAttempt(id, flight, now, actions))
+    if (flight.awaitsAdmission || abandonSuspectedAttempt(id, flight, now, actions))
         return;
     if (flight.state == State::Waiting)
         return watchWaiting(id, flight, now, actions);
@@ -168,7 +169,7 @@
         return;
     const FlightOutcome outcome = outcomeOf(flight, FlightOutcome::Failed);
     std::string reason = flight.lastReason;
-    finish(id, outcome, std::move(reason), actions);
+    finish(id, outcome, std::move(reason), now, actions);
 }
 
 void Relay::abandonAndRetry(FlightId id, Flight &flight, std::string reason, Time now,
