ReturnSchedule: callers of refused requests return at the rate that is left (schedule ready)

Cause: refused callers retry after a constant mean of 0.7 s, and most are refused again. Slots reach to the maximum delay only, and those that have passed are dropped.

--- a/src/include/balsamloft/admission/returnschedule.h
+++ b/src/include/balsamloft/admission/returnschedule.h
@@ -5,7 +5,9 @@
 
 #include <balsamloft/types.h>
 
+#include <cstdint>
 #include <deque>
+#include <optional>
 #include <random>
 
 namespace balsamloft {
@@ -28,16 +30,49 @@
 
     /// Returns the delay after which the caller of a request of \a work should come back, and
     /// counts it as a return at that time. \a rate: work per second that is left for returns; 0:
-    /// unknown. \a earliest: expected time until there is capacity. \a latest: the caller does not
-    /// wait longer.
+    /// unknown, returns are spread evenly. \a earliest: expected time until there is capacity.
+    /// \a latest: the caller does not wait longer.
+    ///
+    /// The delay is in the first slot between \a earliest and \a latest that is not full, at a
+    /// random time of it. If all of them are full, it is at a random time before \a latest. It is
+    /// less than \a earliest, or than the minimum delay, only if \a latest is not greater; it is
+    /// never greater than \a latest.
     Duration schedule(double work, double rate, Duration earliest, Duration latest, Time now,
                       std::mt19937_64 &random);
 
-    /// Work of callers that were told to come back after \a now.
+    /// Work of callers that were told to come back after \a now, including those of the current
+    /// slot.
     double pending(Time now) const;
 
 private:
-    // The implementer of this class adds its state.
+    /// Returns that are scheduled in one slot.
+    struct SlotLoad
+    {
+        double returning = 0; ///< work of the callers that come back in the slot
+        double booked = 0; ///< work charged to the slot; a large request is charged to several
+    };
+
+    std::int64_t slotAt(Time time) const;
+    Time beginOf(std::int64_t slot) const;
+    SlotLoad &load(std::int64_t slot) { return m_slots[static_cast<std::size_t>(slot - m_first)]; }
+    const SlotLoad &load(std::int64_t slot) const
+    {
+        return m_slots[static_cast<std::size_t>(slot - m_first)];
+    }
+
+    /// Removes the slots before \a now and adds those up to the maximum delay.
+    void advance(Time now);
+
+    /// The first slot between \a from and \a to in which \a work keeps within \a rate. Of a slot
+    /// that is only partly in this span, the same part of the rate can be used.
+    std::optional<std::int64_t> freeSlot(double work, double rate, Time from, Time to) const;
+
+    /// Counts \a work as a return in \a slot and charges at most \a limit to each slot.
+    void book(std::int64_t slot, double work, double limit);
+
+    ReturnScheduleSettings m_settings;
+    std::deque<SlotLoad> m_slots; ///< from m_first on
+    std::int64_t m_first = 0; ///< number of the first slot since the clock's epoch
 };
 
 } // namespace balsamloft
