FairQueue: expiry without a scan, and the request to displace when the queue is full

Cause: waiting requests that can no longer start in time were found by trying each one; a full queue could only refuse the new request. Change: takeExpired() removes requests whose latest start has passed, from an index by that time. lowest() gives the request that is served last of all, without those that resume; displacedBy() also compares it with a new one. A team's place is the virtual time after all of its waiting requests: by the virtual time already used, a small team that was just served would give way to one with many more requests. The order of service is the same. Result: fairqueue_test, limits_test, router_test and policy_test pass. 23 teams within their shares lose nothing beside one with ten times the demand of all of them, with room for 100, 1,000 and 1,000,000 requests.

--- a/src/libbalsamloft/admission/fairqueue.cpp
+++ b/src/libbalsamloft/admission/fairqueue.cpp
@@ -19,8 +19,8 @@
     team.byDeadline.emplace(item.deadline, item.request);
     team.cost += item.cost;
     queueClass.cost += item.cost;
-    const RequestId request = item.request;
-    m_items.emplace(request, std::move(item));
+    updateFinish(queueClass, item.team, team);
+    insert(std::move(item));
 }
 
 void FairQueue::pushResumed(QueueItem item)
@@ -28,12 +28,29 @@
     PriorityClass &queueClass = m_classes[item.priority];
     queueClass.resumed.emplace(item.deadline, item.request);
     queueClass.cost += item.cost;
+    insert(std::move(item));
+}
+
+void FairQueue::insert(QueueItem item)
+{
     const RequestId request = item.request;
+    if (item.latestStart != Time::max())
+        m_byLatestStart.emplace(item.latestStart, request);
     m_items.emplace(request, std::move(item));
 }
 
+void FairQueue::updateFinish(PriorityClass &queueClass, const std::string &name, TeamQueue &team)
+{
+    queueClass.byFinish.erase({team.finish, name});
+    if (team.byDeadline.empty())
+        return;
+    team.finish = team.virtualTime + team.cost / team.share;
+    queueClass.byFinish.emplace(team.finish, name);
+}
+
 void FairQueue::erase(PriorityClass &queueClass, const QueueItem &item)
 {
+    m_byLatestStart.erase({item.latestStart, item.request});
     queueClass.cost -= item.cost;
     if (queueClass.resumed.erase({item.deadline, item.request}) > 0)
         return;
@@ -44,6 +61,7 @@
         queueClass.active.erase({team.virtualTime, item.team});
         queueClass.activeShare -= team.share;
     }
+    updateFinish(queueClass, item.team, team);
 }
 
 bool FairQueue::remove(RequestId request)
@@ -89,6 +107,49 @@
         queueClass.active.emplace(served, item.team);
     }
     team.virtualTime = served;
+    updateFinish(queueClass, item.team, team);
+}
+
+std::vector<RequestId> FairQueue::takeExpired(Time now)
+{
+    std::vector<RequestId> expired;
+    while (!m_byLatestStart.empty() && m_byLatestStart.begin()->first < now) {
+        expired.push_back(m_byLatestStart.begin()->second);
+        remove(expired.back());
+    }
+    return expired;
+}
+
+const QueueItem *FairQueue::lowest() const
+{
+    for (auto each = m_classes.rbegin(); each != m_classes.rend(); ++each) {
+        const PriorityClass &queueClass = each->second;
+        if (queueClass.byFinish.empty())
+            continue;
+        const TeamQueue &team = queueClass.teams.at(queueClass.byFinish.rbegin()->second);
+        return &m_items.at(team.byDeadline.rbegin()->second);
+    }
+    return nullptr;
+}
+
+const QueueItem *FairQueue::displacedBy(const QueueItem &item) const
+{
+    const QueueItem *candidate = lowest();
+    if (!candidate || candidate->priority > item.priority)
+        return candidate;
+    // Within a team, a waiting request is not given up for a new one.
+    if (candidate->priority < item.priority || candidate->team == item.team)
+        return nullptr;
+    const PriorityClass &queueClass = m_classes.at(item.priority);
+    const auto it = queueClass.teams.find(item.team);
+    double finish = queueClass.virtualTime + item.cost / item.share;
+    if (it != queueClass.teams.end()) {
+        const TeamQueue &team = it->second;
+        finish = team.byDeadline.empty()
+                     ? std::max(team.virtualTime, queueClass.virtualTime) + item.cost / item.share
+                     : team.finish + item.cost / team.share;
+    }
+    return finish < queueClass.byFinish.rbegin()->first ? candidate : nullptr;
 }
 
 double FairQueue::costAhead(int priority, std::string_view teamName, double share) const
