LoadExchange and CapacityShares: shares ready

Cause: instances did not know each other's demand, so they could not divide the capacity of a service. Change: LoadReport, LoadExchange and CapacityShares. The own load used with a total is the one at the time of the total's oldest part, so that the shares do not sum to more than one while demand rises. A total over a single instance is not used if more are listed.

--- a/src/include/balsamloft/admission/capacityshares.h
+++ b/src/include/balsamloft/admission/capacityshares.h
@@ -6,6 +6,7 @@
 #include <balsamloft/admission/serviceload.h>
 
 #include <map>
+#include <optional>
 
 namespace balsamloft {
 
@@ -15,8 +16,10 @@
     /// Part of the capacity that is divided equally. It lets an instance that had no demand yet
     /// serve its first callers.
     double equalPart = 0.1;
-    /// After this age of the fleet's load, the share begins to change to an equal one.
-    Duration loadLifetime {3'000'000};
+    /// After this age of the fleet's load, the share begins to change to an equal one. Longer than
+    /// the usual age of the oldest part of a total, to which each level of the tree adds up to two
+    /// seconds. Otherwise the shares of a large fleet would not follow the demand.
+    Duration loadLifetime {6'000'000};
     Duration decayTime {5'000'000}; ///< until the share is an equal one
     double averagingSeconds = 2; ///< time constant of the demand
 };
@@ -44,7 +47,19 @@
     double share(std::string_view service, Time now) const;
 
 private:
-    // The implementer of this class adds its state.
+    struct Demand
+    {
+        double own = 0; ///< averaged, work per second
+        double total = 0;
+    };
+
+    double ageWeight(Time now) const;
+
+    CapacityShareSettings m_settings;
+    std::size_t m_instances = 1;
+    std::map<std::string, Demand, std::less<>> m_demands; ///< by service
+    std::optional<Time> m_updatedAt;
+    Time m_asOf {}; ///< of the last load
 };
 
 } // namespace balsamloft
--- a/src/include/balsamloft/admission/loadexchange.h
+++ b/src/include/balsamloft/admission/loadexchange.h
@@ -5,6 +5,7 @@
 
 #include <balsamloft/admission/serviceload.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -59,7 +60,36 @@
     std::optional<FleetLoad> fleet(bool reader, Time now) const;
 
 private:
-    // The implementer of this class adds its state.
+    struct OwnLoad
+    {
+        LoadReport report;
+        Time measuredAt {};
+    };
+
+    struct Report
+    {
+        LoadReport report;
+        Time measuredAt {}; ///< of its oldest part
+        Time receivedAt {};
+    };
+
+    using ReportMap = std::map<std::string, Report>;
+
+    void recordActivity(Time now);
+    void store(ReportMap &reports, const std::string &name, AgedLoadReport report, Time now);
+    bool isCurrent(const Report &report, Time now) const;
+    void addCurrent(const ReportMap &reports, Time now, AgedLoadReport &sum) const;
+    bool isSumComplete(Time now) const;
+    const LoadReport *ownAt(Time time) const;
+
+    std::string m_domain;
+    LoadExchangeSettings m_settings;
+    std::deque<OwnLoad> m_own; ///< oldest first
+    ReportMap m_followers; ///< by instance
+    ReportMap m_domains; ///< by domain
+    std::optional<Report> m_total;
+    std::optional<Time> m_activeAt; ///< last activity
+    Time m_activeSince {}; ///< no longer pause in the activity since then
 };
 
 } // namespace balsamloft
