--- a/src/include/balsamloft/admission/capacityestimate.h
+++ b/src/include/balsamloft/admission/capacityestimate.h
@@ -18,8 +18,12 @@
 {
     double initialFactor = 0.8; ///< of the nominal capacity
     double minFactor = 0.2;
-    double maxFactor = 1.5;
-    double decrease = 0.9; ///< multiplies the factor when the service is overloaded
+    /// With all of its memory in use, a service rejects what comes beyond.
+    double maxFactor = 1;
+    /// An overloaded service's factor falls by its share of late and rejected attempts, but by at
+    /// least the first and at most the second part.
+    double minDecrease = 0.05;
+    double maxDecrease = 0.4;
     double increasePerSecond = 0.05; ///< while the capacity is used up and requests begin in time
     /// Shares of the attempts above which the service counts as overloaded. Failing endpoints cause
     /// a few late or rejected requests at any load.
@@ -53,7 +57,7 @@
     double factor() const { return m_factor; }
 
 private:
-    bool isOverloaded(const ServiceLoad &total) const;
+    double overload(const ServiceLoad &total) const;
 
     CapacityEstimateSettings m_settings;
     double m_nominal = 0;
--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -21,6 +21,15 @@
 /// fluctuations of their callers' demand.
 constexpr double BorrowedPart = 0.25;
 
+/// Part of the capacity in use by all instances below which an instance may exceed its share by
+/// AmpleFactor. Few callers of one instance vary by more than its share of a service that is hardly
+/// used.
+constexpr double AmpleUse = 0.6;
+constexpr double AmpleFactor = 3;
+
+/// How long a total that shows ample capacity is relied on.
+constexpr Duration AmpleLifetime {2'000'000};
+
 /// Part of the drain rate that is left for callers who come back, so that they don't displace new
 /// callers that would be served in time.
 constexpr double ReturnPart = 0.25;
@@ -77,6 +86,7 @@
         FairQueue queue;
         std::set<std::pair<Time, std::uint64_t>> byExpiry; ///< waiting requests
         ReturnSchedule returns;
+        Time ampleUntil {}; ///< the capacity has ample room until then
         double inFlight = 0;
         std::size_t admittedNow = 0; ///< admitted requests that have not finished
         DecayingRate demand;
@@ -112,7 +122,9 @@
     const double capacity = service.capacity.capacity();
     if (capacity <= 0)
         return -1;
-    return capacity * (shares.share(name, now) + BorrowedPart / static_cast<double>(instances));
+    const double borrowed = BorrowedPart / static_cast<double>(instances);
+    const bool ample = now < service.ampleUntil;
+    return capacity * (shares.share(name, now) + borrowed) * (ample ? AmpleFactor : 1);
 }
 
 bool Admission::Impl::fits(const std::string &name, const Service &service, double work,
@@ -214,8 +226,11 @@
 {
     m_impl->shares.update(load, now);
     for (auto &[name, service] : m_impl->services)
-        if (const ServiceLoad *total = load.total.find(name))
+        if (const ServiceLoad *total = load.total.find(name)) {
             service.capacity.update(*total, now);
+            const bool ample = total->inFlight < AmpleUse * service.capacity.capacity();
+            service.ampleUntil = ample ? now + AmpleLifetime : Time {};
+        }
 }
 
 AdmissionDecision Admission::submit(const AdmissionRequest &request, Time now)
--- a/src/libbalsamloft/admission/capacityestimate.cpp
+++ b/src/libbalsamloft/admission/capacityestimate.cpp
@@ -64,13 +64,17 @@
 {
 }
 
-bool CapacityEstimate::isOverloaded(const ServiceLoad &total) const
+/// Returns the part by which the service is loaded beyond what it serves in time; 0: it is not.
+double CapacityEstimate::overload(const ServiceLoad &total) const
 {
     const double started = total.onTime + total.late;
     const double attempts = started + total.rejected;
-    return attempts >= MinRate
-           && (total.rejected > m_settings.maxRejectedShare * attempts
-               || total.late > m_settings.maxLateShare * started);
+    if (attempts < MinRate
+        || (total.rejected <= m_settings.maxRejectedShare * attempts
+            && total.late <= m_settings.maxLateShare * started))
+        return 0;
+    return std::clamp((total.rejected + total.late) / attempts, m_settings.minDecrease,
+                      m_settings.maxDecrease);
 }
 
 void CapacityEstimate::update(const ServiceLoad &total, Time now)
@@ -79,11 +83,11 @@
     m_updatedAt = now;
     if (total.inFlight < m_settings.limitingUse * capacity())
         return;
-    if (isOverloaded(total)) {
+    if (const double excess = overload(total); excess > 0) {
         if (now - m_decreasedAt < m_settings.decreaseInterval)
             return;
         m_decreasedAt = now;
-        m_factor = std::max(m_settings.minFactor, m_factor * m_settings.decrease);
+        m_factor = std::max(m_settings.minFactor, m_factor * (1 - excess));
         return;
     }
     m_factor = std::min(
