--- a/src/include/balsamloft/admission/admission.h
+++ b/src/include/balsamloft/admission/admission.h
@@ -19,9 +19,9 @@
 struct AdmissionSettings
 {
     bool enabled = false; ///< if not, every request is admitted
-    /// Longest wait of a request, as a share of its target latency. The rest of the target is
-    /// needed by the endpoints.
-    double maxWaitShare = 0.5;
+    /// Longest wait of a request, as a share of its target latency. It evens out the arrivals of
+    /// callers; a longer queue would keep refused callers from an early second attempt.
+    double maxWaitShare = 0.1;
     std::size_t maxWaiting = 1000; ///< requests of a service that wait at this instance
     std::uint64_t seed = 1;
 };
--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -27,6 +27,12 @@
 constexpr double AmpleUse = 0.6;
 constexpr double AmpleFactor = 3;
 
+/// Requests that an instance may have in flight whatever its share: a request larger than the
+/// share must not wait forever, and several callers of one instance may come at once while the
+/// capacity is ample.
+constexpr std::size_t MinAdmitted = 1;
+constexpr std::size_t MinAdmittedIfAmple = 4;
+
 /// How long a total that shows ample capacity is relied on.
 constexpr Duration AmpleLifetime {2'000'000};
 
@@ -131,8 +137,8 @@
                            Time now) const
 {
     const double most = limit(name, service, now);
-    // A request larger than the share must not wait forever.
-    return most < 0 || service.admittedNow == 0 || service.inFlight + work <= most;
+    const std::size_t atLeast = now < service.ampleUntil ? MinAdmittedIfAmple : MinAdmitted;
+    return most < 0 || service.admittedNow < atLeast || service.inFlight + work <= most;
 }
 
 void Admission::Impl::admit(Service &service, Entry &entry) const
