--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -135,7 +135,7 @@
     , m_server(
           context, [this](std::span<const CrashNotice> notices) { crashNoticesReceived(notices); },
           [this](const InstanceState &state) { stateReceived(state); },
-          [this] { return ownState(); })
+          [this](const InstanceState &asker) { return stateForAnswer(asker); })
     , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.storeAddress, protocol, state, m_eras)
     , m_peers(context)
@@ -147,10 +147,13 @@
     , m_fleetSnapshot(std::make_shared<FleetSnapshot>())
     , m_lease(leaseSettings(settings))
     , m_planner(plannerSettings(settings))
+    , m_loadRoute(settings.name, settings.domain)
     , m_trialPermits(trialSettings(settings))
     , m_random(std::hash<std::string> {}(settings.name))
 {
     m_engines.useLinks(m_links);
+    if (settings.admission)
+        m_loads.emplace(settings.domain);
     for (std::size_t i = 0; i < SharedTableCount; ++i) {
         const auto table = static_cast<SharedTable>(i);
         m_storeSources[i] =
@@ -268,7 +271,8 @@
                                                     std::shared_ptr<Time> lastReportAt)
 {
     return std::make_unique<PeerSource>(m_context, peer, static_cast<std::size_t>(table),
-                                        std::move(lastReportAt), [this] { return ownState(); });
+                                        std::move(lastReportAt),
+                                        [this, peer, table] { return stateForQuery(peer, table); });
 }
 
 void Control::sourceFailed(const TableSource &source, bool answered)
@@ -281,6 +285,7 @@
         m_directory.recordEmptyAnswer(source.peer(), now);
     } else {
         m_directory.markUnresponsive(source.peer(), now);
+        m_loadRoute.sourceFailed(source.peer());
     }
 }
 
@@ -514,6 +519,7 @@
     sendCrashNotices();
     pollEngines(steadyNow());
     publishEngineStates();
+    tickLoads();
     m_timer.expires_after(TickInterval);
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (error)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -8,6 +8,8 @@
 #include "settings.h"
 #include "tablefollower.h"
 
+#include <balsamloft/admission/loadexchange.h>
+#include <balsamloft/admission/loadroute.h>
 #include <balsamloft/configurationfetch.h>
 #include <balsamloft/crashgossip.h>
 #include <balsamloft/gapfiller.h>
@@ -58,6 +60,8 @@
     std::function<void(KnownInstances)> instances;
     std::function<void(EngineReports)> engines;
     std::function<void(std::vector<CrashRecord>)> crashes; ///< of all instances
+    /// The load of all instances, at most twice a second; only with admission control.
+    std::function<void(FleetLoad)> loads;
 };
 
 /// Replicates the store's tables, polls engines and places layers.
@@ -89,6 +93,10 @@
     /// Releases the permit of a finished trial.
     void finishTrial(const FinishTrial &trial);
 
+    /// Sets the load of this instance, which is sent to the others. Ignored without admission
+    /// control.
+    void setOwnLoad(LoadReport load);
+
     /// Releases the lease and removes this instance from the list, then calls \a done.
     void stop(std::function<void()> done);
 
@@ -113,6 +121,12 @@
     InstanceState ownState() const;
     void stateReceived(const InstanceState &state);
     void peerAnswered(const TableAnswer &answer, const PeerInstance &peer);
+    InstanceState stateForQuery(const PeerInstance &peer, SharedTable table);
+    InstanceState stateForAnswer(const InstanceState &asker) const;
+    bool sumsUpLoads(Time now) const;
+    void subtreeReceived(const InstanceState &sender);
+    void totalReceived(const InstanceState &sender);
+    void tickLoads();
     void configurationHeard(std::uint64_t version, const PeerInstance &peer);
     void fetchConfiguration(const PeerInstance &peer);
     void writeLostRows(Time now);
@@ -210,6 +224,11 @@
     LeaseManager m_lease;
     LayerPlanner m_planner;
     GapFiller m_gapFiller;
+    std::optional<LoadExchange> m_loads; ///< in bootNow(); only with admission control
+    LoadRoute m_loadRoute;
+    Time m_domainReaderAt {}; ///< bootNow() when this instance was last the domain reader
+    Time m_loadsPublishedAt {}; ///< bootNow()
+    std::uint32_t m_loggedInstances = 0; ///< instances in the last logged total
     Time m_instanceRowWrittenAt {};
     Time m_storeCallsLoggedAt {};
     std::array<std::uint64_t, StoreUseNames.size()> m_loggedStoreCalls {}; ///< by use
--- a/src/entry/controleras.cpp
+++ b/src/entry/controleras.cpp
@@ -69,8 +69,10 @@
 
 InstanceState Control::ownState() const
 {
-    InstanceState state {m_settings.name, m_eras.era(), m_table ? m_table->version() : 0,
-                         std::nullopt};
+    InstanceState state;
+    state.name = m_settings.name;
+    state.era = m_eras.era();
+    state.configuration = m_table ? m_table->version() : 0;
     if (m_eraBeganAt && steadyNow() - *m_eraBeganAt < RecentEra)
         state.eraAge = steadyNow() - *m_eraBeganAt;
     return state;
@@ -82,6 +84,7 @@
     noticeEra();
     if (const auto peer = m_directory.find(state.name))
         configurationHeard(state.configuration, *peer);
+    subtreeReceived(state);
 }
 
 void Control::peerAnswered(const TableAnswer &answer, const PeerInstance &peer)
@@ -97,6 +100,7 @@
     if (age && !m_eraBeganAt)
         storeRestored(*age);
     configurationHeard(state.configuration, peer);
+    totalReceived(state);
 }
 
 /// The instance \a peer has \a version of the configuration in force.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <iostream>
 #include <thread>
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr int ListenFailedExitCode = 3;
+constexpr auto OwnLoadInterval = std::chrono::milliseconds(500);
 
 /// The threads of the process and the servers that run on them.
 class Entry
@@ -42,6 +44,7 @@
               [this](std::string_view, std::string_view, const SimpleHttpServer::Reply &reply) {
                   reply({200, m_trafficServer.metrics()});
               })
+        , m_loadTimer(m_trafficContext)
         , m_signals(m_trafficContext, SIGTERM, SIGINT, SIGHUP)
     {
     }
@@ -80,6 +83,8 @@
                 asio::post(m_controlContext,
                            [this, trial = std::move(trial)] { m_control.finishTrial(trial); });
             });
+        if (m_settings.admission)
+            reportOwnLoad();
         waitForSignal();
         std::thread control([this] {
             m_control.start();
@@ -116,9 +121,25 @@
             asio::post(m_trafficContext,
                        [this, all = std::move(all)] { m_trafficServer.setSharedCrashes(all); });
         };
+        events.loads = [this](FleetLoad load) {
+            asio::post(m_trafficContext,
+                       [this, load = std::move(load)] { m_trafficServer.applyFleetLoad(load); });
+        };
         return events;
     }
 
+    /// Sends the load of this instance to the control thread at regular intervals.
+    void reportOwnLoad()
+    {
+        asio::post(m_controlContext,
+                   [this, load = m_trafficServer.ownLoad()] { m_control.setOwnLoad(load); });
+        m_loadTimer.expires_after(OwnLoadInterval);
+        m_loadTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error)
+                reportOwnLoad();
+        });
+    }
+
     /// Requests a permit from the control thread; \a answered is called on the traffic thread.
     void requestTrial(TrialRequest request, std::function<void(TrialAnswer)> answered)
     {
@@ -178,6 +199,7 @@
     Control m_control;
     SimpleHttpServer m_readiness;
     SimpleHttpServer m_metrics;
+    asio::steady_timer m_loadTimer;
     asio::signal_set m_signals;
 };
 
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -63,7 +63,7 @@
 }
 
 PeerServer::PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived,
-                       StateHandler stateReceived, std::function<InstanceState()> self)
+                       StateHandler stateReceived, AnswerState self)
     : m_server(
         context,
         [this](std::string_view target, std::string_view body, SimpleHttpServer::Reply reply) {
@@ -102,10 +102,13 @@
         || !readNumbers(target.substr(TargetPrefix.size()), numbers)
         || numbers[0] >= SharedTableCount)
         return reply({404, {}});
-    const auto details = decodeQuery(body);
+    auto details = decodeQuery(body);
     if (!details)
         return reply({400, {}});
-    m_stateReceived(details->sender);
+    InstanceState &sender = details->sender;
+    m_stateReceived(sender);
+    if (sender.load)
+        sender.load->report = {};
     const auto [table, afterNumber, waitMs, receivedUntilMs, changedWithinMs] = numbers;
     const StoreVersion after {details->era, afterNumber};
     const TableState &state = m_states[table];
@@ -115,8 +118,8 @@
                                             : nowMs - std::min(nowMs, changedWithinMs);
     const bool known = state.copy.known();
     if (waitMs == 0 || (known && (state.copy.version() > after || !after.known())))
-        return reply(answer(table, after, statesSinceMs));
-    m_pendingQueries.push_back({table, after, statesSinceMs, state.knownAt,
+        return reply(answer(table, after, statesSinceMs, sender));
+    m_pendingQueries.push_back({table, after, statesSinceMs, std::move(sender), state.knownAt,
                                 steadyNow() + Duration(waitMs * 1000), std::move(reply)});
     if (!std::exchange(m_timerRunning, true))
         expireQueries();
@@ -124,17 +127,17 @@
 
 /// Answers 503 while the table has not been read yet, so that the follower does not treat the
 /// table as empty, nor takes over one of an earlier era.
-HttpAnswer PeerServer::answer(std::size_t table, StoreVersion after,
-                              std::uint64_t statesSinceMs) const
+HttpAnswer PeerServer::answer(std::size_t table, StoreVersion after, std::uint64_t statesSinceMs,
+                              const InstanceState &sender) const
 {
     const TableCopy &copy = m_states[table].copy;
     if (!copy.known() || copy.version().era < after.era)
         return {503, {}};
-    return {200, encodeUpdate(table, after, statesSinceMs)};
+    return {200, encodeUpdate(table, after, statesSinceMs, sender)};
 }
 
 std::string PeerServer::encodeUpdate(std::size_t table, StoreVersion after,
-                                     std::uint64_t statesSinceMs) const
+                                     std::uint64_t statesSinceMs, const InstanceState &sender) const
 {
     const TableState &state = m_states[table];
     wire::TableNews update;
@@ -151,7 +154,7 @@
             encodeRow(row, *update.add_rows());
     update.set_version(state.copy.version().number);
     update.set_era(state.copy.version().era);
-    InstanceState self = m_self();
+    InstanceState self = m_self(sender);
     self.name.clear(); // the follower knows whom it asked
     encodeState(self, *update.mutable_sender());
     update.set_clock_ms(milliseconds(bootNow()));
@@ -250,7 +253,7 @@
         return due;
     });
     for (PendingQuery &each : ready)
-        each.reply(answer(each.table, each.after, each.statesSinceMs));
+        each.reply(answer(each.table, each.after, each.statesSinceMs, each.sender));
 }
 
 void PeerServer::expireQueries()
@@ -264,7 +267,7 @@
         return due;
     });
     for (PendingQuery &each : expired)
-        each.reply(answer(each.table, each.after, each.statesSinceMs));
+        each.reply(answer(each.table, each.after, each.statesSinceMs, each.sender));
     m_timerRunning = !m_pendingQueries.empty();
     if (!m_timerRunning)
         return;
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -64,11 +64,13 @@
 public:
     using NoticeHandler = std::function<void(std::span<const CrashNotice>)>;
     using StateHandler = std::function<void(const InstanceState &)>;
+    using AnswerState = std::function<InstanceState(const InstanceState &)>;
 
     /// \a noticesReceived: called with the crash notices of other instances; \a stateReceived: with
-    /// what an instance tells in its query; \a self: returns what this instance tells.
+    /// what an instance tells in its query; \a self: returns what this instance tells in the answer
+    /// to a query in which another instance told its argument, without the load of services.
     PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived,
-               StateHandler stateReceived, std::function<InstanceState()> self);
+               StateHandler stateReceived, AnswerState self);
 
     bool listen(const std::string &address, Reason &reason);
     TableState &state(SharedTable table) { return m_states[static_cast<std::size_t>(table)]; }
@@ -102,6 +104,7 @@
         std::size_t table;
         StoreVersion after;
         std::uint64_t statesSinceMs;
+        InstanceState sender;
         Time knownAt; ///< TableState::knownAt when the query arrived
         Time until;
         SimpleHttpServer::Reply reply;
@@ -123,9 +126,10 @@
 
     void handleQuery(std::string_view target, std::string_view body, SimpleHttpServer::Reply reply);
     HttpAnswer receiveNotices(std::string_view body);
-    HttpAnswer answer(std::size_t table, StoreVersion after, std::uint64_t statesSinceMs) const;
-    std::string encodeUpdate(std::size_t table, StoreVersion after,
-                             std::uint64_t statesSinceMs) const;
+    HttpAnswer answer(std::size_t table, StoreVersion after, std::uint64_t statesSinceMs,
+                      const InstanceState &sender) const;
+    std::string encodeUpdate(std::size_t table, StoreVersion after, std::uint64_t statesSinceMs,
+                             const InstanceState &sender) const;
     static void addCompressed(const CompressedRows &compressed, wire::TableNews &update);
     void addAllRows(std::size_t table, wire::TableNews &update) const;
     void addEngines(std::uint64_t statesSinceMs, wire::TableNews &update) const;
@@ -135,7 +139,7 @@
     SimpleHttpServer m_server;
     NoticeHandler m_noticesReceived;
     StateHandler m_stateReceived;
-    std::function<InstanceState()> m_self;
+    AnswerState m_self;
     boost::asio::steady_timer m_timer;
     bool m_timerRunning = false;
     std::array<TableState, SharedTableCount> m_states;
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -23,6 +23,7 @@
 DEFINE_double(retry_slack, 100, "retries beyond the ratio in a window, over all instances");
 DEFINE_double(retry_window_s, 10, "window in which retries are counted");
 DEFINE_bool(log_all, false, "log successful requests too");
+DEFINE_bool(admission, false, "limit the admitted work to the capacity of the services");
 
 namespace balsamloft {
 
@@ -82,6 +83,7 @@
     settings.retrySlack = FLAGS_retry_slack;
     settings.retryWindow = milliseconds(FLAGS_retry_window_s * 1000);
     settings.logAll = FLAGS_log_all;
+    settings.admission = FLAGS_admission;
     return settings;
 }
 
@@ -165,6 +167,7 @@
         add(each.flag, before.*each.value != after.*each.value);
     add("beat_ms", before.heartbeatInterval != after.heartbeatInterval);
     add("retry_window_s", before.retryWindow != after.retryWindow);
+    add("admission", before.admission != after.admission);
     return names;
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -29,6 +29,7 @@
     double retrySlack = 0; ///< retries beyond the ratio in a window, over all instances
     Duration retryWindow {}; ///< in which retries are counted
     bool logAll = false; ///< log successful requests too
+    bool admission = false; ///< limit the admitted work to the capacity of the services
 };
 
 /// The threads that open connections to endpoints, each with EndpointLinks of its own.
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -10,6 +10,7 @@
 #include "settings.h"
 #include "timedcall.h"
 
+#include <balsamloft/admission/serviceload.h>
 #include <balsamloft/entryprotocol.h>
 #include <balsamloft/loopdelay.h>
 
@@ -38,6 +39,7 @@
     void setFleet(FleetPtr fleet);
     void setInstances(const KnownInstances &known);
     void applyEngineReports(const EngineReports &reports);
+    void applyFleetLoad(const FleetLoad &load) { m_fleetLoad = load; }
     void setSharedCrashes(const std::vector<CrashRecord> &all) { m_relay.setSharedCrashes(all); }
 
     /// Applies the settings that may change at run time: revocation time, grace period, retry
@@ -82,6 +84,9 @@
     /// Executes \a actions of the relay.
     void run(RelayActions actions);
 
+    /// The load of this instance, to send to the other instances.
+    LoadReport ownLoad() const { return {{}, 1}; }
+
     // Called by sessions
 
     const RouteMapPtr &table() const { return m_table; }
@@ -159,6 +164,7 @@
     Relay m_relay;
     RouteMapPtr m_table;
     FleetPtr m_fleet;
+    std::optional<FleetLoad> m_fleetLoad; ///< nothing until the load of all instances is known
     std::unordered_map<FlightId, std::shared_ptr<CallerSession>> m_flights;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
     std::map<std::string, std::shared_ptr<TimedCall>> m_queries; ///< by endpoint
--- a/src/fakes/restorefleet.cpp
+++ b/src/fakes/restorefleet.cpp
@@ -422,7 +422,8 @@
     answer.reply.version = copy.version().number;
     answer.knownAt = peer.knownAt[query.table];
     answer.fromStore = peer.fromStore[query.table];
-    answer.sender = InstanceState {{}, peer.eras.era(), peer.inForce, std::nullopt, std::nullopt, {}};
+    answer.sender =
+        InstanceState {{}, peer.eras.era(), peer.inForce, std::nullopt, std::nullopt, {}};
     if (!answer.reply.rows.empty())
         m_peerBytes += encodedSize(answer.reply.rows);
     return true;
