--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -45,6 +45,8 @@
     relay.retryRatio = settings.retryRatio * 0.85;
     relay.retrySlack = settings.retrySlack * 0.85;
     relay.retryWindow = settings.retryWindow;
+    relay.admission.enabled = settings.admission;
+    relay.admission.seed = relay.seed;
     return relay;
 }
 
@@ -114,6 +116,7 @@
         m_prunedAt = now;
         m_pool.prune(*m_fleet, now);
         logQuarantinedParts(now);
+        logAdmission(now);
     }
     m_acceptor.tick(now);
     m_forwarder.tick(bootNow());
@@ -180,6 +183,51 @@
     run(std::move(actions));
 }
 
+void TrafficServer::applyFleetLoad(const FleetLoad &load)
+{
+    m_relay.applyFleetLoad(load, steadyNow());
+}
+
+LoadReport TrafficServer::ownLoad() const
+{
+    return m_relay.load(steadyNow());
+}
+
+/// Logs the state of each service that refused requests since the last call.
+void TrafficServer::logAdmission(Time now)
+{
+    for (const AdmissionStatus &each : m_relay.admission().status(now)) {
+        std::uint64_t &logged = m_loggedRefusals[each.service];
+        if (each.refused == logged)
+            continue;
+        logDecision("admission", "refused",
+                    {{"service", std::string_view(each.service)},
+                     {"count", std::int64_t(each.refused - logged)},
+                     {"capacity", each.capacity},
+                     {"share", each.share},
+                     {"in_flight", each.inFlight},
+                     {"waiting", std::int64_t(each.waiting)}});
+        logged = each.refused;
+    }
+}
+
+void TrafficServer::renderAdmission(std::string &text) const
+{
+    const auto sample = [&](std::string_view name, const std::string &service, double value) {
+        text += "balsamloft_admission_" + std::string(name) + "{service=\"" + service + "\"} "
+                + std::to_string(value) + "\n";
+    };
+    for (const AdmissionStatus &each : m_relay.admission().status(steadyNow())) {
+        sample("capacity", each.service, each.capacity);
+        sample("share", each.service, each.share);
+        sample("in_flight", each.service, each.inFlight);
+        sample("waiting", each.service, double(each.waiting));
+        sample("admitted_total", each.service, double(each.admitted));
+        sample("refused_total", each.service, double(each.refused));
+        sample("expired_total", each.service, double(each.expired));
+    }
+}
+
 bool TrafficServer::keysUpToDate() const
 {
     return m_state.keyAge(bootNow()) < m_settings.revocationTime - KeyMargin;
@@ -534,6 +582,7 @@
     sample("lease_held", m_state.holdsLease ? 1 : 0);
     sample("log_lines_dropped_total", droppedLogLines());
     sample("control_loop_delay_ms", static_cast<std::uint64_t>(m_state.controlDelayMs));
+    renderAdmission(text);
     m_loopDelays.render("balsamloft_loop_delay_seconds", "", text);
     m_requestMetrics.render(text);
     return text;
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -39,7 +39,7 @@
     void setFleet(FleetPtr fleet);
     void setInstances(const KnownInstances &known);
     void applyEngineReports(const EngineReports &reports);
-    void applyFleetLoad(const FleetLoad &load) { m_fleetLoad = load; }
+    void applyFleetLoad(const FleetLoad &load);
     void setSharedCrashes(const std::vector<CrashRecord> &all) { m_relay.setSharedCrashes(all); }
 
     /// Applies the settings that may change at run time: revocation time, grace period, retry
@@ -85,7 +85,7 @@
     void run(RelayActions actions);
 
     /// The load of this instance, to send to the other instances.
-    LoadReport ownLoad() const { return {{}, 1}; }
+    LoadReport ownLoad() const;
 
     // Called by sessions
 
@@ -144,6 +144,8 @@
     void changePath(const ChangePath &change);
     void publishCrashes(const CrashUpdate &update);
     void logQuarantinedParts(Time now);
+    void logAdmission(Time now);
+    void renderAdmission(std::string &text) const;
     void requestTrial(const RequestTrial &request);
     void checkSuspension();
     void continueStop();
@@ -164,7 +166,7 @@
     Relay m_relay;
     RouteMapPtr m_table;
     FleetPtr m_fleet;
-    std::optional<FleetLoad> m_fleetLoad; ///< nothing until the load of all instances is known
+    std::map<std::string, std::uint64_t> m_loggedRefusals; ///< by service, as last logged
     std::unordered_map<FlightId, std::shared_ptr<CallerSession>> m_flights;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
     std::map<std::string, std::shared_ptr<TimedCall>> m_queries; ///< by endpoint
--- a/src/include/balsamloft/admission/admission.h
+++ b/src/include/balsamloft/admission/admission.h
@@ -37,6 +37,7 @@
     double work = 1; ///< see ServiceLoad
     Duration target {}; ///< latency until the first event or the answer
     Duration timeLeft {}; ///< until the caller's deadline
+    bool late = false; ///< it can no longer meet its target, as after an earlier refusal
 };
 
 /// What is to be done with a request.
@@ -67,6 +68,10 @@
 /// service's capacity. Beyond that, requests wait in an order of priority, fair shares of teams and
 /// deadlines, or are refused at once if they would wait too long. The capacity is derived from the
 /// endpoints and corrected by what callers of all instances observe, see CapacityEstimate.
+///
+/// Requests that can no longer meet their target get a part of a service that is at its capacity:
+/// if they came first, no request would be served in time any more, and without a part of their own
+/// their callers would be refused again and again.
 class Admission
 {
 public:
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -476,8 +476,7 @@
     /// The outcome if the flight finishes now; \a ifMayHaveRun: if it may have been executed.
     static FlightOutcome outcomeOf(const Flight &flight, FlightOutcome ifMayHaveRun);
     void finish(FlightId id, FlightOutcome outcome, std::string reason, Time now,
-                RelayActions &actions,
-                std::optional<Duration> retryAfter = {});
+                RelayActions &actions, std::optional<Duration> retryAfter = {});
     void recordRateLimit(const Flight &flight, const AnswerHead &head, Time now);
     void handleRejection(FlightId id, Flight &flight, const AnswerHead &head, Time now,
                          RelayActions &actions);
--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -38,7 +38,13 @@
 
 /// Part of the drain rate that is left for callers who come back, so that they don't displace new
 /// callers that would be served in time.
-constexpr double ReturnPart = 0.25;
+constexpr double ReturnPart = 0.2;
+
+/// Late requests save up at most this part of the work in flight.
+constexpr double MaxLateCredit = 0.1;
+
+/// A service counts as at its capacity for this long after it refused a request.
+constexpr Duration ContendedDuration {1'000'000};
 
 /// Callers do not wait longer for a second attempt than this part of their time.
 constexpr double MaxReturnPart = 1.0 / 3;
@@ -83,6 +89,7 @@
     {
         AdmissionRequest request;
         State state = State::Admitted;
+        Time submittedAt {};
         Time waitsUntil {};
     };
 
@@ -93,6 +100,8 @@
         std::set<std::pair<Time, std::uint64_t>> byExpiry; ///< waiting requests
         ReturnSchedule returns;
         Time ampleUntil {}; ///< the capacity has ample room until then
+        Time contendedUntil {}; ///< the service is at its capacity until then
+        double lateCredit = 0; ///< work of late requests that may be admitted meanwhile
         double inFlight = 0;
         std::size_t admittedNow = 0; ///< admitted requests that have not finished
         DecayingRate demand;
@@ -144,6 +153,10 @@
 void Admission::Impl::admit(Service &service, Entry &entry) const
 {
     entry.state = State::Admitted;
+    const double work = entry.request.work;
+    const double earned = work * ReturnPart / (1 - ReturnPart);
+    const double credit = service.lateCredit + (entry.request.late ? -work : earned);
+    service.lateCredit = std::clamp(credit, 0.0, std::max(work, MaxLateCredit * service.inFlight));
     service.inFlight += entry.request.work;
     service.admittedNow += 1;
     service.counts.admitted += 1;
@@ -153,6 +166,7 @@
                                           Duration wait, std::string reason, Time now)
 {
     service.counts.refused += 1;
+    service.contendedUntil = now + ContendedDuration;
     const Duration latest(
         static_cast<std::int64_t>(static_cast<double>(request.timeLeft.count()) * MaxReturnPart));
     const double rate = service.drained.perSecond(now) * ReturnPart;
@@ -203,7 +217,7 @@
         const Duration wait =
             expectedWait(name, service, entry.request, now).value_or(entry.request.target);
         AdmissionRequest request = entry.request;
-        request.timeLeft -= entry.request.target / 2;
+        request.timeLeft -= now - entry.submittedAt;
         decisions.push_back(refuse(service, request, wait, "no capacity became free in time", now));
     }
 }
@@ -245,14 +259,20 @@
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
     Impl::Service &service = m_impl->services[request.service];
     service.demand.add(request.work, now);
-    Impl::Entry entry {request, Impl::State::Admitted, {}};
-    if (service.queue.empty() && m_impl->fits(request.service, service, request.work, now)) {
+    Impl::Entry entry {request, Impl::State::Admitted, now, {}};
+    const bool mustWait =
+        request.late && now < service.contendedUntil && service.lateCredit < request.work;
+    if (!mustWait && service.queue.empty()
+        && m_impl->fits(request.service, service, request.work, now)) {
         m_impl->admit(service, entry);
         m_impl->entries.insert_or_assign(request.id, std::move(entry));
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
     }
     const Duration maxWait(static_cast<std::int64_t>(static_cast<double>(request.target.count())
                                                      * m_impl->settings.maxWaitShare));
+    if (mustWait)
+        return m_impl->refuse(service, request, request.target,
+                              "the service is at its capacity for late requests", now);
     const auto wait = m_impl->expectedWait(request.service, service, request, now);
     if (wait && *wait > maxWait)
         return m_impl->refuse(service, request, *wait, "the service is at its capacity", now);
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -353,7 +353,8 @@
 void Relay::dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     if (now >= flight.deadline)
-        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", now, actions);
+        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", now,
+                      actions);
     if (blockIfSuspected(id, flight, now, actions))
         return;
     // This runs at each tick while the flight waits: skip the path search while no retry is
@@ -459,8 +460,8 @@
     dispatch(id, flight, now, actions);
 }
 
-void Relay::finish(FlightId id, FlightOutcome outcome, std::string reason, Time now, RelayActions &actions,
-                   std::optional<Duration> retryAfter)
+void Relay::finish(FlightId id, FlightOutcome outcome, std::string reason, Time now,
+                   RelayActions &actions, std::optional<Duration> retryAfter)
 {
     const auto it = m_flights.find(id);
     if (it == m_flights.end())
@@ -542,7 +543,8 @@
         "rejected by " + faultyEndpoint + " with status " + std::to_string(head.status);
     if (flight.trial.state == Trial::State::Sent) {
         finishTrial(flight, TrialOutcome::Inconclusive, actions);
-        return finish(id, outcomeOf(flight, FlightOutcome::Failed), std::move(reason), now, actions);
+        return finish(id, outcomeOf(flight, FlightOutcome::Failed), std::move(reason), now,
+                      actions);
     }
     retry(id, flight, false, faultyEndpoint, std::move(reason), now, actions);
 }
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -52,6 +52,8 @@
     request.work = workOf(flight.request, service(flight));
     request.target = route.targetLatency;
     request.timeLeft = flight.deadline - now;
+    // The caller has spent the time that is missing from the route's on earlier attempts.
+    request.late = route.timeout - request.timeLeft > route.targetLatency;
     AdmissionDecision decision = m_admission.submit(request, now);
     switch (decision.kind) {
     case AdmissionDecision::Kind::Admit:
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -132,7 +132,8 @@
             flight.mayHaveRunAt.push_back(flight.endpoint);
             actions.push_back(AbandonAttempt {id, flight.attempt});
         }
-        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", now, actions);
+        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", now,
+                      actions);
     }
     if (flight.awaitsAdmission || abandonSuspectedAttempt(id, flight, now, actions))
         return;
