ReturnSchedule: large requests start in any slot with room

Cause: a request larger than a slot needed an empty one, so that slots with one small return were closed to it. With 1,000 units of work in requests of 30 and 2 units at 100 per second, the last return was after 14.8 s. Change: such a request starts in the first slot that is not full, and is charged to the room of this slot and the next.

--- a/src/include/balsamloft/admission/returnschedule.h
+++ b/src/include/balsamloft/admission/returnschedule.h
@@ -33,10 +33,11 @@
     /// unknown, returns are spread evenly. \a earliest: expected time until there is capacity.
     /// \a latest: the caller does not wait longer.
     ///
-    /// The delay is in the first slot between \a earliest and \a latest that is not full, at a
-    /// random time of it. If all of them are full, it is at a random time before \a latest. It is
-    /// less than \a earliest, or than the minimum delay, only if \a latest is not greater; it is
-    /// never greater than \a latest.
+    /// The delay is in the first slot between \a earliest and \a latest that has room, at a random
+    /// time of it; if none has, at a random time before \a latest. Of the requests that have room
+    /// in a slot, the work is at most that of \a rate, except for one request that is larger than
+    /// this. The delay is less than \a earliest, or than the minimum delay, only if \a latest is
+    /// not greater; it is never greater than \a latest.
     Duration schedule(double work, double rate, Duration earliest, Duration latest, Time now,
                       std::mt19937_64 &random);
 
@@ -67,7 +68,8 @@
     /// that is only partly in this span, the same part of the rate can be used.
     std::optional<std::int64_t> freeSlot(double work, double rate, Time from, Time to) const;
 
-    /// Counts \a work as a return in \a slot and charges at most \a limit to each slot.
+    /// Counts \a work as a return in \a slot. Work beyond \a limit is charged to the room that is
+    /// left in this slot and the next ones.
     void book(std::int64_t slot, double work, double limit);
 
     ReturnScheduleSettings m_settings;
--- a/src/libbalsamloft/admission/returnschedule.cpp
+++ b/src/libbalsamloft/admission/returnschedule.cpp
@@ -50,9 +50,10 @@
         const Duration usable = std::min(to, beginOf(slot + 1)) - std::max(from, beginOf(slot));
         const double usableLimit = limit * static_cast<double>(usable.count())
                                    / static_cast<double>(m_settings.slot.count());
-        // Work beyond the limit of one slot needs an empty one and is charged to the next slots
-        // too.
-        if (load(slot).booked + std::min(work, limit) <= usableLimit)
+        // Work beyond the limit of one slot is also charged to the next ones. If it needed an empty
+        // slot, small requests would keep it out of slots that are mostly free.
+        const double booked = load(slot).booked;
+        if (work > limit ? booked < usableLimit : booked + work <= usableLimit)
             return slot;
     }
     return std::nullopt;
@@ -61,11 +62,14 @@
 void ReturnSchedule::book(std::int64_t slot, double work, double limit)
 {
     load(slot).returning += work;
-    load(slot).booked += std::min(work, limit);
-    double rest = work - std::min(work, limit);
-    for (auto next = slot + 1; rest > 0 && next < m_first + std::ssize(m_slots); ++next) {
-        const double part = std::clamp(limit - load(next).booked, 0.0, rest);
-        load(next).booked += part;
+    if (work <= limit) {
+        load(slot).booked += work;
+        return;
+    }
+    double rest = work;
+    for (auto each = slot; rest > 0 && each < m_first + std::ssize(m_slots); ++each) {
+        const double part = std::clamp(limit - load(each).booked, 0.0, rest);
+        load(each).booked += part;
         rest -= part;
     }
 }
--- a/src/libbalsamloft/admission/returnschedule_test.cpp
+++ b/src/libbalsamloft/admission/returnschedule_test.cpp
@@ -138,6 +138,35 @@
     CHECK(schedule.pending(at(0.5)) == Approx(800));
 }
 
+// Guards against small requests that keep large ones out, and against large ones charged too
+// little.
+TEST_CASE("requests of mixed sizes use the rate and stay within it", "[returns]")
+{
+    constexpr double Rate = 100;
+    for (const double large : {30.0, 60.0, 200.0}) {
+        CAPTURE(large);
+        ReturnSchedule schedule;
+        std::mt19937_64 random(1);
+        std::map<Time, double> returns;
+        for (double total = 0; total < 10 * Rate;) {
+            const double work = random() % 2 == 0 ? large : 2;
+            const Duration delay =
+                schedule.schedule(work, Rate, seconds(0.25), seconds(15), at(0), random);
+            returns[at(0) + delay] += work;
+            total += work;
+        }
+        CHECK(returns.rbegin()->first < at(10.75));
+        for (auto from = returns.begin(); from != returns.end(); ++from) {
+            double sum = 0;
+            for (auto to = from; to != returns.end(); ++to) {
+                sum += to->second;
+                const double span = std::chrono::duration<double>(to->first - from->first).count();
+                CHECK(sum <= Rate * (span + 0.5) + large);
+            }
+        }
+    }
+}
+
 // Guards against returns that keep their slots after a suspension, and against unbounded slots.
 TEST_CASE("slots that have passed are dropped when time jumps forward", "[returns][failure]")
 {
