--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -112,13 +112,14 @@
         AdmissionStatus counts;
     };
 
+    static int rank(const Service &service, const AdmissionRequest &request, Time now);
     double limit(const std::string &name, const Service &service, Time now) const;
     bool fits(const std::string &name, const Service &service, double work, Time now) const;
     void admit(Service &service, Entry &entry) const;
     AdmissionDecision refuse(Service &service, const AdmissionRequest &request, Duration wait,
                              std::string reason, Time now);
     std::optional<Duration> expectedWait(const std::string &name, const Service &service,
-                                         const AdmissionRequest &request, Time now) const;
+                                         const AdmissionRequest &request, int rank, Time now) const;
     void removeWaiting(Service &service, const Entry &entry);
     void pollService(const std::string &name, Service &service, Time now,
                      std::vector<AdmissionDecision> &decisions);
@@ -131,6 +132,15 @@
     std::unordered_map<std::uint64_t, Entry> entries;
 };
 
+/// The class of a request in the queue. Each priority has two: late requests of a contended service
+/// come second, except for the part that is left to them.
+int Admission::Impl::rank(const Service &service, const AdmissionRequest &request, Time now)
+{
+    const bool second =
+        request.late && now < service.contendedUntil && service.lateCredit < request.work;
+    return 2 * request.priority + (second ? 1 : 0);
+}
+
 /// Work that this instance may have in flight; negative: no limit is known.
 double Admission::Impl::limit(const std::string &name, const Service &service, Time now) const
 {
@@ -177,14 +187,14 @@
 /// How long the request would wait; nothing if no work was finished recently.
 std::optional<Duration> Admission::Impl::expectedWait(const std::string &name,
                                                       const Service &service,
-                                                      const AdmissionRequest &request,
+                                                      const AdmissionRequest &request, int rank,
                                                       Time now) const
 {
     const double rate = service.drained.perSecond(now);
     if (rate <= 0)
         return std::nullopt;
     const double most = limit(name, service, now);
-    const double ahead = service.queue.costAhead(request.priority, request.team, request.teamShare)
+    const double ahead = service.queue.costAhead(rank, request.team, request.teamShare)
                          + std::max(0.0, service.inFlight + request.work - most);
     constexpr double MaxSeconds = 60;
     return Duration(static_cast<std::int64_t>(std::min(ahead / rate, MaxSeconds) * 1e6));
@@ -215,7 +225,8 @@
         entries.erase(id);
         service.counts.expired += 1;
         const Duration wait =
-            expectedWait(name, service, entry.request, now).value_or(entry.request.target);
+            expectedWait(name, service, entry.request, rank(service, entry.request, now), now)
+                .value_or(entry.request.target);
         AdmissionRequest request = entry.request;
         request.timeLeft -= now - entry.submittedAt;
         decisions.push_back(refuse(service, request, wait, "no capacity became free in time", now));
@@ -260,20 +271,17 @@
     Impl::Service &service = m_impl->services[request.service];
     service.demand.add(request.work, now);
     Impl::Entry entry {request, Impl::State::Admitted, now, {}};
-    const bool mustWait =
-        request.late && now < service.contendedUntil && service.lateCredit < request.work;
-    if (!mustWait && service.queue.empty()
-        && m_impl->fits(request.service, service, request.work, now)) {
+    const int rank = Impl::rank(service, request, now);
+    const QueueItem *front = service.queue.front();
+    const bool mayPass = rank % 2 == 0 && (!front || front->priority > rank);
+    if (mayPass && m_impl->fits(request.service, service, request.work, now)) {
         m_impl->admit(service, entry);
         m_impl->entries.insert_or_assign(request.id, std::move(entry));
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
     }
     const Duration maxWait(static_cast<std::int64_t>(static_cast<double>(request.target.count())
                                                      * m_impl->settings.maxWaitShare));
-    if (mustWait)
-        return m_impl->refuse(service, request, request.target,
-                              "the service is at its capacity for late requests", now);
-    const auto wait = m_impl->expectedWait(request.service, service, request, now);
+    const auto wait = m_impl->expectedWait(request.service, service, request, rank, now);
     if (wait && *wait > maxWait)
         return m_impl->refuse(service, request, *wait, "the service is at its capacity", now);
     if (service.queue.size() >= m_impl->settings.maxWaiting)
@@ -282,8 +290,8 @@
     entry.state = Impl::State::Waiting;
     entry.waitsUntil = now + maxWait;
     service.byExpiry.emplace(entry.waitsUntil, request.id);
-    service.queue.push({request.id, request.team, request.teamShare, request.priority,
-                        entry.waitsUntil, request.work});
+    service.queue.push(
+        {request.id, request.team, request.teamShare, rank, entry.waitsUntil, request.work});
     m_impl->entries.insert_or_assign(request.id, std::move(entry));
     return {request.id, AdmissionDecision::Kind::Wait, {}, {}};
 }
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -22,6 +22,16 @@
     return std::max(1.0, static_cast<double>(prompt) + answer);
 }
 
+/// Requests with less time left than this come from callers who have waited already. Callers choose
+/// their own deadlines, so only much less time than the route allows is a sign of that.
+Duration lateBelow(const Route &route)
+{
+    constexpr double UsualShare = 0.75;
+    const auto usual = Duration(
+        static_cast<std::int64_t>(static_cast<double>(route.timeout.count()) * UsualShare));
+    return std::min(usual, route.timeout - route.targetLatency);
+}
+
 } // namespace
 
 /// Computes the capacity of the flight's service anew if the fleet or the routes have changed.
@@ -52,8 +62,7 @@
     request.work = workOf(flight.request, service(flight));
     request.target = route.targetLatency;
     request.timeLeft = flight.deadline - now;
-    // The caller has spent the time that is missing from the route's on earlier attempts.
-    request.late = route.timeout - request.timeLeft > route.targetLatency;
+    request.late = request.timeLeft < lateBelow(route);
     AdmissionDecision decision = m_admission.submit(request, now);
     switch (decision.kind) {
     case AdmissionDecision::Kind::Admit:
