--- a/src/include/balsamloft/admission/capacityestimate.h
+++ b/src/include/balsamloft/admission/capacityestimate.h
@@ -16,15 +16,15 @@
 /// How a CapacityEstimate follows what callers observe.
 struct CapacityEstimateSettings
 {
-    double initialFactor = 0.8; ///< of the nominal capacity
+    double initialFactor = 0.9; ///< of the nominal capacity
     double minFactor = 0.2;
     /// With all of its memory in use, a service rejects what comes beyond.
     double maxFactor = 1;
     /// An overloaded service's factor falls by its share of late and rejected attempts, but by at
     /// least the first and at most the second part.
     double minDecrease = 0.05;
-    double maxDecrease = 0.4;
-    double increasePerSecond = 0.05; ///< while the capacity is used up and requests begin in time
+    double maxDecrease = 0.2;
+    double increasePerSecond = 0.1; ///< while the capacity is used up and requests begin in time
     /// Shares of the attempts above which the service counts as overloaded. Failing endpoints cause
     /// a few late or rejected requests at any load.
     double maxRejectedShare = 0.05;
@@ -33,7 +33,7 @@
     /// have other causes, and nothing shows that more could be served.
     double limitingUse = 0.7;
     /// Time between two decreases: until then the effect of the first one is not visible.
-    Duration decreaseInterval {1'000'000};
+    Duration decreaseInterval {2'000'000};
 };
 
 /// Estimates the capacity of a service: its nominal capacity times a factor that falls while the
--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -13,9 +13,11 @@
 
 namespace {
 
-/// Time constant of the rates that are reported to other instances. Shorter ones follow bursts
-/// sooner, but an instance with a few requests per second would report noise.
-constexpr double RateSeconds = 2;
+/// Time constants of the rates that are reported to other instances. Demand is divided by its
+/// instances, of which some have few requests per second. Outcomes are summed up over all, and old
+/// ones would reduce the capacity again after it was reduced.
+constexpr double DemandSeconds = 2;
+constexpr double OutcomeSeconds = 1;
 
 /// Part of the capacity that all instances together may use beyond their shares. It absorbs
 /// fluctuations of their callers' demand.
@@ -53,21 +55,27 @@
 class DecayingRate
 {
 public:
+    explicit DecayingRate(double seconds)
+        : m_seconds(seconds)
+    {
+    }
+
     void add(double amount, Time now)
     {
         m_sum = decayed(now) + amount;
         m_at = now;
     }
 
-    double perSecond(Time now) const { return decayed(now) / RateSeconds; }
+    double perSecond(Time now) const { return decayed(now) / m_seconds; }
 
 private:
     double decayed(Time now) const
     {
         const std::chrono::duration<double> elapsed = now - m_at;
-        return m_sum * std::exp(-std::max(0.0, elapsed.count()) / RateSeconds);
+        return m_sum * std::exp(-std::max(0.0, elapsed.count()) / m_seconds);
     }
 
+    double m_seconds; ///< time constant
     double m_sum = 0;
     Time m_at {};
 };
@@ -104,11 +112,11 @@
         double lateCredit = 0; ///< work of late requests that may be admitted meanwhile
         double inFlight = 0;
         std::size_t admittedNow = 0; ///< admitted requests that have not finished
-        DecayingRate demand;
-        DecayingRate drained;
-        DecayingRate onTime;
-        DecayingRate late;
-        DecayingRate rejected;
+        DecayingRate demand {DemandSeconds};
+        DecayingRate drained {DemandSeconds};
+        DecayingRate onTime {OutcomeSeconds};
+        DecayingRate late {OutcomeSeconds};
+        DecayingRate rejected {OutcomeSeconds};
         AdmissionStatus counts;
     };
 
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -26,7 +26,7 @@
 /// their own deadlines, so only much less time than the route allows is a sign of that.
 Duration lateBelow(const Route &route)
 {
-    constexpr double UsualShare = 0.75;
+    constexpr double UsualShare = 0.8;
     const auto usual = Duration(
         static_cast<std::int64_t>(static_cast<double>(route.timeout.count()) * UsualShare));
     return std::min(usual, route.timeout - route.targetLatency);
