CapacityShares begins its averages anew when instances died

Cause: the demand of dead instances stayed in the averages for seconds after it was dropped from the total. Change: with less than 0.9 of the instances in the total, the averages start from the present total.

--- a/src/include/balsamloft/admission/capacityshares.h
+++ b/src/include/balsamloft/admission/capacityshares.h
@@ -60,6 +60,7 @@
     std::map<std::string, Demand, std::less<>> m_demands; ///< by service
     std::optional<Time> m_updatedAt;
     Time m_asOf {}; ///< of the last load
+    std::uint32_t m_includedInstances = 0; ///< most in a total since the averages began
 };
 
 } // namespace balsamloft
--- a/src/libbalsamloft/admission/capacityshares.cpp
+++ b/src/libbalsamloft/admission/capacityshares.cpp
@@ -11,6 +11,11 @@
 /// ended never reaches zero.
 constexpr double MinDemand = 1e-6;
 
+/// If the total includes fewer instances than this part of the most since the averages began, they
+/// begin anew. Otherwise the demand of dead instances would reserve capacity for some seconds
+/// longer.
+constexpr double MinRemaining = 0.9;
+
 double seconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -36,12 +41,15 @@
     if (load.total.instances <= 1 && m_instances > 1)
         return;
     const double elapsed = m_updatedAt ? seconds(std::max(Duration {}, now - *m_updatedAt)) : 0;
-    const bool restart = !m_updatedAt || ageWeight(now) == 0;
+    const bool restart = !m_updatedAt || ageWeight(now) == 0
+                         || load.total.instances < MinRemaining * m_includedInstances;
     const double weight = restart ? 1 : 1 - std::exp(-elapsed / m_settings.averagingSeconds);
     if (restart)
         m_demands.clear();
     m_updatedAt = now;
     m_asOf = load.asOf;
+    m_includedInstances =
+        restart ? load.total.instances : std::max(m_includedInstances, load.total.instances);
     for (auto &[service, demand] : m_demands) {
         demand.own *= 1 - weight;
         demand.total *= 1 - weight;
--- a/src/libbalsamloft/admission/capacityshares_test.cpp
+++ b/src/libbalsamloft/admission/capacityshares_test.cpp
@@ -142,6 +142,17 @@
     CHECK(instances.share(1, at(1000)) == Approx(0.25));
 }
 
+// Failure: the demand of dead instances reserves capacity while the averages fall.
+TEST_CASE("demand of instances that died does not count on", "[capacityshares]")
+{
+    CapacityShares shares;
+    shares.setInstances(10);
+    shares.update({loadOf(1000, 10), loadOf(100), at(0)}, at(0));
+    CHECK(shares.share("model", at(0)) == Approx(0.09 + 0.01));
+    shares.update({loadOf(500, 5), loadOf(100), at(0.5)}, at(0.5));
+    CHECK(shares.share("model", at(0.5)) == Approx(0.18 + 0.01));
+}
+
 // Failure: after a pause, the average still contains the demand from before it.
 TEST_CASE("after a pause the shares follow only the new total", "[capacityshares]")
 {
--- a/src/libbalsamloft/admission/loadexchange_test.cpp
+++ b/src/libbalsamloft/admission/loadexchange_test.cpp
@@ -299,6 +299,25 @@
     CHECK(tree.allKnow(totalDemand(tree) - 500, 8));
 }
 
+// Failure: the shares of many dead instances remain unused.
+TEST_CASE("the shares of half of the instances pass to the others", "[loadexchange]")
+{
+    const auto [domains, perDomain, time] =
+        GENERATE(std::tuple<std::size_t, std::size_t, double> {4, 17, 5},
+                 std::tuple<std::size_t, std::size_t, double> {5, 59, 7});
+    Tree tree(domains, perDomain);
+    setUnevenDemand(tree);
+    tree.run(20);
+    for (std::size_t i = 0; i < tree.size(); ++i)
+        tree.setRunning(i, i * 2654435761U % 1000 >= 500);
+    tree.run(time);
+    CHECK(tree.sumOfShares() > 0.9);
+    for (int i = 0; i < 100; ++i) {
+        tree.run(0.1);
+        REQUIRE(tree.sumOfShares() < 1.05);
+    }
+}
+
 // Failure: a new reader distributes the sum over the few instances that it has heard of.
 TEST_CASE("a new reader forwards the last total until its followers have reported",
           "[loadexchange]")
--- a/testsuite/entry/load_exchange_test.cpp
+++ b/testsuite/entry/load_exchange_test.cpp
@@ -35,9 +35,7 @@
 
 } // namespace
 
-// Guards against sums that lack instances of the own or another domain, keep a reader that died, or
-// contain one that exchanges no loads; and against sums that grow while instances read in a cycle,
-// as they do during an outage of the store.
+// Guards against sums that miss instances, keep dead ones, or grow while instances read in a cycle.
 TEST_CASE("instances sum up the loads of both domains, also after a reader died", "[process]")
 {
     FakeStore store;
