--- a/src/libbalsamloft/admission/loadexchange_test.cpp
+++ b/src/libbalsamloft/admission/loadexchange_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+
 using namespace balsamloft;
 
 namespace {
@@ -53,7 +55,7 @@
 
     void run(double seconds)
     {
-        for (auto steps = static_cast<int>(seconds * 10 + 0.5); steps > 0; --steps)
+        for (long steps = std::lround(seconds * 10); steps > 0; --steps)
             step();
     }
 
