--- a/src/include/balsamloft/admission/capacityshares.h
+++ b/src/include/balsamloft/admission/capacityshares.h
@@ -38,7 +38,8 @@
     /// Sets the number of live instances, including this one.
     void setInstances(std::size_t count);
 
-    /// Applies the load of all instances.
+    /// Applies the load of all instances. A total of a single instance is ignored if others are
+    /// listed: this instance is isolated then.
     void update(const FleetLoad &load, Time now);
 
     // Queries
--- a/src/include/balsamloft/admission/loadexchange.h
+++ b/src/include/balsamloft/admission/loadexchange.h
@@ -56,7 +56,7 @@
     /// reader sums it up itself; \a reader: whether this instance is one now.
     AgedLoadReport total(bool reader, Time now) const;
 
-    /// The total with the own load that it includes; nothing without a recent total.
+    /// The total with the own load at the time of its oldest part; nothing without a recent total.
     std::optional<FleetLoad> fleet(bool reader, Time now) const;
 
 private:
