--- a/src/include/balsamloft/admission/capacityshares.h
+++ b/src/include/balsamloft/admission/capacityshares.h
@@ -38,7 +38,8 @@
     /// Sets the number of live instances, including this one.
     void setInstances(std::size_t count);
 
-    /// Applies the load of all instances.
+    /// Applies the load of all instances. A total of a single instance is ignored if others are
+    /// listed: this instance is isolated then.
     void update(const FleetLoad &load, Time now);
 
     // Queries
@@ -60,6 +61,7 @@
     std::map<std::string, Demand, std::less<>> m_demands; ///< by service
     std::optional<Time> m_updatedAt;
     Time m_asOf {}; ///< of the last load
+    std::uint32_t m_includedInstances = 0; ///< most in a total since the averages began
 };
 
 } // namespace balsamloft
