Admission: what higher priorities request is left to them; teams' priorities come before routes'

Change: below a contended priority only the rest is used, a tenth at least; requests of teams with the same priority are ordered by their route's.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -146,7 +146,7 @@
 {
     m_teamName.clear();
     m_teamKey.clear();
-    m_priority = route.priority;
+    m_priority = combinedPriority(route.priority, route.priority);
     m_routeName = route.name;
     if (route.anonymous || !table.hasTeams())
         return true;
@@ -162,7 +162,7 @@
         return false;
     }
     m_teamName = team->name;
-    m_priority = team->priority.value_or(route.priority);
+    m_priority = combinedPriority(team->priority.value_or(route.priority), route.priority);
     return true;
 }
 
--- a/src/include/balsamloft/admission/capacityestimate.h
+++ b/src/include/balsamloft/admission/capacityestimate.h
@@ -28,7 +28,7 @@
     /// Shares of the attempts above which the service counts as overloaded. Failing endpoints cause
     /// a few late or rejected requests at any load.
     double maxRejectedShare = 0.05;
-    double maxLateShare = 0.1;
+    double maxLateShare = 0.05;
     /// Share of the capacity in use above which it limits the requests. Below it, late requests
     /// have other causes, and nothing shows that more could be served.
     double limitingUse = 0.7;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -14,6 +14,7 @@
 #include <balsamloft/quarantine.h>
 #include <balsamloft/trialpermits.h>
 
+#include <algorithm>
 #include <unordered_map>
 #include <variant>
 
@@ -31,12 +32,22 @@
     const Route *route = nullptr; ///< in \a table
     std::uint32_t service = 0; ///< index in \a table
     std::string team; ///< empty: none
-    int priority = 0; ///< of the team or else of the route; 0 is the highest
+    int priority = 0; ///< 0 is the highest, see combinedPriority()
     Duration timeLeft {}; ///< until the caller's deadline
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0; ///< expected
 };
 
+/// Number of route priorities that are distinguished.
+inline constexpr int RoutePriorities = 10;
+
+/// Returns the priority of a request: that of its team comes first, and requests of teams with the
+/// same priority are ordered by that of their routes.
+inline int combinedPriority(int team, int route)
+{
+    return team * RoutePriorities + std::min(route, RoutePriorities - 1);
+}
+
 /// Identifies a flight: a request from submit() until it is answered or refused.
 using FlightId = std::uint64_t;
 
--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -21,7 +21,7 @@
 
 /// Part of the capacity that all instances together may use beyond their shares. It absorbs
 /// fluctuations of their callers' demand.
-constexpr double BorrowedPart = 0.25;
+constexpr double BorrowedPart = 0.1;
 
 /// Part of the capacity in use by all instances below which an instance may exceed its share by
 /// AmpleFactor. Few callers of one instance vary by more than its share of a service that is hardly
@@ -42,6 +42,10 @@
 /// callers that would be served in time.
 constexpr double ReturnPart = 0.2;
 
+/// Part of a contended service that a priority may use however much is requested with higher
+/// priorities, so that none is starved.
+constexpr double MinPriorityPart = 0.1;
+
 /// Late requests save up at most this part of the work in flight.
 constexpr double MaxLateCredit = 0.1;
 
@@ -101,6 +105,13 @@
         Time waitsUntil {};
     };
 
+    /// The part of a service's load that has one priority.
+    struct PriorityLoad
+    {
+        double inFlight = 0;
+        DecayingRate demand {DemandSeconds};
+    };
+
     struct Service
     {
         CapacityEstimate capacity;
@@ -108,11 +119,13 @@
         std::set<std::pair<Time, std::uint64_t>> byExpiry; ///< waiting requests
         ReturnSchedule returns;
         Time ampleUntil {}; ///< the capacity has ample room until then
+        Time contendedSince {};
         Time contendedUntil {}; ///< the service is at its capacity until then
         double lateCredit = 0; ///< work of late requests that may be admitted meanwhile
         double inFlight = 0;
         std::size_t admittedNow = 0; ///< admitted requests that have not finished
         DecayingRate demand {DemandSeconds};
+        std::map<int, PriorityLoad> byPriority;
         DecayingRate drained {DemandSeconds};
         DecayingRate onTime {OutcomeSeconds};
         DecayingRate late {OutcomeSeconds};
@@ -122,7 +135,10 @@
 
     static int rank(const Service &service, const AdmissionRequest &request, Time now);
     double limit(const std::string &name, const Service &service, Time now) const;
-    bool fits(const std::string &name, const Service &service, double work, Time now) const;
+    bool fits(const std::string &name, const Service &service, int priority, double work,
+              Time now) const;
+    static double priorityPart(const Service &service, int priority, Time now);
+    static double inFlightFrom(const Service &service, int priority);
     void admit(Service &service, Entry &entry) const;
     AdmissionDecision refuse(Service &service, const AdmissionRequest &request, Duration wait,
                              std::string reason, Time now);
@@ -160,12 +176,38 @@
     return capacity * (shares.share(name, now) + borrowed) * (ample ? AmpleFactor : 1);
 }
 
-bool Admission::Impl::fits(const std::string &name, const Service &service, double work,
-                           Time now) const
+/// The part of a contended service's capacity that is left to \a priority and those below it by the
+/// demand above it. Without such a limit, requests of a low priority take what becomes free between
+/// two requests of a high one.
+double Admission::Impl::priorityPart(const Service &service, int priority, Time now)
+{
+    const double rate = service.drained.perSecond(now);
+    if (now >= service.contendedUntil || rate <= 0)
+        return 1;
+    double above = 0;
+    for (const auto &[each, load] : service.byPriority)
+        above += each < priority ? load.demand.perSecond(now) : 0;
+    return std::clamp(1 - above / rate, MinPriorityPart, 1.0);
+}
+
+/// Work in flight with \a priority and lower ones.
+double Admission::Impl::inFlightFrom(const Service &service, int priority)
+{
+    double sum = 0;
+    for (auto it = service.byPriority.lower_bound(priority); it != service.byPriority.end(); ++it)
+        sum += it->second.inFlight;
+    return sum;
+}
+
+bool Admission::Impl::fits(const std::string &name, const Service &service, int priority,
+                           double work, Time now) const
 {
     const double most = limit(name, service, now);
     const std::size_t atLeast = now < service.ampleUntil ? MinAdmittedIfAmple : MinAdmitted;
-    return most < 0 || service.admittedNow < atLeast || service.inFlight + work <= most;
+    if (most < 0 || service.admittedNow < atLeast)
+        return true;
+    return service.inFlight + work <= most
+           && inFlightFrom(service, priority) + work <= most * priorityPart(service, priority, now);
 }
 
 void Admission::Impl::admit(Service &service, Entry &entry) const
@@ -176,6 +218,7 @@
     const double credit = service.lateCredit + (entry.request.late ? -work : earned);
     service.lateCredit = std::clamp(credit, 0.0, std::max(work, MaxLateCredit * service.inFlight));
     service.inFlight += entry.request.work;
+    service.byPriority[entry.request.priority].inFlight += entry.request.work;
     service.admittedNow += 1;
     service.counts.admitted += 1;
 }
@@ -184,7 +227,11 @@
                                           Duration wait, std::string reason, Time now)
 {
     service.counts.refused += 1;
+    if (now >= service.contendedUntil)
+        service.contendedSince = now;
     service.contendedUntil = now + ContendedDuration;
+    // Without better knowledge, a service is expected to stay contended for as long as it has been.
+    wait = std::max(wait, now - service.contendedSince);
     const Duration latest(
         static_cast<std::int64_t>(static_cast<double>(request.timeLeft.count()) * MaxReturnPart));
     const double rate = service.drained.perSecond(now) * ReturnPart;
@@ -218,9 +265,9 @@
                                   std::vector<AdmissionDecision> &decisions)
 {
     while (const QueueItem *front = service.queue.front()) {
-        if (!fits(name, service, front->cost, now))
-            break;
         Entry &entry = entries.at(front->request);
+        if (!fits(name, service, entry.request.priority, front->cost, now))
+            break;
         service.queue.pop();
         service.byExpiry.erase({entry.waitsUntil, entry.request.id});
         admit(service, entry);
@@ -278,11 +325,12 @@
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
     Impl::Service &service = m_impl->services[request.service];
     service.demand.add(request.work, now);
+    service.byPriority[request.priority].demand.add(request.work, now);
     Impl::Entry entry {request, Impl::State::Admitted, now, {}};
     const int rank = Impl::rank(service, request, now);
     const QueueItem *front = service.queue.front();
     const bool mayPass = rank % 2 == 0 && (!front || front->priority > rank);
-    if (mayPass && m_impl->fits(request.service, service, request.work, now)) {
+    if (mayPass && m_impl->fits(request.service, service, request.priority, request.work, now)) {
         m_impl->admit(service, entry);
         m_impl->entries.insert_or_assign(request.id, std::move(entry));
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
@@ -325,6 +373,8 @@
         service.inFlight =
             service.admittedNow == 0 ? 0 : service.inFlight - it->second.request.work;
         service.drained.add(it->second.request.work, now);
+        double &ofPriority = service.byPriority[it->second.request.priority].inFlight;
+        ofPriority = std::max(0.0, ofPriority - it->second.request.work);
     }
     m_impl->entries.erase(it);
 }
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -104,7 +104,10 @@
 {
     if (!m_settings.admission.enabled || !service(flight).model)
         return std::nullopt;
-    return std::clamp(flight.request.priority, 0, MaxUrgency);
+    constexpr int RouteUrgencies = 3; // for each priority of teams
+    const int team = flight.request.priority / RoutePriorities;
+    const int route = flight.request.priority % RoutePriorities;
+    return std::clamp(team * RouteUrgencies + std::min(route, RouteUrgencies - 1), 0, MaxUrgency);
 }
 
 } // namespace balsamloft
