Reader: a head or chunk framing that never ends fails

Cause: Beast's header limit counts only the bytes of one call. A header section that arrives with one byte of the next line each time grew without end, and a chunk size line, a chunk extension or trailers were kept without a limit until they were complete. Change: MessageReader fails with HeaderTooLarge once the consumed and kept bytes of a head, or the kept bytes of a chunked body, exceed MessageLimits::headerBytes. The default limits are named constants.

--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -125,12 +125,15 @@
 
 struct MessageReader::Impl
 {
-    explicit Impl(Kind messageKind)
+    Impl(Kind messageKind, MessageLimits messageLimits)
         : kind(messageKind)
+        , limits(messageLimits)
     {
     }
 
     Kind kind;
+    MessageLimits limits;
+    std::uint64_t headBytes = 0; ///< consumed while the head was incomplete
     ParsedMessage message;
     Parser<true> request {message};
     Parser<false> response {message};
@@ -149,10 +152,19 @@
                   : error == http::error::body_limit ? Failure::BodyTooLarge
                                                      : Failure::Malformed;
     }
+
+    /// Fails if the part of the message that must be complete before it is parsed is too long. \a
+    /// kept bytes of it are not consumed. Beast limits neither lines of a chunked body nor a head
+    /// of which whole lines were consumed.
+    void checkKept(std::size_t kept)
+    {
+        if (kept + (message.headDone ? 0 : headBytes) > limits.headerBytes)
+            failure = Failure::HeaderTooLarge;
+    }
 };
 
 MessageReader::MessageReader(Kind kind, MessageLimits limits)
-    : m_impl(std::make_unique<Impl>(kind))
+    : m_impl(std::make_unique<Impl>(kind, limits))
 {
     m_impl->withParser([&](auto &parser) {
         parser.eager(true);
@@ -176,8 +188,12 @@
             const std::size_t count = parser.put(
                 boost::asio::buffer(bytes.data() + consumed, bytes.size() - consumed), error);
             consumed += count;
-            if (error == http::error::need_more || (!error && count == 0))
+            if (!impl.message.headDone)
+                impl.headBytes += count;
+            if (error == http::error::need_more || (!error && count == 0)) {
+                impl.checkKept(bytes.size() - consumed);
                 break;
+            }
             if (error)
                 impl.setFailure(error);
         }
--- a/src/entry/httpmessage.h
+++ b/src/entry/httpmessage.h
@@ -46,11 +46,21 @@
 /// Appends \a data, which is not empty, to \a out as a chunk of a chunked body.
 void appendChunk(std::string_view data, std::string &out);
 
-/// Size limits of a message.
+/// Longest head of a message in bytes. Heads of endpoints take a few hundred bytes; the rest is for
+/// fields that proxies and tracing add.
+inline constexpr std::uint32_t DefaultMaxHeaderBytes = 16U << 10U;
+
+/// Longest body of a message in bytes. Bodies of several megabytes are legitimate, and an instance
+/// holds one for each call whose answer is incomplete.
+inline constexpr std::uint64_t DefaultMaxBodyBytes = 8U << 20U;
+
+/// Size limits of a message, in bytes.
 struct MessageLimits
 {
-    std::uint32_t headerBytes = 16384;
-    std::uint64_t bodyBytes = 8U << 20U;
+    /// Start line and header section. Also the longest line that frames a chunk, and the longest
+    /// trailer section: they are kept until they are complete.
+    std::uint32_t headerBytes = DefaultMaxHeaderBytes;
+    std::uint64_t bodyBytes = DefaultMaxBodyBytes;
 };
 
 /// Reads one message from bytes that arrive in pieces. A message with both Content-Length and
@@ -68,7 +78,8 @@
     MessageReader(MessageReader &&) noexcept;
     MessageReader &operator=(MessageReader &&) noexcept;
 
-    /// Parses bytes from the front of \a bytes up to the end of the message.
+    /// Parses bytes from the front of \a bytes up to the end of the message. Fails if more bytes
+    /// would have to be kept than a head may have.
     /// \return the number of bytes consumed; the caller passes the rest again with more bytes.
     std::size_t consume(std::string_view bytes);
 
--- a/src/entry/httpmessage_test.cpp
+++ b/src/entry/httpmessage_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace balsamloft;
 
 namespace {
@@ -82,3 +84,95 @@
     CHECK(connectionOptions(reader.head()) == std::vector<std::string> {"close", "X-Hop"});
     CHECK_FALSE(reader.keepAlive());
 }
+
+namespace {
+
+constexpr MessageLimits SmallLimits {1000, 100'000};
+constexpr std::size_t PieceBytes = 300;
+
+/// Result of reading an answer with SmallLimits in pieces, as from a connection.
+struct ReadResult
+{
+    MessageReader::Failure failure = MessageReader::Failure::None;
+    std::size_t mostUnread = 0; ///< bytes that the reader left with its caller
+    std::size_t received = 0;
+};
+
+/// Reads \a begin and, without end, \a repeated, until the reader fails or took ten times the limit
+/// of the body. Whole repetitions arrive if \a whole, else pieces of PieceBytes.
+ReadResult readEndless(const std::string &begin, const std::string &repeated, bool whole = false)
+{
+    MessageReader reader(MessageReader::Kind::Response, SmallLimits);
+    ReadResult result;
+    std::string unread;
+    std::string rest = begin;
+    while (reader.failure() == MessageReader::Failure::None && !reader.done()
+           && result.received < 10 * SmallLimits.bodyBytes) {
+        while (rest.size() < PieceBytes)
+            rest += repeated;
+        const std::size_t size = whole ? rest.size() : PieceBytes;
+        unread += rest.substr(0, size);
+        rest.erase(0, size);
+        result.received += size;
+        reader.consumeFrom(unread);
+        reader.body().clear();
+        result.mostUnread = std::max(result.mostUnread, unread.size());
+    }
+    result.failure = reader.failure();
+    return result;
+}
+
+} // namespace
+
+// Guards against memory that grows with what an endpoint in trouble sends.
+TEST_CASE("an answer whose head or framing never ends fails at the limit of a head")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto [begin, repeated] = GENERATE_COPY(table<std::string, std::string>({
+        {"HTTP/1.1 200 ", "OK"},
+        {ok + "X: ", "abcd"},
+        {ok, "X: abcd\r\n"},
+        {ok + "X", ": abcd\r\nX"}, // one byte of the next line
+        {chunked, "0"},
+        {chunked + "1\r\nx\r\n", "0"},
+        {chunked + "5;a=", "bbbb"},
+        {chunked + "0\r\nX: ", "abcd"},
+        {chunked + "0\r\n", "X: abcd\r\n"},
+    }));
+    const bool whole = GENERATE(false, true);
+    CAPTURE(begin, repeated, whole);
+    const ReadResult result = readEndless(begin, repeated, whole);
+    CHECK(result.failure == MessageReader::Failure::HeaderTooLarge);
+    CHECK(result.mostUnread <= SmallLimits.headerBytes + PieceBytes);
+    CHECK(result.received <= begin.size() + SmallLimits.headerBytes + 3 * PieceBytes);
+}
+
+TEST_CASE("a body that never ends fails at its limit, whatever its framing")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto [begin, repeated] = GENERATE_COPY(table<std::string, std::string>({
+        {ok + "\r\n", "abcd"},
+        {chunked, "4\r\nabcd\r\n"},
+        {ok + "Content-Length: 99999999999\r\n\r\n", "abcd"},
+        {chunked + "fffffff\r\n", "abcd"},
+    }));
+    CAPTURE(begin, repeated);
+    const ReadResult result = readEndless(begin, repeated);
+    CHECK(result.failure == MessageReader::Failure::BodyTooLarge);
+    CHECK(result.mostUnread <= SmallLimits.headerBytes + PieceBytes);
+}
+
+TEST_CASE("an answer of several megabytes in small chunks is read")
+{
+    constexpr std::size_t Bytes = 6U << 20U;
+    MessageReader reader(MessageReader::Kind::Response, {});
+    std::string unread = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t sent = 0; sent < Bytes; sent += 16)
+        appendChunk("0123456789abcdef", unread);
+    unread += LastChunk;
+    reader.consume(unread);
+    REQUIRE(reader.done());
+    CHECK(reader.body().size() == Bytes);
+}
