Reader: an empty chunked body that arrives in pieces no longer ends the process

Cause: once Beast was given the line of the last chunk ('0' and a line end) without what follows, it asserts that the next call has at least five bytes. With that line at the end of a packet, an endpoint (its answer was parsed again without new bytes) or a caller ended the process with SIGABRT. Change: MessageReader waits for five bytes while the begin of a chunk is kept; each chunked body has at least that many left. Result: the new test ended with SIGABRT before and passes; httpmessage_test: all passed.

--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -123,6 +123,14 @@
 
 } // namespace
 
+namespace {
+
+/// Length of the last chunk without extensions and trailers. Beast asserts that it gets that many
+/// bytes if it was given the line of the last chunk before.
+constexpr std::size_t MinChunkBytes = LastChunk.size();
+
+} // namespace
+
 struct MessageReader::Impl
 {
     Impl(Kind messageKind, MessageLimits messageLimits)
@@ -133,6 +141,7 @@
 
     Kind kind;
     MessageLimits limits;
+    bool awaitsChunk = false; ///< the bytes that were not consumed are the begin of a chunk
     std::uint64_t headBytes = 0; ///< consumed while the head was incomplete
     ParsedMessage message;
     Parser<true> request {message};
@@ -184,10 +193,13 @@
     std::size_t consumed = 0;
     return impl.withParser([&](auto &parser) {
         while (consumed < bytes.size() && !parser.is_done() && impl.failure == Failure::None) {
+            if (impl.awaitsChunk && bytes.size() - consumed < MinChunkBytes)
+                break;
             error_code error;
             const std::size_t count = parser.put(
                 boost::asio::buffer(bytes.data() + consumed, bytes.size() - consumed), error);
             consumed += count;
+            impl.awaitsChunk = impl.message.headDone && error == http::error::need_more;
             if (!impl.message.headDone)
                 impl.headBytes += count;
             if (error == http::error::need_more || (!error && count == 0)) {
--- a/src/entry/httpmessage_test.cpp
+++ b/src/entry/httpmessage_test.cpp
@@ -176,3 +176,26 @@
     REQUIRE(reader.done());
     CHECK(reader.body().size() == Bytes);
 }
+
+// Guards against an assertion of Beast, which ended the process.
+TEST_CASE("a chunked message is read wherever it is split, and if it arrives byte by byte")
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "3;a=b\r\nabc\r\n0\r\nX: y\r\n\r\n";
+    const std::string plain = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    for (const std::string &message : {text, plain})
+        for (std::size_t split = 1; split <= message.size(); ++split) {
+            CAPTURE(message, split);
+            MessageReader reader(MessageReader::Kind::Response, {});
+            std::string unread = message.substr(0, split);
+            reader.consumeFrom(unread);
+            reader.consumeFrom(unread); // without new bytes
+            for (const char byte : message.substr(split)) {
+                CHECK_FALSE(reader.done());
+                unread += byte;
+                reader.consumeFrom(unread);
+            }
+            CHECK(reader.done());
+            CHECK(reader.body() == (message == text ? "abc" : ""));
+        }
+}
