Reader: the framing of a body is limited like the body

Cause: chunk extensions and leading zeros of chunk sizes count towards no limit, so a body of allowed size could be a thousand times as long on the wire. Change: a message may have five bytes beside each byte of its longest body, which is what chunks of one byte without extensions take, and two heads; then it fails with BodyTooLarge.

--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
@@ -59,9 +60,24 @@
 {
     MessageHead head;
     std::string body;
+    std::uint64_t bodyBytes = 0; ///< received, including those that were removed from `body`
     bool headDone = false;
 };
 
+/// Bytes that frame a chunk of one byte: its size, and two line ends.
+constexpr std::uint64_t FramingPerChunk = 5;
+
+/// Most bytes that a message has beside its body. A body in chunks of one byte without extensions
+/// is within it.
+std::uint64_t maxFraming(const MessageLimits &limits)
+{
+    constexpr std::uint64_t Max = std::numeric_limits<std::uint64_t>::max();
+    const std::uint64_t ends = std::uint64_t(2) * limits.headerBytes; // head and trailers
+    return limits.bodyBytes > (Max - ends) / FramingPerChunk
+               ? Max
+               : ends + limits.bodyBytes * FramingPerChunk;
+}
+
 template<bool IsRequest>
 class Parser : public http::basic_parser<IsRequest>
 {
@@ -102,8 +118,7 @@
     }
     std::size_t on_body_impl(boost::beast::string_view bytes, error_code & /*error*/) override
     {
-        m_message.body.append(bytes.data(), bytes.size());
-        return bytes.size();
+        return append(bytes);
     }
     void on_chunk_header_impl(std::uint64_t /*size*/, boost::beast::string_view /*extensions*/,
                               error_code & /*error*/) override
@@ -112,12 +127,18 @@
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, boost::beast::string_view bytes,
                                    error_code & /*error*/) override
     {
-        m_message.body.append(bytes.data(), bytes.size());
-        return bytes.size();
+        return append(bytes);
     }
     void on_finish_impl(error_code & /*error*/) override { }
     // NOLINTEND(readability-identifier-naming)
 
+    std::size_t append(boost::beast::string_view bytes)
+    {
+        m_message.body.append(bytes.data(), bytes.size());
+        m_message.bodyBytes += bytes.size();
+        return bytes.size();
+    }
+
     ParsedMessage &m_message;
 };
 
@@ -143,6 +164,7 @@
     MessageLimits limits;
     bool awaitsChunk = false; ///< the bytes that were not consumed are the begin of a chunk
     std::uint64_t headBytes = 0; ///< consumed while the head was incomplete
+    std::uint64_t consumedBytes = 0;
     ParsedMessage message;
     Parser<true> request {message};
     Parser<false> response {message};
@@ -200,6 +222,9 @@
                 boost::asio::buffer(bytes.data() + consumed, bytes.size() - consumed), error);
             consumed += count;
             impl.awaitsChunk = impl.message.headDone && error == http::error::need_more;
+            impl.consumedBytes += count;
+            if (impl.consumedBytes - impl.message.bodyBytes > maxFraming(impl.limits))
+                impl.failure = Failure::BodyTooLarge;
             if (!impl.message.headDone)
                 impl.headBytes += count;
             if (error == http::error::need_more || (!error && count == 0)) {
--- a/src/entry/httpmessage_test.cpp
+++ b/src/entry/httpmessage_test.cpp
@@ -199,3 +199,11 @@
             CHECK(reader.body() == (message == text ? "abc" : ""));
         }
 }
+// Guards against chunks whose extensions carry far more than the body, which is all that its limit
+// counts.
+TEST_CASE("a chunked body may not consist mostly of framing")
+{
+    const ReadResult result = readEndless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                          "1;a=" + std::string(500, 'b') + "\r\nx\r\n");
+    CHECK(result.failure == MessageReader::Failure::BodyTooLarge);
+}
