Exchange: interim answers and answers to other requests without end fail the attempt

Cause: an endpoint that sent nothing but interim answers, or answers with the id of another request, kept its request until the deadline, and the traffic thread busy; their bodies were kept until each ended. Change: the attempt fails after MaxSkippedAnswers (32) with an invalid answer. Bodies of skipped answers are dropped as they arrive.

--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr std::size_t MaxIdlePerEndpoint = 32;
+/// Number of answers before the one to the request. An endpoint sends one interim answer or a few;
+/// without a limit, one that sends them without end would keep its request until the deadline.
+constexpr std::size_t MaxSkippedAnswers = 32;
 constexpr Duration KeepAliveMargin {500'000};
 
 /// The timeout in the Keep-Alive field of \a head, less a margin.
@@ -227,8 +230,12 @@
     const bool interim = head.status >= 100 && head.status < 200;
     m_skipsAnswer =
         interim || (!m_settings.requestId.empty() && echoed && *echoed != m_settings.requestId);
-    if (m_skipsAnswer)
-        return true;
+    if (m_skipsAnswer) {
+        if (++m_skippedAnswers <= MaxSkippedAnswers)
+            return true;
+        fail(AttemptFailure::InvalidAnswer);
+        return false;
+    }
     if (const auto idleTimeout = keepAliveTimeout(head))
         m_connection->idleTimeout = *idleTimeout;
     if (head.find("Content-Encoding")) {
@@ -253,6 +260,8 @@
             if (!processHead())
                 return;
         }
+        if (m_skipsAnswer)
+            m_reader->body().clear();
         if (m_incremental && !m_skipsAnswer && !m_reader->body().empty())
             m_handler->bodyReceived(*m_reader);
         if (!m_handler)
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -122,7 +122,8 @@
 
 class Connector;
 
-/// Sends one request and reads its answer. Answers with the id of another request are skipped.
+/// Sends one request and reads its answer. Interim answers and those with the id of another request
+/// are skipped; if there are too many, the exchange fails.
 /// The connection returns to the pool only if the request was written completely and no bytes
 /// follow the answer.
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -176,6 +177,7 @@
     bool m_mayHaveSent = false; ///< bytes of the request may have been sent
     bool m_incremental = false; ///< the body is delivered in pieces
     bool m_headProcessed = false;
+    std::size_t m_skippedAnswers = 0;
     bool m_skipsAnswer = false; ///< the current answer is interim or belongs to another request
 };
 
