--- a/testsuite/entry/rawserver.cpp
+++ b/testsuite/entry/rawserver.cpp
@@ -100,6 +100,8 @@
             }
             const RawAnswer answer = m_handler(request);
             ::send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+            if (!answer.endless.empty())
+                return sendEndless(socket, answer);
             if (answer.then == RawAnswer::Then::Close) {
                 ::shutdown(socket, SHUT_RDWR);
                 return;
@@ -122,6 +124,15 @@
     }
 }
 
+void RawServer::sendEndless(int socket, const RawAnswer &answer)
+{
+    m_endlessAnswers += 1;
+    while (::send(socket, answer.endless.data(), answer.endless.size(), MSG_NOSIGNAL) > 0)
+        std::this_thread::sleep_for(answer.endlessPause);
+    m_endlessAnswers -= 1;
+    m_closedByPeer += m_stop ? 0 : 1;
+}
+
 std::string exchange(const std::string &address, const std::string &request,
                      const std::function<bool(const std::string &)> &isComplete)
 {
--- a/testsuite/entry/rawserver.h
+++ b/testsuite/entry/rawserver.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -18,6 +19,9 @@
     std::string bytes;
     /// Action on the connection after the bytes are sent.
     enum class Then { Keep, Close, Reset, Silence } then = Then::Keep;
+    /// Sent after `bytes`, if not empty, again and again until the peer closes the connection.
+    std::string endless = {};
+    std::chrono::milliseconds endlessPause {0}; ///< before each repetition
 };
 
 /// Listens on a free loopback port, with one thread per connection.
@@ -35,15 +39,20 @@
     /// Number of connections that the peer closed.
     int closedByPeer() const { return m_closedByPeer; }
 
+    /// Number of endless answers that are being sent.
+    int endlessAnswers() const { return m_endlessAnswers; }
+
 private:
     void accept();
     void serve(int socket);
+    void sendEndless(int socket, const RawAnswer &answer);
 
     Handler m_handler;
     int m_port = 0; // set by the initializer of m_listener
     int m_listener = -1;
     std::atomic<bool> m_stop {false};
     std::atomic<int> m_closedByPeer {0};
+    std::atomic<int> m_endlessAnswers {0};
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::vector<std::thread> m_threads;
