balsamloftd reads the newest connection first

Cause: its HttpServer read new connections in the order of arrival, so with more callers than it could read it worked on those that had waited longest, whose callers were leaving. Change: HttpServer accepts with CallerAcceptor, which moves to the library libaccept and keeps its decisions (AcceptGate, UnreadConnections); what it logged it now reports to its user. HttpServer calls its tick() every 100 ms. Three metrics for each worker.

--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -172,9 +172,14 @@
     asio::post(m_context, [this, callback = std::move(callback)] {
         std::string text;
         m_metrics.render(m_router, m_settings.index, text);
-        renderSample("balsamloft_callers_connected",
-                     "worker=\"" + std::to_string(m_settings.index) + "\"",
-                     static_cast<double>(m_server.connections()), text);
+        const std::string worker = "worker=\"" + std::to_string(m_settings.index) + "\"";
+        const auto sample = [&](std::string_view name, std::uint64_t value) {
+            renderSample(name, worker, static_cast<double>(value), text);
+        };
+        sample("balsamloft_callers_connected", m_server.connections());
+        sample("balsamloft_caller_connections_waiting", m_server.waitingConnections());
+        sample("balsamloft_callers_left_unread_total", m_server.acceptCounts().leftUnread);
+        sample("balsamloft_caller_connections_expired_total", m_server.acceptCounts().expired);
         callback(std::move(text));
     });
 }
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -56,7 +56,8 @@
     , m_settings(settings)
     , m_protocol(protocol)
     , m_state(state)
-    , m_acceptor(context)
+    , m_acceptor(context, [this](std::string_view event,
+                                 std::string_view reason) { logAcceptor(event, reason); })
     , m_timer(context)
     , m_links(settings.name, settings.domain, linkSettings(settings, EntryThread::Traffic))
     , m_pool(context)
@@ -72,7 +73,7 @@
 bool TrafficServer::listen(Reason &reason)
 {
     const auto begin = [this](tcp::socket socket) { beginSession(std::move(socket)); };
-    if (!m_acceptor.listen(m_settings.callerAddress, begin, reason)
+    if (!m_acceptor.listen({*parseTcpEndpoint(m_settings.callerAddress)}, begin, reason)
         || (!m_settings.forwardAddress.empty()
             && !m_forwarder.listen(m_settings.forwardAddress, reason)))
         return false;
@@ -87,6 +88,16 @@
     session->start();
 }
 
+void TrafficServer::logAcceptor(std::string_view event, std::string_view reason)
+{
+    if (!reason.empty())
+        return logDecision("callers", event, {{"reason", reason}});
+    logDecision("callers", event,
+                {{"waiting", std::int64_t(m_acceptor.waiting())},
+                 {"left_unread", std::int64_t(m_acceptor.counts().leftUnread)},
+                 {"expired", std::int64_t(m_acceptor.counts().expired)}});
+}
+
 void TrafficServer::armTimer()
 {
     m_timer.expires_after(m_relay.flights() > 0 || m_stopping ? BusyTickInterval
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -3,13 +3,13 @@
 
 #pragma once
 
-#include "calleracceptor.h"
 #include "connectionforwarder.h"
 #include "entrystate.h"
 #include "requestmetrics.h"
 #include "settings.h"
 #include "timedcall.h"
 
+#include <balsamloft/calleracceptor.h>
 #include <balsamloft/entryprotocol.h>
 #include <balsamloft/loopdelay.h>
 
@@ -121,6 +121,7 @@
     std::string metrics() const;
 
 private:
+    void logAcceptor(std::string_view event, std::string_view reason);
     bool mayForward(const std::string &endpoint, Time now) const override;
     void forwardedAnswer(const std::string &endpoint, const MessageHead &answer) override;
 
--- a/src/include/balsamloft/httpserver.h
+++ b/src/include/balsamloft/httpserver.h
@@ -4,10 +4,12 @@
 
 #pragma once
 
+#include <balsamloft/calleracceptor.h>
 #include <balsamloft/types.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -66,7 +68,8 @@
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 using HttpHandler = std::function<void(HttpExchangePtr)>;
 
-/// Accepts connections and passes each request to a handler.
+/// Accepts connections and passes each request to a handler. New connections are read and refused
+/// as CallerAcceptor decides: the newest is read first.
 class HttpServer
 {
 public:
@@ -80,8 +83,8 @@
     /// Returns the port that the server listens on.
     std::uint16_t port() const;
 
-    /// Stops accepting connections. Closes idle connections at once and each other connection after
-    /// its current answer.
+    /// Stops accepting connections. Closes idle connections and those that were not read yet at
+    /// once, and each other connection after its current answer.
     void stopAccepting();
 
     /// Stops accepting connections and closes all open ones at once.
@@ -89,15 +92,21 @@
 
     std::size_t connections() const;
 
+    /// Connections that were accepted and are not read yet.
+    std::size_t waitingConnections() const { return m_acceptor.waiting(); }
+    const CallerAcceptor::Counts &acceptCounts() const { return m_acceptor.counts(); }
+
 private:
     struct Shared;
     class Session;
     class Exchange;
 
-    void accept();
+    void begin(boost::asio::ip::tcp::socket socket);
+    void armTimer();
 
     std::shared_ptr<Shared> m_shared;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    CallerAcceptor m_acceptor;
+    boost::asio::steady_timer m_timer; ///< calls CallerAcceptor::tick()
 };
 
 /// Parses "IP:port" ("[v6]:port"). Returns nothing and sets \a reason if malformed.
--- a/src/entry/calleracceptor.cpp
+++ b/src/libaccept/calleracceptor.cpp
@@ -1,22 +1,31 @@
-#include "calleracceptor.h"
-
-#include "clock.h"
-#include "decisionlog.h"
-#include "sockets.h"
+#include <balsamloft/calleracceptor.h>
+#include <balsamloft/socketstate.h>
 
 #include <boost/asio/post.hpp>
 
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <sstream>
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
 namespace balsamloft {
 
-CallerAcceptor::CallerAcceptor(asio::io_context &context)
+namespace {
+
+Time steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace
+
+CallerAcceptor::CallerAcceptor(asio::io_context &context, Log log)
     : m_context(context)
     , m_acceptor(context)
+    , m_log(std::move(log))
 {
 }
 
@@ -25,9 +34,9 @@
     close();
 }
 
-bool CallerAcceptor::listen(const std::string &address, Handler handler, Reason &reason)
+bool CallerAcceptor::listen(const CallerAcceptorSettings &settings, Handler handler, Reason &reason)
 {
-    m_address = address;
+    m_settings = settings;
     m_handler = std::move(handler);
     startListening(steadyNow(), reason);
     return m_acceptor.is_open();
@@ -36,12 +45,35 @@
 void CallerAcceptor::startListening(Time now, Reason &reason)
 {
     m_backlog = m_gate.backlog(now);
-    if (listenAt(m_acceptor, m_address, reason, m_backlog)) {
-        m_acceptor.non_blocking(true);
+    if (openAcceptor(reason))
         waitForConnections();
-    } else {
+    else
         stopListening();
+}
+
+bool CallerAcceptor::openAcceptor(Reason &reason)
+{
+    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    boost::system::error_code error;
+    m_acceptor.open(m_settings.address.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error && m_settings.sharesPort)
+        m_acceptor.set_option(ReusePort(true), error);
+    if (!error)
+        m_acceptor.bind(m_settings.address, error);
+    if (!error)
+        m_acceptor.listen(m_backlog, error);
+    if (!error)
+        m_acceptor.non_blocking(true, error);
+    if (error) {
+        std::ostringstream text;
+        text << "cannot listen on " << m_settings.address << ": " << error.message();
+        reason = text.str();
+        return false;
     }
+    m_settings.address = m_acceptor.local_endpoint();
+    return true;
 }
 
 void CallerAcceptor::stopListening()
@@ -61,7 +93,7 @@
         Reason reason;
         startListening(now, reason);
         if (!m_acceptor.is_open())
-            logDecision("callers", "cannot listen", {{"reason", std::string_view(reason)}});
+            log("cannot listen", reason);
     } else if (const int backlog = m_gate.backlog(now); backlog != m_backlog) {
         m_backlog = backlog;
         ::listen(m_acceptor.native_handle(), backlog);
@@ -70,10 +102,12 @@
 
 void CallerAcceptor::waitForConnections()
 {
-    m_acceptor.async_wait(tcp::acceptor::wait_read, [this](const boost::system::error_code &error) {
-        if (!error && m_acceptor.is_open())
-            acceptAll();
-    });
+    m_acceptor.async_wait(
+        tcp::acceptor::wait_read,
+        [this, lifetime = std::weak_ptr<char>(m_lifetime)](const boost::system::error_code &error) {
+            if (!error && !lifetime.expired() && m_acceptor.is_open())
+                acceptAll();
+        });
 }
 
 void CallerAcceptor::acceptAll()
@@ -101,17 +135,22 @@
     const bool behind = m_gate.isBehind(now);
     if (behind == std::exchange(m_loggedBehind, behind))
         return;
-    logDecision("callers", behind ? "behind" : "caught up",
-                {{"waiting", std::int64_t(m_waiting.size())},
-                 {"left_unread", std::int64_t(m_counts.leftUnread)},
-                 {"expired", std::int64_t(m_counts.expired)}});
+    log(behind ? "behind" : "caught up");
+}
+
+void CallerAcceptor::log(std::string_view event, std::string_view reason)
+{
+    if (m_log)
+        m_log(event, reason);
 }
 
 void CallerAcceptor::scheduleTurn()
 {
     if (std::exchange(m_turnScheduled, true))
         return;
-    asio::post(m_context, [this] {
+    asio::post(m_context, [this, lifetime = std::weak_ptr<char>(m_lifetime)] {
+        if (lifetime.expired())
+            return;
         m_turnScheduled = false;
         takeTurn();
     });
@@ -140,8 +179,7 @@
 {
     while (const auto newest = m_waiting.takeNewest()) {
         if (!isEndedByPeer(*newest))
-            return m_handler(
-                tcp::socket(m_context, parseTcpEndpoint(m_address)->protocol(), *newest));
+            return m_handler(tcp::socket(m_context, m_settings.address.protocol(), *newest));
         ::close(*newest);
         m_counts.leftUnread += 1;
     }
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -16,6 +16,13 @@
 
 namespace balsamloft {
 
+namespace {
+
+/// Longest time that a server does not listen after it has caught up.
+constexpr Duration AcceptorTickInterval {100'000};
+
+} // namespace
+
 struct HttpServer::Shared
 {
     HttpServerSettings settings;
@@ -342,6 +349,7 @@
 HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
     : m_shared(std::make_shared<Shared>())
     , m_acceptor(context)
+    , m_timer(context)
 {
     m_shared->settings = settings;
     m_shared->handler = std::move(handler);
@@ -357,50 +365,45 @@
     const auto endpoint = parseAddress(address, reason);
     if (!endpoint)
         return false;
-    beast::error_code error;
-    m_acceptor.open(endpoint->protocol(), error);
-    if (!error)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    // With SO_REUSEPORT, each thread of the process runs its own server on the same address.
-    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-    if (!error && endpoint->port() != 0)
-        m_acceptor.set_option(ReusePort(true), error);
-    if (!error)
-        m_acceptor.bind(*endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        reason = "cannot listen on " + std::string(address) + ": " + error.message();
+    // Each thread of the process runs its own server on the same address.
+    const bool sharesPort = endpoint->port() != 0;
+    const auto handler = [this](tcp::socket socket) { begin(std::move(socket)); };
+    if (!m_acceptor.listen({*endpoint, sharesPort}, handler, reason))
         return false;
-    }
-    accept();
+    armTimer();
     return true;
 }
 
 std::uint16_t HttpServer::port() const
 {
-    return m_acceptor.local_endpoint().port();
+    return m_acceptor.address().port();
 }
 
-void HttpServer::accept()
+void HttpServer::begin(tcp::socket socket)
 {
-    m_acceptor.async_accept([this, shared = m_shared](beast::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted || shared->stopping)
+    if (m_shared->sessions.size() >= m_shared->settings.maxConnections)
+        return;
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::make_shared<Session>(std::move(socket), m_shared)->readRequest();
+}
+
+void HttpServer::armTimer()
+{
+    m_timer.expires_after(AcceptorTickInterval);
+    m_timer.async_wait([this, shared = m_shared](beast::error_code error) {
+        if (error || shared->stopping)
             return;
-        if (!error && shared->sessions.size() < shared->settings.maxConnections) {
-            beast::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<Session>(std::move(socket), shared)->readRequest();
-        }
-        accept();
+        m_acceptor.tick(std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()));
+        armTimer();
     });
 }
 
 void HttpServer::stopAccepting()
 {
-    beast::error_code ignored;
     m_shared->stopping = true;
-    m_acceptor.close(ignored);
+    m_acceptor.close();
+    m_timer.cancel();
     const auto sessions = m_shared->sessions;
     for (Session *session : sessions)
         session->closeIfIdle();
--- /dev/null
+++ b/src/libweb/httpserver_test.cpp
@@ -0,0 +1,134 @@
+#include <balsamloft/httpserver.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace balsamloft;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: h\r\nConnection: "
+                                     "close\r\nContent-Length: 0\r\n\r\n";
+
+/// A server on its own thread, each of whose requests takes a fixed time of
+/// that thread.
+class BusyServer
+{
+public:
+    explicit BusyServer(std::chrono::milliseconds work)
+        : m_server(m_context, {}, [this, work](const HttpExchangePtr &exchange) {
+            std::this_thread::sleep_for(work);
+            m_handled += 1;
+            exchange->respond(jsonResponse(boost::beast::http::status::ok, "{}"));
+        })
+    {
+        Reason reason;
+        REQUIRE(m_server.listen("127.0.0.1:0", reason));
+        m_address = {asio::ip::make_address("127.0.0.1"), m_server.port()};
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+    ~BusyServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    BusyServer(const BusyServer &) = delete;
+    BusyServer &operator=(const BusyServer &) = delete;
+
+    const tcp::endpoint &address() const { return m_address; }
+    int handled() const { return m_handled; }
+
+private:
+    asio::io_context m_context {1};
+    std::atomic<int> m_handled {0};
+    HttpServer m_server;
+    tcp::endpoint m_address;
+    std::thread m_thread;
+};
+
+/// A connection with a request that was sent.
+class Caller
+{
+public:
+    explicit Caller(const tcp::endpoint &address)
+        : m_socket(m_context)
+    {
+        boost::system::error_code error;
+        m_socket.connect(address, error);
+        if (!error)
+            asio::write(m_socket, asio::buffer(Request.data(), Request.size()), error);
+    }
+
+    /// Reads until the connection is closed. \return whether the request was
+    /// answered.
+    bool isAnswered()
+    {
+        boost::system::error_code error;
+        std::string text;
+        asio::read(m_socket, asio::dynamic_buffer(text), error);
+        return text.starts_with("HTTP/1.1 200");
+    }
+
+private:
+    asio::io_context m_context;
+    tcp::socket m_socket;
+};
+
+} // namespace
+
+// Guards against working on those who have waited longest, whose callers are
+// leaving.
+TEST_CASE("a server that gets more connections than it can read answers the "
+          "newest in time")
+{
+    constexpr int Earlier = 100;
+    constexpr auto Work = 10ms; // together longer than callers wait
+    BusyServer server(Work);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < Earlier; ++i)
+        callers.push_back(std::make_unique<Caller>(server.address()));
+    std::this_thread::sleep_for(5 * Work);
+    const auto begin = Clock::now();
+    CHECK(Caller(server.address()).isAnswered());
+    CHECK(Clock::now() - begin < 15 * Work);
+
+    int answered = 1;
+    for (const auto &each : callers)
+        answered += each->isAnswered() ? 1 : 0;
+    CHECK(answered < Earlier / 2);
+    // A connection that is closed unread leaves no doubt whether its request was
+    // executed.
+    CHECK(server.handled() == answered);
+}
+
+TEST_CASE("a server that was behind listens again and answers")
+{
+    BusyServer server(10ms);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 100; ++i)
+        callers.push_back(std::make_unique<Caller>(server.address()));
+    for (const auto &each : callers)
+        each->isAnswered();
+    std::this_thread::sleep_for(300ms);
+    CHECK(Caller(server.address()).isAnswered());
+}
+
+TEST_CASE("a server answers all connections that it can read in time")
+{
+    BusyServer server(0ms);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 100; ++i)
+        callers.push_back(std::make_unique<Caller>(server.address()));
+    for (const auto &each : callers)
+        CHECK(each->isAnswered());
+}
