balsamloftd notices that a caller left behind its next requests

Cause: the caller of a running request was no longer watched once bytes of its next request had arrived, so endpoints worked on after it left.

--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -21,6 +21,10 @@
 /// Longest time that a server does not listen after it has caught up.
 constexpr Duration AcceptorTickInterval {100'000};
 
+/// Interval in which a caller is asked whether it left while bytes of its next request wait: the
+/// system reports the connection as readable then, whether it was closed or not.
+constexpr Duration PipelinedCheckInterval {100'000};
+
 } // namespace
 
 struct HttpServer::Shared
@@ -37,6 +41,7 @@
 public:
     Session(tcp::socket socket, std::shared_ptr<Shared> shared)
         : m_stream(std::move(socket))
+        , m_watchTimer(m_stream.get_executor())
         , m_shared(std::move(shared))
     {
         m_shared->sessions.insert(this);
@@ -66,6 +71,7 @@
     void onRequestRead(beast::error_code error);
     void rejectMalformed(beast::error_code error);
     void watchCaller();
+    void watchPipeliningCaller();
     void notifyCallerGone();
     void flush();
     void onWritten(beast::error_code error);
@@ -73,6 +79,7 @@
     void startWriteTimeout() { m_stream.expires_after(m_shared->settings.writeTimeout); }
 
     beast::tcp_stream m_stream;
+    asio::steady_timer m_watchTimer; ///< while bytes of the caller's next request wait
     std::shared_ptr<Shared> m_shared;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
@@ -214,7 +221,7 @@
             const std::size_t size = self->m_stream.socket().receive(
                 asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
             if (!peekError && size > 0)
-                return; // a pipelined request; read after the current request is answered
+                return self->watchPipeliningCaller();
             if (peekError == asio::error::would_block)
                 return self->watchCaller();
             self->m_callerClosed = true;
@@ -222,6 +229,21 @@
         });
 }
 
+void HttpServer::Session::watchPipeliningCaller()
+{
+    if (isEndedByPeer(m_stream.socket().native_handle())) {
+        m_callerClosed = true;
+        return notifyCallerGone();
+    }
+    m_watchingCaller = true;
+    m_watchTimer.expires_after(PipelinedCheckInterval);
+    m_watchTimer.async_wait([self = shared_from_this()](beast::error_code error) {
+        self->m_watchingCaller = false;
+        if (!error && self->m_stream.socket().is_open())
+            self->watchCaller();
+    });
+}
+
 void HttpServer::Session::notifyCallerGone()
 {
     m_keepAlive = false;
@@ -327,6 +349,7 @@
     beast::error_code ignored;
     m_phase = Phase::Reading;
     m_stream.socket().cancel(ignored); // stops watchCaller()
+    m_watchTimer.cancel();
     readRequest();
 }
 
@@ -342,6 +365,7 @@
 {
     beast::error_code ignored;
     m_callerGoneCallback = nullptr;
+    m_watchTimer.cancel();
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.close();
 }
--- a/src/libweb/httpserver_test.cpp
+++ b/src/libweb/httpserver_test.cpp
@@ -2,11 +2,14 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <functional>
+#include <optional>
 #include <thread>
 
 using namespace balsamloft;
@@ -132,3 +135,84 @@
     for (const auto &each : callers)
         CHECK(each->isAnswered());
 }
+
+// Guards against work for a caller that left, at each endpoint of its request.
+TEST_CASE("a caller that left is noticed although it sent more requests before")
+{
+    constexpr auto MaxDelay = 1s;
+    const int more = GENERATE(0, 1, 2000); // the last exceeds what the server reads ahead
+    const bool together = GENERATE(false, true);
+    const bool reset = GENERATE(false, true);
+    CAPTURE(more, together, reset);
+    asio::io_context context {1};
+    HttpExchangePtr held;
+    int handled = 0;
+    std::optional<Clock::time_point> goneAt;
+    HttpServer server(context, {}, [&](const HttpExchangePtr &exchange) {
+        handled += 1;
+        held = exchange;
+        held->onCallerGone([&] { goneAt = Clock::now(); });
+    });
+    Reason reason;
+    REQUIRE(server.listen("127.0.0.1:0", reason));
+    const auto runUntil = [&](const auto &condition, std::chrono::milliseconds limit) {
+        const auto end = Clock::now() + limit;
+        while (!condition() && Clock::now() < end)
+            context.run_one_for(10ms);
+    };
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    asio::io_context callers;
+    tcp::socket caller(callers);
+    caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    std::string requests;
+    for (int i = 0; i < more; ++i)
+        requests += request;
+    asio::write(caller, asio::buffer(together ? request + requests : request));
+    runUntil([&] { return handled > 0; }, 10s);
+    if (!together)
+        asio::write(caller, asio::buffer(requests));
+    runUntil([] { return false; }, 250ms);
+    REQUIRE_FALSE(goneAt);
+    if (reset)
+        caller.set_option(asio::socket_base::linger(true, 0));
+    caller.close();
+    const auto leftAt = Clock::now();
+    runUntil([&] { return goneAt.has_value(); }, 5s);
+    REQUIRE(goneAt);
+    CHECK(*goneAt - leftAt < MaxDelay);
+    held.reset();
+    runUntil([] { return false; }, 50ms);
+    CHECK(handled == 1);
+}
+
+TEST_CASE("requests that a caller sends at once are answered in turn")
+{
+    constexpr int Requests = 20;
+    asio::io_context context {1};
+    std::vector<HttpExchangePtr> held;
+    asio::steady_timer timer(context);
+    std::function<void()> answer = [&] {
+        timer.expires_after(5ms);
+        timer.async_wait([&](boost::system::error_code) {
+            std::exchange(held.back(), nullptr)
+                ->respond(jsonResponse(boost::beast::http::status::ok, "{}"));
+            if (held.size() == Requests)
+                context.stop();
+        });
+    };
+    HttpServer server(context, {}, [&](const HttpExchangePtr &exchange) {
+        held.push_back(exchange);
+        answer();
+    });
+    Reason reason;
+    REQUIRE(server.listen("127.0.0.1:0", reason));
+    asio::io_context callers;
+    tcp::socket caller(callers);
+    caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    std::string requests;
+    for (int i = 0; i < Requests; ++i)
+        requests += "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    asio::write(caller, asio::buffer(requests));
+    context.run_for(10s);
+    CHECK(held.size() == Requests);
+}
--- a/testsuite/departed-callers/departed_callers_test.cpp
+++ b/testsuite/departed-callers/departed_callers_test.cpp
@@ -113,8 +113,9 @@
     CallerConnection caller(entry.callers);
     caller.send(request("/unsafe/x", "first"));
     REQUIRE(waitUntil([&] { return endpoints.received() == 1; }));
-    // More than an instance reads ahead, and less than a socket holds.
-    caller.send(std::string(100'000, 'x'));
+    // Bytes that are more than an instance reads ahead and less than a socket holds, or the
+    // caller's next request.
+    caller.send(GENERATE(std::string(100'000, 'x'), request("/unsafe/x", "second")));
     std::this_thread::sleep_for(100ms);
     const auto closed = [&] {
         return std::any_of(endpoints.servers.begin(), endpoints.servers.end(),
