--- a/src/libweb/httpserver_test.cpp
+++ b/src/libweb/httpserver_test.cpp
@@ -216,3 +216,34 @@
     context.run_for(10s);
     CHECK(held.size() == Requests);
 }
+
+// Guards against an assertion of Beast, with which a caller could end the process.
+TEST_CASE("a chunked request is read wherever it is split, and if it arrives byte by byte")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body = GENERATE("0\r\n\r\n", "3;a=b\r\nabc\r\n0\r\nX: y\r\n\r\n");
+    for (std::size_t split = 0; split <= body.size(); ++split) {
+        CAPTURE(body, split);
+        asio::io_context context {1};
+        std::string received = "none";
+        HttpServer server(context, {}, [&](const HttpExchangePtr &exchange) {
+            received = exchange->request().body();
+            exchange->respond(jsonResponse(boost::beast::http::status::ok, "{}"));
+        });
+        Reason reason;
+        REQUIRE(server.listen("127.0.0.1:0", reason));
+        asio::io_context callers;
+        tcp::socket caller(callers);
+        caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+        caller.set_option(tcp::no_delay(true));
+        asio::write(caller, asio::buffer(head + body.substr(0, split)));
+        context.run_for(5ms);
+        for (const char byte : body.substr(split)) {
+            asio::write(caller, asio::buffer(&byte, 1));
+            context.run_for(5ms);
+        }
+        for (int i = 0; i < 200 && received == "none"; ++i)
+            context.run_for(5ms);
+        CHECK(received == (body.starts_with('0') ? "" : "abc"));
+    }
+}
