--- a/testsuite/endless-answers/endless_answers_test.cpp
+++ b/testsuite/endless-answers/endless_answers_test.cpp
@@ -182,3 +182,41 @@
                          static_cast<long>(others.longest() / 1ms));
     }
 }
+
+// Guards against queries of the control thread and of the relay that read without end.
+TEST_CASE("an engine whose answers to queries never end costs bounded memory, and others serve",
+          "[process]")
+{
+    constexpr std::size_t MaxGrowth = 64U << 20U;
+    constexpr int Requests = 40;
+    const Endless each = GENERATE(from_range(Answers));
+    CAPTURE(each.name);
+    RawAnswer answer {each.fields};
+    while (answer.endless.size() < 32'000)
+        answer.endless += each.repeated;
+    EntryHarness entry;
+    const auto server = [](const RawAnswer &state) {
+        return std::make_unique<RawServer>([state](const std::string &request) -> RawAnswer {
+            if (request.starts_with("GET /"))
+                return state;
+            return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
+        });
+    };
+    const auto endless = server(answer);
+    const auto sound = server({okAnswer("", R"({"layers":[0,4],"orders":1})")});
+    entry.addEndpoint("m1", "model", endless->address(), R"(,"layers":[0,4])");
+    entry.addEndpoint("m2", "model", sound->address(), R"(,"layers":[0,4])");
+    REQUIRE(waitUntil([&] { return !endless->requests().empty(); }));
+    int served = 0;
+    for (int i = 0; i < Requests; ++i) {
+        served += entry.post("/stream/x").starts_with("HTTP/1.1 200") ? 1 : 0;
+        std::this_thread::sleep_for(50ms);
+    }
+    CHECK(served == Requests);
+    CHECK(endless->closedByPeer() > 0);
+    CHECK(peakMemory(entry.process->id()) > 0);
+    CHECK(peakMemory(entry.process->id()) < MaxGrowth);
+    if (std::getenv("ENDLESS_FIGURES"))
+        std::fprintf(stderr, "query      %-30s %6zu KiB, %zu requests\n", each.name.c_str(),
+                     peakMemory(entry.process->id()) / 1024, endless->requests().size());
+}
