--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
@@ -59,9 +60,24 @@
 {
     MessageHead head;
     std::string body;
+    std::uint64_t bodyBytes = 0; ///< received, including those that were removed from `body`
     bool headDone = false;
 };
 
+/// Bytes that frame a chunk of one byte: its size, and two line ends.
+constexpr std::uint64_t FramingPerChunk = 5;
+
+/// Most bytes that a message has beside its body. A body in chunks of one byte without extensions
+/// is within it.
+std::uint64_t maxFraming(const MessageLimits &limits)
+{
+    constexpr std::uint64_t Max = std::numeric_limits<std::uint64_t>::max();
+    const std::uint64_t ends = std::uint64_t(2) * limits.headerBytes; // head and trailers
+    return limits.bodyBytes > (Max - ends) / FramingPerChunk
+               ? Max
+               : ends + limits.bodyBytes * FramingPerChunk;
+}
+
 template<bool IsRequest>
 class Parser : public http::basic_parser<IsRequest>
 {
@@ -102,8 +118,7 @@
     }
     std::size_t on_body_impl(boost::beast::string_view bytes, error_code & /*error*/) override
     {
-        m_message.body.append(bytes.data(), bytes.size());
-        return bytes.size();
+        return append(bytes);
     }
     void on_chunk_header_impl(std::uint64_t /*size*/, boost::beast::string_view /*extensions*/,
                               error_code & /*error*/) override
@@ -112,25 +127,44 @@
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, boost::beast::string_view bytes,
                                    error_code & /*error*/) override
     {
-        m_message.body.append(bytes.data(), bytes.size());
-        return bytes.size();
+        return append(bytes);
     }
     void on_finish_impl(error_code & /*error*/) override { }
     // NOLINTEND(readability-identifier-naming)
 
+    std::size_t append(boost::beast::string_view bytes)
+    {
+        m_message.body.append(bytes.data(), bytes.size());
+        m_message.bodyBytes += bytes.size();
+        return bytes.size();
+    }
+
     ParsedMessage &m_message;
 };
 
 } // namespace
 
+namespace {
+
+/// Length of the last chunk without extensions and trailers. Beast asserts that it gets that many
+/// bytes if it was given the line of the last chunk before.
+constexpr std::size_t MinChunkBytes = LastChunk.size();
+
+} // namespace
+
 struct MessageReader::Impl
 {
-    explicit Impl(Kind messageKind)
+    Impl(Kind messageKind, MessageLimits messageLimits)
         : kind(messageKind)
+        , limits(messageLimits)
     {
     }
 
     Kind kind;
+    MessageLimits limits;
+    bool awaitsChunk = false; ///< the bytes that were not consumed are the begin of a chunk
+    std::uint64_t headBytes = 0; ///< consumed while the head was incomplete
+    std::uint64_t consumedBytes = 0;
     ParsedMessage message;
     Parser<true> request {message};
     Parser<false> response {message};
@@ -149,10 +183,19 @@
                   : error == http::error::body_limit ? Failure::BodyTooLarge
                                                      : Failure::Malformed;
     }
+
+    /// Fails if the part of the message that must be complete before it is parsed is too long. \a
+    /// kept bytes of it are not consumed. Beast limits neither lines of a chunked body nor a head
+    /// of which whole lines were consumed.
+    void checkKept(std::size_t kept)
+    {
+        if (kept + (message.headDone ? 0 : headBytes) > limits.headerBytes)
+            failure = Failure::HeaderTooLarge;
+    }
 };
 
 MessageReader::MessageReader(Kind kind, MessageLimits limits)
-    : m_impl(std::make_unique<Impl>(kind))
+    : m_impl(std::make_unique<Impl>(kind, limits))
 {
     m_impl->withParser([&](auto &parser) {
         parser.eager(true);
@@ -172,12 +215,22 @@
     std::size_t consumed = 0;
     return impl.withParser([&](auto &parser) {
         while (consumed < bytes.size() && !parser.is_done() && impl.failure == Failure::None) {
+            if (impl.awaitsChunk && bytes.size() - consumed < MinChunkBytes)
+                break;
             error_code error;
             const std::size_t count = parser.put(
                 boost::asio::buffer(bytes.data() + consumed, bytes.size() - consumed), error);
             consumed += count;
-            if (error == http::error::need_more || (!error && count == 0))
+            impl.awaitsChunk = impl.message.headDone && error == http::error::need_more;
+            impl.consumedBytes += count;
+            if (impl.consumedBytes - impl.message.bodyBytes > maxFraming(impl.limits))
+                impl.failure = Failure::BodyTooLarge;
+            if (!impl.message.headDone)
+                impl.headBytes += count;
+            if (error == http::error::need_more || (!error && count == 0)) {
+                impl.checkKept(bytes.size() - consumed);
                 break;
+            }
             if (error)
                 impl.setFailure(error);
         }
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include "calleracceptor.h"
 #include "connectionforwarder.h"
 #include "entrystate.h"
 #include "requestmetrics.h"
@@ -11,6 +10,7 @@
 #include "timedcall.h"
 
 #include <balsamloft/admission/serviceload.h>
+#include <balsamloft/calleracceptor.h>
 #include <balsamloft/entryprotocol.h>
 #include <balsamloft/loopdelay.h>
 
@@ -126,6 +126,7 @@
     std::string metrics() const;
 
 private:
+    void logAcceptor(std::string_view event, std::string_view reason);
     bool mayForward(const std::string &endpoint, Time now) const override;
     void forwardedAnswer(const std::string &endpoint, const MessageHead &answer) override;
 
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -16,6 +16,17 @@
 
 namespace balsamloft {
 
+namespace {
+
+/// Longest time that a server does not listen after it has caught up.
+constexpr Duration AcceptorTickInterval {100'000};
+
+/// Interval in which a caller is asked whether it left while bytes of its next request wait: the
+/// system reports the connection as readable then, whether it was closed or not.
+constexpr Duration PipelinedCheckInterval {100'000};
+
+} // namespace
+
 struct HttpServer::Shared
 {
     HttpServerSettings settings;
@@ -30,6 +41,7 @@
 public:
     Session(tcp::socket socket, std::shared_ptr<Shared> shared)
         : m_stream(std::move(socket))
+        , m_watchTimer(m_stream.get_executor())
         , m_shared(std::move(shared))
     {
         m_shared->sessions.insert(this);
@@ -59,6 +71,7 @@
     void onRequestRead(beast::error_code error);
     void rejectMalformed(beast::error_code error);
     void watchCaller();
+    void watchPipeliningCaller();
     void notifyCallerGone();
     void flush();
     void onWritten(beast::error_code error);
@@ -66,6 +79,7 @@
     void startWriteTimeout() { m_stream.expires_after(m_shared->settings.writeTimeout); }
 
     beast::tcp_stream m_stream;
+    asio::steady_timer m_watchTimer; ///< while bytes of the caller's next request wait
     std::shared_ptr<Shared> m_shared;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
@@ -207,7 +221,7 @@
             const std::size_t size = self->m_stream.socket().receive(
                 asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
             if (!peekError && size > 0)
-                return; // a pipelined request; read after the current request is answered
+                return self->watchPipeliningCaller();
             if (peekError == asio::error::would_block)
                 return self->watchCaller();
             self->m_callerClosed = true;
@@ -215,6 +229,21 @@
         });
 }
 
+void HttpServer::Session::watchPipeliningCaller()
+{
+    if (isEndedByPeer(m_stream.socket().native_handle())) {
+        m_callerClosed = true;
+        return notifyCallerGone();
+    }
+    m_watchingCaller = true;
+    m_watchTimer.expires_after(PipelinedCheckInterval);
+    m_watchTimer.async_wait([self = shared_from_this()](beast::error_code error) {
+        self->m_watchingCaller = false;
+        if (!error && self->m_stream.socket().is_open())
+            self->watchCaller();
+    });
+}
+
 void HttpServer::Session::notifyCallerGone()
 {
     m_keepAlive = false;
@@ -320,6 +349,7 @@
     beast::error_code ignored;
     m_phase = Phase::Reading;
     m_stream.socket().cancel(ignored); // stops watchCaller()
+    m_watchTimer.cancel();
     readRequest();
 }
 
@@ -335,6 +365,7 @@
 {
     beast::error_code ignored;
     m_callerGoneCallback = nullptr;
+    m_watchTimer.cancel();
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.close();
 }
@@ -342,6 +373,7 @@
 HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
     : m_shared(std::make_shared<Shared>())
     , m_acceptor(context)
+    , m_timer(context)
 {
     m_shared->settings = settings;
     m_shared->handler = std::move(handler);
@@ -357,50 +389,45 @@
     const auto endpoint = parseAddress(address, reason);
     if (!endpoint)
         return false;
-    beast::error_code error;
-    m_acceptor.open(endpoint->protocol(), error);
-    if (!error)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    // With SO_REUSEPORT, each thread of the process runs its own server on the same address.
-    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-    if (!error && endpoint->port() != 0)
-        m_acceptor.set_option(ReusePort(true), error);
-    if (!error)
-        m_acceptor.bind(*endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        reason = "cannot listen on " + std::string(address) + ": " + error.message();
+    // Each thread of the process runs its own server on the same address.
+    const bool sharesPort = endpoint->port() != 0;
+    const auto handler = [this](tcp::socket socket) { begin(std::move(socket)); };
+    if (!m_acceptor.listen({*endpoint, sharesPort}, handler, reason))
         return false;
-    }
-    accept();
+    armTimer();
     return true;
 }
 
 std::uint16_t HttpServer::port() const
 {
-    return m_acceptor.local_endpoint().port();
+    return m_acceptor.address().port();
 }
 
-void HttpServer::accept()
+void HttpServer::begin(tcp::socket socket)
 {
-    m_acceptor.async_accept([this, shared = m_shared](beast::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted || shared->stopping)
+    if (m_shared->sessions.size() >= m_shared->settings.maxConnections)
+        return;
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::make_shared<Session>(std::move(socket), m_shared)->readRequest();
+}
+
+void HttpServer::armTimer()
+{
+    m_timer.expires_after(AcceptorTickInterval);
+    m_timer.async_wait([this, shared = m_shared](beast::error_code error) {
+        if (error || shared->stopping)
             return;
-        if (!error && shared->sessions.size() < shared->settings.maxConnections) {
-            beast::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<Session>(std::move(socket), shared)->readRequest();
-        }
-        accept();
+        m_acceptor.tick(std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()));
+        armTimer();
     });
 }
 
 void HttpServer::stopAccepting()
 {
-    beast::error_code ignored;
     m_shared->stopping = true;
-    m_acceptor.close(ignored);
+    m_acceptor.close();
+    m_timer.cancel();
     const auto sessions = m_shared->sessions;
     for (Session *session : sessions)
         session->closeIfIdle();
