AdmissionSimulation: many instances before the endpoints of one service in virtual time

Cause: goodput under overload depends on what all instances admit together; no test can drive hundreds of them. Change: callers with Poisson arrivals and uneven weights, an Admission for each instance, endpoints that slow down as they fill, preempt and reject, load exchange with a delay, and faults.

--- /dev/null
+++ b/src/fakes/admissionsimulation.h
@@ -0,0 +1,251 @@
+/// \file
+/// Many instances in virtual time that admit requests for the endpoints of one service.
+
+#pragma once
+
+#include <balsamloft/admission/admission.h>
+
+#include <deque>
+#include <map>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace balsamloft {
+
+/// Callers send requests to instances, each with an Admission; the instances send the admitted ones
+/// to endpoints with limited memory. A filling endpoint slows down. Beyond its memory, it lets
+/// requests wait and preempts running ones, which lose their progress; beyond twice its memory, it
+/// rejects attempts. A caller whose request is refused repeats it once.
+class AdmissionSimulation
+{
+public:
+    /// How the callers are divided among the instances.
+    enum class Skew { Exponential, HalfAtATenth };
+
+    /// Requests with the same priority and team.
+    struct Kind
+    {
+        int priority = 0;
+        std::string team = "team";
+        double teamShare = 1;
+        double part = 1; ///< of all requests, relative to other kinds
+    };
+
+    struct Settings
+    {
+        std::size_t instances = 6;
+        bool admission = true; ///< if not, every request is admitted
+        Skew skew = Skew::Exponential;
+        bool repeatAtOnce = false; ///< refused callers ignore Retry-After
+        std::vector<Kind> kinds {Kind {}};
+        std::uint64_t seed = 1;
+    };
+
+    /// Observations of one run().
+    struct Result
+    {
+        double goodput = 0; ///< requests served in time, of those that the endpoints can serve
+        double goodputWork = 0; ///< the same by work: a preference for small requests has no effect
+        /// Maximum work of admitted requests over the memory of the endpoints.
+        double peakInFlight = 0;
+        double admittedAtOnce = 1; ///< share of all calls, repeated ones included
+        double rejectedAttempts = 0; ///< share of the attempts at endpoints
+        double refusedUnsent = 1; ///< share of the refusals that came before any attempt
+        Duration medianRefusal {}; ///< time until the median refusal
+        Duration longestRetryAfter {}; ///< that an Admission returned
+        std::vector<double> served; ///< by kind: share of the callers that were served in time
+    };
+
+    static constexpr Duration Target {1'000'000}; ///< latency of the first event
+    static constexpr Duration Patience {6'000'000}; ///< callers leave without a first event
+
+    explicit AdmissionSimulation(const Settings &settings);
+
+    // Commands
+
+    /// Sends \a load times the requests that the endpoints can serve, for \a length.
+    Result run(double load, Duration length);
+
+    /// Ends every other instance and its requests. Their callers repeat them at other instances.
+    void killHalf();
+
+    /// Prevents the two halves of the instances from exchanging loads.
+    void partition() { m_sides = 2; }
+    void stopExchange() { m_exchange = false; }
+
+    /// Callers refused within \a length from now repeat all at its end.
+    void returnTogether(Duration length) { m_returnAt = m_now + length; }
+
+    /// Halves the memory of the \a count largest endpoints. Instances don't learn it.
+    void halveEndpoints(std::size_t count);
+
+    /// Adds an instance with the mean weight of the others.
+    void addInstance();
+
+    /// The instance with the most callers stands still for \a length. Its callers wait for it.
+    void suspendLargest(Duration length);
+
+    // Queries
+
+    /// Requests per second that the endpoints serve while their memory is just full.
+    double capacity() const;
+
+private:
+    struct Instance
+    {
+        Admission admission;
+        double weight = 1; ///< of its part of the callers
+        bool alive = true;
+        std::size_t waiting = 0;
+        Time suspendedUntil {};
+        LoadReport load; ///< as of the last exchange
+        Time loadAt {};
+    };
+
+    struct Request
+    {
+        enum class State : std::uint8_t { Called, Waiting, Admitted, Done };
+
+        std::size_t kind;
+        double work;
+        double firstSteps; ///< of the endpoint, until the first event
+        double steps; ///< until the end
+        bool repeated = false; ///< by a caller that was refused
+        std::size_t instance = 0;
+        State state = State::Called;
+        Time calledAt {};
+        int attempts = 0;
+        bool begun = false; ///< the first event has been sent
+        bool onTime = false;
+        std::size_t endpoint = 0;
+        bool held = false; ///< by the endpoint
+        std::uint64_t turn = 0; ///< number of its start at the endpoint; 0: not running
+        double growth = 0; ///< of its memory per step
+        double growthAtStart = 0; ///< if it had run since the endpoint's first step
+    };
+
+    /// A request's first event or end, when the endpoint reaches a number of steps.
+    struct Milestone
+    {
+        double steps;
+        std::size_t request;
+        std::uint64_t turn;
+        bool end;
+
+        bool operator<(const Milestone &other) const { return steps > other.steps; }
+    };
+
+    struct Endpoint
+    {
+        double memory; ///< tokens
+        double reportedFill = 0;
+        double steps = 0; ///< since the beginning; each one advances all running requests
+        Time steppedAt {};
+        double work = 0; ///< of running requests
+        double growth = 0; ///< sums over the running requests
+        double growthAtStart = 0;
+        double waitingWork = 0;
+        std::map<std::uint64_t, std::size_t> running {}; ///< requests by turn
+        std::deque<std::size_t> waiting {};
+        std::priority_queue<Milestone> milestones {};
+        std::uint64_t wakeNumber = 0; ///< of the valid wake event
+    };
+
+    /// Loads that reach the instances after a delay.
+    struct Exchange
+    {
+        std::vector<LoadReport> loads; ///< by instance
+        std::vector<Time> measuredAt;
+        std::vector<double> fills; ///< by endpoint
+    };
+
+    struct Event
+    {
+        Time at;
+        std::uint64_t number; ///< orders events of the same time
+        enum class Kind {
+            Arrival,
+            Call,
+            Rejected,
+            Begin,
+            End,
+            Leave,
+            Wake,
+            Poll,
+            Measure,
+            Apply
+        } kind;
+        std::size_t subject;
+        std::uint64_t version; ///< of a wake or arrival event
+
+        bool operator<(const Event &other) const
+        {
+            return std::pair(at, number) > std::pair(other.at, other.number);
+        }
+    };
+
+    using Pick = std::discrete_distribution<std::size_t>;
+
+    struct Counts
+    {
+        double served = 0, servedWork = 0, calls = 0, atOnce = 0, attempts = 0, rejected = 0,
+               unsent = 0;
+        double peakInFlight = 0;
+        std::vector<double> servedByKind, outcomes;
+        std::vector<Duration> refusals; ///< time until each
+        Duration longestRetryAfter {};
+    };
+
+    void schedule(Time at, Event::Kind kind, std::size_t subject = 0, std::uint64_t version = 0);
+    void handle(const Event &event);
+    Request drawRequest();
+    void arrive();
+    void call(std::size_t request);
+    void decide(std::size_t request, const AdmissionDecision &decision);
+    void refuse(std::size_t request, Duration retryAfter);
+    void attempt(std::size_t request);
+    void reject(std::size_t request);
+    void begin(std::size_t request);
+    void end(std::size_t request, bool finished);
+    void poll(Instance &instance);
+    void measure();
+    void apply();
+    Instance makeInstance(double weight);
+    void updateWeights();
+    std::size_t countAlive(std::size_t side) const;
+
+    double speed(const Endpoint &endpoint) const;
+    double memoryInUse(const Endpoint &endpoint) const;
+    void advance(Endpoint &endpoint);
+    void wake(std::size_t endpoint);
+    void start(Endpoint &endpoint, std::size_t request);
+    void stop(Endpoint &endpoint, std::size_t request);
+    void release(std::size_t request);
+
+    Settings m_settings;
+    std::mt19937_64 m_random;
+    Time m_now {std::chrono::hours(1)};
+    std::uint64_t m_nextEvent = 1;
+    std::uint64_t m_turns = 0;
+    std::uint64_t m_run = 0;
+    double m_meanWork = 0; ///< of a request
+    double m_meanOccupancy = 0; ///< of a request: its work times its steps
+    double m_rate = 0; ///< arrivals per second
+    std::priority_queue<Event> m_events;
+    std::vector<Instance> m_instances;
+    std::vector<Endpoint> m_endpoints;
+    std::vector<Request> m_requests;
+    std::deque<Exchange> m_exchanges;
+    Pick m_pickInstance;
+    Pick m_pickEndpoint;
+    Pick m_pickKind;
+    double m_memory = 0; ///< of all endpoints
+    std::size_t m_sides = 1;
+    bool m_exchange = true;
+    Time m_returnAt {};
+    double m_inFlight = 0;
+    Counts m_counts;
+};
+
+} // namespace balsamloft
