--- a/src/fakes/admissionsimulation.h
+++ b/src/fakes/admissionsimulation.h
@@ -194,6 +194,7 @@
 
     Settings m_settings;
     std::mt19937_64 m_random;
+    std::normal_distribution<> m_fillNoise;
     Time m_now {std::chrono::hours(1)};
     std::uint64_t m_nextEvent = 1;
     std::uint64_t m_turns = 0;
