--- a/src/bench/admission_bench.cpp
+++ b/src/bench/admission_bench.cpp
@@ -5,6 +5,8 @@
 
 #include <benchmark/benchmark.h>
 
+#include <deque>
+
 namespace balsamloft::bench {
 
 namespace {
@@ -32,8 +34,8 @@
     state.counters["refusal_ms"] = double(result.medianRefusal.count()) / 1000;
 }
 
-/// Decides on requests of \a range(1) teams while \a range(0) requests wait. Every request that
-/// ends lets one start, so that the queue keeps its length.
+/// Submits, ends and starts one request. Decides on requests of \a range(1) teams while \a range(0)
+/// requests wait. Every request that ends lets one start, so that the queue keeps its length.
 void decision(benchmark::State &state)
 {
     const auto waiting = std::size_t(state.range(0));
@@ -62,18 +64,24 @@
         else
             queued += 1;
     }
+    std::uint64_t refused = 0;
     for (auto _ : state) { // NOLINT(readability-identifier-naming)
         now += Duration(100);
-        benchmark::DoNotOptimize(submit());
+        if (const AdmissionDecision result = submit();
+            result.kind == AdmissionDecision::Kind::Admit)
+            running.push_back(result.id);
+        else if (result.kind == AdmissionDecision::Kind::Refuse)
+            refused += 1;
+        if (running.empty()) {
+            state.SkipWithError("no request runs");
+            break;
+        }
         admission.finished(running.front(), now);
         running.pop_front();
         for (const AdmissionDecision &each : admission.poll(now))
             running.push_back(each.id);
-        if (running.empty()) {
-            state.SkipWithError("no request was admitted from the queue");
-            break;
-        }
     }
+    state.counters["refused"] = double(refused) / double(state.iterations());
     state.counters["queue"] = double(admission.status(now).front().waiting);
 }
 
--- a/src/fakes/admissionsimulation.cpp
+++ b/src/fakes/admissionsimulation.cpp
@@ -378,6 +378,9 @@
         m_endpoints[i].reportedFill = exchange.fills[i];
     const Time measuredAt = m_now - ExchangeDelay;
     for (std::size_t side = 0; m_exchange && side < m_sides; ++side) {
+        std::size_t listed = countAlive(side);
+        if (m_sides == 2 && m_otherSideListed)
+            listed += countAlive(1 - side);
         FleetLoad load;
         load.asOf = measuredAt;
         for (std::size_t i = side; i < exchange.loads.size(); i += m_sides) {
@@ -391,7 +394,7 @@
             if (!each.alive || m_now < each.suspendedUntil)
                 continue;
             load.own = exchange.loads[i];
-            each.admission.setInstances(countAlive(side));
+            each.admission.setInstances(listed);
             each.admission.applyFleetLoad(load, m_now);
         }
     }
