--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -10,6 +10,7 @@
 #include "settings.h"
 #include "timedcall.h"
 
+#include <balsamloft/admission/serviceload.h>
 #include <balsamloft/entryprotocol.h>
 #include <balsamloft/loopdelay.h>
 
@@ -38,6 +39,7 @@
     void setFleet(FleetPtr fleet);
     void setInstances(const KnownInstances &known);
     void applyEngineReports(const EngineReports &reports);
+    void applyFleetLoad(const FleetLoad &load);
     void setSharedCrashes(const std::vector<CrashRecord> &all) { m_relay.setSharedCrashes(all); }
 
     /// Applies the settings that may change at run time: revocation time, grace period, retry
@@ -82,6 +84,9 @@
     /// Executes \a actions of the relay.
     void run(RelayActions actions);
 
+    /// The load of this instance, to send to the other instances.
+    LoadReport ownLoad() const;
+
     // Called by sessions
 
     const RouteMapPtr &table() const { return m_table; }
@@ -139,6 +144,8 @@
     void changePath(const ChangePath &change);
     void publishCrashes(const CrashUpdate &update);
     void logQuarantinedParts(Time now);
+    void logAdmission(Time now);
+    void renderAdmission(std::string &text) const;
     void requestTrial(const RequestTrial &request);
     void checkSuspension();
     void continueStop();
@@ -159,6 +166,7 @@
     Relay m_relay;
     RouteMapPtr m_table;
     FleetPtr m_fleet;
+    std::map<std::string, std::uint64_t> m_loggedRefusals; ///< by service, as last logged
     std::unordered_map<FlightId, std::shared_ptr<CallerSession>> m_flights;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
     std::map<std::string, std::shared_ptr<TimedCall>> m_queries; ///< by endpoint
--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -21,9 +21,30 @@
 /// fluctuations of their callers' demand.
 constexpr double BorrowedPart = 0.25;
 
+/// Part of the capacity in use by all instances below which an instance may exceed its share by
+/// AmpleFactor. Few callers of one instance vary by more than its share of a service that is hardly
+/// used.
+constexpr double AmpleUse = 0.6;
+constexpr double AmpleFactor = 3;
+
+/// Requests that an instance may have in flight whatever its share: a request larger than the
+/// share must not wait forever, and several callers of one instance may come at once while the
+/// capacity is ample.
+constexpr std::size_t MinAdmitted = 1;
+constexpr std::size_t MinAdmittedIfAmple = 4;
+
+/// How long a total that shows ample capacity is relied on.
+constexpr Duration AmpleLifetime {2'000'000};
+
 /// Part of the drain rate that is left for callers who come back, so that they don't displace new
 /// callers that would be served in time.
-constexpr double ReturnPart = 0.25;
+constexpr double ReturnPart = 0.2;
+
+/// Late requests save up at most this part of the work in flight.
+constexpr double MaxLateCredit = 0.1;
+
+/// A service counts as at its capacity for this long after it refused a request.
+constexpr Duration ContendedDuration {1'000'000};
 
 /// Callers do not wait longer for a second attempt than this part of their time.
 constexpr double MaxReturnPart = 1.0 / 3;
@@ -68,6 +89,7 @@
     {
         AdmissionRequest request;
         State state = State::Admitted;
+        Time submittedAt {};
         Time waitsUntil {};
     };
 
@@ -77,6 +99,9 @@
         FairQueue queue;
         std::set<std::pair<Time, std::uint64_t>> byExpiry; ///< waiting requests
         ReturnSchedule returns;
+        Time ampleUntil {}; ///< the capacity has ample room until then
+        Time contendedUntil {}; ///< the service is at its capacity until then
+        double lateCredit = 0; ///< work of late requests that may be admitted meanwhile
         double inFlight = 0;
         std::size_t admittedNow = 0; ///< admitted requests that have not finished
         DecayingRate demand;
@@ -112,20 +137,26 @@
     const double capacity = service.capacity.capacity();
     if (capacity <= 0)
         return -1;
-    return capacity * (shares.share(name, now) + BorrowedPart / static_cast<double>(instances));
+    const double borrowed = BorrowedPart / static_cast<double>(instances);
+    const bool ample = now < service.ampleUntil;
+    return capacity * (shares.share(name, now) + borrowed) * (ample ? AmpleFactor : 1);
 }
 
 bool Admission::Impl::fits(const std::string &name, const Service &service, double work,
                            Time now) const
 {
     const double most = limit(name, service, now);
-    // A request larger than the share must not wait forever.
-    return most < 0 || service.admittedNow == 0 || service.inFlight + work <= most;
+    const std::size_t atLeast = now < service.ampleUntil ? MinAdmittedIfAmple : MinAdmitted;
+    return most < 0 || service.admittedNow < atLeast || service.inFlight + work <= most;
 }
 
 void Admission::Impl::admit(Service &service, Entry &entry) const
 {
     entry.state = State::Admitted;
+    const double work = entry.request.work;
+    const double earned = work * ReturnPart / (1 - ReturnPart);
+    const double credit = service.lateCredit + (entry.request.late ? -work : earned);
+    service.lateCredit = std::clamp(credit, 0.0, std::max(work, MaxLateCredit * service.inFlight));
     service.inFlight += entry.request.work;
     service.admittedNow += 1;
     service.counts.admitted += 1;
@@ -135,6 +166,7 @@
                                           Duration wait, std::string reason, Time now)
 {
     service.counts.refused += 1;
+    service.contendedUntil = now + ContendedDuration;
     const Duration latest(
         static_cast<std::int64_t>(static_cast<double>(request.timeLeft.count()) * MaxReturnPart));
     const double rate = service.drained.perSecond(now) * ReturnPart;
@@ -185,7 +217,7 @@
         const Duration wait =
             expectedWait(name, service, entry.request, now).value_or(entry.request.target);
         AdmissionRequest request = entry.request;
-        request.timeLeft -= entry.request.target / 2;
+        request.timeLeft -= now - entry.submittedAt;
         decisions.push_back(refuse(service, request, wait, "no capacity became free in time", now));
     }
 }
@@ -214,8 +246,11 @@
 {
     m_impl->shares.update(load, now);
     for (auto &[name, service] : m_impl->services)
-        if (const ServiceLoad *total = load.total.find(name))
+        if (const ServiceLoad *total = load.total.find(name)) {
             service.capacity.update(*total, now);
+            const bool ample = total->inFlight < AmpleUse * service.capacity.capacity();
+            service.ampleUntil = ample ? now + AmpleLifetime : Time {};
+        }
 }
 
 AdmissionDecision Admission::submit(const AdmissionRequest &request, Time now)
@@ -224,14 +259,20 @@
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
     Impl::Service &service = m_impl->services[request.service];
     service.demand.add(request.work, now);
-    Impl::Entry entry {request, Impl::State::Admitted, {}};
-    if (service.queue.empty() && m_impl->fits(request.service, service, request.work, now)) {
+    Impl::Entry entry {request, Impl::State::Admitted, now, {}};
+    const bool mustWait =
+        request.late && now < service.contendedUntil && service.lateCredit < request.work;
+    if (!mustWait && service.queue.empty()
+        && m_impl->fits(request.service, service, request.work, now)) {
         m_impl->admit(service, entry);
         m_impl->entries.insert_or_assign(request.id, std::move(entry));
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
     }
     const Duration maxWait(static_cast<std::int64_t>(static_cast<double>(request.target.count())
                                                      * m_impl->settings.maxWaitShare));
+    if (mustWait)
+        return m_impl->refuse(service, request, request.target,
+                              "the service is at its capacity for late requests", now);
     const auto wait = m_impl->expectedWait(request.service, service, request, now);
     if (wait && *wait > maxWait)
         return m_impl->refuse(service, request, *wait, "the service is at its capacity", now);
