AdmissionSimulation: the latency of an admitted request counts from submit()

Cause: callers that waited for a suspended instance counted as late starts of the service, and lowered its capacity. Change: as Admission::started() states; whether a caller is served in time still counts from the call.

--- a/src/fakes/admissionsimulation.cpp
+++ b/src/fakes/admissionsimulation.cpp
@@ -222,6 +222,7 @@
             return schedule(at, Event::Kind::Call, id);
     }
     const Kind &kind = m_settings.kinds[request.kind];
+    request.submittedAt = m_now;
     const Duration timeLeft = request.calledAt + Patience - m_now;
     const AdmissionDecision decision = m_instances[request.instance].admission.submit(
         {id, Service, kind.priority, kind.team, kind.teamShare, request.work.tokens, Target,
@@ -311,10 +312,9 @@
 void AdmissionSimulation::begin(std::size_t id)
 {
     Request &request = m_requests[id];
-    const Duration latency = m_now - request.calledAt;
     request.begun = true;
-    request.onTime = latency <= Target;
-    m_instances[request.instance].admission.started(id, latency, m_now);
+    request.onTime = m_now - request.calledAt <= Target;
+    m_instances[request.instance].admission.started(id, m_now - request.submittedAt, m_now);
 }
 
 void AdmissionSimulation::end(std::size_t id, bool finished)
--- a/src/fakes/admissionsimulation.h
+++ b/src/fakes/admissionsimulation.h
@@ -117,6 +117,7 @@
         std::size_t instance = 0;
         State state = State::Called;
         Time calledAt {};
+        Time submittedAt {}; ///< later than calledAt if the instance was suspended
         int attempts = 0;
         bool begun = false; ///< the first event has been sent
         bool onTime = false;
