Admission: late requests are a rank of their own below their priority

Change: a contended service leaves them what requests that can be in time don't ask for, a tenth at least; the saved credit is gone.

--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -38,23 +38,16 @@
 /// How long a total that shows ample capacity is relied on.
 constexpr Duration AmpleLifetime {2'000'000};
 
-/// Part of the drain rate that is left for callers who come back, so that they don't displace new
-/// callers that would be served in time.
-constexpr double ReturnPart = 0.2;
-
-/// Part of a contended service that a priority may use however much is requested with higher
-/// priorities, so that none is starved.
-constexpr double MinPriorityPart = 0.1;
+/// Callers do not wait longer for a second attempt than this part of their time.
+constexpr double MaxReturnPart = 1.0 / 3;
 
-/// Late requests save up at most this part of the work in flight.
-constexpr double MaxLateCredit = 0.1;
+/// Part of a contended service that a rank may use however much is requested with higher ones, so
+/// that none is starved. Callers who come back find as much.
+constexpr double MinRankPart = 0.1;
 
 /// A service counts as at its capacity for this long after it refused a request.
 constexpr Duration ContendedDuration {1'000'000};
 
-/// Callers do not wait longer for a second attempt than this part of their time.
-constexpr double MaxReturnPart = 1.0 / 3;
-
 /// Sum of events that decays exponentially, as a rate per second.
 class DecayingRate
 {
@@ -105,8 +98,8 @@
         Time waitsUntil {};
     };
 
-    /// The part of a service's load that has one priority.
-    struct PriorityLoad
+    /// The part of a service's load that has one rank.
+    struct RankLoad
     {
         double inFlight = 0;
         DecayingRate demand {DemandSeconds};
@@ -121,11 +114,10 @@
         Time ampleUntil {}; ///< the capacity has ample room until then
         Time contendedSince {};
         Time contendedUntil {}; ///< the service is at its capacity until then
-        double lateCredit = 0; ///< work of late requests that may be admitted meanwhile
         double inFlight = 0;
         std::size_t admittedNow = 0; ///< admitted requests that have not finished
         DecayingRate demand {DemandSeconds};
-        std::map<int, PriorityLoad> byPriority;
+        std::map<int, RankLoad> byRank;
         DecayingRate drained {DemandSeconds};
         DecayingRate onTime {OutcomeSeconds};
         DecayingRate late {OutcomeSeconds};
@@ -133,12 +125,12 @@
         AdmissionStatus counts;
     };
 
-    static int rank(const Service &service, const AdmissionRequest &request, Time now);
+    static int rank(const AdmissionRequest &request);
     double limit(const std::string &name, const Service &service, Time now) const;
-    bool fits(const std::string &name, const Service &service, int priority, double work,
+    bool fits(const std::string &name, const Service &service, int rank, double work,
               Time now) const;
-    static double priorityPart(const Service &service, int priority, Time now);
-    static double inFlightFrom(const Service &service, int priority);
+    static double rankPart(const Service &service, int rank, Time now);
+    static double inFlightFrom(const Service &service, int rank);
     void admit(Service &service, Entry &entry) const;
     AdmissionDecision refuse(Service &service, const AdmissionRequest &request, Duration wait,
                              std::string reason, Time now);
@@ -156,13 +148,11 @@
     std::unordered_map<std::uint64_t, Entry> entries;
 };
 
-/// The class of a request in the queue. Each priority has two: late requests of a contended service
-/// come second, except for the part that is left to them.
-int Admission::Impl::rank(const Service &service, const AdmissionRequest &request, Time now)
+/// The rank of a request. Late requests come after those of the same priority that can still be
+/// served in time.
+int Admission::Impl::rank(const AdmissionRequest &request)
 {
-    const bool second =
-        request.late && now < service.contendedUntil && service.lateCredit < request.work;
-    return 2 * request.priority + (second ? 1 : 0);
+    return 2 * request.priority + (request.late ? 1 : 0);
 }
 
 /// Work that this instance may have in flight; negative: no limit is known.
@@ -176,49 +166,46 @@
     return capacity * (shares.share(name, now) + borrowed) * (ample ? AmpleFactor : 1);
 }
 
-/// The part of a contended service's capacity that is left to \a priority and those below it by the
-/// demand above it. Without such a limit, requests of a low priority take what becomes free between
-/// two requests of a high one.
-double Admission::Impl::priorityPart(const Service &service, int priority, Time now)
+/// The part of a contended service's capacity that is left to \a rank and those below it by the
+/// demand above it. Without such a limit, requests of a low rank take what becomes free between two
+/// requests of a high one. Late requests are no demand: their callers were refused before and would
+/// be counted twice.
+double Admission::Impl::rankPart(const Service &service, int rank, Time now)
 {
     const double rate = service.drained.perSecond(now);
     if (now >= service.contendedUntil || rate <= 0)
         return 1;
     double above = 0;
-    for (const auto &[each, load] : service.byPriority)
-        above += each < priority ? load.demand.perSecond(now) : 0;
-    return std::clamp(1 - above / rate, MinPriorityPart, 1.0);
+    for (const auto &[each, load] : service.byRank)
+        above += each < rank && each % 2 == 0 ? load.demand.perSecond(now) : 0;
+    return std::clamp(1 - above / rate, MinRankPart, 1.0);
 }
 
-/// Work in flight with \a priority and lower ones.
-double Admission::Impl::inFlightFrom(const Service &service, int priority)
+/// Work in flight with \a rank and lower ones.
+double Admission::Impl::inFlightFrom(const Service &service, int rank)
 {
     double sum = 0;
-    for (auto it = service.byPriority.lower_bound(priority); it != service.byPriority.end(); ++it)
+    for (auto it = service.byRank.lower_bound(rank); it != service.byRank.end(); ++it)
         sum += it->second.inFlight;
     return sum;
 }
 
-bool Admission::Impl::fits(const std::string &name, const Service &service, int priority,
-                           double work, Time now) const
+bool Admission::Impl::fits(const std::string &name, const Service &service, int rank, double work,
+                           Time now) const
 {
     const double most = limit(name, service, now);
     const std::size_t atLeast = now < service.ampleUntil ? MinAdmittedIfAmple : MinAdmitted;
     if (most < 0 || service.admittedNow < atLeast)
         return true;
     return service.inFlight + work <= most
-           && inFlightFrom(service, priority) + work <= most * priorityPart(service, priority, now);
+           && inFlightFrom(service, rank) + work <= most * rankPart(service, rank, now);
 }
 
 void Admission::Impl::admit(Service &service, Entry &entry) const
 {
     entry.state = State::Admitted;
-    const double work = entry.request.work;
-    const double earned = work * ReturnPart / (1 - ReturnPart);
-    const double credit = service.lateCredit + (entry.request.late ? -work : earned);
-    service.lateCredit = std::clamp(credit, 0.0, std::max(work, MaxLateCredit * service.inFlight));
     service.inFlight += entry.request.work;
-    service.byPriority[entry.request.priority].inFlight += entry.request.work;
+    service.byRank[rank(entry.request)].inFlight += entry.request.work;
     service.admittedNow += 1;
     service.counts.admitted += 1;
 }
@@ -234,7 +221,7 @@
     wait = std::max(wait, now - service.contendedSince);
     const Duration latest(
         static_cast<std::int64_t>(static_cast<double>(request.timeLeft.count()) * MaxReturnPart));
-    const double rate = service.drained.perSecond(now) * ReturnPart;
+    const double rate = service.drained.perSecond(now) * MinRankPart;
     const Duration delay = service.returns.schedule(request.work, rate, wait, latest, now, random);
     return {request.id, AdmissionDecision::Kind::Refuse, delay, std::move(reason)};
 }
@@ -266,7 +253,7 @@
 {
     while (const QueueItem *front = service.queue.front()) {
         Entry &entry = entries.at(front->request);
-        if (!fits(name, service, entry.request.priority, front->cost, now))
+        if (!fits(name, service, rank(entry.request), front->cost, now))
             break;
         service.queue.pop();
         service.byExpiry.erase({entry.waitsUntil, entry.request.id});
@@ -279,9 +266,8 @@
         removeWaiting(service, entry);
         entries.erase(id);
         service.counts.expired += 1;
-        const Duration wait =
-            expectedWait(name, service, entry.request, rank(service, entry.request, now), now)
-                .value_or(entry.request.target);
+        const Duration wait = expectedWait(name, service, entry.request, rank(entry.request), now)
+                                  .value_or(entry.request.target);
         AdmissionRequest request = entry.request;
         request.timeLeft -= now - entry.submittedAt;
         decisions.push_back(refuse(service, request, wait, "no capacity became free in time", now));
@@ -325,12 +311,12 @@
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
     Impl::Service &service = m_impl->services[request.service];
     service.demand.add(request.work, now);
-    service.byPriority[request.priority].demand.add(request.work, now);
+    service.byRank[Impl::rank(request)].demand.add(request.work, now);
     Impl::Entry entry {request, Impl::State::Admitted, now, {}};
-    const int rank = Impl::rank(service, request, now);
+    const int rank = Impl::rank(request);
     const QueueItem *front = service.queue.front();
-    const bool mayPass = rank % 2 == 0 && (!front || front->priority > rank);
-    if (mayPass && m_impl->fits(request.service, service, request.priority, request.work, now)) {
+    const bool mayPass = !front || front->priority > rank;
+    if (mayPass && m_impl->fits(request.service, service, rank, request.work, now)) {
         m_impl->admit(service, entry);
         m_impl->entries.insert_or_assign(request.id, std::move(entry));
         return {request.id, AdmissionDecision::Kind::Admit, {}, {}};
@@ -373,8 +359,8 @@
         service.inFlight =
             service.admittedNow == 0 ? 0 : service.inFlight - it->second.request.work;
         service.drained.add(it->second.request.work, now);
-        double &ofPriority = service.byPriority[it->second.request.priority].inFlight;
-        ofPriority = std::max(0.0, ofPriority - it->second.request.work);
+        double &ofRank = service.byRank[Impl::rank(it->second.request)].inFlight;
+        ofRank = std::max(0.0, ofRank - it->second.request.work);
     }
     m_impl->entries.erase(it);
 }
