--- a/src/libbalsamloft/tracelog.h
+++ b/src/libbalsamloft/tracelog.h
@@ -7,6 +7,7 @@
 
 #include <boost/circular_buffer.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace balsamloft {
