Slots of rate limits follow the demand of the instances

A fixed rotation left most of a limit unused if the callers are at one instance. With a total of the demand, RateLimits now uses 0.9 of its share of the demand and a tenth of its own slots.

--- a/src/include/balsamloft/admission/ratelimits.h
+++ b/src/include/balsamloft/admission/ratelimits.h
@@ -3,17 +3,20 @@
 
 #pragma once
 
+#include <balsamloft/admission/serviceload.h>
 #include <balsamloft/enginefleet.h>
 #include <balsamloft/peerdirectory.h>
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
 
 namespace balsamloft {
 
-/// Lifetime of slots and limits.
+/// Lifetime of slots and limits, and how slots follow demand.
 struct RateLimitSettings
 {
     /// How long a slot can be used after it begins. With a longer lifetime, fewer slots go
@@ -24,6 +27,20 @@
     /// extends this time if many instances share the limit.
     Duration limitValidity {10'000'000};
     Duration probeInterval {1'000'000}; ///< time between requests sent after a limit has expired
+    /// Part of the slots that is assigned by demand while the demand of all instances is known. The
+    /// rest stays with its owners in the rotation, so that an instance whose callers have just
+    /// arrived can serve some of them.
+    double demandPart = 0.9;
+    /// How long an instance may use slots beyond its own after the demand was measured. At most the
+    /// time after which the other instances drop its demand from their totals and divide its slots.
+    Duration loadLifetime {3'000'000};
+    /// How long a low share applies after the last total. Longer than the time in which reports of
+    /// this instance may still be included in the totals of others.
+    Duration lendingTime {10'000'000};
+    /// How long an increase beyond the part in the rotation is delayed. At least the difference
+    /// between the ages of the totals that instances use at the same time.
+    Duration increaseDelay {1'000'000};
+    double averagingSeconds = 2; ///< time constant of the demand
 };
 
 /// Decides whether this instance may send a request to an endpoint that limits the requests
@@ -32,10 +49,17 @@
 /// Each second of the store's clock is divided into one slot for each request that the limit
 /// allows, and each slot belongs to one instance. All instances compute the same owner: slots are
 /// assigned round-robin, three of four to instances of the endpoint's failure domain, which send
-/// most of its requests, and the fourth to instances of other domains. The instances exchange no
-/// messages for this, and the limit also holds while some of them are down, partitioned or not
-/// listed, since no instance uses the slots of another. Token buckets would not suffice: if each
-/// instance saved up one request, hundreds of instances could send at the same moment.
+/// most of its requests, and the fourth to instances of other domains. Without further information,
+/// the limit holds while instances are down, partitioned or not listed, since no instance uses the
+/// slots of another. Token buckets would not suffice: if each instance saved up one request,
+/// hundreds of instances could send at the same moment.
+///
+/// While the demand of all instances is known, an instance uses a part of the slots that follows
+/// its share of the demand, see RateLimitSettings::demandPart. Below its part in the rotation it
+/// leaves some of its own slots unused; above it, it uses others in addition. The parts of all
+/// instances sum to one while they use the same total. They don't exceed one if totals differ or
+/// are missing: increases are delayed, decreases are not, and the part of instances that are not
+/// included in the total is left to them.
 class RateLimits
 {
 public:
@@ -51,6 +75,10 @@
     /// Sets the offset to add to the local time to get the clock that all instances share.
     void setClockOffset(Duration offset) { m_offset = offset; }
 
+    /// Applies the demand of all instances, also if the total includes only few of them.
+    /// Repetitions of a total are ignored if they follow quickly.
+    void applyFleetLoad(const FleetLoad &load, Time now);
+
     /// Removes the limits of endpoints that are not in \a fleet.
     void removeUnlisted(const FleetSnapshot &fleet);
 
@@ -70,6 +98,15 @@
     /// The number of endpoints with a limit.
     std::size_t size() const { return m_limits.size(); }
 
+    /// Whether totals arrive. If not, this instance must not report its load, except as a reader
+    /// that sums up totals itself: after RateLimitSettings::lendingTime it uses all of its slots in
+    /// the rotation, and those whose totals include its load would use them too.
+    bool followsDemand(Time now) const;
+
+    /// The part of the endpoint's slots that this instance uses now, between 0 and 1; 1 without a
+    /// limit.
+    double part(const std::string &endpoint, Time now) const;
+
 private:
     /// The number of instances that share a kind of slot round-robin, and the position of this
     /// instance among them, if it is included.
@@ -79,9 +116,27 @@
         std::optional<std::size_t> position;
     };
 
+    /// A share of a service's demand, from the time at which it became known.
+    struct DemandShare
+    {
+        Time knownAt {};
+        Time measuredAt {};
+        double share = 0;
+        std::uint32_t instances = 0; ///< included in the total
+    };
+
+    /// Averaged demand of a service.
+    struct Demand
+    {
+        double own = 0;
+        double total = 0;
+        std::deque<DemandShare> shares; ///< oldest first; the first may be older than needed
+    };
+
     struct Limit
     {
         double perSecond = 0;
+        std::string service;
         std::string domain;
         Rotation endpointDomain; ///< owners of three of four slots
         Rotation otherDomains; ///< owners of the other slots
@@ -91,7 +146,11 @@
     };
 
     double sharedSeconds(Time now) const;
-    static bool ownsSlot(const Limit &limit, std::int64_t slot);
+    static std::optional<std::uint64_t> ownedSlotNumber(const Limit &limit, std::int64_t slot);
+    static double ownPart(const Limit &limit);
+    double partFor(const Limit &limit, const DemandShare &demand) const;
+    double partOf(const Limit &limit, Time at) const;
+    void addShare(Demand &demand, DemandShare share) const;
     std::optional<double> usableSlot(const Limit &limit, Time now) const;
     Duration validityOf(const Limit &limit) const;
     Rotation rotationOf(const std::string &domain, bool inDomain) const;
@@ -99,8 +158,11 @@
 
     RateLimitSettings m_settings;
     std::map<std::string, Limit, std::less<>> m_limits; ///< by endpoint
+    std::map<std::string, Demand, std::less<>> m_demand; ///< by service
     std::vector<PeerInstance> m_instances; ///< sorted by name, including this instance
+    std::optional<Time> m_loadAppliedAt;
     std::string m_self;
+    std::size_t m_position = 0; ///< of this instance in m_instances
     Duration m_offset {};
 };
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -314,6 +314,9 @@
     void shareLimits(std::span<const PeerInstance> all, const std::string &self,
                      Duration clockOffset, Time now);
 
+    /// Applies the demand of all instances, by which they share the rate limits.
+    void applyFleetLoad(const FleetLoad &load, Time now) { m_limits.applyFleetLoad(load, now); }
+
     /// Sets RelaySettings::retryRatio and RelaySettings::retrySlack.
     void setRetries(double ratio, double slack);
 
--- a/src/libbalsamloft/admission/ratelimits_test.cpp
+++ b/src/libbalsamloft/admission/ratelimits_test.cpp
@@ -20,6 +20,9 @@
 constexpr Duration LimitPropagationTime {3'000'000}; ///< until a limit has reached all instances
 constexpr Duration Window {4'000'000}; ///< time span in which requests are counted
 constexpr Duration LimitGracePeriod {500'000}; ///< time after a limit arrives that is not counted
+constexpr Duration TotalInterval {250'000}; ///< between totals of the demand
+constexpr Duration TotalDelay {1'000'000}; ///< until a total reaches an instance
+constexpr Duration ReportLifetime {3'000'000}; ///< of the demand of an instance in totals
 
 struct LimitSimulationSettings
 {
@@ -31,6 +34,10 @@
     RequestKind kind = RequestKind::Safe;
     Duration clockError {}; ///< maximum error of an instance's clock
     std::uint64_t seed = 1;
+    /// Whether the instances exchange their demand. Totals reach them after TotalDelay plus an own
+    /// delay of at most \a totalDelaySpread.
+    bool exchangeDemand = false;
+    Duration totalDelaySpread {};
 };
 
 /// Instances that share plain endpoints, each of which answers after 100 ms.
@@ -43,8 +50,12 @@
     void setLimit(std::optional<double> limit);
     void setRate(double requestsPerSecond) { m_rate = requestsPerSecond; }
 
-    /// Sends this share of the requests to the first instance, besides its even share of the rest.
-    void setSkew(double share) { m_skew = share; }
+    /// Sends this share of the requests to the instance, besides its even share of the rest.
+    void setSkew(double share, std::size_t instance = 0)
+    {
+        m_skew = share;
+        m_skewedInstance = instance;
+    }
     void run(Duration length);
 
     /// Crashes the instance. It stays in the list of instances for \a listDelay.
@@ -57,6 +68,16 @@
     /// Stops the updates of the list of instances in the domain number \a domain.
     void partition(std::size_t domain) { m_partitionedDomain = "d" + std::to_string(domain); }
 
+    /// Divides the totals: the domain number \a domain and the others exchange nothing.
+    void divideTotals(std::size_t domain) { m_dividedDomain = "d" + std::to_string(domain); }
+
+    /// Stops the totals that the instance receives.
+    void stopTotals(std::size_t instance) { m_receivesTotals[instance] = false; }
+
+    /// Stops the process of the instance; its callers wait.
+    void suspend(std::size_t instance) { m_suspendedAt[instance] = m_now; }
+    void resume(std::size_t instance);
+
     Time now() const { return m_now; }
     std::size_t size() const { return m_harnesses.size(); }
 
@@ -89,6 +110,19 @@
     void answer(const Call &call);
     void updateLists();
     void sendList(std::size_t instance);
+    void measureDemand();
+    void sendTotals();
+
+    /// Demand of all instances that one side of a division of the totals knows.
+    struct Total
+    {
+        Time at {};
+        std::string side;
+        std::vector<double> demand; ///< of each instance; 0 if not included
+        std::uint32_t instances = 0;
+        double sum = 0;
+        Time measuredAt {}; ///< of the oldest report
+    };
 
     std::vector<std::unique_ptr<RelayHarness>> m_harnesses;
     std::vector<std::optional<Time>> m_crashedAt;
@@ -110,6 +144,17 @@
     RequestKind m_kind;
     double m_rate;
     double m_skew = 0;
+    std::size_t m_skewedInstance = 0;
+    bool m_exchangeDemand;
+    Duration m_totalDelaySpread;
+    std::vector<double> m_demand; ///< requests per second of each instance
+    std::vector<Time> m_reportedAt;
+    std::vector<double> m_reported; ///< last reported demand
+    std::vector<bool> m_receivesTotals;
+    std::vector<std::optional<Time>> m_suspendedAt;
+    std::vector<std::size_t> m_waitingCallers; ///< at suspended instances
+    std::deque<Total> m_totals; ///< oldest first
+    std::string m_dividedDomain;
     std::size_t m_limitedEndpoints;
     double m_due = 0;
     std::mt19937_64 m_random;
@@ -127,6 +172,14 @@
     , m_listed(settings.instances, true)
     , m_kind(settings.kind)
     , m_rate(settings.requestsPerSecond)
+    , m_exchangeDemand(settings.exchangeDemand)
+    , m_totalDelaySpread(settings.totalDelaySpread)
+    , m_demand(settings.instances)
+    , m_reportedAt(settings.instances)
+    , m_reported(settings.instances)
+    , m_receivesTotals(settings.instances, true)
+    , m_suspendedAt(settings.instances)
+    , m_waitingCallers(settings.instances)
     , m_limitedEndpoints(settings.limitedEndpoints)
     , m_random(settings.seed)
 {
@@ -180,10 +233,83 @@
 {
     m_crashedAt[instance].reset();
     m_limitReceivedAt[instance].reset();
+    m_demand[instance] = 0;
     m_pendingListChanges.push_back({m_now + listDelay, instance, true});
     sendList(instance);
 }
 
+void LimitSimulation::resume(std::size_t instance)
+{
+    const Duration length = m_now - *std::exchange(m_suspendedAt[instance], std::nullopt);
+    m_harnesses[instance]->advance(length, length);
+    collect(instance);
+    for (; m_waitingCallers[instance] > 0; --m_waitingCallers[instance]) {
+        submitted += 1;
+        m_harnesses[instance]->submit(m_kind, seconds(4));
+        collect(instance);
+    }
+}
+
+/// Averages the demand over a second, and sums up the reports that are recent enough.
+void LimitSimulation::measureDemand()
+{
+    for (std::size_t i = 0; i < m_demand.size(); ++i) {
+        if (m_crashedAt[i] || m_suspendedAt[i])
+            continue;
+        m_demand[i] *= 1 - std::chrono::duration<double>(Step).count();
+        if (m_harnesses[i]->relay.rateLimits().followsDemand(m_harnesses[i]->now)) {
+            m_reported[i] = m_demand[i];
+            m_reportedAt[i] = m_now;
+        }
+    }
+    if (!m_totals.empty() && m_now - m_totals.back().at < TotalInterval)
+        return;
+    for (const bool inDividedDomain : {false, true}) {
+        Total total;
+        total.at = total.measuredAt = m_now;
+        total.side = inDividedDomain ? m_dividedDomain : "";
+        total.demand.resize(m_demand.size());
+        for (std::size_t i = 0; i < m_demand.size(); ++i) {
+            if ((m_instances[i].domain == m_dividedDomain) != inDividedDomain
+                || m_now - m_reportedAt[i] > ReportLifetime)
+                continue;
+            total.demand[i] = m_reported[i];
+            total.sum += m_reported[i];
+            total.instances += 1;
+            total.measuredAt = std::min(total.measuredAt, m_reportedAt[i]);
+        }
+        if (!inDividedDomain || !m_dividedDomain.empty())
+            m_totals.push_back(std::move(total));
+    }
+    while (m_now - m_totals.front().at > TotalDelay + m_totalDelaySpread + seconds(1))
+        m_totals.pop_front();
+}
+
+void LimitSimulation::sendTotals()
+{
+    for (std::size_t i = 0; i < m_harnesses.size(); ++i) {
+        const Duration delay =
+            TotalDelay
+            + m_totalDelaySpread * static_cast<std::int64_t>(i * 7 % 11) / std::int64_t {10};
+        const std::string side = m_instances[i].domain == m_dividedDomain ? m_dividedDomain : "";
+        const auto total = std::find_if(m_totals.rbegin(), m_totals.rend(), [&](const auto &each) {
+            return each.side == side && m_now - each.at >= delay;
+        });
+        if (m_crashedAt[i] || m_suspendedAt[i] || !m_receivesTotals[i] || total == m_totals.rend()
+            || m_now - total->at >= delay + TotalInterval || !(total->demand[i] >= 0))
+            continue;
+        FleetLoad load;
+        const std::string service = m_kind == RequestKind::Stream ? "model" : "plain";
+        load.total.services.push_back({service, total->sum});
+        load.total.instances = total->instances;
+        load.own.services.push_back({service, total->demand[i]});
+        load.own.instances = 1;
+        RelayHarness &harness = *m_harnesses[i];
+        load.asOf = harness.now - (m_now - total->measuredAt);
+        harness.relay.applyFleetLoad(load, harness.now);
+    }
+}
+
 void LimitSimulation::run(Duration length)
 {
     for (const Time end = m_now + length; m_now < end; m_now += Step)
@@ -207,18 +333,29 @@
     for (int left = arrivals(m_random); left > 0; --left)
         submitRequest();
     for (std::size_t i = 0; i < m_harnesses.size(); ++i) {
+        if (m_suspendedAt[i])
+            continue;
         m_harnesses[i]->advance(Step, Step);
         collect(i);
     }
+    if (m_exchangeDemand) {
+        measureDemand();
+        sendTotals();
+    }
 }
 
 void LimitSimulation::submitRequest()
 {
     std::size_t instance = m_random() % m_harnesses.size();
     if (m_skew > 0 && std::bernoulli_distribution(m_skew)(m_random))
-        instance = 0;
+        instance = m_skewedInstance;
     if (m_crashedAt[instance])
         return;
+    if (m_suspendedAt[instance]) {
+        m_waitingCallers[instance] += 1;
+        return;
+    }
+    m_demand[instance] += 1;
     submitted += 1;
     m_harnesses[instance]->submit(m_kind, seconds(4));
     collect(instance);
@@ -494,6 +631,7 @@
         settings.instances = instances;
         settings.endpoints = settings.limitedEndpoints = 3;
         settings.requestsPerSecond = 200;
+        settings.exchangeDemand = true;
         LimitSimulation simulation(settings);
         simulation.setLimit(80);
         simulation.run(LimitPropagationTime * 2);
@@ -510,7 +648,366 @@
         simulation.run(LimitPropagationTime);
         const double skewed = servedShare(seconds(10));
         CAPTURE(instances, before, skewed);
+
         CHECK(skewed >= MinServed * before);
         CHECK(static_cast<double>(maxArrived(simulation, seconds(5))) <= maxAllowed(80));
     }
 }
+
+namespace {
+
+LimitSimulationSettings exchangingSettings(std::size_t instances, std::uint64_t seed)
+{
+    LimitSimulationSettings settings;
+    settings.instances = instances;
+    settings.endpoints = settings.limitedEndpoints = 3;
+    settings.requestsPerSecond = 120;
+    settings.clockError = milliseconds(300);
+    settings.seed = seed;
+    settings.exchangeDemand = true;
+    settings.totalDelaySpread = seconds(1);
+    return settings;
+}
+
+/// Runs \a scenario, which returns the maximum of arrivedAfterGracePeriod(Window).
+template<typename Scenario>
+void checkBound(const Scenario &scenario)
+{
+    for (const std::size_t instances : {6U, 76U, 295U})
+        for (const double limit : {6.8, 30.0})
+            for (const std::uint64_t seed : {1U, 2U, 3U}) {
+                LimitSimulation simulation(exchangingSettings(instances, seed));
+                simulation.setLimit(limit);
+                simulation.run(LimitPropagationTime * 2);
+                const std::size_t maximum = scenario(simulation);
+                CAPTURE(instances, limit, seed, maximum);
+                CHECK(static_cast<double>(maximum) <= maxAllowed(limit));
+            }
+}
+
+} // namespace
+
+// Guards against shares of the demand that are used by two instances after it moved.
+TEST_CASE("the limit holds while the demand moves between instances")
+{
+    checkBound([](LimitSimulation &simulation) {
+        std::size_t maximum = 0;
+        for (std::size_t round = 0; round < 8; ++round) {
+            simulation.setSkew(round % 4 == 3 ? 0 : 0.95, round * 5 % simulation.size());
+            simulation.setRate(round % 3 == 2 ? 1'500 : 120);
+            maximum = std::max(maximum, maxArrived(simulation, milliseconds(1'500 + round * 700)));
+        }
+        return maximum;
+    });
+}
+
+// Guards against a share that others take over while an instance that died is still listed.
+TEST_CASE("the limit holds while the instance with most of the demand dies and returns")
+{
+    checkBound([](LimitSimulation &simulation) {
+        simulation.setSkew(0.9);
+        std::size_t maximum = maxArrived(simulation, seconds(8));
+        simulation.crash(0, seconds(20));
+        simulation.setSkew(0.9, 1);
+        maximum = std::max(maximum, maxArrived(simulation, seconds(10)));
+        simulation.start(0, seconds(2));
+        simulation.setSkew(0.9);
+        return std::max(maximum, maxArrived(simulation, seconds(15)));
+    });
+}
+
+// Guards against two sides of a partition that both divide the whole limit by their own demand.
+TEST_CASE("the limit holds while totals include only one side of a partition")
+{
+    for (const std::size_t hot : {0U, 1U})
+        checkBound([hot](LimitSimulation &simulation) {
+            simulation.setSkew(0.7, hot);
+            simulation.setRate(300);
+            std::size_t maximum = maxArrived(simulation, seconds(8));
+            simulation.partition(0);
+            simulation.divideTotals(0);
+            maximum = std::max(maximum, maxArrived(simulation, seconds(15)));
+            simulation.divideTotals(99);
+            return std::max(maximum, maxArrived(simulation, seconds(8)));
+        });
+}
+
+// Guards against a share that a resumed instance uses although others have taken it over.
+TEST_CASE("the limit holds when a suspended instance resumes")
+{
+    for (const Duration length :
+         {Duration(seconds(2)), Duration(seconds(4)), Duration(seconds(12))})
+        checkBound([length](LimitSimulation &simulation) {
+            simulation.setSkew(0.9);
+            std::size_t maximum = maxArrived(simulation, seconds(8));
+            simulation.suspend(0);
+            simulation.setSkew(0.45);
+            maximum = std::max(maximum, maxArrived(simulation, length / 2));
+            simulation.setSkew(0.9, 1);
+            maximum = std::max(maximum, maxArrived(simulation, length / 2));
+            simulation.resume(0);
+            simulation.setSkew(0.9);
+            return std::max(maximum, maxArrived(simulation, seconds(8)));
+        });
+}
+
+// Guards against slots that an instance without a total takes back while others use them.
+TEST_CASE("the limit holds while some instances get no totals")
+{
+    checkBound([](LimitSimulation &simulation) {
+        simulation.setSkew(0.8);
+        std::size_t maximum = maxArrived(simulation, seconds(8));
+        for (std::size_t i = 0; i < simulation.size(); i += 3)
+            simulation.stopTotals(i);
+        simulation.setSkew(0.8, 1);
+        maximum = std::max(maximum, maxArrived(simulation, seconds(8)));
+        simulation.setRate(1'000);
+        return std::max(maximum, maxArrived(simulation, seconds(8)));
+    });
+}
+
+// Guards against shares computed for an earlier list of instances.
+TEST_CASE("the limit holds while the list of instances and the demand change")
+{
+    checkBound([](LimitSimulation &simulation) {
+        std::size_t maximum = 0;
+        for (std::size_t round = 0; round < 4; ++round) {
+            simulation.setSkew(0.8, round);
+            for (std::size_t i = 10 + round; i < simulation.size(); i += 8)
+                simulation.crash(i, seconds(2));
+            maximum = std::max(maximum, maxArrived(simulation, seconds(4)));
+            for (std::size_t i = 10 + round; i < simulation.size(); i += 8)
+                simulation.start(i, seconds(2));
+            maximum = std::max(maximum, maxArrived(simulation, seconds(3)));
+        }
+        return maximum;
+    });
+}
+
+namespace {
+
+/// Instances that use each slot that they may use, whatever their reported demand is.
+class GreedyInstances
+{
+public:
+    GreedyInstances(std::size_t instances, double limit, std::uint64_t seed);
+
+    /// Runs for \a length and returns the largest number of requests in a Window.
+    std::size_t run(Duration length);
+
+    std::vector<double> demand; ///< of each instance, as reported
+    std::vector<bool> sends; ///< if not, the instance is dead or suspended
+    std::vector<bool> reports; ///< if not, its demand leaves the totals after ReportLifetime
+    std::vector<bool> receives; ///< if not, it gets no totals, and soon reports nothing
+
+    std::size_t size() const { return demand.size(); }
+
+private:
+    struct Total
+    {
+        Time at {};
+        LoadReport report;
+        std::vector<double> demand;
+    };
+
+    void sumUp();
+    void step(std::size_t instance);
+
+    std::vector<RateLimits> m_instances;
+    std::vector<Duration> m_delays;
+    std::vector<double> m_reported;
+    std::vector<Time> m_reportedAt;
+    std::deque<Total> m_totals; ///< newest first
+    std::deque<Time> m_sent;
+    FleetEndpoint m_endpoint;
+    double m_limit;
+    Time m_now {std::chrono::hours(1)};
+};
+
+GreedyInstances::GreedyInstances(std::size_t instances, double limit, std::uint64_t seed)
+    : demand(instances, 1)
+    , sends(instances, true)
+    , reports(instances, true)
+    , receives(instances, true)
+    , m_instances(instances)
+    , m_reported(instances)
+    , m_reportedAt(instances)
+    , m_limit(limit)
+{
+    m_endpoint.id = "e";
+    m_endpoint.service = "plain";
+    m_endpoint.domain = domainOf(0, 3);
+    std::mt19937_64 random(seed);
+    std::vector<PeerInstance> list;
+    for (std::size_t i = 0; i < instances; ++i) {
+        list.push_back({"n" + std::to_string(1000 + i), domainOf(i, 3), "10.0.0.1:1"});
+        m_delays.push_back(TotalDelay + Step * static_cast<std::int64_t>(random() % 50));
+    }
+    for (std::size_t i = 0; i < instances; ++i) {
+        m_instances[i].setInstances(list, list[i].name, list[i].domain, m_now);
+        m_instances[i].recordAnswer(m_endpoint, m_limit, m_now);
+    }
+}
+
+/// Adds the total of the reports that are recent enough.
+void GreedyInstances::sumUp()
+{
+    Total total;
+    total.at = m_now;
+    total.demand.resize(size());
+    ServiceLoad load {"plain"};
+    for (std::size_t i = 0; i < size(); ++i) {
+        if (reports[i] && sends[i] && m_instances[i].followsDemand(m_now)) {
+            m_reported[i] = demand[i];
+            m_reportedAt[i] = m_now;
+        }
+        if (m_now - m_reportedAt[i] > ReportLifetime)
+            continue;
+        total.demand[i] = m_reported[i];
+        load.demand += m_reported[i];
+        total.report.instances += 1;
+    }
+    total.report.services.push_back(load);
+    m_totals.push_front(std::move(total));
+    if (m_now - m_totals.back().at > seconds(3))
+        m_totals.pop_back();
+}
+
+void GreedyInstances::step(std::size_t instance)
+{
+    if (!sends[instance])
+        return;
+    RateLimits &limits = m_instances[instance];
+    const auto total = std::find_if(m_totals.begin(), m_totals.end(), [&](const Total &each) {
+        return m_now - each.at >= m_delays[instance];
+    });
+    // A resumed process sends before it reads the totals that have arrived.
+    while (limits.maySend("e", m_now)) {
+        limits.recordSend("e", m_now);
+        limits.recordAnswer(m_endpoint, m_limit, m_now);
+        m_sent.push_back(m_now);
+    }
+    limits.recordAnswer(m_endpoint, m_limit, m_now);
+    if (!receives[instance] || total == m_totals.end())
+        return;
+    FleetLoad load {total->report, {}, total->at};
+    load.own.services.push_back({"plain", total->demand[instance]});
+    limits.applyFleetLoad(load, m_now);
+}
+
+std::size_t GreedyInstances::run(Duration length)
+{
+    std::size_t maximum = 0;
+    for (const Time end = m_now + length; m_now < end; m_now += Step) {
+        sumUp();
+        for (std::size_t i = 0; i < size(); ++i)
+            step(i);
+        while (!m_sent.empty() && m_sent.front() <= m_now - Window)
+            m_sent.pop_front();
+        maximum = std::max(maximum, m_sent.size());
+    }
+    return maximum;
+}
+
+double maxAllowedGreedy(double limit)
+{
+    return 1.1 * limit * std::chrono::duration<double>(Window).count() + 5;
+}
+
+/// Runs \a scenario, which returns the largest number of requests in a Window.
+template<typename Scenario>
+void checkGreedyBound(const Scenario &scenario)
+{
+    for (const std::size_t instances : {6U, 76U, 295U})
+        for (const double limit : {6.8, 30.0})
+            for (const std::uint64_t seed : {1U, 2U}) {
+                GreedyInstances greedy(instances, limit, seed);
+                greedy.run(seconds(6));
+                const std::size_t maximum = scenario(greedy);
+                CAPTURE(instances, limit, seed, maximum);
+                CHECK(static_cast<double>(maximum) <= maxAllowedGreedy(limit));
+            }
+}
+
+} // namespace
+
+// Guards against an increase of a share that takes effect before the decrease of others.
+TEST_CASE("parts of the slots stay within the limit while the demand moves")
+{
+    checkGreedyBound([](GreedyInstances &greedy) {
+        std::size_t maximum = 0;
+        for (std::size_t round = 0; round < 12; ++round) {
+            std::fill(greedy.demand.begin(), greedy.demand.end(), round % 3 == 2 ? 1 : 0.01);
+            greedy.demand[round * 5 % greedy.size()] = 1'000;
+            maximum = std::max(maximum, greedy.run(milliseconds(500 + 700 * (round % 5))));
+        }
+        return maximum;
+    });
+}
+
+// Guards against slots of idle instances that are used by these and by others when all get demand.
+TEST_CASE("parts of the slots stay within the limit when all instances get demand")
+{
+    checkGreedyBound([](GreedyInstances &greedy) {
+        std::size_t maximum = 0;
+        for (int round = 0; round < 2; ++round) {
+            std::fill(greedy.demand.begin(), greedy.demand.end(), 0);
+            greedy.demand[0] = 100;
+            maximum = std::max(maximum, greedy.run(seconds(8)));
+            std::fill(greedy.demand.begin(), greedy.demand.end(), 100);
+            maximum = std::max(maximum, greedy.run(seconds(4)));
+        }
+        return maximum;
+    });
+}
+
+// Guards against a share that an isolated instance uses after others have taken it over.
+TEST_CASE("parts of the slots stay within the limit while the busiest instance is isolated")
+{
+    checkGreedyBound([](GreedyInstances &greedy) {
+        std::fill(greedy.demand.begin(), greedy.demand.end(), 0.01);
+        greedy.demand[0] = 1'000;
+        greedy.demand[1] = 100;
+        std::size_t maximum = greedy.run(seconds(10));
+        greedy.reports[0] = greedy.receives[0] = false;
+        maximum = std::max(maximum, greedy.run(seconds(20)));
+        greedy.reports[0] = greedy.receives[0] = true;
+        return std::max(maximum, greedy.run(seconds(8)));
+    });
+}
+
+// Guards against a resumed instance that uses its earlier share before it knows the present one.
+TEST_CASE("parts of the slots stay within the limit when suspended instances resume")
+{
+    for (const Duration length :
+         {Duration(seconds(3)), Duration(seconds(5)), Duration(seconds(12))})
+        checkGreedyBound([length](GreedyInstances &greedy) {
+            std::fill(greedy.demand.begin(), greedy.demand.end(), 0.01);
+            greedy.demand[0] = 1'000;
+            greedy.demand[1] = 100;
+            std::size_t maximum = greedy.run(seconds(10));
+            greedy.sends[0] = false;
+            maximum = std::max(maximum, greedy.run(length));
+            greedy.sends[0] = true;
+            return std::max(maximum, greedy.run(seconds(8)));
+        });
+}
+
+// Guards against instances without totals that use all of their slots while others use these too.
+TEST_CASE("parts of the slots stay within the limit while instances get no totals")
+{
+    for (const bool reporting : {true, false})
+        checkGreedyBound([reporting](GreedyInstances &greedy) {
+            std::fill(greedy.demand.begin(), greedy.demand.end(), 0.01);
+            greedy.demand[0] = 1'000;
+            std::size_t maximum = greedy.run(seconds(10));
+            for (std::size_t i = 1; i < greedy.size(); i += 2) {
+                greedy.receives[i] = false;
+                greedy.reports[i] = reporting;
+            }
+            maximum = std::max(maximum, greedy.run(seconds(20)));
+            greedy.receives.assign(greedy.size(), true);
+            greedy.reports.assign(greedy.size(), true);
+            return std::max(maximum, greedy.run(seconds(8)));
+        });
+}
