--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -95,7 +95,7 @@
 
     /// Sets the load of this instance, which is sent to the others. Ignored without admission
     /// control.
-    void setOwnLoad(LoadReport load);
+    void setOwnLoad(LoadSummary load);
 
     /// Releases the lease and removes this instance from the list, then calls \a done.
     void stop(std::function<void()> done);
--- a/src/entry/controlloads.cpp
+++ b/src/entry/controlloads.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-void Control::setOwnLoad(LoadReport load)
+void Control::setOwnLoad(LoadSummary load)
 {
     if (m_loads)
         m_loads->setOwn(std::move(load), bootNow());
@@ -54,7 +54,7 @@
         return state;
     const Time now = bootNow();
     const bool reader = sumsUpLoads(now);
-    AgedLoadReport load;
+    AgedLoadSummary load;
     if (asker.loadDomain.empty()) {
         load = m_loads->total(reader, now);
     } else if (reader && asker.loadDomain != m_settings.domain) {
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -199,7 +199,7 @@
     m_relay.applyFleetLoad(load, steadyNow());
 }
 
-LoadReport TrafficServer::ownLoad() const
+LoadSummary TrafficServer::ownLoad() const
 {
     return m_relay.load(steadyNow());
 }
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -85,7 +85,7 @@
     void run(RelayActions actions);
 
     /// The load of this instance, to send to the other instances.
-    LoadReport ownLoad() const;
+    LoadSummary ownLoad() const;
 
     // Called by sessions
 
--- a/src/fakes/admissionsimulation.h
+++ b/src/fakes/admissionsimulation.h
@@ -103,7 +103,7 @@
         bool alive = true;
         std::size_t waiting = 0;
         Time suspendedUntil {};
-        LoadReport load; ///< as of the last exchange
+        LoadSummary load; ///< as of the last exchange
         Time loadAt {};
     };
 
@@ -134,7 +134,7 @@
     /// Loads that reach the instances after a delay.
     struct Exchange
     {
-        std::vector<LoadReport> loads; ///< by instance
+        std::vector<LoadSummary> loads; ///< by instance
         std::vector<Time> measuredAt;
         std::vector<double> fills; ///< by endpoint
     };
--- a/src/include/balsamloft/admission/admission.h
+++ b/src/include/balsamloft/admission/admission.h
@@ -110,7 +110,7 @@
     // Queries
 
     /// The load of this instance, to report to the other instances.
-    LoadReport load(Time now) const;
+    LoadSummary load(Time now) const;
     std::vector<AdmissionStatus> status(Time now) const;
 
 private:
--- a/src/include/balsamloft/admission/loadexchange.h
+++ b/src/include/balsamloft/admission/loadexchange.h
@@ -12,9 +12,9 @@
 namespace balsamloft {
 
 /// A load report with its age, as instances send it to each other.
-struct AgedLoadReport
+struct AgedLoadSummary
 {
-    LoadReport report;
+    LoadSummary report;
     Duration age {}; ///< of its oldest part
 };
 
@@ -35,26 +35,26 @@
 
     // Commands
 
-    void setOwn(LoadReport own, Time now);
+    void setOwn(LoadSummary own, Time now);
 
     /// The instance \a name, which reads from this one, reports the sum over itself and those that
     /// read from it.
-    void receiveSubtree(const std::string &name, AgedLoadReport report, Time now);
+    void receiveSubtree(const std::string &name, AgedLoadSummary report, Time now);
 
     /// The reader of \a domain reports the sum over its domain.
-    void receiveDomain(const std::string &domain, AgedLoadReport report, Time now);
+    void receiveDomain(const std::string &domain, AgedLoadSummary report, Time now);
 
     /// The instance that this one reads from reports the sum over all instances.
-    void receiveTotal(AgedLoadReport report, Time now);
+    void receiveTotal(AgedLoadSummary report, Time now);
 
     // Queries
 
     /// The sum over this instance and those that read from it, to report to its source.
-    AgedLoadReport subtree(Time now) const;
+    AgedLoadSummary subtree(Time now) const;
 
     /// The sum over all instances, to report to the instances that read from this one. A domain
     /// reader sums it up itself; \a reader: whether this instance is one now.
-    AgedLoadReport total(bool reader, Time now) const;
+    AgedLoadSummary total(bool reader, Time now) const;
 
     /// The total with the own load at the time of its oldest part; nothing without a recent total.
     std::optional<FleetLoad> fleet(bool reader, Time now) const;
@@ -62,13 +62,13 @@
 private:
     struct OwnLoad
     {
-        LoadReport report;
+        LoadSummary report;
         Time measuredAt {};
     };
 
     struct Report
     {
-        LoadReport report;
+        LoadSummary report;
         Time measuredAt {}; ///< of its oldest part
         Time receivedAt {};
     };
@@ -76,11 +76,11 @@
     using ReportMap = std::map<std::string, Report>;
 
     void recordActivity(Time now);
-    void store(ReportMap &reports, const std::string &name, AgedLoadReport report, Time now);
+    void store(ReportMap &reports, const std::string &name, AgedLoadSummary report, Time now);
     bool isCurrent(const Report &report, Time now) const;
-    void addCurrent(const ReportMap &reports, Time now, AgedLoadReport &sum) const;
+    void addCurrent(const ReportMap &reports, Time now, AgedLoadSummary &sum) const;
     bool isSumComplete(Time now) const;
-    const LoadReport *ownAt(Time time) const;
+    const LoadSummary *ownAt(Time time) const;
 
     std::string m_domain;
     LoadExchangeSettings m_settings;
--- a/src/include/balsamloft/admission/serviceload.h
+++ b/src/include/balsamloft/admission/serviceload.h
@@ -25,7 +25,7 @@
 };
 
 /// Loads of all services, summed over \a instances.
-struct LoadReport
+struct LoadSummary
 {
     std::vector<ServiceLoad> services;
     std::uint32_t instances = 0; ///< whose loads are included
@@ -34,16 +34,16 @@
     const ServiceLoad *find(std::string_view service) const;
 
     /// Adds the loads of \a other.
-    void add(const LoadReport &other);
+    void add(const LoadSummary &other);
 
-    bool operator==(const LoadReport &) const = default;
+    bool operator==(const LoadSummary &) const = default;
 };
 
 /// The load of all instances, as known to one of them.
 struct FleetLoad
 {
-    LoadReport total;
-    LoadReport own; ///< of this instance, as included in \a total
+    LoadSummary total;
+    LoadSummary own; ///< of this instance, as included in \a total
     Time asOf {}; ///< when the oldest part of \a total was measured
 };
 
--- a/src/include/balsamloft/instancestate.h
+++ b/src/include/balsamloft/instancestate.h
@@ -18,7 +18,7 @@
     std::uint64_t configuration = 0; ///< operators' version in force; 0: none
     std::optional<Duration> eraAge; ///< since it saw the store begin the era, if it did
     /// In a query, the load of the instance and of those that read from it; in an answer, of all.
-    std::optional<AgedLoadReport> load;
+    std::optional<AgedLoadSummary> load;
     /// The domain that `load` covers, if its reader sends it to the reader of another domain.
     std::string loadDomain;
 };
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -230,6 +230,9 @@
     Duration minReturnSpread {300'000};
     Duration maxReturnSpread {5'000'000};
     AdmissionSettings admission;
+    /// Whether rate limits are divided by demand. It requires that instances whose totals are out
+    /// of date report no load, see RateLimits.
+    bool rateLimitsFollowDemand = false;
     std::uint64_t seed = 1;
 };
 
@@ -334,7 +337,7 @@
                      Duration clockOffset, Time now);
 
     /// Applies the load of all instances, of which Relay::load() is the part of this instance.
-    void applyFleetLoad(const FleetLoad &load, Time now) { m_admission.applyFleetLoad(load, now); }
+    void applyFleetLoad(const FleetLoad &load, Time now);
 
     /// Sets RelaySettings::retryRatio and RelaySettings::retrySlack.
     void setRetries(double ratio, double slack);
@@ -353,7 +356,7 @@
     std::size_t flights() const { return m_flights.size(); }
 
     /// The load by this instance's callers.
-    LoadReport load(Time now) const { return m_admission.load(now); }
+    LoadSummary load(Time now) const { return m_admission.load(now); }
     const Admission &admission() const { return m_admission; }
     const RelayCounts &counts() const { return m_counts; }
     const EngineTracker &engines() const { return m_engines; }
--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -26,7 +26,7 @@
 /// Part of the capacity in use by all instances below which an instance may exceed its share by
 /// AmpleFactor. Few callers of one instance vary by more than its share of a service that is hardly
 /// used.
-constexpr double AmpleUse = 0.6;
+constexpr double AmpleUse = 0.7;
 constexpr double AmpleFactor = 3;
 
 /// Requests that an instance may have in flight whatever its share: a request larger than the
@@ -48,6 +48,10 @@
 /// A service counts as at its capacity for this long after it refused a request.
 constexpr Duration ContendedDuration {1'000'000};
 
+/// Least part of the capacity that a side of a partition uses. Instances that are missing from the
+/// total may also have been stopped, and their callers come to the others.
+constexpr double MinCoverage = 0.5;
+
 /// Sum of events that decays exponentially, as a rate per second.
 class DecayingRate
 {
@@ -144,6 +148,7 @@
     std::mt19937_64 random;
     CapacityShares shares;
     std::size_t instances = 1;
+    double coverage = 1; ///< part of the listed instances that the last total includes
     std::map<std::string, Service, std::less<>> services;
     std::unordered_map<std::uint64_t, Entry> entries;
 };
@@ -163,7 +168,7 @@
         return -1;
     const double borrowed = BorrowedPart / static_cast<double>(instances);
     const bool ample = now < service.ampleUntil;
-    return capacity * (shares.share(name, now) + borrowed) * (ample ? AmpleFactor : 1);
+    return coverage * capacity * (shares.share(name, now) + borrowed) * (ample ? AmpleFactor : 1);
 }
 
 /// The part of a contended service's capacity that is left to \a rank and those below it by the
@@ -297,10 +302,17 @@
 void Admission::applyFleetLoad(const FleetLoad &load, Time now)
 {
     m_impl->shares.update(load, now);
+    // In a partition, the instances that are missing use the same endpoints.
+    m_impl->coverage = std::clamp(static_cast<double>(load.total.instances)
+                                      / static_cast<double>(m_impl->instances),
+                                  MinCoverage, 1.0);
     for (auto &[name, service] : m_impl->services)
         if (const ServiceLoad *total = load.total.find(name)) {
             service.capacity.update(*total, now);
-            const bool ample = total->inFlight < AmpleUse * service.capacity.capacity();
+            // What is requested until the next total arrives counts as in flight.
+            constexpr double TotalIntervalSeconds = 1;
+            const double expected = total->inFlight + total->demand * TotalIntervalSeconds;
+            const bool ample = expected < AmpleUse * service.capacity.capacity();
             service.ampleUntil = ample ? now + AmpleLifetime : Time {};
         }
 }
@@ -382,9 +394,9 @@
         m_impl->services[it->second.request.service].rejected.add(1, now);
 }
 
-LoadReport Admission::load(Time now) const
+LoadSummary Admission::load(Time now) const
 {
-    LoadReport report;
+    LoadSummary report;
     report.instances = 1;
     if (!m_impl->settings.enabled)
         return report;
--- a/src/libbalsamloft/admission/capacityshares_test.cpp
+++ b/src/libbalsamloft/admission/capacityshares_test.cpp
@@ -16,7 +16,7 @@
     return Time(std::chrono::hours(1)) + Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
-LoadReport loadOf(double demand, std::uint32_t instances = 1)
+LoadSummary loadOf(double demand, std::uint32_t instances = 1)
 {
     return {{{"model", demand, 0, 0, 0, 0}}, instances};
 }
--- a/src/libbalsamloft/admission/loadexchange.cpp
+++ b/src/libbalsamloft/admission/loadexchange.cpp
@@ -27,7 +27,7 @@
     m_activeAt = now;
 }
 
-void LoadExchange::setOwn(LoadReport own, Time now)
+void LoadExchange::setOwn(LoadSummary own, Time now)
 {
     recordActivity(now);
     own.instances = 1;
@@ -37,7 +37,7 @@
         m_own.pop_front();
 }
 
-void LoadExchange::store(ReportMap &reports, const std::string &name, AgedLoadReport report,
+void LoadExchange::store(ReportMap &reports, const std::string &name, AgedLoadSummary report,
                          Time now)
 {
     recordActivity(now);
@@ -46,19 +46,19 @@
     reports.insert_or_assign(name, Report {std::move(report.report), measuredAt, now});
 }
 
-void LoadExchange::receiveSubtree(const std::string &name, AgedLoadReport report, Time now)
+void LoadExchange::receiveSubtree(const std::string &name, AgedLoadSummary report, Time now)
 {
     store(m_followers, name, std::move(report), now);
 }
 
-void LoadExchange::receiveDomain(const std::string &domain, AgedLoadReport report, Time now)
+void LoadExchange::receiveDomain(const std::string &domain, AgedLoadSummary report, Time now)
 {
     // Two instances may consider themselves the reader of this domain for a moment.
     if (domain != m_domain)
         store(m_domains, domain, std::move(report), now);
 }
 
-void LoadExchange::receiveTotal(AgedLoadReport report, Time now)
+void LoadExchange::receiveTotal(AgedLoadSummary report, Time now)
 {
     recordActivity(now);
     if (report.report.instances == 0)
@@ -72,7 +72,7 @@
     return now - report.receivedAt <= m_settings.reportLifetime;
 }
 
-void LoadExchange::addCurrent(const ReportMap &reports, Time now, AgedLoadReport &sum) const
+void LoadExchange::addCurrent(const ReportMap &reports, Time now, AgedLoadSummary &sum) const
 {
     for (const auto &[name, each] : reports) {
         if (!isCurrent(each, now))
@@ -82,9 +82,9 @@
     }
 }
 
-AgedLoadReport LoadExchange::subtree(Time now) const
+AgedLoadSummary LoadExchange::subtree(Time now) const
 {
-    AgedLoadReport sum;
+    AgedLoadSummary sum;
     if (m_own.empty()) {
         sum.report.instances = 1;
     } else {
@@ -104,10 +104,10 @@
            && !(m_total && isCurrent(*m_total, now));
 }
 
-AgedLoadReport LoadExchange::total(bool reader, Time now) const
+AgedLoadSummary LoadExchange::total(bool reader, Time now) const
 {
     if (reader && isSumComplete(now)) {
-        AgedLoadReport sum = subtree(now);
+        AgedLoadSummary sum = subtree(now);
         addCurrent(m_domains, now, sum);
         return sum;
     }
@@ -117,7 +117,7 @@
 }
 
 /// Returns the own load that was current at \a time, or null if there was none.
-const LoadReport *LoadExchange::ownAt(Time time) const
+const LoadSummary *LoadExchange::ownAt(Time time) const
 {
     const auto it = std::find_if(m_own.rbegin(), m_own.rend(),
                                  [&](const OwnLoad &each) { return each.measuredAt <= time; });
@@ -128,13 +128,13 @@
 /// included yet: if the demand of all instances rose, each would then take more than its share.
 std::optional<FleetLoad> LoadExchange::fleet(bool reader, Time now) const
 {
-    AgedLoadReport sum = total(reader, now);
+    AgedLoadSummary sum = total(reader, now);
     if (sum.report.instances == 0)
         return std::nullopt;
     if (!(reader && isSumComplete(now)) && !isCurrent(*m_total, now))
         return std::nullopt;
     const Time asOf = now - sum.age;
-    const LoadReport *own = ownAt(asOf);
+    const LoadSummary *own = ownAt(asOf);
     if (!own)
         return std::nullopt;
     return FleetLoad {std::move(sum.report), *own, asOf};
--- a/src/libbalsamloft/admission/loadexchange_test.cpp
+++ b/src/libbalsamloft/admission/loadexchange_test.cpp
@@ -20,12 +20,12 @@
     return Time(std::chrono::hours(1)) + Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
-LoadReport loadOf(double demand)
+LoadSummary loadOf(double demand)
 {
     return {{{"model", demand, demand / 2, 1, 0, 0}}, 1};
 }
 
-double demandOf(const LoadReport &report)
+double demandOf(const LoadSummary &report)
 {
     const ServiceLoad *load = report.find("model");
     return load ? load->demand : 0;
@@ -80,7 +80,7 @@
         return m_nodes[index].exchange.fleet(isReader(index), m_now);
     }
 
-    AgedLoadReport total(std::size_t index) const
+    AgedLoadSummary total(std::size_t index) const
     {
         return m_nodes[index].exchange.total(isReader(index), m_now);
     }
@@ -200,7 +200,7 @@
 
 TEST_CASE("loads of the same service are added up", "[loadexchange]")
 {
-    LoadReport sum {{{"a", 1, 2, 3, 4, 5}}, 1};
+    LoadSummary sum {{{"a", 1, 2, 3, 4, 5}}, 1};
     sum.add({{{"b", 1, 1, 1, 1, 1}, {"a", 10, 20, 30, 40, 50}}, 4});
     CHECK(sum.instances == 5);
     REQUIRE(sum.find("a"));
@@ -219,7 +219,7 @@
     reader.receiveDomain("west", {loadOf(4), Duration(200'000)}, at(3));
     CHECK(reader.subtree(at(3)).age == Duration(700'000));
     CHECK(demandOf(reader.subtree(at(3)).report) == 3);
-    const AgedLoadReport total = reader.total(true, at(3.5));
+    const AgedLoadSummary total = reader.total(true, at(3.5));
     CHECK(total.age == Duration(1'200'000));
     CHECK(demandOf(total.report) == 7);
     CHECK(total.report.instances == 3);
--- a/src/libbalsamloft/admission/serviceload.cpp
+++ b/src/libbalsamloft/admission/serviceload.cpp
@@ -4,14 +4,14 @@
 
 namespace balsamloft {
 
-const ServiceLoad *LoadReport::find(std::string_view service) const
+const ServiceLoad *LoadSummary::find(std::string_view service) const
 {
     const auto it = std::find_if(services.begin(), services.end(),
                                  [&](const ServiceLoad &each) { return each.service == service; });
     return it == services.end() ? nullptr : &*it;
 }
 
-void LoadReport::add(const LoadReport &other)
+void LoadSummary::add(const LoadSummary &other)
 {
     for (const ServiceLoad &added : other.services) {
         const auto it =
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -34,6 +34,13 @@
 
 } // namespace
 
+void Relay::applyFleetLoad(const FleetLoad &load, Time now)
+{
+    m_admission.applyFleetLoad(load, now);
+    if (m_settings.rateLimitsFollowDemand)
+        m_limits.applyFleetLoad(load, now);
+}
+
 /// Computes the capacity of the flight's service anew if the fleet or the routes have changed.
 void Relay::updateCapacity(const Flight &flight)
 {
--- a/src/libpeer/statecodec.cpp
+++ b/src/libpeer/statecodec.cpp
@@ -12,7 +12,7 @@
 constexpr std::uint32_t MaxInstances = 1'000'000;
 constexpr std::uint64_t MaxLoadAgeMs = 3'600'000;
 
-void encodeLoad(const AgedLoadReport &load, const std::string &domain, wire::LoadNews &message)
+void encodeLoad(const AgedLoadSummary &load, const std::string &domain, wire::LoadNews &message)
 {
     for (const ServiceLoad &each : load.report.services) {
         if (each.demand <= 0 && each.inFlight <= 0)
@@ -41,12 +41,12 @@
 }
 
 /// Returns nothing if the sum as a whole is unusable; leaves out single services that are.
-std::optional<AgedLoadReport> decodeLoad(const wire::LoadNews &message)
+std::optional<AgedLoadSummary> decodeLoad(const wire::LoadNews &message)
 {
     if (message.instances() == 0 || message.instances() > MaxInstances
         || message.age_ms() > MaxLoadAgeMs)
         return std::nullopt;
-    AgedLoadReport load;
+    AgedLoadSummary load;
     load.age = Duration(static_cast<std::int64_t>(message.age_ms()) * 1000);
     load.report.instances = message.instances();
     for (const wire::ServiceLoad &each : message.services()) {
--- a/src/libpeer/statecodec_test.cpp
+++ b/src/libpeer/statecodec_test.cpp
@@ -16,11 +16,11 @@
     return details->sender;
 }
 
-InstanceState stateWith(LoadReport report, Duration age = Duration(1'500'000))
+InstanceState stateWith(LoadSummary report, Duration age = Duration(1'500'000))
 {
     InstanceState state;
     state.name = "a";
-    state.load = AgedLoadReport {std::move(report), age};
+    state.load = AgedLoadSummary {std::move(report), age};
     return state;
 }
 
@@ -28,7 +28,8 @@
 
 TEST_CASE("a decoded load equals the encoded one")
 {
-    const LoadReport report {{{"chat", 1200.5, 300, 4.25, 0.5, 0.125}, {"mail", 0, 2, 0, 0, 0}}, 9};
+    const LoadSummary report {{{"chat", 1200.5, 300, 4.25, 0.5, 0.125}, {"mail", 0, 2, 0, 0, 0}},
+                              9};
     InstanceState sent = stateWith(report);
     sent.loadDomain = "east";
     const InstanceState received = decoded(sent);
@@ -55,7 +56,7 @@
 {
     const InstanceState received = decoded(stateWith({{{"chat", 0, 0, 1, 0, 0}}, 1}));
     REQUIRE(received.load);
-    CHECK(received.load->report == LoadReport {{}, 1});
+    CHECK(received.load->report == LoadSummary {{}, 1});
 }
 
 // Guards against a damaged report that makes the sums of all instances unusable.
@@ -70,7 +71,7 @@
     damaged.*member = value;
     const InstanceState received = decoded(stateWith({{damaged, valid}, 2}));
     REQUIRE(received.load);
-    CHECK(received.load->report == LoadReport {{valid}, 2});
+    CHECK(received.load->report == LoadSummary {{valid}, 2});
 }
 
 // Guards against sums that divide by no instance, or have times that cannot be represented.
@@ -92,7 +93,7 @@
 // Guards against a fleet of the largest size exceeding the bandwidth of a small instance.
 TEST_CASE("a load of 32 services takes less than a kilobyte more than their names")
 {
-    LoadReport report {{}, 340};
+    LoadSummary report {{}, 340};
     for (int i = 0; i < 32; ++i)
         report.services.push_back({"m" + std::to_string(10 + i), 12345.5, 678.5, 3, 2, 1});
     InstanceState empty;
