--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -97,7 +97,7 @@
     std::string m_digest; ///< of the request's content, see requestDigest()
     std::vector<std::string> m_promptParts; ///< digests, see sharedPromptParts()
     std::string m_teamName;
-    int m_priority = 0; ///< of the request; 0 is the highest
+    int m_priority = 0; ///< of the request, see combinedPriority()
     std::string m_teamKey;
     std::string m_routeName;
     RouteMapPtr m_table;
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -16,8 +16,9 @@
 namespace {
 
 constexpr std::size_t MaxIdlePerEndpoint = 32;
-/// Number of answers before the one to the request. An endpoint sends one interim answer or a few;
-/// without a limit, one that sends them without end would keep its request until the deadline.
+/// Most answers that are skipped before the one to the request. Endpoints send at most a few
+/// interim answers. Without a limit, an endless series of them would occupy the request until its
+/// deadline.
 constexpr std::size_t MaxSkippedAnswers = 32;
 constexpr Duration KeepAliveMargin {500'000};
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -135,7 +135,7 @@
     , m_server(
           context, [this](std::span<const CrashNotice> notices) { crashNoticesReceived(notices); },
           [this](const InstanceState &state) { stateReceived(state); },
-          [this](const InstanceState &asker) { return stateForAnswer(asker); })
+          [this](const InstanceState &sender) { return stateForAnswer(sender); })
     , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.storeAddress, protocol, state, m_eras)
     , m_peers(context)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -122,7 +122,7 @@
     void stateReceived(const InstanceState &state);
     void peerAnswered(const TableAnswer &answer, const PeerInstance &peer);
     InstanceState stateForQuery(const PeerInstance &peer, SharedTable table);
-    InstanceState stateForAnswer(const InstanceState &asker) const;
+    InstanceState stateForAnswer(const InstanceState &sender) const;
     bool sumsUpLoads(Time now) const;
     void subtreeReceived(const InstanceState &sender);
     void totalReceived(const InstanceState &sender);
--- a/src/entry/controlloads.cpp
+++ b/src/entry/controlloads.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr Duration PublishInterval {500'000};
-/// How long a domain reader continues to sum up the loads when it is none for a moment, because an
-/// earlier instance that died counts as responsive until it is queried again.
+/// How long an instance that was the domain reader continues to sum up loads. It may lose that role
+/// for a moment: a dead instance that precedes it counts as responsive until it is queried again.
 constexpr Duration ReaderHold {3'000'000};
 
 } // namespace
@@ -21,16 +21,16 @@
         m_loads->setOwn(std::move(load), bootNow());
 }
 
-/// Whether this instance sums up the loads of all. If it receives a total nevertheless, that one is
-/// forwarded, see LoadExchange.
+/// Whether this instance sums up the loads of all instances. A total that it received recently
+/// takes precedence over its own sum, see LoadExchange.
 bool Control::sumsUpLoads(Time now) const
 {
     return isDomainReader() || now - m_domainReaderAt < ReaderHold;
 }
 
-/// Returns what a query for \a table to \a peer tells. Loads are sent with queries for the
-/// endpoints only, since the sources of the other tables may be different instances, and each would
-/// count this one.
+/// Returns the state to send in a query for \a table to \a peer. Loads are sent only with queries
+/// for the endpoints: the sources of the other tables may be different instances, and each of them
+/// would count this instance.
 InstanceState Control::stateForQuery(const PeerInstance &peer, SharedTable table)
 {
     InstanceState state = ownState();
@@ -45,19 +45,19 @@
     return state;
 }
 
-/// Returns what the answer to a query tells in which \a asker was told. The reader of another
-/// domain gets the sum over this domain: it sums up the domains itself.
-InstanceState Control::stateForAnswer(const InstanceState &asker) const
+/// Returns the state to send in the answer to a query with the state \a sender. The reader of
+/// another domain gets only the sum over this domain, since it sums up the domains itself.
+InstanceState Control::stateForAnswer(const InstanceState &sender) const
 {
     InstanceState state = ownState();
-    if (!m_loads || !asker.load)
+    if (!m_loads || !sender.load)
         return state;
     const Time now = bootNow();
     const bool reader = sumsUpLoads(now);
     AgedLoadSummary load;
-    if (asker.loadDomain.empty()) {
+    if (sender.loadDomain.empty()) {
         load = m_loads->total(reader, now);
-    } else if (reader && asker.loadDomain != m_settings.domain) {
+    } else if (reader && sender.loadDomain != m_settings.domain) {
         load = m_loads->subtree(now);
         state.loadDomain = m_settings.domain;
     }
--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -64,11 +64,11 @@
     bool headDone = false;
 };
 
-/// Bytes that frame a chunk of one byte: its size, and two line ends.
+/// Bytes that frame a chunk of one byte: one digit and two line ends.
 constexpr std::uint64_t FramingPerChunk = 5;
 
-/// Most bytes that a message has beside its body. A body in chunks of one byte without extensions
-/// is within it.
+/// Returns the maximum number of bytes of a message besides its body. It permits a body in chunks
+/// of one byte without extensions.
 std::uint64_t maxFraming(const MessageLimits &limits)
 {
     constexpr std::uint64_t Max = std::numeric_limits<std::uint64_t>::max();
@@ -142,12 +142,8 @@
     ParsedMessage &m_message;
 };
 
-} // namespace
-
-namespace {
-
-/// Length of the last chunk without extensions and trailers. Beast asserts that it gets that many
-/// bytes if it was given the line of the last chunk before.
+/// Length of the last chunk without extensions and trailers. Beast asserts that it receives at
+/// least this many bytes when it parses the line of the last chunk again after asking for more.
 constexpr std::size_t MinChunkBytes = LastChunk.size();
 
 } // namespace
@@ -162,7 +158,7 @@
 
     Kind kind;
     MessageLimits limits;
-    bool awaitsChunk = false; ///< the bytes that were not consumed are the begin of a chunk
+    bool awaitsChunk = false; ///< the unconsumed bytes are the beginning of a chunk
     std::uint64_t headBytes = 0; ///< consumed while the head was incomplete
     std::uint64_t consumedBytes = 0;
     ParsedMessage message;
@@ -184,9 +180,9 @@
                                                      : Failure::Malformed;
     }
 
-    /// Fails if the part of the message that must be complete before it is parsed is too long. \a
-    /// kept bytes of it are not consumed. Beast limits neither lines of a chunked body nor a head
-    /// of which whole lines were consumed.
+    /// Fails if the head, or a line or trailer section of a chunked body, is too long. \a kept
+    /// bytes of it are not consumed yet. Beast limits neither the lines of a chunked body nor a
+    /// head that arrives line by line.
     void checkKept(std::size_t kept)
     {
         if (kept + (message.headDone ? 0 : headBytes) > limits.headerBytes)
--- a/src/entry/httpmessage.h
+++ b/src/entry/httpmessage.h
@@ -57,8 +57,8 @@
 /// Size limits of a message, in bytes.
 struct MessageLimits
 {
-    /// Start line and header section. Also the longest line that frames a chunk, and the longest
-    /// trailer section: they are kept until they are complete.
+    /// Of the start line and header section. Also applies to each line that frames a chunk and to
+    /// the trailer section, since they are buffered until they are complete.
     std::uint32_t headerBytes = DefaultMaxHeaderBytes;
     std::uint64_t bodyBytes = DefaultMaxBodyBytes;
 };
@@ -78,8 +78,8 @@
     MessageReader(MessageReader &&) noexcept;
     MessageReader &operator=(MessageReader &&) noexcept;
 
-    /// Parses bytes from the front of \a bytes up to the end of the message. Fails if more bytes
-    /// would have to be kept than a head may have.
+    /// Parses bytes from the front of \a bytes up to the end of the message. Fails if more than
+    /// MessageLimits::headerBytes would have to be buffered.
     /// \return the number of bytes consumed; the caller passes the rest again with more bytes.
     std::size_t consume(std::string_view bytes);
 
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -67,8 +67,8 @@
     using AnswerState = std::function<InstanceState(const InstanceState &)>;
 
     /// \a noticesReceived: called with the crash notices of other instances; \a stateReceived: with
-    /// what an instance tells in its query; \a self: returns what this instance tells in the answer
-    /// to a query in which another instance told its argument, without the load of services.
+    /// the state that an instance sends in its query; \a self: takes that state and returns the one
+    /// to send in the answer.
     PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived,
                StateHandler stateReceived, AnswerState self);
 
--- a/src/entry/tablesource.cpp
+++ b/src/entry/tablesource.cpp
@@ -107,7 +107,7 @@
     settings.endpoint = m_peer.name;
     settings.address = m_peer.address;
     InstanceState self = m_self();
-    // The peer needs the name only to fetch a configuration that it lacks, and to tell loads apart.
+    // The peer needs the name only to fetch a configuration that it lacks, and to identify loads.
     if (self.configuration <= m_peerConfiguration && !self.load)
         self.name.clear();
     const Time sentAt = bootNow();
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -167,7 +167,7 @@
     Relay m_relay;
     RouteMapPtr m_table;
     FleetPtr m_fleet;
-    std::map<std::string, std::uint64_t> m_loggedRefusals; ///< by service, as last logged
+    std::map<std::string, std::uint64_t> m_loggedRefusals; ///< last logged counts, by service
     std::unordered_map<FlightId, std::shared_ptr<CallerSession>> m_flights;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
     std::map<std::string, std::shared_ptr<TimedCall>> m_queries; ///< by endpoint
--- a/src/fakes/admissionsimulation.h
+++ b/src/fakes/admissionsimulation.h
@@ -1,5 +1,5 @@
 /// \file
-/// Many instances in virtual time that admit requests for the endpoints of one service.
+/// Simulates, in virtual time, many instances that admit requests for the endpoints of one service.
 
 #pragma once
 
@@ -19,7 +19,8 @@
 class AdmissionSimulation
 {
 public:
-    /// How the callers are divided among the instances.
+    /// How the callers are divided among the instances: with exponentially distributed weights, or
+    /// half of them at a tenth of the instances.
     enum class Skew { Exponential, HalfAtATenth };
 
     /// Requests with the same priority and team.
@@ -44,12 +45,13 @@
     /// Observations of one run().
     struct Result
     {
-        double goodput = 0; ///< requests served in time, of those that the endpoints can serve
-        double goodputWork = 0; ///< the same by work: a preference for small requests has no effect
+        double goodput = 0; ///< requests served in time, relative to what endpoints can serve
+        /// The same by work, so that a preference for small requests does not increase it.
+        double goodputWork = 0;
         /// Maximum work of admitted requests over the memory of the endpoints.
         double peakInFlight = 0;
         double admittedAtOnce = 1; ///< share of all calls, repeated ones included
-        double rejectedAttempts = 0; ///< share of the attempts at endpoints
+        double rejectedAttempts = 0; ///< share of the attempts that endpoints reject
         double refusedUnsent = 1; ///< share of the refusals that came before any attempt
         Duration medianRefusal {}; ///< time until the median refusal
         Duration longestRetryAfter {}; ///< that an Admission returned
@@ -78,7 +80,7 @@
     }
     void stopExchange() { m_exchange = false; }
 
-    /// Callers refused within \a length from now repeat all at its end.
+    /// Callers that are refused within \a length from now all repeat their requests at its end.
     void returnTogether(Duration length) { m_returnAt = m_now + length; }
 
     /// Halves the memory of the \a count largest endpoints. Instances don't learn it.
@@ -99,7 +101,7 @@
     struct Instance
     {
         Admission admission;
-        double weight = 1; ///< of its part of the callers
+        double weight = 1; ///< relative number of its callers
         bool alive = true;
         std::size_t waiting = 0;
         Time suspendedUntil {};
@@ -156,7 +158,7 @@
             Apply
         } kind;
         std::size_t subject;
-        std::uint64_t version; ///< of a wake or arrival event
+        std::uint64_t version; ///< of a wake or arrival event; outdated ones are ignored
 
         bool operator<(const Event &other) const
         {
@@ -203,7 +205,6 @@
     std::normal_distribution<> m_fillNoise;
     Time m_now {std::chrono::hours(1)};
     std::uint64_t m_nextEvent = 1;
-    std::uint64_t m_turns = 0;
     std::uint64_t m_run = 0;
     double m_meanWork = 0; ///< of a request
     double m_meanOccupancy = 0; ///< of a request: its work times its steps
--- a/src/fakes/batchendpoint.cpp
+++ b/src/fakes/batchendpoint.cpp
@@ -45,7 +45,7 @@
     if (it == m_held.end())
         return;
     runUntil(now);
-    if (it->second.turn != 0) {
+    if (it->second.startNumber != 0) {
         stop(it->second);
     } else {
         std::erase(m_waiting, request);
@@ -66,7 +66,7 @@
 {
     runUntil(now);
     std::vector<Progress> reached;
-    dropStale();
+    dropStaleMilestones();
     while (!m_milestones.empty() && m_milestones.top().steps <= m_steps) {
         const Milestone milestone = m_milestones.top();
         m_milestones.pop();
@@ -77,7 +77,7 @@
             m_held.erase(milestone.request);
         }
         reached.push_back({milestone.request, milestone.end});
-        dropStale();
+        dropStaleMilestones();
     }
     fillMemory();
     return reached;
@@ -105,21 +105,21 @@
 void BatchEndpoint::start(std::size_t request)
 {
     Held &held = m_held.at(request);
-    held.turn = ++m_turns;
+    held.startNumber = ++m_starts;
     held.growth = (1 - InitialPart) * held.work.tokens / held.work.steps;
     held.growthAtStart = held.growth * m_steps;
-    m_running.emplace(held.turn, request);
+    m_running.emplace(held.startNumber, request);
     m_runningTokens += held.work.tokens;
     m_growth += held.growth;
     m_growthAtStart += held.growthAtStart;
     if (!held.begun)
-        m_milestones.push({m_steps + held.work.firstSteps, request, held.turn, false});
-    m_milestones.push({m_steps + held.work.steps, request, held.turn, true});
+        m_milestones.push({m_steps + held.work.firstSteps, request, held.startNumber, false});
+    m_milestones.push({m_steps + held.work.steps, request, held.startNumber, true});
 }
 
 void BatchEndpoint::stop(Held &held)
 {
-    m_running.erase(std::exchange(held.turn, 0));
+    m_running.erase(std::exchange(held.startNumber, 0));
     m_runningTokens -= held.work.tokens;
     m_growth -= held.growth;
     m_growthAtStart -= held.growthAtStart;
@@ -144,15 +144,15 @@
         m_waitingTokens -= tokens;
         start(next);
     }
-    dropStale();
+    dropStaleMilestones();
 }
 
 /// Removes the first milestones of requests that were preempted or removed.
-void BatchEndpoint::dropStale()
+void BatchEndpoint::dropStaleMilestones()
 {
     while (!m_milestones.empty()) {
         const auto it = m_held.find(m_milestones.top().request);
-        if (it != m_held.end() && it->second.turn == m_milestones.top().turn)
+        if (it != m_held.end() && it->second.startNumber == m_milestones.top().startNumber)
             return;
         m_milestones.pop();
     }
--- a/src/fakes/batchendpoint.h
+++ b/src/fakes/batchendpoint.h
@@ -72,9 +72,9 @@
     {
         BatchWork work;
         bool begun = false;
-        std::uint64_t turn = 0; ///< number of its start; 0: waiting
+        std::uint64_t startNumber = 0; ///< increases with each start; 0: waiting
         double growth = 0; ///< of its memory per step
-        double growthAtStart = 0; ///< if it had run since the endpoint's first step
+        double growthAtStart = 0; ///< growth times the endpoint's steps before the start
     };
 
     /// A request's first event or end, when the endpoint reaches a number of steps.
@@ -82,7 +82,7 @@
     {
         double steps;
         std::size_t request;
-        std::uint64_t turn;
+        std::uint64_t startNumber; ///< the milestone is stale if the request has another one
         bool end;
 
         bool operator<(const Milestone &other) const { return steps > other.steps; }
@@ -94,16 +94,16 @@
     void start(std::size_t request);
     void stop(Held &held);
     void fillMemory();
-    void dropStale();
+    void dropStaleMilestones();
 
     double m_memory;
-    double m_steps = 0; ///< since the beginning
+    double m_steps = 0; ///< since the construction
     Time m_now {};
     std::unordered_map<std::size_t, Held> m_held;
-    std::map<std::uint64_t, std::size_t> m_running; ///< requests by turn
+    std::map<std::uint64_t, std::size_t> m_running; ///< requests by start number
     std::deque<std::size_t> m_waiting;
     std::priority_queue<Milestone> m_milestones;
-    std::uint64_t m_turns = 0;
+    std::uint64_t m_starts = 0;
     double m_waitingTokens = 0;
     double m_runningTokens = 0; ///< sums over the running requests
     double m_growth = 0;
--- a/src/include/balsamloft/admission/admission.h
+++ b/src/include/balsamloft/admission/admission.h
@@ -19,10 +19,11 @@
 struct AdmissionSettings
 {
     bool enabled = false; ///< if not, every request is admitted
-    /// Longest wait of a request, as a share of its target latency. It evens out the arrivals of
-    /// callers; a longer queue would keep refused callers from an early second attempt.
+    /// Longest wait of a request, as a share of its target latency. Waits of this length absorb
+    /// short bursts; longer ones would delay refusals, and with them the second attempts of
+    /// callers.
     double maxWaitShare = 0.1;
-    std::size_t maxWaiting = 1000; ///< requests of a service that wait at this instance
+    std::size_t maxWaiting = 1000; ///< most requests of a service that wait at this instance
     std::uint64_t seed = 1;
 };
 
@@ -69,9 +70,10 @@
 /// deadlines, or are refused at once if they would wait too long. The capacity is derived from the
 /// endpoints and corrected by what callers of all instances observe, see CapacityEstimate.
 ///
-/// Requests that can no longer meet their target get a part of a service that is at its capacity:
-/// if they came first, no request would be served in time any more, and without a part of their own
-/// their callers would be refused again and again.
+/// Late requests have a rank of their own below the other requests of their priority: if they came
+/// first at a service that is at its capacity, no request would be served in time any more. The
+/// limit of each rank is at least a tenth of the instance's limit, so that a rank is not refused
+/// altogether.
 class Admission
 {
 public:
@@ -82,8 +84,7 @@
 
     // Commands
 
-    /// Sets the work that the endpoints of \a service hold at once according to their published
-    /// sizes.
+    /// Sets the work that the endpoints of \a service hold at once, see nominalCapacity().
     void setNominalCapacity(const std::string &service, double work);
 
     /// Sets the number of live instances, including this one.
@@ -95,7 +96,8 @@
     /// Decides on a new request. A request that was told to wait is decided on by poll().
     AdmissionDecision submit(const AdmissionRequest &request, Time now);
 
-    /// Returns the decisions on waiting requests that became possible.
+    /// Returns the decisions on requests that no longer wait: they are admitted since capacity
+    /// became free, or refused since they have waited for the longest time.
     std::vector<AdmissionDecision> poll(Time now);
 
     /// The request finished or was abandoned, whether it was admitted or waits.
--- a/src/include/balsamloft/admission/capacityestimate.h
+++ b/src/include/balsamloft/admission/capacityestimate.h
@@ -1,5 +1,5 @@
 /// \file
-/// How much work the endpoints of a service hold while they answer in time.
+/// Estimates how much work the endpoints of a service hold while they answer in time.
 
 #pragma once
 
@@ -13,15 +13,15 @@
 /// published sizes: tokens for a model, requests for a plain service; 0 if the sizes are unknown.
 double nominalCapacity(const FleetSnapshot &fleet, const RoutedService &service);
 
-/// How a CapacityEstimate follows what callers observe.
+/// Settings of a CapacityEstimate.
 struct CapacityEstimateSettings
 {
     double initialFactor = 0.9; ///< of the nominal capacity
     double minFactor = 0.2;
-    /// With all of its memory in use, a service rejects what comes beyond.
+    /// Not above 1: a service whose memory is used completely rejects further requests.
     double maxFactor = 1;
-    /// An overloaded service's factor falls by its share of late and rejected attempts, but by at
-    /// least the first and at most the second part.
+    /// The factor of an overloaded service falls by the share of its attempts that are late or
+    /// rejected, limited to this range.
     double minDecrease = 0.05;
     double maxDecrease = 0.2;
     double increasePerSecond = 0.1; ///< while the capacity is used up and requests begin in time
@@ -29,8 +29,8 @@
     /// a few late or rejected requests at any load.
     double maxRejectedShare = 0.05;
     double maxLateShare = 0.05;
-    /// Share of the capacity in use above which it limits the requests. Below it, late requests
-    /// have other causes, and nothing shows that more could be served.
+    /// Share of the capacity in use from which on the factor is changed. Below it, late requests
+    /// have other causes, and requests in time do not show that more could be served.
     double limitingUse = 0.7;
     /// Time between two decreases: until then the effect of the first one is not visible.
     Duration decreaseInterval {2'000'000};
@@ -47,7 +47,7 @@
 
     void setNominal(double work) { m_nominal = work; }
 
-    /// Applies the load of the service by all instances.
+    /// Corrects the factor by \a total, the load of the service by all instances.
     void update(const ServiceLoad &total, Time now);
 
     // Queries
@@ -57,7 +57,7 @@
     double factor() const { return m_factor; }
 
 private:
-    double overload(const ServiceLoad &total) const;
+    double decrease(const ServiceLoad &total) const;
 
     CapacityEstimateSettings m_settings;
     double m_nominal = 0;
--- a/src/include/balsamloft/admission/capacityshares.h
+++ b/src/include/balsamloft/admission/capacityshares.h
@@ -16,11 +16,11 @@
     /// Part of the capacity that is divided equally. It lets an instance that had no demand yet
     /// serve its first callers.
     double equalPart = 0.1;
-    /// After this age of the fleet's load, the share begins to change to an equal one. Longer than
-    /// the usual age of the oldest part of a total, to which each level of the tree adds up to two
+    /// Age of the fleet's load at which the share begins to change to an equal one. It must exceed
+    /// the usual age of a total's oldest part, to which each level of the tree adds up to two
     /// seconds. Otherwise the shares of a large fleet would not follow the demand.
     Duration loadLifetime {6'000'000};
-    Duration decayTime {5'000'000}; ///< until the share is an equal one
+    Duration decayTime {5'000'000}; ///< from then until the share is an equal one
     double averagingSeconds = 2; ///< time constant of the demand
 };
 
@@ -61,7 +61,7 @@
     std::map<std::string, Demand, std::less<>> m_demands; ///< by service
     std::optional<Time> m_updatedAt;
     Time m_asOf {}; ///< of the last load
-    std::uint32_t m_includedInstances = 0; ///< most in a total since the averages began
+    std::uint32_t m_maxIncluded = 0; ///< most instances in a total since the averages began
 };
 
 } // namespace balsamloft
--- a/src/include/balsamloft/admission/fairqueue.h
+++ b/src/include/balsamloft/admission/fairqueue.h
@@ -22,7 +22,7 @@
     RequestId request = 0;
     std::string team;
     double share = 1; ///< weight of the team, greater than zero
-    int priority = 0; ///< of its class; smaller ones are served first
+    int priority = 0; ///< number of its class; smaller ones are served first
     Time deadline {};
     double cost = 1; ///< expected work in tokens; the shares divide work, not request counts
     Time latestStart = Time::max(); ///< after this time, takeExpired() removes the request
@@ -30,7 +30,7 @@
 
 /// Orders waiting requests: strict priority between priority classes, weighted fair
 /// queueing between the teams of a class, earliest deadline first within a team.
-/// Requests that resume after a failure precede all others of their class. The effort of each
+/// Requests that resume after a failure precede all others of their class. The time of each
 /// operation grows with the logarithm of the number of requests and with the number of classes.
 class FairQueue
 {
--- a/src/include/balsamloft/admission/loadexchange.h
+++ b/src/include/balsamloft/admission/loadexchange.h
@@ -21,8 +21,9 @@
 /// Settings of a LoadExchange.
 struct LoadExchangeSettings
 {
-    /// How long the report of another instance is included. Longer than the time between two
-    /// queries, shorter than the time in which the callers of a dead instance reach other ones.
+    /// How long the report of another instance is included. It must be longer than the time between
+    /// two queries, and shorter than the time after which the callers of a dead instance have
+    /// reached other ones.
     Duration reportLifetime {3'000'000};
 };
 
@@ -49,14 +50,16 @@
 
     // Queries
 
-    /// The sum over this instance and those that read from it, to report to its source.
+    /// The sum over this instance and those that read from it, to report to the instance that this
+    /// one reads from.
     AgedLoadSummary subtree(Time now) const;
 
     /// The sum over all instances, to report to the instances that read from this one. A domain
     /// reader sums it up itself; \a reader: whether this instance is one now.
     AgedLoadSummary total(bool reader, Time now) const;
 
-    /// The total with the own load at the time of its oldest part; nothing without a recent total.
+    /// The total, and the own load as it was when the oldest part of the total was measured.
+    /// Nothing without a recent total.
     std::optional<FleetLoad> fleet(bool reader, Time now) const;
 
 private:
@@ -89,7 +92,7 @@
     ReportMap m_domains; ///< by domain
     std::optional<Report> m_total;
     std::optional<Time> m_activeAt; ///< last activity
-    Time m_activeSince {}; ///< no longer pause in the activity since then
+    Time m_activeSince {}; ///< end of the last pause longer than the lifetime of a report
 };
 
 } // namespace balsamloft
--- a/src/include/balsamloft/admission/loadroute.h
+++ b/src/include/balsamloft/admission/loadroute.h
@@ -13,11 +13,12 @@
 /// Intervals of a LoadRoute.
 struct LoadRouteSettings
 {
-    /// Time between two loads to the same instance. With each query, loads would exceed the
+    /// Minimum time between two loads to the same instance. Loads in each query would exceed the
     /// bandwidth that the control of an instance may use.
     Duration interval {1'000'000};
-    /// How long another instance than the last one gets no load. Shorter than the lifetime of a
-    /// report, so that an instance that changes its source is always counted.
+    /// After a load to one instance, other instances get none for this time. It must be shorter
+    /// than the lifetime of a report, so that an instance that changes its source is always
+    /// counted.
     Duration sourceHold {2'000'000};
 };
 
@@ -50,7 +51,7 @@
 
     // Queries
 
-    /// Whether a load that the instance \a sender reports as its subtree may be added up here.
+    /// Whether the subtree that the instance \a sender reports may be included in sums here.
     bool acceptsSubtree(const std::string &sender) const { return m_self < sender; }
 
 private:
--- a/src/include/balsamloft/admission/ratelimits.h
+++ b/src/include/balsamloft/admission/ratelimits.h
@@ -16,7 +16,7 @@
 
 namespace balsamloft {
 
-/// Lifetime of slots and limits, and how slots follow demand.
+/// Settings of RateLimits.
 struct RateLimitSettings
 {
     /// How long a slot can be used after it begins. With a longer lifetime, fewer slots go
@@ -34,8 +34,8 @@
     /// How long an instance may use slots beyond its own after the demand was measured. At most the
     /// time after which the other instances drop its demand from their totals and divide its slots.
     Duration loadLifetime {3'000'000};
-    /// How long a low share applies after the last total. Longer than the time in which reports of
-    /// this instance may still be included in the totals of others.
+    /// How long a part below the one in the rotation applies after the last total. It must be
+    /// longer than the time for which totals of others may still include a report of this instance.
     Duration lendingTime {10'000'000};
     /// How long an increase beyond the part in the rotation is delayed. At least the difference
     /// between the ages of the totals that instances use at the same time.
@@ -75,8 +75,8 @@
     /// Sets the offset to add to the local time to get the clock that all instances share.
     void setClockOffset(Duration offset) { m_offset = offset; }
 
-    /// Applies the demand of all instances, also if the total includes only few of them.
-    /// Repetitions of a total are ignored if they follow quickly.
+    /// Applies the demand of all instances. The total may include only a few of them. Totals that
+    /// follow the last one within 200 ms are ignored.
     void applyFleetLoad(const FleetLoad &load, Time now);
 
     /// Removes the limits of endpoints that are not in \a fleet.
@@ -100,7 +100,7 @@
 
     /// Whether totals arrive. If not, this instance must not report its load, except as a reader
     /// that sums up totals itself: after RateLimitSettings::lendingTime it uses all of its slots in
-    /// the rotation, and those whose totals include its load would use them too.
+    /// the rotation, and instances whose totals include its load would use some of them too.
     bool followsDemand(Time now) const;
 
     /// The part of the endpoint's slots that this instance uses now, between 0 and 1; 1 without a
--- a/src/include/balsamloft/admission/returnschedule.h
+++ b/src/include/balsamloft/admission/returnschedule.h
@@ -1,5 +1,5 @@
 /// \file
-/// When callers of refused requests should come back.
+/// Schedules when the callers of refused requests come back.
 
 #pragma once
 
@@ -33,11 +33,11 @@
     /// unknown, returns are spread evenly. \a earliest: expected time until there is capacity.
     /// \a latest: the caller does not wait longer.
     ///
-    /// The delay is in the first slot between \a earliest and \a latest that has room, at a random
-    /// time of it; if none has, at a random time before \a latest. Of the requests that have room
-    /// in a slot, the work is at most that of \a rate, except for one request that is larger than
-    /// this. The delay is less than \a earliest, or than the minimum delay, only if \a latest is
-    /// not greater; it is never greater than \a latest.
+    /// With a known rate, the delay ends at a random time of the first slot with room between \a
+    /// earliest and \a latest; if there is none, at a random time of the later half of this span.
+    /// The work of requests that found room in a slot is at most what \a rate allows, unless one
+    /// request alone is larger. The delay is never greater than \a latest. It is less than \a
+    /// earliest or the minimum delay only if \a latest is not greater than these.
     Duration schedule(double work, double rate, Duration earliest, Duration latest, Time now,
                       std::mt19937_64 &random);
 
@@ -64,8 +64,8 @@
     /// Removes the slots before \a now and adds those up to the maximum delay.
     void advance(Time now);
 
-    /// The first slot between \a from and \a to in which \a work keeps within \a rate. Of a slot
-    /// that is only partly in this span, the same part of the rate can be used.
+    /// The first slot between \a from and \a to in which \a work keeps within \a rate. A slot that
+    /// is only partly in this span has room for the same part of the work.
     std::optional<std::int64_t> freeSlot(double work, double rate, Time from, Time to) const;
 
     /// Counts \a work as a return in \a slot. Work beyond \a limit is charged to the room that is
--- a/src/include/balsamloft/admission/serviceload.h
+++ b/src/include/balsamloft/admission/serviceload.h
@@ -1,5 +1,5 @@
 /// \file
-/// What instances ask of a service, and what they receive from it.
+/// Loads of services: demand, work in flight and outcomes of requests.
 
 #pragma once
 
@@ -17,8 +17,8 @@
     std::string service;
     double demand = 0; ///< work requested per second, refused requests included
     double inFlight = 0; ///< work admitted and not finished
-    double onTime = 0; ///< requests per second that began within their target latency
-    double late = 0; ///< requests per second that began later
+    double onTime = 0; ///< first events or answers per second within the target latency
+    double late = 0; ///< first events or answers per second after the target latency
     double rejected = 0; ///< attempts per second that endpoints rejected for lack of capacity
 
     bool operator==(const ServiceLoad &) const = default;
@@ -28,7 +28,7 @@
 struct LoadSummary
 {
     std::vector<ServiceLoad> services;
-    std::uint32_t instances = 0; ///< whose loads are included
+    std::uint32_t instances = 0; ///< number of instances whose loads are included
 
     /// Returns the load of \a service, or null.
     const ServiceLoad *find(std::string_view service) const;
--- a/src/include/balsamloft/calleracceptor.h
+++ b/src/include/balsamloft/calleracceptor.h
@@ -58,7 +58,7 @@
     /// Stops listening and closes the connections that wait.
     void close();
 
-    /// The address that was listened at, also while no connections are accepted.
+    /// The address of the listening socket, with the selected port. Also valid while it is closed.
     const boost::asio::ip::tcp::endpoint &address() const { return m_settings.address; }
     std::size_t waiting() const { return m_waiting.size(); }
     const Counts &counts() const { return m_counts; }
@@ -85,7 +85,7 @@
     AcceptGate m_gate;
     UnreadConnections m_waiting; ///< descriptors
     Counts m_counts;
-    /// Expires with this object; the loop may still hold handlers then.
+    /// Lets handlers that the loop still holds detect that this object was destroyed.
     std::shared_ptr<char> m_lifetime = std::make_shared<char>();
     int m_backlog = 0; ///< of the listening socket
     bool m_turnScheduled = false;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -38,11 +38,11 @@
     std::uint32_t answerTokens = 0; ///< expected
 };
 
-/// Number of route priorities that are distinguished.
+/// Number of route priorities that are distinguished; larger ones count as the lowest.
 inline constexpr int RoutePriorities = 10;
 
-/// Returns the priority of a request: that of its team comes first, and requests of teams with the
-/// same priority are ordered by that of their routes.
+/// Returns the priority of a request whose team and route have the priorities \a team and \a route.
+/// The priority of the team takes precedence over that of the route.
 inline int combinedPriority(int team, int route)
 {
     return team * RoutePriorities + std::min(route, RoutePriorities - 1);
@@ -75,7 +75,7 @@
 
 // Actions
 
-/// Lowest urgency that engines distinguish.
+/// Number of the lowest urgency that engines distinguish; 0 is the highest.
 inline constexpr int MaxUrgency = 9;
 
 /// Send the request to an endpoint, or request the rest of its stream there.
@@ -230,8 +230,8 @@
     Duration minReturnSpread {300'000};
     Duration maxReturnSpread {5'000'000};
     AdmissionSettings admission;
-    /// Whether rate limits are divided by demand. It requires that instances whose totals are out
-    /// of date report no load, see RateLimits.
+    /// Whether rate limits are divided by demand. Requires that instances without recent totals
+    /// report no load, see RateLimits::followsDemand().
     bool rateLimitsFollowDemand = false;
     std::uint64_t seed = 1;
 };
@@ -355,7 +355,7 @@
     std::optional<std::uint64_t> lastEvent(FlightId id) const;
     std::size_t flights() const { return m_flights.size(); }
 
-    /// The load by this instance's callers.
+    /// The load of services by the callers of this instance.
     LoadSummary load(Time now) const { return m_admission.load(now); }
     const Admission &admission() const { return m_admission; }
     const RelayCounts &counts() const { return m_counts; }
--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-/// Time constants of the rates that are reported to other instances. Demand is divided by its
-/// instances, of which some have few requests per second. Outcomes are summed up over all, and old
-/// ones would reduce the capacity again after it was reduced.
+/// Time constants of the rates that are reported to other instances. Shares depend on the demand of
+/// each instance, and some instances have few requests per second, so it is averaged longer.
+/// Outcomes are only used as sums over all instances; with a longer average, outcomes from before a
+/// decrease of the capacity would decrease it again.
 constexpr double DemandSeconds = 2;
 constexpr double OutcomeSeconds = 1;
 
@@ -23,33 +24,34 @@
 /// fluctuations of their callers' demand.
 constexpr double BorrowedPart = 0.1;
 
-/// Part of the capacity in use by all instances below which an instance may exceed its share by
-/// AmpleFactor. Few callers of one instance vary by more than its share of a service that is hardly
-/// used.
+/// While all instances together use less than AmpleUse of the capacity, the limit of an instance is
+/// multiplied by AmpleFactor. An instance with few callers would otherwise refuse requests at a
+/// service with free capacity, since the demand of few callers fluctuates by more than its share.
 constexpr double AmpleUse = 0.7;
 constexpr double AmpleFactor = 3;
 
 /// Requests that an instance may have in flight whatever its share: a request larger than the
 /// share must not wait forever, and several callers of one instance may come at once while the
 /// capacity is ample.
-constexpr std::size_t MinAdmitted = 1;
-constexpr std::size_t MinAdmittedIfAmple = 4;
+constexpr std::size_t MinRunning = 1;
+constexpr std::size_t MinRunningIfAmple = 4;
 
 /// How long a total that shows ample capacity is relied on.
 constexpr Duration AmpleLifetime {2'000'000};
 
-/// Callers do not wait longer for a second attempt than this part of their time.
+/// Longest Retry-After, as a part of the time until the caller's deadline.
 constexpr double MaxReturnPart = 1.0 / 3;
 
-/// Part of a contended service that a rank may use however much is requested with higher ones, so
-/// that none is starved. Callers who come back find as much.
+/// Lower bound of the limit of a rank at a contended service, as a part of the instance's limit, so
+/// that no rank is excluded by the demand of higher ones. The same part of the drain rate is left
+/// to the returns of refused callers.
 constexpr double MinRankPart = 0.1;
 
 /// A service counts as at its capacity for this long after it refused a request.
 constexpr Duration ContendedDuration {1'000'000};
 
-/// Least part of the capacity that a side of a partition uses. Instances that are missing from the
-/// total may also have been stopped, and their callers come to the others.
+/// Lower bound of the part of the capacity that is used if the total lacks listed instances. They
+/// may have been stopped rather than partitioned; then their callers come to the other instances.
 constexpr double MinCoverage = 0.5;
 
 /// Sum of events that decays exponentially, as a rate per second.
@@ -102,7 +104,7 @@
         Time waitsUntil {};
     };
 
-    /// The part of a service's load that has one rank.
+    /// Load of a service by requests of one rank.
     struct RankLoad
     {
         double inFlight = 0;
@@ -115,13 +117,13 @@
         FairQueue queue;
         std::set<std::pair<Time, std::uint64_t>> byExpiry; ///< waiting requests
         ReturnSchedule returns;
-        Time ampleUntil {}; ///< the capacity has ample room until then
+        Time ampleUntil {}; ///< until then, limits are raised by AmpleFactor
         Time contendedSince {};
         Time contendedUntil {}; ///< the service is at its capacity until then
         double inFlight = 0;
-        std::size_t admittedNow = 0; ///< admitted requests that have not finished
+        std::size_t running = 0; ///< number of admitted requests that have not finished
         DecayingRate demand {DemandSeconds};
-        std::map<int, RankLoad> byRank;
+        std::map<int, RankLoad> byRank; ///< smaller ranks are served first
         DecayingRate drained {DemandSeconds};
         DecayingRate onTime {OutcomeSeconds};
         DecayingRate late {OutcomeSeconds};
@@ -130,11 +132,12 @@
     };
 
     static int rank(const AdmissionRequest &request);
+    static bool isLate(int rank) { return rank % 2 != 0; }
     double limit(const std::string &name, const Service &service, Time now) const;
     bool fits(const std::string &name, const Service &service, int rank, double work,
               Time now) const;
     static double rankPart(const Service &service, int rank, Time now);
-    static double inFlightFrom(const Service &service, int rank);
+    static double inFlightFromRank(const Service &service, int rank);
     void admit(Service &service, Entry &entry) const;
     AdmissionDecision refuse(Service &service, const AdmissionRequest &request, Duration wait,
                              std::string reason, Time now);
@@ -172,9 +175,9 @@
 }
 
 /// The part of a contended service's capacity that is left to \a rank and those below it by the
-/// demand above it. Without such a limit, requests of a low rank take what becomes free between two
-/// requests of a high one. Late requests are no demand: their callers were refused before and would
-/// be counted twice.
+/// demand of higher ranks. Without such a limit, requests of a low rank would take what becomes
+/// free between two requests of a high one. The demand of late requests is not included: their
+/// callers were refused before and would be counted twice.
 double Admission::Impl::rankPart(const Service &service, int rank, Time now)
 {
     const double rate = service.drained.perSecond(now);
@@ -182,12 +185,12 @@
         return 1;
     double above = 0;
     for (const auto &[each, load] : service.byRank)
-        above += each < rank && each % 2 == 0 ? load.demand.perSecond(now) : 0;
+        above += each < rank && !isLate(each) ? load.demand.perSecond(now) : 0;
     return std::clamp(1 - above / rate, MinRankPart, 1.0);
 }
 
 /// Work in flight with \a rank and lower ones.
-double Admission::Impl::inFlightFrom(const Service &service, int rank)
+double Admission::Impl::inFlightFromRank(const Service &service, int rank)
 {
     double sum = 0;
     for (auto it = service.byRank.lower_bound(rank); it != service.byRank.end(); ++it)
@@ -198,12 +201,12 @@
 bool Admission::Impl::fits(const std::string &name, const Service &service, int rank, double work,
                            Time now) const
 {
-    const double most = limit(name, service, now);
-    const std::size_t atLeast = now < service.ampleUntil ? MinAdmittedIfAmple : MinAdmitted;
-    if (most < 0 || service.admittedNow < atLeast)
+    const double maxInFlight = limit(name, service, now);
+    const std::size_t minRunning = now < service.ampleUntil ? MinRunningIfAmple : MinRunning;
+    if (maxInFlight < 0 || service.running < minRunning)
         return true;
-    return service.inFlight + work <= most
-           && inFlightFrom(service, rank) + work <= most * rankPart(service, rank, now);
+    return service.inFlight + work <= maxInFlight
+           && inFlightFromRank(service, rank) + work <= maxInFlight * rankPart(service, rank, now);
 }
 
 void Admission::Impl::admit(Service &service, Entry &entry) const
@@ -211,7 +214,7 @@
     entry.state = State::Admitted;
     service.inFlight += entry.request.work;
     service.byRank[rank(entry.request)].inFlight += entry.request.work;
-    service.admittedNow += 1;
+    service.running += 1;
     service.counts.admitted += 1;
 }
 
@@ -222,7 +225,7 @@
     if (now >= service.contendedUntil)
         service.contendedSince = now;
     service.contendedUntil = now + ContendedDuration;
-    // Without better knowledge, a service is expected to stay contended for as long as it has been.
+    // The service is expected to stay contended for as long as it has been so far.
     wait = std::max(wait, now - service.contendedSince);
     const Duration latest(
         static_cast<std::int64_t>(static_cast<double>(request.timeLeft.count()) * MaxReturnPart));
@@ -240,9 +243,9 @@
     const double rate = service.drained.perSecond(now);
     if (rate <= 0)
         return std::nullopt;
-    const double most = limit(name, service, now);
+    const double maxInFlight = limit(name, service, now);
     const double ahead = service.queue.costAhead(rank, request.team, request.teamShare)
-                         + std::max(0.0, service.inFlight + request.work - most);
+                         + std::max(0.0, service.inFlight + request.work - maxInFlight);
     constexpr double MaxSeconds = 60;
     return Duration(static_cast<std::int64_t>(std::min(ahead / rate, MaxSeconds) * 1e6));
 }
@@ -309,7 +312,7 @@
     for (auto &[name, service] : m_impl->services)
         if (const ServiceLoad *total = load.total.find(name)) {
             service.capacity.update(*total, now);
-            // What is requested until the next total arrives counts as in flight.
+            // Work that is requested until the next total arrives is included.
             constexpr double TotalIntervalSeconds = 1;
             const double expected = total->inFlight + total->demand * TotalIntervalSeconds;
             const bool ample = expected < AmpleUse * service.capacity.capacity();
@@ -367,9 +370,8 @@
     if (it->second.state == Impl::State::Waiting) {
         m_impl->removeWaiting(service, it->second);
     } else {
-        service.admittedNow -= 1;
-        service.inFlight =
-            service.admittedNow == 0 ? 0 : service.inFlight - it->second.request.work;
+        service.running -= 1;
+        service.inFlight = service.running == 0 ? 0 : service.inFlight - it->second.request.work;
         service.drained.add(it->second.request.work, now);
         double &ofRank = service.byRank[Impl::rank(it->second.request)].inFlight;
         ofRank = std::max(0.0, ofRank - it->second.request.work);
@@ -396,10 +398,10 @@
 
 LoadSummary Admission::load(Time now) const
 {
-    LoadSummary report;
-    report.instances = 1;
+    LoadSummary summary;
+    summary.instances = 1;
     if (!m_impl->settings.enabled)
-        return report;
+        return summary;
     constexpr double MinDemand = 1e-3;
     for (const auto &[name, service] : m_impl->services) {
         const ServiceLoad load {name,
@@ -409,9 +411,9 @@
                                 service.late.perSecond(now),
                                 service.rejected.perSecond(now)};
         if (load.demand > MinDemand || load.inFlight > 0)
-            report.services.push_back(load);
+            summary.services.push_back(load);
     }
-    return report;
+    return summary;
 }
 
 std::vector<AdmissionStatus> Admission::status(Time now) const
--- a/src/libbalsamloft/admission/capacityestimate.cpp
+++ b/src/libbalsamloft/admission/capacityestimate.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-/// Requests per second below which shares of them say nothing.
-constexpr double MinRate = 2;
+/// Attempts per second below which the shares of late and rejected ones are not meaningful.
+constexpr double MinAttemptRate = 2;
 
-/// Longest time between two updates that counts as time in which the service was observed.
+/// Longest time between two updates for which the factor rises. After a longer pause, it is not
+/// known whether the service was fully used all the time.
 constexpr double MaxUpdateSeconds = 2;
 
 /// Tokens that the engines of \a domain hold for each layer, or those of all domains if it is
@@ -64,12 +65,12 @@
 {
 }
 
-/// Returns the part by which the service is loaded beyond what it serves in time; 0: it is not.
-double CapacityEstimate::overload(const ServiceLoad &total) const
+/// Returns the part by which the factor is to be decreased; 0: the service is not overloaded.
+double CapacityEstimate::decrease(const ServiceLoad &total) const
 {
     const double started = total.onTime + total.late;
     const double attempts = started + total.rejected;
-    if (attempts < MinRate
+    if (attempts < MinAttemptRate
         || (total.rejected <= m_settings.maxRejectedShare * attempts
             && total.late <= m_settings.maxLateShare * started))
         return 0;
@@ -83,11 +84,11 @@
     m_updatedAt = now;
     if (total.inFlight < m_settings.limitingUse * capacity())
         return;
-    if (const double excess = overload(total); excess > 0) {
+    if (const double part = decrease(total); part > 0) {
         if (now - m_decreasedAt < m_settings.decreaseInterval)
             return;
         m_decreasedAt = now;
-        m_factor = std::max(m_settings.minFactor, m_factor * (1 - excess));
+        m_factor = std::max(m_settings.minFactor, m_factor * (1 - part));
         return;
     }
     m_factor = std::min(
--- a/src/libbalsamloft/admission/capacityshares.cpp
+++ b/src/libbalsamloft/admission/capacityshares.cpp
@@ -11,10 +11,10 @@
 /// ended never reaches zero.
 constexpr double MinDemand = 1e-6;
 
-/// If the total includes fewer instances than this part of the most since the averages began, they
-/// begin anew. Otherwise the demand of dead instances would reserve capacity for some seconds
-/// longer.
-constexpr double MinRemaining = 0.9;
+/// The averages restart if the total includes fewer instances than this part of the highest number
+/// since their start. Otherwise the demand of dead instances would reserve capacity for some
+/// seconds longer.
+constexpr double MinRemainingPart = 0.9;
 
 double seconds(Duration duration)
 {
@@ -42,20 +42,19 @@
         return;
     const double elapsed = m_updatedAt ? seconds(std::max(Duration {}, now - *m_updatedAt)) : 0;
     const bool restart = !m_updatedAt || ageWeight(now) == 0
-                         || load.total.instances < MinRemaining * m_includedInstances;
+                         || load.total.instances < MinRemainingPart * m_maxIncluded;
     const double weight = restart ? 1 : 1 - std::exp(-elapsed / m_settings.averagingSeconds);
     if (restart)
         m_demands.clear();
     m_updatedAt = now;
     m_asOf = load.asOf;
-    m_includedInstances =
-        restart ? load.total.instances : std::max(m_includedInstances, load.total.instances);
+    m_maxIncluded = restart ? load.total.instances : std::max(m_maxIncluded, load.total.instances);
     for (auto &[service, demand] : m_demands) {
         demand.own *= 1 - weight;
         demand.total *= 1 - weight;
     }
     for (const ServiceLoad &each : load.total.services) {
-        // A service that was not used before has no past to average with.
+        // There are no earlier values to average with if the service was not used.
         const auto [it, inserted] = m_demands.try_emplace(each.service);
         const double part = inserted ? 1 : weight;
         it->second.total += part * each.demand;
--- a/src/libbalsamloft/admission/loadexchange.cpp
+++ b/src/libbalsamloft/admission/loadexchange.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// How long own loads are kept to be matched with totals that include them. Shares do not use
-/// totals that are older.
+/// How long own loads are kept, to find the one that a total includes. CapacityShares does not use
+/// older totals.
 constexpr Duration OwnHistory {12'000'000};
 
 } // namespace
@@ -95,8 +95,9 @@
     return sum;
 }
 
-/// Whether the received reports include those of all instances that can be reached. A new reader
-/// receives no more totals, and the other instances report to it within one report lifetime.
+/// Whether the received reports include those of all instances that can be reached. The other
+/// instances report to a new reader within one report lifetime; until then, the last total that it
+/// received is current.
 bool LoadExchange::isSumComplete(Time now) const
 {
     return m_activeAt && now - *m_activeAt <= m_settings.reportLifetime
--- a/src/libbalsamloft/admission/ratelimits.cpp
+++ b/src/libbalsamloft/admission/ratelimits.cpp
@@ -17,20 +17,20 @@
 constexpr double MaxPerSecond = 10'000;
 constexpr double MinPerSecond = 0.01;
 
-/// Share of a limit for requests that find out whether the expired limit still applies.
+/// Share of a limit for requests that check whether the expired limit still applies.
 constexpr double ProbeShare = 0.125;
 
 /// Part of the slots that instances without a total may own at most while slots follow the demand
 /// of the others. With more of them, the others could use only a small part of the limit.
 constexpr double MaxMissingPart = 0.5;
 
-/// Totals that arrive sooner after the last one are ignored.
+/// Totals that arrive sooner than this after the last one are ignored.
 constexpr Duration MinUpdateInterval {200'000};
 
-/// Interval at which the part of an instance is computed for slots that began in the past.
+/// For slots that began in the past, the part of this instance is computed once in this interval.
 constexpr Duration PartInterval {200'000};
 
-/// Slots of each domain's rotation, as a part of all slots.
+/// Part of the slots that belongs to instances outside the endpoint's failure domain.
 constexpr double OtherDomainsPart = 1.0 / static_cast<double>(OtherDomainsInterval);
 
 /// Returns the fractional part of \a number times the golden ratio. Its values for consecutive
@@ -109,7 +109,7 @@
 {
     std::deque<DemandShare> &shares = demand.shares;
     shares.push_back(share);
-    // The share that applied at the beginning of the delay is kept, also for unused slots.
+    // Shares are kept that applied increaseDelay before the beginning of the oldest usable slot.
     const Duration kept = m_settings.increaseDelay + m_settings.slotLifetime;
     while (shares.size() > 1 && share.knownAt - shares[1].knownAt >= kept)
         shares.pop_front();
@@ -200,8 +200,8 @@
     return ofKind / static_cast<double>(rotation.count);
 }
 
-/// Returns the part of the slots that this instance may use by \a demand. Which of the listed
-/// instances are missing in the total is not known: it is assumed to be those that own most slots.
+/// Returns the part of the slots that \a demand allows this instance to use. It is not known which
+/// of the listed instances the total lacks; they are assumed to be those that own most slots.
 double RateLimits::partFor(const Limit &limit, const DemandShare &demand) const
 {
     const double own = ownPart(limit);
--- a/src/libbalsamloft/admission/returnschedule.cpp
+++ b/src/libbalsamloft/admission/returnschedule.cpp
@@ -82,8 +82,8 @@
     latest = std::clamp(latest, Duration::zero(), m_settings.maxDelay);
     earliest = std::max(earliest, m_settings.minDelay);
     if (earliest >= latest) {
-        // No time is both late enough and early enough. Half of the time that the caller waits
-        // spreads the returns.
+        // No time meets both bounds. Returns are spread over the later half of the time that the
+        // caller waits.
         earliest = latest / 2;
     }
 
@@ -95,7 +95,7 @@
         const Duration to = std::min(latest, beginOf(*slot + 1) - now - Duration(1));
         delay = uniform(from, to, random);
     } else {
-        // When all slots are full, the later half leaves the first ones to callers that fit.
+        // If all slots are full, the first ones are left to callers that fit later.
         delay = uniform(known ? (earliest + latest) / 2 : earliest, latest, random);
     }
     const double seconds = std::chrono::duration<double>(m_settings.slot).count();
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -22,9 +22,9 @@
     return std::max(1.0, static_cast<double>(prompt) + answer);
 }
 
-/// Requests with less time left than this come from callers who have waited already. Callers choose
-/// their own deadlines, so only much less time than the route allows is a sign of that.
-Duration lateBelow(const Route &route)
+/// Returns the time until the deadline below which a request counts as late. Callers choose their
+/// own deadlines, so only much less time than the route allows indicates an earlier refusal.
+Duration minTimeLeft(const Route &route)
 {
     constexpr double UsualShare = 0.8;
     const auto usual = Duration(
@@ -41,7 +41,7 @@
         m_limits.applyFleetLoad(load, now);
 }
 
-/// Computes the capacity of the flight's service anew if the fleet or the routes have changed.
+/// Updates the capacity of the flight's service if the fleet or the routes have changed.
 void Relay::updateCapacity(const Flight &flight)
 {
     const RoutedService &target = service(flight);
@@ -53,7 +53,8 @@
     m_admission.setNominalCapacity(target.name, nominalCapacity(*m_fleet, target));
 }
 
-/// Asks for the admission of a new flight. Refuses it if it is not admitted.
+/// Decides whether a new flight is sent now, waits or is refused, and finishes a refused
+/// one.
 /// \return whether the flight may be sent now.
 bool Relay::admit(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
@@ -69,7 +70,7 @@
     request.work = workOf(flight.request, service(flight));
     request.target = route.targetLatency;
     request.timeLeft = flight.deadline - now;
-    request.late = request.timeLeft < lateBelow(route);
+    request.late = request.timeLeft < minTimeLeft(route);
     AdmissionDecision decision = m_admission.submit(request, now);
     switch (decision.kind) {
     case AdmissionDecision::Kind::Admit:
@@ -105,13 +106,13 @@
     }
 }
 
-/// The urgency that engines are told, so that requests of a higher priority do not queue behind
-/// others there.
+/// The urgency to send to engines, so that requests of a higher priority do not queue behind others
+/// there; nothing without admission control or for a plain service.
 std::optional<int> Relay::urgency(const Flight &flight) const
 {
     if (!m_settings.admission.enabled || !service(flight).model)
         return std::nullopt;
-    constexpr int RouteUrgencies = 3; // for each priority of teams
+    constexpr int RouteUrgencies = 3; // urgencies for each priority of teams
     const int team = flight.request.priority / RoutePriorities;
     const int route = flight.request.priority % RoutePriorities;
     return std::clamp(team * RouteUrgencies + std::min(route, RouteUrgencies - 1), 0, MaxUrgency);
