--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -36,6 +36,11 @@
 constexpr std::size_t MinRunning = 1;
 constexpr std::size_t MinRunningIfAmple = 4;
 
+/// An instance whose demand is more than this multiple of what the last total includes uses an
+/// equal share at least. Totals are some seconds old, and instances that start together would
+/// otherwise refuse nearly all of their first callers.
+constexpr double RisingDemandFactor = 4;
+
 /// How long a total that shows ample capacity is relied on.
 constexpr Duration AmpleLifetime {2'000'000};
 
@@ -117,6 +122,7 @@
         FairQueue queue;
         std::set<std::pair<Time, std::uint64_t>> byExpiry; ///< waiting requests
         ReturnSchedule returns;
+        double countedDemand = 0; ///< the own demand that the last total includes
         Time ampleUntil {}; ///< until then, limits are raised by AmpleFactor
         Time contendedSince {};
         Time contendedUntil {}; ///< the service is at its capacity until then
@@ -171,7 +177,10 @@
         return -1;
     const double borrowed = BorrowedPart / static_cast<double>(instances);
     const bool ample = now < service.ampleUntil;
-    return coverage * capacity * (shares.share(name, now) + borrowed) * (ample ? AmpleFactor : 1);
+    const bool rising = service.demand.perSecond(now) > RisingDemandFactor * service.countedDemand;
+    const double equal = 1 / static_cast<double>(instances);
+    const double share = std::max(shares.share(name, now), rising ? equal : 0);
+    return coverage * capacity * (share + borrowed) * (ample ? AmpleFactor : 1);
 }
 
 /// The part of a contended service's capacity that is left to \a rank and those below it by the
@@ -317,6 +326,8 @@
             const double expected = total->inFlight + total->demand * TotalIntervalSeconds;
             const bool ample = expected < AmpleUse * service.capacity.capacity();
             service.ampleUntil = ample ? now + AmpleLifetime : Time {};
+            const ServiceLoad *own = load.own.find(name);
+            service.countedDemand = own ? own->demand : 0;
         }
 }
 
--- a/src/libbalsamloft/admission/admission_test.cpp
+++ b/src/libbalsamloft/admission/admission_test.cpp
@@ -27,6 +27,13 @@
     {
         admission.setNominalCapacity("model", 100);
         admission.setInstances(1);
+        // A total that shows no ample capacity.
+        FleetLoad load;
+        load.total.services.push_back({"model", 100, 90, 10, 0, 0});
+        load.total.instances = 1;
+        load.own = load.total;
+        load.asOf = at(0.9);
+        admission.applyFleetLoad(load, at(0.9));
     }
 
     AdmissionDecision submit(double seconds, int priority = 0, const std::string &team = "team",
@@ -85,6 +92,20 @@
     CHECK(inFlight <= 125);
 }
 
+TEST_CASE("an instance whose callers have just come uses an equal share before they are counted")
+{
+    Instance instance;
+    instance.admission.setInstances(2);
+    FleetLoad load;
+    load.total.services.push_back({"model", 1000, 90, 10, 0, 0});
+    load.total.instances = 2;
+    load.own.instances = 1;
+    load.asOf = at(0.9);
+    instance.admission.applyFleetLoad(load, at(1));
+    instance.fill(1);
+    CHECK(instance.admission.load(at(1)).services.front().inFlight >= 40);
+}
+
 TEST_CASE("a waiting request is admitted when another one finishes")
 {
     Instance instance;
--- a/src/libbalsamloft/admission/capacityestimate.cpp
+++ b/src/libbalsamloft/admission/capacityestimate.cpp
@@ -53,10 +53,14 @@
     if (!service.model)
         return slots;
     double tokens = 0;
-    for (const std::string_view domain : domains)
-        tokens += leastOf(tokensByLayer(fleet, service, domain));
-    // Without a domain that holds all layers, paths go through several domains.
-    return tokens > 0 ? tokens : leastOf(tokensByLayer(fleet, service, {}));
+    for (const std::string_view domain : domains) {
+        const double ofDomain = leastOf(tokensByLayer(fleet, service, domain));
+        // Paths from a domain that lacks layers go through several domains.
+        if (ofDomain <= 0)
+            return leastOf(tokensByLayer(fleet, service, {}));
+        tokens += ofDomain;
+    }
+    return tokens;
 }
 
 CapacityEstimate::CapacityEstimate(CapacityEstimateSettings settings)
