--- a/src/libbalsamloft/admission/admission.cpp
+++ b/src/libbalsamloft/admission/admission.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 #include <unordered_map>
 
@@ -137,6 +138,7 @@
         AdmissionStatus counts;
     };
 
+    static double runSeconds(const Service &service, Time now);
     static int rank(const AdmissionRequest &request);
     static bool isLate(int rank) { return rank % 2 != 0; }
     double limit(const std::string &name, const Service &service, Time now) const;
@@ -169,6 +171,13 @@
     return 2 * request.priority + (request.late ? 1 : 0);
 }
 
+/// How long admitted requests are in flight on average, by Little's law.
+double Admission::Impl::runSeconds(const Service &service, Time now)
+{
+    const double rate = service.drained.perSecond(now);
+    return rate > 0 ? service.inFlight / rate : std::numeric_limits<double>::infinity();
+}
+
 /// Work that this instance may have in flight; negative: no limit is known.
 double Admission::Impl::limit(const std::string &name, const Service &service, Time now) const
 {
@@ -322,8 +331,8 @@
         if (const ServiceLoad *total = load.total.find(name)) {
             service.capacity.update(*total, now);
             // Work that is requested until the next total arrives is included.
-            constexpr double TotalIntervalSeconds = 1;
-            const double expected = total->inFlight + total->demand * TotalIntervalSeconds;
+            const double expected =
+                total->inFlight + total->demand * std::min(1.0, Impl::runSeconds(service, now));
             const bool ample = expected < AmpleUse * service.capacity.capacity();
             service.ampleUntil = ample ? now + AmpleLifetime : Time {};
             const ServiceLoad *own = load.own.find(name);
