--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -23,7 +23,10 @@
 DEFINE_double(retry_slack, 100, "retries beyond the ratio in a window, over all instances");
 DEFINE_double(retry_window_s, 10, "window in which retries are counted");
 DEFINE_bool(log_all, false, "log successful requests too");
-DEFINE_bool(admission, false, "limit the admitted work to the capacity of the services");
+DEFINE_bool(admission, false,
+            "limit the admitted work to the capacity of services whose routes have different "
+            "priorities");
+DEFINE_bool(admission_all, false, "with --admission: limit the admitted work of all services");
 
 namespace balsamloft {
 
@@ -84,6 +87,7 @@
     settings.retryWindow = milliseconds(FLAGS_retry_window_s * 1000);
     settings.logAll = FLAGS_log_all;
     settings.admission = FLAGS_admission;
+    settings.admissionAll = FLAGS_admission_all;
     return settings;
 }
 
@@ -168,6 +172,7 @@
     add("beat_ms", before.heartbeatInterval != after.heartbeatInterval);
     add("retry_window_s", before.retryWindow != after.retryWindow);
     add("admission", before.admission != after.admission);
+    add("admission_all", before.admissionAll != after.admissionAll);
     return names;
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -29,7 +29,9 @@
     double retrySlack = 0; ///< retries beyond the ratio in a window, over all instances
     Duration retryWindow {}; ///< in which retries are counted
     bool logAll = false; ///< log successful requests too
-    bool admission = false; ///< limit the admitted work to the capacity of the services
+    /// Limit the admitted work to the capacity of services whose routes have different priorities.
+    bool admission = false;
+    bool admissionAll = false; ///< with `admission`: of all services
 };
 
 /// The threads that open connections to endpoints, each with EndpointLinks of its own.
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -47,6 +47,7 @@
     relay.retryWindow = settings.retryWindow;
     relay.admission.enabled = settings.admission;
     relay.admission.seed = relay.seed;
+    relay.admitToAll = settings.admissionAll;
     return relay;
 }
 
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -230,6 +230,9 @@
     Duration minReturnSpread {300'000};
     Duration maxReturnSpread {5'000'000};
     AdmissionSettings admission;
+    /// Whether admission control applies to services whose routes all have the same priority. Where
+    /// no request is more urgent than another, most callers prefer a late answer to a refusal.
+    bool admitToAll = false;
     /// Whether rate limits are divided by demand. Requires that instances without recent totals
     /// report no load, see RateLimits::followsDemand().
     bool rateLimitsFollowDemand = false;
@@ -422,6 +425,7 @@
     void dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions);
 
     // Admission
+    bool hasAdmission(const Flight &flight) const;
     bool admit(FlightId id, Flight &flight, Time now, RelayActions &actions);
     void updateCapacity(const Flight &flight);
     void dispatchAdmitted(Time now, RelayActions &actions);
--- a/src/include/balsamloft/routemap.h
+++ b/src/include/balsamloft/routemap.h
@@ -80,6 +80,8 @@
     std::string name;
     std::uint32_t maxConnections = 0; ///< limit for one endpoint, over all instances
     std::optional<LayeredModel> model; ///< set if the endpoints are engines that hold layers
+    /// Whether its routes have different priorities. Set by RouteMapBuilder::build().
+    bool hasPriorities = false;
 };
 
 /// One target of a route and its share of the requests.
--- a/src/libbalsamloft/admission/admission_test.cpp
+++ b/src/libbalsamloft/admission/admission_test.cpp
@@ -1,4 +1,5 @@
 #include <balsamloft/admission/admission.h>
+#include <balsamloft/routemap.h>
 
 #include <catch2/catch.hpp>
 
@@ -67,6 +68,27 @@
 
 } // namespace
 
+TEST_CASE("a service has priorities if its routes differ in theirs")
+{
+    const auto hasPriorities = [](int first, int second) {
+        RouteMapBuilder builder(1);
+        RoutedService service;
+        service.name = "model";
+        builder.service(service);
+        Route route;
+        route.host = "host";
+        route.prefix = "/a/";
+        route.priority = first;
+        builder.route(route, {{"model", 1}});
+        route.prefix = "/b/";
+        route.priority = second;
+        builder.route(route, {{"model", 1}});
+        return builder.build()->services().front().hasPriorities;
+    };
+    CHECK_FALSE(hasPriorities(1, 1));
+    CHECK(hasPriorities(0, 1));
+}
+
 TEST_CASE("all requests are admitted while admission control is disabled")
 {
     Instance instance {AdmissionSettings {}};
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -56,10 +56,16 @@
 /// Decides whether a new flight is sent now, waits or is refused, and finishes a refused
 /// one.
 /// \return whether the flight may be sent now.
+/// Whether admission control applies to the flight's service.
+bool Relay::hasAdmission(const Flight &flight) const
+{
+    return m_settings.admission.enabled && (m_settings.admitToAll || service(flight).hasPriorities);
+}
+
 bool Relay::admit(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     const Route &route = *flight.request.route;
-    if (!m_settings.admission.enabled || route.targetLatency <= Duration {})
+    if (!hasAdmission(flight) || route.targetLatency <= Duration {})
         return true;
     updateCapacity(flight);
     AdmissionRequest request;
@@ -110,7 +116,7 @@
 /// there; nothing without admission control or for a plain service.
 std::optional<int> Relay::urgency(const Flight &flight) const
 {
-    if (!m_settings.admission.enabled || !service(flight).model)
+    if (!hasAdmission(flight) || !service(flight).model)
         return std::nullopt;
     constexpr int RouteUrgencies = 3; // urgencies for each priority of teams
     const int team = flight.request.priority / RoutePriorities;
--- a/src/libbalsamloft/routemap.cpp
+++ b/src/libbalsamloft/routemap.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace balsamloft {
 
@@ -125,6 +126,13 @@
         map.m_routes.push_back(std::move(route));
     }
     m_pending.clear();
+    std::map<std::uint32_t, int> priorities; ///< of the first route to each service
+    for (const Route &route : map.m_routes)
+        for (const RouteTarget &target : route.targets) {
+            const auto [first, inserted] = priorities.try_emplace(target.service, route.priority);
+            RoutedService &service = map.m_services[target.service];
+            service.hasPriorities = service.hasPriorities || first->second != route.priority;
+        }
     for (auto &[host, indexes] : map.m_hosts)
         std::stable_sort(indexes.begin(), indexes.end(), [&](auto left, auto right) {
             return map.m_routes[left].prefix.size() > map.m_routes[right].prefix.size();
