--- a/src/include/balsamloft/calleracceptor.h
+++ b/src/include/balsamloft/calleracceptor.h
@@ -20,6 +20,9 @@
 {
     boost::asio::ip::tcp::endpoint address; ///< port 0 selects a free port
     bool sharesPort = false; ///< other threads of the process listen at the same address
+    /// Whether connections that the caller has closed or half-closed are passed on. A caller that
+    /// has only half-closed its connection may be owed an answer.
+    bool passesEnded = false;
 };
 
 /// Accepts all connections at once and hands them on one by one, the newest
--- a/src/libaccept/calleracceptor.cpp
+++ b/src/libaccept/calleracceptor.cpp
@@ -178,7 +178,7 @@
 void CallerAcceptor::beginNewest()
 {
     while (const auto newest = m_waiting.takeNewest()) {
-        if (!isEndedByPeer(*newest))
+        if (m_settings.passesEnded || !isEndedByPeer(*newest))
             return m_handler(tcp::socket(m_context, m_settings.address.protocol(), *newest));
         ::close(*newest);
         m_counts.leftUnread += 1;
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -392,7 +392,7 @@
     // Each thread of the process runs its own server on the same address.
     const bool sharesPort = endpoint->port() != 0;
     const auto handler = [this](tcp::socket socket) { begin(std::move(socket)); };
-    if (!m_acceptor.listen({*endpoint, sharesPort}, handler, reason))
+    if (!m_acceptor.listen({*endpoint, sharesPort, true}, handler, reason))
         return false;
     armTimer();
     return true;
