--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -53,15 +53,14 @@
     m_admission.setNominalCapacity(target.name, nominalCapacity(*m_fleet, target));
 }
 
-/// Decides whether a new flight is sent now, waits or is refused, and finishes a refused
-/// one.
-/// \return whether the flight may be sent now.
 /// Whether admission control applies to the flight's service.
 bool Relay::hasAdmission(const Flight &flight) const
 {
     return m_settings.admission.enabled && (m_settings.admitToAll || service(flight).hasPriorities);
 }
 
+/// Decides whether a new flight is sent now, waits or is refused, and finishes a refused one.
+/// \return whether the flight may be sent now.
 bool Relay::admit(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     const Route &route = *flight.request.route;
