--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -450,6 +450,7 @@
         self.processes = []
         self.events = []  # of engines, each with its time
         self.engines = {}  # id -> (process, address)
+        self.on_event = None  # called with each event of an engine as it arrives
 
     async def start_store(self):
         await self.store.start("127.0.0.1")
@@ -475,6 +476,8 @@
             event = json.loads(line)
             event["at"] = time.monotonic()
             self.events.append(event)
+            if self.on_event:
+                self.on_event(event)
             extra = "".join(f" {name}={value}" for name, value in event.items()
                             if name not in ("event", "engine", "request", "at"))
             self.record.add(f"engine {event['engine']}: {event['event']}"
