--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -82,6 +82,7 @@
     def __init__(self, record):
         self.record = record
         self.answer_ms = 4.0
+        self.era = None  # stated in each answer once it is set, see restore()
         self.version = 0
         self.rows = {}  # (table, part, key) -> (value in base64, version)
         self.log = []  # (version, table, part, key, value or None)
@@ -134,6 +135,17 @@
         if self.beats.pop(engine, None):
             await self.write([("servers", "", engine, None)])
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    async def restore(self, copy):
+        """Comes back from a copy: later rows are gone, and their versions are given out again."""
+        async with self.changed:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.log = [each for each in self.log if each[0] <= self.version]
+            self.era += 1
+            self.changed.notify_all()
+
     def _stamp(self, answer):
         answer["rowVersion"] = self.version
         answer["nowMs"] = int(time.monotonic() * 1000)
@@ -160,9 +172,10 @@
                 path, _, query = target.partition("?")
                 args = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 status, answer = await self._answer(method, path, args, body)
-                writer.write(
-                    answer_text(status, {"Content-Type": "application/json"},
-                                json.dumps(answer).encode()))
+                stated = {"Content-Type": "application/json"}
+                if self.era is not None:
+                    stated["Store-Era"] = str(self.era)
+                writer.write(answer_text(status, stated, json.dumps(answer).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -189,6 +202,8 @@
             limit = min(int(args.get("limit", "500")), 500)
             return 200, self._stamp({"rows": rows[:limit], "hasMore": len(rows) > limit})
         if path == "/rows-feed":
+            if int(args["afterRevision"]) > self.version:
+                return 410, {}
             # The rows and the version are of one moment; only then the answer takes its time.
             answer = self._stamp({"rows": await self._changes(args)})
             await asyncio.sleep(delay)
@@ -508,16 +523,26 @@
             text = text.replace("{{" + key + "}}", str(value))
         path = pathlib.Path(self.work, name + ".flags")
         path.write_text(text)
+        process = await self._start_process(name, path)
+        entry = Entry(name, process, values["listen.front"], values["listen.ready"], path)
+        self.record.add(f"entry {name} listens at {entry.front}")
+        return entry
+
+    async def _start_process(self, name, path):
         command = [part.replace("/etc/balsamloft/node.json", str(path))
                    for part in deploy_command()]
         log = open(pathlib.Path(self.work, name + ".log"), "ab")
         process = await asyncio.create_subprocess_exec(
             *command, cwd=ROOT, stdout=log, stderr=log,
             env={"PATH": os.environ["PATH"], "BALSAMLOFT_NODE_FILE": str(path)})
+        log.close()
         self.processes.append(process)
-        entry = Entry(name, process, values["listen.front"], values["listen.ready"], path)
-        self.record.add(f"entry {name} listens at {entry.front}")
-        return entry
+        return process
+
+    async def start_again(self, entry):
+        """Starts the entry again with the same settings, after it was killed."""
+        entry.process = await self._start_process(entry.name, entry.settings)
+        self.record.add(f"entry {entry.name} starts again")
 
     async def close(self):
         for process in self.processes:
