--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -19,6 +19,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.2
+CASE_TIMEOUT_S = 105  # a case that takes longer could not run; its processes are ended
 
 
 class Record:
@@ -252,6 +253,38 @@
             return 200, self._stamp({})
 
 
+class Link:
+    """A link to the store that can be cut: what is sent over it then is not answered."""
+
+    def __init__(self, store):
+        self.store = store
+        self.whole = asyncio.Event()
+        self.whole.set()
+        self.address = None
+
+    async def start(self, host):
+        server = await asyncio.start_server(self._serve, host, 0)
+        self.address = f"{host}:{server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader, writer):
+        host, _, port = self.store.address.rpartition(":")
+        try:
+            await self.whole.wait()
+            from_store, to_store = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(self._pass(reader, to_store), self._pass(from_store, writer))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def _pass(self, reader, writer):
+        while data := await reader.read(65536):
+            await self.whole.wait()
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+
 # --- Engines ------------------------------------------------------------------------------------
 
 
@@ -506,14 +539,14 @@
         return [each for each in self.events
                 if each["event"] == "runs" and each["request"] == request]
 
-    async def start_entry(self, name, zone, options=None):
+    async def start_entry(self, name, zone, store=None):
         host = free_host()
         port = {each: free_port(host) for each in ("front", "ready", "peer", "forward")}
         values = {
             "nodeName": name, "zone": zone, "listen.front": f"{host}:{port['front']}",
             "listen.ready": f"{host}:{port['ready']}", "ip": host,
             "internalPorts.0": port["peer"], "internalPorts.1": port["forward"],
-            "platform.address": self.store.address, "bounds.revokeMs": 5000,
+            "platform.address": store or self.store.address, "bounds.revokeMs": 5000,
             "heartbeatMs": int(HEARTBEAT_S * 1000), "bounds.graceS": 8,
             "bounds.retryBudgetRatio": 0.2, "bounds.budgetSlack": 200,
             "bounds.budgetWindowS": 10,
@@ -659,7 +692,7 @@
     async def run():
         instance = case(record)
         try:
-            return await instance.run()
+            return await asyncio.wait_for(instance.run(), CASE_TIMEOUT_S)
         finally:
             await instance.fleet.close()
 
