--- a/review/entries/62/run.py
+++ b/review/entries/62/run.py
@@ -102,6 +102,7 @@
             for entry in self.entries:
                 at = time.monotonic() - acknowledged
                 sent.append((at, entry.name, (await self.send(entry, "key-b")).request))
+            await asyncio.sleep(0.05)
         await asyncio.gather(*tasks)
         await asyncio.sleep(0.3)
         ran = [each for each in sent if self.fleet.runs(each[2])]
