Relay: an answer that comes back counts only for the state in which it was asked (TWICE, REFUSED)

Cause: trialAnswered() checked that a permit was requested, not that the flight still waited for it. When a suspicion ended, dispatch() sent the flight and left the request for the permit open; the permit, or its refusal, then acted on a flight in an attempt. dispatch() sent whatever it was given, and finish() believed its callers on whether the request had been executed.

Evidence: in the log of a run, 'taken back' is followed by a send, and 59 ms later by 'trial permitted' and the second send, with no failure between. Ruled out by the same log: an attempt given up as stalled, a broken connection.

Change: the request for a permit names its attempt; a flight that is sent gives up the request; only a flight without an attempt can begin one; finish() abandons the attempt in progress and derives the promise from the attempts. A refused permit no longer refuses a request whose suspicion has ended.

Looked at for the same cause: answers of endpoints, maySend() (answered yes for an attempt that was given up: mended here), orders to change a path and releases of permits (faults of their own, to follow), claims and steps of balsamloftd, admission (hold).

--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -435,7 +435,7 @@
     m_requestTrial(request.request, [this, request](const TrialAnswer &answer) {
         checkSuspension();
         RelayActions actions;
-        m_relay.trialAnswered(request.flight, request.request, answer, steadyNow(), actions);
+        m_relay.trialAnswered(request, answer, steadyNow(), actions);
         run(std::move(actions));
     });
 }
--- a/src/fakes/crashsimulation.cpp
+++ b/src/fakes/crashsimulation.cpp
@@ -396,7 +396,7 @@
 {
     const auto answer = [this, instance, request](const TrialAnswer &given) {
         step(instance, [&](Relay &relay, RelayActions &actions) {
-            relay.trialAnswered(request.flight, request.request, given, m_now, actions);
+            relay.trialAnswered(request, given, m_now, actions);
         });
     };
     if (m_settings.storeUnreachable)
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -37,7 +37,8 @@
     RouteMapBuilder builder(1);
     builder.service({"model", 100, testModel(8)});
     builder.service({"plain", 100, std::nullopt});
-    const auto route = [&](std::string name, RequestKind kind, std::string service) {
+    const auto route = [&](std::string name, RequestKind kind, std::string service,
+                           bool resumable = false) {
         Route each;
         each.name = name;
         each.host = "host";
@@ -46,12 +47,13 @@
         each.timeout = Duration(10'000'000);
         each.targetLatency = Duration(500'000);
         each.maxAttempts = 2;
-        each.resumable = kind == RequestKind::Stream;
+        each.resumable = resumable;
         builder.route(std::move(each), {{std::move(service), 1}});
     };
     route("safe", RequestKind::Safe, "plain");
     route("unsafe", RequestKind::Unsafe, "plain");
-    route("stream", RequestKind::Stream, "model");
+    route("stream", RequestKind::Stream, "model", true);
+    route("stream-once", RequestKind::Stream, "model");
     m_table = builder.build();
     for (const RelayEngine &each : engines)
         list(each);
@@ -86,13 +88,23 @@
 }
 
 FlightId RelayHarness::submit(RequestKind kind, Duration timeLeft, std::string digest)
+{
+    return submitTo(static_cast<std::size_t>(kind), timeLeft, std::move(digest));
+}
+
+FlightId RelayHarness::submitStreamOnce(std::string digest)
+{
+    constexpr std::size_t StreamOnceRoute = 3;
+    return submitTo(StreamOnceRoute, Duration(20'000'000), std::move(digest));
+}
+
+FlightId RelayHarness::submitTo(std::size_t route, Duration timeLeft, std::string digest)
 {
     RelayRequest request;
     request.id = "request-" + std::to_string(m_next++);
     request.digest = std::move(digest);
     request.table = m_table;
-    const auto index = static_cast<std::size_t>(kind);
-    request.route = &m_table->routes()[index];
+    request.route = &m_table->routes()[route];
     request.service = request.route->targets.front().service;
     request.timeLeft = timeLeft;
     request.promptTokens = 100;
@@ -214,7 +226,21 @@
 
 void RelayHarness::answerTrial(FlightId flight, const TrialAnswer &answer)
 {
-    relay.trialAnswered(flight, trialRequests(flight).back().request, answer, now, actions);
+    answerTrial(trialRequests(flight).back(), answer);
+}
+
+void RelayHarness::answerTrial(const RequestTrial &request, const TrialAnswer &answer)
+{
+    relay.trialAnswered(request, answer, now, actions);
+}
+
+std::vector<TrialOutcome> RelayHarness::finishedTrials() const
+{
+    std::vector<TrialOutcome> outcomes;
+    for (const RelayAction &action : actions)
+        if (const auto *finish = std::get_if<FinishTrial>(&action))
+            outcomes.push_back(finish->outcome);
+    return outcomes;
 }
 
 std::vector<ChangePath> RelayHarness::pathChanges(FlightId flight) const
--- a/src/fakes/relayharness.h
+++ b/src/fakes/relayharness.h
@@ -30,6 +30,9 @@
     FlightId submit(RequestKind kind, Duration timeLeft = Duration(20'000'000),
                     std::string digest = {});
 
+    /// Submits a stream that may not be resumed, and so not be repeated.
+    FlightId submitStreamOnce(std::string digest = {});
+
     /// Sets the instances that share the endpoints; \a self is the name of this one. \a
     /// clockBehind: how far this instance's clock is behind the common clock of the instances.
     void setInstances(const std::vector<PeerInstance> &instances, const std::string &self,
@@ -54,6 +57,7 @@
 
     /// Answers the flight's last request for a trial permit.
     void answerTrial(FlightId flight, const TrialAnswer &answer);
+    void answerTrial(const RequestTrial &request, const TrialAnswer &answer);
 
     /// Marks the endpoint \a id as draining.
     void drain(const std::string &id);
@@ -72,6 +76,9 @@
     std::vector<SendRequest> sends(FlightId flight) const;
     std::vector<ChangePath> pathChanges(FlightId flight) const;
     std::vector<RequestTrial> trialRequests(FlightId flight) const;
+
+    /// Outcomes of the trials of all flights, in order.
+    std::vector<TrialOutcome> finishedTrials() const;
     std::optional<FinishFlight> finished(FlightId flight) const;
     bool passed(FlightId flight) const;
     std::size_t abandoned(FlightId flight) const;
@@ -85,6 +92,8 @@
     void list(const RelayEngine &engine);
     void publishFleet();
 
+    FlightId submitTo(std::size_t route, Duration timeLeft, std::string digest);
+
     RouteMapPtr m_table;
     std::vector<FleetEndpoint> m_endpoints;
     std::uint64_t m_next = 1;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -162,6 +162,7 @@
 struct RequestTrial
 {
     FlightId flight = 0;
+    std::uint32_t attempt = 0; ///< that the permit is for
     TrialRequest request;
 };
 
@@ -318,9 +319,10 @@
     /// Replaces the crash records published by all instances.
     void setSharedCrashes(const std::vector<CrashRecord> &all) { m_quarantine.setShared(all); }
 
-    /// Handles the answer to a RequestTrial with \a request.
-    void trialAnswered(FlightId id, const TrialRequest &request, const TrialAnswer &answer,
-                       Time now, RelayActions &actions);
+    /// Handles the answer to \a request. It only counts while the flight still waits to make the
+    /// attempt that the permit is for.
+    void trialAnswered(const RequestTrial &request, const TrialAnswer &answer, Time now,
+                       RelayActions &actions);
 
     /// Treats all permits as expired, after this process was suspended for an unknown time.
     void expireTrials();
@@ -368,6 +370,8 @@
     const AnnouncedPauses &pauses() const { return m_pauses; }
 
 private:
+    /// Whether an attempt is in progress (Sent, Streaming). recordSent() alone begins one, and only
+    /// in a flight that waits; only the end of that attempt lets the flight wait again.
     enum class State : std::uint8_t { Waiting, Sent, Streaming };
 
     /// The trial permit of a flight whose request is suspected.
@@ -419,7 +423,11 @@
 
     using FlightMap = std::unordered_map<FlightId, Flight>;
 
-    Flight *current(FlightId id, std::uint32_t attempt);
+    // Answers come back to a flight that may have moved on. Each names its attempt, and finds the
+    // flight only in the state in which it was asked for.
+    Flight *inAttempt(FlightId id, std::uint32_t attempt);
+    const Flight *inAttempt(FlightId id, std::uint32_t attempt) const;
+    Flight *awaitingPermit(FlightId id, std::uint32_t attempt);
     const RoutedService &service(const Flight &flight) const;
     RetryWindow &budget(const Flight &flight);
     void dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions);
@@ -454,6 +462,8 @@
                         Time now);
     void recordSent(Flight &flight, const SendRequest &send, Time now);
     void endAttempt(Flight &flight);
+    void abandonAttempt(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    static void recordPossibleRun(Flight &flight);
     void retry(FlightId id, Flight &flight, bool mayHaveRun, const std::string &faultyEndpoint,
                std::string reason, Time now, RelayActions &actions);
     bool mayRunAgain(const Flight &flight, std::string_view alsoAt = {}) const;
@@ -491,9 +501,8 @@
     static Duration expectedPause(const Flight &flight);
     bool worthMoving(const Flight &flight, Time now);
 
-    /// The outcome if the flight finishes now; \a ifMayHaveRun: if it may have been executed.
     static FlightOutcome outcomeOf(const Flight &flight, FlightOutcome ifMayHaveRun);
-    void finish(FlightId id, FlightOutcome outcome, std::string reason, Time now,
+    void finish(FlightId id, FlightOutcome ifMayHaveRun, std::string reason, Time now,
                 RelayActions &actions, std::optional<Duration> retryAfter = {});
     void recordRateLimit(const Flight &flight, const AnswerHead &head, Time now);
     void handleRejection(FlightId id, Flight &flight, const AnswerHead &head, Time now,
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -92,7 +92,8 @@
     }
 }
 
-Relay::Flight *Relay::current(FlightId id, std::uint32_t attempt)
+/// Returns the flight if \a attempt of it is in progress, otherwise null.
+const Relay::Flight *Relay::inAttempt(FlightId id, std::uint32_t attempt) const
 {
     const auto it = m_flights.find(id);
     return it == m_flights.end() || it->second.attempt != attempt
@@ -101,6 +102,11 @@
                : &it->second;
 }
 
+Relay::Flight *Relay::inAttempt(FlightId id, std::uint32_t attempt)
+{
+    return const_cast<Flight *>(std::as_const(*this).inAttempt(id, attempt));
+}
+
 std::vector<FlightId> Relay::flightIds() const
 {
     std::vector<FlightId> ids;
@@ -292,6 +298,10 @@
     m_limits.recordSend(send.endpoint, now);
     m_pauses.recordSend(send.endpoint, now);
     flight.state = State::Sent;
+    if (flight.trial.state == Trial::State::Granted)
+        flight.trial.state = Trial::State::Sent;
+    else if (flight.trial.state == Trial::State::Requested)
+        flight.trial.state = Trial::State::None; // this attempt did not wait for the permit
     flight.sends += 1;
     flight.answered = false;
     flight.endpoint = send.endpoint;
@@ -350,11 +360,31 @@
     flight.state = State::Waiting;
 }
 
+/// Abandons the attempt in progress, if there is one.
+void Relay::abandonAttempt(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    if (flight.state == State::Waiting)
+        return;
+    actions.push_back(AbandonAttempt {id, flight.attempt});
+    recordAbandoned(flight, now);
+    recordPossibleRun(flight);
+    endAttempt(flight);
+}
+
+/// Records that the endpoint of the last attempt may have executed the request.
+void Relay::recordPossibleRun(Flight &flight)
+{
+    std::vector<std::string> &all = flight.mayHaveRunAt;
+    if (std::find(all.begin(), all.end(), flight.endpoint) == all.end())
+        all.push_back(flight.endpoint);
+}
+
 void Relay::dispatch(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
+    if (flight.state != State::Waiting)
+        return;
     if (now >= flight.deadline)
-        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", now,
-                      actions);
+        return finish(id, FlightOutcome::TimedOut, "deadline exceeded", now, actions);
     if (blockIfSuspected(id, flight, now, actions))
         return;
     // This runs at each tick while the flight waits: skip the path search while no retry is
@@ -378,8 +408,6 @@
     send.urgency = urgency(flight);
     send.reason = flight.sends == 0 ? "first attempt" : flight.lastReason;
     recordSent(flight, send, now);
-    if (flight.trial.state == Trial::State::Granted)
-        flight.trial.state = Trial::State::Sent;
     actions.push_back(std::move(send));
 }
 
@@ -400,6 +428,7 @@
     return endpointCount < flight.request.route->maxAttempts;
 }
 
+/// The outcome of a flight that finishes without an answer.
 FlightOutcome Relay::outcomeOf(const Flight &flight, FlightOutcome ifMayHaveRun)
 {
     if (flight.eventsForwarded)
@@ -429,27 +458,24 @@
                   std::string reason, Time now, RelayActions &actions)
 {
     flight.avoid.insert(faultyEndpoint);
-    if (mayHaveRun
-        && std::find(flight.mayHaveRunAt.begin(), flight.mayHaveRunAt.end(), flight.endpoint)
-               == flight.mayHaveRunAt.end())
-        flight.mayHaveRunAt.push_back(flight.endpoint);
+    if (mayHaveRun)
+        recordPossibleRun(flight);
     endAttempt(flight);
     flight.waitingSince = now;
     flight.lastReason = reason;
-    const FlightOutcome outcome = outcomeOf(flight, FlightOutcome::Failed);
     if (!flight.mayHaveRunAt.empty() && !mayRunAgain(flight))
-        return finish(id, outcome, std::move(reason), now, actions);
+        return finish(id, FlightOutcome::Failed, std::move(reason), now, actions);
     if (refuseIfPaused(id, flight, now, actions))
         return;
     if (sendLimitReached(flight))
-        return finish(id, outcome, reason + "; send limit reached", now, actions);
+        return finish(id, FlightOutcome::Failed, reason + "; send limit reached", now, actions);
     if (blockIfSuspected(id, flight, now, actions))
         return;
     if (!withdrawRetry(flight, now)) {
         m_counts.budgetExhausted += 1;
         reason += "; retry budget exhausted";
         if (!flight.eventsForwarded)
-            return finish(id, outcome, std::move(reason), now, actions);
+            return finish(id, FlightOutcome::Failed, std::move(reason), now, actions);
         // The caller waits some time for the next event, and the window may free a retry
         // meanwhile. Truncating the answer now would lose it for certain.
         flight.nextSendIsRetry = true;
@@ -460,13 +486,16 @@
     dispatch(id, flight, now, actions);
 }
 
-void Relay::finish(FlightId id, FlightOutcome outcome, std::string reason, Time now,
+/// Finishes the flight without an answer, and abandons an attempt that is in progress. Whether the
+/// caller may be told that the request was not executed follows from the attempts alone.
+void Relay::finish(FlightId id, FlightOutcome ifMayHaveRun, std::string reason, Time now,
                    RelayActions &actions, std::optional<Duration> retryAfter)
 {
     const auto it = m_flights.find(id);
     if (it == m_flights.end())
         return;
-    endAttempt(it->second);
+    abandonAttempt(id, it->second, now, actions);
+    const FlightOutcome outcome = outcomeOf(it->second, ifMayHaveRun);
     Duration delay {};
     if (outcome == FlightOutcome::NotExecuted) {
         // Jitter: callers that are refused together do not retry together.
@@ -486,7 +515,7 @@
 void Relay::attemptFailed(FlightId id, std::uint32_t attempt, AttemptFailure failure, Time now,
                           RelayActions &actions)
 {
-    Flight *flight = current(id, attempt);
+    Flight *flight = inAttempt(id, attempt);
     if (!flight)
         return;
     if (failure == AttemptFailure::Withheld)
@@ -543,8 +572,8 @@
         "rejected by " + faultyEndpoint + " with status " + std::to_string(head.status);
     if (flight.trial.state == Trial::State::Sent) {
         finishTrial(flight, TrialOutcome::Inconclusive, actions);
-        return finish(id, outcomeOf(flight, FlightOutcome::Failed), std::move(reason), now,
-                      actions);
+        endAttempt(flight);
+        return finish(id, FlightOutcome::Failed, std::move(reason), now, actions);
     }
     retry(id, flight, false, faultyEndpoint, std::move(reason), now, actions);
 }
@@ -611,7 +640,7 @@
 bool Relay::answered(FlightId id, std::uint32_t attempt, const AnswerHead &head, Time now,
                      RelayActions &actions)
 {
-    Flight *flight = current(id, attempt);
+    Flight *flight = inAttempt(id, attempt);
     if (!flight)
         return false;
     m_engines.recordAnswer(flight->endpoint, now);
@@ -650,7 +679,9 @@
     // The caller has received the head and events of an earlier attempt. Only truncation can
     // report a failure after them.
     if (flight->eventsForwarded) {
-        finish(id, FlightOutcome::Truncated, "server error from " + flight->endpoint, now, actions);
+        recordPossibleRun(*flight);
+        endAttempt(*flight);
+        finish(id, FlightOutcome::Failed, "server error from " + flight->endpoint, now, actions);
         return false;
     }
     forwardAnswer(id, *flight, !failed, now, actions);
@@ -674,7 +705,7 @@
 void Relay::eventsForwarded(FlightId id, std::uint32_t attempt,
                             std::optional<std::uint64_t> lastEvent, Time now, RelayActions &actions)
 {
-    Flight *flight = current(id, attempt);
+    Flight *flight = inAttempt(id, attempt);
     if (!flight)
         return;
     if (!std::exchange(flight->eventsForwarded, true))
@@ -687,7 +718,7 @@
 
 void Relay::streamCompleted(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions)
 {
-    Flight *flight = current(id, attempt);
+    Flight *flight = inAttempt(id, attempt);
     if (!flight)
         return;
     forwardAnswer(id, *flight, true, now, actions);
@@ -698,15 +729,9 @@
     const auto it = m_flights.find(id);
     if (it == m_flights.end())
         return;
-    const std::uint32_t attempt = it->second.attempt;
-    const bool sent = it->second.state != State::Waiting;
-    if (sent)
-        recordAbandoned(it->second, now);
-    endAttempt(it->second);
+    abandonAttempt(id, it->second, now, actions);
     m_admission.finished(id, now);
     m_flights.erase(it);
-    if (sent)
-        actions.push_back(AbandonAttempt {id, attempt});
 }
 
 std::optional<std::uint64_t> Relay::lastEvent(FlightId id) const
@@ -717,14 +742,11 @@
 
 bool Relay::maySend(FlightId id, std::uint32_t attempt, Time now) const
 {
-    const auto it = m_flights.find(id);
-    if (it == m_flights.end() || it->second.attempt != attempt || now >= it->second.deadline)
-        return false;
-    const Flight &flight = it->second;
-    if (!mayRun(flight, now))
+    const Flight *flight = inAttempt(id, attempt);
+    if (!flight || now >= flight->deadline || !mayRun(*flight, now))
         return false;
-    return acceptsRequests(flight.endpoint, now)
-           && std::all_of(flight.path.begin(), flight.path.end(),
+    return acceptsRequests(flight->endpoint, now)
+           && std::all_of(flight->path.begin(), flight->path.end(),
                           [&](const PathPart &part) { return isActive(part.endpoint); });
 }
 
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -84,7 +84,7 @@
         flight.awaitsAdmission = true;
         return false;
     case AdmissionDecision::Kind::Refuse:
-        finish(id, FlightOutcome::NotExecuted, std::move(decision.reason), now, actions,
+        finish(id, FlightOutcome::Failed, std::move(decision.reason), now, actions,
                decision.retryAfter);
         return false;
     }
@@ -101,8 +101,8 @@
         if (it == m_flights.end())
             continue;
         if (decision.kind == AdmissionDecision::Kind::Refuse) {
-            finish(decision.id, FlightOutcome::NotExecuted, std::move(decision.reason), now,
-                   actions, decision.retryAfter);
+            finish(decision.id, FlightOutcome::Failed, std::move(decision.reason), now, actions,
+                   decision.retryAfter);
             continue;
         }
         it->second.awaitsAdmission = false;
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -153,31 +153,47 @@
     // trials without a result, such as rejections, many callers would be.
     const bool limited =
         crashes >= m_quarantine.settings().crashesToQuarantine && !isPromptPartDigest(trial.digest);
-    actions.push_back(RequestTrial {id, {trial.digest, send.endpoint, limited, crashes}});
+    actions.push_back(
+        RequestTrial {id, flight.attempt + 1, {trial.digest, send.endpoint, limited, crashes}});
     return true;
 }
 
-void Relay::trialAnswered(FlightId id, const TrialRequest &request, const TrialAnswer &answer,
-                          Time now, RelayActions &actions)
+/// Returns the flight if it waits for the permit to make \a attempt, otherwise null. While the
+/// request for the permit was under way, the flight may have finished, or it may have been sent
+/// because the suspicion ended.
+Relay::Flight *Relay::awaitingPermit(FlightId id, std::uint32_t attempt)
 {
     const auto it = m_flights.find(id);
-    if (it == m_flights.end() || it->second.trial.state != Trial::State::Requested) {
+    if (it == m_flights.end())
+        return nullptr;
+    Flight &flight = it->second;
+    const bool awaits = flight.state == State::Waiting && flight.attempt + 1 == attempt
+                        && flight.trial.state == Trial::State::Requested;
+    return awaits ? &flight : nullptr;
+}
+
+void Relay::trialAnswered(const RequestTrial &request, const TrialAnswer &answer, Time now,
+                          RelayActions &actions)
+{
+    Flight *flight = awaitingPermit(request.flight, request.attempt);
+    if (!flight) {
         if (answer.granted)
-            actions.push_back(FinishTrial {request.digest, TrialOutcome::NotSent});
+            actions.push_back(FinishTrial {request.request.digest, TrialOutcome::NotSent});
         return;
     }
-    Flight &flight = it->second;
+    Trial &trial = flight->trial;
     if (answer.granted) {
-        flight.trial.state = Trial::State::Granted;
-        flight.trial.until = flight.trial.requestedAt + answer.validFor;
-        return dispatch(id, flight, now, actions);
+        trial.state = Trial::State::Granted;
+        trial.until = trial.requestedAt + answer.validFor;
+        return dispatch(request.flight, *flight, now, actions);
     }
-    flight.trial.state = Trial::State::None;
-    if (answer.endpointBusy) {
-        flight.trial.busyEndpoints.insert(flight.trial.endpoint);
-        return;
-    }
-    finishBlocked(id, flight, answer.wait, now, actions);
+    trial.state = Trial::State::None;
+    if (answer.endpointBusy)
+        trial.busyEndpoints.insert(trial.endpoint);
+    else if (m_quarantine.sendPermission(flight->causes, now) == SendPermission::Allowed)
+        dispatch(request.flight, *flight, now, actions);
+    else
+        finishBlocked(request.flight, *flight, answer.wait, now, actions);
 }
 
 void Relay::expireTrials()
@@ -204,7 +220,7 @@
     std::uniform_int_distribution<std::int64_t> spread(
         0, m_quarantine.settings().propagationDelay.count());
     m_counts.quarantined += 1;
-    finish(id, outcomeOf(flight, FlightOutcome::Failed),
+    finish(id, FlightOutcome::Failed,
            quarantined ? "request quarantined: endpoints crashed while running it"
                        : "endpoints crashed while running the request; no trial is permitted now",
            now, actions, wait + Duration(spread(m_random)));
@@ -223,9 +239,7 @@
             || m_quarantine.crashes(m_quarantine.causeToTry(flight.causes, now), now)
                    < m_quarantine.settings().crashesToRequireTrial))
         return false;
-    actions.push_back(AbandonAttempt {id, flight.attempt});
-    recordAbandoned(flight, now);
-    flight.mayHaveRunAt.push_back(flight.endpoint);
+    abandonAttempt(id, flight, now, actions);
     finishBlocked(id, flight, m_quarantine.blockedFor(flight.causes, now), now, actions);
     return true;
 }
--- a/src/libbalsamloft/relaypath.cpp
+++ b/src/libbalsamloft/relaypath.cpp
@@ -48,7 +48,7 @@
 void Relay::pathChanged(FlightId id, std::uint32_t attempt, PathReply reply,
                         std::string_view faultyAddress, Time now, RelayActions &actions)
 {
-    Flight *flight = current(id, attempt);
+    Flight *flight = inAttempt(id, attempt);
     if (!flight || !flight->pathChangeSentAt)
         return;
     flight->pathChangeSentAt.reset();
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -73,7 +73,7 @@
 
 void Relay::connectionLost(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions)
 {
-    Flight *flight = current(id, attempt);
+    Flight *flight = inAttempt(id, attempt);
     if (!flight || !flight->request.route->idempotent())
         return;
     if (now - flight->progressAt >= m_settings.suspectPause + expectedPause(*flight)
@@ -126,15 +126,8 @@
 
 void Relay::watch(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
-    if (now >= flight.deadline) {
-        if (flight.state != State::Waiting) {
-            recordAbandoned(flight, now);
-            flight.mayHaveRunAt.push_back(flight.endpoint);
-            actions.push_back(AbandonAttempt {id, flight.attempt});
-        }
-        return finish(id, outcomeOf(flight, FlightOutcome::TimedOut), "deadline exceeded", now,
-                      actions);
-    }
+    if (now >= flight.deadline)
+        return finish(id, FlightOutcome::TimedOut, "deadline exceeded", now, actions);
     if (flight.awaitsAdmission || abandonSuspectedAttempt(id, flight, now, actions))
         return;
     if (flight.state == State::Waiting)
@@ -168,16 +161,14 @@
                                                         : waited >= maxWait(flight);
     if (!expired)
         return;
-    const FlightOutcome outcome = outcomeOf(flight, FlightOutcome::Failed);
     std::string reason = flight.lastReason;
-    finish(id, outcome, std::move(reason), now, actions);
+    finish(id, FlightOutcome::Failed, std::move(reason), now, actions);
 }
 
 void Relay::abandonAndRetry(FlightId id, Flight &flight, std::string reason, Time now,
                             RelayActions &actions)
 {
-    actions.push_back(AbandonAttempt {id, flight.attempt});
-    recordAbandoned(flight, now);
+    abandonAttempt(id, flight, now, actions);
     const std::string faultyEndpoint = flight.endpoint;
     retry(id, flight, true, faultyEndpoint, std::move(reason), now, actions);
 }
