Relay: a reply to an order to change the path counts for that order only

What callers saw: nothing yet; found by asking of each answer that comes back what may have become of its flight. If the first order of an attempt got no answer in time and a second one was given, a late reply to the first was taken for the second: the stream was given up and repeated although its engine was carrying out the second order, or a path was taken for changed that was not.

Change: orders are numbered in their attempt, and the reply comes with its order. That an order got no answer is no reply any more and has a function of its own.

--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -384,17 +384,17 @@
 {
     startCall(m_pool, change.endpoint, change.address,
               m_protocol.changePathCall(change.request, change.path), EngineAnswerTimeout,
-              [this, flight = change.flight, attempt = change.attempt](const CallOutcome &outcome) {
+              [this, change](const CallOutcome &outcome) {
                   RelayActions actions;
                   const auto [reply, faultyAddress] =
                       m_protocol.parsePathReply(outcome.status, outcome.body);
-                  if (const auto it = m_flights.find(flight); it != m_flights.end())
+                  if (const auto it = m_flights.find(change.flight); it != m_flights.end())
                       it->second->addToTrail(
                           reply == PathReply::Accepted
                               ? "path changed"
                               : "path not changed, " + std::to_string(outcome.status)
                                     + (faultyAddress.empty() ? "" : " at " + faultyAddress));
-                  m_relay.pathChanged(flight, attempt, reply, faultyAddress, steadyNow(), actions);
+                  m_relay.pathChanged(change, reply, faultyAddress, steadyNow(), actions);
                   run(std::move(actions));
               });
 }
--- a/src/fakes/crashsimulation.cpp
+++ b/src/fakes/crashsimulation.cpp
@@ -604,8 +604,8 @@
             after(between(40'000, 200'000), [this, run] { start(run); });
         }
         step(instance, [&](Relay &relay, RelayActions &actions) {
-            relay.pathChanged(change.flight, change.attempt,
-                              accepted ? PathReply::Accepted : PathReply::Lost, {}, m_now, actions);
+            relay.pathChanged(change, accepted ? PathReply::Accepted : PathReply::Lost, {}, m_now,
+                              actions);
         });
     });
 }
--- a/src/fakes/layeremulator.cpp
+++ b/src/fakes/layeremulator.cpp
@@ -318,9 +318,8 @@
         const auto answer = [&](bool taken) {
             at(HopDelay, [this, instance, change, taken] {
                 RelayActions actions;
-                m_relays[instance].pathChanged(change.flight, change.attempt,
-                                               taken ? PathReply::Accepted : PathReply::Lost, {},
-                                               m_now, actions);
+                m_relays[instance].pathChanged(
+                    change, taken ? PathReply::Accepted : PathReply::Lost, {}, m_now, actions);
                 carryOut(instance, actions);
             });
         };
--- a/src/fakes/relayharness.cpp
+++ b/src/fakes/relayharness.cpp
@@ -173,8 +173,13 @@
 
 void RelayHarness::answerPathChange(FlightId flight, PathReply reply, const std::string &faulty)
 {
-    relay.pathChanged(flight, pathChanges(flight).back().attempt, reply, addressOf(faulty), now,
-                      actions);
+    answerPathChange(pathChanges(flight).back(), reply, faulty);
+}
+
+void RelayHarness::answerPathChange(const ChangePath &change, PathReply reply,
+                                    const std::string &faulty)
+{
+    relay.pathChanged(change, reply, addressOf(faulty), now, actions);
 }
 
 void RelayHarness::drain(const std::string &id)
--- a/src/fakes/relayharness.h
+++ b/src/fakes/relayharness.h
@@ -54,6 +54,8 @@
 
     /// Answers the last order to change the flight's path.
     void answerPathChange(FlightId flight, PathReply reply, const std::string &faulty = {});
+    void answerPathChange(const ChangePath &change, PathReply reply,
+                          const std::string &faulty = {});
 
     /// Answers the flight's last request for a trial permit.
     void answerTrial(FlightId flight, const TrialAnswer &answer);
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -145,6 +145,7 @@
 {
     FlightId flight = 0;
     std::uint32_t attempt = 0;
+    std::uint32_t number = 0; ///< of the order, counted in each attempt
     std::string request; ///< id under which the engine knows the request
     std::string endpoint; ///< id of the first engine
     std::string address;
@@ -288,10 +289,10 @@
     void streamCompleted(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions);
     void callerGone(FlightId id, Time now, RelayActions &actions);
 
-    /// Handles the reply to a ChangePath, or its absence. \a faultyAddress is the engine that
-    /// lacks memory or the layers, if the reply names it.
-    void pathChanged(FlightId id, std::uint32_t attempt, PathReply reply,
-                     std::string_view faultyAddress, Time now, RelayActions &actions);
+    /// Handles the reply to \a order, or its absence. It only counts if no later order was given.
+    /// \a faultyAddress is the engine that lacks memory or the layers, if the reply names it.
+    void pathChanged(const ChangePath &order, PathReply reply, std::string_view faultyAddress,
+                     Time now, RelayActions &actions);
 
     /// An engine answered a QueryEngine; \a stalledAt lists the addresses of engines that do
     /// not answer the queried engine.
@@ -457,6 +458,7 @@
     void removeLoad(const Flight &flight);
     void recordTransfers(const Flight &flight, Time now);
     bool changePath(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void pathNotChanged(FlightId id, Flight &flight, Time now, RelayActions &actions);
     bool chooseEndpoint(Flight &flight, Time now, SendRequest &send);
     double endpointCost(const FleetEndpoint &endpoint, const std::set<std::string> &avoid,
                         Time now);
--- a/src/libbalsamloft/lateanswers_test.cpp
+++ b/src/libbalsamloft/lateanswers_test.cpp
@@ -108,6 +108,33 @@
     CHECK(test.harness.sends(test.flight).size() == 2);
 }
 
+// Guards against a path that is given up for a refusal of the one before.
+TEST_CASE("a late reply to an order to change the path does not count for the next order")
+{
+    RelayHarness harness({{"e1", {0, 4}}, {"e2", {4, 8}}, {"e3", {4, 8}}, {"e4", {4, 8}}});
+    const FlightId flight = harness.submit(RequestKind::Stream);
+    REQUIRE(harness.answer(flight, 200));
+    harness.forwardEvents(flight, 1);
+    const auto loseSecondEngine = [&] {
+        const std::vector<PathPart> path = harness.pathChanges(flight).empty()
+                                               ? harness.sends(flight).back().path
+                                               : harness.pathChanges(flight).back().path;
+        harness.relay.queryFailed(path.back().endpoint, harness.now, harness.actions);
+        harness.advance(milliseconds(300));
+    };
+    loseSecondEngine();
+    REQUIRE(harness.pathChanges(flight).size() == 1);
+    const ChangePath first = harness.pathChanges(flight).back();
+    harness.answerPathChange(flight, PathReply::Accepted);
+    harness.advance(seconds(1));
+    loseSecondEngine();
+    REQUIRE(harness.pathChanges(flight).size() == 2);
+    harness.answerPathChange(first, PathReply::Lost);
+    CHECK(harness.abandoned(flight) == 0);
+    harness.answerPathChange(flight, PathReply::Accepted);
+    CHECK(harness.abandoned(flight) == 0);
+}
+
 // Guards against an attempt that is sent after it was given up.
 TEST_CASE("an attempt that was given up may not be sent any more")
 {
@@ -246,8 +273,7 @@
         if (m_pathChanges.empty())
             return;
         const ChangePath change = m_pathChanges[below(m_pathChanges.size())];
-        relay().pathChanged(change.flight, change.attempt, static_cast<PathReply>(below(3)), {},
-                            m_harness.now, m_harness.actions);
+        m_harness.answerPathChange(change, static_cast<PathReply>(below(3)));
     }
 
     void step()
--- a/src/libbalsamloft/relaypath.cpp
+++ b/src/libbalsamloft/relaypath.cpp
@@ -40,31 +40,38 @@
     if (!flight.provenHarmless)
         flight.firstEventAt.reset();
     m_counts.pathsChanged += 1;
-    actions.push_back(ChangePath {id, flight.attempt, flight.request.id, first.endpoint,
-                                  engine->address, flight.path, flight.lastReason});
+    actions.push_back(ChangePath {id, flight.attempt, flight.pathChanges, flight.request.id,
+                                  first.endpoint, engine->address, flight.path, flight.lastReason});
     return true;
 }
 
-void Relay::pathChanged(FlightId id, std::uint32_t attempt, PathReply reply,
-                        std::string_view faultyAddress, Time now, RelayActions &actions)
+void Relay::pathChanged(const ChangePath &order, PathReply reply, std::string_view faultyAddress,
+                        Time now, RelayActions &actions)
 {
-    Flight *flight = inAttempt(id, attempt);
-    if (!flight || !flight->pathChangeSentAt)
+    Flight *flight = inAttempt(order.flight, order.attempt);
+    if (!flight || !flight->pathChangeSentAt || flight->pathChanges != order.number)
         return;
-    flight->pathChangeSentAt.reset();
+    if (reply == PathReply::Accepted) {
+        flight->pathChangeSentAt.reset();
+        // The new engines need time to prefill the prompt before the next event.
+        flight->progressAt = now + flight->expectedFirstEvent;
+        return;
+    }
     if (reply == PathReply::Refused) {
         if (const FleetEndpoint *faulty = m_fleet->findByAddress(faultyAddress))
             m_engines.refusedBusy(faulty->id, now);
-        if (changePath(id, *flight, now, actions))
+        if (changePath(order.flight, *flight, now, actions))
             return;
     }
-    if (reply != PathReply::Accepted) {
-        if (worthMoving(*flight, now))
-            abandonAndRetry(id, *flight, "the path could not be changed", now, actions);
-        return;
-    }
-    // The new engines need time to prefill the prompt before the next event.
-    flight->progressAt = now + flight->expectedFirstEvent;
+    pathNotChanged(order.flight, *flight, now, actions);
+}
+
+/// The engine refused the last order, does not know the request, or did not answer.
+void Relay::pathNotChanged(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    flight.pathChangeSentAt.reset();
+    if (worthMoving(flight, now))
+        abandonAndRetry(id, flight, "the path could not be changed", now, actions);
 }
 
 } // namespace balsamloft
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -192,7 +192,7 @@
 {
     if (flight.pathChangeSentAt) {
         if (now - *flight.pathChangeSentAt >= m_settings.pathChangeTimeout)
-            pathChanged(id, flight.attempt, PathReply::Lost, {}, now, actions);
+            pathNotChanged(id, flight, now, actions);
         return;
     }
     const Duration pause = now - flight.progressAt;
