Trial permits: a trial that ends late does not release the next permit of its own process

What callers saw: nothing yet; found by the questions of the postmortem of the permit that came after its request was sent. A trial that outlasted its permit, by ten seconds and more, released whatever permit its process then held for the content: a second trial ran without one, and a third could begin.

Cause: a finished trial was named by its content alone. Change: it is named by content and endpoint.

Test: trialpermits_test, a trial that ends late..., which fails with the former rule.

--- a/src/entry/controlcrashes.cpp
+++ b/src/entry/controlcrashes.cpp
@@ -269,7 +269,7 @@
 
 void Control::finishTrial(const FinishTrial &trial)
 {
-    const auto change = m_trialPermits.release(trial.digest, trial.outcome);
+    const auto change = m_trialPermits.release(trial.digest, trial.endpoint, trial.outcome);
     if (!change)
         return;
     writeTrial(*change, [digest = trial.digest](bool done) {
--- a/src/fakes/crashsimulation.cpp
+++ b/src/fakes/crashsimulation.cpp
@@ -416,7 +416,7 @@
 
 void CrashSimulation::finishTrial(std::size_t instance, const FinishTrial &finish)
 {
-    const auto change = m_permits[instance].release(finish.digest, finish.outcome);
+    const auto change = m_permits[instance].release(finish.digest, finish.endpoint, finish.outcome);
     if (!change)
         return;
     after(m_settings.storeLatency, [this, instance, change = *change] {
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -171,6 +171,7 @@
 struct FinishTrial
 {
     std::string digest;
+    std::string endpoint; ///< that the permit is for
     TrialOutcome outcome = TrialOutcome::Inconclusive;
 };
 
--- a/src/include/balsamloft/trialpermits.h
+++ b/src/include/balsamloft/trialpermits.h
@@ -127,9 +127,10 @@
     /// Returns the answer while the store cannot be reached.
     TrialAnswer answerWithoutStore(const TrialRequest &request) const;
 
-    /// Returns the rows to be written when a trial of this process finished; nothing if its
-    /// permit expired and was granted to another process.
-    std::optional<TrialChange> release(const std::string &digest, TrialOutcome outcome) const;
+    /// Returns the rows to be written when a trial of this process at \a endpoint finished;
+    /// nothing if its permit expired and another one was granted meanwhile.
+    std::optional<TrialChange> release(const std::string &digest, const std::string &endpoint,
+                                       TrialOutcome outcome) const;
 
     /// Keys of rows that can be deleted.
     std::vector<std::string> expiredKeys(Time storeNow) const;
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -178,7 +178,8 @@
     Flight *flight = awaitingPermit(request.flight, request.attempt);
     if (!flight) {
         if (answer.granted)
-            actions.push_back(FinishTrial {request.request.digest, TrialOutcome::NotSent});
+            actions.push_back(FinishTrial {request.request.digest, request.request.endpoint,
+                                           TrialOutcome::NotSent});
         return;
     }
     Trial &trial = flight->trial;
@@ -207,7 +208,7 @@
     if (flight.trial.state < Trial::State::Granted)
         return;
     flight.trial.state = Trial::State::None;
-    actions.push_back(FinishTrial {flight.trial.digest, outcome});
+    actions.push_back(FinishTrial {flight.trial.digest, flight.trial.endpoint, outcome});
 }
 
 /// Finishes a flight that must not be sent. The time to retry has jitter, so that callers
--- a/src/libbalsamloft/trialpermits.cpp
+++ b/src/libbalsamloft/trialpermits.cpp
@@ -144,15 +144,16 @@
 }
 
 std::optional<TrialChange> TrialPermits::release(const std::string &digest,
+                                                 const std::string &endpoint,
                                                  TrialOutcome outcome) const
 {
     TrialRow content = row(contentTrialKey(digest));
-    const TrialRow endpoint = row(endpointTrialKey(content.counterpart));
-    if (content.counterpart.empty() || content.holder != m_settings.holder
-        || endpoint.counterpart != digest)
+    TrialRow atEndpoint = row(endpointTrialKey(endpoint));
+    if (content.counterpart != endpoint || content.holder != m_settings.holder
+        || atEndpoint.counterpart != digest)
         return std::nullopt;
     TrialChange change;
-    change.removed.push_back(endpoint);
+    change.removed.push_back(std::move(atEndpoint));
     if (outcome == TrialOutcome::Succeeded) {
         change.removed.push_back(std::move(content));
         return change;
--- a/src/libbalsamloft/trialpermits_test.cpp
+++ b/src/libbalsamloft/trialpermits_test.cpp
@@ -48,9 +48,10 @@
         return permits.answer(request, change, done, now);
     }
 
-    void finish(std::size_t instance, const std::string &digest, TrialOutcome outcome)
+    void finish(std::size_t instance, const std::string &digest, const std::string &endpoint,
+                TrialOutcome outcome)
     {
-        const auto change = m_instances[instance].release(digest, outcome);
+        const auto change = m_instances[instance].release(digest, endpoint, outcome);
         if (!change)
             return;
         const bool done = write(*change);
@@ -148,7 +149,7 @@
     Fleet fleet(2);
     for (int i = 0; i < 3; ++i) {
         REQUIRE(fleet.requestPermit(0, {"bad", "e1", true}).granted);
-        fleet.finish(0, "bad", TrialOutcome::Inconclusive);
+        fleet.finish(0, "bad", "e1", TrialOutcome::Inconclusive);
     }
     const TrialAnswer fourth = fleet.requestPermit(1, {"bad", "e2", true});
     fleet.shareRows();
@@ -162,10 +163,10 @@
     Fleet fleet(2);
     for (int i = 0; i < 5; ++i) {
         REQUIRE(fleet.requestPermit(0, {"beside", "e1", true}).granted);
-        fleet.finish(0, "beside", TrialOutcome::NotSent);
+        fleet.finish(0, "beside", "e1", TrialOutcome::NotSent);
     }
     REQUIRE(fleet.requestPermit(0, {"beside", "e1", true}).granted);
-    fleet.finish(0, "beside", TrialOutcome::Succeeded);
+    fleet.finish(0, "beside", "e1", TrialOutcome::Succeeded);
     fleet.shareRows();
     CHECK(fleet.requestPermit(1, {"beside", "e1", true}).granted);
 }
@@ -180,11 +181,23 @@
     fleet.now += seconds(11);
     REQUIRE(fleet.requestPermit(1, {"bad", "e2"}).granted);
     fleet.shareRows();
-    fleet.finish(0, "bad", TrialOutcome::Inconclusive);
+    fleet.finish(0, "bad", "e1", TrialOutcome::Inconclusive);
     fleet.shareRows();
     CHECK_FALSE(fleet.requestPermit(0, {"bad", "e3"}).granted);
 }
 
+// Guards against two trials of a request at a time, when one outlasts its permit.
+TEST_CASE("a trial that ends late does not release the next permit of its own process")
+{
+    Fleet fleet(2);
+    REQUIRE(fleet.requestPermit(0, {"bad", "e1"}).granted);
+    fleet.now += seconds(11);
+    REQUIRE(fleet.requestPermit(0, {"bad", "e2"}).granted);
+    fleet.finish(0, "bad", "e1", TrialOutcome::Inconclusive);
+    fleet.shareRows();
+    CHECK_FALSE(fleet.requestPermit(1, {"bad", "e3"}).granted);
+}
+
 // Guards against harmless requests that are refused for as long as the store is away.
 TEST_CASE("without the store only requests with a single crash are permitted")
 {
