PeerDirectory: while sources are stale, the instances of a domain try the store in turn (CONFIG, DRAIN)

Cause: a stale answer of a source counted as a sign that the store fails for all, so an instance whose sources answered never asked the store itself. What counts is the age of the data, not that its source answers. Ruled out: failing calls to the store (it made none), a version that was not applied (both sources were cut off before it was written).

Change: while its data is stale, an instance below the readers tries the store in its turn; turns follow from names and the age of the data, and become rare. Who was served goes on; the others query whose turn it was, also readers that are cut off. A starting instance whose sources have no data gets its turn too; before, it waited for as long as they answered.

Looked at for the same cause: starting instances, readers, ages of lists, keys and engine states, the long-polled tables, competition for the lease (the same class, open).

Store call rate while sources are stale: at most the normal rate, twice for a moment. The emulator's check of age was silent while the store failed for any one instance; it now is only while it fails for all.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -250,12 +250,16 @@
 SourceChoice Control::chooseSource(SharedTable table)
 {
     const auto index = static_cast<std::size_t>(table);
-    const Time lastUpdate = std::max(m_server.state(table).knownAt, m_followingSince);
-    const Duration updateAge = usesLongWaits(table) ? Duration {} : bootNow() - lastUpdate;
+    const TableState &state = m_server.state(table);
+    ReplicaStatus replica;
+    if (!usesLongWaits(table)) {
+        replica.age = bootNow() - std::max(state.knownAt, m_followingSince);
+        replica.fromStore = state.fromStore;
+    }
     // A store that was restored a moment ago may list what others know to be outdated, so the first
     // snapshot comes from another instance, if one answers.
-    const bool hasData = m_server.state(table).copy.known() || table == SharedTable::Instances;
-    const ReadSource from = m_directory.source(steadyNow(), updateAge, hasData);
+    replica.hasData = state.copy.known() || table == SharedTable::Instances;
+    const ReadSource from = m_directory.source(steadyNow(), replica);
     if (from.kind == ReadSource::Kind::None)
         return nullptr;
     if (from.kind == ReadSource::Kind::Store)
--- a/src/fakes/propagationemulator.cpp
+++ b/src/fakes/propagationemulator.cpp
@@ -104,10 +104,13 @@
     const Time end = m_now + length;
     for (; m_now < end; m_now += Step) {
         transfer();
+        const auto isServed = [](const Instance &each) {
+            return each.behavior == StoreBehavior::Healthy;
+        };
+        if (std::none_of(m_instances.begin(), m_instances.end(), isServed))
+            m_storeImpairedAt = m_now;
         for (Instance &each : m_instances) {
             recordImpairment(each);
-            if (each.behavior != StoreBehavior::Healthy)
-                m_storeImpairedAt = m_now;
             if (!each.alive)
                 continue;
             if (each.querying)
@@ -122,7 +125,8 @@
 
 void PropagationEmulator::recordImpairment(Instance &instance) const
 {
-    if (!instance.alive || instance.partitioned || m_now < instance.busyUntil)
+    if (!instance.alive || instance.partitioned || m_now < instance.busyUntil
+        || instance.behavior != StoreBehavior::Healthy)
         instance.impairedAt = m_now;
 }
 
@@ -149,8 +153,8 @@
 void PropagationEmulator::startQuery(Instance &instance)
 {
     const Time knownSince = instance.version > 0 ? instance.knownAt : instance.busyUntil;
-    const ReadSource from =
-        instance.directory.source(m_now, m_now - knownSince, instance.version > 0);
+    const ReadSource from = instance.directory.source(
+        m_now, {m_now - knownSince, instance.version > 0, instance.direct});
     instance.queriesStore = from.kind == ReadSource::Kind::Store;
     if (from.kind == ReadSource::Kind::None) {
         instance.nextQueryAt = m_now + RetryPause;
@@ -270,6 +274,26 @@
     return oldest;
 }
 
+Duration PropagationEmulator::longestWithoutData(Duration length) const
+{
+    Duration longest {};
+    if (m_now - m_storeImpairedAt < length)
+        return longest;
+    for (const Instance &each : m_instances)
+        if (each.version == 0 && m_now - each.impairedAt >= length)
+            longest = std::max(longest, m_now - each.busyUntil);
+    return longest;
+}
+
+std::vector<std::size_t> PropagationEmulator::instancesOf(std::size_t domain) const
+{
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < m_instances.size(); ++i)
+        if (m_instances[i].domain == domain)
+            found.push_back(i);
+    return found;
+}
+
 std::size_t PropagationEmulator::upToDateCount() const
 {
     const std::uint64_t newest = versionAt(m_now);
--- a/src/fakes/propagationemulator.h
+++ b/src/fakes/propagationemulator.h
@@ -51,6 +51,15 @@
 
     /// Partitions a domain from the store and the other domains, or reconnects it.
     void partitionDomain(std::size_t domain, bool partitioned);
+
+    /// Partitions one instance in the same way. It still reaches the instances of its domain.
+    void partition(std::size_t instance, bool partitioned)
+    {
+        m_instances[instance].partitioned = partitioned;
+    }
+
+    /// Indexes of the instances of \a domain, in the order of their names.
+    std::vector<std::size_t> instancesOf(std::size_t domain) const;
     void kill(std::size_t instance);
 
     /// Restarts an instance without data. Reading the list of instances costs one store call.
@@ -70,10 +79,13 @@
     std::size_t maxQueriersPerInstance() const;
 
     /// Age of the oldest data among the instances that have data and, for the past \a length,
-    /// were neither dead, busy nor partitioned. Zero if the store failed for any instance in
-    /// that time.
+    /// were neither dead, busy nor partitioned and were served by the store. Zero if the store
+    /// failed for all instances in that time.
     Duration oldestConnectedAge(Duration length) const;
 
+    /// The same among the instances without data: the longest time since such an instance started.
+    Duration longestWithoutData(Duration length) const;
+
     bool hasData(std::size_t instance) const { return m_instances[instance].version > 0; }
 
     /// Number of live instances that have the latest version.
@@ -104,7 +116,8 @@
         PeerDirectory directory;
         bool alive = true;
         Time busyUntil {};
-        Time impairedAt {}; ///< last time the instance was dead, busy or partitioned
+        /// Last time the instance was dead, busy, partitioned or not served by the store.
+        Time impairedAt {};
         bool partitioned = false;
         StoreBehavior behavior = StoreBehavior::Healthy;
         std::uint64_t version = 0; ///< latest version received; 0: none
@@ -144,7 +157,7 @@
     Time m_begin {std::chrono::hours(1)};
     Time m_now = m_begin;
     std::vector<Time> m_writes;
-    Time m_storeImpairedAt {}; ///< last time the store failed for any instance
+    Time m_storeImpairedAt {}; ///< last time the store failed for all instances
     std::size_t m_rowBytes = 0; ///< encoded size of the row in an answer
     /// Number of answers with rows in transit, by sending instance.
     std::vector<std::size_t> m_answersInTransit;
--- a/src/fakes/restorefleet.cpp
+++ b/src/fakes/restorefleet.cpp
@@ -293,9 +293,10 @@
     };
     events.chooseSource = [this, &instance, table] { return chooseSource(instance, table); };
     events.failed = [this, &instance](const TableSource &source, bool answered) {
-        if (source.isStore())
+        if (source.isStore()) {
             instance.directory->storeFailed(m_now);
-        else if (answered)
+            instance.fromStore = {};
+        } else if (answered)
             instance.directory->recordEmptyAnswer(source.peer(), m_now);
         else
             instance.directory->markUnresponsive(source.peer(), m_now);
@@ -306,8 +307,8 @@
 SourceChoice RestoreFleet::chooseSource(Instance &instance, std::size_t table)
 {
     const Time lastUpdate = std::max(instance.knownAt[table], instance.startedAt);
-    const ReadSource from =
-        instance.directory->source(m_now, m_now - lastUpdate, instance.copies[table].known());
+    const ReadSource from = instance.directory->source(
+        m_now, {m_now - lastUpdate, instance.copies[table].known(), instance.fromStore[table]});
     if (from.kind == ReadSource::Kind::None)
         return nullptr;
     const bool store = from.kind == ReadSource::Kind::Store;
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -25,6 +25,14 @@
     bool operator==(const PeerInstance &) const = default;
 };
 
+/// What this instance has of a table. The choice of its source depends on it.
+struct ReplicaStatus
+{
+    Duration age {}; ///< of the data; if there is none yet, the time since the first query
+    bool hasData = true;
+    bool fromStore = false; ///< last read from the store itself, without a failure since
+};
+
 /// The source to read the store's tables from.
 struct ReadSource
 {
@@ -43,18 +51,19 @@
 /// instances of a domain, by name, are its domain readers: the first reads the store, the second
 /// stands by and reads it while the first cannot. All other instances form a tree with a limited
 /// fan-out: each reads from its parent, which precedes it by name, or from the parent's neighbour.
-/// If the parent and its neighbour are both stale, the instance waits, since these two pass on new
-/// data as soon as the readers have it. Only if both are unresponsive does the instance read from
-/// the readers of its domain or of other domains.
+/// If both are unresponsive, the instance reads from the readers of its domain or of other domains.
 ///
-/// While the store fails, at most two instances per domain call it. If instances with a stale
-/// source switched to the store, the whole fleet would call the store as soon as it failed for
-/// the readers, without getting newer data. Every answer carries its age, so data does not look
-/// newer after it has passed through several instances.
+/// Every answer carries its age, so data does not look newer after it has passed through several
+/// instances. A source that answers may still be stale: it may be partitioned from the store, or
+/// the store may fail. Its followers cannot tell these apart, but must not serve outdated data if
+/// it is only partitioned, and must not all call a store that fails. So, while their data is stale,
+/// they try the store in turn, in the order of their names. The turns of a domain are close
+/// together at first and then become rare, so the calls do not grow with the number of instances.
+/// An instance that the store serves goes on reading it, and the readers' other followers find its
+/// data there, since they know whose turn it was. Instances further down in the tree get it from
+/// these.
 ///
-/// An instance that gets no updates from any source reads the store itself. Its sources are dead,
-/// slow or partitioned from it. If it waited until they recover, it would route requests with
-/// outdated data, or refuse all requests if it has no data yet.
+/// An instance whose sources are dead, slow or partitioned from it does not wait for its turn.
 class PeerDirectory
 {
 public:
@@ -80,10 +89,9 @@
 
     // Queries
 
-    /// Returns the source to read from at \a now. \a updateAge: the age of this instance's
-    /// data; if it has none yet, the time since its first query. \a hasData: if not, a domain
-    /// reader asks another instance before the store, which may have lost what that one knows.
-    ReadSource source(Time now, Duration updateAge = {}, bool hasData = true) const;
+    /// Returns the source to read a table from at \a now. A domain reader without data asks another
+    /// instance before the store, which may have lost what that one knows.
+    ReadSource source(Time now, const ReplicaStatus &replica = {}) const;
 
     /// Returns the listed instance \a name, if there is one.
     std::optional<PeerInstance> find(std::string_view name) const;
@@ -108,10 +116,23 @@
     {
         Time unresponsiveUntil {};
         Time staleUntil {};
+        Time queriedAt {}; ///< when the last query ended
+        Time freshAt {}; ///< when it last sent data that was not stale
         std::uint32_t timeouts = 0; ///< consecutive timeouts
     };
 
-    bool lacksUpdates(Time now, Duration updateAge) const;
+    using Candidates = std::vector<const PeerInstance *>;
+
+    static bool isStale(const ReplicaStatus &replica);
+    bool mayTryStore(Time now, const ReplicaStatus &replica) const;
+    bool isTurnAtStore(Time now, Duration staleFor) const;
+    std::optional<std::size_t> positionBelowReaders() const;
+    std::vector<const PeerInstance *> belowReaders() const;
+    ReadSource followerSource(Time now, const ReplicaStatus &replica) const;
+    const PeerInstance *standIn(Time now, const ReplicaStatus &replica) const;
+    const PeerInstance *freshSource(Time now) const;
+    const PeerInstance *longestUnqueried(const Candidates &candidates, Time now) const;
+    const SourceState &stateOf(const PeerInstance &instance) const;
     bool isResponsive(const PeerInstance &instance, Time now) const;
     bool isUsable(const PeerInstance &instance, Time now) const;
     std::vector<const PeerInstance *> earlierResponsive(Time now) const;
@@ -130,6 +151,7 @@
     Time m_staleAnswerAt {}; ///< last answer with data older than the maximum age
     Time m_emptyAnswerAt {}; ///< last answer of an instance that had no data yet
     Time m_storeRetryAt {};
+    Time m_storeFailedAt {}; ///< last failure
     std::uint32_t m_storeFailures = 0; ///< consecutive failures
 };
 
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -28,10 +28,25 @@
 /// the store and has not detected this yet.
 constexpr Duration MaxAge {1'250'000};
 
-/// Time after a stale or empty answer during which an instance without updates does not call the
-/// store. Such an answer suggests that the store fails for the sources as well.
+/// Time after a stale or empty answer during which an instance without updates calls the store only
+/// in its turn: the store may be failing for all.
 constexpr Duration RecentAnswer {1'000'000};
 
+/// Interval between the turns of two instances of a domain at the store. It grows each time that
+/// TurnsPerInterval instances had their turn: the more of them the store did not serve, the less
+/// likely it is to serve the next.
+constexpr Duration FirstTurnInterval {50'000};
+constexpr Duration MaxTurnInterval {1'600'000};
+constexpr int TurnIntervalGrowth = 4;
+constexpr std::size_t TurnsPerInterval = 3;
+
+/// Instances that had their turns last are queried in place of stale parents.
+constexpr std::size_t StandIns = 2;
+
+/// Time for which an instance goes on querying a source that had fresh data when its parents had
+/// none.
+constexpr Duration RecentlyFresh {2'500'000};
+
 /// Pauses of a reader after the store failed, with jitter.
 constexpr Duration InitialBackOff {300'000};
 constexpr Duration MaxBackOff {2'400'000};
@@ -52,6 +67,31 @@
     return XXH3_64bits(name.data(), name.size());
 }
 
+/// How long after the data became stale the turn begins.
+Duration turnBegin(std::size_t turn)
+{
+    Duration begin {};
+    Duration interval = FirstTurnInterval;
+    for (; turn >= TurnsPerInterval && interval < MaxTurnInterval; turn -= TurnsPerInterval) {
+        begin += interval * TurnsPerInterval;
+        interval = std::min(interval * TurnIntervalGrowth, MaxTurnInterval);
+    }
+    return begin + interval * turn;
+}
+
+/// Number of turns that have begun when the data has been stale for \a staleFor.
+std::size_t turnsBegun(Duration staleFor)
+{
+    std::size_t turns = 0;
+    Duration interval = FirstTurnInterval;
+    while (interval < MaxTurnInterval && staleFor >= interval * TurnsPerInterval) {
+        turns += TurnsPerInterval;
+        staleFor -= interval * TurnsPerInterval;
+        interval = std::min(interval * TurnIntervalGrowth, MaxTurnInterval);
+    }
+    return turns + static_cast<std::size_t>(staleFor / interval) + 1;
+}
+
 } // namespace
 
 PeerDirectory::PeerDirectory(std::string self, std::string domain)
@@ -84,11 +124,14 @@
                ? exponentialBackoff(InitialTimeoutPause, source.timeouts, MaxTimeoutPause)
                : StartupTimeoutPause);
     source.timeouts += 1;
+    source.queriedAt = now;
 }
 
 void PeerDirectory::recordEmptyAnswer(const std::string &name, Time now)
 {
-    m_sourceStates[name].staleUntil = now + StalePause;
+    SourceState &source = m_sourceStates[name];
+    source.queriedAt = now;
+    source.staleUntil = now + StalePause;
     m_emptyAnswerAt = now;
 }
 
@@ -97,6 +140,7 @@
     m_everAnswered = true;
     SourceState &source = m_sourceStates[name];
     source.timeouts = 0;
+    source.queriedAt = now;
     source.unresponsiveUntil = Time {};
     // The second reader reads the store while the first cannot, so it accepts only data that the
     // first has read from the store itself. Otherwise the two would read from each other.
@@ -106,10 +150,13 @@
         source.staleUntil = now + StalePause;
     if (age > MaxAge)
         m_staleAnswerAt = now;
+    else
+        source.freshAt = now;
 }
 
 void PeerDirectory::storeFailed(Time now)
 {
+    m_storeFailedAt = now;
     if (now < m_storeRetryAt)
         return;
     const Duration maxPause = exponentialBackoff(InitialBackOff, m_storeFailures, MaxBackOff);
@@ -124,18 +171,21 @@
     m_storeRetryAt = Time {};
 }
 
-bool PeerDirectory::isResponsive(const PeerInstance &instance, Time now) const
+const PeerDirectory::SourceState &PeerDirectory::stateOf(const PeerInstance &instance) const
 {
+    static const SourceState neverQueried;
     const auto it = m_sourceStates.find(instance.name);
-    return !instance.address.empty()
-           && (it == m_sourceStates.end() || now >= it->second.unresponsiveUntil);
+    return it == m_sourceStates.end() ? neverQueried : it->second;
+}
+
+bool PeerDirectory::isResponsive(const PeerInstance &instance, Time now) const
+{
+    return !instance.address.empty() && now >= stateOf(instance).unresponsiveUntil;
 }
 
 bool PeerDirectory::isUsable(const PeerInstance &instance, Time now) const
 {
-    const auto it = m_sourceStates.find(instance.name);
-    return isResponsive(instance, now)
-           && (it == m_sourceStates.end() || now >= it->second.staleUntil);
+    return isResponsive(instance, now) && now >= stateOf(instance).staleUntil;
 }
 
 /// Returns the first ReadersPerDomain responsive instances of this instance's domain that
@@ -157,13 +207,102 @@
     return earlierResponsive(now).empty();
 }
 
-/// Whether this instance gets no updates from any source although the store may be working. A
-/// recent stale answer indicates that the store fails for the sources too. A recent empty answer
-/// indicates the same until this instance has received its first data.
-bool PeerDirectory::lacksUpdates(Time now, Duration updateAge) const
+bool PeerDirectory::isStale(const ReplicaStatus &replica)
+{
+    return replica.age > MaxAge;
+}
+
+/// Whether this instance may read the store because its sources send no current data. If they send
+/// nothing at all, it may at once. If one sent stale data, or has none yet, the store may be
+/// failing for all, and the instances of the domain try it in turn.
+bool PeerDirectory::mayTryStore(Time now, const ReplicaStatus &replica) const
+{
+    if (!isStale(replica) || !storeUsable(now))
+        return false;
+    const bool heardOfNothing = now - m_staleAnswerAt > RecentAnswer
+                                && (m_everAnswered || now - m_emptyAnswerAt > RecentAnswer);
+    return heardOfNothing || isTurnAtStore(now, replica.age - MaxAge);
+}
+
+/// The position of this instance among those of its domain, without the first ReadersPerDomain;
+/// nothing if it is one of these.
+std::optional<std::size_t> PeerDirectory::positionBelowReaders() const
 {
-    return updateAge > MaxAge && now - m_staleAnswerAt > RecentAnswer
-           && (m_everAnswered || now - m_emptyAnswerAt > RecentAnswer);
+    const auto position = static_cast<std::size_t>(
+        std::count_if(m_instances.begin(), m_instances.end(), [&](const PeerInstance &each) {
+            return each.domain == m_domain && each.name < m_self;
+        }));
+    return position < ReadersPerDomain ? std::nullopt
+                                       : std::make_optional(position - ReadersPerDomain);
+}
+
+/// Whether a turn of this instance has begun since its last call to the store failed. All instances
+/// of a domain count the turns from when their data became stale, which is known from its age, so
+/// they agree on them without messages.
+bool PeerDirectory::isTurnAtStore(Time now, Duration staleFor) const
+{
+    const auto position = positionBelowReaders();
+    const std::size_t begun = turnsBegun(staleFor);
+    if (!position || begun <= *position)
+        return false;
+    const std::size_t count = std::max(belowReaders().size(), *position + 1);
+    const std::size_t lastOwn = begun - 1 - (begun - 1 - *position) % count;
+    return m_storeFailedAt < now - staleFor + turnBegin(lastOwn);
+}
+
+/// The listed instances of this domain without the first ReadersPerDomain, in the order of their
+/// names.
+std::vector<const PeerInstance *> PeerDirectory::belowReaders() const
+{
+    std::vector<const PeerInstance *> below;
+    std::size_t seen = 0;
+    for (const PeerInstance &each : m_instances)
+        if (each.domain == m_domain && seen++ >= ReadersPerDomain)
+            below.push_back(&each);
+    return below;
+}
+
+/// Returns an instance below the readers that may have read the store in its turn, or null. The
+/// readers and their followers query one that had its turn last. All others are too many for that,
+/// and are divided among the readers' followers.
+const PeerInstance *PeerDirectory::standIn(Time now, const ReplicaStatus &replica) const
+{
+    const std::vector<const PeerInstance *> all = belowReaders();
+    if (!isStale(replica) || all.empty())
+        return nullptr;
+    const std::size_t followers = std::min(all.size(), ReadersPerDomain * FanOut);
+    const std::size_t begun = turnsBegun(replica.age - MaxAge);
+    const std::size_t position = positionBelowReaders().value_or(0);
+    Candidates candidates;
+    for (std::size_t turn = begun; turn > 0 && turn + StandIns > begun; --turn) {
+        const std::size_t index =
+            position < followers ? (turn - 1) % all.size() : (turn - 1 + position) % followers;
+        if (all[index]->name != m_self)
+            candidates.push_back(all[index]);
+    }
+    return longestUnqueried(candidates, now);
+}
+
+/// Returns the usable instance that most recently sent data that was not stale, or null.
+const PeerInstance *PeerDirectory::freshSource(Time now) const
+{
+    const PeerInstance *freshest = nullptr;
+    for (const PeerInstance &each : m_instances)
+        if (isUsable(each, now) && now - stateOf(each).freshAt < RecentlyFresh
+            && (!freshest || stateOf(each).freshAt > stateOf(*freshest).freshAt))
+            freshest = &each;
+    return freshest;
+}
+
+/// Returns the usable one of \a candidates whose last query is the longest ago, or null.
+const PeerInstance *PeerDirectory::longestUnqueried(const Candidates &candidates, Time now) const
+{
+    const PeerInstance *found = nullptr;
+    for (const PeerInstance *each : candidates)
+        if (isUsable(*each, now)
+            && (!found || stateOf(*each).queriedAt < stateOf(*found).queriedAt))
+            found = each;
+    return found;
 }
 
 /// Returns another instance, of this domain if there is one, unless it is known not to be usable.
@@ -187,35 +326,59 @@
     return it == m_instances.end() ? std::nullopt : std::optional(*it);
 }
 
-ReadSource PeerDirectory::source(Time now, Duration updateAge, bool hasData) const
+/// Returns the source of an instance that is not a reader of its domain. If its parents are stale,
+/// it goes on with the store or another instance that had fresh data. If it has only stale data, it
+/// queries all that may have fresh data, one after another.
+ReadSource PeerDirectory::followerSource(Time now, const ReplicaStatus &replica) const
 {
-    if (lacksUpdates(now, updateAge) && storeUsable(now))
+    Candidates candidates = parents();
+    const auto from = [](const PeerInstance *instance) {
+        return instance ? ReadSource {ReadSource::Kind::Instance, instance} : ReadSource {};
+    };
+    if (isStale(replica)) {
+        for (const PeerInstance *each : {standIn(now, replica), freshSource(now)})
+            if (each)
+                candidates.push_back(each);
+        return from(longestUnqueried(candidates, now));
+    }
+    for (const PeerInstance *each : candidates)
+        if (isUsable(*each, now))
+            return from(each);
+    if (replica.fromStore && storeUsable(now))
+        return {ReadSource::Kind::Store};
+    return from(freshSource(now));
+}
+
+ReadSource PeerDirectory::source(Time now, const ReplicaStatus &replica) const
+{
+    if (mayTryStore(now, replica))
         return {ReadSource::Kind::Store, nullptr, true};
     const std::vector<const PeerInstance *> earlier = earlierResponsive(now);
     if (earlier.size() == ReadersPerDomain) {
-        const std::vector<const PeerInstance *> parentCandidates = parents();
-        for (const PeerInstance *each : parentCandidates)
-            if (isUsable(*each, now))
-                return {ReadSource::Kind::Instance, each};
-        if (std::any_of(parentCandidates.begin(), parentCandidates.end(),
-                        [&](const PeerInstance *each) { return isResponsive(*each, now); }))
-            return {};
+        const ReadSource found = followerSource(now, replica);
+        const Candidates parentCandidates = parents();
+        if (found.kind != ReadSource::Kind::None
+            || std::any_of(parentCandidates.begin(), parentCandidates.end(),
+                           [&](const PeerInstance *each) { return isResponsive(*each, now); }))
+            return found;
     }
     for (const PeerInstance *each : earlier)
         if (isUsable(*each, now))
             return {ReadSource::Kind::Instance, each};
-    if (!hasData && earlier.size() < ReadersPerDomain)
+    if (!replica.hasData && earlier.size() < ReadersPerDomain)
         if (const PeerInstance *each = firstSource(now))
             return {ReadSource::Kind::Instance, each, true};
     // A first snapshot that another instance sent may be old, which the store shows at once.
     if (earlier.size() < ReadersPerDomain && storeUsable(now))
-        return {ReadSource::Kind::Store, nullptr, updateAge > RecentUpdate};
+        return {ReadSource::Kind::Store, nullptr, replica.age > RecentUpdate};
     // This instance is the first reader and the store fails: read from the second reader.
     if (earlier.empty())
         if (const PeerInstance *other = nextResponsive(now); other && isUsable(*other, now))
             return {ReadSource::Kind::Instance, other};
     if (const PeerInstance *each = remoteReader(now))
         return {ReadSource::Kind::Instance, each};
+    if (const PeerInstance *each = standIn(now, replica))
+        return {ReadSource::Kind::Instance, each};
     return {};
 }
 
--- a/src/libbalsamloft/propagation_test.cpp
+++ b/src/libbalsamloft/propagation_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdio>
+#include <functional>
 #include <random>
 
 using namespace balsamloft;
@@ -62,6 +64,37 @@
            / static_cast<double>(length.count());
 }
 
+/// A fleet of one of the sizes that updates are tested at, and how old data may become there.
+struct FleetSize
+{
+    std::size_t instances;
+    std::size_t maxCut; ///< first instances of a domain that are cut off at the same time
+    Duration connectedFor;
+    Duration maxAge;
+};
+
+const std::vector<FleetSize> FleetSizes {{9, 2, seconds(3), seconds(2)},
+                                         {75, 6, seconds(4), seconds(3)},
+                                         {295, 8, seconds(5), seconds(4)}};
+
+/// How an instance is cut off from the store; it always reaches the instances of its domain.
+enum class Cut : std::uint8_t { FromStore, FromStoreAndOtherDomains, Refused };
+
+void cut(PropagationEmulator &fleet, std::size_t instance, Cut how)
+{
+    if (how == Cut::FromStoreAndOtherDomains)
+        fleet.partition(instance, true);
+    else
+        fleet.setStore(instance,
+                       how == Cut::Refused ? StoreBehavior::Refusing : StoreBehavior::Silent);
+}
+
+void reconnect(PropagationEmulator &fleet, std::size_t instance)
+{
+    fleet.partition(instance, false);
+    fleet.setStore(instance, StoreBehavior::Healthy);
+}
+
 } // namespace
 
 // The rate of store calls does not grow with the fleet, neither with a healthy store nor in an
@@ -294,6 +327,181 @@
     }
 }
 
+// Guards against an instance that takes stale data of its sources as a sign that the store fails.
+TEST_CASE("instances whose sources are cut off from the store do not serve outdated data")
+{
+    const Cut how = GENERATE(Cut::FromStore, Cut::FromStoreAndOtherDomains, Cut::Refused);
+    for (const FleetSize &size : FleetSizes) {
+        for (std::size_t count = 2; count <= size.maxCut; count += 2) {
+            PropagationEmulator fleet(configuredFleet(size.instances, configurationOf(200)));
+            fleet.run(seconds(6));
+            const std::vector<std::size_t> domain = fleet.instancesOf(0);
+            for (std::size_t i = 0; i < count; ++i)
+                cut(fleet, domain[i], how);
+            for (int step = 0; step < 550; ++step) {
+                fleet.run(milliseconds(10));
+                CAPTURE(size.instances, count, step);
+                REQUIRE(fleet.oldestConnectedAge(size.connectedFor) <= size.maxAge);
+            }
+            for (std::size_t i = 0; i < count; ++i)
+                reconnect(fleet, domain[i]);
+            fleet.run(seconds(4));
+            CHECK(fleet.oldestAge() < milliseconds(1'600));
+            CHECK(fleet.freshnessViolations() == 0);
+        }
+    }
+}
+
+// Guards against the same where the other source is dead, hangs or starts meanwhile.
+TEST_CASE("data age of connected instances stays bounded while others are cut off from the store")
+{
+    std::mt19937_64 random(20261204);
+    for (const FleetSize &size : FleetSizes)
+        for (int round = 0; round < (size.instances < 100 ? 100 : 12); ++round) {
+            PropagationEmulator fleet(configuredFleet(size.instances, configurationOf(200)));
+            fleet.run(seconds(6));
+            // Most faults hit the first instances of a domain, which the others read from.
+            const auto anyInstance = [&] {
+                const std::vector<std::size_t> domain = fleet.instancesOf(random() % 3);
+                return domain[random() % std::min<std::size_t>(domain.size(), 4)];
+            };
+            std::vector<std::size_t> impaired;
+            for (int step = 0; step < 200; ++step) {
+                const std::size_t instance = anyInstance();
+                switch (random() % 24) {
+                case 0:
+                case 1:
+                case 2:
+                    cut(fleet, instance, static_cast<Cut>(random() % 3));
+                    impaired.push_back(instance);
+                    break;
+                case 3:
+                    fleet.kill(instance);
+                    break;
+                case 4:
+                    fleet.start(instance, Duration(random() % 2'000'000));
+                    break;
+                case 5:
+                case 6:
+                    if (!impaired.empty()) {
+                        reconnect(fleet, impaired.back());
+                        impaired.pop_back();
+                    }
+                    break;
+                case 7:
+                    fleet.write();
+                    break;
+                default:
+                    break;
+                }
+                fleet.run(milliseconds(50));
+                CAPTURE(size.instances, round, step);
+                REQUIRE(fleet.oldestConnectedAge(size.connectedFor) <= size.maxAge);
+            }
+        }
+}
+
+// Guards against an instance that waits for sources that have no data and cannot get any.
+TEST_CASE("an instance that starts beside sources without data reads the store itself")
+{
+    for (const FleetSize &size : FleetSizes) {
+        PropagationEmulator fleet(configuredFleet(size.instances, configurationOf(200)));
+        fleet.run(seconds(3));
+        const std::vector<std::size_t> domain = fleet.instancesOf(0);
+        for (std::size_t i = 0; i < 2; ++i)
+            cut(fleet, domain[i], Cut::FromStoreAndOtherDomains);
+        for (const std::size_t each : domain)
+            fleet.kill(each);
+        fleet.run(seconds(1));
+        for (const std::size_t each : domain)
+            fleet.start(each);
+        fleet.run(size.connectedFor + seconds(1));
+        CAPTURE(size.instances);
+        CHECK(fleet.longestWithoutData(size.connectedFor) == Duration {});
+    }
+}
+
+namespace {
+
+/// Store calls per second and domain.
+struct CallRates
+{
+    double first = 0; ///< in the first three seconds of a fault, in which data becomes stale
+    double later = 0; ///< in the ten seconds after them
+};
+
+CallRates callRates(std::size_t instances, const std::function<void(PropagationEmulator &)> &fail)
+{
+    PropagationSettings settings;
+    settings.domains = 3;
+    settings.instancesPerDomain = instances / settings.domains;
+    PropagationEmulator fleet(settings);
+    fleet.run(seconds(5));
+    fail(fleet);
+    const auto domains = static_cast<double>(settings.domains);
+    CallRates rates;
+    rates.first = callsPerSecond(fleet, seconds(3)) / domains;
+    rates.later = callsPerSecond(fleet, seconds(10)) / domains;
+    return rates;
+}
+
+void cutReaders(PropagationEmulator &fleet, Cut how)
+{
+    for (std::size_t domain = 0; domain < 3; ++domain)
+        for (std::size_t i = 0; i < 2; ++i)
+            cut(fleet, fleet.instancesOf(domain)[i], how);
+}
+
+void partitionAllDomains(PropagationEmulator &fleet)
+{
+    for (std::size_t domain = 0; domain < 3; ++domain)
+        fleet.partitionDomain(domain, true);
+}
+
+/// Faults in which all sources of an instance are stale.
+const std::vector<std::pair<std::string, std::function<void(PropagationEmulator &)>>> StaleSources {
+    {"readers cut off from the store",
+     [](PropagationEmulator &fleet) { cutReaders(fleet, Cut::FromStore); }},
+    {"readers cut off from all",
+     [](PropagationEmulator &fleet) { cutReaders(fleet, Cut::FromStoreAndOtherDomains); }},
+    {"readers refused by the store",
+     [](PropagationEmulator &fleet) { cutReaders(fleet, Cut::Refused); }},
+    {"store refuses", [](PropagationEmulator &fleet) { fleet.setStore(StoreBehavior::Refusing); }},
+    {"store silent", [](PropagationEmulator &fleet) { fleet.setStore(StoreBehavior::Silent); }},
+    {"domains cut off", partitionAllDomains},
+};
+
+} // namespace
+
+// Guards against a fleet that turns to the store at once when its sources are stale: the store gets
+// no more calls than in normal operation, and twice as many for a moment.
+TEST_CASE("store call rate while sources are stale does not grow with the number of instances")
+{
+    const double normal = callRates(9, [](PropagationEmulator &) {}).later;
+    for (const auto &[fault, fail] : StaleSources) {
+        std::vector<CallRates> rates;
+        for (const std::size_t instances : {6U, 9U, 75U, 294U}) {
+            rates.push_back(callRates(instances, fail));
+            CAPTURE(fault, instances, rates.back().first, rates.back().later);
+            CHECK(rates.back().first <= 2 * normal);
+            CHECK(rates.back().later <= normal);
+        }
+        CHECK(rates[3].first <= rates[2].first * 1.2);
+        CHECK(rates[3].later <= rates[2].later * 1.2);
+    }
+}
+
+// Prints the figures of docs/CAPACITY.md.
+TEST_CASE("store call rates while sources are stale", "[.figures]")
+{
+    for (const auto &[fault, fail] : StaleSources)
+        for (const std::size_t instances : {6U, 75U, 294U}) {
+            const CallRates rates = callRates(instances, fail);
+            std::printf("%-30s %3zu instances: %.1f, then %.1f calls a second and domain\n",
+                        fault.c_str(), instances, rates.first, rates.later);
+        }
+}
+
 // Guards against an instance that alternates between two dead sources forever and never
 // becomes ready.
 TEST_CASE(
