Configuration: an empty list of tenants accepts no API key (CONFIG, ROUTE)

Cause: whether requests need a key was derived from the number of teams parsed; an empty list, an unreadable one and a missing one were the same.

Looked at for the same cause: tenants without keys, empty lists of routes and services, balsamloftd's rules without teams; all refuse.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -148,7 +148,7 @@
     m_teamKey.clear();
     m_priority = combinedPriority(route.priority, route.priority);
     m_routeName = route.name;
-    if (route.anonymous || !table.hasTeams())
+    if (route.anonymous || !table.requiresKeys())
         return true;
     if (!m_server.keysUpToDate()) {
         refuse(503, "API keys out of date", Duration(300'000));
--- a/src/include/balsamloft/routemap.h
+++ b/src/include/balsamloft/routemap.h
@@ -153,7 +153,10 @@
     const std::vector<Route> &routes() const { return m_routes; }
     const std::vector<RoutedService> &services() const { return m_services; }
     const RequestLimits &limits() const { return m_limits; }
-    bool hasTeams() const { return !m_teams.empty(); }
+
+    /// Whether requests need a team's API key, except on routes for anonymous callers. With a list
+    /// of teams that is empty, nobody has one.
+    bool requiresKeys() const { return m_requiresKeys; }
 
 private:
     friend class RouteMapBuilder;
@@ -162,6 +165,7 @@
     std::vector<Route> m_routes;
     std::vector<RoutedService> m_services;
     std::vector<RoutedTeam> m_teams;
+    bool m_requiresKeys = false;
     std::unordered_map<std::string, std::uint32_t, StringHash, std::equal_to<>> m_keys;
     /// Indexes of each host's routes, longest prefix first.
     std::unordered_map<std::string, std::vector<std::uint32_t>, StringHash, std::equal_to<>>
@@ -182,6 +186,11 @@
 
     /// \a targets holds names of services and their weights.
     RouteMapBuilder &route(Route route, std::vector<std::pair<std::string, double>> targets);
+
+    /// The configuration has a list of teams, which may be empty, see RouteMap::requiresKeys().
+    RouteMapBuilder &requireKeys();
+
+    /// Adds a team; implies requireKeys().
     RouteMapBuilder &team(RoutedTeam team, const std::vector<std::string> &keys);
     RouteMapBuilder &limits(RequestLimits limits);
 
--- a/src/libbalsamloft/routemap.cpp
+++ b/src/libbalsamloft/routemap.cpp
@@ -89,8 +89,15 @@
     return *this;
 }
 
+RouteMapBuilder &RouteMapBuilder::requireKeys()
+{
+    m_map->m_requiresKeys = true;
+    return *this;
+}
+
 RouteMapBuilder &RouteMapBuilder::team(RoutedTeam team, const std::vector<std::string> &keys)
 {
+    requireKeys();
     const auto index = static_cast<std::uint32_t>(m_map->m_teams.size());
     m_map->m_teams.push_back(std::move(team));
     for (const std::string &key : keys)
