An instance that starts trusts no API keys until it knows that the store was not just restored (CONFIG)

Cause: the pause in which keys are not trusted held only where the restore was seen; not having seen one was taken for there having been none, and the first instance asked had started too.

Change: EraAge, how long the era has lasted at least: since this process learnt of it, or for as long as another instance has known it (era_known_ms). Without that, two seconds of 503 for callers with keys at a start of a whole fleet, unless the list of instances is empty; nothing where the store states no era. A newer configuration that another instance has is fetched at once after a start.

Looked at for the same cause: lease, permits, list of endpoints (postmortem).

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -312,9 +312,7 @@
         m_directory.storeAnswered();
     else if (!usesLongWaits(table))
         m_directory.recordAnswer(source.peer(), age, answer.fromStore, now);
-    // Right after a restore, the store may lack a configuration that withdrew a key.
-    const bool mayLackKeys = m_eraBeganAt && now - *m_eraBeganAt < RewriteTime;
-    if (table == SharedTable::Configuration && m_table && !mayLackKeys)
+    if (table == SharedTable::Configuration && m_table && !mayLackKeys(now))
         m_state.keysKnownAt = state.knownAt.time_since_epoch().count();
     if (table == SharedTable::Endpoints) {
         m_fleet.listConfirmed(now - age);
@@ -322,6 +320,10 @@
         reportsArrived(answer.engines);
     }
     if (table == SharedTable::Instances) {
+        // Rows outlive their processes: without any, no instance has served by what a store that
+        // was restored may have lost.
+        if (!m_followingAll && source.isStore() && state.copy.rows().empty())
+            m_eraAge.heard(RewriteTime, now);
         updateInstances();
         followRemainingTables();
     }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -12,6 +12,7 @@
 #include <balsamloft/admission/loadroute.h>
 #include <balsamloft/configurationfetch.h>
 #include <balsamloft/crashgossip.h>
+#include <balsamloft/eraage.h>
 #include <balsamloft/gapfiller.h>
 #include <balsamloft/instancelist.h>
 #include <balsamloft/layerplanner.h>
@@ -45,9 +46,6 @@
     Restored, ///< the first snapshot of an era of the store
 };
 
-/// Time in which operators and endpoints write again what a restored store has lost.
-inline constexpr Duration RewriteTime {2'000'000};
-
 /// Parses the row of a trial, as of \a era of the store. Returns nothing if the row was not written
 /// by an instance.
 std::optional<TrialRow> parseTrial(const StoreRow &row, std::uint64_t era);
@@ -121,6 +119,8 @@
     InstanceState ownState() const;
     void stateReceived(const InstanceState &state);
     void peerAnswered(const TableAnswer &answer, const PeerInstance &peer);
+    void eraAgeHeard(const InstanceState &state);
+    bool mayLackKeys(Time now) const;
     InstanceState stateForQuery(const PeerInstance &peer, SharedTable table);
     InstanceState stateForAnswer(const InstanceState &sender) const;
     bool sumsUpLoads(Time now) const;
@@ -189,6 +189,7 @@
     StoreEras m_eras;
     std::optional<std::uint64_t> m_seenEra; ///< set with the first answer
     std::optional<Time> m_eraBeganAt; ///< steadyNow() when this process saw the present era begin
+    EraAge m_eraAge; ///< in steadyNow()
     Time m_lostRowsDueAt = Time::max(); ///< steadyNow() at which lost rows are written again
     boost::asio::steady_timer m_timer;
     LoopDelay m_loopDelay;
--- a/src/entry/controleras.cpp
+++ b/src/entry/controleras.cpp
@@ -32,6 +32,8 @@
         m_seenEra = newest.era;
         m_state.storeEra = newest.era;
         m_lease.setEra(newest.era, bootNow());
+        m_eraAge.learnt(steadyNow());
+        m_configurationFetch.storeRestored(steadyNow());
     } else if (newest.era > *m_seenEra) {
         eraBegan();
     }
@@ -46,6 +48,7 @@
     m_state.storeEra = m_eras.era();
     m_state.storeEraChanges += 1;
     m_lease.setEra(m_eras.era(), bootNow());
+    m_eraAge.learnt(now);
     storeRestored({});
     m_skippedRows.clear();
     for (auto &[key, value] : std::exchange(m_unreadCrashWrites, {}))
@@ -75,13 +78,28 @@
     state.configuration = m_table ? m_table->version() : 0;
     if (m_eraBeganAt && steadyNow() - *m_eraBeganAt < RecentEra)
         state.eraAge = steadyNow() - *m_eraBeganAt;
+    state.eraKnownFor = m_eraAge.knownFor(steadyNow());
     return state;
 }
 
+void Control::eraAgeHeard(const InstanceState &state)
+{
+    if (state.era == m_eras.era() && state.eraKnownFor)
+        m_eraAge.heard(*state.eraKnownFor, steadyNow());
+}
+
+/// Whether the store may lack a configuration that withdrew an API key, because it was restored a
+/// moment ago. A store that states no era loses nothing.
+bool Control::mayLackKeys(Time now) const
+{
+    return m_eras.era() > 0 && m_eraAge.mayLackWrites(now);
+}
+
 void Control::stateReceived(const InstanceState &state)
 {
     m_eras.recordPeer({state.era, 0});
     noticeEra();
+    eraAgeHeard(state);
     if (const auto peer = m_directory.find(state.name))
         configurationHeard(state.configuration, *peer);
     subtreeReceived(state);
@@ -99,6 +117,7 @@
     const auto age = state.era < m_seenEra ? std::optional(Duration {}) : state.eraAge;
     if (age && !m_eraBeganAt)
         storeRestored(*age);
+    eraAgeHeard(state);
     configurationHeard(state.configuration, peer);
     totalReceived(state);
 }
--- a/src/libbalsamloft/restoredstore_test.cpp
+++ b/src/libbalsamloft/restoredstore_test.cpp
@@ -3,6 +3,7 @@
 #include <balsamloft/configurationfetch.h>
 #include <balsamloft/crashgossip.h>
 #include <balsamloft/enginefleet.h>
+#include <balsamloft/eraage.h>
 #include <balsamloft/instancelist.h>
 #include <balsamloft/readfreshness.h>
 #include <balsamloft/tablecopy.h>
@@ -218,6 +219,27 @@
 }
 
 // Guards against an own permit of the former era that hides the row of another holder.
+// Guards against a starting instance that takes the era of the store for an old one.
+TEST_CASE("an instance that starts waits for keys unless another one has known the era for longer",
+          "[restored]")
+{
+    EraAge age;
+    CHECK(age.mayLackWrites(Start));
+    age.learnt(Start);
+    CHECK(age.mayLackWrites(Start + RewriteTime - milliseconds(1)));
+    CHECK_FALSE(age.mayLackWrites(Start + RewriteTime));
+    EraAge told;
+    told.learnt(Start);
+    told.heard(milliseconds(700), Start); // the other one saw the era begin, or started then
+    CHECK(told.mayLackWrites(Start + RewriteTime - milliseconds(701)));
+    told.heard(milliseconds(100), Start);
+    CHECK_FALSE(told.mayLackWrites(Start + RewriteTime - milliseconds(700)));
+    told.heard(std::chrono::hours(5), Start);
+    CHECK_FALSE(told.mayLackWrites(Start));
+    told.learnt(Start); // the store was restored
+    CHECK(told.mayLackWrites(Start));
+}
+
 TEST_CASE("trial rows of a later era replace those with higher numbers", "[restored]")
 {
     TrialPermits permits({.holder = "h"});
--- a/src/libpeer/statecodec.cpp
+++ b/src/libpeer/statecodec.cpp
@@ -67,6 +67,8 @@
     message.set_configuration(state.configuration);
     if (state.eraAge)
         message.set_era_age_ms(static_cast<std::uint64_t>(state.eraAge->count() / 1000));
+    if (state.eraKnownFor)
+        message.set_era_known_ms(static_cast<std::uint64_t>(state.eraKnownFor->count() / 1000));
     if (state.load)
         encodeLoad(*state.load, state.loadDomain, *message.mutable_load());
 }
@@ -81,6 +83,9 @@
     state.configuration = message.configuration();
     if (message.has_era_age_ms() && message.era_age_ms() <= MaxAgeMs)
         state.eraAge = Duration(static_cast<std::int64_t>(message.era_age_ms()) * 1000);
+    if (message.has_era_known_ms())
+        state.eraKnownFor =
+            Duration(static_cast<std::int64_t>(std::min(message.era_known_ms(), MaxAgeMs)) * 1000);
     if (message.has_load()) {
         state.load = decodeLoad(message.load());
         if (state.load)
--- a/testsuite/restored-store/restored_store_test.cpp
+++ b/testsuite/restored-store/restored_store_test.cpp
@@ -35,17 +35,25 @@
     std::size_t start(const std::string &name, const std::string &domain)
     {
         m_callers.push_back(freeAddress());
-        m_processes.push_back(std::make_unique<Process>(
-            "balsamloft-entry-standin",
-            std::vector<std::string> {
-                "--name=" + name, "--domain=" + domain, "--listen=" + m_callers.back(),
-                "--ready_listen=" + freeAddress(), "--peer_listen=" + freeAddress(),
-                "--store=" + store.address(), "--revocation_ms=30000"}));
+        m_settings.push_back({"--name=" + name, "--domain=" + domain,
+                              "--listen=" + m_callers.back(), "--ready_listen=" + freeAddress(),
+                              "--peer_listen=" + freeAddress(), "--store=" + store.address(),
+                              "--revocation_ms=30000"});
+        m_processes.emplace_back();
         const std::size_t index = m_callers.size() - 1;
+        restart(index);
         REQUIRE(waitUntil([&] { return send(index, "common").starts_with("HTTP/1.1 200"); }));
         return index;
     }
 
+    /// Kills the instance, if it runs, and starts it with the same settings.
+    void restart(std::size_t instance)
+    {
+        m_processes[instance].reset();
+        m_processes[instance] =
+            std::make_unique<Process>("balsamloft-entry-standin", m_settings[instance]);
+    }
+
     /// Writes version \a version, whose keys are "common", "key\a version" and \a moreKeys.
     void configure(int version, const std::string &moreKeys = {})
     {
@@ -118,6 +126,7 @@
 private:
     std::map<std::string, std::unique_ptr<RawServer>> m_endpoints;
     std::vector<std::string> m_callers;
+    std::vector<std::vector<std::string>> m_settings; ///< of each instance
     std::vector<std::unique_ptr<Process>> m_processes;
     int m_next = 1;
 };
@@ -144,6 +153,32 @@
     CHECK(fleet.allAccept("key33"));
 }
 
+// Guards against a revoked key that works again at instances that learn of no other one that knows
+// better.
+TEST_CASE("a key that was revoked before a restore is refused by instances that start together",
+          "[process][failure]")
+{
+    Fleet fleet(3);
+    fleet.configure(22);
+    REQUIRE(fleet.allAccept("key22"));
+    fleet.store.takeCopy();
+    fleet.configure(26);
+    REQUIRE(fleet.allAccept("key26"));
+    const bool allStart = GENERATE(false, true);
+    fleet.store.restoreCopy();
+    for (std::size_t i = 0; i < fleet.size() - (allStart ? 0 : 1); ++i)
+        fleet.restart(i);
+    constexpr int Rounds = 30;
+    for (int round = 0; round < Rounds; ++round) {
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            CHECK_FALSE(fleet.accepts(i, "key22"));
+        if (round == Rounds / 4)
+            fleet.configure(26); // the operator writes it again
+        std::this_thread::sleep_for(PropagationTime / Rounds);
+    }
+    CHECK(fleet.allAccept("key26"));
+}
+
 // Guards against a revoked key that works again until the operator writes the configuration again.
 TEST_CASE("a configuration that the store lost stays in force, also at instances that start",
           "[process][failure]")
