--- a/src/fakes/restorefleet.cpp
+++ b/src/fakes/restorefleet.cpp
@@ -296,10 +296,11 @@
         if (source.isStore()) {
             instance.directory->storeFailed(m_now);
             instance.fromStore = {};
-        } else if (answered)
+        } else if (answered) {
             instance.directory->recordEmptyAnswer(source.peer(), m_now);
-        else
+        } else {
             instance.directory->markUnresponsive(source.peer(), m_now);
+        }
     };
     return events;
 }
--- a/src/include/balsamloft/peerdirectory.h
+++ b/src/include/balsamloft/peerdirectory.h
@@ -129,7 +129,7 @@
     std::optional<std::size_t> positionBelowReaders() const;
     std::vector<const PeerInstance *> belowReaders() const;
     ReadSource followerSource(Time now, const ReplicaStatus &replica) const;
-    const PeerInstance *standIn(Time now, const ReplicaStatus &replica) const;
+    const PeerInstance *instanceAtTurn(Time now, const ReplicaStatus &replica) const;
     const PeerInstance *freshSource(Time now) const;
     const PeerInstance *longestUnqueried(const Candidates &candidates, Time now) const;
     const SourceState &stateOf(const PeerInstance &instance) const;
--- a/src/libbalsamloft/peerdirectory.cpp
+++ b/src/libbalsamloft/peerdirectory.cpp
@@ -40,8 +40,8 @@
 constexpr int TurnIntervalGrowth = 4;
 constexpr std::size_t TurnsPerInterval = 3;
 
-/// Instances that had their turns last are queried in place of stale parents.
-constexpr std::size_t StandIns = 2;
+/// Number of instances, those whose turns came last, that are queried beside stale parents.
+constexpr std::size_t MaxLastTurns = 2;
 
 /// Time for which an instance goes on querying a source that had fresh data when its parents had
 /// none.
@@ -262,10 +262,10 @@
     return below;
 }
 
-/// Returns an instance below the readers that may have read the store in its turn, or null. The
-/// readers and their followers query one that had its turn last. All others are too many for that,
-/// and are divided among the readers' followers.
-const PeerInstance *PeerDirectory::standIn(Time now, const ReplicaStatus &replica) const
+/// Returns an instance that may have read the store in its turn, or null. For the readers and their
+/// followers it is one whose turn came last. All others are too many to query the same one, and are
+/// divided among the readers' followers.
+const PeerInstance *PeerDirectory::instanceAtTurn(Time now, const ReplicaStatus &replica) const
 {
     const std::vector<const PeerInstance *> all = belowReaders();
     if (!isStale(replica) || all.empty())
@@ -274,7 +274,7 @@
     const std::size_t begun = turnsBegun(replica.age - MaxAge);
     const std::size_t position = positionBelowReaders().value_or(0);
     Candidates candidates;
-    for (std::size_t turn = begun; turn > 0 && turn + StandIns > begun; --turn) {
+    for (std::size_t turn = begun; turn > 0 && turn + MaxLastTurns > begun; --turn) {
         const std::size_t index =
             position < followers ? (turn - 1) % all.size() : (turn - 1 + position) % followers;
         if (all[index]->name != m_self)
@@ -336,7 +336,7 @@
         return instance ? ReadSource {ReadSource::Kind::Instance, instance} : ReadSource {};
     };
     if (isStale(replica)) {
-        for (const PeerInstance *each : {standIn(now, replica), freshSource(now)})
+        for (const PeerInstance *each : {instanceAtTurn(now, replica), freshSource(now)})
             if (each)
                 candidates.push_back(each);
         return from(longestUnqueried(candidates, now));
@@ -377,7 +377,7 @@
             return {ReadSource::Kind::Instance, other};
     if (const PeerInstance *each = remoteReader(now))
         return {ReadSource::Kind::Instance, each};
-    if (const PeerInstance *each = standIn(now, replica))
+    if (const PeerInstance *each = instanceAtTurn(now, replica))
         return {ReadSource::Kind::Instance, each};
     return {};
 }
--- a/testsuite/restored-store/restored_store_test.cpp
+++ b/testsuite/restored-store/restored_store_test.cpp
@@ -153,8 +153,7 @@
     CHECK(fleet.allAccept("key33"));
 }
 
-// Guards against a revoked key that works again at instances that learn of no other one that knows
-// better.
+// Guards against a revoked key that works again at instances that start and ask each other.
 TEST_CASE("a key that was revoked before a restore is refused by instances that start together",
           "[process][failure]")
 {
