Entry: count requests read, answered, truncated and left, and closes by cause; log what a stop left

Metrics balsamloft_caller_requests_read_total, _answered_total, connections closed, closed unread and requests unanswered by cause; log lines callers/connection closed (only where something was lost or truncated) and callers/stopped, whose figures add up. No change of logic.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -81,7 +81,7 @@
         logOutcome("cut short", 200, finish.reason);
         m_server.detach(*m_flight);
         m_flight.reset();
-        return close();
+        return close(CloseCause::Truncated);
     }
 }
 
@@ -154,8 +154,10 @@
     if (m_output.empty()) {
         if (m_flight)
             return;
+        if (std::exchange(m_owesAnswer, false))
+            m_server.callerCounts().answerWritten();
         if (m_closeAfterAnswer)
-            return close();
+            return close(CloseCause::Announced);
         return;
     }
     m_writing = true;
@@ -167,7 +169,7 @@
         [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
             self->m_writing = false;
             if (error)
-                return self->close();
+                return self->close(CloseCause::WriteFailed);
             self->continueReading();
         });
 }
--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -67,7 +67,7 @@
     // The caller's close may lie behind the bytes that were read last.
     if (callerLeft()) {
         m_server.departures().beforeSend += 1;
-        close();
+        close(CloseCause::CallerEnded);
         return false;
     }
     // The key may have been withdrawn while the request waited for a connection or while this
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -3,6 +3,7 @@
 #include "callersession.h"
 
 #include "clock.h"
+#include "decisionlog.h"
 #include "fieldtext.h"
 #include "sockets.h"
 #include "trafficserver.h"
@@ -63,7 +64,7 @@
         return;
     if (error) {
         // The caller disconnected: its request is cancelled at the endpoint immediately.
-        return close();
+        return close(CloseCause::CallerEnded);
     }
     m_lastReadAt = steadyNow();
     m_server.callerSocketCalls().reads += 1;
@@ -99,6 +100,7 @@
 void CallerSession::refuseMalformed()
 {
     m_closeAfterAnswer = true;
+    beginAnswer();
     switch (m_request->failure()) {
     case MessageReader::Failure::HeaderTooLarge:
         return refuse(431, "request header too large");
@@ -112,6 +114,7 @@
 void CallerSession::handleRequest()
 {
     const MessageHead &head = m_request->head();
+    beginAnswer();
     m_startedAt = steadyNow();
     m_streamBegun = false;
     m_passedEvents = 0;
@@ -239,11 +242,33 @@
         m_forwardedHead += "Content-Length: " + std::to_string(m_body.size()) + "\r\n";
 }
 
-void CallerSession::close()
+void CallerSession::beginAnswer()
+{
+    m_owesAnswer = true;
+    m_server.callerCounts().requestRead();
+}
+
+void CallerSession::recordClose(CloseCause cause)
+{
+    const bool isOwn = cause != CloseCause::CallerEnded;
+    const bool unread = isOwn && (!m_unread.empty() || hasUnreadBytes(m_socket.native_handle()));
+    const ConnectionRemains remains {.request = m_owesAnswer, .unreadBytes = unread};
+    m_server.callerCounts().connectionClosed(cause, remains);
+    if (!isOwn || !(remains.request || remains.unreadBytes))
+        return;
+    logDecision("callers", "connection closed",
+                {{"cause", CloseCauseNames[static_cast<std::size_t>(cause)]},
+                 {"request", remains.request},
+                 {"unread", remains.unreadBytes},
+                 {"since_read_ms", milliseconds(steadyNow() - m_lastReadAt)}});
+}
+
+void CallerSession::close(CloseCause cause)
 {
     if (m_closed)
         return;
     m_closed = true;
+    recordClose(cause);
     const auto self = shared_from_this();
     abandonAttempt();
     if (m_flight) {
@@ -268,7 +293,7 @@
     // A caller that has just connected may be about to send a request, which would be lost if the
     // connection were closed immediately.
     if (idle() && now - m_lastReadAt >= MinIdleBeforeClose)
-        close();
+        close(CloseCause::Stopping);
 }
 
 void CallerSession::tick(Time now)
@@ -278,7 +303,7 @@
         exchange->tick(now);
     // Without a read in progress, nothing else notices that the caller has left.
     if (m_flight && !m_reading && callerLeft())
-        return close();
+        return close(CloseCause::CallerEnded);
     if (m_flight || m_writing || m_closed)
         return;
     const RouteMapPtr &table = m_server.table();
@@ -286,10 +311,11 @@
     const bool partial = m_request && m_request->started();
     if (partial && now - m_lastReadAt >= limits.headerTimeout) {
         m_closeAfterAnswer = true;
+        beginAnswer();
         return refuse(408, "request not received completely in time");
     }
     if (!partial && now - m_lastReadAt >= limits.idleTimeout)
-        close();
+        close(CloseCause::Idle);
 }
 
 } // namespace balsamloft
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "callercounts.h"
 #include "connectionpool.h"
 
 #include <balsamloft/eventsplitter.h>
@@ -37,7 +38,7 @@
 
     /// Closes the connection if it has no request in progress and has been idle for a short time.
     void closeIfIdle(Time now);
-    void close();
+    void close(CloseCause cause);
 
     /// Whether the caller has closed the connection, even if its last bytes were not read yet.
     bool callerLeft();
@@ -76,6 +77,9 @@
     void flush();
     /// Resets the state of the current request and writes the rest of its answer.
     void finishRequest();
+    /// Records that a request is owed an answer.
+    void beginAnswer();
+    void recordClose(CloseCause cause);
     /// Continues with the next request once the answer is written.
     void continueReading();
     /// The fields of \a head that the relay needs.
@@ -127,6 +131,7 @@
     bool m_closeAfterAnswer = false; ///< close the connection after the answer
     bool m_closed = false;
     bool m_reading = false;
+    bool m_owesAnswer = false; ///< the answer to a request is not written completely
 };
 
 } // namespace balsamloft
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -4,6 +4,7 @@
 #include "callersession.h"
 #include "clock.h"
 #include "decisionlog.h"
+#include "fieldtext.h"
 #include "sockets.h"
 
 #include <boost/asio/post.hpp>
@@ -519,12 +520,29 @@
     const bool finished =
         m_sessions.empty() && m_acceptor.waiting() == 0 && !m_forwarder.hasUnfinished(now);
     if (finished || now - m_stopStartedAt >= m_settings.gracePeriod - StopMargin) {
+        logStop(now);
         m_acceptor.close();
         if (m_stopped)
             std::exchange(m_stopped, nullptr)();
     }
 }
 
+/// Logs what became of the requests of callers, as the process ends.
+void TrafficServer::logStop(Time now) const
+{
+    logDecision("callers", "stopped",
+                {{"ms", milliseconds(now - m_stopStartedAt)},
+                 {"read", std::int64_t(m_callerCounts.read())},
+                 {"answered", std::int64_t(m_callerCounts.answered())},
+                 {"truncated", std::int64_t(m_callerCounts.truncated())},
+                 {"abandoned", std::int64_t(m_callerCounts.abandoned())},
+                 {"unanswered", std::int64_t(m_callerCounts.unanswered())},
+                 {"closed_unread", std::int64_t(m_callerCounts.closedUnread())},
+                 {"in_flight", std::int64_t(m_relay.flights())},
+                 {"open", std::int64_t(m_sessions.size())},
+                 {"waiting", std::int64_t(m_acceptor.waiting())}});
+}
+
 std::string TrafficServer::metrics() const
 {
     const RelayCounts &counts = m_relay.counts();
@@ -594,6 +612,7 @@
     sample("lease_held", m_state.holdsLease ? 1 : 0);
     sample("log_lines_dropped_total", droppedLogLines());
     sample("control_loop_delay_ms", static_cast<std::uint64_t>(m_state.controlDelayMs));
+    m_callerCounts.render(text);
     renderAdmission(text);
     m_loopDelays.render("balsamloft_loop_delay_seconds", "", text);
     m_requestMetrics.render(text);
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "callercounts.h"
 #include "connectionforwarder.h"
 #include "entrystate.h"
 #include "requestmetrics.h"
@@ -123,6 +124,7 @@
         std::uint64_t beforeSend = 0; ///< before an attempt was sent
     };
     Departures &departures() { return m_departures; }
+    CallerCounts &callerCounts() { return m_callerCounts; }
     std::string metrics() const;
 
 private:
@@ -150,6 +152,7 @@
     void requestTrial(const RequestTrial &request);
     void checkSuspension();
     void continueStop();
+    void logStop(Time now) const;
     Duration graceShare(double share) const;
 
     boost::asio::io_context &m_context;
@@ -161,6 +164,7 @@
     RequestMetrics m_requestMetrics;
     SocketCalls m_callerSocketCalls;
     Departures m_departures;
+    CallerCounts m_callerCounts;
     EndpointLinks m_links;
     ConnectionPool m_pool;
     ConnectionForwarder m_forwarder;
--- a/src/include/balsamloft/socketstate.h
+++ b/src/include/balsamloft/socketstate.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <poll.h>
+#include <sys/socket.h>
 
 namespace balsamloft {
 
@@ -15,4 +16,11 @@
     return ::poll(&poll, 1, 0) > 0;
 }
 
+/// Whether bytes have arrived at \a socket that were not read.
+inline bool hasUnreadBytes(int socket)
+{
+    char byte = 0;
+    return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 } // namespace balsamloft
