Entry: a log whose reader has gone does not end the process

What callers saw: all connections of an instance reset, requests in progress without an answer, as soon as the process that read its log ended and the next line was written. Cause: SIGPIPE, whose default ends the process; balsamloftd ignores it, the entry did not. Ruled out: writes to sockets (they pass MSG_NOSIGNAL). The test failed before: 8 of 20 requests answered, the process gone; 20 of 20 now.

--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <csignal>
 #include <iostream>
 #include <thread>
 
@@ -209,6 +210,8 @@
 
 int main(int argc, char **argv)
 {
+    // Otherwise the process ends when the reader of its log does.
+    std::signal(SIGPIPE, SIG_IGN);
     balsamloft::Reason reason;
     auto settings = balsamloft::readEntrySettings(argc, argv, reason);
     if (!settings) {
--- a/testsuite/entry/entry_process_test.cpp
+++ b/testsuite/entry/entry_process_test.cpp
@@ -111,6 +111,43 @@
     child.terminate();
 }
 
+TEST_CASE("an instance whose log lost its reader goes on answering requests", "[process]")
+{
+    // The first line that was written to the closed pipe ended the process by SIGPIPE.
+    FakeStore store;
+    const std::string callers = freeAddress();
+    const std::string ready = freeAddress();
+    RawServer endpoint(
+        [](const std::string &request) { return RawAnswer {okAnswer(request, "done")}; });
+    store.put("configuration", "current",
+              R"({"version":1,"keys":{},"services":[{"name":"plain"}],"routes":[
+                 {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"}]})");
+    store.put("endpoints", "e1",
+              R"({"service":"plain","address":")" + endpoint.address() + R"(","domain":"d"})");
+    boost::process::ipstream output;
+    boost::process::child child(programDirectory() + "/balsamloft-entry-standin", "--name=entry-1",
+                                "--domain=d", "--listen=" + callers, "--ready_listen=" + ready,
+                                "--peer_listen=" + freeAddress(), "--store=" + store.address(),
+                                "--log_all", boost::process::std_out > output);
+    REQUIRE(waitUntil([&] {
+        return exchange(ready, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n", completeAnswer)
+            .starts_with("HTTP/1.1 200");
+    }));
+    output.pipe().close();
+    int answered = 0;
+    for (int i = 0; i < 20; ++i) {
+        answered += exchange(callers,
+                             "POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                             "Content-Length: 0\r\n\r\n",
+                             completeAnswer)
+                        .ends_with("done");
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CHECK(answered == 20);
+    CHECK(child.running());
+    child.terminate();
+}
+
 TEST_CASE("an invalid address in the settings exits with code 2 and an error message", "[process]")
 {
     Process process("balsamloft-entry-standin", {"--name=x", "--domain=d", "--listen=nowhere"});
