--- a/testsuite/entry/rawserver.cpp
+++ b/testsuite/entry/rawserver.cpp
@@ -100,6 +100,10 @@
             }
             const RawAnswer answer = m_handler(request);
             ::send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+            if (answer.more) {
+                for (std::string more = answer.more(); !more.empty(); more = answer.more())
+                    ::send(socket, more.data(), more.size(), MSG_NOSIGNAL);
+            }
             if (!answer.endless.empty())
                 return sendEndless(socket, answer);
             if (answer.then == RawAnswer::Then::Close) {
--- a/testsuite/entry/rawserver.h
+++ b/testsuite/entry/rawserver.h
@@ -22,6 +22,8 @@
     /// Sent after `bytes`, if not empty, again and again until the peer closes the connection.
     std::string endless = {};
     std::chrono::milliseconds endlessPause {0}; ///< before each repetition
+    /// Called after `bytes` are sent, again and again, for further bytes, until it returns none.
+    std::function<std::string()> more = {};
 };
 
 /// Listens on a free loopback port, with one thread per connection.
