Entry: a connection of a caller is closed only if no request or answer is lost by it (LOST)

What callers saw: around SIGTERM, requests on kept connections ended with a reset and without an answer; so did the request after a long stream, and all but the first of requests sent together. Shown on real sockets: 600 kept connections, a request on each while the process stands still from 2.2 to 3.2 s after SIGTERM: 127 of 600 answered, calls and streams alike; the request 60 ms after a stream that ends late in a stop: 0 of 8; two or three sent together: the first of each; behind a refused one: 0 of 20.

Cause: each place that closes (stop, idle timeout, end of an answer, timeout of an incomplete request) decided by a condition of its own on what the process had read. A process that is late has whole requests in its sockets: after a pause the loop handles one batch of 128 ready sockets, then the timers, which closed the other 473. 'Idle' was counted from the last byte read, so a connection was idle as soon as a long answer ended. The end was announced in front of requests that had been read already, and a close with unread bytes is a reset, which destroys answers.

Change: ConnectionUse decides for all of them, and asks the socket when it would close. Idle counts from the end of the last answer, and a shorter idle timeout does not apply to connections whose callers rely on the former one. An answer announces the end of its connection only if no request waits behind it. Connections end in two steps.

Ruled out: stretching the time by the loop's delay (a new delay may begin at any moment; the socket knows).

--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -16,6 +16,19 @@
 
 # Name, file, code text, replacement, and the proof: test program and test name.
 SAFEGUARDS = [
+    ("a connection with unread bytes is not closed", "src/libbalsamloft/connectionuse.cpp",
+     "return probe.hasUnreadBytes() ? ConnectionStep::Keep : step;", "return step;",
+     "connectionuse_test: a connection is closed neither while a request waits unread nor while one is in progress"),
+    ("a connection is idle from the end of its last answer", "src/libbalsamloft/connectionuse.cpp",
+     "m_state = State::Idle;\n    m_activeAt = now;", "m_state = State::Idle;\n    (void)now;",
+     "connectionuse_test: a connection is idle from the end of its last answer, not from its last read"),
+    ("a shorter idle timeout holds for later answers only", "src/libbalsamloft/connectionuse.cpp",
+     "std::max(timeouts.idle, m_promisedIdle)", "timeouts.idle",
+     "connectionuse_test: a shorter idle timeout closes no connection whose caller relies on the former one"),
+    ("a close ends the output first", "src/libaccept/lingeringconnections.cpp",
+     "m_socket.shutdown(tcp::socket::shutdown_send, error);\n        if (error)\n            return remove();",
+     "return remove();",
+     "lingeringconnections_test: an answer reaches its caller although bytes of the caller were unread at the close"),
     ("nothing is sent for a caller that left", "src/entry/callerattempts.cpp",
      "if (callerLeft()) {", "if (false) {",
      "testsuite: requests whose callers left while the instance stood still reach no endpoint"),
--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -79,16 +79,16 @@
         // The connection is closed without the last chunk, so that the answer does not look
         // complete.
         logOutcome("cut short", 200, finish.reason);
-        m_server.detach(*m_flight);
-        m_flight.reset();
-        return close(CloseCause::Truncated);
+        m_use.announceClose();
+        m_truncated = true;
+        return finishRequest();
     }
 }
 
 void CallerSession::writeHead(const MessageHead &head, std::optional<std::size_t> length)
 {
     const std::vector<std::string> connection = connectionOptions(head);
-    m_closeAfterAnswer = m_closeAfterAnswer || m_server.stopping();
+    announceCloseIfStopping();
     m_output += "HTTP/1.1 " + std::to_string(head.status) + " "
                 + std::string(statusText(head.status)) + "\r\n";
     for (const HeaderField &field : head.fields) {
@@ -100,12 +100,18 @@
     }
     m_output += length ? "Content-Length: " + std::to_string(*length) + "\r\n"
                        : std::string("Transfer-Encoding: chunked\r\n");
-    m_output += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
+    m_output += m_use.closeAnnounced() ? "Connection: close\r\n\r\n" : "\r\n";
+}
+
+void CallerSession::announceCloseIfStopping()
+{
+    if (m_use.shouldAnnounceClose(m_server.phase(steadyNow()), !m_unread.empty(), *this))
+        m_use.announceClose();
 }
 
 void CallerSession::refuse(int status, std::string_view reason, std::optional<Duration> retryAfter)
 {
-    m_closeAfterAnswer = m_closeAfterAnswer || m_server.stopping();
+    announceCloseIfStopping();
     const std::string body = "{\"error\":{\"message\":\"" + std::string(reason) + "\"}}";
     m_output += "HTTP/1.1 " + std::to_string(status) + " " + std::string(statusText(status))
                 + "\r\nContent-Type: application/json\r\n";
@@ -118,7 +124,7 @@
                     + millis.substr(1) + "\r\n";
     }
     m_output += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    m_output += m_closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
+    m_output += m_use.closeAnnounced() ? "Connection: close\r\n\r\n" : "\r\n";
     m_output += body;
     logOutcome("refused", status, reason);
     finishRequest();
@@ -154,11 +160,7 @@
     if (m_output.empty()) {
         if (m_flight)
             return;
-        if (std::exchange(m_owesAnswer, false))
-            m_server.callerCounts().answerWritten();
-        if (m_closeAfterAnswer)
-            return close(CloseCause::Announced);
-        return;
+        return answerWritten();
     }
     m_writing = true;
     m_server.callerSocketCalls().writes += 1;
@@ -174,6 +176,19 @@
         });
 }
 
+/// Ends the request in progress, if there is one. All of its answer was passed to the system.
+void CallerSession::answerWritten()
+{
+    if (!m_use.inProgress())
+        return;
+    if (m_truncated)
+        return end(CloseCause::Truncated);
+    m_server.callerCounts().answerWritten();
+    m_use.answerWritten(timeouts().idle, steadyNow());
+    if (m_use.closeAnnounced())
+        end(CloseCause::Announced);
+}
+
 void CallerSession::continueReading()
 {
     flush();
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr Duration MinIdleBeforeClose {400'000}; ///< before a planned stop closes a connection
 constexpr std::size_t MaxReadAhead = 64 * 1024;
 
 std::string lowerHost(std::string_view host)
@@ -35,13 +34,13 @@
 CallerSession::CallerSession(TrafficServer &server, asio::ip::tcp::socket socket)
     : m_server(server)
     , m_socket(std::move(socket))
+    , m_use(steadyNow(), timeouts().idle)
 {
 }
 
 void CallerSession::start()
 {
     setSocketOptions(m_socket);
-    m_lastReadAt = steadyNow();
     read();
 }
 
@@ -66,7 +65,7 @@
         // The caller disconnected: its request is cancelled at the endpoint immediately.
         return close(CloseCause::CallerEnded);
     }
-    m_lastReadAt = steadyNow();
+    m_use.bytesRead(steadyNow());
     m_server.callerSocketCalls().reads += 1;
     m_unread.append(m_buffer.data(), count);
     if (!m_flight && !m_writing)
@@ -90,6 +89,8 @@
     m_unread.erase(0, consumed);
     if (m_request->failure() != MessageReader::Failure::None)
         return refuseMalformed();
+    if (m_request->started())
+        m_use.requestBegun();
     if (m_request->headDone() && !m_request->done() && m_request->body().empty()
         && m_request->head().find("Expect"))
         write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -99,7 +100,7 @@
 
 void CallerSession::refuseMalformed()
 {
-    m_closeAfterAnswer = true;
+    m_use.announceClose();
     beginAnswer();
     switch (m_request->failure()) {
     case MessageReader::Failure::HeaderTooLarge:
@@ -124,7 +125,8 @@
     m_routeName.clear();
     m_digest.clear();
     m_promptParts.clear();
-    m_closeAfterAnswer = m_closeAfterAnswer || !m_request->keepAlive();
+    if (!m_request->keepAlive())
+        m_use.announceClose();
     m_requestId = std::string(head.find(m_server.protocol().headers().requestId).value_or(""));
     m_body = std::move(m_request->body());
     m_table = m_server.table();
@@ -244,15 +246,15 @@
 
 void CallerSession::beginAnswer()
 {
-    m_owesAnswer = true;
+    m_use.requestRead();
     m_server.callerCounts().requestRead();
 }
 
 void CallerSession::recordClose(CloseCause cause)
 {
     const bool isOwn = cause != CloseCause::CallerEnded;
-    const bool unread = isOwn && (!m_unread.empty() || hasUnreadBytes(m_socket.native_handle()));
-    const ConnectionRemains remains {.request = m_owesAnswer, .unreadBytes = unread};
+    const bool unread = isOwn && (!m_unread.empty() || hasUnreadBytes());
+    const ConnectionRemains remains {.request = m_use.inProgress(), .unreadBytes = unread};
     m_server.callerCounts().connectionClosed(cause, remains);
     if (!isOwn || !(remains.request || remains.unreadBytes))
         return;
@@ -260,7 +262,7 @@
                 {{"cause", CloseCauseNames[static_cast<std::size_t>(cause)]},
                  {"request", remains.request},
                  {"unread", remains.unreadBytes},
-                 {"since_read_ms", milliseconds(steadyNow() - m_lastReadAt)}});
+                 {"idle_ms", milliseconds(steadyNow() - m_use.activeAt())}});
 }
 
 void CallerSession::close(CloseCause cause)
@@ -270,30 +272,61 @@
     m_closed = true;
     recordClose(cause);
     const auto self = shared_from_this();
-    abandonAttempt();
-    if (m_flight) {
-        RelayActions actions;
-        logOutcome("caller gone", 0, "the caller closed its connection");
-        m_server.relay().callerGone(*m_flight, steadyNow(), actions);
-        m_server.detach(*m_flight);
-        m_flight.reset();
-    }
+    cancelFlight();
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_server.sessionClosed(*this);
 }
 
+void CallerSession::end(CloseCause cause)
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    recordClose(cause);
+    const auto self = shared_from_this();
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+    m_server.lingering().add(std::move(m_socket), steadyNow());
+    m_server.sessionClosed(*this);
+}
+
+void CallerSession::cancelFlight()
+{
+    abandonAttempt();
+    if (!m_flight)
+        return;
+    RelayActions actions;
+    logOutcome("caller gone", 0, "the caller closed its connection");
+    m_server.relay().callerGone(*m_flight, steadyNow(), actions);
+    m_server.detach(*m_flight);
+    m_flight.reset();
+}
+
 bool CallerSession::callerLeft()
 {
     return isEndedByPeer(m_socket.native_handle());
 }
 
-void CallerSession::closeIfIdle(Time now)
+bool CallerSession::hasUnreadBytes() const
+{
+    return balsamloft::hasUnreadBytes(m_socket.native_handle());
+}
+
+CallerTimeouts CallerSession::timeouts() const
+{
+    const RouteMapPtr &table = m_server.table();
+    const RequestLimits limits = table ? table->limits() : RequestLimits {};
+    return {.request = limits.headerTimeout, .idle = limits.idleTimeout};
+}
+
+void CallerSession::refuseIncomplete()
 {
-    // A caller that has just connected may be about to send a request, which would be lost if the
-    // connection were closed immediately.
-    if (idle() && now - m_lastReadAt >= MinIdleBeforeClose)
-        close(CloseCause::Stopping);
+    m_use.announceClose();
+    beginAnswer();
+    if (m_server.phase(steadyNow()) == ServerPhase::Ending)
+        return refuse(503, "instance is stopping", Duration(100'000));
+    refuse(408, "request not received completely in time");
 }
 
 void CallerSession::tick(Time now)
@@ -304,18 +337,17 @@
     // Without a read in progress, nothing else notices that the caller has left.
     if (m_flight && !m_reading && callerLeft())
         return close(CloseCause::CallerEnded);
-    if (m_flight || m_writing || m_closed)
+    if (m_closed)
         return;
-    const RouteMapPtr &table = m_server.table();
-    const RequestLimits limits = table ? table->limits() : RequestLimits {};
-    const bool partial = m_request && m_request->started();
-    if (partial && now - m_lastReadAt >= limits.headerTimeout) {
-        m_closeAfterAnswer = true;
-        beginAnswer();
-        return refuse(408, "request not received completely in time");
+    const ServerPhase phase = m_server.phase(now);
+    switch (m_use.step(phase, timeouts(), *this, now)) {
+    case ConnectionStep::Keep:
+        return;
+    case ConnectionStep::Refuse:
+        return refuseIncomplete();
+    case ConnectionStep::Close:
+        return end(phase == ServerPhase::Serving ? CloseCause::Idle : CloseCause::Stopping);
     }
-    if (!partial && now - m_lastReadAt >= limits.idleTimeout)
-        close(CloseCause::Idle);
 }
 
 } // namespace balsamloft
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -6,6 +6,7 @@
 #include "callercounts.h"
 #include "connectionpool.h"
 
+#include <balsamloft/connectionuse.h>
 #include <balsamloft/eventsplitter.h>
 #include <balsamloft/readfreshness.h>
 #include <balsamloft/relay.h>
@@ -16,7 +17,9 @@
 
 /// Reads the requests of a caller one after another, submits each to the relay, and writes the
 /// answer.
-class CallerSession : public std::enable_shared_from_this<CallerSession>, private ExchangeHandler
+class CallerSession : public std::enable_shared_from_this<CallerSession>,
+                      private ExchangeHandler,
+                      private ConnectionProbe
 {
 public:
     CallerSession(TrafficServer &server, boost::asio::ip::tcp::socket socket);
@@ -33,11 +36,11 @@
     void passAnswer();
     void finishFlight(const FinishFlight &finish);
 
-    /// Checks the timeouts of connection attempts and of idle or slow callers.
+    /// Checks the timeouts of connection attempts, and ends the connection if ConnectionUse says
+    /// so.
     void tick(Time now);
 
-    /// Closes the connection if it has no request in progress and has been idle for a short time.
-    void closeIfIdle(Time now);
+    /// Closes the connection at once: the caller has left, or the connection is broken.
     void close(CloseCause cause);
 
     /// Whether the caller has closed the connection, even if its last bytes were not read yet.
@@ -51,9 +54,9 @@
                             && m_sentAt < time;
         return direct && m_firstEndpoint == endpoint ? std::optional(m_attempt) : std::nullopt;
     }
-    bool idle() const { return !m_flight && m_unread.empty() && !m_writing; }
 
 private:
+    bool hasUnreadBytes() const override;
     bool maySend() override;
     void exchangeFailed(AttemptFailure failure) override;
     bool headReceived(MessageReader &answer) override;
@@ -79,6 +82,13 @@
     void finishRequest();
     /// Records that a request is owed an answer.
     void beginAnswer();
+    void answerWritten();
+    void announceCloseIfStopping();
+    CallerTimeouts timeouts() const;
+    void refuseIncomplete();
+    /// Ends the connection in a way that loses no answer.
+    void end(CloseCause cause);
+    void cancelFlight();
     void recordClose(CloseCause cause);
     /// Continues with the next request once the answer is written.
     void continueReading();
@@ -91,8 +101,10 @@
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
 
     TrafficServer &m_server;
-    boost::asio::ip::tcp::socket m_socket;
+    /// Mutable since its native handle, which queries need, is not available on a const socket.
+    mutable boost::asio::ip::tcp::socket m_socket;
     std::array<char, 4096> m_buffer {};
+    ConnectionUse m_use;
     std::string m_unread;
     std::string m_output;
     std::string m_outputBeingWritten;
@@ -120,7 +132,6 @@
     Time m_sentAt {};
     std::uint64_t m_eventsBeforeAttempt = 0; ///< events passed on before the current attempt
     Time m_startedAt {};
-    Time m_lastReadAt {};
     Time m_firstEventAt {};
     Time m_lastEventAt {};
     Duration m_longestPause {};
@@ -128,10 +139,9 @@
     std::string m_trail; ///< decisions on the request, for the log
     bool m_streamBegun = false;
     bool m_writing = false;
-    bool m_closeAfterAnswer = false; ///< close the connection after the answer
     bool m_closed = false;
     bool m_reading = false;
-    bool m_owesAnswer = false; ///< the answer to a request is not written completely
+    bool m_truncated = false; ///< the answer in progress ends without being complete
 };
 
 } // namespace balsamloft
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -28,8 +28,11 @@
 /// Share of the grace period in which other requests are accepted. The limit is needed because a
 /// load balancer without another instance sends requests until the end.
 constexpr double LastCallShare = 0.6;
+/// What is still in progress this long before the end of the grace period is finished: its callers
+/// are told before the process ends.
+constexpr Duration EndingTime {600'000};
 /// The stop is finished this long before the end of the grace period.
-constexpr Duration StopMargin {400'000};
+constexpr Duration StopMargin {150'000};
 /// Keys are rejected this long before the revocation time is over.
 constexpr Duration KeyMargin {400'000};
 /// If the API keys are older than this share of the revocation time, the instance reports that it
@@ -132,6 +135,7 @@
         logAdmission(now);
     }
     m_acceptor.tick(now);
+    m_lingering.tick(now);
     m_forwarder.tick(bootNow());
     m_forwarder.closeDeclined(now);
     if (m_stopping)
@@ -508,23 +512,37 @@
     m_stopped = std::move(stopped);
 }
 
+ServerPhase TrafficServer::phase(Time now) const
+{
+    if (!m_stopping)
+        return ServerPhase::Serving;
+    const Duration elapsed = now - m_stopStartedAt;
+    if (elapsed >= m_settings.gracePeriod - EndingTime)
+        return ServerPhase::Ending;
+    return elapsed >= graceShare(CloseIdleShare) ? ServerPhase::Closing : ServerPhase::Stopping;
+}
+
+bool TrafficServer::isDrained(Time now) const
+{
+    return m_sessions.empty() && m_lingering.size() == 0 && m_acceptor.waiting() == 0
+           && !m_forwarder.hasUnfinished(now);
+}
+
 void TrafficServer::continueStop()
 {
     const Time now = steadyNow();
-    if (now - m_stopStartedAt < graceShare(CloseIdleShare))
+    if (phase(now) == ServerPhase::Stopping)
         return;
-    const std::vector<std::shared_ptr<CallerSession>> sessions(m_sessions.begin(),
-                                                               m_sessions.end());
-    for (const auto &session : sessions)
-        session->closeIfIdle(now);
-    const bool finished =
-        m_sessions.empty() && m_acceptor.waiting() == 0 && !m_forwarder.hasUnfinished(now);
-    if (finished || now - m_stopStartedAt >= m_settings.gracePeriod - StopMargin) {
-        logStop(now);
-        m_acceptor.close();
-        if (m_stopped)
-            std::exchange(m_stopped, nullptr)();
-    }
+    if (isDrained(now) || now - m_stopStartedAt >= m_settings.gracePeriod - StopMargin)
+        endStop(now);
+}
+
+void TrafficServer::endStop(Time now)
+{
+    logStop(now);
+    m_acceptor.close();
+    if (m_stopped)
+        std::exchange(m_stopped, nullptr)();
 }
 
 /// Logs what became of the requests of callers, as the process ends.
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -12,7 +12,9 @@
 
 #include <balsamloft/admission/serviceload.h>
 #include <balsamloft/calleracceptor.h>
+#include <balsamloft/connectionuse.h>
 #include <balsamloft/entryprotocol.h>
+#include <balsamloft/lingeringconnections.h>
 #include <balsamloft/loopdelay.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -95,7 +97,8 @@
     const EntrySettings &settings() const { return m_settings; }
     ConnectionPool &pool() { return m_pool; }
     Relay &relay() { return m_relay; }
-    bool stopping() const { return m_stopping; }
+    ServerPhase phase(Time now) const;
+    LingeringConnections &lingering() { return m_lingering; }
 
     /// Whether a new request is still accepted during a planned stop.
     bool acceptsNew(RequestKind kind, Time now) const;
@@ -152,6 +155,9 @@
     void requestTrial(const RequestTrial &request);
     void checkSuspension();
     void continueStop();
+    void endStop(Time now);
+    /// Whether no request and no connection of a caller is left.
+    bool isDrained(Time now) const;
     void logStop(Time now) const;
     Duration graceShare(double share) const;
 
@@ -174,6 +180,7 @@
     std::map<std::string, std::uint64_t> m_loggedRefusals; ///< last logged counts, by service
     std::unordered_map<FlightId, std::shared_ptr<CallerSession>> m_flights;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
+    LingeringConnections m_lingering;
     std::map<std::string, std::shared_ptr<TimedCall>> m_queries; ///< by endpoint
     bool m_stopping = false;
     Time m_stopStartedAt {};
