Entry: what is in progress when the grace period ends is told instead of cut

What callers saw: a request that was still in progress 0.4 s before the end of the grace period, one that was read in part, or one in the system's accept queue ended with a reset. Cause: the stop closed the listening socket and ended the loop whatever was left.

--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -531,8 +531,18 @@
 void TrafficServer::continueStop()
 {
     const Time now = steadyNow();
-    if (phase(now) == ServerPhase::Stopping)
+    const ServerPhase stage = phase(now);
+    if (stage == ServerPhase::Stopping)
         return;
+    if (stage == ServerPhase::Ending) {
+        m_acceptor.finish();
+        RelayActions actions;
+        m_relay.finishAll("instance is stopping", now, actions);
+        run(std::move(actions));
+    }
+    // Connections may wait in the system until the listening socket is closed.
+    if (isDrained(now))
+        m_acceptor.finish();
     if (isDrained(now) || now - m_stopStartedAt >= m_settings.gracePeriod - StopMargin)
         endStop(now);
 }
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -290,6 +290,9 @@
     void streamCompleted(FlightId id, std::uint32_t attempt, Time now, RelayActions &actions);
     void callerGone(FlightId id, Time now, RelayActions &actions);
 
+    /// Finishes all flights for \a reason, since the process is about to end.
+    void finishAll(const std::string &reason, Time now, RelayActions &actions);
+
     /// Handles the reply to \a order, or its absence. It only counts if no later order was given.
     /// \a faultyAddress is the engine that lacks memory or the layers, if the reply names it.
     void pathChanged(const ChangePath &order, PathReply reply, std::string_view faultyAddress,
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -723,6 +723,15 @@
     forwardAnswer(id, *flight, true, now, actions);
 }
 
+void Relay::finishAll(const std::string &reason, Time now, RelayActions &actions)
+{
+    std::vector<FlightId> ids;
+    for (const auto &[id, flight] : m_flights)
+        ids.push_back(id);
+    for (const FlightId id : ids)
+        finish(id, FlightOutcome::Failed, reason, now, actions);
+}
+
 void Relay::callerGone(FlightId id, Time now, RelayActions &actions)
 {
     const auto it = m_flights.find(id);
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -668,3 +668,25 @@
         for (const std::string &draining : {endpoint, other})
             CHECK_FALSE(passesThrough(harness.sends(harness.submit(kind)).back(), draining));
 }
+
+// Guards against requests that a process drops without a word when it ends.
+TEST_CASE("when the process ends, the caller of each flight is told what became of its request")
+{
+    RelayHarness harness(twoPaths());
+    const FlightId unsent = harness.submit(RequestKind::Unsafe);
+    harness.fail(unsent, AttemptFailure::NotSent);
+    harness.fail(unsent, AttemptFailure::NotSent);
+    const FlightId sent = harness.submit(RequestKind::Unsafe);
+    const FlightId begun = harness.submit(RequestKind::Stream);
+    REQUIRE(harness.answer(begun, 200));
+    harness.forwardEvents(begun, 7);
+    harness.relay.finishAll("instance is stopping", harness.now, harness.actions);
+    const auto outcomeOf = [&](FlightId id) {
+        REQUIRE(harness.finished(id));
+        return harness.finished(id)->outcome;
+    };
+    CHECK(outcomeOf(unsent) == FlightOutcome::NotExecuted);
+    CHECK(outcomeOf(sent) == FlightOutcome::Failed);
+    CHECK(outcomeOf(begun) == FlightOutcome::Truncated);
+    CHECK(harness.relay.flights() == 0);
+}
