--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -43,6 +43,20 @@
             value->get_array()[1].to_number<std::uint32_t>()};
 }
 
+RequestLimits requestLimits(const json::object &object)
+{
+    RequestLimits limits;
+    limits.maxHeaderBytes =
+        static_cast<std::uint32_t>(number(object, "header_bytes", limits.maxHeaderBytes));
+    limits.maxBodyBytes = static_cast<std::uint64_t>(
+        number(object, "body_bytes", static_cast<std::int64_t>(limits.maxBodyBytes)));
+    limits.headerTimeout =
+        Duration(number(object, "header_timeout_ms", limits.headerTimeout.count() / 1000) * 1000);
+    limits.idleTimeout =
+        Duration(number(object, "idle_timeout_ms", limits.idleTimeout.count() / 1000) * 1000);
+    return limits;
+}
+
 class StandinProtocol : public EntryProtocol
 {
 public:
@@ -170,6 +184,8 @@
         for (const auto &team : object->at("keys").as_object())
             builder.team({std::string(team.value().as_string()), std::nullopt},
                          {std::string(team.key())});
+        if (const auto *limits = object->if_contains("limits"))
+            builder.limits(requestLimits(limits->as_object()));
         RouteMapPtr map = builder.build();
         skippedEntries = builder.skippedRoutes();
         return map;
--- a/testsuite/entry/entryharness.h
+++ b/testsuite/entry/entryharness.h
@@ -8,6 +8,7 @@
 #include "../common/ports.h"
 #include "../common/process.h"
 #include "../common/wait.h"
+#include "callerconnection.h"
 #include "rawserver.h"
 
 #include <boost/algorithm/string/replace.hpp>
@@ -183,16 +184,22 @@
 class EntryHarness
 {
 public:
-    explicit EntryHarness(bool configured = true, const std::string &revocationMs = "30000")
+    explicit EntryHarness(bool configured = true, const std::string &revocationMs = "30000",
+                          const std::vector<std::string> &moreFlags = {})
     {
         if (configured)
             configure(1, R"({"good-key":"team-a"})");
-        process = std::make_unique<Process>(
-            "balsamloft-entry-standin",
-            std::vector<std::string> {
-                "--name=entry-1", "--domain=d", "--listen=" + callers, "--ready_listen=" + ready,
-                "--peer_listen=" + freeAddress(), "--store=" + store.address(),
-                "--revocation_ms=" + revocationMs, "--grace_s=8", "--log_all"});
+        std::vector<std::string> flags {"--name=entry-1",
+                                        "--domain=d",
+                                        "--listen=" + callers,
+                                        "--ready_listen=" + ready,
+                                        "--peer_listen=" + freeAddress(),
+                                        "--store=" + store.address(),
+                                        "--revocation_ms=" + revocationMs,
+                                        "--grace_s=8",
+                                        "--log_all"};
+        flags.insert(flags.end(), moreFlags.begin(), moreFlags.end());
+        process = std::make_unique<Process>("balsamloft-entry-standin", flags);
         process->waitFor("\"event\":\"(started)\"");
         if (configured)
             waitUntil([&] { return isReady(); });
