--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -266,7 +266,7 @@
 
 Duration TrafficServer::graceShare(double share) const
 {
-    return Duration(static_cast<std::int64_t>(m_settings.gracePeriod.count() * share));
+    return Duration(static_cast<std::int64_t>(m_stopGracePeriod.count() * share));
 }
 
 void TrafficServer::attach(FlightId flight, std::shared_ptr<CallerSession> session)
@@ -508,6 +508,7 @@
         return;
     m_stopping = true;
     m_stopStartedAt = steadyNow();
+    m_stopGracePeriod = m_settings.gracePeriod;
     m_forwarder.stop();
     m_stopped = std::move(stopped);
 }
@@ -517,7 +518,7 @@
     if (!m_stopping)
         return ServerPhase::Serving;
     const Duration elapsed = now - m_stopStartedAt;
-    if (elapsed >= m_settings.gracePeriod - EndingTime)
+    if (elapsed >= m_stopGracePeriod - EndingTime)
         return ServerPhase::Ending;
     return elapsed >= graceShare(CloseIdleShare) ? ServerPhase::Closing : ServerPhase::Stopping;
 }
@@ -543,7 +544,7 @@
     // Connections may wait in the system until the listening socket is closed.
     if (isDrained(now))
         m_acceptor.finish();
-    if (isDrained(now) || now - m_stopStartedAt >= m_settings.gracePeriod - StopMargin)
+    if (isDrained(now) || now - m_stopStartedAt >= m_stopGracePeriod - StopMargin)
         endStop(now);
 }
 
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -184,6 +184,9 @@
     std::map<std::string, std::shared_ptr<TimedCall>> m_queries; ///< by endpoint
     bool m_stopping = false;
     Time m_stopStartedAt {};
+    /// The grace period that was in force when the stop began. A later change does not end it
+    /// sooner: what was accepted relies on this one.
+    Duration m_stopGracePeriod {};
     Time m_prunedAt {};
     LoopDelay m_loopDelay;
     DurationSummary m_loopDelays;
