Entry: callers that are slow to read their answers are not reset (LOST)

Callers saw the connection reset in the middle of an answer, at any time, if they paused their reading for 1.5 s while the answer was larger than their window. Cause: TCP_USER_TIMEOUT, meant for endpoints behind a partition, was set on callers' connections as well. The system counts with it not only unacknowledged data, but also the time for which a peer that is well accepts no more bytes.

Ruled out: the stop (the same without one), the limits on answers (8 MB).

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -40,7 +40,7 @@
 
 void CallerSession::start()
 {
-    setSocketOptions(m_socket);
+    setSocketOptions(m_socket, CallerAcknowledgmentTimeout);
     read();
 }
 
--- a/src/entry/sockets.cpp
+++ b/src/entry/sockets.cpp
@@ -7,18 +7,11 @@
 
 namespace balsamloft {
 
-namespace {
-
-/// Time within which sent data must be acknowledged.
-constexpr int AcknowledgmentTimeoutMs = 1500;
-
-} // namespace
-
-void setSocketOptions(tcp::socket &socket)
+void setSocketOptions(tcp::socket &socket, Duration acknowledgmentTimeout)
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    const int limit = AcknowledgmentTimeoutMs;
+    const auto limit = static_cast<unsigned>(acknowledgmentTimeout.count() / 1000);
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
 }
 
--- a/testsuite/planned-changes/stop_and_store_test.cpp
+++ b/testsuite/planned-changes/stop_and_store_test.cpp
@@ -112,9 +112,8 @@
     CHECK(stopping.calls->lost(stopping.endpoint.requests()).empty());
 }
 
-TEST_CASE("a suspected request is answered during a stop", "[process]")
+TEST_CASE("a request that breaks its connection is answered during a stop", "[process]")
 {
-    // Its permit comes from the control thread, which writes it to the store.
     EntryHarness entry;
     RawServer crashing([&](const std::string &request) -> RawAnswer {
         if (request.starts_with("GET /state"))
@@ -136,7 +135,7 @@
 
 TEST_CASE("a large answer is delivered to a caller that pauses its reading", "[process]")
 {
-    // A caller that is paused acknowledges nothing beyond its window.
+    // A caller that is paused for longer than the endpoints' timeout for acknowledgments.
     const bool stop = GENERATE(false, true);
     const std::string body(7U << 20U, 'x');
     EntryHarness entry;
