ConnectionForwarder: a planned stop, a decline or a pause loses no request that it forwards for others

Callers of an instance without links of its own saw streams cut, and calls answered 502, when the instance that forwards for it stopped or stood still. Causes: an answer without data for 2 s counted as finished at a stop; open connections took further requests during the stop, which its end cut; after a pause all connections were closed, also those whose request runs at the endpoint; and every close was a reset, so that a request that crossed it counted as possibly run.

Now an answer is finished when its message is; a stopping instance ends idle connections at once and forwards no further request; after a pause only connections without a request in progress end (only their unread requests are outdated). The end is the last chunk with a trailer that tells how many bytes were forwarded, then a half-close, and reading until the other side closes, or 1 s: a request that crosses the end no longer destroys it.

Ruled out: calls that may run once are not sent on idle forwarded connections at all (Relay asks for a fresh one), so they could only be cut in progress. An interim answer no longer counts as the answer.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -20,8 +20,10 @@
 constexpr Duration EndpointConnectTimeout {100'000};
 /// Longer without a tick means that the process was paused.
 constexpr Duration MaxTickInterval {1'500'000};
-/// An answer without data for this long is considered finished.
+/// An answer that can't be parsed is considered finished after this long without data.
 constexpr Duration AnswerPause {2'000'000};
+/// How long requests that cross the end of their connection are read and dropped.
+constexpr Duration LingerTime {1'000'000};
 
 std::string answerText(int status)
 {
@@ -30,6 +32,12 @@
                                            : "\r\nContent-Length: 0\r\n\r\n");
 }
 
+std::string lastChunk(std::uint64_t forwardedBytes)
+{
+    return "0\r\n" + std::string(ForwardedBytesField) + ": " + std::to_string(forwardedBytes)
+           + "\r\n\r\n";
+}
+
 } // namespace
 
 std::string forwardingRequest(const std::string &endpoint)
@@ -67,6 +75,17 @@
         m_forwarder.m_connections.erase(shared_from_this());
     }
 
+    /// Ends the connection in an orderly way, and tells how much was forwarded.
+    void end()
+    {
+        if (std::exchange(m_ending, true))
+            return;
+        error_code ignored;
+        m_endpoint.close(ignored);
+        if (!m_writing)
+            writeEnd();
+    }
+
     /// Whether no request was forwarded, or its answer is complete.
     bool isIdle() const { return !m_awaitsAnswer && (!m_answer || m_answer->done()); }
 
@@ -76,11 +95,14 @@
 
     bool isDeclined(Time now) const { return !m_forwarder.m_policy.mayForward(m_id, now); }
 
+    /// Whether the instance was told that the connection is open.
     bool isConnected() const { return m_connected; }
 
     bool isUnfinished(Time now) const
     {
-        return m_awaitsAnswer || (m_answeredAt != Time {} && now - m_answeredAt < AnswerPause);
+        const bool failed = m_answer && m_answer->failure() != MessageReader::Failure::None;
+        return m_ending || m_writing || m_awaitsAnswer
+               || (failed ? now - m_answeredAt < AnswerPause : !isIdle());
     }
 
 private:
@@ -189,6 +211,8 @@
                                                             : refuse(forwarding::TimedOut);
         }
         m_forwarder.m_links.recordDirectSuccess(m_id, now);
+        if (m_forwarder.m_stopping)
+            return refuse(forwarding::Unavailable);
         if (isDeclined(now))
             return refuse(forwarding::Declined);
         if (instanceLeft())
@@ -196,13 +220,11 @@
         m_connected = true;
         m_forwarder.m_opened += 1;
         setSocketOptions(m_endpoint);
-        m_text = answerText(forwarding::Opened);
-        asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
+        writeToInstance(answerText(forwarding::Opened));
         if (m_unread.empty())
             return readFromInstance();
         m_answer.emplace(MessageReader::Kind::Response, MessageLimits {});
-        m_awaitsAnswer = true;
-        asio::async_write(m_endpoint, asio::buffer(m_unread), bind(&Connection::writtenToEndpoint));
+        forward(asio::buffer(m_unread));
     }
 
     void refuse(int status)
@@ -213,34 +235,81 @@
             [self = shared_from_this()](const error_code &, std::size_t) { self->close(true); });
     }
 
+    void writeToInstance(std::string text)
+    {
+        m_writing = true;
+        m_text = std::move(text);
+        asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
+    }
+
     void answerWritten(const error_code &error, std::size_t /*count*/)
     {
-        error ? close(false) : readFromEndpoint();
+        m_writing = false;
+        if (error)
+            return close(false);
+        if (m_ending)
+            return writeEnd();
+        if (m_forwarder.m_stopping && isIdle())
+            return end();
+        readFromEndpoint();
+    }
+
+    // The end: the instance may have sent a request meanwhile. If it lay unread at the close, the
+    // system would reset the connection, and the instance would not learn how much was forwarded.
+
+    void writeEnd()
+    {
+        m_text = lastChunk(m_forwardedBytes);
+        asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::endWritten));
+    }
+
+    void endWritten(const error_code &error, std::size_t /*count*/)
+    {
+        if (error)
+            return close(false);
+        error_code ignored;
+        m_instance.shutdown(tcp::socket::shutdown_send, ignored);
+        m_timer.expires_after(LingerTime);
+        m_timer.async_wait([self = shared_from_this()](const error_code &stopped) {
+            if (!stopped)
+                self->close(true);
+        });
+        if (!m_reading)
+            readFromInstance();
     }
 
     // From the instance to the endpoint
 
     void readFromInstance()
     {
+        m_reading = true;
         m_instance.async_read_some(asio::buffer(m_toEndpoint), bind(&Connection::readInstance));
     }
 
     void readInstance(const error_code &error, std::size_t count)
     {
+        m_reading = false;
         if (error)
-            return close(false);
-        if (m_forwarder.wasPaused())
-            return m_forwarder.closeAll();
+            return close(m_ending);
+        if (m_ending)
+            return readFromInstance();
         if (instanceLeft())
             return close(false);
         if (isIdle()) {
-            if (isDeclined(steadyNow()))
-                return close(false);
+            if (m_forwarder.m_stopping || m_forwarder.wasPaused() || isDeclined(steadyNow())) {
+                readFromInstance();
+                return end();
+            }
             m_answer.emplace(MessageReader::Kind::Response, MessageLimits {});
         }
+        forward(asio::buffer(m_toEndpoint.data(), count));
+    }
+
+    void forward(asio::const_buffer bytes)
+    {
         m_awaitsAnswer = true;
-        asio::async_write(m_endpoint, asio::buffer(m_toEndpoint.data(), count),
-                          bind(&Connection::writtenToEndpoint));
+        m_forwardedBytes += bytes.size();
+        asio::async_write(m_endpoint, bytes, bind(&Connection::writtenToEndpoint));
     }
 
     void writtenToEndpoint(const error_code &error, std::size_t /*count*/)
@@ -259,22 +328,19 @@
 
     void readEndpoint(const error_code &error, std::size_t count)
     {
-        if (error == asio::error::eof) {
-            m_text = LastChunk;
-            asio::async_write(m_instance, asio::buffer(m_text),
-                              [self = shared_from_this()](const error_code &failed, std::size_t) {
-                                  self->close(!failed);
-                              });
+        if (m_ending)
             return;
-        }
+        if (error == asio::error::eof || (error && isIdle()))
+            return end();
         if (error)
             return close(false);
         m_awaitsAnswer = false;
         m_answeredAt = steadyNow();
-        readAnswer(std::string_view(m_toInstance.data(), count));
-        m_text.clear();
-        appendChunk(std::string_view(m_toInstance.data(), count), m_text);
-        asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
+        const std::string_view bytes(m_toInstance.data(), count);
+        readAnswer(bytes);
+        std::string chunk;
+        appendChunk(bytes, chunk);
+        writeToInstance(std::move(chunk));
     }
 
     /// Follows the answer in the bytes of the endpoint. What cannot be parsed is forwarded all the
@@ -285,7 +351,9 @@
             return;
         const bool hadHead = m_answer->headDone();
         m_unparsed += bytes;
-        m_answer->consumeFrom(m_unparsed);
+        do
+            m_answer->consumeFrom(m_unparsed);
+        while (skipInterim());
         m_answer->body().clear();
         if (!hadHead && m_answer->headDone())
             m_forwarder.m_policy.forwardedAnswer(m_id, m_answer->head());
@@ -293,6 +361,15 @@
             m_unparsed.clear();
     }
 
+    /// \return whether an interim answer was complete; the next one follows it.
+    bool skipInterim()
+    {
+        const bool interim = m_answer->done() && m_answer->head().status < 200;
+        if (interim)
+            m_answer.emplace(MessageReader::Kind::Response, MessageLimits {});
+        return interim;
+    }
+
     ConnectionForwarder &m_forwarder;
     tcp::socket m_instance;
     tcp::socket m_endpoint;
@@ -305,6 +382,10 @@
     std::optional<MessageReader> m_answer; ///< to the last request
     std::string m_unparsed; ///< received from the endpoint and not yet parsed by `m_answer`
     bool m_connected = false; ///< to the endpoint
+    bool m_reading = false; ///< from the instance
+    bool m_writing = false; ///< to the instance, before the end
+    bool m_ending = false;
+    std::uint64_t m_forwardedBytes = 0; ///< to the endpoint
     std::string m_text; ///< being written to the instance
     std::array<char, 8192> m_toEndpoint {};
     std::array<char, 8192> m_toInstance {};
@@ -354,21 +435,35 @@
 void ConnectionForwarder::tick(Time bootTime)
 {
     if (wasPaused())
-        closeAll();
+        endAfterPause();
     m_tickedAt = bootTime;
 }
 
 void ConnectionForwarder::closeDeclined(Time now)
+{
+    endIdle([now](const Connection &each) { return each.isDeclined(now); });
+}
+
+void ConnectionForwarder::stop()
+{
+    m_stopping = true;
+    endIdle([](const Connection &) { return true; });
+}
+
+template<typename Condition>
+void ConnectionForwarder::endIdle(Condition condition)
 {
     for (const auto &each : std::set<std::shared_ptr<Connection>>(m_connections))
-        if (each->isConnected() && each->isIdle() && each->isDeclined(now))
-            each->close(false);
+        if (each->isConnected() && each->isIdle() && condition(*each))
+            each->end();
 }
 
-void ConnectionForwarder::closeAll()
+void ConnectionForwarder::endAfterPause()
 {
     for (const auto &each : std::set<std::shared_ptr<Connection>>(m_connections))
-        each->close(false);
+        if (!each->isConnected())
+            each->close(false);
+    endIdle([](const Connection &) { return true; });
 }
 
 bool ConnectionForwarder::hasUnfinished(Time now) const
--- a/src/entry/connectionforwarder.h
+++ b/src/entry/connectionforwarder.h
@@ -31,6 +31,10 @@
 /// Formats the request to open a connection to \a endpoint.
 std::string forwardingRequest(const std::string &endpoint);
 
+/// Trailer field at the end of a forwarded connection: how many bytes of the instance were
+/// forwarded to the endpoint.
+inline constexpr std::string_view ForwardedBytesField = "Forwarded-Bytes";
+
 /// Decides whether requests of other instances may be forwarded. To the endpoint they are requests
 /// of this instance.
 class ForwardingPolicy
@@ -56,7 +60,9 @@
 ///
 /// Only listed endpoints are connected, and only directly, so that connections can't be forwarded
 /// in a loop. Before each request, ForwardingPolicy is asked; if it does not permit the request,
-/// the connection is closed and nothing is forwarded.
+/// the connection ends and nothing is forwarded. The same holds for requests that arrive during a
+/// planned stop. A request may cross the end of its connection: the trailer after the last chunk
+/// tells how many bytes were forwarded, so the instance knows whether the endpoint received it.
 class ConnectionForwarder
 {
 public:
@@ -71,20 +77,20 @@
 
     void setFleet(FleetPtr fleet) { m_fleet = std::move(fleet); }
 
-    /// To be called regularly, with bootNow(). After a pause of the process, closes all
-    /// connections: the requests that wait in their buffers are outdated.
+    /// To be called regularly, with bootNow(). After a pause of the process, ends all connections
+    /// without a request in progress: the requests that wait in their buffers are outdated.
     void tick(Time bootTime);
 
-    /// Closes idle connections to endpoints that get no requests now, so that the other instances
+    /// Ends idle connections to endpoints that get no requests now, so that the other instances
     /// don't use them.
     void closeDeclined(Time now);
 
-    /// Forwards no further connections; open ones are kept.
-    void stop() { m_stopping = true; }
+    /// Forwards no further requests; those in progress are finished.
+    void stop();
 
     // Queries
 
-    /// Whether a forwarded connection awaits an answer, or is in the middle of one.
+    /// Whether a forwarded connection awaits an answer, is in the middle of one, or is ending.
     bool hasUnfinished(Time now) const;
     std::size_t open() const { return m_connections.size(); }
     std::uint64_t opened() const { return m_opened; }
@@ -94,7 +100,11 @@
 
     void accept();
     bool wasPaused() const;
-    void closeAll();
+    void endAfterPause();
+
+    /// Ends the connections without a request in progress that meet \a condition.
+    template<typename Condition>
+    void endIdle(Condition condition);
 
     boost::asio::io_context &m_context;
     EndpointLinks &m_links;
--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -18,7 +18,8 @@
     return boost::beast::iequals(left, right);
 }
 
-std::optional<std::string_view> MessageHead::find(std::string_view name) const
+std::optional<std::string_view> findField(const std::vector<HeaderField> &fields,
+                                          std::string_view name)
 {
     for (const HeaderField &field : fields)
         if (sameFieldName(field.name, name))
@@ -26,6 +27,11 @@
     return std::nullopt;
 }
 
+std::optional<std::string_view> MessageHead::find(std::string_view name) const
+{
+    return findField(fields, name);
+}
+
 bool isHopByHopField(std::string_view name)
 {
     static constexpr std::array<std::string_view, 10> Names {
@@ -59,6 +65,7 @@
 struct ParsedMessage
 {
     MessageHead head;
+    std::vector<HeaderField> trailers;
     std::string body;
     std::uint64_t bodyBytes = 0; ///< received, including those that were removed from `body`
     bool headDone = false;
@@ -106,10 +113,10 @@
     void on_field_impl(http::field /*field*/, boost::beast::string_view name,
                        boost::beast::string_view value, error_code & /*error*/) override
     {
-        // Trailer fields are dropped. If they were treated as header fields, a caller could use
-        // them to set values such as the team.
-        if (!m_message.headDone)
-            m_message.head.fields.push_back({std::string(name), std::string(value)});
+        // If trailer fields were treated as header fields, a caller could use them to set values
+        // such as the team.
+        auto &fields = m_message.headDone ? m_message.trailers : m_message.head.fields;
+        fields.push_back({std::string(name), std::string(value)});
     }
     void on_header_impl(error_code & /*error*/) override { m_message.headDone = true; }
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
@@ -296,4 +303,9 @@
     return m_impl->message.head;
 }
 
+std::optional<std::string_view> MessageReader::trailer(std::string_view name) const
+{
+    return findField(m_impl->message.trailers, name);
+}
+
 } // namespace balsamloft
--- a/src/entry/httpmessage.h
+++ b/src/entry/httpmessage.h
@@ -30,6 +30,10 @@
     std::optional<std::string_view> find(std::string_view name) const;
 };
 
+/// Value of the first of \a fields called \a name, if there is one.
+std::optional<std::string_view> findField(const std::vector<HeaderField> &fields,
+                                          std::string_view name);
+
 /// Compares header names case-insensitively.
 bool sameFieldName(std::string_view left, std::string_view right);
 
@@ -104,6 +108,9 @@
     std::string &body();
     MessageHead &head();
 
+    /// Value of the first trailer field called \a name, if there is one.
+    std::optional<std::string_view> trailer(std::string_view name) const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
