Exchange: a request that the forwarding instance did not forward counts as withheld

A request that crossed the end of a forwarded connection counted as possibly run: it was charged as a retry, and a call that may run once ended as 502. The trailer at the end of the connection tells how many bytes reached the endpoint; if that is no more than those of earlier requests, the request is sent again elsewhere like one that was never sent. The count does not depend on what the forwarding instance takes for an answer.

--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include "connectionpool.h"
 
 #include "clock.h"
+#include "connectionforwarder.h"
 #include "connector.h"
 #include "sockets.h"
 
@@ -49,6 +50,16 @@
     unread += std::exchange(channel->body(), {});
 }
 
+std::optional<std::uint64_t> PooledConnection::forwardedBytes() const
+{
+    const auto field = isEnded() ? channel->trailer(ForwardedBytesField) : std::nullopt;
+    std::uint64_t bytes = 0;
+    if (!field
+        || std::from_chars(field->data(), field->data() + field->size(), bytes).ec != std::errc {})
+        return std::nullopt;
+    return bytes;
+}
+
 void PooledConnection::close()
 {
     boost::system::error_code ignored;
@@ -172,6 +183,8 @@
         return;
     m_forwarded = m_connection->isForwarded();
     m_mayHaveSent = true;
+    m_sentBefore =
+        std::exchange(m_connection->sentBytes, m_connection->sentBytes + m_request.size());
     m_pool.writes += 1;
     asio::async_write(m_connection->socket, asio::buffer(m_request),
                       [self = shared_from_this()](const boost::system::error_code &error,
@@ -207,6 +220,8 @@
         process();
         if (!m_handler)
             return;
+        if (ended && !m_reader->started() && wasNotForwarded())
+            return fail(AttemptFailure::Withheld);
         // Only an orderly close completes an answer without a length. After a reset, the answer may
         // be truncated.
         if (ended)
@@ -222,6 +237,13 @@
         read();
 }
 
+/// Whether the instance that forwards the connection ended it without forwarding the request.
+bool Exchange::wasNotForwarded() const
+{
+    const auto bytes = m_connection->forwardedBytes();
+    return bytes && *bytes <= m_sentBefore;
+}
+
 bool Exchange::processHead()
 {
     MessageHead &head = m_reader->head();
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -39,6 +39,9 @@
     /// Whether the forwarding instance sent what cannot be decoded.
     bool isGarbled() const { return channel && channel->failure() != MessageReader::Failure::None; }
 
+    /// How many bytes the forwarding instance forwarded, as it told at the connection's end.
+    std::optional<std::uint64_t> forwardedBytes() const;
+
     boost::asio::ip::tcp::socket socket;
     std::string endpoint; ///< id
     std::string unread; ///< received and not yet parsed
@@ -47,6 +50,7 @@
     /// called process.
     std::optional<MessageReader> channel;
     std::string undecoded; ///< received and not yet parsed by `channel`
+    std::uint64_t sentBytes = 0; ///< of all requests
     Time idleSince {};
     /// Maximum idle time before reuse: the endpoint's keep-alive time less a margin.
     Duration idleTimeout {4'000'000};
@@ -154,6 +158,7 @@
     void connect(Time now);
     void connected(PooledConnectionPtr connection);
     void send();
+    bool wasNotForwarded() const;
     void writeFinished(const boost::system::error_code &error);
     void read();
     void readFinished(const boost::system::error_code &error, std::size_t count);
@@ -173,6 +178,7 @@
     std::shared_ptr<Connector> m_connector; ///< while a connection is being opened
     bool m_connectionRefused = false;
     bool m_forwarded = false;
+    std::uint64_t m_sentBefore = 0; ///< bytes of earlier requests on the connection
     bool m_requestWritten = false;
     bool m_mayHaveSent = false; ///< bytes of the request may have been sent
     bool m_incremental = false; ///< the body is delivered in pieces
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -56,7 +56,9 @@
     NotSent, ///< no byte was sent, so the request was not executed
     Broken, ///< the connection was reset or closed early; the request may have been executed
     InvalidAnswer, ///< malformed, or the answer to another request
-    Withheld, ///< no byte was sent, because Relay::maySend() forbade it
+    /// No byte reached the endpoint: Relay::maySend() forbade it, or the instance that was to
+    /// forward the request did not.
+    Withheld,
 };
 
 /// The head of an endpoint's answer, reduced to what decisions need.
