Exchange: a pooled connection is checked right before the write

A connection was taken from the pool in one turn of the loop and written to in a later one. If its endpoint closed it in between, or this process stood still, the request was written all the same: it counted as possibly run and was charged as a retry. Now the connection is checked again, with its idle timeout, right before the write, and replaced if it ended.

Ruled out for calls that may run once: the relay sends them on fresh connections only, so the keep-alive race does not reach them. What remains is a close that is under way while the request is written, for requests that may be repeated.

--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -140,7 +140,8 @@
     m_handler = &handler;
     if (!m_settings.freshConnection)
         m_connection = m_pool.take(m_settings.endpoint, now);
-    if (m_connection) {
+    m_reused = m_connection != nullptr;
+    if (m_reused) {
         asio::post(m_pool.context(), [self = shared_from_this()] { self->send(); });
         return;
     }
@@ -175,9 +176,23 @@
         connector->tick(now);
 }
 
+/// Replaces a connection that ended after it was chosen. A request that is written to it would
+/// count as possibly executed. \return whether a new connection is being opened.
+bool Exchange::replaceIfEnded()
+{
+    const Time now = steadyNow();
+    if (!m_reused || m_pool.mayReuse(*m_connection, now))
+        return false;
+    m_connection = m_pool.take(m_settings.endpoint, now);
+    m_reused = m_connection != nullptr;
+    if (!m_reused)
+        connect(now);
+    return !m_reused;
+}
+
 void Exchange::send()
 {
-    if (!m_handler)
+    if (!m_handler || replaceIfEnded())
         return;
     if (!m_handler->maySend())
         return;
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -86,9 +86,10 @@
     std::uint64_t reads = 0; ///< number of completed reads
     std::uint64_t writes = 0; ///< number of writes
 
-private:
+    /// Whether a request may be sent on \a connection, which was taken from the pool.
     bool mayReuse(PooledConnection &connection, Time now) const;
 
+private:
     boost::asio::io_context &m_context;
     EndpointLinks *m_links = nullptr;
     std::map<std::string, std::vector<PooledConnectionPtr>> m_idle;
@@ -158,6 +159,7 @@
     void connect(Time now);
     void connected(PooledConnectionPtr connection);
     void send();
+    bool replaceIfEnded();
     bool wasNotForwarded() const;
     void writeFinished(const boost::system::error_code &error);
     void read();
@@ -178,6 +180,7 @@
     std::shared_ptr<Connector> m_connector; ///< while a connection is being opened
     bool m_connectionRefused = false;
     bool m_forwarded = false;
+    bool m_reused = false; ///< the connection was taken from the pool
     std::uint64_t m_sentBefore = 0; ///< bytes of earlier requests on the connection
     bool m_requestWritten = false;
     bool m_mayHaveSent = false; ///< bytes of the request may have been sent
