--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include "connectionpool.h"
 
 #include "clock.h"
+#include "connectionforwarder.h"
 #include "connector.h"
 #include "sockets.h"
 
@@ -49,6 +50,16 @@
     unread += std::exchange(channel->body(), {});
 }
 
+std::optional<std::uint64_t> PooledConnection::forwardedBytes() const
+{
+    const auto field = isEnded() ? channel->trailer(ForwardedBytesField) : std::nullopt;
+    std::uint64_t bytes = 0;
+    if (!field
+        || std::from_chars(field->data(), field->data() + field->size(), bytes).ec != std::errc {})
+        return std::nullopt;
+    return bytes;
+}
+
 void PooledConnection::close()
 {
     boost::system::error_code ignored;
@@ -129,7 +140,8 @@
     m_handler = &handler;
     if (!m_settings.freshConnection)
         m_connection = m_pool.take(m_settings.endpoint, now);
-    if (m_connection) {
+    m_reused = m_connection != nullptr;
+    if (m_reused) {
         asio::post(m_pool.context(), [self = shared_from_this()] { self->send(); });
         return;
     }
@@ -164,14 +176,30 @@
         connector->tick(now);
 }
 
+/// Replaces a connection that ended after it was chosen. A request that is written to it would
+/// count as possibly executed. \return whether a new connection is being opened.
+bool Exchange::replaceIfEnded()
+{
+    const Time now = steadyNow();
+    if (!m_reused || m_pool.mayReuse(*m_connection, now))
+        return false;
+    m_connection = m_pool.take(m_settings.endpoint, now);
+    m_reused = m_connection != nullptr;
+    if (!m_reused)
+        connect(now);
+    return !m_reused;
+}
+
 void Exchange::send()
 {
-    if (!m_handler)
+    if (!m_handler || replaceIfEnded())
         return;
     if (!m_handler->maySend())
         return;
     m_forwarded = m_connection->isForwarded();
     m_mayHaveSent = true;
+    m_sentBefore =
+        std::exchange(m_connection->sentBytes, m_connection->sentBytes + m_request.size());
     m_pool.writes += 1;
     asio::async_write(m_connection->socket, asio::buffer(m_request),
                       [self = shared_from_this()](const boost::system::error_code &error,
@@ -207,6 +235,8 @@
         process();
         if (!m_handler)
             return;
+        if (ended && !m_reader->started() && wasNotForwarded())
+            return fail(AttemptFailure::Withheld);
         // Only an orderly close completes an answer without a length. After a reset, the answer may
         // be truncated.
         if (ended)
@@ -222,6 +252,13 @@
         read();
 }
 
+/// Whether the instance that forwards the connection ended it without forwarding the request.
+bool Exchange::wasNotForwarded() const
+{
+    const auto bytes = m_connection->forwardedBytes();
+    return bytes && *bytes <= m_sentBefore;
+}
+
 bool Exchange::processHead()
 {
     MessageHead &head = m_reader->head();
