--- a/testsuite/entry/entryharness.h
+++ b/testsuite/entry/entryharness.h
@@ -205,10 +205,13 @@
             waitUntil([&] { return isReady(); });
     }
 
-    void configure(int version, const std::string &keys, const std::string &route = "/safe/")
+    /// \a limits is a JSON object with limits of requests.
+    void configure(int version, const std::string &keys, const std::string &route = "/safe/",
+                   const std::string &limits = "{}")
     {
         store.put("configuration", "current",
                   R"({"version":)" + std::to_string(version) + R"(,"keys":)" + keys
+                      + R"(,"limits":)" + limits
                       + R"(,"services":[{"name":"plain"},{"name":"model","layers":4}],"routes":[
                         {"name":"safe","host":"h","prefix":")"
                       + route + R"(","kind":"safe","service":"plain"},
--- a/testsuite/request-without-answer/callers.h
+++ b/testsuite/request-without-answer/callers.h
@@ -7,6 +7,7 @@
 #include "../entry/entryharness.h"
 
 #include <atomic>
+#include <csignal>
 #include <memory>
 #include <vector>
 
@@ -55,6 +56,48 @@
     std::atomic<bool> m_finished {false};
 };
 
+// Times after SIGTERM, with the grace period of EntryHarness.
+constexpr std::chrono::milliseconds IdleClosed {3000}; ///< idle connections are closed from then on
+constexpr std::chrono::milliseconds StopEnds {7600}; ///< the process ends, whatever is in progress
+
+/// An instance with plain services and an engine.
+class EntryWithEndpoints
+{
+public:
+    /// \a limits is a JSON object with limits of requests.
+    explicit EntryWithEndpoints(const RawServer::Handler &service = answerAtOnce,
+                                const std::string &limits = "{}")
+    {
+        entry.configure(1, R"({"good-key":"team-a"})", "/safe/", limits);
+        waitUntil([&] { return entry.isReady(); });
+        for (int i = 0; i < 3; ++i) {
+            services.push_back(std::make_unique<RawServer>(service));
+            entry.addEndpoint("e" + std::to_string(i), "plain", services.back()->address());
+        }
+        entry.addEndpoint("a", "model", engine.address(), R"(,"layers":[0,4])");
+    }
+    ~EntryWithEndpoints() { streams.finish(); }
+
+    void terminate()
+    {
+        entry.process->signal(SIGTERM);
+        terminatedAt = std::chrono::steady_clock::now();
+        waitUntil([&] { return !entry.isReady(); });
+    }
+    void sleepUntilAfterStop(std::chrono::milliseconds time) const
+    {
+        std::this_thread::sleep_until(terminatedAt + time);
+    }
+    void pause() { entry.process->signal(SIGSTOP); }
+    void resume() { entry.process->signal(SIGCONT); }
+
+    EntryHarness entry {false};
+    std::vector<std::unique_ptr<RawServer>> services;
+    HeldStreams streams;
+    RawServer engine {streams.handler()};
+    std::chrono::steady_clock::time_point terminatedAt;
+};
+
 using Callers = std::vector<std::unique_ptr<CallerConnection>>;
 
 inline Callers connectCallers(const std::string &address, int count)
--- a/testsuite/request-without-answer/planned_stop_callers_test.cpp
+++ b/testsuite/request-without-answer/planned_stop_callers_test.cpp
@@ -11,49 +11,15 @@
 namespace {
 
 using std::chrono::milliseconds;
-using Clock = std::chrono::steady_clock;
 
-/// After SIGTERM, with the grace period of EntryHarness.
-constexpr milliseconds IdleClosed {3000}; ///< idle connections are closed from then on
 constexpr milliseconds Margin {800};
-constexpr milliseconds TimerDue {200}; ///< more than the interval of the timer of the process
-
-/// An instance with a plain service and an engine.
-struct StoppingEntry
-{
-    StoppingEntry()
-    {
-        for (int i = 0; i < 3; ++i) {
-            services.push_back(std::make_unique<RawServer>(answerAtOnce));
-            entry.addEndpoint("e" + std::to_string(i), "plain", services.back()->address());
-        }
-        entry.addEndpoint("a", "model", engine.address(), R"(,"layers":[0,4])");
-    }
-    ~StoppingEntry() { streams.finish(); }
-
-    void terminate()
-    {
-        entry.process->signal(SIGTERM);
-        entry.process->waitFor("\"event\":\"(stopping)\"");
-        terminatedAt = Clock::now();
-    }
-    void sleepUntilAfterStop(milliseconds time) const
-    {
-        std::this_thread::sleep_until(terminatedAt + time);
-    }
-
-    EntryHarness entry;
-    std::vector<std::unique_ptr<RawServer>> services;
-    HeldStreams streams;
-    RawServer engine {streams.handler()};
-    Clock::time_point terminatedAt;
-};
+constexpr milliseconds TimerDue {200}; ///< more than the interval of the process's timer in a stop
 
 /// Number of callers with an answer to a request that waits in their sockets while the process
 /// stands still, until idle connections are closed.
 int answersAfterPause(const std::string &path, int callerCount)
 {
-    StoppingEntry stopping;
+    EntryWithEndpoints stopping;
     stopping.streams.finish();
     Callers callers = connectKeptCallers(stopping.entry, callerCount);
     stopping.terminate();
@@ -68,7 +34,7 @@
 }
 
 /// Callers with a stream in progress, of which they have received the first event.
-Callers connectStreamingCallers(StoppingEntry &stopping, int count)
+Callers connectStreamingCallers(EntryWithEndpoints &stopping, int count)
 {
     Callers callers = connectCallers(stopping.entry.callers, count);
     sendFromEach(callers, requestTo("/stream/x"));
@@ -98,7 +64,7 @@
     // The head of the stream was sent before the stop: it could not announce the end of the
     // connection.
     constexpr int CallerCount = 8;
-    StoppingEntry stopping;
+    EntryWithEndpoints stopping;
     Callers callers = connectStreamingCallers(stopping, CallerCount);
     stopping.terminate();
     stopping.sleepUntilAfterStop(IdleClosed + Margin);
@@ -114,7 +80,7 @@
 {
     constexpr int CallerCount = 20;
     const int count = GENERATE(2, 3);
-    StoppingEntry stopping;
+    EntryWithEndpoints stopping;
     Callers callers = connectKeptCallers(stopping.entry, CallerCount);
     stopping.terminate();
     std::string requests;
@@ -131,7 +97,7 @@
           "[process][failure]")
 {
     constexpr int CallerCount = 8;
-    StoppingEntry stopping;
+    EntryWithEndpoints stopping;
     const bool beforeStop = GENERATE(true, false);
     Callers callers = connectCallers(stopping.entry.callers, CallerCount);
     if (!beforeStop)
@@ -149,7 +115,7 @@
 TEST_CASE("a request behind one that is refused in a stop is lost", "[process][failure]")
 {
     constexpr int CallerCount = 20;
-    StoppingEntry stopping;
+    EntryWithEndpoints stopping;
     Callers callers = connectKeptCallers(stopping.entry, CallerCount);
     stopping.terminate();
     sendFromEach(callers, requestTo("/unknown/x") + requestTo("/safe/x"));
@@ -163,7 +129,7 @@
     // Only the request behind it may stay unanswered: its caller has announced the end itself.
     constexpr int CallerCount = 20;
     const bool stop = GENERATE(false, true);
-    StoppingEntry stopping;
+    EntryWithEndpoints stopping;
     Callers callers = connectKeptCallers(stopping.entry, CallerCount);
     if (stop)
         stopping.terminate();
