--- a/testsuite/request-without-answer/callers.h
+++ b/testsuite/request-without-answer/callers.h
@@ -58,7 +58,7 @@
 
 // Times after SIGTERM, with the grace period of EntryHarness.
 constexpr std::chrono::milliseconds IdleClosed {3000}; ///< idle connections are closed from then on
-constexpr std::chrono::milliseconds StopEnds {7600}; ///< the process ends, whatever is in progress
+constexpr std::chrono::milliseconds StopEnds {7850}; ///< the process ends, whatever is in progress
 
 /// An instance with plain services and an engine.
 class EntryWithEndpoints
