Tests: connections that are accepted at the end of a stop, apart from a late process (both failing)

The one test hid two faults. Resumed 0.15 s before the end, 299 of 300 callers were answered in some plays (log: read 300, one of which is the endless stream; answered 299): a session that the end of the stop closes as unused has its request in the buffer of a read whose handler has not run yet, so the socket has no unread bytes. The timer has to expire between the two, 1 in 4 plays with 500 callers. Resumed after the end: 0 of 300 (log: waiting 299), the first turn of the loop ends the process.

--- a/testsuite/request-without-answer/stop_end_callers_test.cpp
+++ b/testsuite/request-without-answer/stop_end_callers_test.cpp
@@ -50,6 +50,22 @@
     return caller;
 }
 
+/// Number of callers with an answer that connect and send a request while the process stands still
+/// near its end. \a resumedAt is a time after SIGTERM.
+int answersAtEnd(int callerCount, milliseconds resumedAt)
+{
+    EntryWithEndpoints stopping;
+    const auto endless = connectEndlessCaller(stopping);
+    stopping.terminate();
+    stopping.sleepUntilAfterStop(StopEnds - milliseconds(700));
+    stopping.pause();
+    Callers callers = connectCallers(stopping.entry.callers, callerCount);
+    sendFromEach(callers, requestTo("/safe/x"));
+    stopping.sleepUntilAfterStop(resumedAt);
+    stopping.resume();
+    return receiveByEach(callers);
+}
+
 } // namespace
 
 TEST_CASE("a request whose rest comes after a stop closes idle connections is lost",
@@ -143,19 +159,18 @@
     CHECK(stopping.entry.process->wait() == 0);
 }
 
-TEST_CASE("connections that wait to be accepted are lost when the grace period ends",
+TEST_CASE(
+    "connections that are accepted when the grace period ends are closed in spite of a request",
+    "[process][failure]")
+{
+    // So many that the timer of the process expires between them.
+    constexpr int CallerCount = 500;
+    CHECK(answersAtEnd(CallerCount, StopEnds - milliseconds(250)) == CallerCount);
+}
+
+TEST_CASE("connections that wait to be accepted are lost if the process is late at its end",
           "[process][failure]")
 {
     constexpr int CallerCount = 300;
-    const milliseconds resumedAt = StopEnds + milliseconds(GENERATE(-150, 300));
-    EntryWithEndpoints stopping;
-    const auto endless = connectEndlessCaller(stopping);
-    stopping.terminate();
-    stopping.sleepUntilAfterStop(StopEnds - milliseconds(600));
-    stopping.pause();
-    Callers callers = connectCallers(stopping.entry.callers, CallerCount);
-    sendFromEach(callers, requestTo("/safe/x"));
-    stopping.sleepUntilAfterStop(resumedAt);
-    stopping.resume();
-    CHECK(receiveByEach(callers) == CallerCount);
+    CHECK(answersAtEnd(CallerCount, StopEnds + milliseconds(300)) == CallerCount);
 }
