Entry: a process that reaches the end of its grace period late still tells its callers (LOST)

What callers saw: 300 connections with a request each, made in a pause of the process that ends 0.3 s after the end of its stop: 0 answered, all reset; 40 of 40 in a pause from 7 to 8 s after SIGTERM. Cause: finish(), finishAll() and the end of the loop ran in one turn, so what was accepted in it was never read. Now the ending phase lasts half of its time at least, counted from the turn that notices it; a process without connections ends at once, as before.

--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -29,16 +29,24 @@
 /// load balancer without another instance sends requests until the end.
 constexpr double LastCallShare = 0.6;
 /// What is still in progress this long before the end of the grace period is finished: its callers
-/// are told before the process ends.
-constexpr Duration EndingTime {600'000};
-/// The stop is finished this long before the end of the grace period.
-constexpr Duration StopMargin {150'000};
+/// are told before the process ends. Of a short grace period, it is at most a share.
+constexpr Duration MaxEndingTime {600'000};
+constexpr double MaxEndingShare = 0.16;
+/// Shares of the ending time: the process ends this long before the end of the grace period, and
+/// callers get this long to be told if it reaches the ending time late.
+constexpr double StopMarginShare = 0.25;
+constexpr double MinEndingShare = 0.5;
 /// Keys are rejected this long before the revocation time is over.
 constexpr Duration KeyMargin {400'000};
 /// If the API keys are older than this share of the revocation time, the instance reports that it
 /// is not ready.
 constexpr double ReadyShare = 0.55;
 
+Duration shareOf(Duration duration, double share)
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * share));
+}
+
 RelaySettings relaySettings(const EntrySettings &settings)
 {
     RelaySettings relay;
@@ -266,7 +274,12 @@
 
 Duration TrafficServer::graceShare(double share) const
 {
-    return Duration(static_cast<std::int64_t>(m_stopGracePeriod.count() * share));
+    return shareOf(m_stopGracePeriod, share);
+}
+
+Duration TrafficServer::endingTime() const
+{
+    return std::min(MaxEndingTime, graceShare(MaxEndingShare));
 }
 
 void TrafficServer::attach(FlightId flight, std::shared_ptr<CallerSession> session)
@@ -518,7 +531,7 @@
     if (!m_stopping)
         return ServerPhase::Serving;
     const Duration elapsed = now - m_stopStartedAt;
-    if (elapsed >= m_stopGracePeriod - EndingTime)
+    if (elapsed >= m_stopGracePeriod - endingTime())
         return ServerPhase::Ending;
     return elapsed >= graceShare(CloseIdleShare) ? ServerPhase::Closing : ServerPhase::Stopping;
 }
@@ -536,6 +549,8 @@
     if (stage == ServerPhase::Stopping)
         return;
     if (stage == ServerPhase::Ending) {
+        if (!m_endingSince)
+            m_endingSince = now;
         m_acceptor.finish();
         RelayActions actions;
         m_relay.finishAll("instance is stopping", now, actions);
@@ -544,7 +559,11 @@
     // Connections may wait in the system until the listening socket is closed.
     if (isDrained(now))
         m_acceptor.finish();
-    if (isDrained(now) || now - m_stopStartedAt >= m_stopGracePeriod - StopMargin)
+    const Duration ending = endingTime();
+    const bool timeOver =
+        now - m_stopStartedAt >= m_stopGracePeriod - shareOf(ending, StopMarginShare)
+        && m_endingSince && now - *m_endingSince >= shareOf(ending, MinEndingShare);
+    if (isDrained(now) || timeOver)
         endStop(now);
 }
 
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -160,6 +160,7 @@
     bool isDrained(Time now) const;
     void logStop(Time now) const;
     Duration graceShare(double share) const;
+    Duration endingTime() const;
 
     boost::asio::io_context &m_context;
     EntrySettings m_settings; ///< used on the traffic thread only
@@ -184,6 +185,7 @@
     std::map<std::string, std::shared_ptr<TimedCall>> m_queries; ///< by endpoint
     bool m_stopping = false;
     Time m_stopStartedAt {};
+    std::optional<Time> m_endingSince; ///< beginning of the end of the stop
     /// The grace period that was in force when the stop began. A later change does not end it
     /// sooner: what was accepted relies on this one.
     Duration m_stopGracePeriod {};
