Entry: counts of closes leave out what was announced, and name what expired or crossed

The review's false alarms: a caller that resets while its answer is written counted as unanswered (20 of 20), and a refusal of an incomplete body, which is announced and delivered, as closed unread (5 of 5). Connections closed unread because they waited too long, and those on which bytes arrived after their end, were in no line of a stop.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -170,6 +170,8 @@
         m_socket, asio::buffer(m_outputBeingWritten),
         [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
             self->m_writing = false;
+            if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
+                return self->close(CloseCause::CallerEnded);
             if (error)
                 return self->close(CloseCause::WriteFailed);
             self->continueReading();
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -267,7 +267,8 @@
 void CallerSession::recordClose(CloseCause cause)
 {
     const bool isOwn = cause != CloseCause::CallerEnded;
-    const bool unread = isOwn && (!m_unread.empty() || hasUnreadBytes());
+    const bool announced = cause == CloseCause::Announced || cause == CloseCause::Truncated;
+    const bool unread = isOwn && !announced && (!m_unread.empty() || hasUnreadBytes());
     const ConnectionRemains remains {.request = m_use.inProgress(), .unreadBytes = unread};
     m_server.callerCounts().connectionClosed(cause, remains);
     if (!isOwn || !(remains.request || remains.unreadBytes))
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -586,6 +586,8 @@
                  {"abandoned", std::int64_t(m_callerCounts.abandoned())},
                  {"unanswered", std::int64_t(m_callerCounts.unanswered())},
                  {"closed_unread", std::int64_t(m_callerCounts.closedUnread())},
+                 {"expired", std::int64_t(m_acceptor.counts().expired)},
+                 {"crossed", std::int64_t(m_lingering.counts().crossed)},
                  {"in_flight", std::int64_t(m_relay.flights())},
                  {"open", std::int64_t(m_sessions.size())},
                  {"waiting", std::int64_t(m_acceptor.waiting())}});
@@ -661,6 +663,8 @@
     sample("log_lines_dropped_total", droppedLogLines());
     sample("control_loop_delay_ms", static_cast<std::uint64_t>(m_state.controlDelayMs));
     m_callerCounts.render(text);
+    sample("caller_connections_crossed_total", m_lingering.counts().crossed);
+    sample("caller_connections_lingered_in_vain_total", m_lingering.counts().timedOut);
     renderAdmission(text);
     m_loopDelays.render("balsamloft_loop_delay_seconds", "", text);
     m_requestMetrics.render(text);
