--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -31,6 +31,9 @@
 /// What is still in progress this long before the end of the grace period is finished: its callers
 /// are told before the process ends.
 constexpr Duration EndingTime {600'000};
+/// The shortest time for that. A process that runs late notices the end of the grace period only
+/// after it, with requests that it has not read yet.
+constexpr Duration MinEndingTime {200'000};
 /// The stop is finished this long before the end of the grace period.
 constexpr Duration StopMargin {150'000};
 /// Keys are rejected this long before the revocation time is over.
@@ -536,6 +539,7 @@
     if (stage == ServerPhase::Stopping)
         return;
     if (stage == ServerPhase::Ending) {
+        m_endingSince = m_endingSince.value_or(now);
         m_acceptor.finish();
         RelayActions actions;
         m_relay.finishAll("instance is stopping", now, actions);
@@ -544,7 +548,9 @@
     // Connections may wait in the system until the listening socket is closed.
     if (isDrained(now))
         m_acceptor.finish();
-    if (isDrained(now) || now - m_stopStartedAt >= m_stopGracePeriod - StopMargin)
+    const bool isOver = now - m_stopStartedAt >= m_stopGracePeriod - StopMargin
+                        && now - m_endingSince.value_or(now) >= MinEndingTime;
+    if (isDrained(now) || isOver)
         endStop(now);
 }
 
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -187,6 +187,7 @@
     /// The grace period that was in force when the stop began. A later change does not end it
     /// sooner: what was accepted relies on this one.
     Duration m_stopGracePeriod {};
+    std::optional<Time> m_endingSince; ///< when this process first noticed ServerPhase::Ending
     Time m_prunedAt {};
     LoopDelay m_loopDelay;
     DurationSummary m_loopDelays;
--- a/testsuite/planned-changes/stop_and_store_test.cpp
+++ b/testsuite/planned-changes/stop_and_store_test.cpp
@@ -157,3 +157,39 @@
     }
     CHECK(answer.size() > body.size());
 }
+
+TEST_CASE("a process that is late at the end of its stop still answers", "[process]")
+{
+    // It stands still until its grace period is over, and then finds requests that nobody has read.
+    EntryHarness entry;
+    std::atomic<bool> released {false};
+    RawServer endpoint([&](const std::string &request) {
+        waitUntil([&] { return released.load(); });
+        return RawAnswer {okAnswer(request, "done")};
+    });
+    entry.addEndpoint("e1", "plain", endpoint.address());
+    CallerConnection holder(entry.callers);
+    holder.send("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nTeam-Key: good-key\r\n"
+                "Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n");
+    waitUntil([&] { return !endpoint.requests().empty(); });
+    entry.process->signal(SIGTERM);
+    waitUntil([&] { return !entry.isReady(); });
+    std::this_thread::sleep_for(7s);
+    entry.process->signal(SIGSTOP);
+    constexpr std::size_t CallerCount = 40;
+    std::vector<std::unique_ptr<CallerConnection>> callers;
+    for (std::size_t i = 0; i < CallerCount; ++i) {
+        callers.push_back(std::make_unique<CallerConnection>(entry.callers));
+        callers.back()->send("POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
+                             "Team-Key: good-key\r\nContent-Length: 0\r\n\r\n");
+    }
+    std::this_thread::sleep_for(1s);
+    entry.process->signal(SIGCONT);
+    std::size_t refused = 0;
+    for (const auto &caller : callers)
+        refused += caller->receive().starts_with("HTTP/1.1 503") ? 1 : 0;
+    CHECK(refused == CallerCount);
+    released = true;
+    CHECK(completeAnswer(holder.receive()));
+    CHECK(entry.process->wait() == 0);
+}
