Entry: a request that was read but not yet handled is seen before a connection is closed (LOST)

Cause: async_read_some() reads at once where it can, and its handler waits for its turn. If a tick comes before it, the bytes are neither in the system (so the probe finds none) nor in the session, and ConnectionUse decides that the connection is idle.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -41,6 +41,8 @@
 void CallerSession::start()
 {
     setSocketOptions(m_socket, CallerAcknowledgmentTimeout);
+    boost::system::error_code ignored;
+    m_socket.non_blocking(true, ignored);
     read();
 }
 
@@ -49,12 +51,26 @@
     if (m_reading || m_closed || m_unread.size() > MaxReadAhead)
         return;
     m_reading = true;
-    m_socket.async_read_some(
-        asio::buffer(m_buffer),
-        [self = shared_from_this()](const boost::system::error_code &error, std::size_t count) {
-            self->m_reading = false;
-            self->readFinished(error, count);
-        });
+    m_socket.async_wait(asio::socket_base::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &error) {
+                            self->m_reading = false;
+                            self->readAvailable(error);
+                        });
+}
+
+/// Reads only when the bytes are handled at once. Bytes that were read while their handler still
+/// waits for its turn would be seen neither in the system nor in this process, and the connection
+/// would be closed as idle.
+void CallerSession::readAvailable(boost::system::error_code error)
+{
+    if (m_closed)
+        return;
+    std::size_t count = 0;
+    if (!error)
+        count = m_socket.read_some(asio::buffer(m_buffer), error);
+    if (error == asio::error::would_block)
+        return read();
+    readFinished(error, count);
 }
 
 void CallerSession::readFinished(const boost::system::error_code &error, std::size_t count)
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -64,6 +64,7 @@
     void answerReceived(MessageReader &answer) override;
 
     void read();
+    void readAvailable(boost::system::error_code error);
     void readFinished(const boost::system::error_code &error, std::size_t count);
     void parse();
     void handleRequest();
