--- a/testsuite/request-without-answer/stop_end_callers_test.cpp
+++ b/testsuite/request-without-answer/stop_end_callers_test.cpp
@@ -63,7 +63,9 @@
     sendFromEach(callers, requestTo("/safe/x"));
     stopping.sleepUntilAfterStop(resumedAt);
     stopping.resume();
-    return receiveByEach(callers);
+    const int answered = receiveByEach(callers);
+    UNSCOPED_INFO(stopping.entry.process->waitFor(".*\"event\":\"stopped\".*"));
+    return answered;
 }
 
 } // namespace
