Connections to endpoints: the timeout for unacknowledged data is lifted while the peer's window is closed

Callers got a failure for a call whose endpoint, or whose forwarding instance, stood still for more than 1.5 s while the request was sent. Cause: the system applies TCP_USER_TIMEOUT also to data that waits for a closed window, although the peer's system acknowledges all probes.

While the window is closed (nothing unacknowledged, data unsent, at most two probes unanswered), the timeout is lifted; it is in force again once the window opens, or the peer stops to answer probes. So a peer that is gone is still found after 1.5 s of unacknowledged data, and one that goes while its window is closed at the probe after the third unanswered one. A process that is itself late by 1.5 s cannot lift it in time.

Ruled out: the same for callers, whose timeout is 15 s already.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -1,5 +1,6 @@
 #include "connectionforwarder.h"
 
+#include "acknowledgmentlimit.h"
 #include "clock.h"
 #include "sockets.h"
 
@@ -75,6 +76,13 @@
         m_forwarder.m_connections.erase(shared_from_this());
     }
 
+    void tick(Time now)
+    {
+        m_instanceAcknowledgment.tick(m_instance, now);
+        if (m_connected)
+            m_endpointAcknowledgment.tick(m_endpoint, now);
+    }
+
     /// Ends the connection in an orderly way, and tells how much was forwarded.
     void end()
     {
@@ -373,6 +381,8 @@
     ConnectionForwarder &m_forwarder;
     tcp::socket m_instance;
     tcp::socket m_endpoint;
+    AcknowledgmentLimit m_instanceAcknowledgment;
+    AcknowledgmentLimit m_endpointAcknowledgment;
     asio::steady_timer m_timer;
     MessageReader m_request {MessageReader::Kind::Request, {}};
     std::string m_id; ///< of the endpoint
@@ -437,6 +447,9 @@
     if (wasPaused())
         endAfterPause();
     m_tickedAt = bootTime;
+    const Time now = steadyNow();
+    for (const auto &each : m_connections)
+        each->tick(now);
 }
 
 void ConnectionForwarder::closeDeclined(Time now)
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -172,6 +172,8 @@
 
 void Exchange::tick(Time now)
 {
+    if (m_connection)
+        m_connection->acknowledgment.tick(m_connection->socket, now);
     if (const auto connector = m_connector)
         connector->tick(now);
 }
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "acknowledgmentlimit.h"
 #include "httpmessage.h"
 
 #include <balsamloft/endpointlinks.h>
@@ -43,6 +44,7 @@
     std::optional<std::uint64_t> forwardedBytes() const;
 
     boost::asio::ip::tcp::socket socket;
+    AcknowledgmentLimit acknowledgment;
     std::string endpoint; ///< id
     std::string unread; ///< received and not yet parsed
     std::array<char, 8192> buffer {};
@@ -141,7 +143,7 @@
     /// Closes the connection. No further callbacks are made.
     void cancel();
 
-    /// Checks the time limits of opening a connection. To be called regularly.
+    /// Checks the time limits of opening and writing to a connection. To be called regularly.
     void tick(Time now);
 
     ConnectionPool &pool() { return m_pool; }
--- a/src/entry/sockets.cpp
+++ b/src/entry/sockets.cpp
@@ -11,7 +11,12 @@
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    const auto limit = static_cast<unsigned>(acknowledgmentTimeout.count() / 1000);
+    setAcknowledgmentTimeout(socket, acknowledgmentTimeout);
+}
+
+void setAcknowledgmentTimeout(tcp::socket &socket, Duration timeout)
+{
+    const auto limit = static_cast<unsigned>(timeout.count() / 1000);
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
 }
 
--- a/src/entry/sockets.h
+++ b/src/entry/sockets.h
@@ -25,6 +25,9 @@
 void setSocketOptions(boost::asio::ip::tcp::socket &socket,
                       Duration acknowledgmentTimeout = AcknowledgmentTimeout);
 
+/// Sets the timeout for unacknowledged data; 0: none.
+void setAcknowledgmentTimeout(boost::asio::ip::tcp::socket &socket, Duration timeout);
+
 /// Opens \a acceptor and listens at \a address, a valid "IP:port". The system holds up to \a
 /// backlog connections until they are accepted. \return whether that succeeded; otherwise \a reason
 /// is set.
