balsamloftd: count requests read, answered, truncated and left, and closes by cause; log what a stop left

The counts of the entry (CallerCounts) move to libaccept, so that both servers use them. HttpServer counts each request that it read and each close with its cause, with the requests and unread bytes that were open then; balsamloftd renders them for each worker and logs their sums once its connections are closed. Two causes that the entry does not have: a request that the server gave up without an answer, and the limit of connections. No change of logic.

--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -163,10 +163,25 @@
         });
         return;
     }
+    logStop();
     if (const auto idle = std::exchange(m_idleCallback, nullptr))
         idle();
 }
 
+/// Logs what became of the requests of callers, once all connections are closed.
+void TrafficWorker::logStop() const
+{
+    const CallerCounts &counts = m_server.counts();
+    log(LogLevel::Info, Part, "callers' connections closed",
+        {{"worker", std::to_string(m_settings.index)},
+         {"read", std::to_string(counts.read())},
+         {"answered", std::to_string(counts.answered())},
+         {"truncated", std::to_string(counts.truncated())},
+         {"abandoned", std::to_string(counts.abandoned())},
+         {"unanswered", std::to_string(counts.unanswered())},
+         {"closed_unread", std::to_string(counts.closedUnread())}});
+}
+
 void TrafficWorker::renderMetrics(std::function<void(std::string)> callback)
 {
     asio::post(m_context, [this, callback = std::move(callback)] {
@@ -180,6 +195,7 @@
         sample("balsamloft_caller_connections_waiting", m_server.waitingConnections());
         sample("balsamloft_callers_left_unread_total", m_server.acceptCounts().leftUnread);
         sample("balsamloft_caller_connections_expired_total", m_server.acceptCounts().expired);
+        m_server.counts().render(worker, text);
         callback(std::move(text));
     });
 }
--- a/src/balsamloftd/trafficworker.h
+++ b/src/balsamloftd/trafficworker.h
@@ -102,6 +102,7 @@
     void perform(Actions &actions);
     void schedule();
     void checkIdle();
+    void logStop() const;
     std::string globalId(RequestId id) const;
 
     // Each overload performs one kind of action.
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -3,9 +3,9 @@
 
 #pragma once
 
-#include "callercounts.h"
 #include "connectionpool.h"
 
+#include <balsamloft/callercounts.h>
 #include <balsamloft/eventsplitter.h>
 #include <balsamloft/readfreshness.h>
 #include <balsamloft/relay.h>
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -612,7 +612,7 @@
     sample("lease_held", m_state.holdsLease ? 1 : 0);
     sample("log_lines_dropped_total", droppedLogLines());
     sample("control_loop_delay_ms", static_cast<std::uint64_t>(m_state.controlDelayMs));
-    m_callerCounts.render(text);
+    m_callerCounts.render("", text);
     renderAdmission(text);
     m_loopDelays.render("balsamloft_loop_delay_seconds", "", text);
     m_requestMetrics.render(text);
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include "callercounts.h"
 #include "connectionforwarder.h"
 #include "entrystate.h"
 #include "requestmetrics.h"
@@ -12,6 +11,7 @@
 
 #include <balsamloft/admission/serviceload.h>
 #include <balsamloft/calleracceptor.h>
+#include <balsamloft/callercounts.h>
 #include <balsamloft/entryprotocol.h>
 #include <balsamloft/loopdelay.h>
 
--- a/src/entry/callercounts.h
+++ b/src/include/balsamloft/callercounts.h
@@ -19,10 +19,13 @@
     Truncated, ///< the end of an incomplete stream
     Idle, ///< no request within the idle timeout
     Stopping, ///< idle in a planned stop
+    GivenUp, ///< its request was given up without an answer
+    TooMany, ///< the limit of connections was reached
 };
 
-inline constexpr std::array<std::string_view, 6> CloseCauseNames {
-    "caller_ended", "write_failed", "announced", "truncated", "idle", "stopping"};
+inline constexpr std::array<std::string_view, 8> CloseCauseNames {
+    "caller_ended", "write_failed", "announced", "truncated",
+    "idle",         "stopping",     "given_up",  "too_many"};
 
 /// What was open when a connection was closed.
 struct ConnectionRemains
@@ -58,8 +61,8 @@
     /// Connections that this instance closed while bytes of the caller were unread.
     std::uint64_t closedUnread() const;
 
-    /// Appends metrics to \a text.
-    void render(std::string &text) const;
+    /// Appends metrics to \a text, each with \a label, such as "worker=\"0\"", unless it is empty.
+    void render(std::string_view label, std::string &text) const;
 
 private:
     struct Closed
--- a/src/include/balsamloft/httpserver.h
+++ b/src/include/balsamloft/httpserver.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <balsamloft/calleracceptor.h>
+#include <balsamloft/callercounts.h>
 #include <balsamloft/types.h>
 
 #include <boost/asio/io_context.hpp>
@@ -96,6 +97,9 @@
     std::size_t waitingConnections() const { return m_acceptor.waiting(); }
     const CallerAcceptor::Counts &acceptCounts() const { return m_acceptor.counts(); }
 
+    /// Requests and connections since the start.
+    const CallerCounts &counts() const;
+
 private:
     struct Shared;
     class Session;
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -33,6 +33,7 @@
     HttpHandler handler;
     bool stopping = false;
     std::unordered_set<Session *> sessions;
+    CallerCounts counts;
 };
 
 /// One connection. Handles its requests one after another.
@@ -51,7 +52,8 @@
 
     void readRequest();
     void closeIfIdle();
-    void closeNow();
+    void close(CloseCause cause);
+    void giveUp();
 
     // Called by Exchange.
     const HttpRequest &request() const { return m_parser->get(); }
@@ -76,6 +78,7 @@
     void flush();
     void onWritten(beast::error_code error);
     void onAnswerComplete();
+    void recordClose(CloseCause cause);
     void startWriteTimeout() { m_stream.expires_after(m_shared->settings.writeTimeout); }
 
     beast::tcp_stream m_stream;
@@ -95,6 +98,8 @@
     bool m_keepAlive = true;
     bool m_watchingCaller = false;
     bool m_callerClosed = false;
+    bool m_owesAnswer = false; ///< the answer to a request is not written completely
+    bool m_closed = false;
 };
 
 /// Handle of a request that is passed to the handler. Keeps the session alive, and closes the
@@ -110,7 +115,7 @@
     {
         // Without closing, the caller would wait forever for an answer.
         if (!m_answered)
-            m_session->closeNow();
+            m_session->giveUp();
     }
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
@@ -136,7 +141,7 @@
     void abort() override
     {
         m_answered = true;
-        m_session->closeNow();
+        m_session->giveUp();
     }
     void onCallerGone(std::function<void()> callback) override
     {
@@ -173,6 +178,8 @@
     m_stream.expires_never();
     m_keepAlive = m_parser->get().keep_alive();
     m_phase = Phase::Waiting;
+    m_owesAnswer = true;
+    m_shared->counts.requestRead();
     auto exchange = std::make_shared<Exchange>(shared_from_this());
     m_shared->handler(std::move(exchange));
     watchCaller();
@@ -183,6 +190,8 @@
     const auto answer = [this](http::status status, std::string_view code,
                                std::string_view message) {
         m_keepAlive = false;
+        m_owesAnswer = true;
+        m_shared->counts.requestRead();
         std::string body = R"({"error":{"code":")";
         body.append(code).append(R"(","message":")").append(message);
         body.append(R"(","ran":"no","retry_after_ms":0}})");
@@ -197,11 +206,11 @@
     if (error == beast::error::timeout) {
         // The connection was idle or the request incomplete. No answer is possible, since
         // tcp_stream has already closed the socket.
-        return closeNow();
+        return close(CloseCause::Idle);
     }
     if (error == http::error::end_of_stream || error == http::error::partial_message
         || error.category() != http::make_error_code(http::error::bad_method).category())
-        return closeNow();
+        return close(CloseCause::CallerEnded);
     answer(http::status::bad_request, "malformed_request", "not a valid HTTP request");
 }
 
@@ -264,7 +273,7 @@
     http::async_write(m_stream, *m_response,
                       [self = shared_from_this()](beast::error_code error, std::size_t) {
                           if (error)
-                              return self->closeNow();
+                              return self->close(CloseCause::WriteFailed);
                           self->onAnswerComplete();
                       });
 }
@@ -292,7 +301,7 @@
     if (m_phase != Phase::Streaming || m_streamEnded)
         return false;
     if (m_pending.size() + data.size() > m_shared->settings.maxBufferedBytes) {
-        closeNow();
+        close(CloseCause::WriteFailed);
         return false;
     }
     m_pending.append(data);
@@ -337,15 +346,17 @@
     m_writeActive = false;
     if (error) {
         notifyCallerGone();
-        return closeNow();
+        return close(CloseCause::WriteFailed);
     }
     flush();
 }
 
 void HttpServer::Session::onAnswerComplete()
 {
+    m_owesAnswer = false;
+    m_shared->counts.answerWritten();
     if (!m_keepAlive || m_shared->stopping)
-        return closeNow();
+        return close(CloseCause::Announced);
     beast::error_code ignored;
     m_phase = Phase::Reading;
     m_stream.socket().cancel(ignored); // stops watchCaller()
@@ -358,11 +369,31 @@
     // The connection is kept if part of a request has been received: that request is read and
     // answered first.
     if (m_phase == Phase::Reading && !m_parser->got_some() && m_buffer.size() == 0)
-        closeNow();
+        close(CloseCause::Stopping);
 }
 
-void HttpServer::Session::closeNow()
+/// Closes the connection without completing the answer.
+void HttpServer::Session::giveUp()
 {
+    if (m_callerClosed)
+        return close(CloseCause::CallerEnded);
+    close(m_phase == Phase::Streaming ? CloseCause::Truncated : CloseCause::GivenUp);
+}
+
+void HttpServer::Session::recordClose(CloseCause cause)
+{
+    // Bytes that a caller sent before it left are of no use to it.
+    const bool unread =
+        cause != CloseCause::CallerEnded
+        && (m_buffer.size() > 0 || hasUnreadBytes(m_stream.socket().native_handle()));
+    m_shared->counts.connectionClosed(cause, {.request = m_owesAnswer, .unreadBytes = unread});
+}
+
+void HttpServer::Session::close(CloseCause cause)
+{
+    if (std::exchange(m_closed, true))
+        return;
+    recordClose(cause);
     beast::error_code ignored;
     m_callerGoneCallback = nullptr;
     m_watchTimer.cancel();
@@ -405,8 +436,11 @@
 
 void HttpServer::begin(tcp::socket socket)
 {
-    if (m_shared->sessions.size() >= m_shared->settings.maxConnections)
+    if (m_shared->sessions.size() >= m_shared->settings.maxConnections) {
+        const bool unread = hasUnreadBytes(socket.native_handle());
+        m_shared->counts.connectionClosed(CloseCause::TooMany, {.unreadBytes = unread});
         return;
+    }
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     std::make_shared<Session>(std::move(socket), m_shared)->readRequest();
@@ -438,7 +472,12 @@
     stopAccepting();
     const auto sessions = m_shared->sessions;
     for (Session *session : sessions)
-        session->closeNow();
+        session->close(CloseCause::Stopping);
+}
+
+const CallerCounts &HttpServer::counts() const
+{
+    return m_shared->counts;
 }
 
 std::size_t HttpServer::connections() const
