Tests: requests of callers of balsamloftd without an answer, on real sockets (failing)

The server runs only while a test lets it, so that requests wait in the system as before a late process; one test stops the real process with SIGSTOP.

--- a/testsuite/planned-stop/planned_stop_test.cpp
+++ b/testsuite/planned-stop/planned_stop_test.cpp
@@ -1,4 +1,5 @@
 #include "../common/fleet.h"
+#include "../entry/callerconnection.h"
 
 #include "../../src/fakes/enginemodel.h"
 
@@ -62,3 +63,39 @@
     CHECK(reply.errorCode() == "draining");
     CHECK(reply.ran() == "no");
 }
+
+// Guards against a reset of requests that arrive while the process is late.
+TEST_CASE("requests that wait on kept connections are answered although the process stands still "
+          "until it closes idle connections",
+          "[process]")
+{
+    constexpr int Callers = 300; // more than the process takes from the system in one turn
+    const std::string request =
+        "GET /services/s/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer t\r\n"
+        "Content-Length: 0\r\n\r\n";
+    Fleet fleet;
+    fleet.startChains(1);
+    fleet.startService("s0");
+    fleet.startDaemon("i1", "a", {"--drain_grace_ms=1000"});
+    fleet.configure();
+    Process &process = *fleet.daemon("i1").process;
+    std::vector<std::unique_ptr<CallerConnection>> callers;
+    for (int i = 0; i < Callers; ++i) {
+        callers.push_back(std::make_unique<CallerConnection>(fleet.daemon("i1").callers));
+        callers.back()->send(request);
+        REQUIRE(callers.back()->receive().starts_with("HTTP/1.1 "));
+    }
+    process.signal(SIGTERM);
+    process.waitFor("not ready from now on");
+    process.signal(SIGSTOP);
+    for (const auto &caller : callers)
+        caller->send(request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500)); // longer than the drain grace
+    process.signal(SIGCONT);
+    int answered = 0;
+    for (const auto &caller : callers)
+        answered += caller->receive().starts_with("HTTP/1.1 ");
+    CHECK(answered == Callers);
+    callers.clear();
+    CHECK(process.wait() == 0);
+}
