balsamloftd: callers' connections end by one decision, and without a reset

Callers saw resets and closed connections at a planned stop: on requests that lay in the system while the process was late, right after a stream that began before the stop, on the second of two requests sent at once, and in the middle of large answers. Causes: HttpServer::Session closed what had no bytes in the process, without asking the socket; it closed after each answer of a stop, also if that had not announced it; it announced the close while further requests of the caller waited; and it closed sockets with unread bytes, upon which the system resets the connection and drops what it had not sent yet.

The session now decides by ConnectionUse, with its socket as the probe, and ends by LingeringConnections. The timer of Beast's stream, which closed the socket by itself, applies to writes only; the server checks its connections ten times a second. So the session reads itself instead of by http::async_read, and the time to receive a request counts from its first byte. A caller that always has a further request under way gets the announcement once the idle timeout has passed in the stop, since the drain has no bound. Sessions leave the server's list when they are closed rather than destroyed.

--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -153,9 +153,8 @@
 {
     if (!m_idleCallback || m_router.inFlight() > 0)
         return;
-    // While connections are open, answers may still be buffered: a connection closes only after its
-    // last byte was passed to the operating system.
-    if (m_server.connections() > 0) {
+    // A connection that is not closed may have to pass on an answer, or be about to get a request.
+    if (!m_server.isDrained()) {
         m_idleTimer.expires_after(std::chrono::milliseconds(5));
         m_idleTimer.async_wait([this](boost::system::error_code error) {
             if (!error)
--- a/src/include/balsamloft/httpserver.h
+++ b/src/include/balsamloft/httpserver.h
@@ -27,7 +27,9 @@
 {
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
-    Duration requestTimeout {15'000'000}; ///< to receive a complete request, idle time included
+    /// To receive a complete request from its first byte on, and the longest time for which an idle
+    /// connection is kept.
+    Duration requestTimeout {15'000'000};
     Duration writeTimeout {15'000'000}; ///< for each write to the caller
     std::size_t maxBufferedBytes = 4 * 1024 * 1024; ///< unsent data of a stream to a slow caller
     std::size_t maxConnections = 10'000;
@@ -84,15 +86,19 @@
     /// Returns the port that the server listens on.
     std::uint16_t port() const;
 
-    /// Stops accepting connections. Closes idle connections and those that were not read yet at
-    /// once, and each other connection after its current answer.
+    /// Stops accepting connections, closes those that were not read yet, and idle ones. The server
+    /// is drained once each caller has got its answers.
     void stopAccepting();
 
     /// Stops accepting connections and closes all open ones at once.
     void close();
 
+    /// Open connections, without those that only wait for their callers to close them.
     std::size_t connections() const;
 
+    /// Whether no connection is left.
+    bool isDrained() const;
+
     /// Connections that were accepted and are not read yet.
     std::size_t waitingConnections() const { return m_acceptor.waiting(); }
     const CallerAcceptor::Counts &acceptCounts() const { return m_acceptor.counts(); }
@@ -106,11 +112,12 @@
     class Exchange;
 
     void begin(boost::asio::ip::tcp::socket socket);
+    void tick();
     void armTimer();
 
     std::shared_ptr<Shared> m_shared;
     CallerAcceptor m_acceptor;
-    boost::asio::steady_timer m_timer; ///< calls CallerAcceptor::tick()
+    boost::asio::steady_timer m_timer; ///< calls tick()
 };
 
 /// Parses "IP:port" ("[v6]:port"). Returns nothing and sets \a reason if malformed.
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -1,8 +1,13 @@
+#include <balsamloft/connectionuse.h>
+#include <balsamloft/httprequest.h>
 #include <balsamloft/httpserver.h>
+#include <balsamloft/lingeringconnections.h>
 #include <balsamloft/socketstate.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -18,40 +23,68 @@
 
 namespace {
 
-/// Longest time that a server does not listen after it has caught up.
-constexpr Duration AcceptorTickInterval {100'000};
+/// Interval in which connections are checked for their end, and the longest time that a server
+/// does not listen after it has caught up.
+constexpr Duration TickInterval {100'000};
+
+constexpr std::size_t MaxReadSize = 65536;
 
 /// Interval in which a caller is asked whether it left while bytes of its next request wait: the
 /// system reports the connection as readable then, whether it was closed or not.
 constexpr Duration PipelinedCheckInterval {100'000};
 
+/// The answer to a request that was not executed, and never will be.
+HttpResponse refusal(http::status status, std::string_view code, std::string_view message)
+{
+    std::string body = R"({"error":{"code":")";
+    body.append(code).append(R"(","message":")").append(message);
+    body.append(R"(","ran":"no","retry_after_ms":0}})");
+    return jsonResponse(status, std::move(body));
+}
+
 } // namespace
 
 struct HttpServer::Shared
 {
     HttpServerSettings settings;
     HttpHandler handler;
-    bool stopping = false;
+    ServerPhase phase = ServerPhase::Serving;
+    Time closingSince {};
     std::unordered_set<Session *> sessions;
+    LingeringConnections lingering;
+    bool closed = false;
     CallerCounts counts;
+
+    CallerTimeouts timeouts() const
+    {
+        return {.request = settings.requestTimeout, .idle = settings.requestTimeout};
+    }
 };
 
 /// One connection. Handles its requests one after another.
-class HttpServer::Session : public std::enable_shared_from_this<HttpServer::Session>
+class HttpServer::Session : public std::enable_shared_from_this<HttpServer::Session>,
+                            private ConnectionProbe
 {
 public:
     Session(tcp::socket socket, std::shared_ptr<Shared> shared)
         : m_stream(std::move(socket))
         , m_watchTimer(m_stream.get_executor())
         , m_shared(std::move(shared))
+        , m_use(steadyNow(), m_shared->settings.requestTimeout)
     {
         m_shared->sessions.insert(this);
     }
 
-    ~Session() { m_shared->sessions.erase(this); }
+    ~Session() override { m_shared->sessions.erase(this); }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
 
     void readRequest();
-    void closeIfIdle();
+
+    /// Ends the connection, or refuses its incomplete request, if ConnectionUse says so.
+    void tick(Time now);
+
+    /// Closes the connection at once: the caller has left, or the connection is broken.
     void close(CloseCause cause);
     void giveUp();
 
@@ -61,7 +94,10 @@
     void beginStream(HttpResponse response);
     bool write(std::string_view data);
     void endStream();
-    bool callerLeft() { return m_callerClosed || isEndedByPeer(m_stream.socket().native_handle()); }
+    bool callerLeft()
+    {
+        return m_callerClosed || m_closed || isEndedByPeer(m_stream.socket().native_handle());
+    }
     void setCallerGoneCallback(std::function<void()> callback)
     {
         m_callerGoneCallback = std::move(callback);
@@ -70,8 +106,22 @@
 private:
     enum class Phase : std::uint8_t { Reading, Waiting, Responding, Streaming };
 
-    void onRequestRead(beast::error_code error);
+    bool hasUnreadBytes() const override
+    {
+        return balsamloft::hasUnreadBytes(m_stream.socket().native_handle());
+    }
+    ConnectionStep step(Time now) const
+    {
+        return m_use.step(m_shared->phase, m_shared->timeouts(), *this, now);
+    }
+    void takeStep();
+    void read();
+    void onRead(beast::error_code error, std::size_t size);
+    void parse();
+    void onRequestRead();
     void rejectMalformed(beast::error_code error);
+    void refuse(http::status status, std::string_view code, std::string_view message);
+    void announceCloseIfStopping();
     void watchCaller();
     void watchPipeliningCaller();
     void notifyCallerGone();
@@ -79,11 +129,17 @@
     void onWritten(beast::error_code error);
     void onAnswerComplete();
     void recordClose(CloseCause cause);
+    /// Ends the connection in a way that loses no answer.
+    void end(CloseCause cause);
+    void leaveServer(CloseCause cause);
     void startWriteTimeout() { m_stream.expires_after(m_shared->settings.writeTimeout); }
 
-    beast::tcp_stream m_stream;
+    /// Its timer applies to writes only. Mutable since queries need the native handle, which a
+    /// const socket does not have.
+    mutable beast::tcp_stream m_stream;
     asio::steady_timer m_watchTimer; ///< while bytes of the caller's next request wait
     std::shared_ptr<Shared> m_shared;
+    ConnectionUse m_use;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<HttpResponse> m_response;
@@ -95,10 +151,8 @@
     bool m_writeActive = false;
     bool m_streamEnded = false;
     bool m_lastChunkSent = false;
-    bool m_keepAlive = true;
     bool m_watchingCaller = false;
     bool m_callerClosed = false;
-    bool m_owesAnswer = false; ///< the answer to a request is not written completely
     bool m_closed = false;
 };
 
@@ -164,22 +218,54 @@
     m_parser.emplace();
     m_parser->header_limit(m_shared->settings.maxHeaderBytes);
     m_parser->body_limit(m_shared->settings.maxBodyBytes);
-    m_stream.expires_after(m_shared->settings.requestTimeout);
-    http::async_read(m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](beast::error_code error, std::size_t) {
-                         self->onRequestRead(error);
-                     });
+    m_parser->eager(true);
+    if (m_buffer.size() > 0)
+        return parse();
+    read();
+}
+
+void HttpServer::Session::read()
+{
+    m_stream.socket().async_read_some(
+        m_buffer.prepare(beast::read_size(m_buffer, MaxReadSize)),
+        [self = shared_from_this()](beast::error_code error, std::size_t size) {
+            self->onRead(error, size);
+        });
 }
 
-void HttpServer::Session::onRequestRead(beast::error_code error)
+void HttpServer::Session::onRead(beast::error_code error, std::size_t size)
 {
+    if (m_closed || m_phase != Phase::Reading)
+        return;
     if (error)
+        return close(CloseCause::CallerEnded);
+    m_buffer.commit(size);
+    // Later bytes do not count, since a caller that sends slowly must not hold its connection
+    // forever.
+    if (!m_parser->got_some())
+        m_use.bytesRead(steadyNow());
+    parse();
+}
+
+void HttpServer::Session::parse()
+{
+    m_use.requestBegun();
+    beast::error_code error;
+    m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    if (error && error != http::error::need_more)
         return rejectMalformed(error);
-    m_stream.expires_never();
-    m_keepAlive = m_parser->get().keep_alive();
-    m_phase = Phase::Waiting;
-    m_owesAnswer = true;
+    if (!m_parser->is_done())
+        return read();
+    onRequestRead();
+}
+
+void HttpServer::Session::onRequestRead()
+{
+    m_use.requestRead();
     m_shared->counts.requestRead();
+    if (!m_parser->get().keep_alive())
+        m_use.announceClose();
+    m_phase = Phase::Waiting;
     auto exchange = std::make_shared<Exchange>(shared_from_this());
     m_shared->handler(std::move(exchange));
     watchCaller();
@@ -187,31 +273,23 @@
 
 void HttpServer::Session::rejectMalformed(beast::error_code error)
 {
-    const auto answer = [this](http::status status, std::string_view code,
-                               std::string_view message) {
-        m_keepAlive = false;
-        m_owesAnswer = true;
-        m_shared->counts.requestRead();
-        std::string body = R"({"error":{"code":")";
-        body.append(code).append(R"(","message":")").append(message);
-        body.append(R"(","ran":"no","retry_after_ms":0}})");
-        respond(jsonResponse(status, std::move(body)));
-    };
     if (error == http::error::header_limit)
-        return answer(http::status::request_header_fields_too_large, "headers_too_large",
+        return refuse(http::status::request_header_fields_too_large, "headers_too_large",
                       "the headers are larger than the limit");
     if (error == http::error::body_limit)
-        return answer(http::status::payload_too_large, "body_too_large",
+        return refuse(http::status::payload_too_large, "body_too_large",
                       "the body is larger than the limit");
-    if (error == beast::error::timeout) {
-        // The connection was idle or the request incomplete. No answer is possible, since
-        // tcp_stream has already closed the socket.
-        return close(CloseCause::Idle);
-    }
-    if (error == http::error::end_of_stream || error == http::error::partial_message
-        || error.category() != http::make_error_code(http::error::bad_method).category())
-        return close(CloseCause::CallerEnded);
-    answer(http::status::bad_request, "malformed_request", "not a valid HTTP request");
+    refuse(http::status::bad_request, "malformed_request", "not a valid HTTP request");
+}
+
+/// Answers a request that was not read completely, and ends the connection.
+void HttpServer::Session::refuse(http::status status, std::string_view code,
+                                 std::string_view message)
+{
+    m_use.requestRead();
+    m_use.announceClose();
+    m_shared->counts.requestRead();
+    respond(refusal(status, code, message));
 }
 
 void HttpServer::Session::watchCaller()
@@ -222,7 +300,7 @@
     m_stream.socket().async_wait(
         tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
             self->m_watchingCaller = false;
-            if (error || self->m_phase == Phase::Reading)
+            if (error || self->m_closed || self->m_phase == Phase::Reading)
                 return;
             char byte = 0;
             beast::error_code peekError;
@@ -248,25 +326,25 @@
     m_watchTimer.expires_after(PipelinedCheckInterval);
     m_watchTimer.async_wait([self = shared_from_this()](beast::error_code error) {
         self->m_watchingCaller = false;
-        if (!error && self->m_stream.socket().is_open())
+        if (!error && !self->m_closed)
             self->watchCaller();
     });
 }
 
 void HttpServer::Session::notifyCallerGone()
 {
-    m_keepAlive = false;
+    m_use.announceClose();
     if (const auto callback = std::exchange(m_callerGoneCallback, nullptr))
         callback();
 }
 
 void HttpServer::Session::respond(HttpResponse response)
 {
-    if (m_phase == Phase::Streaming || m_phase == Phase::Responding)
+    if (m_closed || m_phase == Phase::Streaming || m_phase == Phase::Responding)
         return;
     m_phase = Phase::Responding;
-    m_keepAlive = m_keepAlive && !m_shared->stopping;
-    response.keep_alive(m_keepAlive);
+    announceCloseIfStopping();
+    response.keep_alive(!m_use.closeAnnounced());
     response.prepare_payload();
     m_response.emplace(std::move(response));
     startWriteTimeout();
@@ -274,17 +352,27 @@
                       [self = shared_from_this()](beast::error_code error, std::size_t) {
                           if (error)
                               return self->close(CloseCause::WriteFailed);
-                          self->onAnswerComplete();
+                          if (!self->m_closed)
+                              self->onAnswerComplete();
                       });
 }
 
+void HttpServer::Session::announceCloseIfStopping()
+{
+    // A caller that always has further requests under way must not hold up the stop forever.
+    const bool overdue = m_shared->phase == ServerPhase::Closing
+                         && steadyNow() - m_shared->closingSince >= m_shared->timeouts().idle;
+    if (overdue || m_use.shouldAnnounceClose(m_shared->phase, m_buffer.size() > 0, *this))
+        m_use.announceClose();
+}
+
 void HttpServer::Session::beginStream(HttpResponse response)
 {
-    if (m_phase != Phase::Waiting)
+    if (m_closed || m_phase != Phase::Waiting)
         return;
     m_phase = Phase::Streaming;
-    m_keepAlive = m_keepAlive && !m_shared->stopping;
-    response.keep_alive(m_keepAlive);
+    announceCloseIfStopping();
+    response.keep_alive(!m_use.closeAnnounced());
     response.chunked(true);
     m_response.emplace(std::move(response));
     m_serializer.emplace(*m_response);
@@ -298,10 +386,10 @@
 
 bool HttpServer::Session::write(std::string_view data)
 {
-    if (m_phase != Phase::Streaming || m_streamEnded)
+    if (m_closed || m_phase != Phase::Streaming || m_streamEnded)
         return false;
     if (m_pending.size() + data.size() > m_shared->settings.maxBufferedBytes) {
-        close(CloseCause::WriteFailed);
+        end(CloseCause::WriteFailed);
         return false;
     }
     m_pending.append(data);
@@ -319,7 +407,7 @@
 
 void HttpServer::Session::flush()
 {
-    if (m_writeActive)
+    if (m_writeActive || m_closed)
         return;
     const auto done = [self = shared_from_this()](beast::error_code error, std::size_t) {
         self->onWritten(error);
@@ -344,6 +432,8 @@
 void HttpServer::Session::onWritten(beast::error_code error)
 {
     m_writeActive = false;
+    if (m_closed)
+        return;
     if (error) {
         notifyCallerGone();
         return close(CloseCause::WriteFailed);
@@ -353,10 +443,10 @@
 
 void HttpServer::Session::onAnswerComplete()
 {
-    m_owesAnswer = false;
+    m_use.answerWritten(m_shared->timeouts().idle, steadyNow());
     m_shared->counts.answerWritten();
-    if (!m_keepAlive || m_shared->stopping)
-        return close(CloseCause::Announced);
+    if (m_use.closeAnnounced())
+        return end(CloseCause::Announced);
     beast::error_code ignored;
     m_phase = Phase::Reading;
     m_stream.socket().cancel(ignored); // stops watchCaller()
@@ -364,39 +454,68 @@
     readRequest();
 }
 
-void HttpServer::Session::closeIfIdle()
+void HttpServer::Session::tick(Time now)
 {
-    // The connection is kept if part of a request has been received: that request is read and
-    // answered first.
-    if (m_phase == Phase::Reading && !m_parser->got_some() && m_buffer.size() == 0)
-        close(CloseCause::Stopping);
+    if (step(now) == ConnectionStep::Keep)
+        return;
+    takeStep();
+}
+
+void HttpServer::Session::takeStep()
+{
+    if (m_closed)
+        return;
+    switch (step(steadyNow())) {
+    case ConnectionStep::Keep:
+        return;
+    case ConnectionStep::Refuse:
+        return end(CloseCause::Idle);
+    case ConnectionStep::Close:
+        return end(m_shared->phase == ServerPhase::Serving ? CloseCause::Idle
+                                                           : CloseCause::Stopping);
+    }
 }
 
-/// Closes the connection without completing the answer.
+/// Ends the connection without completing the answer.
 void HttpServer::Session::giveUp()
 {
     if (m_callerClosed)
         return close(CloseCause::CallerEnded);
-    close(m_phase == Phase::Streaming ? CloseCause::Truncated : CloseCause::GivenUp);
+    end(m_phase == Phase::Streaming ? CloseCause::Truncated : CloseCause::GivenUp);
 }
 
 void HttpServer::Session::recordClose(CloseCause cause)
 {
     // Bytes that a caller sent before it left are of no use to it.
     const bool unread =
-        cause != CloseCause::CallerEnded
-        && (m_buffer.size() > 0 || hasUnreadBytes(m_stream.socket().native_handle()));
-    m_shared->counts.connectionClosed(cause, {.request = m_owesAnswer, .unreadBytes = unread});
+        cause != CloseCause::CallerEnded && (m_buffer.size() > 0 || hasUnreadBytes());
+    const ConnectionRemains remains {.request = m_use.inProgress(), .unreadBytes = unread};
+    m_shared->counts.connectionClosed(cause, remains);
 }
 
-void HttpServer::Session::close(CloseCause cause)
+void HttpServer::Session::leaveServer(CloseCause cause)
 {
-    if (std::exchange(m_closed, true))
-        return;
+    m_closed = true;
     recordClose(cause);
-    beast::error_code ignored;
+    m_shared->sessions.erase(this);
     m_callerGoneCallback = nullptr;
     m_watchTimer.cancel();
+}
+
+void HttpServer::Session::end(CloseCause cause)
+{
+    if (m_closed)
+        return;
+    leaveServer(cause);
+    m_shared->lingering.add(m_stream.release_socket(), steadyNow());
+}
+
+void HttpServer::Session::close(CloseCause cause)
+{
+    if (m_closed)
+        return;
+    leaveServer(cause);
+    beast::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.close();
 }
@@ -448,28 +567,37 @@
 
 void HttpServer::armTimer()
 {
-    m_timer.expires_after(AcceptorTickInterval);
+    m_timer.expires_after(TickInterval);
     m_timer.async_wait([this, shared = m_shared](beast::error_code error) {
-        if (error || shared->stopping)
+        if (error || shared->closed)
             return;
-        m_acceptor.tick(std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()));
+        tick();
         armTimer();
     });
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::tick()
 {
-    m_shared->stopping = true;
-    m_acceptor.close();
-    m_timer.cancel();
+    const Time now = steadyNow();
+    m_acceptor.tick(now);
+    m_shared->lingering.tick(now);
     const auto sessions = m_shared->sessions;
     for (Session *session : sessions)
-        session->closeIfIdle();
+        session->tick(now);
+}
+
+void HttpServer::stopAccepting()
+{
+    m_shared->phase = ServerPhase::Closing;
+    m_shared->closingSince = steadyNow();
+    m_acceptor.close();
 }
 
 void HttpServer::close()
 {
-    stopAccepting();
+    m_shared->closed = true;
+    m_timer.cancel();
+    m_acceptor.close();
     const auto sessions = m_shared->sessions;
     for (Session *session : sessions)
         session->close(CloseCause::Stopping);
@@ -480,6 +608,12 @@
     return m_shared->counts;
 }
 
+bool HttpServer::isDrained() const
+{
+    return m_shared->sessions.empty() && m_shared->lingering.size() == 0
+           && m_acceptor.waiting() == 0;
+}
+
 std::size_t HttpServer::connections() const
 {
     return m_shared->sessions.size();
--- a/src/libweb/httpserver_close_test.cpp
+++ b/src/libweb/httpserver_close_test.cpp
@@ -3,6 +3,7 @@
 
 #include <balsamloft/httpserver.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
@@ -54,6 +55,8 @@
     tcp::endpoint address() const { return {asio::ip::address_v4::loopback(), m_server.port()}; }
     int read() const { return m_read; }
 
+    /// Runs \a work on the thread of the server, after what its loop holds.
+    void post(std::function<void()> work) { asio::post(m_context, std::move(work)); }
     void runFor(std::chrono::milliseconds time) { m_context.run_for(time); }
 
     /// Runs until \a condition holds. \return whether it does within a time that only a hang
@@ -264,6 +267,23 @@
     CHECK_FALSE(caller.wasReset());
 }
 
+TEST_CASE("a caller that always has a further request under way does not hold up a stop")
+{
+    LateServer server({.requestTimeout = 300ms});
+    KeptCaller caller(server);
+    caller.send(Request);
+    REQUIRE(server.runUntil([&] { return caller.answers() == 1; }));
+    server.server().stopAccepting();
+    int sent = 1;
+    const auto drained = [&] {
+        for (; sent < caller.answers() + 2 && !caller.ended(); ++sent)
+            caller.send(Request);
+        return server.server().isDrained();
+    };
+    REQUIRE(server.runUntil(drained));
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+}
+
 // Guards against the reset that the system sends if a connection is closed with unread bytes.
 TEST_CASE("a caller that reads slowly gets its whole answer although it sent more than a request")
 {
