balsamloftd: connections that wait in the system or the acceptor are served at a stop

Callers that had just connected saw a reset when the listener was closed: connections that the system had accepted, and those that the acceptor held, were closed unread. What remains is a connection that arrives between the last accept and the close of the listener.

--- a/src/include/balsamloft/calleracceptor.h
+++ b/src/include/balsamloft/calleracceptor.h
@@ -58,6 +58,9 @@
     /// be called regularly.
     void tick(Time now);
 
+    /// Stops listening. Connections that the system has accepted by then are still passed on.
+    void finish();
+
     /// Stops listening and closes the connections that wait.
     void close();
 
--- a/src/include/balsamloft/httpserver.h
+++ b/src/include/balsamloft/httpserver.h
@@ -86,8 +86,8 @@
     /// Returns the port that the server listens on.
     std::uint16_t port() const;
 
-    /// Stops accepting connections, closes those that were not read yet, and idle ones. The server
-    /// is drained once each caller has got its answers.
+    /// Stops accepting connections. Those that the system has accepted by then are served, and
+    /// idle ones closed. The server is drained once each caller has got its answers.
     void stopAccepting();
 
     /// Stops accepting connections and closes all open ones at once.
--- a/src/libaccept/calleracceptor.cpp
+++ b/src/libaccept/calleracceptor.cpp
@@ -185,6 +185,15 @@
     }
 }
 
+void CallerAcceptor::finish()
+{
+    if (std::exchange(m_stopped, true))
+        return;
+    if (m_acceptor.is_open())
+        acceptAll();
+    stopListening();
+}
+
 void CallerAcceptor::close()
 {
     m_stopped = true;
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -590,7 +590,7 @@
 {
     m_shared->phase = ServerPhase::Closing;
     m_shared->closingSince = steadyNow();
-    m_acceptor.close();
+    m_acceptor.finish();
 }
 
 void HttpServer::close()
