balsamloftd: a connection is not closed while the loop holds bytes of it that were read and not handled

Between the read of a socket and its handler, which the loop queues, no query sees the bytes: neither the session nor the socket has them. If the process is late in that moment, its check of idle connections ran first and closed the connection; the request was lost. The check now decides again after everything that the loop holds.

--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -458,7 +458,9 @@
 {
     if (step(now) == ConnectionStep::Keep)
         return;
-    takeStep();
+    // The loop may hold the result of a read, whose bytes no query sees, so the decision is made
+    // after everything that the loop holds now.
+    asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->takeStep(); });
 }
 
 void HttpServer::Session::takeStep()
@@ -581,8 +583,7 @@
     const Time now = steadyNow();
     m_acceptor.tick(now);
     m_shared->lingering.tick(now);
-    const auto sessions = m_shared->sessions;
-    for (Session *session : sessions)
+    for (Session *session : m_shared->sessions)
         session->tick(now);
 }
 
--- a/src/libweb/httpserver_close_test.cpp
+++ b/src/libweb/httpserver_close_test.cpp
@@ -211,6 +211,27 @@
     CHECK(answersOf(callers) == 2 * ManyCallers);
 }
 
+// Guards against bytes that only the loop knows of, between the read and its handler.
+TEST_CASE("a stop answers a request that the loop has read and not handled yet")
+{
+    constexpr auto LongerThanIdle = 600ms;
+    constexpr auto LongerThanTick = 200ms;
+    LateServer server;
+    server.holdRequests();
+    KeptCaller caller(server);
+    caller.send(Request);
+    REQUIRE(server.runUntil([&] { return server.read() == 1; }));
+    server.server().stopAccepting();
+    caller.send(Request);
+    server.post([&] {
+        std::this_thread::sleep_for(LongerThanTick);
+        server.takeHeld()->respond(server.answer());
+        server.post([&] { std::this_thread::sleep_for(LongerThanIdle); });
+    });
+    REQUIRE(server.runUntil([&] { return server.read() == 2 || caller.ended(); }));
+    CHECK(server.read() == 2);
+}
+
 TEST_CASE("a stop answers new connections that the process has not accepted yet")
 {
     LateServer server;
