balsamloftd: answers in the drain grace announce the end of their connections

Callers with kept connections learned of a stop only when those were closed, after the drain grace: refusals ("draining") said that the connection goes on. From SIGTERM on each answer announces the close, so callers come back elsewhere before the close. Idle connections still learn of it only by the close: HTTP/1.1 has no other word.

--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -137,7 +137,10 @@
 
 void TrafficWorker::startDrain()
 {
-    asio::post(m_context, [this] { m_router.startDrain(); });
+    asio::post(m_context, [this] {
+        m_router.startDrain();
+        m_server.announceStop();
+    });
 }
 
 void TrafficWorker::stopAccepting(std::function<void()> idle)
--- a/src/include/balsamloft/httpserver.h
+++ b/src/include/balsamloft/httpserver.h
@@ -86,6 +86,10 @@
     /// Returns the port that the server listens on.
     std::uint16_t port() const;
 
+    /// Begins a planned stop: each answer from now on announces the end of its connection, unless
+    /// further requests of the caller have arrived.
+    void announceStop();
+
     /// Stops accepting connections. Those that the system has accepted by then are served, and
     /// idle ones closed. The server is drained once each caller has got its answers.
     void stopAccepting();
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -587,6 +587,11 @@
         session->tick(now);
 }
 
+void HttpServer::announceStop()
+{
+    m_shared->phase = ServerPhase::Stopping;
+}
+
 void HttpServer::stopAccepting()
 {
     m_shared->phase = ServerPhase::Closing;
--- a/src/libweb/httpserver_close_test.cpp
+++ b/src/libweb/httpserver_close_test.cpp
@@ -305,6 +305,19 @@
     CHECK(caller.received().find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("answers after the announcement of a stop announce the end of their connections")
+{
+    LateServer server;
+    KeptCaller caller(server);
+    server.server().announceStop();
+    server.runFor(600ms); // longer than an idle connection is kept once the server closes them
+    CHECK_FALSE(caller.ended());
+    caller.send(Request);
+    REQUIRE(server.runUntil([&] { return caller.ended(); }));
+    CHECK(caller.answers() == 1);
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+}
+
 // Guards against the reset that the system sends if a connection is closed with unread bytes.
 TEST_CASE("a caller that reads slowly gets its whole answer although it sent more than a request")
 {
--- a/testsuite/planned-stop/planned_stop_test.cpp
+++ b/testsuite/planned-stop/planned_stop_test.cpp
@@ -62,6 +62,9 @@
         send(callers, "POST", "/v1/completions", completionBody("m", "x", 3), Fleet::teamHeaders());
     CHECK(reply.errorCode() == "draining");
     CHECK(reply.ran() == "no");
+    CallerConnection kept(callers);
+    kept.send("GET /healthz HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    CHECK(kept.receive().find("Connection: close") != std::string::npos);
 }
 
 // Guards against a reset of requests that arrive while the process is late.
