balsamloftd: a connection beyond the limit is refused with an answer

At maxConnections a new connection was dropped without a word, and its request reset. It now gets 503 with "ran":"no" and "Connection: close", without being read, and lingers, so that the answer is not destroyed. Those that linger are limited in number like the others; beyond that a connection is dropped as before.

--- a/src/include/balsamloft/httpserver.h
+++ b/src/include/balsamloft/httpserver.h
@@ -116,6 +116,7 @@
     class Exchange;
 
     void begin(boost::asio::ip::tcp::socket socket);
+    void refuse(boost::asio::ip::tcp::socket socket);
     void tick();
     void armTimer();
 
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -557,16 +557,31 @@
 
 void HttpServer::begin(tcp::socket socket)
 {
-    if (m_shared->sessions.size() >= m_shared->settings.maxConnections) {
-        const bool unread = hasUnreadBytes(socket.native_handle());
-        m_shared->counts.connectionClosed(CloseCause::TooMany, {.unreadBytes = unread});
-        return;
-    }
+    if (m_shared->sessions.size() >= m_shared->settings.maxConnections)
+        return refuse(std::move(socket));
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     std::make_shared<Session>(std::move(socket), m_shared)->readRequest();
 }
 
+/// Refuses a connection beyond the limit, without reading its request.
+void HttpServer::refuse(tcp::socket socket)
+{
+    const bool unread = hasUnreadBytes(socket.native_handle());
+    m_shared->counts.connectionClosed(CloseCause::TooMany, {.unreadBytes = unread});
+    // Those that linger take descriptors, too.
+    if (m_shared->lingering.size() >= m_shared->settings.maxConnections)
+        return;
+    HttpResponse response = refusal(http::status::service_unavailable, "too_many_connections",
+                                    "the limit of connections is reached");
+    response.keep_alive(false);
+    response.prepare_payload();
+    beast::error_code ignored;
+    socket.non_blocking(true, ignored);
+    http::write(socket, response, ignored);
+    m_shared->lingering.add(std::move(socket), steadyNow());
+}
+
 void HttpServer::armTimer()
 {
     m_timer.expires_after(TickInterval);
