--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -445,8 +445,12 @@
 {
     m_use.answerWritten(m_shared->timeouts().idle, steadyNow());
     m_shared->counts.answerWritten();
-    if (m_use.closeAnnounced())
-        return end(CloseCause::Announced);
+    if (m_use.closeAnnounced()) {
+        // A caller that announced the close itself sends nothing that could reset the connection.
+        const bool mustLinger = !m_parser->is_done() || m_parser->get().keep_alive()
+                                || m_buffer.size() > 0 || hasUnreadBytes();
+        return mustLinger ? end(CloseCause::Announced) : close(CloseCause::Announced);
+    }
     beast::error_code ignored;
     m_phase = Phase::Reading;
     m_stream.socket().cancel(ignored); // stops watchCaller()
