--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -137,7 +137,10 @@
 
 void TrafficWorker::startDrain()
 {
-    asio::post(m_context, [this] { m_router.startDrain(); });
+    asio::post(m_context, [this] {
+        m_router.startDrain();
+        m_server.announceStop();
+    });
 }
 
 void TrafficWorker::stopAccepting(std::function<void()> idle)
@@ -153,9 +156,8 @@
 {
     if (!m_idleCallback || m_router.inFlight() > 0)
         return;
-    // While connections are open, answers may still be buffered: a connection closes only after its
-    // last byte was passed to the operating system.
-    if (m_server.connections() > 0) {
+    // A connection that is not closed may have to pass on an answer, or be about to get a request.
+    if (!m_server.isDrained()) {
         m_idleTimer.expires_after(std::chrono::milliseconds(5));
         m_idleTimer.async_wait([this](boost::system::error_code error) {
             if (!error)
@@ -163,10 +165,25 @@
         });
         return;
     }
+    logStop();
     if (const auto idle = std::exchange(m_idleCallback, nullptr))
         idle();
 }
 
+/// Logs what became of the requests of callers, once all connections are closed.
+void TrafficWorker::logStop() const
+{
+    const CallerCounts &counts = m_server.counts();
+    log(LogLevel::Info, Part, "callers' connections closed",
+        {{"worker", std::to_string(m_settings.index)},
+         {"read", std::to_string(counts.read())},
+         {"answered", std::to_string(counts.answered())},
+         {"truncated", std::to_string(counts.truncated())},
+         {"abandoned", std::to_string(counts.abandoned())},
+         {"unanswered", std::to_string(counts.unanswered())},
+         {"closed_unread", std::to_string(counts.closedUnread())}});
+}
+
 void TrafficWorker::renderMetrics(std::function<void(std::string)> callback)
 {
     asio::post(m_context, [this, callback = std::move(callback)] {
@@ -180,6 +197,7 @@
         sample("balsamloft_caller_connections_waiting", m_server.waitingConnections());
         sample("balsamloft_callers_left_unread_total", m_server.acceptCounts().leftUnread);
         sample("balsamloft_caller_connections_expired_total", m_server.acceptCounts().expired);
+        m_server.counts().render(worker, text);
         callback(std::move(text));
     });
 }
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -3,10 +3,10 @@
 
 #pragma once
 
-#include "callercounts.h"
 #include "connectionpool.h"
 
 #include <balsamloft/connectionuse.h>
+#include <balsamloft/callercounts.h>
 #include <balsamloft/eventsplitter.h>
 #include <balsamloft/readfreshness.h>
 #include <balsamloft/relay.h>
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -662,7 +662,7 @@
     sample("lease_held", m_state.holdsLease ? 1 : 0);
     sample("log_lines_dropped_total", droppedLogLines());
     sample("control_loop_delay_ms", static_cast<std::uint64_t>(m_state.controlDelayMs));
-    m_callerCounts.render(text);
+    m_callerCounts.render("", text);
     sample("caller_connections_crossed_total", m_lingering.counts().crossed);
     sample("caller_connections_lingered_in_vain_total", m_lingering.counts().timedOut);
     renderAdmission(text);
