--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -205,7 +205,7 @@
         endpoint.address = text(*object, "address");
         endpoint.domain = text(*object, "domain");
         endpoint.kind = text(*object, "kind");
-        endpoint.slots = 8;
+        endpoint.slots = static_cast<std::uint32_t>(number(*object, "slots", 8));
         endpoint.draining = text(*object, "state") == "leaving";
         endpoint.layers = range(*object);
         return endpoint;
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -1,6 +1,7 @@
 // Runs the soak test for one or more seeds and prints a line for each seed. For a failing seed
 // it also prints the violated guarantees and the injected faults. Exits with 1 if a seed failed.
 
+#include "plannedwork.h"
 #include "soak.h"
 
 #include <gflags/gflags.h>
@@ -24,11 +25,19 @@
             "let endpoints announce pauses and their exit in a further series of faults");
 DEFINE_bool(departures, false,
             "let callers leave while instances stand still for short times in a further series");
+DEFINE_bool(planned, false,
+            "run planned work (stops, new flags, new configurations) in place of faults, at most "
+            "30 instances");
+DEFINE_int32(callers, 25, "with --planned: number of callers per instance");
+DEFINE_int32(caller_threads, 1, "with --planned: number of threads of callers");
+DEFINE_int32(grace_ms, 4000, "with --planned: grace period of stops");
+DEFINE_int32(busy, 0, "with --planned: number of busy threads on the cores of the instances");
+DEFINE_int32(cores, 0, "with --planned: number of cores that the instances share; 0: all");
 DEFINE_string(logs, "", "directory for the instances' logs of failing seeds");
 
 namespace {
 
-bool passes(std::uint64_t seed)
+balsamloft::soak::SoakSettings soakSettings(std::uint64_t seed)
 {
     balsamloft::soak::SoakSettings settings;
     settings.seed = seed;
@@ -42,7 +51,27 @@
     settings.announcements = FLAGS_announcements;
     settings.restores = FLAGS_restores;
     settings.departures = FLAGS_departures;
-    balsamloft::soak::Soak soak(settings);
+    return settings;
+}
+
+balsamloft::soak::PlannedWorkSettings plannedWorkSettings(std::uint64_t seed)
+{
+    balsamloft::soak::PlannedWorkSettings settings;
+    settings.seed = seed;
+    settings.length = std::chrono::seconds(FLAGS_seconds);
+    settings.instances = FLAGS_instances;
+    settings.callers = FLAGS_callers;
+    settings.callerThreads = FLAGS_caller_threads;
+    settings.grace = std::chrono::milliseconds(FLAGS_grace_ms);
+    settings.busy = FLAGS_busy;
+    settings.cores = FLAGS_cores;
+    return settings;
+}
+
+/// Runs \a soak, a Soak or PlannedWork.
+template<typename Run>
+bool passes(std::uint64_t seed, Run &&soak)
+{
     const std::vector<std::string> violations = soak.run();
     std::printf("seed %lu: %s, %zu faults, %s\n", seed, violations.empty() ? "passed" : "FAILED",
                 soak.faults().size(), soak.summary().c_str());
@@ -58,6 +87,13 @@
     return violations.empty();
 }
 
+bool runSeed(std::uint64_t seed)
+{
+    if (FLAGS_planned)
+        return passes(seed, balsamloft::soak::PlannedWork(plannedWorkSettings(seed)));
+    return passes(seed, balsamloft::soak::Soak(soakSettings(seed)));
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -65,7 +101,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     int failed = 0;
     for (int i = 0; i < FLAGS_seeds; ++i)
-        failed += passes(FLAGS_seed + static_cast<std::uint64_t>(i)) ? 0 : 1;
+        failed += runSeed(FLAGS_seed + static_cast<std::uint64_t>(i)) ? 0 : 1;
     if (failed > 0)
         std::printf("%d of %d seeds failed\n", failed, FLAGS_seeds);
     return failed > 0 ? 1 : 0;
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/json.hpp>
 
+#include <charconv>
+
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 namespace json = boost::json;
@@ -44,6 +46,15 @@
     return parts;
 }
 
+/// The number in part \a index of a request target, or \a fallback.
+int numberIn(const std::vector<std::string> &parts, std::size_t index, int fallback)
+{
+    int number = fallback;
+    if (index < parts.size())
+        std::from_chars(parts[index].data(), parts[index].data() + parts[index].size(), number);
+    return number;
+}
+
 std::string field(const Request &request, std::string_view name)
 {
     return std::string(request[boost::beast::string_view(name.data(), name.size())]);
@@ -182,10 +193,18 @@
                       {"state", state}};
     if (m_service == "model")
         row["layers"] = {0, 4};
+    if (m_slots)
+        row["slots"] = *m_slots;
     m_store.tables().put("endpoints", m_id, json::serialize(row));
     m_state = state;
 }
 
+void Endpoint::offerSlots(int slots)
+{
+    m_slots = slots;
+    writeAgain();
+}
+
 void Endpoint::writeAgain()
 {
     if (!listedId().empty())
@@ -337,7 +356,8 @@
     if (text.empty() && request.target().starts_with("/stream/") && !failing)
         co_return co_await stream(socket, request);
     if (text.empty()) {
-        co_await pause(Milliseconds(m_random() % 30));
+        const auto parts = partsOf(std::string(request.target()));
+        co_await pause(Milliseconds(numberIn(parts, 1, static_cast<int>(m_random() % 30))));
         if (losesAnswers)
             co_return false;
         text = failing ? answerText(500, "failed", echo + "Seal: s\r\n")
@@ -348,6 +368,7 @@
     boost::system::error_code error;
     co_await asio::async_write(socket, asio::buffer(text),
                                asio::redirect_error(asio::use_awaitable, error));
+    m_record.finished(id);
     co_return !error;
 }
 
@@ -355,7 +376,9 @@
 {
     const std::string id = field(request, "Request-Id");
     const std::string after = field(request, "Last-Event-Id");
-    const int events = std::stoi(partsOf(std::string(request.target()))[1]);
+    const auto parts = partsOf(std::string(request.target()));
+    const int events = numberIn(parts, 1, 1);
+    const int longestPause = numberIn(parts, 3, 0);
     std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSeal: s\r\n"
                        + announcedFields(id)
                        + "Content-Type: text/event-stream\r\n"
@@ -371,11 +394,14 @@
         if (error)
             co_return false;
         text.clear();
-        co_await pause(Milliseconds(10 + m_random() % 20));
+        co_await pause(Milliseconds(numberIn(parts, 2, 10 + static_cast<int>(m_random() % 20))));
+        if (i == (events + 1) / 2)
+            co_await pause(Milliseconds(longestPause));
     }
     text += "0\r\n\r\n";
     co_await asio::async_write(socket, asio::buffer(text),
                                asio::redirect_error(asio::use_awaitable, error));
+    m_record.finished(id);
     co_return !error;
 }
 
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -83,6 +83,10 @@
 inline constexpr std::string_view CrashingPart = "bad";
 
 /// Simulates an endpoint behind a Link. Each start simulates a new process with a new id.
+///
+/// Requests say in their paths how long they last: "/KIND/MS" for a call, and
+/// "/stream/EVENTS/MS/LONGEST_MS" for a stream, with MS between two events, and LONGEST_MS once in
+/// its middle. Without times, both are short.
 class Endpoint
 {
 public:
@@ -91,6 +95,9 @@
 
     Link &link() { return m_link; }
 
+    /// Sets the number of requests that the endpoint takes at once, in its entry.
+    void offerSlots(int slots);
+
     // Faults
 
     void crash();
@@ -139,6 +146,7 @@
     std::string m_id; ///< empty while not running
     std::string m_state; ///< in its entry; empty: it has none
     int m_starts = 0;
+    std::optional<int> m_slots; ///< in its entry; empty: the protocol's default
     Clock::time_point m_pausedUntil {};
     std::set<std::shared_ptr<tcp::socket>> m_open;
 };
--- a/testsuite/soak/record.cpp
+++ b/testsuite/soak/record.cpp
@@ -8,6 +8,7 @@
 
 constexpr int Ok = 200;
 constexpr int Unauthorized = 401;
+constexpr int NotFound = 404;
 
 /// Time after which an endpoint that reported that it is leaving must get no new requests; ample
 /// for a slow machine.
@@ -70,6 +71,12 @@
                                          + std::to_string(late.count()) + " ms");
 }
 
+bool Record::wasFinished(const std::string &request, Clock::time_point time) const
+{
+    const auto found = m_finishedAt.find(request);
+    return found != m_finishedAt.end() && found->second <= time;
+}
+
 void Record::announced(const std::string &endpoint, const std::string &instance,
                        Clock::time_point until)
 {
@@ -138,7 +145,8 @@
             violations.push_back("reported as not executed, but executed: " + request);
         if (exchange.status == Ok)
             checkBody(request, exchange, violations);
-        else if (exchange.mayBeUnauthorized && exchange.status == Unauthorized)
+        else if ((exchange.mayBeUnauthorized && exchange.status == Unauthorized)
+                 || (exchange.mayLackRoute && exchange.status == NotFound))
             continue;
         else if (exchange.status >= 400 && exchange.status < 500
                  && !meansNotExecuted(exchange.status))
@@ -152,13 +160,21 @@
 {
     std::size_t complete = 0;
     std::size_t refused = 0;
+    std::map<int, std::size_t> failed; // by status
     for (const auto &[request, exchange] : m_received) {
         complete += exchange.status == Ok && exchange.complete ? 1 : 0;
         refused += meansNotExecuted(exchange.status) ? 1 : 0;
+        if (!(exchange.status == Ok && exchange.complete) && !meansNotExecuted(exchange.status))
+            failed[exchange.status] += 1;
     }
+    std::string byStatus;
+    for (const auto &[status, count] : failed)
+        byStatus += (byStatus.empty() ? " (" : ", ") + std::to_string(count) + " with "
+                    + std::to_string(status);
+    byStatus += byStatus.empty() ? "" : ")";
     return std::to_string(m_received.size()) + " requests, " + std::to_string(complete)
            + " complete, " + std::to_string(refused) + " refused as not executed, "
-           + std::to_string(m_received.size() - complete - refused) + " failed, "
+           + std::to_string(m_received.size() - complete - refused) + " failed" + byStatus + ", "
            + std::to_string(m_crashed.size()) + " endpoint crashes by a request";
 }
 
--- a/testsuite/soak/record.h
+++ b/testsuite/soak/record.h
@@ -29,6 +29,7 @@
     std::string key = "good-key"; ///< of the caller's team
     /// The key may be withdrawn at any time, also after an attempt whose answer was lost.
     bool mayBeUnauthorized = false;
+    bool mayLackRoute = false; ///< the route comes and goes
     std::string body;
 };
 
@@ -39,6 +40,12 @@
 public:
     /// \a endpoint has executed \a request.
     void executed(const std::string &request, const std::string &endpoint);
+    /// An endpoint has written its whole answer to \a request.
+    void finished(const std::string &request) { m_finishedAt[request] = Clock::now(); }
+    /// Whether an endpoint has executed \a request.
+    bool wasExecuted(const std::string &request) const { return m_executed.contains(request); }
+    /// Whether an endpoint had written its whole answer to \a request at \a time.
+    bool wasFinished(const std::string &request, Clock::time_point time) const;
     /// The caller of \a request has received its answer.
     void received(const std::string &request, Exchange exchange);
 
@@ -78,6 +85,7 @@
 
     /// Endpoints that executed each request.
     std::map<std::string, std::vector<std::string>> m_executed;
+    std::map<std::string, Clock::time_point> m_finishedAt;
     std::map<std::string, Exchange> m_received;
     std::map<std::string, Clock::time_point> m_leavingAt;
     std::map<std::pair<std::string, std::string>, Announcement> m_announcements;
