Merge: trafficserver.h; balsamloftd tells a request that is not received in time; no connection expires in a stop

- balsamloftd closed the connection of a caller whose request was half received without a word; it answers 408 now, as the entry does ('not run, and never will be').

--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -5,8 +5,8 @@
 
 #include "connectionpool.h"
 
-#include <balsamloft/connectionuse.h>
 #include <balsamloft/callercounts.h>
+#include <balsamloft/connectionuse.h>
 #include <balsamloft/eventsplitter.h>
 #include <balsamloft/readfreshness.h>
 #include <balsamloft/relay.h>
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -522,6 +522,7 @@
     m_stopping = true;
     m_stopStartedAt = steadyNow();
     m_stopGracePeriod = m_settings.gracePeriod;
+    m_acceptor.keepWaiting();
     m_forwarder.stop();
     m_stopped = std::move(stopped);
 }
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -11,8 +11,8 @@
 
 #include <balsamloft/admission/serviceload.h>
 #include <balsamloft/calleracceptor.h>
-#include <balsamloft/connectionuse.h>
 #include <balsamloft/callercounts.h>
+#include <balsamloft/connectionuse.h>
 #include <balsamloft/entryprotocol.h>
 #include <balsamloft/lingeringconnections.h>
 #include <balsamloft/loopdelay.h>
@@ -189,7 +189,6 @@
     /// The grace period that was in force when the stop began. A later change does not end it
     /// sooner: what was accepted relies on this one.
     Duration m_stopGracePeriod {};
-    std::optional<Time> m_endingSince; ///< when this process first noticed ServerPhase::Ending
     Time m_prunedAt {};
     LoopDelay m_loopDelay;
     DurationSummary m_loopDelays;
--- a/src/include/balsamloft/calleracceptor.h
+++ b/src/include/balsamloft/calleracceptor.h
@@ -58,6 +58,10 @@
     /// be called regularly.
     void tick(Time now);
 
+    /// From now on, connections are passed on however long they wait. For a planned stop: each
+    /// caller is answered, and no new ones come.
+    void keepWaiting() { m_keepsWaiting = true; }
+
     /// Stops listening. Connections that the system has accepted by then are still passed on.
     void finish();
 
@@ -97,6 +101,7 @@
     bool m_turnScheduled = false;
     bool m_lacksDescriptors = false;
     bool m_stopped = false;
+    bool m_keepsWaiting = false;
     bool m_loggedBehind = false;
 };
 
--- a/src/libaccept/calleracceptor.cpp
+++ b/src/libaccept/calleracceptor.cpp
@@ -168,6 +168,8 @@
 
 void CallerAcceptor::closeExpired(Time now)
 {
+    if (m_keepsWaiting)
+        return;
     while (const auto expired = m_waiting.takeExpired(now)) {
         ::close(*expired);
         m_counts.expired += 1;
@@ -189,6 +191,7 @@
 {
     if (std::exchange(m_stopped, true))
         return;
+    m_keepsWaiting = true;
     if (m_acceptor.is_open())
         acceptAll();
     stopListening();
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -115,6 +115,7 @@
         return m_use.step(m_shared->phase, m_shared->timeouts(), *this, now);
     }
     void takeStep();
+    void refuseIncomplete();
     void read();
     void onRead(beast::error_code error, std::size_t size);
     void parse();
@@ -467,6 +468,14 @@
     asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->takeStep(); });
 }
 
+void HttpServer::Session::refuseIncomplete()
+{
+    beast::error_code ignored;
+    m_stream.socket().cancel(ignored);
+    refuse(http::status::request_timeout, "request_timeout",
+           "the request was not received completely in time");
+}
+
 void HttpServer::Session::takeStep()
 {
     if (m_closed)
@@ -475,7 +484,7 @@
     case ConnectionStep::Keep:
         return;
     case ConnectionStep::Refuse:
-        return end(CloseCause::Idle);
+        return refuseIncomplete();
     case ConnectionStep::Close:
         return end(m_shared->phase == ServerPhase::Serving ? CloseCause::Idle
                                                            : CloseCause::Stopping);
@@ -609,6 +618,7 @@
 void HttpServer::announceStop()
 {
     m_shared->phase = ServerPhase::Stopping;
+    m_acceptor.keepWaiting();
 }
 
 void HttpServer::stopAccepting()
