ConnectionForwarder ends its connections by LingeringConnections

It had the half-close, the reading to the end and the time limit once more, with a timer a connection and a flag for the read in progress. Now it hands the socket over, as sessions of callers do. No change of what other instances see: the trailer, then the end, at most 1 s of reading. testsuite 'forward', 'an instance t', 'calls through', 'a planned stop' and others: 25 cases pass.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -23,8 +23,6 @@
 constexpr Duration MaxTickInterval {1'500'000};
 /// An answer that can't be parsed is considered finished after this long without data.
 constexpr Duration AnswerPause {2'000'000};
-/// How long requests that cross the end of their connection are read and dropped.
-constexpr Duration LingerTime {1'000'000};
 
 std::string answerText(int status)
 {
@@ -276,38 +274,28 @@
         if (error)
             return close(false);
         error_code ignored;
-        m_instance.shutdown(tcp::socket::shutdown_send, ignored);
-        m_timer.expires_after(LingerTime);
-        m_timer.async_wait([self = shared_from_this()](const error_code &stopped) {
-            if (!stopped)
-                self->close(true);
-        });
-        if (!m_reading)
-            readFromInstance();
+        m_instance.cancel(ignored);
+        m_forwarder.m_lingering.add(std::move(m_instance), steadyNow());
+        close(true);
     }
 
     // From the instance to the endpoint
 
     void readFromInstance()
     {
-        m_reading = true;
         m_instance.async_read_some(asio::buffer(m_toEndpoint), bind(&Connection::readInstance));
     }
 
     void readInstance(const error_code &error, std::size_t count)
     {
-        m_reading = false;
-        if (error)
-            return close(m_ending);
+        // The end tells how much was forwarded; what is read after its decision is dropped.
         if (m_ending)
-            return readFromInstance();
-        if (instanceLeft())
+            return;
+        if (error || instanceLeft())
             return close(false);
         if (isIdle()) {
-            if (m_forwarder.m_stopping || m_forwarder.wasPaused() || isDeclined(steadyNow())) {
-                readFromInstance();
+            if (m_forwarder.m_stopping || m_forwarder.wasPaused() || isDeclined(steadyNow()))
                 return end();
-            }
             m_answer.emplace(MessageReader::Kind::Response, MessageLimits {});
         }
         forward(asio::buffer(m_toEndpoint.data(), count));
@@ -392,7 +380,6 @@
     std::optional<MessageReader> m_answer; ///< to the last request
     std::string m_unparsed; ///< received from the endpoint and not yet parsed by `m_answer`
     bool m_connected = false; ///< to the endpoint
-    bool m_reading = false; ///< from the instance
     bool m_writing = false; ///< to the instance, before the end
     bool m_ending = false;
     std::uint64_t m_forwardedBytes = 0; ///< to the endpoint
@@ -448,6 +435,7 @@
         endAfterPause();
     m_tickedAt = bootTime;
     const Time now = steadyNow();
+    m_lingering.tick(now);
     for (const auto &each : m_connections)
         each->tick(now);
 }
@@ -481,8 +469,9 @@
 
 bool ConnectionForwarder::hasUnfinished(Time now) const
 {
-    return std::any_of(m_connections.begin(), m_connections.end(),
-                       [now](const auto &each) { return each->isUnfinished(now); });
+    return m_lingering.size() > 0
+           || std::any_of(m_connections.begin(), m_connections.end(),
+                          [now](const auto &each) { return each->isUnfinished(now); });
 }
 
 } // namespace balsamloft
--- a/src/entry/connectionforwarder.h
+++ b/src/entry/connectionforwarder.h
@@ -6,6 +6,7 @@
 #include "httpmessage.h"
 
 #include <balsamloft/endpointlinks.h>
+#include <balsamloft/lingeringconnections.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -112,6 +113,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     FleetPtr m_fleet;
     std::set<std::shared_ptr<Connection>> m_connections;
+    LingeringConnections m_lingering; ///< to instances
     std::uint64_t m_opened = 0;
     Time m_tickedAt {}; ///< bootNow()
     bool m_stopping = false;
