AcknowledgmentLimit: a request that has left the system is not looked at again

Each request in progress asked the system five times a second whether data waits for a closed window, for as long as its answer took. Once the request is written and nothing of it waits, there is nothing to find out. acknowledgmentlimit_test, exchange_test and 'a large request...' pass, unchanged.

--- a/src/entry/acknowledgmentlimit.cpp
+++ b/src/entry/acknowledgmentlimit.cpp
@@ -7,6 +7,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <utility>
+
 using boost::asio::ip::tcp;
 
 namespace balsamloft {
@@ -36,16 +38,16 @@
     return state.unsent && !state.unacknowledged && state.unansweredProbes <= MaxUnansweredProbes;
 }
 
-void AcknowledgmentLimit::tick(tcp::socket &socket, Time now)
+bool AcknowledgmentLimit::tick(tcp::socket &socket, Time now)
 {
     if (!socket.is_open() || now - m_checkedAt < CheckInterval)
-        return;
+        return true;
     m_checkedAt = now;
-    const bool lift = isWindowClosed(sendStateOf(socket));
-    if (lift == m_lifted)
-        return;
-    m_lifted = lift;
-    setAcknowledgmentTimeout(socket, lift ? Duration(0) : AcknowledgmentTimeout);
+    const SendState state = sendStateOf(socket);
+    const bool lift = isWindowClosed(state);
+    if (std::exchange(m_lifted, lift) != lift)
+        setAcknowledgmentTimeout(socket, lift ? Duration(0) : AcknowledgmentTimeout);
+    return state.unsent;
 }
 
 } // namespace balsamloft
--- a/src/entry/acknowledgmentlimit.h
+++ b/src/entry/acknowledgmentlimit.h
@@ -30,8 +30,9 @@
 class AcknowledgmentLimit
 {
 public:
-    /// To be called regularly.
-    void tick(boost::asio::ip::tcp::socket &socket, Time now);
+    /// To be called regularly while data is being sent.
+    /// \return whether data may still wait to be sent.
+    bool tick(boost::asio::ip::tcp::socket &socket, Time now);
 
 private:
     Time m_checkedAt {};
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -172,8 +172,9 @@
 
 void Exchange::tick(Time now)
 {
-    if (m_connection)
-        m_connection->acknowledgment.tick(m_connection->socket, now);
+    if (m_connection && !m_requestSent)
+        m_requestSent =
+            !m_connection->acknowledgment.tick(m_connection->socket, now) && m_requestWritten;
     if (const auto connector = m_connector)
         connector->tick(now);
 }
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -184,7 +184,8 @@
     bool m_forwarded = false;
     bool m_reused = false; ///< the connection was taken from the pool
     std::uint64_t m_sentBefore = 0; ///< bytes of earlier requests on the connection
-    bool m_requestWritten = false;
+    bool m_requestWritten = false; ///< it was passed to the system
+    bool m_requestSent = false; ///< no part of it waits in the system
     bool m_mayHaveSent = false; ///< bytes of the request may have been sent
     bool m_incremental = false; ///< the body is delivered in pieces
     bool m_headProcessed = false;
