HttpServer: bytes of a caller are read when they are handled, as in the entry

balsamloftd decided each close twice, the second time behind everything that its loop held, since a read could have taken bytes whose handler had not run. The entry waits for readiness and reads in the handler, so bytes are in the system or in the session.

--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -4,7 +4,6 @@
 #include <balsamloft/lingeringconnections.h>
 #include <balsamloft/socketstate.h>
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
@@ -13,6 +12,7 @@
 
 #include <charconv>
 #include <unordered_set>
+#include <vector>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -81,8 +81,10 @@
 
     void readRequest();
 
+    bool isDue(Time now) const { return step(now) != ConnectionStep::Keep; }
+
     /// Ends the connection, or refuses its incomplete request, if ConnectionUse says so.
-    void tick(Time now);
+    void takeStep(Time now);
 
     /// Closes the connection at once: the caller has left, or the connection is broken.
     void close(CloseCause cause);
@@ -114,10 +116,9 @@
     {
         return m_use.step(m_shared->phase, m_shared->timeouts(), *this, now);
     }
-    void takeStep();
     void refuseIncomplete();
     void read();
-    void onRead(beast::error_code error, std::size_t size);
+    void onReadable(beast::error_code error);
     void parse();
     void onRequestRead();
     void rejectMalformed(beast::error_code error);
@@ -227,17 +228,22 @@
 
 void HttpServer::Session::read()
 {
-    m_stream.socket().async_read_some(
-        m_buffer.prepare(beast::read_size(m_buffer, MaxReadSize)),
-        [self = shared_from_this()](beast::error_code error, std::size_t size) {
-            self->onRead(error, size);
-        });
+    // The bytes stay in the system until they are handled, so that hasUnreadBytes() sees them.
+    m_stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](beast::error_code error) { self->onReadable(error); });
 }
 
-void HttpServer::Session::onRead(beast::error_code error, std::size_t size)
+void HttpServer::Session::onReadable(beast::error_code error)
 {
     if (m_closed || m_phase != Phase::Reading)
         return;
+    std::size_t size = 0;
+    if (!error)
+        size = m_stream.socket().read_some(
+            m_buffer.prepare(beast::read_size(m_buffer, MaxReadSize)), error);
+    if (error == asio::error::would_block)
+        return read();
     if (error)
         return close(CloseCause::CallerEnded);
     m_buffer.commit(size);
@@ -305,7 +311,6 @@
                 return;
             char byte = 0;
             beast::error_code peekError;
-            self->m_stream.socket().non_blocking(true, peekError);
             const std::size_t size = self->m_stream.socket().receive(
                 asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
             if (!peekError && size > 0)
@@ -459,15 +464,6 @@
     readRequest();
 }
 
-void HttpServer::Session::tick(Time now)
-{
-    if (step(now) == ConnectionStep::Keep)
-        return;
-    // The loop may hold the result of a read, whose bytes no query sees, so the decision is made
-    // after everything that the loop holds now.
-    asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->takeStep(); });
-}
-
 void HttpServer::Session::refuseIncomplete()
 {
     beast::error_code ignored;
@@ -476,11 +472,9 @@
            "the request was not received completely in time");
 }
 
-void HttpServer::Session::takeStep()
+void HttpServer::Session::takeStep(Time now)
 {
-    if (m_closed)
-        return;
-    switch (step(steadyNow())) {
+    switch (step(now)) {
     case ConnectionStep::Keep:
         return;
     case ConnectionStep::Refuse:
@@ -574,6 +568,7 @@
         return refuse(std::move(socket));
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
     std::make_shared<Session>(std::move(socket), m_shared)->readRequest();
 }
 
@@ -611,8 +606,12 @@
     const Time now = steadyNow();
     m_acceptor.tick(now);
     m_shared->lingering.tick(now);
+    std::vector<Session *> due;
     for (Session *session : m_shared->sessions)
-        session->tick(now);
+        if (session->isDue(now))
+            due.push_back(session);
+    for (Session *session : due)
+        session->takeStep(now);
 }
 
 void HttpServer::announceStop()
