--- a/testsuite/entry/entry_process_test.cpp
+++ b/testsuite/entry/entry_process_test.cpp
@@ -13,16 +13,48 @@
 
 namespace {
 
-/// Handles requests as an engine whose streams wait until \a released is set.
-RawServer::Handler streamWhenReleased(const std::atomic<bool> &released)
+/// An instance whose standard output is a pipe of the test, with an endpoint.
+struct PipedEntry
 {
-    return [&released](const std::string &request) -> RawAnswer {
-        if (request.starts_with("GET /state"))
-            return {okAnswer(request, R"({"layers":[0,4],"orders":1})")};
-        waitUntil([&] { return released.load(); });
-        return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
-    };
-}
+    PipedEntry()
+    {
+        store.put("configuration", "current",
+                  R"({"version":1,"keys":{},"services":[{"name":"plain"}],"routes":[
+                 {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"}]})");
+        store.put("endpoints", "e1",
+                  R"({"service":"plain","address":")" + endpoint.address() + R"(","domain":"d"})");
+        child = boost::process::child(programDirectory() + "/balsamloft-entry-standin",
+                                      "--name=entry-1", "--domain=d", "--listen=" + callers,
+                                      "--ready_listen=" + ready, "--peer_listen=" + freeAddress(),
+                                      "--metrics_listen=" + metrics, "--store=" + store.address(),
+                                      "--log_all", boost::process::std_out > output);
+        REQUIRE(waitUntil([&] { return get(ready).starts_with("HTTP/1.1 200"); }));
+    }
+    ~PipedEntry() { child.terminate(); }
+
+    static std::string get(const std::string &address)
+    {
+        return exchange(address, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", completeAnswer);
+    }
+
+    bool answersRequest() const
+    {
+        return exchange(callers,
+                        "POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                        completeAnswer)
+            .ends_with("done");
+    }
+
+    FakeStore store;
+    const std::string callers = freeAddress();
+    const std::string ready = freeAddress();
+    const std::string metrics = freeAddress();
+    RawServer endpoint {
+        [](const std::string &request) { return RawAnswer {okAnswer(request, "done")}; }};
+    boost::process::ipstream output;
+    boost::process::child child;
+};
 
 } // namespace
 
@@ -35,12 +67,7 @@
     entry.addEndpoint("a", "model", engine.address(), R"(,"layers":[0,4])");
     std::string answer;
     std::thread caller([&] { answer = entry.post("/stream/x"); });
-    waitUntil([&] {
-        for (const std::string &request : engine.requests())
-            if (request.starts_with("POST /stream"))
-                return true;
-        return false;
-    });
+    waitForStream(engine);
     entry.process->signal(SIGTERM);
     CHECK(waitUntil([&] { return !entry.isReady(); }));
     released = true;
@@ -80,72 +107,27 @@
 {
     // Standard output is a pipe that is full after some 300 requests. Requests are still answered;
     // lines that cannot be written are dropped and counted.
-    FakeStore store;
-    const std::string callers = freeAddress();
-    const std::string ready = freeAddress();
-    const std::string metrics = freeAddress();
-    RawServer endpoint(
-        [](const std::string &request) { return RawAnswer {okAnswer(request, "done")}; });
-    store.put("configuration", "current",
-              R"({"version":1,"keys":{},"services":[{"name":"plain"}],"routes":[
-                 {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"}]})");
-    store.put("endpoints", "e1",
-              R"({"service":"plain","address":")" + endpoint.address() + R"(","domain":"d"})");
-    boost::process::ipstream unreadOutput;
-    boost::process::child child(programDirectory() + "/balsamloft-entry-standin", "--name=entry-1",
-                                "--domain=d", "--listen=" + callers, "--ready_listen=" + ready,
-                                "--peer_listen=" + freeAddress(), "--metrics_listen=" + metrics,
-                                "--store=" + store.address(), "--log_all",
-                                boost::process::std_out > unreadOutput);
-    const auto get = [](const std::string &address) {
-        return exchange(address, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", completeAnswer);
-    };
-    REQUIRE(waitUntil([&] { return get(ready).starts_with("HTTP/1.1 200"); }));
-    const std::string request = "POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
-                                "Content-Length: 0\r\n\r\n";
+    PipedEntry entry;
     int answered = 0;
     for (int i = 0; i < 1500; ++i)
-        answered += exchange(callers, request, completeAnswer).ends_with("done") ? 1 : 0;
+        answered += entry.answersRequest() ? 1 : 0;
     CHECK(answered == 1500);
-    CHECK(get(metrics).find("balsamloft_log_lines_dropped_total 0\n") == std::string::npos);
-    child.terminate();
+    CHECK(PipedEntry::get(entry.metrics).find("balsamloft_log_lines_dropped_total 0\n")
+          == std::string::npos);
 }
 
 TEST_CASE("an instance whose log lost its reader goes on answering requests", "[process]")
 {
     // The first line that was written to the closed pipe ended the process by SIGPIPE.
-    FakeStore store;
-    const std::string callers = freeAddress();
-    const std::string ready = freeAddress();
-    RawServer endpoint(
-        [](const std::string &request) { return RawAnswer {okAnswer(request, "done")}; });
-    store.put("configuration", "current",
-              R"({"version":1,"keys":{},"services":[{"name":"plain"}],"routes":[
-                 {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"}]})");
-    store.put("endpoints", "e1",
-              R"({"service":"plain","address":")" + endpoint.address() + R"(","domain":"d"})");
-    boost::process::ipstream output;
-    boost::process::child child(programDirectory() + "/balsamloft-entry-standin", "--name=entry-1",
-                                "--domain=d", "--listen=" + callers, "--ready_listen=" + ready,
-                                "--peer_listen=" + freeAddress(), "--store=" + store.address(),
-                                "--log_all", boost::process::std_out > output);
-    REQUIRE(waitUntil([&] {
-        return exchange(ready, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n", completeAnswer)
-            .starts_with("HTTP/1.1 200");
-    }));
-    output.pipe().close();
+    PipedEntry entry;
+    entry.output.pipe().close();
     int answered = 0;
     for (int i = 0; i < 20; ++i) {
-        answered += exchange(callers,
-                             "POST /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
-                             "Content-Length: 0\r\n\r\n",
-                             completeAnswer)
-                        .ends_with("done");
+        answered += entry.answersRequest() ? 1 : 0;
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
     CHECK(answered == 20);
-    CHECK(child.running());
-    child.terminate();
+    CHECK(entry.child.running());
 }
 
 TEST_CASE("an invalid address in the settings exits with code 2 and an error message", "[process]")
--- a/testsuite/entry/entryharness.h
+++ b/testsuite/entry/entryharness.h
@@ -13,6 +13,7 @@
 
 #include <boost/algorithm/string/replace.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace balsamloft::testsuite {
@@ -180,6 +181,28 @@
            + "\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+/// Handles requests as an engine whose streams wait until \a released is set.
+inline RawServer::Handler streamWhenReleased(const std::atomic<bool> &released)
+{
+    return [&released](const std::string &request) -> RawAnswer {
+        if (request.starts_with("GET /state"))
+            return {okAnswer(request, R"({"layers":[0,4],"orders":1})")};
+        waitUntil([&] { return released.load(); });
+        return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
+    };
+}
+
+/// Waits until \a engine has received a stream's request.
+inline bool waitForStream(const RawServer &engine)
+{
+    return waitUntil([&] {
+        const auto requests = engine.requests();
+        return std::any_of(requests.begin(), requests.end(), [](const std::string &each) {
+            return each.starts_with("POST /stream");
+        });
+    });
+}
+
 /// One instance with a fake store, an API key and a route of each kind.
 class EntryHarness
 {
--- a/testsuite/planned-changes/settings_changes_test.cpp
+++ b/testsuite/planned-changes/settings_changes_test.cpp
@@ -153,21 +153,11 @@
     SettingsFile settings("--grace_s=8\n");
     EntryHarness entry(true, "30000", {settings.flag()});
     std::atomic<bool> released {false};
-    RawServer engine([&](const std::string &request) -> RawAnswer {
-        if (request.starts_with("GET /state"))
-            return {okAnswer(request, R"({"layers":[0,4],"orders":1})")};
-        waitUntil([&] { return released.load(); });
-        return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
-    });
+    RawServer engine(streamWhenReleased(released));
     entry.addEndpoint("a", "model", engine.address(), R"(,"layers":[0,4])");
     std::string answer;
     std::thread caller([&] { answer = entry.post("/stream/x"); });
-    waitUntil([&] {
-        for (const std::string &request : engine.requests())
-            if (request.starts_with("POST /stream"))
-                return true;
-        return false;
-    });
+    waitForStream(engine);
     entry.process->signal(SIGTERM);
     const auto logged = [&](const std::string &text) {
         return entry.process->output().find(text) != std::string::npos;
