--- a/testsuite/planned-changes/callers.h
+++ b/testsuite/planned-changes/callers.h
@@ -66,6 +66,18 @@
             }));
     }
 
+    /// How many requests ended with which status, for the report of a failure; 0: no answer began.
+    std::string byStatus() const
+    {
+        std::map<int, int> counts;
+        for (const CallRecord &each : records())
+            counts[each.status] += 1;
+        std::string text;
+        for (const auto &[status, count] : counts)
+            text += std::to_string(count) + " with " + std::to_string(status) + "; ";
+        return text;
+    }
+
     /// Requests that ended without a complete answer although an endpoint got them, or more than
     /// the crossing time of a close after their last byte was sent.
     std::vector<CallRecord> lost(const std::vector<std::string> &atEndpoints) const
--- a/testsuite/planned-changes/settings_changes_test.cpp
+++ b/testsuite/planned-changes/settings_changes_test.cpp
@@ -110,6 +110,7 @@
     }
     loaded.waitForMoreRequests();
     loaded.checkAllAnswered();
+    CAPTURE(loaded.calls->byStatus(), loaded.streams->byStatus());
     CHECK(loaded.calls->unanswered() + loaded.streams->unanswered() == 0);
     CHECK(loaded.calls->withStatus(200) == loaded.calls->count());
     CHECK(loaded.streams->withStatus(200) == loaded.streams->count());
