--- a/scripts/safeguards.py
+++ b/scripts/safeguards.py
@@ -25,6 +25,35 @@
     ("a shorter idle timeout holds for later answers only", "src/libbalsamloft/connectionuse.cpp",
      "std::max(timeouts.idle, m_promisedIdle)", "timeouts.idle",
      "connectionuse_test: a shorter idle timeout closes no connection whose caller relies on the former one"),
+    ("bytes are read when they are handled", "src/libweb/httpserver.cpp",
+     """    m_stream.socket().async_wait(tcp::socket::wait_read,
+                                 [self = shared_from_this()](beast::error_code error) {
+                                     self->onReadable(error);
+                                 });""",
+     """    auto early = std::make_shared<std::array<char, 65536>>();
+    m_stream.socket().async_read_some(asio::buffer(*early), [self = shared_from_this(), early](beast::error_code error, std::size_t size) {
+        if (!error)
+            asio::buffer_copy(self->m_buffer.prepare(size), asio::buffer(*early, size));
+        if (self->m_closed || self->m_phase != Phase::Reading)
+            return;
+        if (error)
+            return self->close(CloseCause::CallerEnded);
+        self->m_buffer.commit(size);
+        self->parse();
+    });""",
+     "httpserver_test: a stop answers a request that the loop has read and not handled yet"),
+    ("what is in progress at the end of a stop is told", "src/entry/trafficserver.cpp",
+     'm_relay.finishAll("instance is stopping", now, actions);', "",
+     "testsuite: a call whose endpoint is silent is cut when the grace period ends"),
+    ("a late process still tells its callers", "src/entry/trafficserver.cpp",
+     "constexpr double MinEndingShare = 0.5;", "constexpr double MinEndingShare = 0;",
+     "testsuite: connections that wait to be accepted are lost if the process is late at its end"),
+    ("the reader of the log may end", "src/entry/main.cpp",
+     "std::signal(SIGPIPE, SIG_IGN);", "",
+     "testsuite: an instance whose log lost its reader goes on answering requests"),
+    ("a forwarding instance tells how much it forwarded", "src/entry/connectionforwarder.cpp",
+     "m_text = lastChunk(m_forwardedBytes);", "m_text = LastChunk;",
+     "testsuite: an instance that stops tells how much it forwarded on a connection"),
     ("a close ends the output first", "src/libaccept/lingeringconnections.cpp",
      "m_socket.shutdown(tcp::socket::shutdown_send, error);\n        if (error)\n            return remove();",
      "return remove();",
--- a/testsuite/soak/plannedwork.cpp
+++ b/testsuite/soak/plannedwork.cpp
@@ -78,6 +78,16 @@
     }
 }
 
+/// Returns the result of \a work, which runs on a thread of its own while other tasks go on.
+template<typename Work>
+awaitable<std::invoke_result_t<Work>> runApart(Work work)
+{
+    auto result = std::async(std::launch::async, std::move(work));
+    while (result.wait_for(Milliseconds(0)) != std::future_status::ready)
+        co_await pause(PollInterval);
+    co_return result.get();
+}
+
 void pin(pid_t process, const std::vector<int> &cores)
 {
     cpu_set_t set;
@@ -222,11 +232,7 @@
 {
     Instance &instance = m_instances[index];
     instance.formerOutput += instance.process->output();
-    auto started =
-        std::async(std::launch::async, [this, &instance] { return makeProcess(instance); });
-    while (started.wait_for(Milliseconds(0)) != std::future_status::ready)
-        co_await pause(PollInterval);
-    instance.process = started.get();
+    instance.process = co_await runApart([this, &instance] { return makeProcess(instance); });
 }
 
 void PlannedWork::writeFlags(const Instance &instance, double retryRatio)
@@ -363,10 +369,7 @@
         }
         co_await pause(PollInterval);
     }
-    auto exited = std::async(std::launch::async, [&instance] { return instance.process->wait(); });
-    while (exited.wait_for(Milliseconds(0)) != std::future_status::ready)
-        co_await pause(PollInterval);
-    const int code = exited.get();
+    const int code = co_await runApart([&instance] { return instance.process->wait(); });
     if (code != (killed ? KilledExit : NormalExit) && !(killed && code == NormalExit))
         m_record.addViolation(instance.name + " exited with " + std::to_string(code));
     if (!killed)
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -368,7 +368,7 @@
     boost::system::error_code error;
     co_await asio::async_write(socket, asio::buffer(text),
                                asio::redirect_error(asio::use_awaitable, error));
-    m_record.finished(id);
+    m_record.finished(id, m_id);
     co_return !error;
 }
 
@@ -401,7 +401,7 @@
     text += "0\r\n\r\n";
     co_await asio::async_write(socket, asio::buffer(text),
                                asio::redirect_error(asio::use_awaitable, error));
-    m_record.finished(id);
+    m_record.finished(id, m_id);
     co_return !error;
 }
 
--- a/testsuite/soak/record.cpp
+++ b/testsuite/soak/record.cpp
@@ -73,7 +73,10 @@
 
 bool Record::wasFinished(const std::string &request, Clock::time_point time) const
 {
-    const auto found = m_finishedAt.find(request);
+    const auto executed = m_executed.find(request);
+    if (executed == m_executed.end())
+        return false;
+    const auto found = m_finishedAt.find({request, executed->second.back()});
     return found != m_finishedAt.end() && found->second <= time;
 }
 
--- a/testsuite/soak/record.h
+++ b/testsuite/soak/record.h
@@ -41,10 +41,14 @@
     /// \a endpoint has executed \a request.
     void executed(const std::string &request, const std::string &endpoint);
     /// An endpoint has written its whole answer to \a request.
-    void finished(const std::string &request) { m_finishedAt[request] = Clock::now(); }
+    /// \a endpoint has written its whole answer to \a request.
+    void finished(const std::string &request, const std::string &endpoint)
+    {
+        m_finishedAt[{request, endpoint}] = Clock::now();
+    }
     /// Whether an endpoint has executed \a request.
     bool wasExecuted(const std::string &request) const { return m_executed.contains(request); }
-    /// Whether an endpoint had written its whole answer to \a request at \a time.
+    /// Whether the endpoint that executed \a request last had written its whole answer at \a time.
     bool wasFinished(const std::string &request, Clock::time_point time) const;
     /// The caller of \a request has received its answer.
     void received(const std::string &request, Exchange exchange);
@@ -85,7 +89,7 @@
 
     /// Endpoints that executed each request.
     std::map<std::string, std::vector<std::string>> m_executed;
-    std::map<std::string, Clock::time_point> m_finishedAt;
+    std::map<std::pair<std::string, std::string>, Clock::time_point> m_finishedAt;
     std::map<std::string, Exchange> m_received;
     std::map<std::string, Clock::time_point> m_leavingAt;
     std::map<std::pair<std::string, std::string>, Announcement> m_announcements;
