TimedCall: time in which the loop does not run does not count towards a call's limit

Callers saw streams moved off healthy engines, which uses up the attempts of the route and the retry budget, by an instance that was short of processor time: a query of an engine has 300 ms, and a loop that stands still for that long gave it up in the turn in which its connection opened. The engine counted as silent. The timer now runs four times within a limit, and its own delays extend the limit.

--- a/src/entry/timedcall.cpp
+++ b/src/entry/timedcall.cpp
@@ -3,8 +3,16 @@
 #include "clock.h"
 #include "connector.h"
 
+#include <algorithm>
+
 namespace balsamloft {
 
+namespace {
+
+constexpr int TimerRunsPerLimit = 4;
+
+} // namespace
+
 TimedCall::TimedCall(ConnectionPool &pool, ExchangeSettings settings, std::string request,
                      CallLimits limits, Callback callback)
     : m_timer(pool.context())
@@ -22,25 +30,39 @@
     armTimer();
 }
 
-void TimedCall::armTimer()
+/// The timer runs several times within the limit, so that it also detects a delay of the loop that
+/// ended before the limit.
+Duration TimedCall::timerInterval(Time now) const
 {
-    const Time now = steadyNow();
     const bool asksPeers = m_exchange->isConnecting() && m_exchange->pool().links();
-    m_timer.expires_after(asksPeers ? std::min(deadline() - now, AskPeerInterval)
-                                    : deadline() - now);
+    const Duration interval =
+        asksPeers ? AskPeerInterval : m_limits.answerTimeout / TimerRunsPerLimit;
+    return std::min(deadline() - now, interval);
+}
+
+void TimedCall::armTimer()
+{
+    m_timer.expires_after(timerInterval(steadyNow()));
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
-        if (error || self->m_finished)
-            return;
-        const Time now = steadyNow();
-        if (now < self->deadline()) {
-            self->m_exchange->tick(now);
-            return self->m_finished ? void() : self->armTimer();
-        }
-        self->m_exchange->cancel();
-        self->finish();
+        if (!error && !self->m_finished)
+            self->timerFired();
     });
 }
 
+void TimedCall::timerFired()
+{
+    const Time now = steadyNow();
+    // While the loop is late, a connection that opened and bytes that arrived wait for it. Counted
+    // towards the limit, the delay would make the called process seem silent.
+    m_lateTime += now - std::chrono::time_point_cast<Duration>(m_timer.expiry());
+    if (now < deadline()) {
+        m_exchange->tick(now);
+        return m_finished ? void() : armTimer();
+    }
+    m_exchange->cancel();
+    finish();
+}
+
 void TimedCall::cancel()
 {
     m_finished = true;
--- a/src/entry/timedcall.h
+++ b/src/entry/timedcall.h
@@ -23,7 +23,8 @@
     bool forwarded = false; ///< another instance forwarded the connection
 };
 
-/// Sends one request and passes the complete answer, or a failure, to a callback. An empty request
+/// Sends one request and passes the complete answer, or a failure, to a callback. Time in which the
+/// event loop does not run does not count towards the limits. An empty request
 /// only tests whether a connection can be opened; CallOutcome::mayHaveArrived then tells whether
 /// the test succeeded.
 class TimedCall : public std::enable_shared_from_this<TimedCall>, private ExchangeHandler
@@ -46,13 +47,16 @@
     void exchangeFailed(AttemptFailure failure) override;
     void answerReceived(MessageReader &answer) override;
     void armTimer();
-    Time deadline() const { return m_limits.deadline(m_startedAt, m_lastReadAt); }
+    void timerFired();
+    Duration timerInterval(Time now) const;
+    Time deadline() const { return m_limits.deadline(m_startedAt, m_lastReadAt) + m_lateTime; }
     void finish();
 
     boost::asio::steady_timer m_timer;
     CallLimits m_limits;
     Time m_startedAt {};
     std::optional<Time> m_lastReadAt; ///< when the last part of the answer arrived
+    Duration m_lateTime {}; ///< sum of the delays with which the timer ran
     bool m_connectOnly;
     Callback m_callback;
     std::shared_ptr<Exchange> m_exchange;
