Relay: a stream that has events is not cut because its request becomes suspected

Callers saw a stream end without its last part, about a second after its first event, by a decision of the instance: crashes elsewhere (or ends of connections that were taken for crashes) put the request's content, or a part of its prompt that many requests share, into quarantine, and each attempt with it that had sent events for less than a second was abandoned. After its head is out, that truncates the answer. An attempt is abandoned since then only while the request may still be queued at its endpoint. Once events come, the endpoint executes it: to abandon the attempt loses the answer for certain, and prevents no crash that would not come anyway. A resumed attempt that has no events yet is abandoned as before. The new case of crashingrequests_test fails without the change (abandoned 1 in place of 0, finished, in both of its variants).

--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -33,14 +33,19 @@
     return {{"e1", {0, 8}}, {"e2", {0, 8}}, {"e3", {0, 8}}, {"e4", {0, 8}}, {"p1", {}}, {"p2", {}}};
 }
 
+std::vector<CrashRecord> crashRecords(int crashes, Time at)
+{
+    std::vector<CrashRecord> records;
+    for (int i = 0; i < crashes; ++i)
+        records.push_back({"bad", "gone" + std::to_string(i), at});
+    return records;
+}
+
 /// Gives the relay as many crash records of other instances as \a crashes, and waits until the
 /// records are effective.
 void shareCrashes(RelayHarness &harness, int crashes)
 {
-    std::vector<CrashRecord> records;
-    for (int i = 0; i < crashes; ++i)
-        records.push_back({"bad", "gone" + std::to_string(i), harness.now});
-    harness.relay.setSharedCrashes(records);
+    harness.relay.setSharedCrashes(crashRecords(crashes, harness.now));
     harness.advance(seconds(3));
 }
 
@@ -379,6 +384,22 @@
     CHECK(harness.sends(flight).size() == 2);
 }
 
+// Guards against a stream that is cut on its way to the caller because of crashes elsewhere.
+TEST_CASE("a stream with events is not abandoned when its request becomes quarantined")
+{
+    RelayHarness harness(completeEngines());
+    const FlightId flight = submitSuspect(harness);
+    REQUIRE(harness.answer(flight, 200));
+    const Duration age = GENERATE(Duration {}, Duration(seconds(3)));
+    for (std::uint64_t event = 1; event <= 8; ++event) {
+        harness.forwardEvents(flight, event);
+        harness.relay.setSharedCrashes(crashRecords(3, harness.now - age));
+        harness.advance(milliseconds(100));
+    }
+    CHECK(harness.abandoned(flight) == 0);
+    CHECK_FALSE(harness.finished(flight));
+}
+
 // Guards against two copies of a request at one instance that each crash an engine: with one trial
 // at a time, only one engine crashes.
 TEST_CASE("a request with two crashes has one trial at a time")
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -228,17 +228,17 @@
 }
 
 /// Abandons an attempt whose request was found to crash endpoints. The request may still be queued
-/// at the endpoint of the attempt, and would crash that endpoint too.
+/// at the endpoint of the attempt, and would crash that endpoint too. Once it has sent events, the
+/// endpoint executes the request already: to abandon it would truncate the caller's stream, and
+/// could not prevent a crash.
 bool Relay::abandonSuspectedAttempt(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
-    if (flight.state == State::Waiting || mayRun(flight, now))
+    if (flight.state == State::Waiting || flight.firstEventAt || mayRun(flight, now))
         return false;
-    const bool hasEvents = flight.firstEventAt.has_value();
     if (m_quarantine.sendPermission(flight.causes, now) == SendPermission::TrialOnly
         && flight.trial.state != Trial::State::Sent
-        && (hasEvents
-            || m_quarantine.crashes(m_quarantine.causeToTry(flight.causes, now), now)
-                   < m_quarantine.settings().crashesToRequireTrial))
+        && m_quarantine.crashes(m_quarantine.causeToTry(flight.causes, now), now)
+               < m_quarantine.settings().crashesToRequireTrial)
         return false;
     abandonAttempt(id, flight, now, actions);
     finishBlocked(id, flight, m_quarantine.blockedFor(flight.causes, now), now, actions);
