Relay: a tick that is 120 ms late counts as time in which the process did not run

An instance that is short of processor time handles what has arrived late. A tick that comes before it sees a pause of a quarter of a second in every stream, and moves those of a suspected engine: that uses up the attempts of the route and the retry budget, so the next end of an engine truncates the stream. Ticks come each 50 ms while requests are in progress; an interval of up to 300 ms was charged to the engines. relay_test, "a delay of the event loop does not move streams away from a suspected engine": failed before (2 sends in place of 1), passes. Unchanged and passed: relay_test, relaywaits_test, lateanswers_test, announcedpauses_test, endpointlinks_test, overload_test, property_test.

--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -217,7 +217,9 @@
     Duration callAttemptTimeout {400'000}; ///< then an idempotent call is sent to another endpoint
     double callWaitShare = 0.12; ///< longest wait for an endpoint, as a share of the target latency
     double streamWaitShare = 1.6; ///< the same for a stream that waits for a path
-    Duration maxTickInterval {300'000}; ///< a longer interval means that the process was paused
+    /// A longer interval between ticks means that the process did not run, or was late. A late
+    /// tick may come before the data that arrived meanwhile.
+    Duration maxTickInterval {120'000};
     Duration retryAfter {700'000}; ///< mean delay that refused callers are given
     std::uint32_t extraSends = 2; ///< sends beyond maxAttempts, for attempts that were not executed
     /// A request that produces events on one endpoint for this long is not the cause of crashes.
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -487,6 +487,22 @@
     CHECK(harness.queriedEngines().empty());
 }
 
+// Guards against streams that leave a healthy engine because this process handles its answers late.
+TEST_CASE("a delay of the event loop does not move streams away from a suspected engine")
+{
+    RelayHarness harness(twoPaths());
+    const FlightId stream = harness.submit(RequestKind::Stream);
+    REQUIRE(harness.answer(stream, 200));
+    harness.forwardEvents(stream, 1);
+    harness.advance(milliseconds(50));
+    harness.relay.queryFailed(harness.sends(stream).front().endpoint, harness.now, harness.actions);
+    harness.advance(milliseconds(250), milliseconds(250));
+    harness.forwardEvents(stream, 2);
+    harness.advance(milliseconds(50));
+    CHECK(harness.sends(stream).size() == 1);
+    CHECK(harness.pathChanges(stream).empty());
+}
+
 // Guards against requests sent by an outdated decision: the endpoint started draining while the
 // request waited for a connection, or the process was paused until the deadline.
 TEST_CASE("an attempt may not be sent after its deadline or to a draining endpoint")
