Flights tell the cause of their end; a held-back request has a reason

Cause: a stream cut after its head was logged with a free text only, without the way its attempt took. A request held back by Relay::blockIfSuspected() had no reason at all: the record has a 503 with "reason":"".

Change: FinishFlight carries a FlightEnd (cause, attempts, last failure and its status), set where the decision is made. request/ended has cause, endpoint, forwarded_by, attempts, last_failure, last_status, connection_end, since_version_ms and since_data_ms; request/broken off has forwarded_by and connection_end; the trail names the way. Waiting for the confirmation of a crash and waiting for a permit have reasons that tell them apart. Metrics: streams_cut_short_by_cause_total, attempts_ended_by_forwarding_instance_total. No decision changes.

Not covered: streams that end for AwaitsPermit, TrialNotPermitted, Quarantined, TrialRejected, AwaitsConfirmation, NoMemory.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -70,15 +70,15 @@
     abandonAttempt();
     switch (finish.outcome) {
     case FlightOutcome::NotExecuted:
-        return refuse(503, finish.reason, finish.retryAfter);
+        return refuse(503, finish.reason, finish.retryAfter, finish.end);
     case FlightOutcome::Failed:
-        return refuse(502, finish.reason);
+        return refuse(502, finish.reason, {}, finish.end);
     case FlightOutcome::TimedOut:
-        return refuse(504, finish.reason);
+        return refuse(504, finish.reason, {}, finish.end);
     case FlightOutcome::Truncated:
         // The connection is closed without the last chunk, so that the answer does not look
         // complete.
-        logOutcome("cut short", 200, finish.reason);
+        logOutcome("cut short", 200, finish.reason, finish.end);
         m_use.announceClose();
         m_truncated = true;
         return finishRequest();
@@ -109,7 +109,8 @@
         m_use.announceClose();
 }
 
-void CallerSession::refuse(int status, std::string_view reason, std::optional<Duration> retryAfter)
+void CallerSession::refuse(int status, std::string_view reason, std::optional<Duration> retryAfter,
+                           const FlightEnd &end)
 {
     announceCloseIfStopping();
     const std::string body = "{\"error\":{\"message\":\"" + std::string(reason) + "\"}}";
@@ -126,7 +127,7 @@
     m_output += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     m_output += m_use.closeAnnounced() ? "Connection: close\r\n\r\n" : "\r\n";
     m_output += body;
-    logOutcome("refused", status, reason);
+    logOutcome("refused", status, reason, end);
     finishRequest();
 }
 
@@ -232,11 +233,31 @@
                  {"digest", std::string_view(m_digest)},
                  {"parts", std::string_view(parts)},
                  {"endpoint", std::string_view(m_firstEndpoint)},
+                 {"forwarded_by", std::string_view(m_forwardedBy)},
+                 {"connection_end", nameOf(m_connectionEnd)},
                  {"sent_ms", milliseconds(steadyNow() - m_sentAt)},
                  {"events", std::int64_t(m_passedEvents - m_eventsBeforeAttempt)}});
 }
 
-void CallerSession::logOutcome(std::string_view outcome, int status, std::string_view reason)
+void CallerSession::addEndFields(const FlightEnd &end, Time now,
+                                 std::vector<LogField> &fields) const
+{
+    const bool onWay = end.lastFailure == AttemptEnd::Broken && m_brokenOnWay;
+    fields.insert(fields.end(),
+                  {{"cause", nameOf(end.cause)},
+                   {"endpoint", std::string_view(m_firstEndpoint)},
+                   {"forwarded_by", std::string_view(m_forwardedBy)},
+                   {"attempts", std::int64_t(end.attempts)},
+                   {"last_failure", nameOf(onWay ? AttemptEnd::BrokenOnWay : end.lastFailure)},
+                   {"last_status", std::int64_t(end.lastStatus)},
+                   {"connection_end", nameOf(m_connectionEnd)},
+                   {"since_version_ms", milliseconds(now - m_server.tableSince())}});
+    if (m_streamBegun)
+        fields.push_back({"since_data_ms", milliseconds(now - m_lastEventAt)});
+}
+
+void CallerSession::logOutcome(std::string_view outcome, int status, std::string_view reason,
+                               const FlightEnd &end)
 {
     const Time now = steadyNow();
     const Duration first =
@@ -260,21 +281,23 @@
     if (unremarkable && !m_server.settings().logAll)
         return;
     const std::string parts = loggedParts();
-    logDecision("request", "ended",
-                {{"request", std::string_view(m_requestId)},
-                 {"digest", std::string_view(m_digest)},
-                 {"parts", std::string_view(parts)},
-                 {"outcome", outcome},
-                 {"status", std::int64_t(status)},
-                 {"reason", reason},
-                 {"route", std::string_view(m_routeName)},
-                 {"version", std::int64_t(m_table ? m_table->version() : 0)},
-                 {"ms", milliseconds(now - m_startedAt)},
-                 {"first_ms", milliseconds(first)},
-                 {"gap_ms", milliseconds(m_longestPause)},
-                 {"events", std::int64_t(m_passedEvents)},
-                 {"late", late},
-                 {"trail", std::string_view(m_trail)}});
+    std::vector<LogField> fields {{"request", std::string_view(m_requestId)},
+                                  {"digest", std::string_view(m_digest)},
+                                  {"parts", std::string_view(parts)},
+                                  {"outcome", outcome},
+                                  {"status", std::int64_t(status)},
+                                  {"reason", reason},
+                                  {"route", std::string_view(m_routeName)},
+                                  {"version", std::int64_t(m_table ? m_table->version() : 0)},
+                                  {"ms", milliseconds(now - m_startedAt)},
+                                  {"first_ms", milliseconds(first)},
+                                  {"gap_ms", milliseconds(m_longestPause)},
+                                  {"events", std::int64_t(m_passedEvents)},
+                                  {"late", late},
+                                  {"trail", std::string_view(m_trail)}};
+    if (end.cause != EndCause::None)
+        addEndFields(end, now, fields);
+    logDecision("request", "ended", fields);
 }
 
 } // namespace balsamloft
--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -36,6 +36,7 @@
     abandonAttempt();
     m_attempt = send.attempt;
     m_firstEndpoint = send.endpoint;
+    m_forwardedBy.clear();
     m_sentAt = steadyNow();
     m_eventsBeforeAttempt = m_passedEvents;
     m_answer.reset();
@@ -61,6 +62,21 @@
     m_exchange.reset();
 }
 
+void CallerSession::forwardedBy(const std::string &name)
+{
+    m_forwardedBy = name;
+    addToTrail("by way of " + name);
+}
+
+/// The way of the current attempt, and how its connection ended.
+std::string CallerSession::wayText() const
+{
+    std::string text = m_forwardedBy.empty() ? "direct" : "by way of " + m_forwardedBy;
+    if (m_connectionEnd != ConnectionEnd::None)
+        text.append(", ").append(nameOf(m_connectionEnd));
+    return text;
+}
+
 bool CallerSession::maySend()
 {
     const Time now = steadyNow();
@@ -96,8 +112,15 @@
 {
     static constexpr std::array<std::string_view, 4> Names {"not sent", "broken off",
                                                             "invalid answer", "withheld"};
-    addToTrail(Names[static_cast<std::size_t>(failure)]);
-    if (failure == AttemptFailure::Broken || failure == AttemptFailure::InvalidAnswer)
+    m_connectionEnd = m_exchange ? m_exchange->connectionEnd() : ConnectionEnd::None;
+    m_brokenOnWay =
+        failure == AttemptFailure::Broken && m_exchange && m_exchange->isEndedByForwarder();
+    const bool mayHaveArrived =
+        failure == AttemptFailure::Broken || failure == AttemptFailure::InvalidAnswer;
+    addToTrail(std::string(m_brokenOnWay ? nameOf(AttemptEnd::BrokenOnWay)
+                                         : Names[static_cast<std::size_t>(failure)])
+               + (mayHaveArrived ? " (" + wayText() + ")" : ""));
+    if (mayHaveArrived)
         logBrokenAttempt();
     abandonAttempt();
     if (!m_flight)
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -136,6 +136,10 @@
     m_firstEventAt = {};
     m_longestPause = {};
     m_trail.clear();
+    m_firstEndpoint.clear();
+    m_forwardedBy.clear();
+    m_connectionEnd = ConnectionEnd::None;
+    m_brokenOnWay = false;
     m_routeName.clear();
     m_digest.clear();
     m_promptParts.clear();
@@ -287,7 +291,7 @@
     m_closed = true;
     recordClose(cause);
     const auto self = shared_from_this();
-    cancelFlight();
+    cancelFlight(cause == CloseCause::WriteFailed ? EndCause::WriteFailed : EndCause::CallerGone);
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_server.sessionClosed(*this);
@@ -306,13 +310,14 @@
     m_server.sessionClosed(*this);
 }
 
-void CallerSession::cancelFlight()
+void CallerSession::cancelFlight(EndCause cause)
 {
     abandonAttempt();
     if (!m_flight)
         return;
     RelayActions actions;
-    logOutcome("caller gone", 0, "the caller closed its connection");
+    logOutcome("caller gone", 0, "the caller closed its connection",
+               {.cause = cause, .attempts = m_server.relay().sends(*m_flight)});
     m_server.relay().callerGone(*m_flight, steadyNow(), actions);
     m_server.detach(*m_flight);
     m_flight.reset();
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "connectionpool.h"
+#include "decisionlog.h"
 
 #include <balsamloft/callercounts.h>
 #include <balsamloft/connectionuse.h>
@@ -58,6 +59,7 @@
 private:
     bool hasUnreadBytes() const override;
     bool maySend() override;
+    void forwardedBy(const std::string &name) override;
     void exchangeFailed(AttemptFailure failure) override;
     bool headReceived(MessageReader &answer) override;
     void bodyReceived(MessageReader &answer) override;
@@ -73,7 +75,8 @@
     /// Builds the start line and header fields of the forwarded request.
     void buildForwardedHead();
     std::string requestText(const SendRequest &send) const;
-    void refuse(int status, std::string_view reason, std::optional<Duration> retryAfter = {});
+    void refuse(int status, std::string_view reason, std::optional<Duration> retryAfter = {},
+                const FlightEnd &end = {});
     void refuseMalformed();
     void beginStream();
     void writeHead(const MessageHead &head, std::optional<std::size_t> length);
@@ -89,7 +92,7 @@
     void refuseIncomplete();
     /// Ends the connection in a way that loses no answer.
     void end(CloseCause cause);
-    void cancelFlight();
+    void cancelFlight(EndCause cause);
     void recordClose(CloseCause cause);
     /// Continues with the next request once the answer is written.
     void continueReading();
@@ -99,7 +102,10 @@
     std::vector<std::string> promptParts(std::string_view service);
     std::string loggedParts() const;
     void logBrokenAttempt() const;
-    void logOutcome(std::string_view outcome, int status, std::string_view reason);
+    std::string wayText() const;
+    void addEndFields(const FlightEnd &end, Time now, std::vector<LogField> &fields) const;
+    void logOutcome(std::string_view outcome, int status, std::string_view reason,
+                    const FlightEnd &end = {});
 
     TrafficServer &m_server;
     /// Mutable since its native handle, which queries need, is not available on a const socket.
@@ -130,6 +136,9 @@
     std::optional<FlightId> m_flight;
     std::uint32_t m_attempt = 0;
     std::string m_firstEndpoint; ///< endpoint that the current attempt is sent to
+    std::string m_forwardedBy; ///< instance that forwards the current attempt; empty: direct
+    ConnectionEnd m_connectionEnd = ConnectionEnd::None; ///< of the attempt that failed last
+    bool m_brokenOnWay = false; ///< the instance that forwarded it ended the connection
     Time m_sentAt {};
     std::uint64_t m_eventsBeforeAttempt = 0; ///< events passed on before the current attempt
     Time m_startedAt {};
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -37,6 +37,18 @@
     return std::max(Duration(seconds * 1'000'000LL) - KeepAliveMargin, Duration(0));
 }
 
+/// \a ended: the called process closed the connection in an orderly way.
+ConnectionEnd connectionEndOf(const boost::system::error_code &error, bool ended)
+{
+    if (ended || error == asio::error::eof)
+        return ConnectionEnd::Eof;
+    if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
+        return ConnectionEnd::Reset;
+    if (error == asio::error::timed_out)
+        return ConnectionEnd::TimedOut;
+    return error ? ConnectionEnd::Error : ConnectionEnd::None;
+}
+
 } // namespace
 
 void PooledConnection::received(std::size_t count)
@@ -200,6 +212,8 @@
     if (!m_handler->maySend())
         return;
     m_forwarded = m_connection->isForwarded();
+    if (m_forwarded)
+        m_handler->forwardedBy(m_connection->forwardedBy);
     m_mayHaveSent = true;
     m_sentBefore =
         std::exchange(m_connection->sentBytes, m_connection->sentBytes + m_request.size());
@@ -235,6 +249,7 @@
     m_connection->received(count);
     const bool ended = m_forwarded ? m_connection->isEnded() : error == asio::error::eof;
     if (error || ended || m_connection->isGarbled()) {
+        recordEnd(error, ended);
         process();
         if (!m_handler)
             return;
@@ -246,6 +261,7 @@
             m_reader->connectionClosed();
         if (m_reader->done() && !m_skipsAnswer)
             return complete();
+        m_pool.endedByForwarder += m_endedByForwarder ? 1 : 0;
         return fail(m_reader->failure() == MessageReader::Failure::None || !m_reader->started()
                         ? AttemptFailure::Broken
                         : AttemptFailure::InvalidAnswer);
@@ -255,6 +271,14 @@
         read();
 }
 
+void Exchange::recordEnd(const boost::system::error_code &error, bool ended)
+{
+    m_connectionEnd = connectionEndOf(error, ended);
+    m_endedByForwarder =
+        m_forwarded && !ended
+        && (m_connectionEnd == ConnectionEnd::Eof || m_connectionEnd == ConnectionEnd::TimedOut);
+}
+
 /// Whether the instance that forwards the connection ended it without forwarding the request.
 bool Exchange::wasNotForwarded() const
 {
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -46,6 +46,7 @@
     boost::asio::ip::tcp::socket socket;
     AcknowledgmentLimit acknowledgment;
     std::string endpoint; ///< id
+    std::string forwardedBy; ///< name of the instance that forwards it; empty: direct
     std::string unread; ///< received and not yet parsed
     std::array<char, 8192> buffer {};
     /// If another instance forwards the connection: its answer, whose body are the bytes of the
@@ -85,6 +86,8 @@
     std::uint64_t refused = 0; ///< number of direct connections that were refused
     std::uint64_t timedOut = 0; ///< number of direct connections that were not opened in time
     std::uint64_t forwarded = 0; ///< number of connections that another instance forwards
+    /// Number of exchanges that failed since the instance that forwarded the connection ended it.
+    std::uint64_t endedByForwarder = 0;
     std::uint64_t reads = 0; ///< number of completed reads
     std::uint64_t writes = 0; ///< number of writes
 
@@ -105,6 +108,9 @@
 
     /// Called right before the request is sent. \return whether the request may be sent.
     virtual bool maySend() = 0;
+
+    /// The request is sent on a connection that the instance \a name forwards.
+    virtual void forwardedBy(const std::string &name) { static_cast<void>(name); }
     virtual void exchangeFailed(AttemptFailure failure) = 0;
 
     /// The head arrived. \return whether the body is to be delivered in pieces.
@@ -157,12 +163,20 @@
     /// Whether another instance forwards the connection.
     bool isForwarded() const { return m_forwarded; }
 
+    /// How the connection ended on which the request was sent.
+    ConnectionEnd connectionEnd() const { return m_connectionEnd; }
+
+    /// Whether the instance that forwarded the connection ended it before the endpoint did. It
+    /// passes a reset of the endpoint on, so a reset does not tell who ended the connection.
+    bool isEndedByForwarder() const { return m_endedByForwarder; }
+
 private:
     void connect(Time now);
     void connected(PooledConnectionPtr connection);
     void send();
     bool replaceIfEnded();
     bool wasNotForwarded() const;
+    void recordEnd(const boost::system::error_code &error, bool ended);
     void writeFinished(const boost::system::error_code &error);
     void read();
     void readFinished(const boost::system::error_code &error, std::size_t count);
@@ -182,6 +196,8 @@
     std::shared_ptr<Connector> m_connector; ///< while a connection is being opened
     bool m_connectionRefused = false;
     bool m_forwarded = false;
+    bool m_endedByForwarder = false;
+    ConnectionEnd m_connectionEnd = ConnectionEnd::None;
     bool m_reused = false; ///< the connection was taken from the pool
     std::uint64_t m_sentBefore = 0; ///< bytes of earlier requests on the connection
     bool m_requestWritten = false; ///< it was passed to the system
--- a/src/entry/connector.cpp
+++ b/src/entry/connector.cpp
@@ -56,6 +56,7 @@
     auto attempt = std::make_shared<Attempt>();
     attempt->connection = std::make_unique<PooledConnection>(m_pool.context());
     attempt->connection->endpoint = m_endpoint;
+    attempt->connection->forwardedBy = peer;
     attempt->peer = peer;
     m_pending.push_back(attempt);
     m_pool.opened += 1;
--- a/src/entry/decisionlog.cpp
+++ b/src/entry/decisionlog.cpp
@@ -111,8 +111,7 @@
     boost::log::core::get()->add_sink(sink());
 }
 
-void logDecision(std::string_view part, std::string_view event,
-                 std::initializer_list<LogField> fields)
+void logDecision(std::string_view part, std::string_view event, std::span<const LogField> fields)
 {
     using namespace std::chrono;
     thread_local boost::log::sources::logger logger;
--- a/src/entry/decisionlog.h
+++ b/src/entry/decisionlog.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -28,8 +29,12 @@
 void setUpDecisionLog(std::string_view name, std::string_view domain);
 
 /// Logs \a event of the component \a part with \a fields.
-void logDecision(std::string_view part, std::string_view event,
-                 std::initializer_list<LogField> fields);
+void logDecision(std::string_view part, std::string_view event, std::span<const LogField> fields);
+inline void logDecision(std::string_view part, std::string_view event,
+                        std::initializer_list<LogField> fields)
+{
+    logDecision(part, event, std::span<const LogField>(fields.begin(), fields.size()));
+}
 
 /// Logs that \a thread, whose delays \a delay recorded, fell behind or caught up.
 void logLoopDelay(std::string_view thread, LoopDelay::Change change, const LoopDelay &delay);
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -168,6 +168,8 @@
 
 void TrafficServer::setTable(RouteMapPtr table)
 {
+    if (!m_table || m_table->version() != table->version())
+        m_tableSince = steadyNow();
     m_table = std::move(table);
 }
 
@@ -503,8 +505,10 @@
             if (const auto session = sessionOf(send->flight))
                 session->sendAttempt(*send);
         } else if (const auto *abandon = std::get_if<AbandonAttempt>(&action)) {
-            if (const auto session = sessionOf(abandon->flight))
+            if (const auto session = sessionOf(abandon->flight)) {
+                session->addToTrail("abandoned");
                 session->abandonAttempt();
+            }
         } else if (const auto *pass = std::get_if<ForwardAnswer>(&action)) {
             if (const auto session = sessionOf(pass->flight))
                 session->passAnswer();
@@ -607,6 +611,11 @@
     sample("requests_failed_total", counts.failed);
     sample("requests_timed_out_total", counts.timedOut);
     sample("streams_cut_short_total", counts.truncated);
+    for (std::size_t cause = 1; cause < counts.truncatedBy.size(); ++cause)
+        if (counts.truncatedBy[cause] > 0)
+            sample("streams_cut_short_by_cause_total{cause=\"" + std::string(EndCauseNames[cause])
+                       + "\"}",
+                   counts.truncatedBy[cause]);
     sample("requests_resent_total", counts.resent);
     sample("retry_budget_spent_total", counts.budgetExhausted);
     sample("paths_changed_total", counts.pathsChanged);
@@ -629,6 +638,7 @@
     sample("endpoint_connections_refused_total", m_pool.refused);
     sample("endpoint_connections_timed_out_total", m_pool.timedOut);
     sample("endpoint_connections_forwarded_total", m_pool.forwarded);
+    sample("attempts_ended_by_forwarding_instance_total", m_pool.endedByForwarder);
     sample("endpoint_links_broken", m_links.brokenCount());
     sample("connections_forwarded_for_others", m_forwarder.open());
     sample("connections_forwarded_for_others_total", m_forwarder.opened());
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -93,6 +93,9 @@
     // Called by sessions
 
     const RouteMapPtr &table() const { return m_table; }
+
+    /// Since when the version of table() has been in force at this instance.
+    Time tableSince() const { return m_tableSince; }
     const EntryProtocol &protocol() const { return m_protocol; }
     const EntrySettings &settings() const { return m_settings; }
     ConnectionPool &pool() { return m_pool; }
@@ -177,6 +180,7 @@
     ConnectionForwarder m_forwarder;
     Relay m_relay;
     RouteMapPtr m_table;
+    Time m_tableSince {};
     FleetPtr m_fleet;
     std::map<std::string, std::uint64_t> m_loggedRefusals; ///< last logged counts, by service
     std::unordered_map<FlightId, std::shared_ptr<CallerSession>> m_flights;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -10,6 +10,7 @@
 #include <balsamloft/admission/retrybudget.h>
 #include <balsamloft/announcedpauses.h>
 #include <balsamloft/announcement.h>
+#include <balsamloft/flightend.h>
 #include <balsamloft/pathchooser.h>
 #include <balsamloft/quarantine.h>
 #include <balsamloft/trialpermits.h>
@@ -131,6 +132,7 @@
     FlightOutcome outcome = FlightOutcome::NotExecuted;
     Duration retryAfter {}; ///< for the caller; only with NotExecuted
     std::string reason;
+    FlightEnd end {};
 };
 
 /// Query how slow an engine is, and at which other engines its requests are stalled.
@@ -253,6 +255,7 @@
     std::uint64_t failed = 0;
     std::uint64_t timedOut = 0;
     std::uint64_t truncated = 0;
+    std::array<std::uint64_t, EndCauseNames.size()> truncatedBy {}; ///< the same by EndCause
     std::uint64_t resent = 0;
     std::uint64_t budgetExhausted = 0;
     std::uint64_t pathsChanged = 0;
@@ -367,6 +370,9 @@
     std::optional<std::uint64_t> lastEvent(FlightId id) const;
     std::size_t flights() const { return m_flights.size(); }
 
+    /// How many attempts of the flight were sent.
+    std::uint32_t sends(FlightId id) const;
+
     /// The load of services by the callers of this instance.
     LoadSummary load(Time now) const { return m_admission.load(now); }
     const Admission &admission() const { return m_admission; }
@@ -426,6 +432,24 @@
         std::set<std::string> avoid; ///< endpoints where it failed
         Trial trial;
         std::string lastReason;
+        EndCause waitCause = EndCause::None; ///< why the flight was not sent when it was last tried
+        AttemptEnd lastFailure = AttemptEnd::None;
+        int lastStatus = 0; ///< of the answer of the attempt that failed last
+    };
+
+    /// Why a flight ends.
+    struct Ending
+    {
+        EndCause cause;
+        std::string reason;
+    };
+
+    /// Why an attempt failed.
+    struct Failure
+    {
+        AttemptEnd end;
+        std::string reason;
+        int status = 0; ///< of its answer
     };
 
     using FlightMap = std::unordered_map<FlightId, Flight>;
@@ -473,7 +497,7 @@
     void abandonAttempt(FlightId id, Flight &flight, Time now, RelayActions &actions);
     static void recordPossibleRun(Flight &flight);
     void retry(FlightId id, Flight &flight, bool mayHaveRun, const std::string &faultyEndpoint,
-               std::string reason, Time now, RelayActions &actions);
+               Failure failure, Time now, RelayActions &actions);
     bool mayRunAgain(const Flight &flight, std::string_view alsoAt = {}) const;
     bool withdrawRetry(const Flight &flight, Time now);
     bool sendLimitReached(const Flight &flight) const;
@@ -510,7 +534,7 @@
     bool worthMoving(const Flight &flight, Time now);
 
     static FlightOutcome outcomeOf(const Flight &flight, FlightOutcome ifMayHaveRun);
-    void finish(FlightId id, FlightOutcome ifMayHaveRun, std::string reason, Time now,
+    void finish(FlightId id, FlightOutcome ifMayHaveRun, Ending ending, Time now,
                 RelayActions &actions, std::optional<Duration> retryAfter = {});
     void recordRateLimit(const Flight &flight, const AnswerHead &head, Time now);
     void handleRejection(FlightId id, Flight &flight, const AnswerHead &head, Time now,
@@ -518,7 +542,8 @@
     void watch(FlightId id, Flight &flight, Time now, RelayActions &actions);
     void watchStream(FlightId id, Flight &flight, Time now, RelayActions &actions);
     void watchWaiting(FlightId id, Flight &flight, Time now, RelayActions &actions);
-    void abandonAndRetry(FlightId id, Flight &flight, std::string reason, Time now,
+    static std::string waitReason(const Flight &flight);
+    void abandonAndRetry(FlightId id, Flight &flight, Failure failure, Time now,
                          RelayActions &actions);
     void queryEngine(const std::string &endpoint, Time now, RelayActions &actions);
     void discountPause(Time now);
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -207,10 +207,12 @@
     auto path = findPath(flight, excludedEndpoints(flight), now);
     if (!path) {
         flight.lastReason = "no path over all layers";
+        flight.waitCause = EndCause::NoPath;
         return false;
     }
     if (path->full) {
         flight.lastReason = "no free memory on any path";
+        flight.waitCause = EndCause::NoMemory;
         return false;
     }
     send.endpoint = path->parts.front().endpoint;
@@ -284,6 +286,10 @@
                             : !rateLimited.empty() ? "all endpoints are at their rate limits"
                             : !paused.empty()      ? "all endpoints announced a pause"
                                                    : "no endpoint available";
+        flight.waitCause = best                   ? EndCause::AllEndpointsFailed
+                           : !rateLimited.empty() ? EndCause::RateLimited
+                           : !paused.empty()      ? EndCause::Paused
+                                                  : EndCause::NoEndpoint;
         return false;
     }
     send.endpoint = best->id;
@@ -384,21 +390,26 @@
     if (flight.state != State::Waiting)
         return;
     if (now >= flight.deadline)
-        return finish(id, FlightOutcome::TimedOut, "deadline exceeded", now, actions);
+        return finish(id, FlightOutcome::TimedOut, {EndCause::Deadline, "deadline exceeded"}, now,
+                      actions);
     if (blockIfSuspected(id, flight, now, actions))
         return;
     // This runs at each tick while the flight waits: skip the path search while no retry is
     // available.
-    if (flight.nextSendIsRetry && !budget(flight).canWithdraw(now))
+    if (flight.nextSendIsRetry && !budget(flight).canWithdraw(now)) {
+        flight.waitCause = EndCause::RetryBudget;
         return;
+    }
     SendRequest send;
     if (!choose(flight, now, send)) {
         finishTrial(flight, TrialOutcome::NotSent, actions);
         refuseIfPaused(id, flight, now, actions);
         return;
     }
-    if (flight.nextSendIsRetry && !withdrawRetry(flight, now))
+    if (flight.nextSendIsRetry && !withdrawRetry(flight, now)) {
+        flight.waitCause = EndCause::RetryBudget;
         return;
+    }
     flight.nextSendIsRetry = false;
     send.flight = id;
     send.attempt = ++flight.attempt;
@@ -455,31 +466,37 @@
 }
 
 void Relay::retry(FlightId id, Flight &flight, bool mayHaveRun, const std::string &faultyEndpoint,
-                  std::string reason, Time now, RelayActions &actions)
+                  Failure failure, Time now, RelayActions &actions)
 {
     flight.avoid.insert(faultyEndpoint);
+    flight.lastFailure = failure.end;
+    flight.lastStatus = failure.status;
     if (mayHaveRun)
         recordPossibleRun(flight);
     endAttempt(flight);
     flight.waitingSince = now;
-    flight.lastReason = reason;
+    flight.lastReason = failure.reason;
     if (!flight.mayHaveRunAt.empty() && !mayRunAgain(flight))
-        return finish(id, FlightOutcome::Failed, std::move(reason), now, actions);
+        return finish(id, FlightOutcome::Failed,
+                      {EndCause::AttemptsUsed, std::move(failure.reason)}, now, actions);
     if (refuseIfPaused(id, flight, now, actions))
         return;
     if (sendLimitReached(flight))
-        return finish(id, FlightOutcome::Failed, reason + "; send limit reached", now, actions);
+        return finish(id, FlightOutcome::Failed,
+                      {EndCause::SendLimit, failure.reason + "; send limit reached"}, now, actions);
     if (blockIfSuspected(id, flight, now, actions))
         return;
     if (!withdrawRetry(flight, now)) {
         m_counts.budgetExhausted += 1;
-        reason += "; retry budget exhausted";
+        failure.reason += "; retry budget exhausted";
         if (!flight.eventsForwarded)
-            return finish(id, FlightOutcome::Failed, std::move(reason), now, actions);
+            return finish(id, FlightOutcome::Failed,
+                          {EndCause::RetryBudget, std::move(failure.reason)}, now, actions);
         // The caller waits some time for the next event, and the window may free a retry
         // meanwhile. Truncating the answer now would lose it for certain.
         flight.nextSendIsRetry = true;
-        flight.lastReason = std::move(reason);
+        flight.lastReason = std::move(failure.reason);
+        flight.waitCause = EndCause::RetryBudget;
         return;
     }
     m_counts.resent += 1;
@@ -488,7 +505,7 @@
 
 /// Finishes the flight without an answer, and abandons an attempt that is in progress. Whether the
 /// caller may be told that the request was not executed follows from the attempts alone.
-void Relay::finish(FlightId id, FlightOutcome ifMayHaveRun, std::string reason, Time now,
+void Relay::finish(FlightId id, FlightOutcome ifMayHaveRun, Ending ending, Time now,
                    RelayActions &actions, std::optional<Duration> retryAfter)
 {
     const auto it = m_flights.find(id);
@@ -507,9 +524,13 @@
                                                     &RelayCounts::timedOut,
                                                     &RelayCounts::truncated};
     m_counts.*counters[static_cast<std::size_t>(outcome)] += 1;
+    if (outcome == FlightOutcome::Truncated)
+        m_counts.truncatedBy[static_cast<std::size_t>(ending.cause)] += 1;
+    const Flight &flight = it->second;
+    const FlightEnd end {ending.cause, flight.sends, flight.lastFailure, flight.lastStatus};
     m_admission.finished(id, now);
     m_flights.erase(it);
-    actions.push_back(FinishFlight {id, outcome, delay, std::move(reason)});
+    actions.push_back(FinishFlight {id, outcome, delay, std::move(ending.reason), end});
 }
 
 void Relay::attemptFailed(FlightId id, std::uint32_t attempt, AttemptFailure failure, Time now,
@@ -528,13 +549,16 @@
         finishTrial(*flight, TrialOutcome::NotSent, actions);
         m_engines.suspect(flight->endpoint, now);
         return retry(id, *flight, false, flight->endpoint,
-                     "request could not be sent to " + flight->endpoint, now, actions);
+                     {AttemptEnd::NotSent, "request could not be sent to " + flight->endpoint}, now,
+                     actions);
     case AttemptFailure::Broken:
         return retry(id, *flight, true, flight->endpoint,
-                     "connection broken by " + flight->endpoint, now, actions);
+                     {AttemptEnd::Broken, "connection broken by " + flight->endpoint}, now,
+                     actions);
     case AttemptFailure::InvalidAnswer:
-        return retry(id, *flight, true, flight->endpoint, "invalid answer from " + flight->endpoint,
-                     now, actions);
+        return retry(id, *flight, true, flight->endpoint,
+                     {AttemptEnd::InvalidAnswer, "invalid answer from " + flight->endpoint}, now,
+                     actions);
     case AttemptFailure::Withheld:
         return;
     }
@@ -573,9 +597,13 @@
     if (flight.trial.state == Trial::State::Sent) {
         finishTrial(flight, TrialOutcome::Inconclusive, actions);
         endAttempt(flight);
-        return finish(id, FlightOutcome::Failed, std::move(reason), now, actions);
+        flight.lastFailure = AttemptEnd::Rejected;
+        flight.lastStatus = head.status;
+        return finish(id, FlightOutcome::Failed, {EndCause::TrialRejected, std::move(reason)}, now,
+                      actions);
     }
-    retry(id, flight, false, faultyEndpoint, std::move(reason), now, actions);
+    retry(id, flight, false, faultyEndpoint, {AttemptEnd::Rejected, std::move(reason), head.status},
+          now, actions);
 }
 
 void Relay::recordRateLimit(const Flight &flight, const AnswerHead &head, Time now)
@@ -657,7 +685,9 @@
     if (!head.provenExecuted) {
         m_engines.recordOutcome(flight->endpoint, true, now);
         retry(id, *flight, true, flight->endpoint,
-              "answer without proof of execution from " + flight->endpoint, now, actions);
+              {AttemptEnd::NoProof, "answer without proof of execution from " + flight->endpoint,
+               head.status},
+              now, actions);
         return false;
     }
     const bool failed = head.status >= FirstServerError;
@@ -666,7 +696,8 @@
     if (failed && mayRunAgain(*flight) && flight->request.route->maxAttempts > 1
         && flight->sends < flight->request.route->maxAttempts) {
         actions.push_back(AbandonAttempt {id, attempt});
-        retry(id, *flight, true, flight->endpoint, "server error from " + flight->endpoint, now,
+        retry(id, *flight, true, flight->endpoint,
+              {AttemptEnd::ServerError, "server error from " + flight->endpoint, head.status}, now,
               actions);
         return false;
     }
@@ -680,7 +711,10 @@
     // report a failure after them.
     if (flight->eventsForwarded) {
         endAttempt(*flight);
-        finish(id, FlightOutcome::Failed, "server error from " + flight->endpoint, now, actions);
+        flight->lastFailure = AttemptEnd::ServerError;
+        flight->lastStatus = head.status;
+        finish(id, FlightOutcome::Failed,
+               {EndCause::ServerError, "server error from " + flight->endpoint}, now, actions);
         return false;
     }
     forwardAnswer(id, *flight, !failed, now, actions);
@@ -729,7 +763,7 @@
     for (const auto &[id, flight] : m_flights)
         ids.push_back(id);
     for (const FlightId id : ids)
-        finish(id, FlightOutcome::Failed, reason, now, actions);
+        finish(id, FlightOutcome::Failed, {EndCause::Stopping, reason}, now, actions);
 }
 
 void Relay::callerGone(FlightId id, Time now, RelayActions &actions)
@@ -748,6 +782,12 @@
     return it == m_flights.end() ? std::nullopt : it->second.lastEvent;
 }
 
+std::uint32_t Relay::sends(FlightId id) const
+{
+    const auto it = m_flights.find(id);
+    return it == m_flights.end() ? 0 : it->second.sends;
+}
+
 bool Relay::maySend(FlightId id, std::uint32_t attempt, Time now) const
 {
     const Flight *flight = inAttempt(id, attempt);
--- a/src/libbalsamloft/relayadmission.cpp
+++ b/src/libbalsamloft/relayadmission.cpp
@@ -84,8 +84,8 @@
         flight.awaitsAdmission = true;
         return false;
     case AdmissionDecision::Kind::Refuse:
-        finish(id, FlightOutcome::Failed, std::move(decision.reason), now, actions,
-               decision.retryAfter);
+        finish(id, FlightOutcome::Failed, {EndCause::Admission, std::move(decision.reason)}, now,
+               actions, decision.retryAfter);
         return false;
     }
     return false;
@@ -101,7 +101,8 @@
         if (it == m_flights.end())
             continue;
         if (decision.kind == AdmissionDecision::Kind::Refuse) {
-            finish(decision.id, FlightOutcome::Failed, std::move(decision.reason), now, actions,
+            finish(decision.id, FlightOutcome::Failed,
+                   {EndCause::Admission, std::move(decision.reason)}, now, actions,
                    decision.retryAfter);
             continue;
         }
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -101,6 +101,7 @@
         return false;
     if (m_quarantine.awaitsConfirmation(flight.causes, now)) {
         flight.nextSendIsRetry = flight.sends > 0;
+        flight.waitCause = EndCause::AwaitsConfirmation;
         return true;
     }
     switch (m_quarantine.sendPermission(flight.causes, now)) {
@@ -135,6 +136,7 @@
     if (trial.state == Trial::State::Granted && now < trial.until)
         return false;
     flight.nextSendIsRetry = flight.sends > 0;
+    flight.waitCause = EndCause::AwaitsPermit;
     if (trial.state == Trial::State::Requested)
         return true;
     if (!trial.busyEndpoints.empty() && now - trial.requestedAt < m_settings.trialRetryInterval)
@@ -222,8 +224,11 @@
         0, m_quarantine.settings().propagationDelay.count());
     m_counts.quarantined += 1;
     finish(id, FlightOutcome::Failed,
-           quarantined ? "request quarantined: endpoints crashed while running it"
-                       : "endpoints crashed while running the request; no trial is permitted now",
+           quarantined ? Ending {EndCause::Quarantined,
+                                 "request quarantined: endpoints crashed while running it"}
+                       : Ending {EndCause::TrialNotPermitted,
+                                 "endpoints crashed while running the request; no trial is "
+                                 "permitted now"},
            now, actions, wait + Duration(spread(m_random)));
 }
 
--- a/src/libbalsamloft/relaypath.cpp
+++ b/src/libbalsamloft/relaypath.cpp
@@ -71,7 +71,8 @@
 {
     flight.pathChangeSentAt.reset();
     if (worthMoving(flight, now))
-        abandonAndRetry(id, flight, "the path could not be changed", now, actions);
+        abandonAndRetry(id, flight, {AttemptEnd::PathNotChanged, "the path could not be changed"},
+                        now, actions);
 }
 
 } // namespace balsamloft
--- a/src/libbalsamloft/relaypauses.cpp
+++ b/src/libbalsamloft/relaypauses.cpp
@@ -67,8 +67,8 @@
     if (!pause || pause->until <= flight.waitingSince + maxWait(flight))
         return false;
     m_counts.pauseRefusals += 1;
-    finish(id, FlightOutcome::Failed, "all endpoints announced a pause", now, actions,
-           pause->until - now + returnSpread(*pause));
+    finish(id, FlightOutcome::Failed, {EndCause::Paused, "all endpoints announced a pause"}, now,
+           actions, pause->until - now + returnSpread(*pause));
     return true;
 }
 
--- a/src/libbalsamloft/relaywaits_test.cpp
+++ b/src/libbalsamloft/relaywaits_test.cpp
@@ -212,3 +212,23 @@
         }
     }
 }
+
+// Guards against an answer without a reason, with which nobody can find out why it came.
+TEST_CASE("a request that ends while it waits tells why")
+{
+    for (const WaitingState &state : waitingStates()) {
+        for (const Change &change : changes()) {
+            INFO(state.name << ", " << change.name);
+            const auto harness = makeHarness(state.engines);
+            const FlightId flight = state.reach(*harness);
+            harness->advance(milliseconds(100));
+            change.make(*harness);
+            harness->advance(RouteTimeout + TickInterval);
+            const auto finish = harness->finished(flight);
+            if (!finish)
+                continue;
+            CHECK_FALSE(finish->reason.empty());
+            CHECK(finish->end.cause != EndCause::None);
+        }
+    }
+}
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -78,8 +78,9 @@
         return;
     if (now - flight->progressAt >= m_settings.suspectPause + expectedPause(*flight)
         && worthMoving(*flight, now))
-        abandonAndRetry(id, *flight, "the link to " + flight->endpoint + " is broken", now,
-                        actions);
+        abandonAndRetry(id, *flight,
+                        {AttemptEnd::LinkBroken, "the link to " + flight->endpoint + " is broken"},
+                        now, actions);
 }
 
 void Relay::setFleet(FleetPtr fleet, Time now, RelayActions &actions)
@@ -127,7 +128,8 @@
 void Relay::watch(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
     if (now >= flight.deadline)
-        return finish(id, FlightOutcome::TimedOut, "deadline exceeded", now, actions);
+        return finish(id, FlightOutcome::TimedOut, {EndCause::Deadline, "deadline exceeded"}, now,
+                      actions);
     if (flight.awaitsAdmission || abandonSuspectedAttempt(id, flight, now, actions))
         return;
     if (flight.state == State::Waiting)
@@ -136,7 +138,8 @@
         return watchStream(id, flight, now, actions);
     if (flight.request.route->idempotent() && now - flight.sentAt >= m_settings.callAttemptTimeout
         && flight.sends < flight.request.route->maxAttempts && mayRunAgain(flight))
-        abandonAndRetry(id, flight, "no answer from " + flight.endpoint, now, actions);
+        abandonAndRetry(id, flight, {AttemptEnd::NoAnswer, "no answer from " + flight.endpoint},
+                        now, actions);
 }
 
 /// How long the flight waits for an endpoint before it is refused.
@@ -161,16 +164,30 @@
                                                         : waited >= maxWait(flight);
     if (!expired)
         return;
+    finish(id, FlightOutcome::Failed, {flight.waitCause, waitReason(flight)}, now, actions);
+}
+
+/// Why a flight waits. What a suspicion holds back keeps the reason of its last attempt, which
+/// tells where the suspicion comes from; a flight that was never sent has no such reason.
+std::string Relay::waitReason(const Flight &flight)
+{
+    std::string_view suspicion;
+    if (flight.waitCause == EndCause::AwaitsConfirmation)
+        suspicion = "a crash under the same request or prompt part is not confirmed yet";
+    else if (flight.waitCause == EndCause::AwaitsPermit)
+        suspicion = "no answer to the request for a trial permit yet";
     std::string reason = flight.lastReason;
-    finish(id, FlightOutcome::Failed, std::move(reason), now, actions);
+    if (!suspicion.empty())
+        reason.append(reason.empty() ? "" : "; ").append(suspicion);
+    return reason;
 }
 
-void Relay::abandonAndRetry(FlightId id, Flight &flight, std::string reason, Time now,
+void Relay::abandonAndRetry(FlightId id, Flight &flight, Failure failure, Time now,
                             RelayActions &actions)
 {
     abandonAttempt(id, flight, now, actions);
     const std::string faultyEndpoint = flight.endpoint;
-    retry(id, flight, true, faultyEndpoint, std::move(reason), now, actions);
+    retry(id, flight, true, faultyEndpoint, std::move(failure), now, actions);
 }
 
 /// Whether the flight should be abandoned and retried. A started stream is only moved if there is
@@ -205,14 +222,15 @@
         if (changePath(id, flight, now, actions))
             return;
         if (idempotent && worthMoving(flight, now))
-            return abandonAndRetry(id, flight, flight.lastReason, now, actions);
+            return abandonAndRetry(id, flight, {AttemptEnd::Stalled, flight.lastReason}, now,
+                                   actions);
     }
     // A request without events may be queued at a busy engine. If moved, it would be queued again
     // elsewhere and use a retry, so its timeout is longer.
     const Duration timeout =
         flight.state == State::Streaming ? m_settings.stallTimeout : m_settings.startTimeout;
     if (idempotent && pause >= timeout + expected && worthMoving(flight, now))
-        return abandonAndRetry(id, flight, "stream stalled", now, actions);
+        return abandonAndRetry(id, flight, {AttemptEnd::Stalled, "stream stalled"}, now, actions);
     const auto queryPause =
         Duration(static_cast<std::int64_t>(expected.count() * m_settings.queryAfterPauses));
     if (pause >= std::max(m_settings.queryAfterPause, queryPause))
