HttpClient skips interim answers; answers that break off after any byte

Cause: HttpClient took an interim answer (100, 103) for the answer to the request. balsamloftd passed its status on with an empty body, kept the connection if the interim answer came in a packet of its own, and the next request on it could get the answer to the one before.

Ruled out: that an end of the connection inside the head counts as an answer that ends with its connection. Beast's parser calls it a partial message, in HttpClient and in Exchange, for each byte, and for a forwarding instance that ends at any byte.

Change: interim answers are skipped, at most 32 of them. The new tests play nine answers (length first and last, chunks with trailers, no framing, interim answers before, 204, 304, 500) on real sockets, cut after each byte by a close or a reset, and followed by further bytes.

--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -16,6 +16,12 @@
 
 namespace {
 
+/// Lower statuses are those of interim answers.
+constexpr unsigned FirstFinalStatus = 200;
+/// Without a limit, an endless series of interim answers would occupy the request until its
+/// deadline.
+constexpr std::size_t MaxInterimAnswers = 32;
+
 struct Connection
 {
     explicit Connection(asio::io_context &context)
@@ -72,6 +78,7 @@
     void connect();
     void write();
     void read();
+    void answerRead();
     void fail(HttpFailure::Kind kind, std::string reason);
     void fail(beast::error_code error, bool sent);
     void complete();
@@ -86,6 +93,7 @@
     std::unique_ptr<Connection> m_connection;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    std::size_t m_interimAnswers = 0;
 };
 
 void HttpClient::Call::start()
@@ -170,10 +178,21 @@
                              return;
                          if (error)
                              return self->fail(error, true);
-                         self->complete();
+                         self->answerRead();
                      });
 }
 
+/// An interim answer precedes the answer to the request. If it were taken for that answer, the next
+/// request on the connection would get the answer to this one.
+void HttpClient::Call::answerRead()
+{
+    if (m_parser->get().result_int() >= FirstFinalStatus)
+        return complete();
+    if (++m_interimAnswers > MaxInterimAnswers)
+        return fail(HttpFailure::Kind::Broken, "too many interim answers");
+    read();
+}
+
 void HttpClient::Call::complete()
 {
     HttpResult result;
--- /dev/null
+++ b/src/libweb/httpclient_test.cpp
@@ -0,0 +1,92 @@
+// Tests of answers that the server breaks off, or sends too much of.
+
+#include <balsamloft/httpclient.h>
+
+#include "../fakes/cutanswers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace balsamloft;
+using namespace balsamloft::fakes;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+struct Fixture
+{
+    /// Sends a request, waits for its result, and returns it.
+    HttpResult get()
+    {
+        std::optional<HttpResult> received;
+        client.send(endpoint.address(), HttpRequest(http::verb::get, "/x", 11), {},
+                    [&](HttpResult result) { received = std::move(result); });
+        while (!received)
+            context.run_one();
+        return std::move(*received);
+    }
+
+    asio::io_context context;
+    ScriptedEndpoint endpoint {context};
+    HttpClient client {context};
+};
+
+} // namespace
+
+// Guards against an interim answer that is taken for the answer, whose caller gets no answer, and
+// after which the next request on the connection gets the one before.
+TEST_CASE("interim answers are skipped")
+{
+    Fixture fixture;
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    fixture.endpoint.addAnswer(interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+                               Ending::Keep);
+    const HttpResult result = fixture.get();
+    REQUIRE(result.response);
+    CHECK(result.response->result_int() == 200);
+    CHECK(result.response->body() == "hi");
+}
+
+TEST_CASE("an endless series of interim answers is a failure")
+{
+    Fixture fixture;
+    std::string series;
+    for (int i = 0; i < 1000; ++i)
+        series += "HTTP/1.1 100 Continue\r\n\r\n";
+    fixture.endpoint.addAnswer(series, Ending::Keep);
+    CHECK_FALSE(fixture.get().response);
+}
+
+TEST_CASE("no answer that breaks off is taken for whole, whatever byte it ends at")
+{
+    const Ending ending = GENERATE(Ending::Close, Ending::Reset);
+    for (const AnswerShape &shape : answerShapes()) {
+        for (std::size_t sent = 0; sent <= shape.bytes.size(); ++sent) {
+            INFO(shape.name << ", " << sent << " of " << shape.bytes.size() << " bytes, reset "
+                            << (ending == Ending::Reset));
+            Fixture fixture;
+            fixture.endpoint.addAnswer(shape.bytes.substr(0, sent), ending);
+            const HttpResult result = fixture.get();
+            const auto whole = shape.wholeContent(sent, ending);
+            CHECK((!result.response || (whole && result.response->body() == *whole)));
+            CHECK((!result.response || result.response->result_int() == unsigned(shape.status)));
+            CHECK((result.response || !whole || ending == Ending::Reset));
+        }
+    }
+}
+
+TEST_CASE("bytes behind an answer are not taken for the next one")
+{
+    for (const AnswerShape &shape : answerShapes()) {
+        for (std::size_t more = 0; more <= shape.bytes.size() && !shape.endsWithConnection;
+             ++more) {
+            INFO(shape.name << " and " << more << " bytes");
+            Fixture fixture;
+            fixture.endpoint.addAnswer(shape.bytes + shape.bytes.substr(0, more), Ending::Keep);
+            fixture.endpoint.addAnswer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext",
+                                       Ending::Keep);
+            CHECK(fixture.get().response->body() == shape.content);
+            CHECK(fixture.get().response->body() == "next");
+        }
+    }
+}
