ConnectionForwarder follows each answer of an endpoint; a reset in the second is no close

Cause: behind one whole answer, a forwarding instance took the connection for idle and did not look at further bytes. If that answer was to an earlier request, the one behind it was still under way: a reset in its middle was told as an orderly end of the connection. The caller's instance skips the earlier answer by its id, and took an answer that ends with its connection for whole: a 200 with a part of the body, framed as whole. A planned stop judges by the same state.

Ruled out: the same on a direct connection (0 of 10), and answers of nine framings cut after each byte by a close or a reset, unsafe calls, direct and forwarded: none is passed on in part, none is sent twice.

Change: when bytes follow a whole answer, the next answer begins, as behind an interim one. RawServer's Reset sent a FIN, since shutdown() does; it resets now, so the tests that ask for a reset get one.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -345,25 +345,35 @@
     {
         if (!m_answer)
             return;
-        const bool hadHead = m_answer->headDone();
         m_unparsed += bytes;
         do
-            m_answer->consumeFrom(m_unparsed);
-        while (skipInterim());
-        m_answer->body().clear();
-        if (!hadHead && m_answer->headDone())
-            m_forwarder.m_policy.forwardedAnswer(m_id, m_answer->head());
+            readOneAnswer();
+        while (beginNextAnswer());
         if (m_answer->done() || m_answer->failure() != MessageReader::Failure::None)
             m_unparsed.clear();
     }
 
-    /// \return whether an interim answer was complete; the next one follows it.
-    bool skipInterim()
+    void readOneAnswer()
+    {
+        const bool hadHead = m_answer->headDone();
+        m_answer->consumeFrom(m_unparsed);
+        m_answer->body().clear();
+        if (!hadHead && m_answer->headDone() && !isInterim())
+            m_forwarder.m_policy.forwardedAnswer(m_id, m_answer->head());
+    }
+
+    bool isInterim() { return m_answer->head().status < 200; }
+
+    /// Begins the next answer if an interim one is complete, or if bytes follow one: it may have
+    /// been to an earlier request. If the connection counted as idle behind such an answer, a reset
+    /// in the middle of the next one would be taken for an orderly close, and its part for whole.
+    /// \return whether the next answer begins.
+    bool beginNextAnswer()
     {
-        const bool interim = m_answer->done() && m_answer->head().status < 200;
-        if (interim)
+        const bool next = m_answer->done() && (isInterim() || !m_unparsed.empty());
+        if (next)
             m_answer.emplace(MessageReader::Kind::Response, MessageLimits {});
-        return interim;
+        return next;
     }
 
     ConnectionForwarder &m_forwarder;
--- a/testsuite/entry/rawserver.cpp
+++ b/testsuite/entry/rawserver.cpp
@@ -111,11 +111,10 @@
                 return;
             }
             if (answer.then == RawAnswer::Then::Reset) {
-                const linger resetOnClose {1, 0};
-                ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
-                const int duplicate = ::dup(socket); // m_sockets keeps the original descriptor open
-                ::shutdown(socket, SHUT_RDWR);
-                ::close(duplicate);
+                // shutdown() would close in an orderly way, as long as m_sockets keeps the socket
+                // open.
+                const sockaddr unspecified {.sa_family = AF_UNSPEC, .sa_data = {}};
+                ::connect(socket, &unspecified, sizeof unspecified);
                 return;
             }
         }
