--- a/testsuite/cut-answers/cut_answers_test.cpp
+++ b/testsuite/cut-answers/cut_answers_test.cpp
@@ -75,7 +75,7 @@
     {
         m_endpoints.push_back(std::make_unique<RawServer>(
             [this](const std::string &request) { return answer(request); }));
-        const std::string address = m_endpoints.back()->address();
+        std::string address = m_endpoints.back()->address();
         const bool model = id[0] == 'm';
         m_store.put("endpoints", id,
                     R"({"service":")" + std::string(model ? "model" : "plain") + R"(","address":")"
--- a/testsuite/entry/rawserver.cpp
+++ b/testsuite/entry/rawserver.cpp
@@ -114,7 +114,7 @@
                 // shutdown() would close in an orderly way, as long as m_sockets keeps the socket
                 // open.
                 const sockaddr unspecified {.sa_family = AF_UNSPEC, .sa_data = {}};
-                ::connect(socket, &unspecified, sizeof unspecified);
+                (void)::connect(socket, &unspecified, sizeof unspecified);
                 return;
             }
         }
