Relay: an answer other than 200 to a stream is passed on at once

Callers of a stream that an endpoint answered with a status below 500 other than 200 waited until the stall timeout: the relay took the answer for the head of a stream, the session forwards events of 200 only, so neither answered. With events from an earlier attempt, the stream ended by its timeout. Found by reading the ways to a truncated stream. Unchanged and passed: relay_test, relayends_test, relaywaits_test, lateanswers_test.

--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr int Ok = 200;
 /// With this status, an endpoint rejects a request before it executes anything.
 constexpr int Misdirected = 421;
 constexpr int FirstServerError = 500;
@@ -701,7 +702,7 @@
               actions);
         return false;
     }
-    if (stream && !failed) {
+    if (stream && head.status == Ok) {
         for (const PathPart &part : flight->path)
             m_engines.resetRefusals(part.endpoint);
         flight->state = State::Streaming;
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -104,6 +104,22 @@
     CHECK(harness.finished(stream)->outcome == FlightOutcome::Truncated);
 }
 
+// Guards against a caller that waits in vain: no events follow an answer other than 200.
+TEST_CASE("an answer other than 200 to a stream is passed on, and truncates one that has events")
+{
+    RelayHarness harness(twoPaths());
+    const FlightId unbegun = harness.submit(RequestKind::Stream);
+    CHECK_FALSE(harness.answer(unbegun, 404));
+    CHECK(harness.passed(unbegun));
+    const FlightId begun = harness.submit(RequestKind::Stream);
+    REQUIRE(harness.answer(begun, 200));
+    harness.forwardEvents(begun, 7);
+    harness.fail(begun, AttemptFailure::Broken);
+    CHECK_FALSE(harness.answer(begun, 404));
+    REQUIRE(harness.finished(begun));
+    CHECK(harness.finished(begun)->outcome == FlightOutcome::Truncated);
+}
+
 // Guards against events of a failed attempt that arrive after the stream resumed elsewhere.
 TEST_CASE("late data of a failed attempt is ignored")
 {
