The end of a forwarding instance is told from that of the endpoint

Callers saw a stream end without its last part at an instance that lives, beside a new configuration: instances that forwarded its connection were killed one after another, and each end counted as the endpoint's failure. A forwarding instance now reports a reset by the endpoint in its last chunk (negotiated in CONNECT, so mixed releases see a reset as before). Any other end is ForwarderLost: the endpoint is neither avoided nor suspected, the request may be repeated there without counting against the route's attempts, within the retry budget; a stream whose attempts are used up waits for another way at that endpoint while its caller waits. A call that may run once is never repeated. Queries and polls lost with their way say nothing of the engine.

--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -110,13 +110,13 @@
 
 void CallerSession::exchangeFailed(AttemptFailure failure)
 {
-    static constexpr std::array<std::string_view, 4> Names {"not sent", "broken off",
-                                                            "invalid answer", "withheld"};
+    static constexpr std::array<std::string_view, 5> Names {
+        "not sent", "broken off", "invalid answer", "withheld", nameOf(AttemptEnd::BrokenOnWay)};
     m_connectionEnd = m_exchange ? m_exchange->connectionEnd() : ConnectionEnd::None;
-    m_brokenOnWay =
-        failure == AttemptFailure::Broken && m_exchange && m_exchange->isEndedByForwarder();
-    const bool mayHaveArrived =
-        failure == AttemptFailure::Broken || failure == AttemptFailure::InvalidAnswer;
+    m_brokenOnWay = m_exchange && m_exchange->isEndedByForwarder();
+    const bool mayHaveArrived = failure == AttemptFailure::Broken
+                                || failure == AttemptFailure::InvalidAnswer
+                                || failure == AttemptFailure::ForwarderLost;
     addToTrail(std::string(m_brokenOnWay ? nameOf(AttemptEnd::BrokenOnWay)
                                          : Names[static_cast<std::size_t>(failure)])
                + (mayHaveArrived ? " (" + wayText() + ")" : ""));
--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -24,24 +24,35 @@
 /// An answer that can't be parsed is considered finished after this long without data.
 constexpr Duration AnswerPause {2'000'000};
 
-std::string answerText(int status)
+std::string field(std::string_view name, std::string_view value)
 {
-    return "HTTP/1.1 " + std::to_string(status) + (status == forwarding::Opened ? " OK" : " No")
-           + (status == forwarding::Opened ? "\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                           : "\r\nContent-Length: 0\r\n\r\n");
+    return std::string(name).append(": ").append(value).append("\r\n");
 }
 
-std::string lastChunk(std::uint64_t forwardedBytes)
+std::string openedText(bool reportsFailure)
 {
-    return "0\r\n" + std::string(ForwardedBytesField) + ": " + std::to_string(forwardedBytes)
-           + "\r\n\r\n";
+    return "HTTP/1.1 " + std::to_string(forwarding::Opened)
+           + " OK\r\nTransfer-Encoding: chunked\r\n"
+           + (reportsFailure ? field(EndpointFailureField, "reported") : "") + "\r\n";
+}
+
+std::string refusedText(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " No\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string lastChunk(std::uint64_t forwardedBytes, bool endpointFailed)
+{
+    return "0\r\n" + field(ForwardedBytesField, std::to_string(forwardedBytes))
+           + (endpointFailed ? field(EndpointFailureField, "1") : "") + "\r\n";
 }
 
 } // namespace
 
 std::string forwardingRequest(const std::string &endpoint)
 {
-    return "CONNECT " + endpoint + " HTTP/1.1\r\nHost: " + endpoint + "\r\n\r\n";
+    return "CONNECT " + endpoint + " HTTP/1.1\r\nHost: " + endpoint + "\r\n"
+           + field(EndpointFailureField, "report") + "\r\n";
 }
 
 /// The connection of another instance and the one to the endpoint.
@@ -226,7 +237,7 @@
         m_connected = true;
         m_forwarder.m_opened += 1;
         setSocketOptions(m_endpoint);
-        writeToInstance(answerText(forwarding::Opened));
+        writeToInstance(openedText(reportsFailure()));
         if (m_unread.empty())
             return readFromInstance();
         m_answer.emplace(MessageReader::Kind::Response, MessageLimits {});
@@ -235,7 +246,7 @@
 
     void refuse(int status)
     {
-        m_text = answerText(status);
+        m_text = refusedText(status);
         asio::async_write(
             m_instance, asio::buffer(m_text),
             [self = shared_from_this()](const error_code &, std::size_t) { self->close(true); });
@@ -265,7 +276,7 @@
 
     void writeEnd()
     {
-        m_text = lastChunk(m_forwardedBytes);
+        m_text = lastChunk(m_forwardedBytes, m_endpointFailed);
         asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::endWritten));
     }
 
@@ -329,7 +340,7 @@
         if (error == asio::error::eof || (error && isIdle()))
             return end();
         if (error)
-            return close(false);
+            return endpointFailed(error);
         m_awaitsAnswer = false;
         m_answeredAt = steadyNow();
         const std::string_view bytes(m_toInstance.data(), count);
@@ -339,6 +350,18 @@
         writeToInstance(std::move(chunk));
     }
 
+    /// Any error but a reset is a failure of the link to the endpoint, which is not reported.
+    void endpointFailed(const error_code &error)
+    {
+        if (!reportsFailure() || error != asio::error::connection_reset)
+            return close(false);
+        m_endpointFailed = true;
+        end();
+    }
+
+    /// Whether the instance wants to be told of a failure of the endpoint.
+    bool reportsFailure() { return m_request.head().find(EndpointFailureField).has_value(); }
+
     /// Follows the answer in the bytes of the endpoint. What cannot be parsed is forwarded all the
     /// same.
     void readAnswer(std::string_view bytes)
@@ -392,6 +415,7 @@
     bool m_connected = false; ///< to the endpoint
     bool m_writing = false; ///< to the instance, before the end
     bool m_ending = false;
+    bool m_endpointFailed = false; ///< it broke the connection
     std::uint64_t m_forwardedBytes = 0; ///< to the endpoint
     std::string m_text; ///< being written to the instance
     std::array<char, 8192> m_toEndpoint {};
--- a/src/entry/connectionforwarder.h
+++ b/src/entry/connectionforwarder.h
@@ -32,6 +32,11 @@
 /// Formats the request to open a connection to \a endpoint.
 std::string forwardingRequest(const std::string &endpoint);
 
+/// Field with which an instance that forwards a connection tells that the endpoint failed, in the
+/// trailer of its answer, and beforehand that it will do so, in the head. An instance that asks for
+/// a connection has the field in its request if it understands this.
+inline constexpr std::string_view EndpointFailureField = "Endpoint-Failure";
+
 /// Trailer field at the end of a forwarded connection: how many bytes of the instance were
 /// forwarded to the endpoint.
 inline constexpr std::string_view ForwardedBytesField = "Forwarded-Bytes";
@@ -53,8 +58,10 @@
 /// Listens for other instances. An instance requests a connection with `CONNECT endpoint-id`. Once
 /// it is open, all bytes that follow the request go to the endpoint unchanged. The bytes of the
 /// endpoint come back as the chunks of the answer's body. Its last chunk tells that the endpoint
-/// closed the connection in an orderly way: if the forwarding process is killed or the endpoint
-/// resets the connection, the last chunk is missing, so a truncated answer does not look complete.
+/// closed the connection in an orderly way, or with EndpointFailureField that it reset the
+/// connection. Without the last chunk the forwarding process or one of its links has ended, and
+/// nothing is known of the endpoint. An instance that does not understand the field is reset in
+/// both cases. So a truncated answer never looks complete.
 ///
 /// An endpoint that refuses the connection may be gone, or this instance's own links may be
 /// broken. To tell the two apart, a connection to another endpoint is opened, and closed again.
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -1,7 +1,6 @@
 #include "connectionpool.h"
 
 #include "clock.h"
-#include "connectionforwarder.h"
 #include "connector.h"
 #include "sockets.h"
 
@@ -72,6 +71,12 @@
     return bytes;
 }
 
+bool PooledConnection::isForwarderLost()
+{
+    return channel && !isEnded() && channel->headDone()
+           && channel->head().find(EndpointFailureField).has_value();
+}
+
 void PooledConnection::close()
 {
     boost::system::error_code ignored;
@@ -247,8 +252,8 @@
         return;
     m_pool.reads += 1;
     m_connection->received(count);
-    const bool ended = m_forwarded ? m_connection->isEnded() : error == asio::error::eof;
-    if (error || ended || m_connection->isGarbled()) {
+    const bool ended = m_forwarded ? m_connection->isClosedInOrder() : error == asio::error::eof;
+    if (error || ended || m_connection->isEnded() || m_connection->isGarbled()) {
         recordEnd(error, ended);
         process();
         if (!m_handler)
@@ -262,9 +267,7 @@
         if (m_reader->done() && !m_skipsAnswer)
             return complete();
         m_pool.endedByForwarder += m_endedByForwarder ? 1 : 0;
-        return fail(m_reader->failure() == MessageReader::Failure::None || !m_reader->started()
-                        ? AttemptFailure::Broken
-                        : AttemptFailure::InvalidAnswer);
+        return fail(failureAtEnd());
     }
     process();
     if (m_handler && m_connection)
@@ -273,10 +276,25 @@
 
 void Exchange::recordEnd(const boost::system::error_code &error, bool ended)
 {
-    m_connectionEnd = connectionEndOf(error, ended);
+    const bool reported = m_connection->isEnded() && !ended;
+    m_connectionEnd = reported ? ConnectionEnd::Reset : connectionEndOf(error, ended);
+    // An instance of an earlier release passes a reset of the endpoint on, as one of its own.
     m_endedByForwarder =
-        m_forwarded && !ended
-        && (m_connectionEnd == ConnectionEnd::Eof || m_connectionEnd == ConnectionEnd::TimedOut);
+        m_forwarded && !ended && !reported
+        && (m_connectionEnd != ConnectionEnd::Reset || m_connection->isForwarderLost());
+}
+
+/// Why the exchange fails when its connection ends within the answer.
+AttemptFailure Exchange::failureAtEnd()
+{
+    if (m_reader->failure() != MessageReader::Failure::None && m_reader->started())
+        return AttemptFailure::InvalidAnswer;
+    if (!m_connection->isForwarderLost())
+        return AttemptFailure::Broken;
+    // Otherwise the next attempt might be forwarded by an instance that has ended.
+    if (m_pool.links())
+        m_pool.links()->recordPeerFailure(m_connection->forwardedBy, steadyNow());
+    return AttemptFailure::ForwarderLost;
 }
 
 /// Whether the instance that forwards the connection ended it without forwarding the request.
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "acknowledgmentlimit.h"
+#include "connectionforwarder.h"
 #include "httpmessage.h"
 
 #include <balsamloft/endpointlinks.h>
@@ -34,9 +35,16 @@
     /// Whether another instance forwards the connection.
     bool isForwarded() const { return channel.has_value(); }
 
-    /// Whether the called process closed a forwarded connection in an orderly way.
+    /// Whether the forwarding instance told that the called process ended the connection.
     bool isEnded() const { return channel && channel->done(); }
 
+    /// Whether the called process closed a forwarded connection in an orderly way.
+    bool isClosedInOrder() const { return isEnded() && !channel->trailer(EndpointFailureField); }
+
+    /// Whether the end of a forwarded connection tells nothing of the called process: the
+    /// forwarding instance ended, although it would have told an end of the called process.
+    bool isForwarderLost();
+
     /// Whether the forwarding instance sent what cannot be decoded.
     bool isGarbled() const { return channel && channel->failure() != MessageReader::Failure::None; }
 
@@ -166,8 +174,7 @@
     /// How the connection ended on which the request was sent.
     ConnectionEnd connectionEnd() const { return m_connectionEnd; }
 
-    /// Whether the instance that forwarded the connection ended it before the endpoint did. It
-    /// passes a reset of the endpoint on, so a reset does not tell who ended the connection.
+    /// Whether the instance that forwarded the connection ended it before the endpoint did.
     bool isEndedByForwarder() const { return m_endedByForwarder; }
 
 private:
@@ -177,6 +184,7 @@
     bool replaceIfEnded();
     bool wasNotForwarded() const;
     void recordEnd(const boost::system::error_code &error, bool ended);
+    AttemptFailure failureAtEnd();
     void writeFinished(const boost::system::error_code &error);
     void read();
     void readFinished(const boost::system::error_code &error, std::size_t count);
--- a/src/entry/controlengines.cpp
+++ b/src/entry/controlengines.cpp
@@ -97,6 +97,8 @@
     const bool answered = outcome.status == 200 && report && !replaced;
     PolledEngine &polled = m_polled[id];
     polled.pollPending = false;
+    if (outcome.forwarderLost)
+        return;
     polled.state.id = id;
     polled.state.at = steadyNow();
     const bool hadMissed = m_silence.hasMissed(id);
--- a/src/entry/exchange_test.cpp
+++ b/src/entry/exchange_test.cpp
@@ -139,7 +139,7 @@
 namespace {
 
 /// Sends a request on a connection that another instance forwards, and that ends without an answer.
-AttemptFailure failureAtEnd(const std::string &end)
+AttemptFailure failureAtEnd(const std::string &end, const std::string &fields = {})
 {
     asio::io_context context;
     ConnectionPool pool(context);
@@ -148,7 +148,7 @@
     connection->endpoint = "e1";
     connection->socket.connect(acceptor.local_endpoint());
     connection->channel.emplace(MessageReader::Kind::Response, MessageLimits {});
-    connection->undecoded = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    connection->undecoded = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n";
     connection->received(0);
     tcp::socket peer = acceptor.accept();
     pool.put(std::move(connection), steadyNow());
@@ -162,6 +162,7 @@
     asio::async_read_until(peer, asio::dynamic_buffer(request), "\r\n\r\n",
                            [&](const boost::system::error_code &, std::size_t) {
                                asio::write(peer, asio::buffer(end));
+                               peer.close();
                            });
     while (!recorder.isFinished())
         context.run_one();
@@ -179,6 +180,21 @@
     CHECK(failureAtEnd("0\r\n\r\n") == AttemptFailure::Broken);
 }
 
+// Guards against an endpoint that is blamed for the end of the instance that forwards to it, and
+// against the reverse.
+TEST_CASE("the end of a forwarding instance is told from that of the endpoint")
+{
+    const std::string reports = "Endpoint-Failure: reported\r\n";
+    const std::string begun = "5\r\nHTTP/\r\n";
+    CHECK(failureAtEnd(begun, reports) == AttemptFailure::ForwarderLost);
+    CHECK(failureAtEnd({}, reports) == AttemptFailure::ForwarderLost);
+    CHECK(failureAtEnd(begun + "0\r\nForwarded-Bytes: 99\r\nEndpoint-Failure: 1\r\n\r\n", reports)
+          == AttemptFailure::Broken);
+    CHECK(failureAtEnd(begun + "0\r\nForwarded-Bytes: 99\r\n\r\n", reports)
+          == AttemptFailure::InvalidAnswer);
+    CHECK(failureAtEnd(begun) == AttemptFailure::Broken);
+}
+
 TEST_CASE("a request is sent on a connection that is still idle")
 {
     Fixture fixture;
--- a/src/entry/timedcall.cpp
+++ b/src/entry/timedcall.cpp
@@ -91,8 +91,9 @@
     m_lastReadAt = steadyNow();
 }
 
-void TimedCall::exchangeFailed(AttemptFailure /*failure*/)
+void TimedCall::exchangeFailed(AttemptFailure failure)
 {
+    m_outcome.forwarderLost = failure == AttemptFailure::ForwarderLost;
     m_outcome.connectionRefused = m_exchange->connectionRefused();
     finish();
 }
--- a/src/entry/timedcall.h
+++ b/src/entry/timedcall.h
@@ -21,6 +21,8 @@
     bool mayHaveArrived = false; ///< the request may have reached the called process
     bool connectionRefused = false; ///< no process listens at the address
     bool forwarded = false; ///< another instance forwarded the connection
+    /// That instance ended. Nothing is known of the called process.
+    bool forwarderLost = false;
 };
 
 /// Sends one request and passes the complete answer, or a failure, to a callback. Time in which the
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -350,6 +350,8 @@
                                    const CallOutcome &outcome)
 {
     m_queries.erase(endpoint);
+    if (outcome.forwarderLost)
+        return;
     RelayActions actions;
     Reason reason;
     const auto report = m_protocol.parseReport(outcome.body, reason);
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -60,6 +60,9 @@
     /// No byte reached the endpoint: Relay::maySend() forbade it, or the instance that was to
     /// forward the request did not.
     Withheld,
+    /// The instance that forwarded the request ended the connection. The request may have been
+    /// executed; the endpoint has not failed.
+    ForwarderLost,
 };
 
 /// The head of an endpoint's answer, reduced to what decisions need.
@@ -219,6 +222,7 @@
     Duration callAttemptTimeout {400'000}; ///< then an idempotent call is sent to another endpoint
     double callWaitShare = 0.12; ///< longest wait for an endpoint, as a share of the target latency
     double streamWaitShare = 1.6; ///< the same for a stream that waits for a path
+    Duration tickInterval {50'000}; ///< while there are flights
     /// A longer interval between ticks means that the process did not run, or was late. A late
     /// tick may come before the data that arrived meanwhile.
     Duration maxTickInterval {120'000};
@@ -266,6 +270,7 @@
     std::uint64_t rateLimitSkips = 0; ///< choices that excluded an endpoint for its rate limit
     std::uint64_t pauseSkips = 0; ///< choices that excluded an endpoint for its announced pause
     std::uint64_t pauseRefusals = 0; ///< requests refused because all endpoints are paused
+    std::uint64_t forwardersLost = 0; ///< attempts whose forwarding instance ended
     std::uint64_t withheld = 0; ///< attempts that were chosen, but no longer permitted to be sent
     std::uint64_t retryAfterAnswers = 0; ///< refusals that announced when to come back
     std::uint64_t drainingAnswers = 0; ///< answers that announced the exit of their endpoint
@@ -432,6 +437,10 @@
         bool nextSendIsRetry = false; ///< the next send counts against the retry budget
         std::optional<std::uint64_t> lastEvent;
         std::set<std::string> avoid; ///< endpoints where it failed
+        /// First part of the path, or plain endpoint, of an attempt whose forwarding instance was
+        /// lost. The request may be repeated there without counting against the route's attempts.
+        std::optional<PathPart> repeatAt;
+        Time forwarderLostAt {}; ///< last time
         Trial trial;
         std::string lastReason;
         EndCause waitCause = EndCause::None; ///< why the flight was not sent when it was last tried
@@ -472,7 +481,7 @@
     void dispatchAdmitted(Time now, RelayActions &actions);
     std::optional<int> urgency(const Flight &flight) const;
     std::optional<EnginePath> findPath(const Flight &flight, const std::set<std::string> &without,
-                                       Time now);
+                                       Time now, const PathPart *first = nullptr);
     static std::set<std::string> excludedEndpoints(const Flight &flight);
     std::set<std::string> ofService(const Flight &flight, std::set<std::string> endpoints) const;
     std::set<std::string> rateLimitedEndpoints(const Flight &flight, Time now);
@@ -483,8 +492,13 @@
     void markDraining(const std::string &endpoint, RelayActions &actions);
     void applyAnnouncedExits();
     void withhold(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void forwarderLost(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    void notSent(FlightId id, Flight &flight, Time now, RelayActions &actions);
+    bool canOnlyRepeat(const Flight &flight, Time now) const;
+    void repeatLater(Flight &flight, Failure failure, Time now);
     Duration maxWait(const Flight &flight) const;
-    bool choosePath(Flight &flight, Time now, SendRequest &send);
+    bool choosePath(Flight &flight, Time now, SendRequest &send, const PathPart *first = nullptr);
+    bool chooseAgain(Flight &flight, Time now, SendRequest &send);
     void setExpectedTimes(Flight &flight, const EnginePath &path);
     void addLoad(const Flight &flight);
     void removeLoad(const Flight &flight);
--- a/src/libbalsamloft/crashingrequests_test.cpp
+++ b/src/libbalsamloft/crashingrequests_test.cpp
@@ -400,6 +400,26 @@
     CHECK_FALSE(harness.finished(flight));
 }
 
+// Guards against a stream that is cut after it was resumed at a sound engine.
+TEST_CASE("a resumed stream is not abandoned when its request becomes quarantined")
+{
+    RelayHarness harness(completeEngines());
+    const FlightId flight = submitSuspect(harness);
+    REQUIRE(harness.answer(flight, 200));
+    harness.forwardEvents(flight, 1);
+    harness.fail(flight, AttemptFailure::Broken);
+    harness.relay.queryAnswered(harness.sends(flight).front().endpoint, {}, 1, harness.now,
+                                harness.actions);
+    harness.advance(milliseconds(50));
+    REQUIRE(harness.sends(flight).size() == 2);
+    if (GENERATE(false, true))
+        REQUIRE(harness.answer(flight, 200));
+    harness.relay.setSharedCrashes(crashRecords(3, harness.now - seconds(3)));
+    harness.advance(milliseconds(100));
+    CHECK(harness.abandoned(flight) == 0);
+    CHECK_FALSE(harness.finished(flight));
+}
+
 // Guards against two copies of a request at one instance that each crash an engine: with one trial
 // at a time, only one engine crashes.
 TEST_CASE("a request with two crashes has one trial at a time")
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -173,7 +173,8 @@
 /// is paused or at its rate limit. Later parts run at a paused engine only if no other path exists:
 /// such an engine gets no request from this instance.
 std::optional<EnginePath> Relay::findPath(const Flight &flight,
-                                          const std::set<std::string> &without, Time now)
+                                          const std::set<std::string> &without, Time now,
+                                          const PathPart *first)
 {
     PathQuery query;
     query.domain = m_settings.domain;
@@ -185,7 +186,7 @@
     query.excluded = &unwanted;
     query.firstPart = flight.trial.state == Trial::State::Granted && flight.trial.first
                           ? &*flight.trial.first
-                          : nullptr;
+                          : first;
     query.minCostNoise = flight.failedEarly ? m_settings.rerouteSpread : 0;
     std::set<std::string> excludedAsFirst = rateLimitedEndpoints(flight, now);
     excludedAsFirst.insert(paused.begin(), paused.end());
@@ -203,9 +204,9 @@
     return path;
 }
 
-bool Relay::choosePath(Flight &flight, Time now, SendRequest &send)
+bool Relay::choosePath(Flight &flight, Time now, SendRequest &send, const PathPart *first)
 {
-    auto path = findPath(flight, excludedEndpoints(flight), now);
+    auto path = findPath(flight, excludedEndpoints(flight), now, first);
     if (!path) {
         flight.lastReason = "no path over all layers";
         flight.waitCause = EndCause::NoPath;
@@ -257,8 +258,35 @@
     return all;
 }
 
+/// Chooses the endpoint of the last attempt again, whose forwarding instance was lost. The request
+/// may have run there, so another endpoint would count against the route's limit.
+bool Relay::chooseAgain(Flight &flight, Time now, SendRequest &send)
+{
+    const PathPart first = *flight.repeatAt;
+    const FleetEndpoint *endpoint = m_fleet->find(first.endpoint);
+    if (!endpoint || !acceptsRequests(endpoint->id, now) || m_engines.suspected(endpoint->id, now)
+        || excludedEndpoints(flight).contains(endpoint->id)
+        || rateLimitedEndpoints(flight, now).contains(endpoint->id))
+        return false;
+    if (service(flight).model)
+        return choosePath(flight, now, send, &first);
+    send.endpoint = endpoint->id;
+    send.name = endpoint->name;
+    send.address = endpoint->address;
+    flight.domain = endpoint->domain;
+    return true;
+}
+
 bool Relay::choose(Flight &flight, Time now, SendRequest &send)
 {
+    if (flight.repeatAt && flight.trial.state != Trial::State::Granted) {
+        if (chooseAgain(flight, now, send))
+            return true;
+        if (!mayRunAgain(flight)) {
+            flight.waitCause = EndCause::AttemptsUsed;
+            return false;
+        }
+    }
     return service(flight).model ? choosePath(flight, now, send)
                                  : chooseEndpoint(flight, now, send);
 }
@@ -466,10 +494,14 @@
     return budget(flight).withdraw(now, leavesReserve ? m_settings.streamReserve : 0);
 }
 
+/// Repeats the request if its kind permits. \a faultyEndpoint is avoided; empty: none has failed.
 void Relay::retry(FlightId id, Flight &flight, bool mayHaveRun, const std::string &faultyEndpoint,
                   Failure failure, Time now, RelayActions &actions)
 {
-    flight.avoid.insert(faultyEndpoint);
+    if (!faultyEndpoint.empty())
+        flight.avoid.insert(faultyEndpoint);
+    if (flight.repeatAt && flight.avoid.contains(flight.repeatAt->endpoint))
+        flight.repeatAt.reset();
     flight.lastFailure = failure.end;
     flight.lastStatus = failure.status;
     if (mayHaveRun)
@@ -477,7 +509,7 @@
     endAttempt(flight);
     flight.waitingSince = now;
     flight.lastReason = failure.reason;
-    if (!flight.mayHaveRunAt.empty() && !mayRunAgain(flight))
+    if (!flight.mayHaveRunAt.empty() && !flight.repeatAt && !mayRunAgain(flight))
         return finish(id, FlightOutcome::Failed,
                       {EndCause::AttemptsUsed, std::move(failure.reason)}, now, actions);
     if (refuseIfPaused(id, flight, now, actions))
@@ -542,16 +574,15 @@
         return;
     if (failure == AttemptFailure::Withheld)
         return withhold(id, *flight, now, actions);
+    if (failure == AttemptFailure::ForwarderLost)
+        return forwarderLost(id, *flight, now, actions);
     m_engines.recordOutcome(flight->endpoint, true, now);
     if (failure != AttemptFailure::NotSent)
         recordBroken(*flight, now, actions);
     switch (failure) {
     case AttemptFailure::NotSent:
         finishTrial(*flight, TrialOutcome::NotSent, actions);
-        m_engines.suspect(flight->endpoint, now);
-        return retry(id, *flight, false, flight->endpoint,
-                     {AttemptEnd::NotSent, "request could not be sent to " + flight->endpoint}, now,
-                     actions);
+        return notSent(id, *flight, now, actions);
     case AttemptFailure::Broken:
         return retry(id, *flight, true, flight->endpoint,
                      {AttemptEnd::Broken, "connection broken by " + flight->endpoint}, now,
@@ -561,10 +592,20 @@
                      {AttemptEnd::InvalidAnswer, "invalid answer from " + flight->endpoint}, now,
                      actions);
     case AttemptFailure::Withheld:
+    case AttemptFailure::ForwarderLost:
         return;
     }
 }
 
+void Relay::notSent(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    Failure failure {AttemptEnd::NotSent, "request could not be sent to " + flight.endpoint};
+    if (canOnlyRepeat(flight, now))
+        return repeatLater(flight, std::move(failure), now);
+    m_engines.suspect(flight.endpoint, now);
+    retry(id, flight, false, flight.endpoint, std::move(failure), now, actions);
+}
+
 /// Chooses again for an attempt of which nothing was sent. The endpoint has not failed, and since
 /// it received nothing, the next send is not a retry.
 void Relay::withhold(FlightId id, Flight &flight, Time now, RelayActions &actions)
@@ -577,6 +618,46 @@
     dispatch(id, flight, now, actions);
 }
 
+/// Repeats an attempt whose forwarding instance was lost. If this counted as a failure of the
+/// endpoint, a stream would be cut after as many ends of instances as the route has attempts, and
+/// the request would be suspected of crashing endpoints.
+void Relay::forwarderLost(FlightId id, Flight &flight, Time now, RelayActions &actions)
+{
+    m_counts.forwardersLost += 1;
+    finishTrial(flight, TrialOutcome::Inconclusive, actions);
+    recordAbandoned(flight, now);
+    flight.forwarderLostAt = now;
+    if (flight.request.route->idempotent())
+        flight.repeatAt =
+            flight.path.empty() ? PathPart {flight.endpoint, {}, {}} : flight.path.front();
+    retry(id, flight, true, {},
+          {AttemptEnd::BrokenOnWay,
+           "the instance that forwarded to " + flight.endpoint + " was lost"},
+          now, actions);
+}
+
+/// Whether the stream can only go on at the endpoint of its attempt, whose forwarding instance was
+/// lost a moment ago.
+bool Relay::canOnlyRepeat(const Flight &flight, Time now) const
+{
+    return flight.eventsForwarded && flight.repeatAt && flight.repeatAt->endpoint == flight.endpoint
+           && !mayRunAgain(flight) && now - flight.forwarderLostAt < m_settings.resumeTimeout;
+}
+
+/// Tries the same endpoint again with the next ticks. Other forwarding instances may be lost at the
+/// same moment, and the endpoint may still hold the abandoned attempt.
+void Relay::repeatLater(Flight &flight, Failure failure, Time now)
+{
+    // An attempt that was not sent did not use its retry.
+    flight.nextSendIsRetry = failure.end != AttemptEnd::NotSent;
+    flight.lastFailure = failure.end;
+    flight.lastStatus = failure.status;
+    flight.lastReason = std::move(failure.reason);
+    flight.waitCause = EndCause::AttemptsUsed;
+    endAttempt(flight);
+    flight.waitingSince = now;
+}
+
 void Relay::handleRejection(FlightId id, Flight &flight, const AnswerHead &head, Time now,
                             RelayActions &actions)
 {
@@ -603,8 +684,10 @@
         return finish(id, FlightOutcome::Failed, {EndCause::TrialRejected, std::move(reason)}, now,
                       actions);
     }
-    retry(id, flight, false, faultyEndpoint, {AttemptEnd::Rejected, std::move(reason), head.status},
-          now, actions);
+    Failure failure {AttemptEnd::Rejected, std::move(reason), head.status};
+    if (canOnlyRepeat(flight, now))
+        return repeatLater(flight, std::move(failure), now);
+    retry(id, flight, false, faultyEndpoint, std::move(failure), now, actions);
 }
 
 void Relay::recordRateLimit(const Flight &flight, const AnswerHead &head, Time now)
--- a/src/libbalsamloft/relay_test.cpp
+++ b/src/libbalsamloft/relay_test.cpp
@@ -89,6 +89,36 @@
     CHECK_FALSE(passesThrough(sends[1], sends[0].endpoint));
 }
 
+// Guards against a stream that is cut after as many ends of forwarding instances as its route has
+// attempts, and against endpoints that are suspected for them.
+TEST_CASE("a stream whose forwarding instances are lost goes on at the same endpoint")
+{
+    RelayHarness harness(twoPaths());
+    const FlightId stream = harness.submit(RequestKind::Stream, seconds(20), "digest");
+    for (std::uint64_t event = 1; event <= 4; ++event) {
+        REQUIRE(harness.answer(stream, 200));
+        harness.forwardEvents(stream, event);
+        harness.fail(stream, AttemptFailure::ForwarderLost);
+        const auto sends = harness.sends(stream);
+        REQUIRE(sends.size() == event + 1);
+        CHECK(sends.back().endpoint == sends.front().endpoint);
+        CHECK(sends.back().afterEvent == event);
+    }
+    CHECK_FALSE(
+        harness.relay.engines().suspected(harness.sends(stream).front().endpoint, harness.now));
+    CHECK_FALSE(harness.relay.quarantine().awaitsConfirmation("digest", harness.now));
+}
+
+TEST_CASE("a non-idempotent call whose forwarding instance is lost is not repeated")
+{
+    RelayHarness harness(twoPaths());
+    const FlightId call = harness.submit(RequestKind::Unsafe);
+    harness.fail(call, AttemptFailure::ForwarderLost);
+    CHECK(harness.sends(call).size() == 1);
+    REQUIRE(harness.finished(call));
+    CHECK(harness.finished(call)->outcome == FlightOutcome::Failed);
+}
+
 // Guards against a truncated stream that looks complete: the engine that resumes a stream answers
 // with an error, and forwarding it would end the caller's stream normally.
 TEST_CASE("a server error after forwarded events truncates the stream")
@@ -519,6 +549,25 @@
     CHECK(harness.pathChanges(stream).empty());
 }
 
+// Guards against dead engines that are not detected because each tick is late.
+TEST_CASE("a dead engine is detected although each tick is late")
+{
+    const Duration step =
+        GENERATE(milliseconds(50), milliseconds(110), milliseconds(125), milliseconds(250));
+    CAPTURE(step.count());
+    RelayHarness harness(twoPaths());
+    const FlightId stream = harness.submit(RequestKind::Stream);
+    REQUIRE(harness.answer(stream, 200));
+    harness.forwardEvents(stream, 1);
+    harness.advance(milliseconds(500), step);
+    harness.relay.queryFailed(harness.sends(stream).front().endpoint, harness.now, harness.actions);
+    harness.advance(seconds(15), step);
+    CHECK(harness.sends(stream).size() + harness.pathChanges(stream).size() > 1);
+    const FlightId call = harness.submit(RequestKind::Safe);
+    harness.advance(seconds(5), step);
+    CHECK(harness.sends(call).size() > 1);
+}
+
 // Guards against requests sent by an outdated decision: the endpoint started draining while the
 // request waited for a connection, or the process was paused until the deadline.
 TEST_CASE("an attempt may not be sent after its deadline or to a draining endpoint")
--- a/src/libbalsamloft/relaycrashes.cpp
+++ b/src/libbalsamloft/relaycrashes.cpp
@@ -233,12 +233,11 @@
 }
 
 /// Abandons an attempt whose request was found to crash endpoints. The request may still be queued
-/// at the endpoint of the attempt, and would crash that endpoint too. Once it has sent events, the
-/// endpoint executes the request already: to abandon it would truncate the caller's stream, and
-/// could not prevent a crash.
+/// at the endpoint of the attempt, and would crash that endpoint too. A stream that has events is
+/// kept: abandoned, its answer is truncated for certain, and it can crash one endpoint at most.
 bool Relay::abandonSuspectedAttempt(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
-    if (flight.state == State::Waiting || flight.firstEventAt || mayRun(flight, now))
+    if (flight.state == State::Waiting || flight.eventsForwarded || mayRun(flight, now))
         return false;
     if (m_quarantine.sendPermission(flight.causes, now) == SendPermission::TrialOnly
         && flight.trial.state != Trial::State::Sent
--- a/src/libbalsamloft/relaywatch.cpp
+++ b/src/libbalsamloft/relaywatch.cpp
@@ -98,15 +98,17 @@
     tick(now, actions);
 }
 
-/// Discounts the time that this process was paused. Otherwise all its streams would seem to have
-/// paused for that time, and all their engines would be suspected.
+/// Discounts the time by which this tick is late. Otherwise all streams would seem to have paused
+/// for that time, and all their engines would be suspected. The usual interval still counts, so a
+/// process that is always late detects dead engines later, but does detect them.
 void Relay::discountPause(Time now)
 {
-    const Duration pause = now - m_lastTick;
-    if (m_lastTick != Time {} && pause > m_settings.maxTickInterval)
+    const Duration interval = now - m_lastTick;
+    const Duration late = interval - m_settings.tickInterval;
+    if (m_lastTick != Time {} && interval > m_settings.maxTickInterval)
         for (auto &[id, flight] : m_flights) {
-            flight.sentAt += std::min(pause, now - flight.sentAt);
-            flight.progressAt += std::min(pause, now - flight.progressAt);
+            flight.sentAt += std::min(late, now - flight.sentAt);
+            flight.progressAt += std::min(late, now - flight.progressAt);
         }
     m_lastTick = m_flights.empty() ? Time {} : now;
 }
