--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -1,6 +1,7 @@
 // Runs the soak test for one or more seeds and prints a line for each seed. For a failing seed
 // it also prints the violated guarantees and the injected faults. Exits with 1 if a seed failed.
 
+#include "configurationsoak.h"
 #include "plannedwork.h"
 #include "soak.h"
 
@@ -28,11 +29,24 @@
 DEFINE_bool(planned, false,
             "run planned work (stops, new flags, new configurations) in place of faults, at most "
             "30 instances");
-DEFINE_int32(callers, 25, "with --planned: number of callers per instance");
-DEFINE_int32(caller_threads, 1, "with --planned: number of threads of callers");
+DEFINE_bool(configurations, false,
+            "write configurations at a high rate and kill instances right after them in place of "
+            "faults, at most 30 instances");
+DEFINE_int32(callers, 25, "with --planned, --configurations: number of callers per instance");
+DEFINE_int32(caller_threads, 1, "with --planned, --configurations: number of threads of callers");
 DEFINE_int32(grace_ms, 4000, "with --planned: grace period of stops");
-DEFINE_int32(busy, 0, "with --planned: number of busy threads on the cores of the instances");
-DEFINE_int32(cores, 0, "with --planned: number of cores that the instances share; 0: all");
+DEFINE_int32(busy, 0,
+             "with --planned, --configurations: number of busy threads on the instances' cores");
+DEFINE_int32(cores, 0,
+             "with --planned, --configurations: number of cores that instances share; 0: all");
+DEFINE_int32(engines, 16, "with --configurations: number of engines, four in each path");
+DEFINE_int32(routes, 240, "with --configurations: number of routes, at times up to six times it");
+DEFINE_double(processor_share, 0,
+              "with --configurations: share of each tenth of a second for which an instance runs; "
+              "0: always");
+DEFINE_bool(detours, false,
+            "with --configurations: instances reach some endpoints only by way of others");
+DEFINE_bool(kills, true, "with --configurations: kill instances after configurations");
 DEFINE_string(logs, "", "directory for the instances' logs of failing seeds");
 
 namespace {
@@ -68,7 +82,25 @@
     return settings;
 }
 
-/// Runs \a soak, a Soak or PlannedWork.
+balsamloft::soak::ConfigurationSoakSettings configurationSoakSettings(std::uint64_t seed)
+{
+    balsamloft::soak::ConfigurationSoakSettings settings;
+    settings.seed = seed;
+    settings.length = std::chrono::seconds(FLAGS_seconds);
+    settings.instances = FLAGS_instances;
+    settings.callers = FLAGS_callers;
+    settings.callerThreads = FLAGS_caller_threads;
+    settings.engines = FLAGS_engines;
+    settings.routes = FLAGS_routes;
+    settings.processorShare = FLAGS_processor_share;
+    settings.busy = FLAGS_busy;
+    settings.cores = FLAGS_cores;
+    settings.detours = FLAGS_detours;
+    settings.kills = FLAGS_kills;
+    return settings;
+}
+
+/// Runs \a soak, a Soak, PlannedWork or ConfigurationSoak.
 template<typename Run>
 bool passes(std::uint64_t seed, Run &&soak)
 {
@@ -91,6 +123,8 @@
 {
     if (FLAGS_planned)
         return passes(seed, balsamloft::soak::PlannedWork(plannedWorkSettings(seed)));
+    if (FLAGS_configurations)
+        return passes(seed, balsamloft::soak::ConfigurationSoak(configurationSoakSettings(seed)));
     return passes(seed, balsamloft::soak::Soak(soakSettings(seed)));
 }
 
--- a/testsuite/soak/plannedcallers.cpp
+++ b/testsuite/soak/plannedcallers.cpp
@@ -43,11 +43,13 @@
     return kind == Kind::Stream ? StreamDeadline : CallDeadline;
 }
 
-std::string requestText(const std::string &id, const std::string &path, Kind kind)
+std::string requestText(const Attempt &attempt)
 {
-    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
-           + "\r\nTeam-Key: good-key\r\nDeadline-Ms: " + std::to_string(deadlineOf(kind).count())
-           + "\r\nTokens: 10,60\r\nPrompt-Parts: " + id + ":5\r\nContent-Length: 2\r\n\r\nhi";
+    return "POST " + attempt.path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + attempt.id
+           + "\r\nTeam-Key: " + attempt.key
+           + "\r\nDeadline-Ms: " + std::to_string(deadlineOf(attempt.exchange.kind).count())
+           + "\r\nTokens: 10,60\r\nPrompt-Parts: " + attempt.parts
+           + "\r\nContent-Length: 2\r\n\r\nhi";
 }
 
 /// A stream of a few seconds, at times with a long pause in its middle.
@@ -231,6 +233,11 @@
     Attempt attempt;
     attempt.target = target;
     attempt.id = requestId(m_nextRequest++, m_view.targets[target]->name);
+    attempt.key = m_view.keys[attempt.target % m_view.keys.size()];
+    attempt.parts = attempt.id + ":5";
+    if (m_view.sharedParts > 0)
+        attempt.parts =
+            "shared-" + std::to_string(draw(random, 1, m_view.sharedParts)) + ":5," + attempt.parts;
     const int choice = draw(random, 0, 9);
     if (choice < 3) {
         attempt.exchange.kind = Kind::Stream;
@@ -252,7 +259,7 @@
     const Milliseconds idleTimeout(m_view.idleTimeoutMs);
     boost::system::error_code error;
     const auto token = [&error] { return asio::redirect_error(asio::use_awaitable, error); };
-    const std::string text = requestText(attempt.id, attempt.path, attempt.exchange.kind);
+    const std::string text = requestText(attempt);
     target.inProgress += 1;
     co_await asio::async_write(socket, asio::buffer(text), token());
     attempt.sentAt = Clock::now();
--- a/testsuite/soak/plannedcallers.h
+++ b/testsuite/soak/plannedcallers.h
@@ -31,6 +31,8 @@
     std::atomic<bool> extraRoute {false}; ///< a further route exists
     /// Callers open no further connection, but use those that they have until they end.
     std::atomic<bool> ending {false};
+    std::vector<std::string> keys {"good-key"}; ///< always allowed; set before callers start
+    int sharedParts = 0; ///< number of parts that begin prompts of several requests
 };
 
 /// How the connection stood when the answer to a request had ended.
@@ -46,6 +48,8 @@
 {
     std::string id;
     std::string path;
+    std::string key;
+    std::string parts; ///< of the prompt
     std::size_t target = 0;
     Clock::time_point sentAt {}; ///< when its last byte was sent
     Clock::time_point endedAt {};
--- a/testsuite/soak/plannedwork.cpp
+++ b/testsuite/soak/plannedwork.cpp
@@ -1,27 +1,17 @@
 #include "plannedwork.h"
 
 #include "../common/ports.h"
+#include "instances.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/json.hpp>
 
-#include <fcntl.h>
-#include <sched.h>
-
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <future>
-#include <mutex>
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 namespace json = boost::json;
 
 namespace balsamloft::soak {
@@ -46,8 +36,6 @@
 /// Requests that were passed on and lost, at any time.
 constexpr std::size_t MaxLostAfterExecution = 3;
 
-/// Ample for a slow machine, so only a hang reaches the limit.
-constexpr auto ReadyTimeout = std::chrono::seconds(60);
 constexpr Milliseconds PollInterval {20};
 constexpr int NormalExit = 0;
 constexpr int KilledExit = 128 + SIGKILL;
@@ -68,35 +56,6 @@
     return values[random() % Size];
 }
 
-/// Keeps processes that are started now from inheriting connections, which would keep them open.
-void closeOnExec()
-{
-    for (const auto &each : std::filesystem::directory_iterator("/proc/self/fd")) {
-        const int descriptor = std::stoi(each.path().filename());
-        if (descriptor > STDERR_FILENO)
-            ::fcntl(descriptor, F_SETFD, FD_CLOEXEC);
-    }
-}
-
-/// Returns the result of \a work, which runs on a thread of its own while other tasks go on.
-template<typename Work>
-awaitable<std::invoke_result_t<Work>> runApart(Work work)
-{
-    auto result = std::async(std::launch::async, std::move(work));
-    while (result.wait_for(Milliseconds(0)) != std::future_status::ready)
-        co_await pause(PollInterval);
-    co_return result.get();
-}
-
-void pin(pid_t process, const std::vector<int> &cores)
-{
-    cpu_set_t set;
-    CPU_ZERO(&set);
-    for (const int core : cores)
-        CPU_SET(core, &set);
-    ::sched_setaffinity(process, sizeof(set), &set);
-}
-
 std::int64_t milliseconds(Clock::duration time)
 {
     return std::chrono::duration_cast<Milliseconds>(time).count();
@@ -119,6 +78,7 @@
 PlannedWork::PlannedWork(PlannedWorkSettings settings)
     : m_settings(settings)
     , m_random(settings.seed)
+    , m_cores(chooseCores(settings.seed, settings.cores))
     , m_store(m_context)
 {
     std::string name = std::filesystem::temp_directory_path() / "soak-XXXXXX";
@@ -175,7 +135,7 @@
                           "--flagfile=" + each.flagFile};
         m_view.targets.push_back(std::move(target));
         writeFlags(each, FirstRetryRatio);
-        each.process = makeProcess(each);
+        each.process = startInstance(each.arguments, m_cores);
     }
 }
 
@@ -189,50 +149,13 @@
             m_callers[static_cast<std::size_t>(n) % m_callers.size()]->add(i);
 }
 
-/// The cores that the instances share; they differ between seeds.
-std::vector<int> PlannedWork::sharedCores() const
-{
-    cpu_set_t allowed;
-    ::sched_getaffinity(0, sizeof(allowed), &allowed);
-    std::vector<int> all;
-    for (int core = 0; core < CPU_SETSIZE; ++core)
-        if (CPU_ISSET(core, &allowed))
-            all.push_back(core);
-    std::vector<int> chosen;
-    for (int i = 0; i < m_settings.cores; ++i)
-        chosen.push_back(all[(m_settings.seed + static_cast<std::size_t>(i)) % all.size()]);
-    return chosen;
-}
-
-void PlannedWork::startBusyThreads()
-{
-    for (int i = 0; i < m_settings.busy; ++i)
-        m_busyThreads.emplace_back([cores = sharedCores()](const std::stop_token &stopped) {
-            if (!cores.empty())
-                pin(0, cores);
-            while (!stopped.stop_requested()) { }
-        });
-}
-
-std::unique_ptr<testsuite::Process> PlannedWork::makeProcess(const Instance &instance) const
-{
-    // Else one process would hold the output of another that is started at the same time.
-    static std::mutex starting;
-    const std::scoped_lock lock(starting);
-    closeOnExec();
-    auto process =
-        std::make_unique<testsuite::Process>("balsamloft-entry-standin", instance.arguments);
-    if (m_settings.cores > 0)
-        pin(process->id(), sharedCores());
-    return process;
-}
-
 /// Starts the next process of an instance, while the endpoints and the store go on.
 awaitable<void> PlannedWork::startAgain(std::size_t index)
 {
     Instance &instance = m_instances[index];
     instance.formerOutput += instance.process->output();
-    instance.process = co_await runApart([this, &instance] { return makeProcess(instance); });
+    instance.process =
+        co_await runApart([this, &instance] { return startInstance(instance.arguments, m_cores); });
 }
 
 void PlannedWork::writeFlags(const Instance &instance, double retryRatio)
@@ -271,7 +194,7 @@
     for (std::size_t i = 0; i < m_instances.size(); ++i)
         co_await waitUntilReady(i);
     m_begin = Clock::now();
-    startBusyThreads();
+    m_busyThreads = startBusyThreads(m_settings.busy, m_cores);
     asio::co_spawn(m_context, m_delay.watch(), asio::detached);
     for (const auto &group : m_callers)
         group->start();
@@ -383,32 +306,11 @@
     m_view.targets[index]->inRotation = !m_instances[index].stopping;
 }
 
-awaitable<bool> PlannedWork::isReady(std::size_t index)
-{
-    tcp::socket socket(m_context);
-    boost::system::error_code error;
-    const auto token = [&error] { return asio::redirect_error(asio::use_awaitable, error); };
-    co_await socket.async_connect(endpointOf(m_instances[index].readiness), token());
-    if (error)
-        co_return false;
-    const std::string text = "GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-    co_await asio::async_write(socket, asio::buffer(text), token());
-    boost::beast::flat_buffer buffer;
-    http::response<http::string_body> answer;
-    if (!error)
-        co_await http::async_read(socket, buffer, answer, token());
-    co_return !error && answer.result() == http::status::ok;
-}
-
 awaitable<void> PlannedWork::waitUntilReady(std::size_t index)
 {
-    const auto end = Clock::now() + ReadyTimeout;
-    while (Clock::now() < end) {
-        if (co_await isReady(index))
-            co_return;
-        co_await pause(PollInterval);
-    }
-    m_record.addViolation("not ready: " + m_instances[index].name);
+    const bool ready = co_await soak::waitUntilReady(m_instances[index].readiness);
+    if (!ready)
+        m_record.addViolation("not ready: " + m_instances[index].name);
 }
 
 void PlannedWork::checkStopLine(const Instance &instance, const std::string &output)
--- a/testsuite/soak/plannedwork.h
+++ b/testsuite/soak/plannedwork.h
@@ -80,8 +80,6 @@
     void makeEndpoints();
     void makeInstances();
     void makeCallers();
-    void startBusyThreads();
-    std::vector<int> sharedCores() const;
 
     awaitable<void> runPhases();
     void spawn(awaitable<void> work);
@@ -93,10 +91,8 @@
     awaitable<void> restart(std::size_t instance, Milliseconds delay, Milliseconds away);
     awaitable<void> stop(std::size_t instance);
     awaitable<void> leaveRotation(std::size_t instance, Milliseconds delay);
-    std::unique_ptr<testsuite::Process> makeProcess(const Instance &instance) const;
     awaitable<void> startAgain(std::size_t instance);
     awaitable<void> waitUntilReady(std::size_t instance);
-    awaitable<bool> isReady(std::size_t instance);
     void writeFlags(const Instance &instance, double retryRatio);
     void reload(std::size_t instance, std::mt19937_64 &random);
     Configuration drawConfiguration(std::mt19937_64 &random) const;
@@ -134,6 +130,7 @@
 
     PlannedWorkSettings m_settings;
     std::mt19937_64 m_random;
+    std::vector<int> m_cores; ///< shared by the instances; empty: all
     boost::asio::io_context m_context;
     Record m_record;
     Store m_store;
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -192,7 +192,7 @@
                       {"kind", "card"},
                       {"state", state}};
     if (m_service == "model")
-        row["layers"] = {0, 4};
+        row["layers"] = {m_layers.first, m_layers.second};
     if (m_slots)
         row["slots"] = *m_slots;
     m_store.tables().put("endpoints", m_id, json::serialize(row));
@@ -205,6 +205,13 @@
     writeAgain();
 }
 
+void Endpoint::holdLayers(int begin, int end)
+{
+    m_layers = {begin, end};
+    m_changesPaths = true;
+    writeAgain();
+}
+
 void Endpoint::writeAgain()
 {
     if (!listedId().empty())
@@ -336,9 +343,10 @@
     const std::string echo = "Request-Id: " + id + "\r\n";
     std::string text;
     if (request.target() == "/state")
-        text = answerText(Ok, R"({"layers":[0,4],"orders":1})");
+        text = answerText(Ok, R"({"layers":[)" + std::to_string(m_layers.first) + ","
+                                  + std::to_string(m_layers.second) + R"(],"orders":1})");
     else if (request.target() == "/path")
-        text = answerText(404, {});
+        text = answerText(m_changesPaths ? Ok : 404, {});
     else if (field(request, "Endpoint-Id") != m_id)
         text = answerText(421, {}, echo + "Not-Run: 1\r\n");
     else if (m_record.arrived(m_id, instanceOf(id)); busy || Clock::now() < m_pausedUntil)
--- a/testsuite/soak/platform.h
+++ b/testsuite/soak/platform.h
@@ -94,9 +94,13 @@
              std::string service, std::string domain, std::uint64_t seed);
 
     Link &link() { return m_link; }
+    const std::string &name() const { return m_name; }
 
     /// Sets the number of requests that the endpoint takes at once, in its entry.
     void offerSlots(int slots);
+    /// Lets an engine hold the layers from \a begin to before \a end in place of 0 to 4, and accept
+    /// path changes.
+    void holdLayers(int begin, int end);
 
     // Faults
 
@@ -146,6 +150,8 @@
     std::string m_id; ///< empty while not running
     std::string m_state; ///< in its entry; empty: it has none
     int m_starts = 0;
+    std::pair<int, int> m_layers {0, 4};
+    bool m_changesPaths = false; ///< accepts path changes
     std::optional<int> m_slots; ///< in its entry; empty: the protocol's default
     Clock::time_point m_pausedUntil {};
     std::set<std::shared_ptr<tcp::socket>> m_open;
--- a/testsuite/soak/record.cpp
+++ b/testsuite/soak/record.cpp
@@ -71,6 +71,12 @@
                                          + std::to_string(late.count()) + " ms");
 }
 
+std::vector<std::string> Record::executionsOf(const std::string &request) const
+{
+    const auto found = m_executed.find(request);
+    return found == m_executed.end() ? std::vector<std::string>() : found->second;
+}
+
 bool Record::wasFinished(const std::string &request, Clock::time_point time) const
 {
     const auto executed = m_executed.find(request);
--- a/testsuite/soak/record.h
+++ b/testsuite/soak/record.h
@@ -48,6 +48,8 @@
     }
     /// Whether an endpoint has executed \a request.
     bool wasExecuted(const std::string &request) const { return m_executed.contains(request); }
+    /// The endpoints that executed \a request, in order.
+    std::vector<std::string> executionsOf(const std::string &request) const;
     /// Whether the endpoint that executed \a request last had written its whole answer at \a time.
     bool wasFinished(const std::string &request, Clock::time_point time) const;
     /// The caller of \a request has received its answer.
