--- a/testsuite/soak/configurationsoak.cpp
+++ b/testsuite/soak/configurationsoak.cpp
@@ -624,8 +624,9 @@
     m_summary = m_record.summary() + "; version " + std::to_string(m_configuration.version) + "; "
                 + count(Verdict::Cut) + " cut by instances that live, " + count(Verdict::AfterKill)
                 + " by kills of their own, " + count(Verdict::EndpointEnded)
-                + " as their endpoint ended, " + count(Verdict::Crossed)
-                + " crossed a close; own delay of callers up to " + std::to_string(delay.count())
+                + " as their endpoint ended, " + count(Verdict::Crossed) + " crossed a close; "
+                + std::to_string(m_endpointEnds.size())
+                + " ends of endpoints; own delay of callers up to " + std::to_string(delay.count())
                 + " ms, of endpoints " + std::to_string(m_delay.longest().count()) + " ms\n  "
                 + totals() + ratios();
 }
--- a/testsuite/soak/platform.cpp
+++ b/testsuite/soak/platform.cpp
@@ -339,6 +339,8 @@
 
 awaitable<bool> Endpoint::run(tcp::socket &socket, const Request &request)
 {
+    if (m_id.empty())
+        co_return false; // A request that was on the way when the endpoint crashed.
     const std::string id = field(request, "Request-Id");
     const std::string echo = "Request-Id: " + id + "\r\n";
     std::string text;
