Build option for sanitizers: BALSAMLOFT_SANITIZER, make sanitized

The option BALSAMLOFT_SANITIZE knew only address and undefined; a data race between the two threads could not be looked for.

The make target itself was not run.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 # Wraps CMake. `make test` and `make demo` work on a fresh Debian machine.
 BUILD ?= build
 JOBS ?= $(shell nproc)
+SANITIZER ?= thread
 SHELL := /bin/bash
 
-.PHONY: all deps build test demo bench fuzz format check-format lint proto check-proto clean
+.PHONY: all deps build test demo bench fuzz sanitized format check-format lint proto check-proto clean
 
 all: build
 
@@ -34,6 +35,10 @@
 	@cmake -S . -B build-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DBALSAMLOFT_FUZZ=ON > /dev/null
 	@cmake --build build-fuzz -j $(JOBS) --target fuzzers
 
+sanitized: deps
+	@cmake -S . -B build-$(SANITIZER) -G Ninja -DBALSAMLOFT_SANITIZER=$(SANITIZER) > /dev/null
+	@cmake --build build-$(SANITIZER) -j $(JOBS)
+
 format:
 	@git ls-files '*.cpp' '*.h' | grep -v 'pb\.' | xargs clang-format -i
 
@@ -51,4 +56,4 @@
 	@scripts/check-proto.sh
 
 clean:
-	@rm -rf $(BUILD) build-fuzz
+	@rm -rf $(BUILD) build-fuzz build-thread build-address,undefined
