Repeats after a lost forwarding instance keep an interval; a race counts no delay of its own

A stream that can only go on at one endpoint sent an attempt with every tick (53 in 2.5 s), and each counted as a failure of the endpoint: repeats are 0.5 s apart now and record no outcome.

--- a/src/include/balsamloft/connectionrace.h
+++ b/src/include/balsamloft/connectionrace.h
@@ -13,6 +13,9 @@
 /// Time without a connection after which a further instance is asked to forward it.
 inline constexpr Duration AskPeerInterval {40'000};
 
+/// Longer between two ticks of a race means that the process did not run, or was late.
+inline constexpr Duration MaxRaceTickInterval {60'000};
+
 /// Why an instance that was asked did not open a connection.
 enum class PeerFailure : std::uint8_t {
     Unavailable, ///< it did not answer, or does not forward now
@@ -67,7 +70,8 @@
 
     EndpointLinks *m_links;
     std::string m_endpoint; ///< id
-    Time m_startedAt {};
+    Time m_startedAt {}; ///< plus the delays of ticks
+    Time m_tickedAt {};
     bool m_directPending = false;
     std::optional<ConnectFailure> m_directFailure;
     std::set<std::string> m_askedPeers;
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -217,6 +217,8 @@
     /// seconds or more. Truncating a stream even a few tenths of a second before its caller
     /// disconnects would lose an answer that may still be resumed.
     Duration resumeTimeout {2'500'000};
+    /// Between two repeats at an endpoint that could not be reached or rejected the first one.
+    Duration repeatInterval {500'000};
     std::uint32_t maxPathChanges = 4; ///< per attempt
     Duration pathChangeTimeout {700'000}; ///< for the answer to an order to change the path
     Duration callAttemptTimeout {400'000}; ///< then an idempotent call is sent to another endpoint
@@ -441,6 +443,7 @@
         /// lost. The request may be repeated there without counting against the route's attempts.
         std::optional<PathPart> repeatAt;
         Time forwarderLostAt {}; ///< last time
+        Time repeatAfter {}; ///< at `repeatAt`
         Trial trial;
         std::string lastReason;
         EndCause waitCause = EndCause::None; ///< why the flight was not sent when it was last tried
--- a/src/libbalsamloft/connectionrace.cpp
+++ b/src/libbalsamloft/connectionrace.cpp
@@ -1,5 +1,6 @@
 #include <balsamloft/connectionrace.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace balsamloft {
@@ -13,6 +14,7 @@
 ConnectionRace::Attempts ConnectionRace::start(Time now)
 {
     m_startedAt = now;
+    m_tickedAt = now;
     Attempts attempts;
     if (m_links && m_links->shouldAskPeerAtOnce(m_endpoint, now))
         attempts = askPeer(now);
@@ -63,6 +65,9 @@
 
 ConnectionRace::Attempts ConnectionRace::tick(Time now)
 {
+    // A connection that opened meanwhile may still be unnoticed.
+    m_startedAt += std::max(Duration {}, now - m_tickedAt - MaxRaceTickInterval);
+    m_tickedAt = now;
     const Duration elapsed = now - m_startedAt;
     if (elapsed < ConnectTimeout) {
         const auto asked = static_cast<int>(m_askedPeers.size());
--- a/src/libbalsamloft/lostforwarder_test.cpp
+++ b/src/libbalsamloft/lostforwarder_test.cpp
@@ -64,17 +64,34 @@
     harness.forwardEvents(stream, 2);
     harness.fail(stream, AttemptFailure::ForwarderLost);
     harness.fail(stream, AttemptFailure::NotSent);
-    harness.advance(milliseconds(100));
+    harness.advance(milliseconds(500));
     CHECK_FALSE(harness.finished(stream));
     REQUIRE(harness.sends(stream).size() == 4);
     CHECK(harness.sends(stream)[3].endpoint == harness.sends(stream)[1].endpoint);
     CHECK(harness.sends(stream)[3].afterEvent == 2);
-    for (int i = 0; i < 60 && !harness.finished(stream); ++i) {
-        harness.fail(stream, AttemptFailure::NotSent);
+}
+
+// Guards against a storm of sends, and an empty budget, by one stream that cannot go on.
+TEST_CASE("a repeat after a lost forwarding instance is tried a few times until its caller leaves")
+{
+    const bool rejected = GENERATE(true, false);
+    CAPTURE(rejected);
+    RelayHarness harness(fourEngines());
+    const FlightId stream = streamWithLostForwarder(harness);
+    std::size_t handled = 2;
+    for (int i = 0; i < 100 && !harness.finished(stream); ++i) {
+        if (harness.sends(stream).size() > handled) {
+            handled = harness.sends(stream).size();
+            if (rejected)
+                harness.answer(stream, 503, false, true);
+            else
+                harness.fail(stream, AttemptFailure::NotSent);
+        }
         harness.advance(milliseconds(50));
     }
     REQUIRE(harness.finished(stream));
     CHECK(harness.finished(stream)->outcome == FlightOutcome::Truncated);
+    CHECK(harness.sends(stream).size() < 10);
 }
 
 // Guards against a request that runs twice since the end of its way is no failure of its endpoint.
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -264,7 +264,8 @@
 {
     const PathPart first = *flight.repeatAt;
     const FleetEndpoint *endpoint = m_fleet->find(first.endpoint);
-    if (!endpoint || !acceptsRequests(endpoint->id, now) || m_engines.suspected(endpoint->id, now)
+    if (!endpoint || now < flight.repeatAfter || !acceptsRequests(endpoint->id, now)
+        || m_engines.suspected(endpoint->id, now)
         || excludedEndpoints(flight).contains(endpoint->id)
         || rateLimitedEndpoints(flight, now).contains(endpoint->id))
         return false;
@@ -576,13 +577,11 @@
         return withhold(id, *flight, now, actions);
     if (failure == AttemptFailure::ForwarderLost)
         return forwarderLost(id, *flight, now, actions);
+    if (failure == AttemptFailure::NotSent)
+        return notSent(id, *flight, now, actions);
     m_engines.recordOutcome(flight->endpoint, true, now);
-    if (failure != AttemptFailure::NotSent)
-        recordBroken(*flight, now, actions);
+    recordBroken(*flight, now, actions);
     switch (failure) {
-    case AttemptFailure::NotSent:
-        finishTrial(*flight, TrialOutcome::NotSent, actions);
-        return notSent(id, *flight, now, actions);
     case AttemptFailure::Broken:
         return retry(id, *flight, true, flight->endpoint,
                      {AttemptEnd::Broken, "connection broken by " + flight->endpoint}, now,
@@ -591,6 +590,7 @@
         return retry(id, *flight, true, flight->endpoint,
                      {AttemptEnd::InvalidAnswer, "invalid answer from " + flight->endpoint}, now,
                      actions);
+    case AttemptFailure::NotSent:
     case AttemptFailure::Withheld:
     case AttemptFailure::ForwarderLost:
         return;
@@ -599,9 +599,11 @@
 
 void Relay::notSent(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
+    finishTrial(flight, TrialOutcome::NotSent, actions);
     Failure failure {AttemptEnd::NotSent, "request could not be sent to " + flight.endpoint};
     if (canOnlyRepeat(flight, now))
         return repeatLater(flight, std::move(failure), now);
+    m_engines.recordOutcome(flight.endpoint, true, now);
     m_engines.suspect(flight.endpoint, now);
     retry(id, flight, false, flight.endpoint, std::move(failure), now, actions);
 }
@@ -644,7 +646,7 @@
            && !mayRunAgain(flight) && now - flight.forwarderLostAt < m_settings.resumeTimeout;
 }
 
-/// Tries the same endpoint again with the next ticks. Other forwarding instances may be lost at the
+/// Tries the same endpoint again a moment later. Other forwarding instances may be lost at the
 /// same moment, and the endpoint may still hold the abandoned attempt.
 void Relay::repeatLater(Flight &flight, Failure failure, Time now)
 {
@@ -656,6 +658,7 @@
     flight.waitCause = EndCause::AttemptsUsed;
     endAttempt(flight);
     flight.waitingSince = now;
+    flight.repeatAfter = now + m_settings.repeatInterval;
 }
 
 void Relay::handleRejection(FlightId id, Flight &flight, const AnswerHead &head, Time now,
