--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -443,7 +443,7 @@
         /// lost. The request may be repeated there without counting against the route's attempts.
         std::optional<PathPart> repeatAt;
         Time forwarderLostAt {}; ///< last time
-        Time repeatAfter {}; ///< at `repeatAt`
+        Time repeatAfter {}; ///< no send before
         Trial trial;
         std::string lastReason;
         EndCause waitCause = EndCause::None; ///< why the flight was not sent when it was last tried
@@ -498,6 +498,7 @@
     void forwarderLost(FlightId id, Flight &flight, Time now, RelayActions &actions);
     void notSent(FlightId id, Flight &flight, Time now, RelayActions &actions);
     bool canOnlyRepeat(const Flight &flight, Time now) const;
+    bool lostForwarderRecently(const Flight &flight, Time now) const;
     void repeatLater(Flight &flight, Failure failure, Time now);
     Duration maxWait(const Flight &flight) const;
     bool choosePath(Flight &flight, Time now, SendRequest &send, const PathPart *first = nullptr);
--- a/src/libbalsamloft/lostforwarder_test.cpp
+++ b/src/libbalsamloft/lostforwarder_test.cpp
@@ -121,6 +121,30 @@
     CHECK(harness.finished(stream)->outcome == FlightOutcome::Truncated);
 }
 
+// Guards against a stream that uses up its retries and endpoints while no way is known to work.
+TEST_CASE("a stream with attempts left goes on when a way is found again")
+{
+    RelayHarness harness({{"e1", {0, 8}}, {"e2", {0, 8}}});
+    const FlightId stream = harness.submit(RequestKind::Stream);
+    REQUIRE(harness.answer(stream, 200));
+    harness.forwardEvents(stream, 1);
+    harness.fail(stream, AttemptFailure::ForwarderLost);
+    const Time begin = harness.now;
+    std::size_t handled = 1;
+    while (harness.now - begin < seconds(4) && !harness.finished(stream)) {
+        const auto sends = harness.sends(stream).size();
+        if (sends > handled && harness.now - begin < seconds(1)) {
+            handled = sends;
+            harness.fail(stream, AttemptFailure::NotSent);
+        } else if (sends > handled) {
+            break;
+        }
+        harness.advance(milliseconds(50));
+    }
+    CHECK_FALSE(harness.finished(stream));
+    CHECK(harness.sends(stream).size() > handled);
+}
+
 // Guards against more endpoints than the route allows.
 TEST_CASE("a withheld repeat after a lost forwarding instance does not go to a further endpoint")
 {
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -264,8 +264,7 @@
 {
     const PathPart first = *flight.repeatAt;
     const FleetEndpoint *endpoint = m_fleet->find(first.endpoint);
-    if (!endpoint || now < flight.repeatAfter || !acceptsRequests(endpoint->id, now)
-        || m_engines.suspected(endpoint->id, now)
+    if (!endpoint || !acceptsRequests(endpoint->id, now) || m_engines.suspected(endpoint->id, now)
         || excludedEndpoints(flight).contains(endpoint->id)
         || rateLimitedEndpoints(flight, now).contains(endpoint->id))
         return false;
@@ -280,6 +279,8 @@
 
 bool Relay::choose(Flight &flight, Time now, SendRequest &send)
 {
+    if (now < flight.repeatAfter)
+        return false;
     if (flight.repeatAt && flight.trial.state != Trial::State::Granted) {
         if (chooseAgain(flight, now, send))
             return true;
@@ -601,7 +602,9 @@
 {
     finishTrial(flight, TrialOutcome::NotSent, actions);
     Failure failure {AttemptEnd::NotSent, "request could not be sent to " + flight.endpoint};
-    if (canOnlyRepeat(flight, now))
+    // Right after the loss, no other instance may be known that works: that says nothing of the
+    // endpoint.
+    if (flight.eventsForwarded && lostForwarderRecently(flight, now))
         return repeatLater(flight, std::move(failure), now);
     m_engines.recordOutcome(flight.endpoint, true, now);
     m_engines.suspect(flight.endpoint, now);
@@ -642,12 +645,17 @@
 /// lost a moment ago.
 bool Relay::canOnlyRepeat(const Flight &flight, Time now) const
 {
-    return flight.eventsForwarded && flight.repeatAt && flight.repeatAt->endpoint == flight.endpoint
-           && !mayRunAgain(flight) && now - flight.forwarderLostAt < m_settings.resumeTimeout;
+    return flight.eventsForwarded && lostForwarderRecently(flight, now)
+           && flight.repeatAt->endpoint == flight.endpoint && !mayRunAgain(flight);
+}
+
+bool Relay::lostForwarderRecently(const Flight &flight, Time now) const
+{
+    return flight.repeatAt && now - flight.forwarderLostAt < m_settings.resumeTimeout;
 }
 
-/// Tries the same endpoint again a moment later. Other forwarding instances may be lost at the
-/// same moment, and the endpoint may still hold the abandoned attempt.
+/// Sends the stream again a moment later. Other forwarding instances may be lost at the same
+/// moment, and the endpoint may still hold the abandoned attempt.
 void Relay::repeatLater(Flight &flight, Failure failure, Time now)
 {
     // An attempt that was not sent did not use its retry.
