--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -16,8 +16,7 @@
 
 namespace {
 
-constexpr auto BusyTickInterval = std::chrono::milliseconds(50);
-constexpr auto IdleTickInterval = std::chrono::milliseconds(400);
+constexpr Duration IdleTickInterval {400'000};
 constexpr Duration PruneInterval {1'000'000};
 constexpr Duration EngineAnswerTimeout {300'000}; ///< for a query of an engine's state
 /// Share of the grace period after which idle connections are closed. By then the load balancer
@@ -115,7 +114,7 @@
 
 void TrafficServer::armTimer()
 {
-    m_timer.expires_after(m_relay.flights() > 0 || m_stopping ? BusyTickInterval
+    m_timer.expires_after(m_relay.flights() > 0 || m_stopping ? RelayTickInterval
                                                               : IdleTickInterval);
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
--- a/src/include/balsamloft/relay.h
+++ b/src/include/balsamloft/relay.h
@@ -193,6 +193,9 @@
                  PublishCrashes, RequestTrial, FinishTrial, ReportDraining>;
 using RelayActions = std::vector<RelayAction>;
 
+/// Interval of the ticks of a Relay while it has flights.
+inline constexpr Duration RelayTickInterval {50'000};
+
 /// Retry budget, timeouts and limits of a Relay.
 struct RelaySettings
 {
@@ -224,7 +227,7 @@
     Duration callAttemptTimeout {400'000}; ///< then an idempotent call is sent to another endpoint
     double callWaitShare = 0.12; ///< longest wait for an endpoint, as a share of the target latency
     double streamWaitShare = 1.6; ///< the same for a stream that waits for a path
-    Duration tickInterval {50'000}; ///< while there are flights
+    Duration tickInterval {RelayTickInterval};
     /// A longer interval between ticks means that the process did not run, or was late. A late
     /// tick may come before the data that arrived meanwhile.
     Duration maxTickInterval {120'000};
@@ -272,7 +275,6 @@
     std::uint64_t rateLimitSkips = 0; ///< choices that excluded an endpoint for its rate limit
     std::uint64_t pauseSkips = 0; ///< choices that excluded an endpoint for its announced pause
     std::uint64_t pauseRefusals = 0; ///< requests refused because all endpoints are paused
-    std::uint64_t forwardersLost = 0; ///< attempts whose forwarding instance ended
     std::uint64_t withheld = 0; ///< attempts that were chosen, but no longer permitted to be sent
     std::uint64_t retryAfterAnswers = 0; ///< refusals that announced when to come back
     std::uint64_t drainingAnswers = 0; ///< answers that announced the exit of their endpoint
--- a/src/libbalsamloft/lostforwarder_test.cpp
+++ b/src/libbalsamloft/lostforwarder_test.cpp
@@ -56,13 +56,7 @@
     "a stream whose attempts are used up goes on at the endpoint of a lost forwarding instance")
 {
     RelayHarness harness(fourEngines());
-    const FlightId stream = harness.submit(RequestKind::Stream);
-    REQUIRE(harness.answer(stream, 200));
-    harness.forwardEvents(stream, 1);
-    harness.fail(stream, AttemptFailure::Broken);
-    REQUIRE(harness.answer(stream, 200));
-    harness.forwardEvents(stream, 2);
-    harness.fail(stream, AttemptFailure::ForwarderLost);
+    const FlightId stream = streamWithLostForwarder(harness);
     harness.fail(stream, AttemptFailure::NotSent);
     harness.advance(milliseconds(500));
     CHECK_FALSE(harness.finished(stream));
--- a/src/libbalsamloft/relay.cpp
+++ b/src/libbalsamloft/relay.cpp
@@ -628,7 +628,6 @@
 /// the request would be suspected of crashing endpoints.
 void Relay::forwarderLost(FlightId id, Flight &flight, Time now, RelayActions &actions)
 {
-    m_counts.forwardersLost += 1;
     finishTrial(flight, TrialOutcome::Inconclusive, actions);
     recordAbandoned(flight, now);
     flight.forwarderLostAt = now;
