--- a/testsuite/common/fleet.cpp
+++ b/testsuite/common/fleet.cpp
@@ -175,14 +175,20 @@
 Process &Fleet::startService(const std::string &name, const std::string &domain)
 {
     auto process = std::make_unique<Process>("fake_service", std::vector<std::string> {});
-    m_addresses[name] = process->waitFor("listening on ([0-9.:]+)");
+    addService(name, process->waitFor("listening on ([0-9.:]+)"), domain);
+    return *(m_endpoints[name] = std::move(process));
+}
+
+void Fleet::addService(const std::string &name, const std::string &address,
+                       const std::string &domain, int slots)
+{
+    m_addresses[name] = address;
     m_inventory.push_back({{"name", name},
                            {"kind", "service"},
-                           {"address", m_addresses[name]},
+                           {"address", address},
                            {"domain", domain},
                            {"service", "s"},
-                           {"slots", 64}});
-    return *(m_endpoints[name] = std::move(process));
+                           {"slots", slots}});
 }
 
 void Fleet::startChains(int chains, const EngineOptions &options)
--- a/testsuite/common/fleet.h
+++ b/testsuite/common/fleet.h
@@ -91,6 +91,10 @@
 
     Process &startEngine(const std::string &name, const EngineOptions &options = {});
     Process &startService(const std::string &name, const std::string &domain = "a");
+
+    /// Lists the plain service at \a address, which the test runs itself.
+    void addService(const std::string &name, const std::string &address,
+                    const std::string &domain = "a", int slots = 64);
     Daemon &startDaemon(const std::string &name, const std::string &domain = "a",
                         const std::vector<std::string> &flags = {});
 
--- a/testsuite/unreachable-endpoints/linkedsite.h
+++ b/testsuite/unreachable-endpoints/linkedsite.h
@@ -35,16 +35,21 @@
 public:
     using Answer = std::function<std::string(const std::string &request)>;
 
-    explicit LinkedSite(std::size_t instances, Answer answer = answerOf)
-        : LinkedSite(instances, RawServer::Handler(
-                                    [this, answer = std::move(answer)](const std::string &request) {
-                                        return framed(answer(request));
-                                    }))
+    explicit LinkedSite(std::size_t instances, Answer answer = answerOf,
+                        std::vector<std::string> moreFlags = {})
+        : LinkedSite(
+            instances,
+            RawServer::Handler([this, answer = std::move(answer)](const std::string &request) {
+                return framed(answer(request));
+            }),
+            std::move(moreFlags))
     {
     }
 
-    LinkedSite(std::size_t instances, RawServer::Handler handler)
+    LinkedSite(std::size_t instances, RawServer::Handler handler,
+               std::vector<std::string> moreFlags = {})
         : m_handler(std::move(handler))
+        , m_moreFlags(std::move(moreFlags))
     {
         m_store.put("configuration", "current", std::string(LinkedSiteConfiguration));
         for (const std::string id : {"e1", "e2", "m1", "m2"})
@@ -219,10 +224,12 @@
                           "--grace_s=4",
                           "--retry_slack=300",
                           "--log_all"};
+        instance.flags.insert(instance.flags.end(), m_moreFlags.begin(), m_moreFlags.end());
         start(number);
     }
 
     RawServer::Handler m_handler;
+    std::vector<std::string> m_moreFlags; ///< of each instance
     FakeStore m_store;
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work {
