--- a/src/libweb/fuzzcases.cpp
+++ b/src/libweb/fuzzcases.cpp
@@ -5,11 +5,13 @@
 #include <balsamloft/enginewire.h>
 #include <balsamloft/entryprotocol.h>
 #include <balsamloft/peersocket.h>
+#include <balsamloft/resourceaccount.h>
 
 #include <boost/beast/http/parser.hpp>
 
 #include <algorithm>
 #include <cstdlib>
+#include <map>
 
 namespace http = boost::beast::http;
 
@@ -104,4 +106,71 @@
         require(decodePeerMessage(encodePeerMessage(*message), reason).has_value());
 }
 
+namespace {
+
+/// A client that holds something until it is displaced.
+struct HoldingClient : private ResourceHolder
+{
+    HoldingClient(const ResourceGroupPtr &group, ResourceUse use, Time now)
+        : hold(group, use, *this, now)
+    {
+    }
+    void displace() override { displaced = true; }
+
+    bool displaced = false;
+    ResourceHold hold;
+};
+
+void takeStep(HoldingClient &client, unsigned action, std::uint64_t amount, Time now)
+{
+    constexpr std::uint64_t LargeUnit = 64 * 1024;
+    switch (action) {
+    case 0:
+        client.hold.openConnection(now);
+        return;
+    case 1:
+        client.hold.resize(amount * LargeUnit, now);
+        return;
+    case 2:
+        client.hold.growTo(amount, now);
+        return;
+    case 3:
+        client.hold.recordProgress(amount * amount, now);
+        return;
+    default:
+        client.hold.setDisplaceable(action % 2 == 0);
+    }
+}
+
+} // namespace
+
+void resources(std::string_view bytes)
+{
+    constexpr ResourceLimits Limits {.bytes = 16U << 20U, .connections = 32};
+    constexpr std::size_t StepBytes = 3;
+    constexpr unsigned Actions = 7;
+    ResourceAccount account(Limits);
+    const auto group = std::make_shared<ResourceGroup>(&account);
+    std::map<unsigned, std::unique_ptr<HoldingClient>> clients;
+    Time now {std::chrono::hours(1)};
+    for (; bytes.size() >= StepBytes; bytes.remove_prefix(StepBytes)) {
+        const auto byte = [&](std::size_t i) { return static_cast<unsigned char>(bytes[i]); };
+        auto &client = clients[byte(0)];
+        const unsigned action = byte(1) % Actions;
+        if (!client || client->displaced)
+            client = std::make_unique<HoldingClient>(
+                group, static_cast<ResourceUse>(byte(0) % ResourceUseNames.size()), now);
+        else if (action == Actions - 1)
+            client.reset();
+        else
+            takeStep(*client, action, byte(2), now);
+        now += Duration(byte(2) * 1000);
+        require(account.bytes() <= Limits.bytes);
+        require(account.connections(ResourceUse::Request)
+                <= account.maxConnections(ResourceUse::Request));
+    }
+    clients.clear();
+    require(account.bytes() == 0);
+}
+
 } // namespace balsamloft::fuzz
--- a/src/libweb/fuzzcases.h
+++ b/src/libweb/fuzzcases.h
@@ -22,4 +22,8 @@
 /// message.
 void messages(std::string_view bytes);
 
+/// Takes \a bytes as steps of clients that hold memory and connections. Each step is three bytes:
+/// the client, what it does, and how much.
+void resources(std::string_view bytes);
+
 } // namespace balsamloft::fuzz
--- a/src/libweb/fuzzcases_test.cpp
+++ b/src/libweb/fuzzcases_test.cpp
@@ -19,7 +19,8 @@
     } cases[] = {{"testsuite/corpora/callerRequest", fuzz::callerRequest},
                  {"testsuite/corpora/document", fuzz::document},
                  {"platform/corpora/engineEntry", fuzz::engineEntry},
-                 {"testsuite/corpora/messages", fuzz::messages}};
+                 {"testsuite/corpora/messages", fuzz::messages},
+                 {"testsuite/corpora/resources", fuzz::resources}};
     for (const auto &item : cases) {
         std::size_t count = 0;
         const std::filesystem::path folder = std::filesystem::path(BALSAMLOFT_SOURCE) / item.folder;
