balsamloft-entry: one copy of a body, shared by its attempts

An exchange now writes a head and a body that it shares; an answer's body is moved to the output.

No test of its own fails before: "whole bodies at once" fails with and without it, since the sum is not bounded yet. exchange_test and the testsuite hold.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -55,7 +55,7 @@
     } else if (m_answer) {
         writeHead(m_answer->head(), m_answer->body().size());
         if (m_request->head().method != "HEAD")
-            m_output += m_answer->body();
+            m_outputBody = std::move(m_answer->body());
         logOutcome("passed", m_answer->head().status, "");
     } else {
         // The stream was completed without any event.
@@ -141,7 +141,7 @@
     m_events.reset();
     m_teamKey.clear();
     m_requestId.clear();
-    m_body.clear();
+    m_body.reset();
     m_table.reset();
     m_route = nullptr;
     m_streamBegun = false;
@@ -158,7 +158,7 @@
 {
     if (m_writing || m_closed)
         return;
-    if (m_output.empty()) {
+    if (m_output.empty() && m_outputBody.empty()) {
         if (m_flight)
             return;
         return answerWritten();
@@ -167,10 +167,14 @@
     m_server.callerSocketCalls().writes += 1;
     m_outputBeingWritten.swap(m_output);
     m_output.clear();
+    m_bodyBeingWritten = std::exchange(m_outputBody, {});
+    const std::array<asio::const_buffer, 2> output {asio::buffer(m_outputBeingWritten),
+                                                    asio::buffer(m_bodyBeingWritten)};
     asio::async_write(
-        m_socket, asio::buffer(m_outputBeingWritten),
+        m_socket, output,
         [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
             self->m_writing = false;
+            self->m_bodyBeingWritten = {};
             if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
                 return self->close(CloseCause::CallerEnded);
             if (error)
--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -10,7 +10,8 @@
 
 namespace balsamloft {
 
-std::string CallerSession::requestText(const SendRequest &send) const
+/// The head of the request for one attempt; the body is the same for all.
+std::string CallerSession::requestHead(const SendRequest &send) const
 {
     const HeaderNames &names = m_server.protocol().headers();
     std::string text = m_forwardedHead;
@@ -27,7 +28,6 @@
     if (lastEventId)
         add(names.lastEventId, std::to_string(*lastEventId));
     text += "\r\n";
-    text += m_body;
     return text;
 }
 
@@ -51,7 +51,7 @@
     settings.requestIdName = m_server.protocol().headers().requestId;
     settings.requestId = m_requestId;
     m_exchange =
-        std::make_shared<Exchange>(m_server.pool(), std::move(settings), requestText(send));
+        std::make_shared<Exchange>(m_server.pool(), std::move(settings), requestHead(send), m_body);
     m_exchange->start(*this, steadyNow());
 }
 
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -146,7 +146,7 @@
     if (!m_request->keepAlive())
         m_use.announceClose();
     m_requestId = std::string(head.find(m_server.protocol().headers().requestId).value_or(""));
-    m_body = std::move(m_request->body());
+    m_body = std::make_shared<const std::string>(std::move(m_request->body()));
     m_table = m_server.table();
     if (!m_table)
         return refuse(503, "no configuration yet", Duration(500'000));
@@ -226,7 +226,7 @@
 {
     const MessageHead &head = m_request->head();
     const std::string host = lowerHost(head.find("Host").value_or(""));
-    return requestDigest({m_teamName, head.method, host, head.target, m_body});
+    return requestDigest({m_teamName, head.method, host, head.target, *m_body});
 }
 
 std::vector<std::string> CallerSession::promptParts(std::string_view service)
@@ -258,8 +258,8 @@
             m_forwardedHead += field.name + ": " + field.value + "\r\n";
     if (!m_teamName.empty())
         m_forwardedHead += std::string(names.team) + ": " + m_teamName + "\r\n";
-    if (!m_body.empty() || head.method == "POST" || head.method == "PUT")
-        m_forwardedHead += "Content-Length: " + std::to_string(m_body.size()) + "\r\n";
+    if (!m_body->empty() || head.method == "POST" || head.method == "PUT")
+        m_forwardedHead += "Content-Length: " + std::to_string(m_body->size()) + "\r\n";
 }
 
 void CallerSession::beginAnswer()
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -74,7 +74,7 @@
     void submit(const RouteMapPtr &table, const Route &route);
     /// Builds the start line and header fields of the forwarded request.
     void buildForwardedHead();
-    std::string requestText(const SendRequest &send) const;
+    std::string requestHead(const SendRequest &send) const;
     void refuse(int status, std::string_view reason, std::optional<Duration> retryAfter = {},
                 const FlightEnd &end = {});
     void refuseMalformed();
@@ -114,7 +114,9 @@
     ConnectionUse m_use;
     std::string m_unread;
     std::string m_output;
+    std::string m_outputBody; ///< follows `m_output`
     std::string m_outputBeingWritten;
+    std::string m_bodyBeingWritten; ///< follows `m_outputBeingWritten`
     std::optional<MessageReader> m_request;
     std::string m_requestId;
     std::string m_digest; ///< of the request's content, see requestDigest()
@@ -126,7 +128,7 @@
     RouteMapPtr m_table;
     const Route *m_route = nullptr;
     std::string m_forwardedHead;
-    std::string m_body;
+    std::shared_ptr<const std::string> m_body; ///< shared with the attempts
     /// Id of the event after which the caller resumes a stream.
     std::optional<std::uint64_t> m_callerLastEventId;
     std::shared_ptr<Exchange> m_exchange;
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -136,10 +136,12 @@
     }
 }
 
-Exchange::Exchange(ConnectionPool &pool, ExchangeSettings settings, std::string request)
+Exchange::Exchange(ConnectionPool &pool, ExchangeSettings settings, std::string request,
+                   std::shared_ptr<const std::string> body)
     : m_pool(pool)
     , m_settings(std::move(settings))
     , m_request(std::move(request))
+    , m_body(std::move(body))
 {
     resetReader();
 }
@@ -220,10 +222,12 @@
     if (m_forwarded)
         m_handler->forwardedBy(m_connection->forwardedBy);
     m_mayHaveSent = true;
-    m_sentBefore =
-        std::exchange(m_connection->sentBytes, m_connection->sentBytes + m_request.size());
+    const std::array<asio::const_buffer, 2> request {
+        asio::buffer(m_request), m_body ? asio::buffer(*m_body) : asio::const_buffer()};
+    m_sentBefore = std::exchange(m_connection->sentBytes,
+                                 m_connection->sentBytes + asio::buffer_size(request));
     m_pool.writes += 1;
-    asio::async_write(m_connection->socket, asio::buffer(m_request),
+    asio::async_write(m_connection->socket, request,
                       [self = shared_from_this()](const boost::system::error_code &error,
                                                   std::size_t) { self->writeFinished(error); });
     read();
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -150,7 +150,9 @@
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(ConnectionPool &pool, ExchangeSettings settings, std::string request);
+    /// \a body follows \a request, and is shared with those who may send it again.
+    Exchange(ConnectionPool &pool, ExchangeSettings settings, std::string request,
+             std::shared_ptr<const std::string> body = {});
 
     void start(ExchangeHandler &handler, Time now);
 
@@ -198,6 +200,7 @@
     ConnectionPool &m_pool;
     ExchangeSettings m_settings;
     std::string m_request;
+    std::shared_ptr<const std::string> m_body; ///< of the request; null: in `m_request`
     ExchangeHandler *m_handler = nullptr;
     PooledConnectionPtr m_connection;
     std::optional<MessageReader> m_reader;
