balsamloft-entry: callers' requests and answers stay within the machine's memory

Callers saw: the process ended, out of memory, under clients that send bodies short of their end, in chunks without an end, many whole ones at once, or that leave their answers unread. Cause: no place knew the sum; a string that grows takes up to twice its content besides.

A body whose length is known is refused at its head; a chunked one as it grows, with 503, Retry-After, and nothing run. An answer that does not fit waits for up to two seconds for unread ones to give way. Seen by operators: metrics, lines clients/refusing and clients/accepting.

It works because nothing is held for a caller that the account has not granted, but for one buffer while it grows.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -145,6 +145,7 @@
     m_table.reset();
     m_route = nullptr;
     m_streamBegun = false;
+    shrinkHold();
     flush();
 }
 
@@ -168,19 +169,59 @@
     m_outputBeingWritten.swap(m_output);
     m_output.clear();
     m_bodyBeingWritten = std::exchange(m_outputBody, {});
+    m_writtenBytes = 0;
+    const Time now = steadyNow();
+    m_hold.restartProgress(now);
+    m_answerHold.restartProgress(now);
+    updateDisplaceable();
+    writeSome();
+}
+
+/// Writes in parts, so that the progress of a slow reader is seen.
+void CallerSession::writeSome()
+{
     const std::array<asio::const_buffer, 2> output {asio::buffer(m_outputBeingWritten),
                                                     asio::buffer(m_bodyBeingWritten)};
-    asio::async_write(
-        m_socket, output,
-        [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-            self->m_writing = false;
-            self->m_bodyBeingWritten = {};
-            if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
-                return self->close(CloseCause::CallerEnded);
-            if (error)
-                return self->close(CloseCause::WriteFailed);
-            self->continueReading();
-        });
+    const std::size_t ofHead = std::min(m_writtenBytes, output[0].size());
+    const std::array<asio::const_buffer, 2> rest {output[0] + ofHead,
+                                                  output[1] + (m_writtenBytes - ofHead)};
+    m_socket.async_write_some(rest, [self = shared_from_this()](
+                                        const boost::system::error_code &error, std::size_t count) {
+        self->writeFinished(error, count);
+    });
+}
+
+void CallerSession::writeFinished(const boost::system::error_code &error, std::size_t count)
+{
+    m_writtenBytes += count;
+    const Time now = steadyNow();
+    m_hold.recordProgress(count, now);
+    m_answerHold.recordProgress(count, now);
+    const std::size_t size = m_outputBeingWritten.size() + m_bodyBeingWritten.size();
+    if (!error && !m_closed && m_writtenBytes < size)
+        return writeSome();
+    m_writing = false;
+    m_bodyBeingWritten = {};
+    if (m_outputBeingWritten.capacity() > OrdinaryAnswerBytes)
+        m_outputBeingWritten = {};
+    if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
+        return close(CloseCause::CallerEnded);
+    if (error)
+        return close(CloseCause::WriteFailed);
+    holdOutput(now);
+    updateDisplaceable();
+    continueReading();
+}
+
+/// Holds what waits to be written. \return whether that is granted.
+bool CallerSession::holdOutput(Time now)
+{
+    const std::uint64_t bytes = m_output.capacity() + m_outputBody.capacity()
+                                + m_outputBeingWritten.capacity() + m_bodyBeingWritten.capacity();
+    // An answer that is still being read is held by mayHold().
+    if (m_exchange && !m_events)
+        return true;
+    return m_answerHold.resize(bytes > OrdinaryAnswerBytes ? bytes : 0, now);
 }
 
 /// Ends the request in progress, if there is one. All of its answer was passed to the system.
@@ -192,6 +233,8 @@
         return end(CloseCause::Truncated);
     m_server.callerCounts().answerWritten();
     m_use.answerWritten(timeouts().idle, steadyNow());
+    m_hold.restartProgress(steadyNow());
+    updateDisplaceable();
     if (m_use.closeAnnounced())
         end(CloseCause::Announced);
 }
--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -130,6 +130,23 @@
     m_server.run(std::move(actions));
 }
 
+bool CallerSession::mayHold(std::uint64_t bytes)
+{
+    return bytes <= OrdinaryAnswerBytes || m_answerHold.growTo(bytes, steadyNow());
+}
+
+void CallerSession::answerNotHeld()
+{
+    abandonAttempt();
+    if (const auto flight = std::exchange(m_flight, std::nullopt)) {
+        RelayActions actions;
+        m_server.relay().callerGone(*flight, steadyNow(), actions);
+        m_server.detach(*flight);
+        m_server.run(std::move(actions));
+    }
+    refuse(502, "the answer does not fit beside what the instance holds");
+}
+
 AnswerHead CallerSession::answerHead(const MessageHead &head) const
 {
     const HeaderNames &names = m_server.protocol().headers();
@@ -182,6 +199,8 @@
     m_lastEventAt = now;
     m_passedEvents += count;
     appendChunk(events, m_output);
+    if (!holdOutput(now))
+        return dropReader();
     RelayActions actions;
     m_server.relay().eventsForwarded(*m_flight, m_attempt, m_events->lastId(), now, actions);
     m_server.run(std::move(actions));
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -20,6 +20,19 @@
 namespace {
 
 constexpr std::size_t MaxReadAhead = 64 * 1024;
+/// What a connection takes: this object, its buffers, and what the system keeps of it.
+constexpr std::uint64_t ConnectionBytes = 8 * 1024;
+/// Held for each connection besides, so that ordinary requests and answers need no more.
+constexpr std::uint64_t OrdinaryRequestBytes = 4 * 1024;
+/// The fields of a request are kept as read, as forwarded, and in the relay.
+constexpr std::uint64_t CopiesOfHead = 3;
+constexpr Duration RetryAfterUnheld = StallTime;
+
+/// What is held for a connection whose request takes \a requestBytes.
+std::uint64_t heldBytes(std::uint64_t requestBytes)
+{
+    return ConnectionBytes + OrdinaryAnswerBytes + std::max(OrdinaryRequestBytes, requestBytes);
+}
 
 std::string lowerHost(std::string_view host)
 {
@@ -35,6 +48,8 @@
     : m_server(server)
     , m_socket(std::move(socket))
     , m_use(steadyNow(), timeouts().idle)
+    , m_hold(server.resources(), ResourceUse::Request, *this, steadyNow())
+    , m_answerHold(server.resources(), ResourceUse::Answer, *this, steadyNow())
 {
 }
 
@@ -43,6 +58,10 @@
     setSocketOptions(m_socket, CallerAcknowledgmentTimeout);
     boost::system::error_code ignored;
     m_socket.non_blocking(true, ignored);
+    const Time now = steadyNow();
+    if (!holdRequest(now))
+        return refuseUnheld();
+    updateDisplaceable();
     read();
 }
 
@@ -50,6 +69,9 @@
 {
     if (m_reading || m_closed || m_unread.size() > MaxReadAhead)
         return;
+    // What follows a request in progress waits in the system if it may not be held.
+    if (m_use.inProgress() && !m_unread.empty() && !holdRequest(steadyNow()))
+        return;
     m_reading = true;
     // The bytes stay in the system until they are handled, so that hasUnreadBytes() sees them.
     m_socket.async_wait(asio::ip::tcp::socket::wait_read,
@@ -79,7 +101,9 @@
         // The caller disconnected: its request is cancelled at the endpoint immediately.
         return close(CloseCause::CallerEnded);
     }
-    m_use.bytesRead(steadyNow());
+    const Time now = steadyNow();
+    m_use.bytesRead(now);
+    m_hold.recordProgress(count, now);
     m_server.callerSocketCalls().reads += 1;
     m_unread.append(m_buffer.data(), count);
     if (!m_flight && !m_writing)
@@ -103,8 +127,13 @@
     m_unread.erase(0, consumed);
     if (m_request->failure() != MessageReader::Failure::None)
         return refuseMalformed();
-    if (m_request->started())
+    const Time now = steadyNow();
+    if (m_request->started() && !m_use.isIncomplete()) {
         m_use.requestBegun();
+        m_hold.restartProgress(now);
+    }
+    if (!holdRequest(now))
+        return refuseUnheld();
     if (m_request->headDone() && !m_request->done() && m_request->body().empty()
         && m_request->head().find("Expect"))
         write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -112,6 +141,59 @@
         handleRequest();
 }
 
+bool CallerSession::holdRequest(Time now)
+{
+    const std::uint64_t request =
+        m_request ? CopiesOfHead * m_request->headBytes() + m_request->bodyBytes() : 0;
+    return m_hold.growTo(heldBytes(m_unread.capacity() + request), now);
+}
+
+/// Gives back what the request took.
+void CallerSession::shrinkHold()
+{
+    const std::uint64_t bytes = heldBytes(m_unread.capacity());
+    if (bytes < m_hold.bytes())
+        m_hold.resize(bytes, steadyNow());
+}
+
+/// Closes the connection of a caller that does not read its answer.
+void CallerSession::dropReader()
+{
+    // Otherwise the system would keep what was written.
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close(CloseCause::MadeRoom);
+}
+
+/// Refuses a request, or a connection, that does not fit beside what is held for others.
+void CallerSession::refuseUnheld()
+{
+    m_use.announceClose();
+    beginAnswer();
+    refuse(503, "the instance holds as much as it can", RetryAfterUnheld);
+}
+
+void CallerSession::updateDisplaceable()
+{
+    // Progress is up to the caller unless the request is with an endpoint.
+    const bool displaceable = m_writing || !m_use.inProgress();
+    m_hold.setDisplaceable(displaceable);
+    m_answerHold.setDisplaceable(displaceable);
+}
+
+/// Makes room for another caller, since this one made least progress.
+void CallerSession::displace()
+{
+    if (m_closed)
+        return;
+    if (m_writing)
+        return dropReader();
+    if (!m_use.isIncomplete())
+        return end(CloseCause::MadeRoom);
+    m_unread = {};
+    refuseUnheld();
+}
+
 void CallerSession::refuseMalformed()
 {
     m_use.announceClose();
@@ -266,6 +348,7 @@
 {
     m_use.requestRead();
     m_server.callerCounts().requestRead();
+    updateDisplaceable();
 }
 
 void CallerSession::recordClose(CloseCause cause)
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -11,20 +11,26 @@
 #include <balsamloft/eventsplitter.h>
 #include <balsamloft/readfreshness.h>
 #include <balsamloft/relay.h>
+#include <balsamloft/resourceaccount.h>
 
 namespace balsamloft {
 
 class TrafficServer;
 
+/// Answers up to this size need no more than what is held for each connection.
+inline constexpr std::uint64_t OrdinaryAnswerBytes = 4 * 1024;
+
 /// Reads the requests of a caller one after another, submits each to the relay, and writes the
 /// answer.
 class CallerSession : public std::enable_shared_from_this<CallerSession>,
                       private ExchangeHandler,
-                      private ConnectionProbe
+                      private ConnectionProbe,
+                      private ResourceHolder
 {
 public:
     CallerSession(TrafficServer &server, boost::asio::ip::tcp::socket socket);
 
+    /// Begins to read, unless there is no memory left; then the caller is refused.
     void start();
 
     // Actions of the relay
@@ -58,7 +64,10 @@
 
 private:
     bool hasUnreadBytes() const override;
+    void displace() override;
     bool maySend() override;
+    bool mayHold(std::uint64_t bytes) override;
+    void answerNotHeld() override;
     void forwardedBy(const std::string &name) override;
     void exchangeFailed(AttemptFailure failure) override;
     bool headReceived(MessageReader &answer) override;
@@ -69,6 +78,12 @@
     void readReady(boost::system::error_code error);
     void readFinished(const boost::system::error_code &error, std::size_t count);
     void parse();
+    bool holdRequest(Time now);
+    bool holdOutput(Time now);
+    void shrinkHold();
+    void refuseUnheld();
+    void dropReader();
+    void updateDisplaceable();
     void handleRequest();
     bool admit(const Route &route, const RouteMap &table);
     void submit(const RouteMapPtr &table, const Route &route);
@@ -82,6 +97,8 @@
     void writeHead(const MessageHead &head, std::optional<std::size_t> length);
     void write(std::string_view bytes);
     void flush();
+    void writeSome();
+    void writeFinished(const boost::system::error_code &error, std::size_t count);
     /// Resets the state of the current request and writes the rest of its answer.
     void finishRequest();
     /// Records that a request is owed an answer.
@@ -113,10 +130,13 @@
     std::array<char, 4096> m_buffer {};
     ConnectionUse m_use;
     std::string m_unread;
+    ResourceHold m_hold; ///< of the connection and the request
+    ResourceHold m_answerHold;
     std::string m_output;
     std::string m_outputBody; ///< follows `m_output`
     std::string m_outputBeingWritten;
     std::string m_bodyBeingWritten; ///< follows `m_outputBeingWritten`
+    std::size_t m_writtenBytes = 0; ///< of these two
     std::optional<MessageReader> m_request;
     std::string m_requestId;
     std::string m_digest; ///< of the request's content, see requestDigest()
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -4,6 +4,8 @@
 #include "connector.h"
 #include "sockets.h"
 
+#include <balsamloft/resourceaccount.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -20,6 +22,8 @@
 /// interim answers. Without a limit, an endless series of them would occupy the request until its
 /// deadline.
 constexpr std::size_t MaxSkippedAnswers = 32;
+/// How long an answer waits until it may be held. By then, those that nobody reads have given way.
+constexpr Duration MaxHoldWait = 2 * StallTime;
 constexpr Duration KeepAliveMargin {500'000};
 
 /// The timeout in the Keep-Alive field of \a head, less a margin.
@@ -196,6 +200,8 @@
             !m_connection->acknowledgment.tick(m_connection->socket, now) && m_requestWritten;
     if (const auto connector = m_connector)
         connector->tick(now);
+    if (m_waitsSince && m_handler)
+        readIfHeld(now);
 }
 
 /// Replaces a connection that ended after it was chosen. A request that is written to it would
@@ -275,7 +281,29 @@
     }
     process();
     if (m_handler && m_connection)
-        read();
+        readIfHeld(steadyNow());
+}
+
+std::uint64_t Exchange::heldBytes()
+{
+    const std::uint64_t body = m_incremental ? m_reader->body().capacity() : m_reader->bodyBytes();
+    return m_reader->headBytes() + body + m_connection->unread.capacity();
+}
+
+/// Reads on if the answer may be held so far, else later.
+void Exchange::readIfHeld(Time now)
+{
+    if (m_handler->mayHold(heldBytes())) {
+        m_waitsSince.reset();
+        return read();
+    }
+    if (!m_waitsSince)
+        m_waitsSince = now;
+    if (now - *m_waitsSince < MaxHoldWait)
+        return;
+    const auto self = shared_from_this();
+    closeConnection();
+    std::exchange(m_handler, nullptr)->answerNotHeld();
 }
 
 void Exchange::recordEnd(const boost::system::error_code &error, bool ended)
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -121,6 +121,16 @@
     virtual void forwardedBy(const std::string &name) { static_cast<void>(name); }
     virtual void exchangeFailed(AttemptFailure failure) = 0;
 
+    /// Whether \a bytes of the answer may be held. If not, reading waits a moment until they may.
+    virtual bool mayHold(std::uint64_t bytes)
+    {
+        static_cast<void>(bytes);
+        return true;
+    }
+
+    /// The exchange has ended, since the answer may still not be held.
+    virtual void answerNotHeld() { exchangeFailed(AttemptFailure::Broken); }
+
     /// The head arrived. \return whether the body is to be delivered in pieces.
     virtual bool headReceived(MessageReader &answer) = 0;
 
@@ -189,6 +199,8 @@
     AttemptFailure failureAtEnd();
     void writeFinished(const boost::system::error_code &error);
     void read();
+    void readIfHeld(Time now);
+    std::uint64_t heldBytes();
     void readFinished(const boost::system::error_code &error, std::size_t count);
     void process();
     bool processHead();
@@ -214,6 +226,7 @@
     bool m_requestWritten = false; ///< it was passed to the system
     bool m_requestSent = false; ///< no part of it waits in the system
     bool m_mayHaveSent = false; ///< bytes of the request may have been sent
+    std::optional<Time> m_waitsSince; ///< reading waits until more may be held
     bool m_incremental = false; ///< the body is delivered in pieces
     bool m_headProcessed = false;
     std::size_t m_skippedAnswers = 0;
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <balsamloft/peerdirectory.h>
+#include <balsamloft/resourceaccount.h>
 #include <balsamloft/storeuse.h>
 #include <balsamloft/types.h>
 
@@ -23,6 +24,12 @@
 /// Written by the control thread, read by the traffic thread.
 struct EntryState
 {
+    explicit EntryState(const ResourceLimits &limits = limitsFor(reportedSize({})))
+        : resources(limits)
+    {
+    }
+
+    ResourceAccount resources; ///< what all threads hold for clients
     /// The API keys are complete as of this time (bootNow() in microseconds); 0: never read.
     std::atomic<std::int64_t> keysKnownAt {0};
     std::atomic<bool> fleetKnown {false}; ///< the list of endpoints was read
--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -68,6 +68,8 @@
     std::vector<HeaderField> trailers;
     std::string body;
     std::uint64_t bodyBytes = 0; ///< received, including those that were removed from `body`
+    std::uint64_t announcedBytes = 0; ///< length of the body, if the head tells it
+    std::uint64_t fieldBytes = 0; ///< of names and values
     bool headDone = false;
 };
 
@@ -85,6 +87,9 @@
                : ends + limits.bodyBytes * FramingPerChunk;
 }
 
+/// Smaller bodies grow as strings do.
+constexpr std::size_t MinExactBytes = 16384;
+
 template<bool IsRequest>
 class Parser : public http::basic_parser<IsRequest>
 {
@@ -117,11 +122,13 @@
         // such as the team.
         auto &fields = m_message.headDone ? m_message.trailers : m_message.head.fields;
         fields.push_back({std::string(name), std::string(value)});
+        m_message.fieldBytes += sizeof(HeaderField) + name.size() + value.size();
     }
     void on_header_impl(error_code & /*error*/) override { m_message.headDone = true; }
-    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length,
                            error_code & /*error*/) override
     {
+        m_message.announcedBytes = length.value_or(0);
     }
     std::size_t on_body_impl(boost::beast::string_view bytes, error_code & /*error*/) override
     {
@@ -141,11 +148,28 @@
 
     std::size_t append(boost::beast::string_view bytes)
     {
+        const std::size_t needed = m_message.body.size() + bytes.size();
+        if (needed > m_message.body.capacity() && needed > MinExactBytes)
+            grow(needed);
         m_message.body.append(bytes.data(), bytes.size());
         m_message.bodyBytes += bytes.size();
         return bytes.size();
     }
 
+    /// Gives the body as much room as its announced length, or twice as much as before. A string
+    /// that grows by itself takes up to twice the length of the body.
+    void grow(std::size_t needed)
+    {
+        const std::uint64_t removed = m_message.bodyBytes - m_message.body.size();
+        const std::uint64_t rest =
+            m_message.announcedBytes - std::min(m_message.announcedBytes, removed);
+        std::string larger;
+        larger.reserve(std::max<std::uint64_t>(
+            needed, rest > 0 ? rest : 2 * std::uint64_t(m_message.body.capacity())));
+        larger.append(m_message.body);
+        m_message.body.swap(larger);
+    }
+
     ParsedMessage &m_message;
 };
 
@@ -293,6 +317,19 @@
         [](auto &parser) { return parser.keep_alive() && !parser.need_eof(); });
 }
 
+std::uint64_t MessageReader::headBytes() const
+{
+    return m_impl->message.fieldBytes;
+}
+
+std::uint64_t MessageReader::bodyBytes() const
+{
+    const ParsedMessage &message = m_impl->message;
+    const std::uint64_t rest =
+        message.announcedBytes - std::min(message.announcedBytes, message.bodyBytes);
+    return std::max<std::uint64_t>(message.body.capacity(), rest);
+}
+
 std::string &MessageReader::body()
 {
     return m_impl->message.body;
--- a/src/entry/httpmessage.h
+++ b/src/entry/httpmessage.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -101,6 +102,12 @@
     /// Whether bytes of the message have arrived.
     bool started() const;
 
+    /// Bytes that the fields take.
+    std::uint64_t headBytes() const;
+
+    /// Bytes that the body takes, and will take if its length is known.
+    std::uint64_t bodyBytes() const;
+
     /// Whether the connection can carry another message.
     bool keepAlive() const;
 
--- a/src/entry/httpmessage_test.cpp
+++ b/src/entry/httpmessage_test.cpp
@@ -207,3 +207,33 @@
                                           "1;a=" + std::string(500, 'b') + "\r\nx\r\n");
     CHECK(result.failure == MessageReader::Failure::BodyTooLarge);
 }
+
+// Guards against bodies that take twice their length, and memory that is asked for too late.
+TEST_CASE("a body of known length takes that much from its head on")
+{
+    constexpr std::size_t Length = 1'000'000;
+    MessageReader reader(MessageReader::Kind::Request, {});
+    reader.consume("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+    CHECK(reader.bodyBytes() == Length);
+    const std::string piece(10'000, 'x');
+    for (std::size_t sent = 0; sent < Length; sent += piece.size()) {
+        reader.consume(piece);
+        CHECK(reader.bodyBytes() <= Length + piece.size());
+    }
+    CHECK(reader.done());
+    CHECK(reader.body().size() == Length);
+    CHECK(reader.headBytes() >= std::string_view("HosthContent-Length1000000").size());
+}
+
+TEST_CASE("a chunked body takes at most twice what has arrived")
+{
+    MessageReader reader(MessageReader::Kind::Request, {});
+    reader.consume("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    std::string chunk;
+    appendChunk(std::string(10'000, 'x'), chunk);
+    for (std::size_t sent = 10'000; sent <= 1'000'000; sent += 10'000) {
+        reader.consume(chunk);
+        CHECK(reader.body().size() == sent);
+        CHECK(reader.bodyBytes() <= std::max<std::size_t>(2 * sent, 32'768));
+    }
+}
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -31,6 +31,7 @@
 public:
     explicit Entry(EntrySettings settings)
         : m_settings(std::move(settings))
+        , m_state(limitsFor(reportedSize(m_settings.machine)))
         , m_protocol(makeEntryProtocol())
         , m_trafficServer(m_trafficContext, m_settings, *m_protocol, m_state)
         , m_control(m_controlContext, m_settings, *m_protocol, m_state, events())
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -22,6 +22,11 @@
 DEFINE_double(retry_ratio, 0.2, "retries per request, over all instances");
 DEFINE_double(retry_slack, 100, "retries beyond the ratio in a window, over all instances");
 DEFINE_double(retry_window_s, 10, "window in which retries are counted");
+DEFINE_int32(memory_mb, 0,
+             "memory of the machine in megabytes, from 32; 0: what the system reports");
+DEFINE_int32(max_descriptors, 0,
+             "descriptors that the process may have, from 250, of which 200 are for files; 0: what "
+             "the system reports");
 DEFINE_bool(log_all, false, "log successful requests too");
 DEFINE_bool(admission, false,
             "limit the admitted work to the capacity of services whose routes have different "
@@ -48,6 +53,14 @@
     return false;
 }
 
+bool isZeroOrFrom(std::string_view flag, std::int64_t value, std::int64_t min, Reason &reason)
+{
+    if (value == 0 || value >= min)
+        return true;
+    reason = "--" + std::string(flag) + ": must be 0, or at least " + std::to_string(min);
+    return false;
+}
+
 Duration milliseconds(double value)
 {
     return Duration(static_cast<std::int64_t>(value * 1000));
@@ -68,7 +81,9 @@
         || !isPositive("revocation_ms", FLAGS_revocation_ms, reason)
         || !isPositive("beat_ms", FLAGS_beat_ms, reason)
         || !isPositive("grace_s", FLAGS_grace_s, reason)
-        || !isPositive("retry_window_s", FLAGS_retry_window_s, reason))
+        || !isPositive("retry_window_s", FLAGS_retry_window_s, reason)
+        || !isZeroOrFrom("memory_mb", FLAGS_memory_mb, MinMemoryMegabytes, reason)
+        || !isZeroOrFrom("max_descriptors", FLAGS_max_descriptors, MinDescriptors, reason))
         return std::nullopt;
     EntrySettings settings;
     settings.name = FLAGS_name;
@@ -85,6 +100,7 @@
     settings.retryRatio = FLAGS_retry_ratio;
     settings.retrySlack = FLAGS_retry_slack;
     settings.retryWindow = milliseconds(FLAGS_retry_window_s * 1000);
+    settings.machine = machineSize(FLAGS_memory_mb, FLAGS_max_descriptors);
     settings.logAll = FLAGS_log_all;
     settings.admission = FLAGS_admission;
     settings.admissionAll = FLAGS_admission_all;
@@ -171,6 +187,8 @@
         add(each.flag, before.*each.value != after.*each.value);
     add("beat_ms", before.heartbeatInterval != after.heartbeatInterval);
     add("retry_window_s", before.retryWindow != after.retryWindow);
+    add("memory_mb", before.machine.memoryBytes != after.machine.memoryBytes);
+    add("max_descriptors", before.machine.descriptors != after.machine.descriptors);
     add("admission", before.admission != after.admission);
     add("admission_all", before.admissionAll != after.admissionAll);
     return names;
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <balsamloft/endpointlinks.h>
+#include <balsamloft/resourceaccount.h>
 
 #include <optional>
 #include <string>
@@ -28,6 +29,7 @@
     double retryRatio = 0; ///< retries per request, over all instances
     double retrySlack = 0; ///< retries beyond the ratio in a window, over all instances
     Duration retryWindow {}; ///< in which retries are counted
+    MachineSize machine; ///< what the process may use
     bool logAll = false; ///< log successful requests too
     /// Limit the admitted work to the capacity of services whose routes have different priorities.
     bool admission = false;
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -70,6 +70,7 @@
     , m_settings(settings)
     , m_protocol(protocol)
     , m_state(state)
+    , m_resources(std::make_shared<ResourceGroup>(&state.resources))
     , m_acceptor(context, [this](std::string_view event,
                                  std::string_view reason) { logAcceptor(event, reason); })
     , m_timer(context)
@@ -140,6 +141,7 @@
         m_pool.prune(*m_fleet, now);
         logQuarantinedParts(now);
         logAdmission(now);
+        logRefusing(now);
     }
     m_acceptor.tick(now);
     m_lingering.tick(now);
@@ -449,6 +451,23 @@
     m_quarantinedParts = std::move(parts);
 }
 
+/// Logs when this instance begins or ends to refuse clients for want of memory or connections.
+void TrafficServer::logRefusing(Time now)
+{
+    const ResourceAccount &resources = m_state.resources;
+    const bool refusing = resources.isRefusing(now);
+    if (refusing == std::exchange(m_loggedRefusing, refusing))
+        return;
+    const ResourceAccount::Counts counts = resources.counts();
+    logDecision("clients", refusing ? "refusing" : "accepting",
+                {{"held_bytes", std::int64_t(resources.bytes())},
+                 {"limit_bytes", std::int64_t(resources.limits().bytes)},
+                 {"connections", std::int64_t(resources.connections(ResourceUse::Request))},
+                 {"refused_memory", std::int64_t(counts.refusedForMemory)},
+                 {"refused_connections", std::int64_t(counts.refusedForConnections)},
+                 {"displaced", std::int64_t(counts.displaced)}});
+}
+
 void TrafficServer::requestTrial(const RequestTrial &request)
 {
     if (!m_requestTrial)
@@ -677,6 +696,7 @@
     m_callerCounts.render("", text);
     sample("caller_connections_crossed_total", m_lingering.counts().crossed);
     sample("caller_connections_lingered_in_vain_total", m_lingering.counts().timedOut);
+    m_state.resources.render(text);
     renderAdmission(text);
     m_loopDelays.render("balsamloft_loop_delay_seconds", "", text);
     m_requestMetrics.render(text);
--- a/src/entry/trafficserver.h
+++ b/src/entry/trafficserver.h
@@ -102,6 +102,7 @@
     Relay &relay() { return m_relay; }
     ServerPhase phase(Time now) const;
     LingeringConnections &lingering() { return m_lingering; }
+    const ResourceGroupPtr &resources() const { return m_resources; }
 
     /// Whether a new request is still accepted during a planned stop.
     bool acceptsNew(RequestKind kind, Time now) const;
@@ -154,6 +155,7 @@
     void publishCrashes(const CrashUpdate &update);
     void logQuarantinedParts(Time now);
     void logAdmission(Time now);
+    void logRefusing(Time now);
     void renderAdmission(std::string &text) const;
     void requestTrial(const RequestTrial &request);
     void checkSuspension();
@@ -169,6 +171,7 @@
     EntrySettings m_settings; ///< used on the traffic thread only
     const EntryProtocol &m_protocol;
     EntryState &m_state;
+    const ResourceGroupPtr m_resources; ///< of the traffic thread
     CallerAcceptor m_acceptor;
     boost::asio::steady_timer m_timer;
     RequestMetrics m_requestMetrics;
@@ -187,6 +190,7 @@
     std::set<std::shared_ptr<CallerSession>> m_sessions;
     LingeringConnections m_lingering;
     std::map<std::string, std::shared_ptr<TimedCall>> m_queries; ///< by endpoint
+    bool m_loggedRefusing = false; ///< clients, for want of memory or connections
     bool m_stopping = false;
     Time m_stopStartedAt {};
     std::optional<Time> m_endingSince; ///< beginning of the end of the stop
--- a/src/include/balsamloft/callercounts.h
+++ b/src/include/balsamloft/callercounts.h
@@ -21,11 +21,12 @@
     Stopping, ///< idle in a planned stop
     GivenUp, ///< its request was given up without an answer
     TooMany, ///< the limit of connections was reached
+    MadeRoom, ///< its client made least progress when another needed what it held
 };
 
-inline constexpr std::array<std::string_view, 8> CloseCauseNames {
-    "caller_ended", "write_failed", "announced", "truncated",
-    "idle",         "stopping",     "given_up",  "too_many"};
+inline constexpr std::array<std::string_view, 9> CloseCauseNames {
+    "caller_ended", "write_failed", "announced", "truncated", "idle",
+    "stopping",     "given_up",     "too_many",  "made_room"};
 
 /// What was open when a connection was closed.
 struct ConnectionRemains
--- a/src/include/balsamloft/connectionuse.h
+++ b/src/include/balsamloft/connectionuse.h
@@ -75,6 +75,7 @@
 
     // Queries
 
+    bool isIncomplete() const { return m_state == State::Incomplete; }
     bool inProgress() const { return m_state == State::InProgress; }
     bool closeAnnounced() const { return m_closeAnnounced; }
 
