balsamloft-entry: a trickled head or body does not renew its own time

A caller that sent a byte of its head or body each second kept its connection for as long as it liked (measured: past 50 s), since the time of an incomplete request counted from its last byte. A head now has headerTimeout from its first byte; a body goes on as long as 1 KB/s arrive on average over that time, which is below any link that carries requests. Two new cases of connectionuse_test do not compile before; by the old rule, both would keep the connection.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -123,6 +123,7 @@
         }
         m_request.emplace(MessageReader::Kind::Request, limits);
     }
+    const bool hadHead = m_request->headDone();
     const std::size_t consumed = m_request->consume(m_unread);
     m_unread.erase(0, consumed);
     if (m_request->failure() != MessageReader::Failure::None)
@@ -132,6 +133,10 @@
         m_use.requestBegun();
         m_hold.restartProgress(now);
     }
+    if (hadHead)
+        m_use.bodyRead(consumed, timeouts(), now);
+    else if (m_request->headDone())
+        m_use.headRead(now);
     if (!holdRequest(now))
         return refuseUnheld();
     if (m_request->headDone() && !m_request->done() && m_request->body().empty()
--- a/src/include/balsamloft/connectionuse.h
+++ b/src/include/balsamloft/connectionuse.h
@@ -20,10 +20,15 @@
 /// How long a server waits for its callers.
 struct CallerTimeouts
 {
-    Duration request {}; ///< between two reads of an incomplete request
+    Duration request {}; ///< for the head of a request, and for each MinBodyRate of its body
     Duration idle {}; ///< between an answer and the next request
 };
 
+/// Bytes a second of a body that a caller must send, on average over CallerTimeouts::request.
+/// Slower than any link that carries requests, so that it ends only callers that don't mean to
+/// finish.
+inline constexpr std::uint64_t MinBodyRate = 1024;
+
 /// Tells what the system holds of a connection.
 class ConnectionProbe
 {
@@ -63,6 +68,12 @@
     /// Records that the bytes that were read are the beginning of a request.
     void requestBegun();
 
+    /// Records that the head of the request was read.
+    void headRead(Time now);
+
+    /// Records that \a bytes of the body were read.
+    void bodyRead(std::uint64_t bytes, const CallerTimeouts &timeouts, Time now);
+
     /// Records that a complete request was read. It is in progress until answerWritten().
     void requestRead() { m_state = State::InProgress; }
 
@@ -101,6 +112,8 @@
 
     State m_state = State::Idle;
     Time m_activeAt;
+    Time m_progressAt {}; ///< beginning of the request, or of the current part of its body
+    std::uint64_t m_partBytes = 0; ///< read of that part
     Duration m_promisedIdle; ///< idle time that the caller relies on
     bool m_closeAnnounced = false;
 };
--- a/src/libbalsamloft/connectionuse.cpp
+++ b/src/libbalsamloft/connectionuse.cpp
@@ -13,8 +13,24 @@
 
 void ConnectionUse::requestBegun()
 {
-    if (m_state == State::Idle)
-        m_state = State::Incomplete;
+    if (m_state != State::Idle)
+        return;
+    m_state = State::Incomplete;
+    m_progressAt = m_activeAt;
+}
+
+void ConnectionUse::headRead(Time now)
+{
+    m_progressAt = now;
+    m_partBytes = 0;
+}
+
+void ConnectionUse::bodyRead(std::uint64_t bytes, const CallerTimeouts &timeouts, Time now)
+{
+    m_partBytes += bytes;
+    const auto seconds = std::chrono::duration<double>(timeouts.request).count();
+    if (static_cast<double>(m_partBytes) >= seconds * MinBodyRate)
+        headRead(now);
 }
 
 void ConnectionUse::answerWritten(Duration idleTimeout, Time now)
@@ -60,7 +76,7 @@
 ConnectionStep ConnectionUse::stepIfIncomplete(ServerPhase phase, const CallerTimeouts &timeouts,
                                                Time now) const
 {
-    const bool late = phase == ServerPhase::Ending || now - m_activeAt >= timeouts.request;
+    const bool late = phase == ServerPhase::Ending || now - m_progressAt >= timeouts.request;
     return late ? ConnectionStep::Refuse : ConnectionStep::Keep;
 }
 
--- a/src/libbalsamloft/connectionuse_test.cpp
+++ b/src/libbalsamloft/connectionuse_test.cpp
@@ -65,6 +65,43 @@
     CHECK(use.step(ServerPhase::Ending, Timeouts, probe, ended) == ConnectionStep::Close);
 }
 
+// Guards against a caller that sends a byte of its head now and then, and so never ends.
+TEST_CASE("the time of a head counts from its first byte, whenever more of it arrives")
+{
+    ConnectionUse use(Start, Timeouts.idle);
+    use.bytesRead(Start);
+    use.requestBegun();
+    const FakeProbe probe;
+    for (int second = 1; second < 3; ++second) {
+        use.bytesRead(Start + milliseconds(second * 1000));
+        use.requestBegun();
+        CHECK(use.step(ServerPhase::Serving, Timeouts, probe, Start + milliseconds(second * 1000))
+              == ConnectionStep::Keep);
+    }
+    CHECK(use.step(ServerPhase::Serving, Timeouts, probe, Start + milliseconds(3000))
+          == ConnectionStep::Refuse);
+}
+
+// Guards against a caller that sends a byte of its body now and then, and one on a slow link that
+// is taken for it.
+TEST_CASE("a body has time as long as it arrives at the least rate")
+{
+    const bool atLeastRate = GENERATE(true, false);
+    ConnectionUse use(Start, Timeouts.idle);
+    use.bytesRead(Start);
+    use.requestBegun();
+    use.headRead(Start);
+    const FakeProbe probe;
+    bool refused = false;
+    for (int second = 1; second <= 60 && !refused; ++second) {
+        const Time now = Start + milliseconds(second * 1000);
+        use.bytesRead(now);
+        use.bodyRead(atLeastRate ? MinBodyRate : MinBodyRate / 2, Timeouts, now);
+        refused = use.step(ServerPhase::Serving, Timeouts, probe, now) == ConnectionStep::Refuse;
+    }
+    CHECK(refused == !atLeastRate);
+}
+
 TEST_CASE("an incomplete request is refused once its rest is late, or the process is about to end")
 {
     ConnectionUse use(Start, Timeouts.idle);
