balsamloft-entry: callers leave descriptors to endpoints, instances and new callers

600 clients that trickled held all descriptors of a process that may have 400; no ordinary request was answered while they lasted. Connections that wait to be read, and those that linger after their end, are limited as well.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -59,7 +59,7 @@
     boost::system::error_code ignored;
     m_socket.non_blocking(true, ignored);
     const Time now = steadyNow();
-    if (!holdRequest(now))
+    if (!m_hold.openConnection(now) || !holdRequest(now))
         return refuseUnheld();
     updateDisplaceable();
     read();
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -30,7 +30,7 @@
 public:
     CallerSession(TrafficServer &server, boost::asio::ip::tcp::socket socket);
 
-    /// Begins to read, unless there is no memory left; then the caller is refused.
+    /// Begins to read, unless there are too many connections; then the caller is refused.
     void start();
 
     // Actions of the relay
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -81,6 +81,7 @@
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
     m_pool.useLinks(m_links);
+    m_lingering.setLimit(state.resources.maxConnections(ResourceUse::Request) / 4);
 }
 
 TrafficServer::~TrafficServer() = default;
@@ -88,7 +89,10 @@
 bool TrafficServer::listen(Reason &reason)
 {
     const auto begin = [this](tcp::socket socket) { beginSession(std::move(socket)); };
-    if (!m_acceptor.listen({*parseTcpEndpoint(m_settings.callerAddress)}, begin, reason)
+    const CallerAcceptorSettings callers {
+        .address = *parseTcpEndpoint(m_settings.callerAddress),
+        .maxWaiting = m_state.resources.maxConnections(ResourceUse::Request) / 2};
+    if (!m_acceptor.listen(callers, begin, reason)
         || (!m_settings.forwardAddress.empty()
             && !m_forwarder.listen(m_settings.forwardAddress, reason)))
         return false;
--- a/src/include/balsamloft/calleracceptor.h
+++ b/src/include/balsamloft/calleracceptor.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string_view>
 
@@ -23,6 +24,8 @@
     /// Whether connections that the caller has closed or half-closed are passed on. A caller that
     /// has only half-closed its connection may be owed an answer.
     bool passesEnded = false;
+    /// Most connections that are accepted and wait to be passed on; the others wait in the system.
+    std::size_t maxWaiting = std::numeric_limits<std::size_t>::max();
 };
 
 /// Accepts all connections at once and hands them on one by one, the newest
--- a/src/include/balsamloft/lingeringconnections.h
+++ b/src/include/balsamloft/lingeringconnections.h
@@ -7,8 +7,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
+#include <limits>
+#include <map>
 #include <memory>
-#include <unordered_set>
 
 namespace balsamloft {
 
@@ -26,6 +28,9 @@
 
     // Commands
 
+    /// Sets how many connections may linger. Beyond that, the one that lingers longest is closed.
+    void setLimit(std::size_t connections) { m_limit = connections; }
+
     /// Takes over \a socket, on which no operation is in progress, and ends it.
     void add(boost::asio::ip::tcp::socket socket, Time now);
 
@@ -47,7 +52,8 @@
 private:
     class Connection;
 
-    std::unordered_set<std::shared_ptr<Connection>> m_connections;
+    std::map<std::uint64_t, std::shared_ptr<Connection>> m_connections; ///< by order of their end
+    std::size_t m_limit = std::numeric_limits<std::size_t>::max();
     Counts m_counts;
 };
 
--- a/src/libaccept/calleracceptor.cpp
+++ b/src/libaccept/calleracceptor.cpp
@@ -113,13 +113,16 @@
 void CallerAcceptor::acceptAll()
 {
     const Time now = steadyNow();
-    int socket = -1;
-    while ((socket = ::accept(m_acceptor.native_handle(), nullptr, nullptr)) >= 0) {
+    int socket = 0;
+    // Nobody would accept the others after the end.
+    while ((m_stopped || m_waiting.size() < m_settings.maxWaiting)
+           && (socket = ::accept(m_acceptor.native_handle(), nullptr, nullptr)) >= 0) {
         m_waiting.add(socket, now);
         closeExpired(now); // else a long queue would take all descriptors of the process
     }
     // Waiting for connections that cannot be accepted would keep the loop busy.
-    m_lacksDescriptors = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+    m_lacksDescriptors =
+        socket < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM);
     if (!m_lacksDescriptors)
         waitForConnections();
     if (m_waiting.size() > 0)
--- a/src/libaccept/lingeringconnections.cpp
+++ b/src/libaccept/lingeringconnections.cpp
@@ -18,8 +18,9 @@
 class LingeringConnections::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(LingeringConnections &owner, tcp::socket socket, Time addedAt)
+    Connection(LingeringConnections &owner, std::uint64_t number, tcp::socket socket, Time addedAt)
         : m_owner(&owner)
+        , m_number(number)
         , m_socket(std::move(socket))
         , m_addedAt(addedAt)
     {
@@ -67,10 +68,11 @@
     {
         LingeringConnections &owner = *m_owner;
         close();
-        owner.m_connections.erase(shared_from_this());
+        owner.m_connections.erase(m_number);
     }
 
     LingeringConnections *m_owner; ///< null: closed
+    std::uint64_t m_number;
     tcp::socket m_socket;
     Time m_addedAt;
     std::array<char, 4096> m_discarded {};
@@ -79,27 +81,30 @@
 
 LingeringConnections::~LingeringConnections()
 {
-    for (const auto &each : m_connections)
+    for (const auto &[number, each] : m_connections)
         each->close();
 }
 
 void LingeringConnections::add(tcp::socket socket, Time now)
 {
-    m_counts.ended += 1;
-    auto connection = std::make_shared<Connection>(*this, std::move(socket), now);
-    m_connections.insert(connection);
+    while (!m_connections.empty() && m_connections.size() >= m_limit) {
+        m_connections.begin()->second->close();
+        m_connections.erase(m_connections.begin());
+        m_counts.timedOut += 1;
+    }
+    const std::uint64_t number = m_counts.ended++;
+    auto connection = std::make_shared<Connection>(*this, number, std::move(socket), now);
+    m_connections.emplace(number, connection);
     connection->start();
 }
 
 void LingeringConnections::tick(Time now)
 {
-    std::erase_if(m_connections, [&](const std::shared_ptr<Connection> &each) {
-        if (!each->isOver(now))
-            return false;
+    while (!m_connections.empty() && m_connections.begin()->second->isOver(now)) {
         m_counts.timedOut += 1;
-        each->close();
-        return true;
-    });
+        m_connections.begin()->second->close();
+        m_connections.erase(m_connections.begin());
+    }
 }
 
 } // namespace balsamloft
