balsamloft-entry: the other ports ask the same account

The ports for readiness, metrics and other instances took bodies of 8 MB on any number of connections, without a limit of time. They, and the connections that this instance forwards for others, now ask the account for their own parts of its memory and connections, and make room like callers. Readiness and metrics take no body.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::size_t MaxConnections = 600;
+/// What a connection takes: its object, its buffers, and the head of an answer.
+constexpr std::uint64_t ConnectionBytes = 32 * 1024;
 constexpr Duration EndpointConnectTimeout {100'000};
 /// Longer without a tick means that the process was paused.
 constexpr Duration MaxTickInterval {1'500'000};
@@ -56,11 +58,13 @@
 }
 
 /// The connection of another instance and the one to the endpoint.
-class ConnectionForwarder::Connection : public std::enable_shared_from_this<Connection>
+class ConnectionForwarder::Connection : public std::enable_shared_from_this<Connection>,
+                                        private ResourceHolder
 {
 public:
     Connection(ConnectionForwarder &forwarder, tcp::socket instance)
         : m_forwarder(forwarder)
+        , m_hold(forwarder.m_resources, ResourceUse::Instance, *this, steadyNow())
         , m_instance(std::move(instance))
         , m_endpoint(forwarder.m_context)
         , m_timer(forwarder.m_context)
@@ -69,6 +73,10 @@
 
     void start()
     {
+        const Time now = steadyNow();
+        if (!m_hold.openConnection(now) || !m_hold.resize(ConnectionBytes, now))
+            return close(false);
+        m_hold.setDisplaceable(true);
         setSocketOptions(m_instance);
         readRequest();
     }
@@ -123,6 +131,16 @@
     }
 
 private:
+    /// Ends a connection on which nothing waits for the endpoint.
+    void displace() override { m_connected && !m_writing && isIdle() ? end() : close(false); }
+
+    /// Records that the other instance has sent or taken \a count bytes.
+    void recordProgress(std::size_t count)
+    {
+        m_hold.recordProgress(count, steadyNow());
+        m_hold.setDisplaceable(m_writing || (isIdle() && !m_ending));
+    }
+
     using Handler = void (Connection::*)(const error_code &, std::size_t);
 
     /// Wraps \a handler so that it keeps this object alive.
@@ -142,6 +160,7 @@
     {
         if (error)
             return close(false);
+        recordProgress(count);
         m_unread.append(m_toEndpoint.data(), count);
         m_unread.erase(0, m_request.consume(m_unread));
         if (m_request.failure() != MessageReader::Failure::None)
@@ -256,12 +275,15 @@
     {
         m_writing = true;
         m_text = std::move(text);
+        m_hold.restartProgress(steadyNow());
+        m_hold.setDisplaceable(true);
         asio::async_write(m_instance, asio::buffer(m_text), bind(&Connection::answerWritten));
     }
 
-    void answerWritten(const error_code &error, std::size_t /*count*/)
+    void answerWritten(const error_code &error, std::size_t count)
     {
         m_writing = false;
+        recordProgress(count);
         if (error)
             return close(false);
         if (m_ending)
@@ -315,6 +337,7 @@
     void forward(asio::const_buffer bytes)
     {
         m_awaitsAnswer = true;
+        recordProgress(bytes.size());
         m_forwardedBytes += bytes.size();
         asio::async_write(m_endpoint, bytes, bind(&Connection::writtenToEndpoint));
     }
@@ -400,6 +423,7 @@
     }
 
     ConnectionForwarder &m_forwarder;
+    ResourceHold m_hold;
     tcp::socket m_instance;
     tcp::socket m_endpoint;
     AcknowledgmentLimit m_instanceAcknowledgment;
@@ -425,10 +449,11 @@
 };
 
 ConnectionForwarder::ConnectionForwarder(asio::io_context &context, EndpointLinks &links,
-                                         ForwardingPolicy &policy)
+                                         ForwardingPolicy &policy, ResourceGroupPtr resources)
     : m_context(context)
     , m_links(links)
     , m_policy(policy)
+    , m_resources(std::move(resources))
     , m_acceptor(context)
 {
 }
--- a/src/entry/connectionforwarder.h
+++ b/src/entry/connectionforwarder.h
@@ -7,6 +7,7 @@
 
 #include <balsamloft/endpointlinks.h>
 #include <balsamloft/lingeringconnections.h>
+#include <balsamloft/resourceaccount.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -75,7 +76,7 @@
 {
 public:
     ConnectionForwarder(boost::asio::io_context &context, EndpointLinks &links,
-                        ForwardingPolicy &policy);
+                        ForwardingPolicy &policy, ResourceGroupPtr resources);
     ~ConnectionForwarder();
 
     /// \return whether listening succeeded; otherwise \a reason is set.
@@ -117,6 +118,7 @@
     boost::asio::io_context &m_context;
     EndpointLinks &m_links;
     ForwardingPolicy &m_policy;
+    const ResourceGroupPtr m_resources;
     boost::asio::ip::tcp::acceptor m_acceptor;
     FleetPtr m_fleet;
     std::set<std::shared_ptr<Connection>> m_connections;
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -135,7 +135,8 @@
     , m_server(
           context, [this](std::span<const CrashNotice> notices) { crashNoticesReceived(notices); },
           [this](const InstanceState &state) { stateReceived(state); },
-          [this](const InstanceState &sender) { return stateForAnswer(sender); })
+          [this](const InstanceState &sender) { return stateForAnswer(sender); },
+          std::make_shared<ResourceGroup>(&state.resources))
     , m_directory(settings.name, settings.domain)
     , m_channel(context, settings.storeAddress, protocol, state, m_eras)
     , m_peers(context)
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr int ListenFailedExitCode = 3;
+/// Limits of requests that need no body.
+constexpr MessageLimits WithoutBody {.headerBytes = DefaultMaxHeaderBytes, .bodyBytes = 4096};
 constexpr auto OwnLoadInterval = std::chrono::milliseconds(500);
 
 /// The threads of the process and the servers that run on them.
@@ -40,12 +42,14 @@
               [this](std::string_view, std::string_view, const SimpleHttpServer::Reply &reply) {
                   reply(m_trafficServer.ready() ? HttpAnswer {200, "ready\n"}
                                                 : HttpAnswer {503, "not ready\n"});
-              })
+              },
+              m_trafficServer.resources(), ResourceUse::Operator, WithoutBody)
         , m_metrics(
               m_trafficContext,
               [this](std::string_view, std::string_view, const SimpleHttpServer::Reply &reply) {
                   reply({200, m_trafficServer.metrics()});
-              })
+              },
+              m_trafficServer.resources(), ResourceUse::Operator, WithoutBody)
         , m_loadTimer(m_trafficContext)
         , m_signals(m_trafficContext, SIGTERM, SIGINT, SIGHUP)
     {
--- a/src/entry/peerserver.cpp
+++ b/src/entry/peerserver.cpp
@@ -63,7 +63,7 @@
 }
 
 PeerServer::PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived,
-                       StateHandler stateReceived, AnswerState self)
+                       StateHandler stateReceived, AnswerState self, ResourceGroupPtr resources)
     : m_server(
         context,
         [this](std::string_view target, std::string_view body, SimpleHttpServer::Reply reply) {
@@ -71,7 +71,8 @@
                 reply(receiveNotices(body));
             else
                 handleQuery(target, body, std::move(reply));
-        })
+        },
+        std::move(resources), ResourceUse::Instance)
     , m_noticesReceived(std::move(noticesReceived))
     , m_stateReceived(std::move(stateReceived))
     , m_self(std::move(self))
--- a/src/entry/peerserver.h
+++ b/src/entry/peerserver.h
@@ -70,7 +70,7 @@
     /// the state that an instance sends in its query; \a self: takes that state and returns the one
     /// to send in the answer.
     PeerServer(boost::asio::io_context &context, NoticeHandler noticesReceived,
-               StateHandler stateReceived, AnswerState self);
+               StateHandler stateReceived, AnswerState self, ResourceGroupPtr resources);
 
     bool listen(const std::string &address, Reason &reason);
     TableState &state(SharedTable table) { return m_states[static_cast<std::size_t>(table)]; }
--- a/src/entry/simplehttpserver.h
+++ b/src/entry/simplehttpserver.h
@@ -5,6 +5,7 @@
 
 #include "httpmessage.h"
 
+#include <balsamloft/resourceaccount.h>
 #include <balsamloft/types.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -30,7 +31,10 @@
     using Handler =
         std::function<void(std::string_view target, std::string_view body, Reply reply)>;
 
-    SimpleHttpServer(boost::asio::io_context &context, Handler handler);
+    /// Connections and requests are held as \a use in \a resources; \a limits are those of a
+    /// request.
+    SimpleHttpServer(boost::asio::io_context &context, Handler handler, ResourceGroupPtr resources,
+                     ResourceUse use, MessageLimits limits = {});
 
     /// \return whether listening succeeded; otherwise \a reason is set.
     bool listen(const std::string &address, Reason &reason);
@@ -40,6 +44,9 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
+    const ResourceGroupPtr m_resources;
+    const ResourceUse m_use;
+    const MessageLimits m_limits;
 };
 
 } // namespace balsamloft
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -76,7 +76,7 @@
     , m_timer(context)
     , m_links(settings.name, settings.domain, linkSettings(settings, EntryThread::Traffic))
     , m_pool(context)
-    , m_forwarder(context, m_links, *this)
+    , m_forwarder(context, m_links, *this, m_resources)
     , m_relay(relaySettings(settings))
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
