--- a/src/entry/sockets.cpp
+++ b/src/entry/sockets.cpp
@@ -1,5 +1,7 @@
 #include "sockets.h"
 
+#include <balsamloft/socketbuffers.h>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -27,6 +29,8 @@
     acceptor.open(endpoint->protocol(), error);
     if (!error)
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        limitSocketBuffers(acceptor.native_handle());
     if (!error)
         acceptor.bind(*endpoint, error);
     if (!error)
--- a/src/libaccept/calleracceptor.cpp
+++ b/src/libaccept/calleracceptor.cpp
@@ -1,4 +1,5 @@
 #include <balsamloft/calleracceptor.h>
+#include <balsamloft/socketbuffers.h>
 #include <balsamloft/socketstate.h>
 
 #include <boost/asio/post.hpp>
@@ -60,6 +61,8 @@
         m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error && m_settings.sharesPort)
         m_acceptor.set_option(ReusePort(true), error);
+    if (!error)
+        limitSocketBuffers(m_acceptor.native_handle());
     if (!error)
         m_acceptor.bind(m_settings.address, error);
     if (!error)
