balsamloftd: the same account for callers and operators

Its HttpServer now asks the account like balsamloft-entry: connections, bodies (counted twice, since completions keep the prompt that is parsed from them), answers while they arrive from an endpoint and until their caller has read them. A call's body is sent from where it was read, in place of two copies.

--- a/src/balsamloftd/adminserver.cpp
+++ b/src/balsamloftd/adminserver.cpp
@@ -17,10 +17,14 @@
 namespace {
 
 constexpr std::size_t DefaultHistoryLimit = 50;
+constexpr std::string_view UnauthorizedMessage =
+    "the header Authorization: Bearer with the operators' token is required";
 
-HttpServerSettings adminSettings()
+HttpServerSettings adminSettings(ResourceAccount &resources)
 {
     HttpServerSettings settings;
+    settings.resources = &resources;
+    settings.use = ResourceUse::Operator;
     settings.maxBodyBytes = 2 * MaxDocumentBytes;
     return settings;
 }
@@ -30,10 +34,16 @@
     exchange->respond(jsonResponse(status, json::serialize(value)));
 }
 
+HttpResponse errorResponse(http::status status, std::string_view code, std::string_view message)
+{
+    return jsonResponse(
+        status, json::serialize(json::value {{"error", {{"code", code}, {"message", message}}}}));
+}
+
 void respondError(const HttpExchangePtr &exchange, http::status status, std::string_view code,
                   std::string_view message)
 {
-    respond(exchange, status, {{"error", {{"code", code}, {"message", message}}}});
+    exchange->respond(errorResponse(status, code, message));
 }
 
 std::string_view queryValue(const HttpExchangePtr &exchange, std::string_view name)
@@ -187,7 +197,7 @@
 
 AdminServer::AdminServer(ControlPlane &control)
     : m_control(control)
-    , m_server(control.context(), adminSettings(),
+    , m_server(control.context(), adminSettings(control.resources()),
                [this](const HttpExchangePtr &exchange) { handle(exchange); })
 {
 }
@@ -206,9 +216,8 @@
 void AdminServer::handle(const HttpExchangePtr &exchange)
 {
     if (!authorized(exchange))
-        return respondError(
-            exchange, http::status::unauthorized, "unauthorized",
-            "the header Authorization: Bearer with the operators' token is required");
+        return respondError(exchange, http::status::unauthorized, "unauthorized",
+                            UnauthorizedMessage);
     const auto method = exchange->request().method_string();
     bool pathKnown = false;
     for (const Route &route : s_routes) {
--- a/src/balsamloftd/controlplane.cpp
+++ b/src/balsamloftd/controlplane.cpp
@@ -74,8 +74,9 @@
 }
 
 ControlPlane::ControlPlane(const DaemonSettings &settings, std::uint64_t incarnation,
-                           std::uint64_t seed)
+                           std::uint64_t seed, ResourceAccount &resources)
     : m_settings(settings)
+    , m_resources(resources)
     , m_incarnation(incarnation)
     , m_work(asio::make_work_guard(m_context))
     , m_timer(m_context)
@@ -175,6 +176,7 @@
         collection->pendingWorkers = m_workers.size();
         collection->callback = std::move(callback);
         renderControlMetrics(collection->text);
+        m_resources.render(collection->text);
         for (TrafficWorker *worker : m_workers) {
             worker->renderMetrics([this, collection](std::string text) {
                 asio::post(m_context, [collection, text = std::move(text)] {
@@ -267,9 +269,26 @@
             observeEngines();
         tickPlacement(now);
     }
+    logRefusing(now);
     schedule();
 }
 
+/// Logs when this instance begins or ends to refuse clients for want of memory or connections.
+void ControlPlane::logRefusing(Time now)
+{
+    const bool refusing = m_resources.isRefusing(now);
+    if (refusing == std::exchange(m_loggedRefusing, refusing))
+        return;
+    const ResourceAccount::Counts counts = m_resources.counts();
+    log(LogLevel::Warning, "clients", refusing ? "refusing clients" : "accepting clients again",
+        {{"held_bytes", std::to_string(m_resources.bytes())},
+         {"limit_bytes", std::to_string(m_resources.limits().bytes)},
+         {"connections", std::to_string(m_resources.connections(ResourceUse::Request))},
+         {"refused_memory", std::to_string(counts.refusedForMemory)},
+         {"refused_connections", std::to_string(counts.refusedForConnections)},
+         {"displaced", std::to_string(counts.displaced)}});
+}
+
 void ControlPlane::readInstanceList()
 {
     m_platform->listInstances([this](const std::optional<std::vector<ListedInstance>> &list) {
--- a/src/balsamloftd/controlplane.h
+++ b/src/balsamloftd/controlplane.h
@@ -24,7 +24,9 @@
 {
 public:
     /// \a incarnation distinguishes this process from earlier processes with the same name.
-    ControlPlane(const DaemonSettings &settings, std::uint64_t incarnation, std::uint64_t seed);
+    /// \a resources counts what all threads hold, and must outlive the control plane.
+    ControlPlane(const DaemonSettings &settings, std::uint64_t incarnation, std::uint64_t seed,
+                 ResourceAccount &resources);
     ~ControlPlane() override;
 
     /// Opens the admin and the peer listener and starts the thread. Returns false and sets
@@ -55,6 +57,7 @@
     std::vector<std::string> explainPlacement() const { return m_placement.explain(); }
     const std::string &peerAddress() const { return m_peers.address(); }
     const DaemonSettings &settings() const { return m_settings; }
+    ResourceAccount &resources() const { return m_resources; }
     std::span<TrafficWorker *const> workers() const { return m_workers; }
     boost::asio::io_context &context() { return m_context; }
     std::size_t unresolvedClaims() const
@@ -81,6 +84,7 @@
     void demandCollected(const std::map<std::string, double> &totals, Time now);
     void observeEngines();
     void tickPlacement(Time now);
+    void logRefusing(Time now);
     bool participatesInLease(Time now) const
     {
         return m_lease.holds(now) || m_membership.contendsForLease();
@@ -107,6 +111,8 @@
     void operator()(WriteLease &action);
 
     DaemonSettings m_settings;
+    ResourceAccount &m_resources;
+    bool m_loggedRefusing = false;
     std::uint64_t m_incarnation;
     boost::asio::io_context m_context {1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
--- a/src/balsamloftd/main.cpp
+++ b/src/balsamloftd/main.cpp
@@ -32,7 +32,8 @@
         : m_settings(settings)
         , m_incarnation(static_cast<std::uint64_t>(wallNow()))
         , m_seed(settings.seed != 0 ? settings.seed : std::random_device {}())
-        , m_control(settings, m_incarnation, m_seed)
+        , m_resources(limitsFor(reportedSize(settings.machine)))
+        , m_control(settings, m_incarnation, m_seed, m_resources)
         , m_signals(m_context, SIGTERM, SIGINT)
         , m_timer(m_context)
     {
@@ -69,13 +70,14 @@
     }
 
 private:
-    WorkerSettings workerSettings(std::uint32_t index) const
+    WorkerSettings workerSettings(std::uint32_t index)
     {
         WorkerSettings worker;
         worker.index = index;
         worker.listen = m_settings.listen;
         worker.requestPrefix = m_settings.name + "-" + std::to_string(m_incarnation);
         worker.server = m_settings.server;
+        worker.server.resources = &m_resources;
         worker.callers = m_settings.callers;
         worker.router = m_settings.router;
         return worker;
@@ -134,6 +136,7 @@
     DaemonSettings m_settings;
     std::uint64_t m_incarnation;
     std::uint64_t m_seed;
+    ResourceAccount m_resources; ///< what all threads hold for clients
     boost::asio::io_context m_context {1};
     ControlPlane m_control;
     std::vector<std::unique_ptr<TrafficWorker>> m_workers;
--- a/src/balsamloftd/settings.cpp
+++ b/src/balsamloftd/settings.cpp
@@ -34,6 +34,11 @@
 DEFINE_int32(max_header_bytes, 16384, "maximum size of a request header");
 DEFINE_int32(max_body_bytes, 4194304, "maximum size of a request body");
 DEFINE_int32(max_connections, 10000, "maximum number of caller connections per traffic thread");
+DEFINE_int32(memory_mb, 0,
+             "memory of the machine in megabytes, at least 32; 0: what the system reports");
+DEFINE_int32(max_descriptors, 0,
+             "descriptors that the process may have, at least 250, of which 200 are for files; 0: "
+             "what the system reports");
 DEFINE_int32(request_timeout_ms, 15000, "timeout for receiving a request from a caller");
 DEFINE_int32(write_timeout_ms, 15000, "timeout for writing to a caller that does not read");
 DEFINE_int32(max_queued, 10000,
@@ -143,6 +148,10 @@
     checker.range("max_header_bytes", FLAGS_max_header_bytes, 512, Large);
     checker.range("max_body_bytes", FLAGS_max_body_bytes, 1024, 1LL << 30);
     checker.range("max_connections", FLAGS_max_connections, 1, Large);
+    if (FLAGS_memory_mb != 0)
+        checker.range("memory_mb", FLAGS_memory_mb, MinMemoryMegabytes, 1LL << 30);
+    if (FLAGS_max_descriptors != 0)
+        checker.range("max_descriptors", FLAGS_max_descriptors, MinDescriptors, 1LL << 30);
     checker.range("request_timeout_ms", FLAGS_request_timeout_ms, 10, Hour);
     checker.range("write_timeout_ms", FLAGS_write_timeout_ms, 10, Hour);
     checker.range("max_queued", FLAGS_max_queued, 1, Large);
@@ -211,6 +220,7 @@
     settings.server.maxHeaderBytes = static_cast<std::uint32_t>(FLAGS_max_header_bytes);
     settings.server.maxBodyBytes = static_cast<std::uint64_t>(FLAGS_max_body_bytes);
     settings.server.maxConnections = static_cast<std::size_t>(FLAGS_max_connections);
+    settings.machine = machineSize(FLAGS_memory_mb, FLAGS_max_descriptors);
     settings.server.requestTimeout = millis(FLAGS_request_timeout_ms);
     settings.server.writeTimeout = millis(FLAGS_write_timeout_ms);
     settings.callers.defaultDeadline = millis(FLAGS_default_deadline_ms);
--- a/src/balsamloftd/settings.h
+++ b/src/balsamloftd/settings.h
@@ -33,6 +33,7 @@
     Duration unloadDelay {}; ///< how long an engine keeps a model that is no longer routed to it
     LogLevel logLevel = LogLevel::Info;
     std::uint64_t seed = 0; ///< of the random number generators; 0: chosen by the system
+    MachineSize machine; ///< what the process may use
     HttpServerSettings server;
     CallerLimits callers;
     RouterSettings router;
--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -66,6 +66,12 @@
     return leaving && leaving->is_bool() && leaving->get_bool();
 }
 
+HttpClientSettings clientSettings(HttpClientSettings settings, const HttpServer &server)
+{
+    settings.resources = server.resources();
+    return settings;
+}
+
 } // namespace
 
 TrafficWorker::TrafficWorker(WorkerSettings settings, ControlLink &control, std::uint64_t seed)
@@ -77,7 +83,7 @@
     , m_router(m_settings.router, seed)
     , m_server(m_context, m_settings.server,
                [this](const HttpExchangePtr &exchange) { handle(exchange); })
-    , m_client(m_context, m_settings.client)
+    , m_client(m_context, clientSettings(m_settings.client, m_server))
 {
 }
 
@@ -418,8 +424,11 @@
     request.set("Balsamloft-Request-Id", it->second.id);
     const RequestId id = call.request;
     const std::uint32_t attempt = call.attempt;
+    HttpClient::Options sendOptions = options(id, attempt, call.deadline);
+    sendOptions.body = it->second.exchange->request().body();
+    sendOptions.bodyOwner = it->second.exchange;
     it->second.outgoing = m_client.send(
-        address, std::move(request), options(id, attempt, call.deadline),
+        address, std::move(request), std::move(sendOptions),
         [this, id, attempt](HttpResult result) { callReturned(id, attempt, std::move(result)); });
 }
 
@@ -503,7 +512,7 @@
     } else {
         if (!answer.contentType.empty())
             response.set(http::field::content_type, answer.contentType);
-        response.body() = answer.body;
+        response.body() = std::move(finish.answer.body);
     }
     response.set("Balsamloft-Request-Id", pending.id);
     if (answer.replayed)
--- a/src/include/balsamloft/callerapi.h
+++ b/src/include/balsamloft/callerapi.h
@@ -25,7 +25,7 @@
 {
     Request request; ///< without the id
     bool stream = false;
-    HttpRequest forward; ///< the request to send to the endpoint; services only
+    HttpRequest forward; ///< the request to send to the endpoint, without its body; services only
 };
 
 /// Why a request is invalid. Such a request is never executed.
--- a/src/include/balsamloft/httpclient.h
+++ b/src/include/balsamloft/httpclient.h
@@ -18,6 +18,7 @@
     std::uint64_t maxBodyBytes = 16 * 1024 * 1024;
     std::size_t maxIdlePerAddress = 256;
     Duration idleLifetime {10'000'000}; ///< must be shorter than the idle timeout of servers
+    ResourceGroupPtr resources {}; ///< of those for whom answers are held; null: without a limit
 };
 
 /// Why a request failed.
@@ -62,6 +63,9 @@
     {
         Duration timeout {10'000'000}; ///< from send() to the complete answer
         bool freshConnection = false; ///< open a new connection instead of reusing an idle one
+        /// Sent as the body in place of the request's own. It stays valid as long as `bodyOwner`.
+        std::string_view body {};
+        std::shared_ptr<const void> bodyOwner {};
         std::function<bool()> maySend; ///< called before the first write; false cancels the request
     };
 
--- a/src/include/balsamloft/httpserver.h
+++ b/src/include/balsamloft/httpserver.h
@@ -6,6 +6,7 @@
 
 #include <balsamloft/calleracceptor.h>
 #include <balsamloft/callercounts.h>
+#include <balsamloft/resourceaccount.h>
 #include <balsamloft/types.h>
 
 #include <boost/asio/io_context.hpp>
@@ -33,6 +34,9 @@
     Duration writeTimeout {15'000'000}; ///< for each write to the caller
     std::size_t maxBufferedBytes = 4 * 1024 * 1024; ///< unsent data of a stream to a slow caller
     std::size_t maxConnections = 10'000;
+    /// What the process may hold; null: without a limit. Outlives the server.
+    ResourceAccount *resources = nullptr;
+    ResourceUse use = ResourceUse::Request;
 };
 
 /// One request and the answer to it. Must be used on the server's thread only.
@@ -71,6 +75,9 @@
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 using HttpHandler = std::function<void(HttpExchangePtr)>;
 
+/// Looks at a request whose body was not read yet. Returns the answer if it is refused.
+using HttpHeadCheck = std::function<std::optional<HttpResponse>(const HttpRequest &request)>;
+
 /// Accepts connections and passes each request to a handler. New connections are read and refused
 /// as CallerAcceptor decides: the newest is read first.
 class HttpServer
@@ -79,6 +86,9 @@
     HttpServer(boost::asio::io_context &context, HttpServerSettings settings, HttpHandler handler);
     ~HttpServer();
 
+    /// Lets \a check refuse requests before their bodies are read. To be called before listen().
+    void checkHeads(HttpHeadCheck check);
+
     /// Listens on \a address ("IP:port"; port 0 selects a free port). Returns false and sets
     /// \a reason on failure.
     bool listen(std::string_view address, Reason &reason);
@@ -107,6 +117,9 @@
     std::size_t waitingConnections() const { return m_acceptor.waiting(); }
     const CallerAcceptor::Counts &acceptCounts() const { return m_acceptor.counts(); }
 
+    /// What the connections of this server hold.
+    const ResourceGroupPtr &resources() const;
+
     /// Requests and connections since the start.
     const CallerCounts &counts() const;
 
--- a/src/libweb/callerapi.cpp
+++ b/src/libweb/callerapi.cpp
@@ -176,7 +176,6 @@
         if (!isDroppedHeader(field.name()) && !isBalsamloftHeader(fieldName))
             call.forward.insert(field.name(), field.name_string(), field.value());
     }
-    call.forward.body() = http.body();
     return std::nullopt;
 }
 
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -3,6 +3,8 @@
 #include <balsamloft/httprequest.h>
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -22,6 +24,12 @@
 /// deadline.
 constexpr std::size_t MaxInterimAnswers = 32;
 
+/// How long an answer waits until it may be held. By then, those that nobody reads have given way.
+constexpr Duration MaxHoldWait = 2 * StallTime;
+constexpr Duration HoldRetryInterval {100'000};
+/// Smaller answers are held with the connections of their callers.
+constexpr std::uint64_t OrdinaryBytes = 4 * 1024;
+
 struct Connection
 {
     explicit Connection(asio::io_context &context)
@@ -49,15 +57,19 @@
 {
     Shared(asio::io_context &ioContext, HttpClientSettings clientSettings)
         : context(ioContext)
-        , settings(clientSettings)
+        , settings(std::move(clientSettings))
+        , resources(settings.resources ? settings.resources : std::make_shared<ResourceGroup>())
     {
     }
     asio::io_context &context;
     HttpClientSettings settings;
+    ResourceGroupPtr resources;
     std::unordered_map<std::string, std::deque<std::unique_ptr<Connection>>> idle;
 };
 
-class HttpClient::Call : public HttpCall, public std::enable_shared_from_this<HttpClient::Call>
+class HttpClient::Call : public HttpCall,
+                         public std::enable_shared_from_this<HttpClient::Call>,
+                         private ResourceHolder
 {
 public:
     Call(std::shared_ptr<Shared> shared, std::string address, HttpRequest request, Options options,
@@ -67,6 +79,8 @@
         , m_request(std::move(request))
         , m_options(std::move(options))
         , m_callback(std::move(callback))
+        , m_hold(m_shared->resources, ResourceUse::Answer, *this, steadyNow())
+        , m_holdTimer(m_shared->context)
     {
     }
 
@@ -74,10 +88,15 @@
     void abort() override;
 
 private:
+    void displace() override { } // its progress is up to the endpoint
+    bool holdAnswer();
     bool takeIdleConnection();
     void connect();
     void write();
+    void writeBody();
     void read();
+    void readSome();
+    void readSomeIfHeld();
     void answerRead();
     void fail(HttpFailure::Kind kind, std::string reason);
     void fail(beast::error_code error, bool sent);
@@ -92,7 +111,11 @@
     Time m_expiry {};
     std::unique_ptr<Connection> m_connection;
     beast::flat_buffer m_buffer;
+    std::optional<http::request_serializer<http::string_body>> m_serializer;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    ResourceHold m_hold;
+    asio::steady_timer m_holdTimer; ///< while reading waits
+    std::optional<Time> m_waitsSince; ///< reading waits until more may be held
     std::size_t m_interimAnswers = 0;
 };
 
@@ -102,6 +125,8 @@
     m_request.version(11);
     m_request.keep_alive(true);
     m_request.prepare_payload();
+    if (!m_options.body.empty())
+        m_request.content_length(m_options.body.size());
     if (!m_options.freshConnection && takeIdleConnection())
         return write();
     connect();
@@ -156,6 +181,8 @@
         return;
     }
     m_connection->stream.expires_after(std::max(Duration(1), m_expiry - steadyNow()));
+    if (!m_options.body.empty())
+        return writeBody();
     http::async_write(m_connection->stream, m_request,
                       [self = shared_from_this()](beast::error_code error, std::size_t) {
                           if (!self->m_callback)
@@ -166,20 +193,76 @@
                       });
 }
 
+/// Writes the head, then the body, which is not copied.
+void HttpClient::Call::writeBody()
+{
+    m_serializer.emplace(m_request);
+    http::async_write_header(m_connection->stream, *m_serializer,
+                             [self = shared_from_this()](beast::error_code headError, std::size_t) {
+                                 if (!self->m_callback)
+                                     return;
+                                 if (headError)
+                                     return self->fail(headError, true);
+                                 asio::async_write(self->m_connection->stream,
+                                                   asio::buffer(self->m_options.body),
+                                                   [self](beast::error_code error, std::size_t) {
+                                                       if (!self->m_callback)
+                                                           return;
+                                                       if (error)
+                                                           return self->fail(error, true);
+                                                       self->read();
+                                                   });
+                             });
+}
+
 void HttpClient::Call::read()
 {
     m_parser.emplace();
+    m_parser->eager(true);
     m_parser->body_limit(m_shared->settings.maxBodyBytes);
     if (m_request.method() == http::verb::head)
         m_parser->skip(true);
-    http::async_read(m_connection->stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](beast::error_code error, std::size_t) {
-                         if (!self->m_callback)
-                             return;
-                         if (error)
-                             return self->fail(error, true);
-                         self->answerRead();
-                     });
+    readSome();
+}
+
+void HttpClient::Call::readSome()
+{
+    http::async_read_some(m_connection->stream, m_buffer, *m_parser,
+                          [self = shared_from_this()](beast::error_code error, std::size_t) {
+                              if (!self->m_callback)
+                                  return;
+                              if (error)
+                                  return self->fail(error, true);
+                              if (self->m_parser->is_done())
+                                  return self->answerRead();
+                              self->readSomeIfHeld();
+                          });
+}
+
+bool HttpClient::Call::holdAnswer()
+{
+    const std::uint64_t bytes = std::max<std::uint64_t>(m_parser->get().body().capacity(),
+                                                        m_parser->content_length().value_or(0));
+    return bytes <= OrdinaryBytes || m_hold.growTo(bytes, steadyNow());
+}
+
+/// Reads on if the answer may be held so far, else later.
+void HttpClient::Call::readSomeIfHeld()
+{
+    if (holdAnswer()) {
+        m_waitsSince.reset();
+        return readSome();
+    }
+    const Time now = steadyNow();
+    if (!m_waitsSince)
+        m_waitsSince = now;
+    if (now - *m_waitsSince >= MaxHoldWait)
+        return fail(HttpFailure::Kind::Broken, "the answer does not fit beside what is held");
+    m_holdTimer.expires_after(HoldRetryInterval);
+    m_holdTimer.async_wait([self = shared_from_this()](beast::error_code error) {
+        if (!error && self->m_callback)
+            self->readSomeIfHeld();
+    });
 }
 
 /// An interim answer precedes the answer to the request. If it were taken for that answer, the next
@@ -222,6 +305,8 @@
 
 void HttpClient::Call::finish(HttpResult result)
 {
+    // Whoever takes the answer holds it from now on.
+    m_hold.release();
     if (const auto callback = std::exchange(m_callback, nullptr))
         callback(std::move(result));
 }
@@ -229,12 +314,14 @@
 void HttpClient::Call::abort()
 {
     m_callback = nullptr;
+    m_hold.release();
+    m_holdTimer.cancel();
     if (m_connection)
         m_connection->stream.close();
 }
 
 HttpClient::HttpClient(asio::io_context &context, HttpClientSettings settings)
-    : m_shared(std::make_shared<Shared>(context, settings))
+    : m_shared(std::make_shared<Shared>(context, std::move(settings)))
 {
 }
 
--- a/src/libweb/httpclient_test.cpp
+++ b/src/libweb/httpclient_test.cpp
@@ -4,6 +4,8 @@
 
 #include "../fakes/cutanswers.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <catch2/catch.hpp>
 
 using namespace balsamloft;
@@ -90,3 +92,46 @@
         }
     }
 }
+
+// Guards against answers that are read although there is no room for them.
+TEST_CASE("an answer that does not fit is read once there is room")
+{
+    class Other : private ResourceHolder
+    {
+    public:
+        explicit Other(const ResourceGroupPtr &group)
+            : hold(group, ResourceUse::Answer, *this, Time {})
+        {
+        }
+        ResourceHold hold;
+
+    private:
+        void displace() override { }
+    };
+
+    ResourceAccount account({.bytes = 4U << 20U, .connections = 64});
+    const auto group = std::make_shared<ResourceGroup>(&account);
+    const bool roomLater = GENERATE(true, false);
+    Other other(group);
+    REQUIRE(other.hold.resize(account.largestGrant(ResourceUse::Answer), Time {}));
+    asio::io_context context;
+    ScriptedEndpoint endpoint {context};
+    HttpClientSettings settings;
+    settings.resources = group;
+    HttpClient client(context, settings);
+    constexpr std::size_t Length = 1'000'000;
+    endpoint.addAnswer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Length) + "\r\n\r\n"
+                           + std::string(Length, 'a'),
+                       Ending::Keep);
+    std::optional<HttpResult> received;
+    client.send(endpoint.address(), HttpRequest(http::verb::get, "/x", 11), {},
+                [&](HttpResult result) { received = std::move(result); });
+    asio::steady_timer timer(context, std::chrono::milliseconds(300));
+    if (roomLater)
+        timer.async_wait([&](const boost::system::error_code &) { other.hold.release(); });
+    while (!received)
+        context.run_one();
+    CHECK(received->response.has_value() == roomLater);
+    if (roomLater)
+        CHECK(received->response->body().size() == Length);
+}
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -33,21 +33,52 @@
 /// system reports the connection as readable then, whether it was closed or not.
 constexpr Duration PipelinedCheckInterval {100'000};
 
+/// What a connection takes with an ordinary request and answer: its object, its buffers, and what
+/// the system keeps of it.
+constexpr std::uint64_t ConnectionBytes = 16 * 1024;
+/// Larger bodies and answers are held in addition.
+constexpr std::uint64_t OrdinaryBytes = 4 * 1024;
+/// A handler that parses a body keeps its content besides.
+constexpr std::uint64_t CopiesOfBody = 2;
+constexpr std::chrono::seconds RetryAfterUnheld =
+    std::chrono::duration_cast<std::chrono::seconds>(StallTime);
+
 /// The answer to a request that was not executed, and never will be.
-HttpResponse refusal(http::status status, std::string_view code, std::string_view message)
+HttpResponse refusal(http::status status, std::string_view code, std::string_view message,
+                     std::chrono::seconds retryAfter = {})
 {
     std::string body = R"({"error":{"code":")";
     body.append(code).append(R"(","message":")").append(message);
-    body.append(R"(","ran":"no","retry_after_ms":0}})");
-    return jsonResponse(status, std::move(body));
+    body.append(R"(","ran":"no","retry_after_ms":)");
+    body += std::to_string(std::chrono::milliseconds(retryAfter).count()) + "}}";
+    HttpResponse response = jsonResponse(status, std::move(body));
+    if (retryAfter.count() > 0)
+        response.set(http::field::retry_after, std::to_string(retryAfter.count()));
+    return response;
+}
+
+/// The answer in place of one that can't be held.
+HttpResponse unheldAnswer()
+{
+    return jsonResponse(http::status::bad_gateway,
+                        R"({"error":{"code":"answer_too_large","message":"the answer does not fit )"
+                        R"(beside what the instance holds","ran":"unknown","retry_after_ms":0}})");
 }
 
 } // namespace
 
 struct HttpServer::Shared
 {
+    explicit Shared(const HttpServerSettings &serverSettings)
+        : settings(serverSettings)
+        , resources(std::make_shared<ResourceGroup>(settings.resources))
+    {
+    }
+
     HttpServerSettings settings;
+    ResourceGroupPtr resources;
     HttpHandler handler;
+    HttpHeadCheck headCheck;
     ServerPhase phase = ServerPhase::Serving;
     Time closingSince {};
     std::unordered_set<Session *> sessions;
@@ -63,7 +94,8 @@
 
 /// One connection. Handles its requests one after another.
 class HttpServer::Session : public std::enable_shared_from_this<HttpServer::Session>,
-                            private ConnectionProbe
+                            private ConnectionProbe,
+                            private ResourceHolder
 {
 public:
     Session(tcp::socket socket, std::shared_ptr<Shared> shared)
@@ -71,6 +103,8 @@
         , m_watchTimer(m_stream.get_executor())
         , m_shared(std::move(shared))
         , m_use(steadyNow(), m_shared->settings.requestTimeout)
+        , m_hold(m_shared->resources, m_shared->settings.use, *this, steadyNow())
+        , m_answerHold(m_shared->resources, answerUse(m_shared->settings.use), *this, steadyNow())
     {
         m_shared->sessions.insert(this);
     }
@@ -79,6 +113,8 @@
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
+    /// Begins to read, unless there are too many connections; then the caller is refused.
+    void start();
     void readRequest();
 
     bool isDue(Time now) const { return step(now) != ConnectionStep::Keep; }
@@ -108,6 +144,16 @@
 private:
     enum class Phase : std::uint8_t { Reading, Waiting, Responding, Streaming };
 
+    static ResourceUse answerUse(ResourceUse use)
+    {
+        return use == ResourceUse::Request ? ResourceUse::Answer : use;
+    }
+    void displace() override;
+    bool holdRequest(Time now);
+    bool holdAnswer(std::uint64_t bytes);
+    void refuseUnheld();
+    void dropReader();
+    void updateDisplaceable();
     bool hasUnreadBytes() const override
     {
         return balsamloft::hasUnreadBytes(m_stream.socket().native_handle());
@@ -122,7 +168,9 @@
     void parse();
     void onRequestRead();
     void rejectMalformed(beast::error_code error);
-    void refuse(http::status status, std::string_view code, std::string_view message);
+    void refuse(HttpResponse response);
+    void writeResponse();
+    void onResponseWritten(beast::error_code error, std::size_t size);
     void announceCloseIfStopping();
     void watchCaller();
     void watchPipeliningCaller();
@@ -142,6 +190,10 @@
     asio::steady_timer m_watchTimer; ///< while bytes of the caller's next request wait
     std::shared_ptr<Shared> m_shared;
     ConnectionUse m_use;
+    ResourceHold m_hold; ///< of the connection and the request
+    ResourceHold m_answerHold;
+    std::uint64_t m_headBytes = 0;
+    bool m_headChecked = false;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<HttpResponse> m_response;
@@ -210,9 +262,79 @@
     bool m_answered = false;
 };
 
+void HttpServer::Session::start()
+{
+    const Time now = steadyNow();
+    if (!m_hold.openConnection(now) || !m_hold.resize(ConnectionBytes, now))
+        return refuseUnheld();
+    readRequest();
+}
+
+/// Holds what the request takes so far, and will take if its length is known.
+bool HttpServer::Session::holdRequest(Time now)
+{
+    const std::uint64_t body = std::max<std::uint64_t>(m_parser->get().body().capacity(),
+                                                       m_parser->content_length().value_or(0));
+    const std::uint64_t bytes =
+        m_headBytes + m_buffer.capacity() + (m_parser->is_header_done() ? CopiesOfBody * body : 0);
+    return m_hold.growTo(ConnectionBytes + (bytes > OrdinaryBytes ? bytes : 0), now);
+}
+
+bool HttpServer::Session::holdAnswer(std::uint64_t bytes)
+{
+    return m_answerHold.resize(bytes > OrdinaryBytes ? bytes : 0, steadyNow());
+}
+
+void HttpServer::Session::refuseUnheld()
+{
+    refuse(refusal(http::status::service_unavailable, "overloaded",
+                   "the instance holds as much as it can", RetryAfterUnheld));
+}
+
+void HttpServer::Session::updateDisplaceable()
+{
+    // Progress is up to the caller unless the request is with its handler.
+    const bool displaceable = m_phase == Phase::Reading || m_phase == Phase::Responding
+                              || (m_phase == Phase::Streaming && m_writeActive);
+    m_hold.setDisplaceable(displaceable);
+    m_answerHold.setDisplaceable(displaceable);
+}
+
+/// Makes room for another caller, since this one made least progress.
+void HttpServer::Session::displace()
+{
+    const auto self = shared_from_this();
+    if (m_closed)
+        return;
+    if (m_phase != Phase::Reading)
+        return dropReader();
+    if (!m_use.isIncomplete())
+        return end(CloseCause::MadeRoom);
+    beast::error_code ignored;
+    m_stream.socket().cancel(ignored);
+    refuseUnheld();
+}
+
+/// Closes the connection of a caller that does not read its answer.
+void HttpServer::Session::dropReader()
+{
+    // Otherwise the system would keep what was written.
+    beast::error_code ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    notifyCallerGone();
+    close(CloseCause::MadeRoom);
+}
+
 void HttpServer::Session::readRequest()
 {
     m_phase = Phase::Reading;
+    m_headBytes = 0;
+    m_headChecked = false;
+    if (m_hold.bytes() > ConnectionBytes)
+        m_hold.resize(ConnectionBytes, steadyNow());
+    holdAnswer(0);
+    m_hold.restartProgress(steadyNow());
+    updateDisplaceable();
     m_callerGoneCallback = nullptr;
     m_response.reset();
     m_serializer.reset();
@@ -247,6 +369,7 @@
     if (error)
         return close(CloseCause::CallerEnded);
     m_buffer.commit(size);
+    m_hold.recordProgress(size, steadyNow());
     // Later bytes do not count, since a caller that sends slowly must not hold its connection
     // forever.
     if (!m_parser->got_some())
@@ -258,9 +381,18 @@
 {
     m_use.requestBegun();
     beast::error_code error;
-    m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    const std::size_t parsed = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(parsed);
+    if (!m_headChecked)
+        m_headBytes += parsed;
     if (error && error != http::error::need_more)
         return rejectMalformed(error);
+    if (!holdRequest(steadyNow()))
+        return refuseUnheld();
+    if (m_parser->is_header_done() && !std::exchange(m_headChecked, true) && m_shared->headCheck
+        && !m_parser->is_done())
+        if (auto refused = m_shared->headCheck(m_parser->get()))
+            return refuse(std::move(*refused));
     if (!m_parser->is_done())
         return read();
     onRequestRead();
@@ -273,6 +405,7 @@
     if (!m_parser->get().keep_alive())
         m_use.announceClose();
     m_phase = Phase::Waiting;
+    updateDisplaceable();
     auto exchange = std::make_shared<Exchange>(shared_from_this());
     m_shared->handler(std::move(exchange));
     watchCaller();
@@ -281,22 +414,26 @@
 void HttpServer::Session::rejectMalformed(beast::error_code error)
 {
     if (error == http::error::header_limit)
-        return refuse(http::status::request_header_fields_too_large, "headers_too_large",
-                      "the headers are larger than the limit");
+        return refuse(refusal(http::status::request_header_fields_too_large, "headers_too_large",
+                              "the headers are larger than the limit"));
     if (error == http::error::body_limit)
-        return refuse(http::status::payload_too_large, "body_too_large",
-                      "the body is larger than the limit");
-    refuse(http::status::bad_request, "malformed_request", "not a valid HTTP request");
+        return refuse(refusal(http::status::payload_too_large, "body_too_large",
+                              "the body is larger than the limit"));
+    refuse(refusal(http::status::bad_request, "malformed_request", "not a valid HTTP request"));
 }
 
 /// Answers a request that was not read completely, and ends the connection.
-void HttpServer::Session::refuse(http::status status, std::string_view code,
-                                 std::string_view message)
+void HttpServer::Session::refuse(HttpResponse response)
 {
     m_use.requestRead();
     m_use.announceClose();
     m_shared->counts.requestRead();
-    respond(refusal(status, code, message));
+    // What was read of it is of no use any more.
+    m_buffer = {};
+    m_parser.emplace();
+    if (m_hold.bytes() > ConnectionBytes)
+        m_hold.resize(ConnectionBytes, steadyNow());
+    respond(std::move(response));
 }
 
 void HttpServer::Session::watchCaller()
@@ -349,18 +486,39 @@
     if (m_closed || m_phase == Phase::Streaming || m_phase == Phase::Responding)
         return;
     m_phase = Phase::Responding;
+    if (!m_hold.isReleased() && !holdAnswer(response.body().capacity()))
+        response = unheldAnswer();
     announceCloseIfStopping();
     response.keep_alive(!m_use.closeAnnounced());
     response.prepare_payload();
     m_response.emplace(std::move(response));
+    m_serializer.emplace(*m_response);
     startWriteTimeout();
-    http::async_write(m_stream, *m_response,
-                      [self = shared_from_this()](beast::error_code error, std::size_t) {
-                          if (error)
-                              return self->close(CloseCause::WriteFailed);
-                          if (!self->m_closed)
-                              self->onAnswerComplete();
-                      });
+    const Time now = steadyNow();
+    m_hold.restartProgress(now);
+    m_answerHold.restartProgress(now);
+    updateDisplaceable();
+    writeResponse();
+}
+
+/// Writes in parts, so that the progress of a slow reader is seen.
+void HttpServer::Session::writeResponse()
+{
+    http::async_write_some(m_stream, *m_serializer,
+                           [self = shared_from_this()](beast::error_code error, std::size_t size) {
+                               self->onResponseWritten(error, size);
+                           });
+}
+
+void HttpServer::Session::onResponseWritten(beast::error_code error, std::size_t size)
+{
+    if (error)
+        return close(CloseCause::WriteFailed);
+    if (m_closed)
+        return;
+    m_hold.recordProgress(size, steadyNow());
+    m_answerHold.recordProgress(size, steadyNow());
+    m_serializer->is_done() ? onAnswerComplete() : writeResponse();
 }
 
 void HttpServer::Session::announceCloseIfStopping()
@@ -399,6 +557,10 @@
         return false;
     }
     m_pending.append(data);
+    if (!holdAnswer(m_pending.capacity() + m_writing.capacity())) {
+        dropReader();
+        return false;
+    }
     flush();
     return true;
 }
@@ -421,6 +583,9 @@
     if (!m_pending.empty()) {
         m_writeActive = true;
         m_writing = std::exchange(m_pending, {});
+        m_hold.restartProgress(steadyNow());
+        m_answerHold.restartProgress(steadyNow());
+        updateDisplaceable();
         startWriteTimeout();
         asio::async_write(m_stream, http::make_chunk(asio::buffer(m_writing)), done);
     } else if (m_streamEnded && !m_lastChunkSent) {
@@ -438,6 +603,7 @@
 void HttpServer::Session::onWritten(beast::error_code error)
 {
     m_writeActive = false;
+    updateDisplaceable();
     if (m_closed)
         return;
     if (error) {
@@ -468,8 +634,8 @@
 {
     beast::error_code ignored;
     m_stream.socket().cancel(ignored);
-    refuse(http::status::request_timeout, "request_timeout",
-           "the request was not received completely in time");
+    refuse(refusal(http::status::request_timeout, "request_timeout",
+                   "the request was not received completely in time"));
 }
 
 void HttpServer::Session::takeStep(Time now)
@@ -530,12 +696,23 @@
 }
 
 HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
-    : m_shared(std::make_shared<Shared>())
+    : m_shared(std::make_shared<Shared>(settings))
     , m_acceptor(context)
     , m_timer(context)
 {
-    m_shared->settings = settings;
     m_shared->handler = std::move(handler);
+    if (settings.resources)
+        m_shared->lingering.setLimit(settings.resources->maxConnections(settings.use) / 4);
+}
+
+void HttpServer::checkHeads(HttpHeadCheck check)
+{
+    m_shared->headCheck = std::move(check);
+}
+
+const ResourceGroupPtr &HttpServer::resources() const
+{
+    return m_shared->resources;
 }
 
 HttpServer::~HttpServer()
@@ -551,7 +728,11 @@
     // Each thread of the process runs its own server on the same address.
     const bool sharesPort = endpoint->port() != 0;
     const auto handler = [this](tcp::socket socket) { begin(std::move(socket)); };
-    if (!m_acceptor.listen({*endpoint, sharesPort, true}, handler, reason))
+    CallerAcceptorSettings callers {
+        .address = *endpoint, .sharesPort = sharesPort, .passesEnded = true};
+    if (const ResourceAccount *account = m_shared->settings.resources)
+        callers.maxWaiting = account->maxConnections(m_shared->settings.use) / 2;
+    if (!m_acceptor.listen(callers, handler, reason))
         return false;
     armTimer();
     return true;
@@ -569,7 +750,7 @@
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
-    std::make_shared<Session>(std::move(socket), m_shared)->readRequest();
+    std::make_shared<Session>(std::move(socket), m_shared)->start();
 }
 
 /// Refuses a connection beyond the limit, without reading its request.
--- a/src/libweb/httpserver_test.cpp
+++ b/src/libweb/httpserver_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -247,3 +248,62 @@
         CHECK(received == (body.starts_with('0') ? "" : "abc"));
     }
 }
+
+namespace {
+
+/// What a server with limited resources answers to \a request, whose caller sends no more.
+std::string answerTo(const std::string &request, const ResourceLimits &limits,
+                     const HttpHeadCheck &check = {})
+{
+    ResourceAccount account(limits);
+    asio::io_context context {1};
+    HttpServerSettings settings;
+    settings.resources = &account;
+    HttpServer server(context, settings, [](const HttpExchangePtr &exchange) {
+        exchange->respond(jsonResponse(boost::beast::http::status::ok, "{}"));
+    });
+    if (check)
+        server.checkHeads(check);
+    Reason reason;
+    REQUIRE(server.listen("127.0.0.1:0", reason));
+    tcp::socket caller(context);
+    caller.connect({asio::ip::address_v4::loopback(), server.port()});
+    asio::write(caller, asio::buffer(request));
+    std::string answer;
+    asio::async_read_until(caller, asio::dynamic_buffer(answer), "}",
+                           [&](const boost::system::error_code &, std::size_t) { context.stop(); });
+    context.run();
+    server.close();
+    return answer;
+}
+
+constexpr ResourceLimits SmallLimits {.bytes = 1U << 20U, .connections = 64};
+
+} // namespace
+
+// Guards against a body that is read although it is known that it does not fit.
+TEST_CASE("a request that does not fit is refused at its head")
+{
+    const std::string answer =
+        answerTo("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n", SmallLimits);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(answer.find(R"("ran":"no")") != std::string::npos);
+}
+
+TEST_CASE("a request is looked at before its body is read")
+{
+    const auto refuseAll = [](const HttpRequest &) {
+        return jsonResponse(boost::beast::http::status::unauthorized, "{}");
+    };
+    CHECK(answerTo("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n", SmallLimits,
+                   refuseAll)
+              .starts_with("HTTP/1.1 401"));
+}
+
+TEST_CASE("a connection beyond the limit is refused")
+{
+    CHECK(answerTo(std::string(Request), {.bytes = 1U << 20U, .connections = 1})
+              .starts_with("HTTP/1.1 503"));
+}
--- a/testsuite/settings/settings_test.cpp
+++ b/testsuite/settings/settings_test.cpp
@@ -54,6 +54,8 @@
          "--default_deadline_ms: must not exceed"},
         {{"--admin_listen=127.0.0.1:8080"}, "--admin_listen: must differ from --listen"},
         {{"--domain="}, "--domain: is required"},
+        {{"--memory_mb=31"}, "--memory_mb: 31 must be from 32"},
+        {{"--max_descriptors=249"}, "--max_descriptors: 249 must be from 250"},
         {{"stray"}, "stray: is not a flag"},
         {{"--seeds=10.0.0.1:1,bad"}, "\"bad\" is not an address"},
     };
