--- a/src/balsamloftd/adminserver.cpp
+++ b/src/balsamloftd/adminserver.cpp
@@ -200,6 +200,11 @@
     , m_server(control.context(), adminSettings(control.resources()),
                [this](const HttpExchangePtr &exchange) { handle(exchange); })
 {
+    m_server.checkHeads([this](const HttpRequest &request) -> std::optional<HttpResponse> {
+        if (authorized(request))
+            return std::nullopt;
+        return errorResponse(http::status::unauthorized, "unauthorized", UnauthorizedMessage);
+    });
 }
 
 bool AdminServer::listen(std::string_view address, Reason &reason)
@@ -207,15 +212,15 @@
     return m_server.listen(address, reason);
 }
 
-bool AdminServer::authorized(const HttpExchangePtr &exchange) const
+bool AdminServer::authorized(const HttpRequest &request) const
 {
-    const auto token = bearerToken(exchange->request());
+    const auto token = bearerToken(request);
     return token && sha256Hex(*token) == m_control.settings().operatorTokenSha256;
 }
 
 void AdminServer::handle(const HttpExchangePtr &exchange)
 {
-    if (!authorized(exchange))
+    if (!authorized(exchange->request()))
         return respondError(exchange, http::status::unauthorized, "unauthorized",
                             UnauthorizedMessage);
     const auto method = exchange->request().method_string();
--- a/src/balsamloftd/adminserver.h
+++ b/src/balsamloftd/adminserver.h
@@ -33,7 +33,7 @@
     static const Route s_routes[];
 
     void handle(const HttpExchangePtr &exchange);
-    bool authorized(const HttpExchangePtr &exchange) const;
+    bool authorized(const HttpRequest &request) const;
 
     void showConfig(const HttpExchangePtr &exchange);
     void apply(const HttpExchangePtr &exchange);
