A process with very few descriptors still accepts connections

With a limit of one connection, none was accepted at all, as half of it was rounded to zero; callers waited in the system without a word. httpserver_test "a connection beyond the limit is refused" hung before.

--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -91,7 +91,8 @@
     const auto begin = [this](tcp::socket socket) { beginSession(std::move(socket)); };
     const CallerAcceptorSettings callers {
         .address = *parseTcpEndpoint(m_settings.callerAddress),
-        .maxWaiting = m_state.resources.maxConnections(ResourceUse::Request) / 2};
+        .maxWaiting =
+            std::max<std::size_t>(1, m_state.resources.maxConnections(ResourceUse::Request) / 2)};
     if (!m_acceptor.listen(callers, begin, reason)
         || (!m_settings.forwardAddress.empty()
             && !m_forwarder.listen(m_settings.forwardAddress, reason)))
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -731,7 +731,8 @@
     CallerAcceptorSettings callers {
         .address = *endpoint, .sharesPort = sharesPort, .passesEnded = true};
     if (const ResourceAccount *account = m_shared->settings.resources)
-        callers.maxWaiting = account->maxConnections(m_shared->settings.use) / 2;
+        callers.maxWaiting =
+            std::max<std::size_t>(1, account->maxConnections(m_shared->settings.use) / 2);
     if (!m_acceptor.listen(callers, handler, reason))
         return false;
     armTimer();
