--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -324,7 +324,8 @@
     request.longestPause = m_longestPause;
     request.late = late;
     m_server.requestMetrics().record(request);
-    const bool unremarkable = outcome == "passed" && status < 400 && !late;
+    const bool unremarkable =
+        (outcome == "passed" && status < 400 && !late) || std::exchange(m_refusedUnheld, false);
     if (unremarkable && !m_server.settings().logAll)
         return;
     const std::string parts = loggedParts();
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -175,6 +175,7 @@
 {
     m_use.announceClose();
     beginAnswer();
+    m_refusedUnheld = true;
     refuse(503, "the instance holds as much as it can", RetryAfterUnheld);
 }
 
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -173,6 +173,7 @@
     bool m_writing = false;
     bool m_closed = false;
     bool m_reading = false;
+    bool m_refusedUnheld = false; ///< the request in progress was, as TrafficServer logs in sum
     bool m_truncated = false; ///< the answer in progress ends without being complete
 };
 
