--- a/testsuite/crowds/crowds_test.cpp
+++ b/testsuite/crowds/crowds_test.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
+
 using namespace balsamloft::testsuite;
 
 namespace {
@@ -76,6 +78,16 @@
             .readsAnswers = false};
 }
 
+/// Clients that begin as given and then send a byte each second.
+ClientBehaviour trickling(std::function<std::string(int client)> begin)
+{
+    return {.clients = ManyClients,
+            .begin = std::move(begin),
+            .piece = "x",
+            .pieces = 120,
+            .pause = std::chrono::milliseconds(1000)};
+}
+
 /// Checks that the process of \a subject has lived through \a crowd, which is still there, within
 /// its machine.
 void checkLives(Subject &subject, const UsageMonitor &usage)
@@ -187,15 +199,9 @@
                    "[process]", EntrySubject, DaemonSubject)
 {
     TestType subject(FewDescriptors);
-    ClientBehaviour behaviour;
-    behaviour.clients = ManyClients;
-    behaviour.begin = [&subject](int client) {
-        return subject.requestHead("head" + std::to_string(client)) + "X: ";
-    };
-    behaviour.piece = "x";
-    behaviour.pieces = 120;
-    behaviour.pause = std::chrono::milliseconds(1000);
-    checkBears(subject, std::move(behaviour));
+    checkBears(subject, trickling([&subject](int client) {
+                   return subject.requestHead("head" + std::to_string(client)) + "X: ";
+               }));
 }
 
 // Guards against clients that hold all descriptors by bodies that never become complete.
@@ -203,15 +209,10 @@
                    "[process]", EntrySubject, DaemonSubject)
 {
     TestType subject(FewDescriptors);
-    ClientBehaviour behaviour;
-    behaviour.clients = ManyClients;
-    behaviour.begin = [&subject](int client) {
-        return subject.requestHead("body" + std::to_string(client)) + lengthField(10'000);
-    };
-    behaviour.piece = "x";
-    behaviour.pieces = 120;
-    behaviour.pause = std::chrono::milliseconds(1000);
-    checkBears(subject, std::move(behaviour));
+    checkBears(subject, trickling([&subject](int client) {
+                   return subject.requestHead("body" + std::to_string(client))
+                          + lengthField(10'000);
+               }));
 }
 
 // Guards against clients that hold all descriptors by connections that they don't use.
@@ -289,6 +290,19 @@
     }
 }
 
+// Guards against clients that hold up a planned stop.
+TEMPLATE_TEST_CASE("an instance stops although a crowd holds on to it", "[process]", EntrySubject,
+                   DaemonSubject)
+{
+    TestType subject;
+    Crowd shorts(subject.callers(), shortBodies(subject, 65536));
+    Crowd unread(subject.callers(), unreadAnswers(subject));
+    shorts.waitUntilSettled();
+    unread.waitUntilSettled();
+    subject.process().signal(SIGTERM);
+    CHECK(subject.process().wait() == 0);
+}
+
 // Guards against the ports for operators, the balancer and other instances, which have limits of
 // their own.
 TEMPLATE_TEST_CASE(
