--- a/src/libbalsamloft/connectionuse_test.cpp
+++ b/src/libbalsamloft/connectionuse_test.cpp
@@ -82,8 +82,7 @@
           == ConnectionStep::Refuse);
 }
 
-// Guards against a caller that sends a byte of its body now and then, and one on a slow link that
-// is taken for it.
+// Guards against a body that trickles without end, and a slow link that is taken for one.
 TEST_CASE("a body has time as long as it arrives at the least rate")
 {
     const bool atLeastRate = GENERATE(true, false);
--- a/src/libweb/httpserver.cpp
+++ b/src/libweb/httpserver.cpp
@@ -57,12 +57,15 @@
     return response;
 }
 
-/// The answer in place of one that can't be held.
-HttpResponse unheldAnswer()
+/// Replaces the content of an answer that can't be held; its fields, such as the id of the request,
+/// stay.
+void replaceContent(HttpResponse &response)
 {
-    return jsonResponse(http::status::bad_gateway,
-                        R"({"error":{"code":"answer_too_large","message":"the answer does not fit )"
-                        R"(beside what the instance holds","ran":"unknown","retry_after_ms":0}})");
+    response.result(http::status::bad_gateway);
+    response.set(http::field::content_type, "application/json");
+    response.body() =
+        R"({"error":{"code":"answer_too_large","message":"the answer does not fit beside what the )"
+        R"(instance holds","ran":"unknown","retry_after_ms":0}})";
 }
 
 } // namespace
@@ -487,7 +490,7 @@
         return;
     m_phase = Phase::Responding;
     if (!m_hold.isReleased() && !holdAnswer(response.body().capacity()))
-        response = unheldAnswer();
+        replaceContent(response);
     announceCloseIfStopping();
     response.keep_alive(!m_use.closeAnnounced());
     response.prepare_payload();
--- a/testsuite/crowds/crowds_test.cpp
+++ b/testsuite/crowds/crowds_test.cpp
@@ -303,8 +303,7 @@
     CHECK(subject.process().wait() == 0);
 }
 
-// Guards against the ports for operators, the balancer and other instances, which have limits of
-// their own.
+// Guards against memory that is bounded at the callers' port only.
 TEMPLATE_TEST_CASE(
     "bodies at the ports besides that for callers leave an instance within its memory", "[process]",
     EntrySubject, DaemonSubject)
@@ -318,8 +317,7 @@
     }
 }
 
-// Guards against the ports for operators, the balancer and other instances, which hold descriptors
-// like that for callers.
+// Guards against descriptors that are held at other ports than that for callers.
 TEMPLATE_TEST_CASE(
     "connections at the ports besides that for callers leave descriptors to ordinary callers",
     "[process]", EntrySubject, DaemonSubject)
@@ -359,8 +357,7 @@
     checkBears(subject, std::move(behaviour), subject.forwardAddress());
 }
 
-// Guards against answers that are held by the instance that asked for them, and by the one that
-// forwards them.
+// Guards against answers held by the instance that asked for them, or the one that forwards them.
 TEST_CASE("answers over a forwarding instance that nobody reads leave both within their memory",
           "[process]")
 {
