Test: a daemon that is to stand still does so before its callers come

SIGSTOP takes effect on a thread when that thread is scheduled next, so the daemon still served callers that the test took for later ones: those calls were sent while their callers waited.

The test now waits until the system shows each thread of the process as stopped. Its check is the same, and it counts every call after that moment.

--- a/testsuite/common/process.cpp
+++ b/testsuite/common/process.cpp
@@ -2,7 +2,10 @@
 
 #include "wait.h"
 
+#include <algorithm>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <regex>
 #include <stdexcept>
 
@@ -22,6 +25,16 @@
     return environment;
 }
 
+/// Whether the thread with the directory \a task stands still by a signal.
+bool isStopped(const std::filesystem::path &task)
+{
+    std::ifstream status(task / "status");
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("State:"))
+            return line.find("T (stopped)") != std::string::npos;
+    return true; // the thread has ended
+}
+
 } // namespace
 
 std::string programDirectory()
@@ -54,6 +67,16 @@
         m_reader.join();
 }
 
+void Process::pause()
+{
+    signal(SIGSTOP);
+    waitUntil([this] {
+        const std::filesystem::directory_iterator tasks("/proc/" + std::to_string(id()) + "/task");
+        return std::all_of(begin(tasks), end(tasks),
+                           [](const auto &task) { return isStopped(task.path()); });
+    });
+}
+
 std::string Process::waitFor(const std::string &pattern)
 {
     const std::regex regex(pattern);
--- a/testsuite/common/process.h
+++ b/testsuite/common/process.h
@@ -28,6 +28,9 @@
     std::string waitFor(const std::string &pattern);
 
     void signal(int number);
+
+    /// Stops the process by SIGSTOP, and waits until each of its threads stands still.
+    void pause();
     int id() const { return m_child.id(); }
 
     /// Waits until the process has exited and its output is read. Returns the exit code, or 128
--- a/testsuite/departed-callers/departed_callers_test.cpp
+++ b/testsuite/departed-callers/departed_callers_test.cpp
@@ -153,7 +153,7 @@
         CHECK(each->receive().starts_with("HTTP/1.1 200"));
     const std::size_t before = calls();
 
-    daemon.process->signal(SIGSTOP);
+    daemon.process->pause();
     sendAgain();
     callers.clear();
     std::this_thread::sleep_for(600ms);
