Reading the change again: one wait for answers that can't be held yet, one way to begin a crowd's requests

Both clients had the same constant and reason; it stands beside StallTime now. Sizes of an output are summed only when they are used.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -216,11 +216,11 @@
 /// Holds what waits to be written. \return whether that is granted.
 bool CallerSession::holdOutput(Time now)
 {
-    const std::uint64_t bytes = m_output.capacity() + m_outputBody.capacity()
-                                + m_outputBeingWritten.capacity() + m_bodyBeingWritten.capacity();
     // An answer that is still being read is held by mayHold().
     if (m_exchange && !m_events)
         return true;
+    const std::uint64_t bytes = m_output.capacity() + m_outputBody.capacity()
+                                + m_outputBeingWritten.capacity() + m_bodyBeingWritten.capacity();
     return m_answerHold.resize(bytes > OrdinaryAnswerBytes ? bytes : 0, now);
 }
 
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -22,8 +22,6 @@
 /// interim answers. Without a limit, an endless series of them would occupy the request until its
 /// deadline.
 constexpr std::size_t MaxSkippedAnswers = 32;
-/// How long an answer waits until it may be held. By then, those that nobody reads have given way.
-constexpr Duration MaxHoldWait = 2 * StallTime;
 constexpr Duration KeepAliveMargin {500'000};
 
 /// The timeout in the Keep-Alive field of \a head, less a margin.
--- a/src/include/balsamloft/resourceaccount.h
+++ b/src/include/balsamloft/resourceaccount.h
@@ -61,6 +61,9 @@
 inline constexpr Duration StallTime {1'000'000};
 inline constexpr std::uint64_t ProgressBytes = 16 * 1024;
 
+/// How long an answer waits until it may be held. By then, those that nobody reads have given way.
+inline constexpr Duration MaxHoldWait = 2 * StallTime;
+
 /// Sums up what all threads of a process hold, and grants more within the limits. Each part may be
 /// within its own limits while their sum exceeds the machine, so all of them ask here. Thread-safe.
 class ResourceAccount
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -24,8 +24,6 @@
 /// deadline.
 constexpr std::size_t MaxInterimAnswers = 32;
 
-/// How long an answer waits until it may be held. By then, those that nobody reads have given way.
-constexpr Duration MaxHoldWait = 2 * StallTime;
 constexpr Duration HoldRetryInterval {100'000};
 /// Smaller answers are held with the connections of their callers.
 constexpr std::uint64_t OrdinaryBytes = 4 * 1024;
--- a/testsuite/crowds/crowds_test.cpp
+++ b/testsuite/crowds/crowds_test.cpp
@@ -29,15 +29,20 @@
 
 constexpr const char *ChunkedField = "Transfer-Encoding: chunked\r\n\r\n";
 
+/// Begins requests with ids that begin with \a id, whose heads end with \a lastField.
+std::function<std::string(int)> requestHeads(const Subject &subject, const std::string &id,
+                                             const std::string &lastField)
+{
+    return [&subject, id, lastField](int client) {
+        return subject.requestHead(id + std::to_string(client)) + lastField;
+    };
+}
+
 /// Bodies of the largest legal size that stop a byte short, in pieces of the given size.
 ClientBehaviour shortBodies(const Subject &subject, std::size_t pieceBytes)
 {
     return {.clients = LargeCrowd,
-            .begin =
-                [&subject](int client) {
-                    return subject.requestHead("short" + std::to_string(client))
-                           + lengthField(MaxBodyBytes);
-                },
+            .begin = requestHeads(subject, "short", lengthField(MaxBodyBytes)),
             .piece = std::string(pieceBytes, 'x'),
             .pieces = MaxBodyBytes / pieceBytes - 1,
             .last = std::string(pieceBytes - 1, 'x')};
@@ -47,10 +52,7 @@
 ClientBehaviour chunkedBodies(const Subject &subject, std::size_t chunkBytes, std::size_t chunks)
 {
     return {.clients = LargeCrowd,
-            .begin =
-                [&subject](int client) {
-                    return subject.requestHead("chunked" + std::to_string(client)) + ChunkedField;
-                },
+            .begin = requestHeads(subject, "chunked", ChunkedField),
             .piece = chunk(std::string(chunkBytes, 'x')),
             .pieces = chunks};
 }
@@ -58,11 +60,7 @@
 ClientBehaviour wholeBodies(const Subject &subject)
 {
     return {.clients = LargeCrowd,
-            .begin =
-                [&subject](int client) {
-                    return subject.requestHead("whole" + std::to_string(client))
-                           + lengthField(MaxBodyBytes);
-                },
+            .begin = requestHeads(subject, "whole", lengthField(MaxBodyBytes)),
             .piece = std::string(MaxBodyBytes, 'x'),
             .pieces = 1};
 }
@@ -170,10 +168,7 @@
 {
     TestType subject;
     ClientBehaviour behaviour = shortBodies(subject, 65536);
-    behaviour.begin = [&subject](int client) {
-        return subject.requestHead("beyond" + std::to_string(client))
-               + lengthField(100 * MaxBodyBytes);
-    };
+    behaviour.begin = requestHeads(subject, "beyond", lengthField(100 * MaxBodyBytes));
     checkBears(subject, std::move(behaviour));
 }
 
@@ -199,9 +194,7 @@
                    "[process]", EntrySubject, DaemonSubject)
 {
     TestType subject(FewDescriptors);
-    checkBears(subject, trickling([&subject](int client) {
-                   return subject.requestHead("head" + std::to_string(client)) + "X: ";
-               }));
+    checkBears(subject, trickling(requestHeads(subject, "head", "X: ")));
 }
 
 // Guards against clients that hold all descriptors by bodies that never become complete.
@@ -209,10 +202,7 @@
                    "[process]", EntrySubject, DaemonSubject)
 {
     TestType subject(FewDescriptors);
-    checkBears(subject, trickling([&subject](int client) {
-                   return subject.requestHead("body" + std::to_string(client))
-                          + lengthField(10'000);
-               }));
+    checkBears(subject, trickling(requestHeads(subject, "body", lengthField(10'000))));
 }
 
 // Guards against clients that hold all descriptors by connections that they don't use.
