Answers whose status is none of HTTP are failures of their attempts

What callers saw: an endpoint that answered "HTTP/1.1 000 X", 001, 099, 600 or 999 had this passed on as its answer, on all three kinds of route, directly and by way of another instance. Behind balsamloftd, callers got 600 and 999, and waited until their deadline (10 s) for an answer behind one with 000 to 099.

Cause: Boost.Beast takes any three digits for a status. MessageReader set no bounds, and only 100 to 199 were interim, so all else was final; HttpClient counted all below 200 as interim and all else as final.

Change: one rule, isHttpStatus() (100 to 599, RFC 9110, 15), where answers are read: MessageReader (attempts of callers, calls to endpoints, store and instances, the instance that forwards) and HttpClient (both of balsamloftd's clients, its platform, the command line). Such an answer is invalid: the request may have run, so 502, or an attempt elsewhere where it may be repeated. 101 and interim answers are skipped as before, up to the limit.

The log names the cause: `failure` of `request`/`broken off`, and the trail, as "invalid answer: status 000".

Statuses of other lengths or with other bytes were refused before; their tests stay.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -272,7 +272,7 @@
 /// Logs the request of an attempt that failed after it may have been sent, with the time and the
 /// number of events until the failure. When an engine crashes, an operator can find the requests
 /// that may have caused the crash.
-void CallerSession::logBrokenAttempt() const
+void CallerSession::logBrokenAttempt(std::string_view failure) const
 {
     const std::string parts = loggedParts();
     logDecision("request", "broken off",
@@ -281,6 +281,7 @@
                  {"parts", std::string_view(parts)},
                  {"endpoint", std::string_view(m_firstEndpoint)},
                  {"forwarded_by", std::string_view(m_forwardedBy)},
+                 {"failure", failure},
                  {"connection_end", nameOf(m_connectionEnd)},
                  {"sent_ms", milliseconds(steadyNow() - m_sentAt)},
                  {"events", std::int64_t(m_passedEvents - m_eventsBeforeAttempt)}});
--- a/src/entry/callerattempts.cpp
+++ b/src/entry/callerattempts.cpp
@@ -6,6 +6,8 @@
 #include "fieldtext.h"
 #include "trafficserver.h"
 
+#include <balsamloft/answerrules.h>
+
 #include <algorithm>
 
 namespace balsamloft {
@@ -108,20 +110,29 @@
     return false;
 }
 
-void CallerSession::exchangeFailed(AttemptFailure failure)
+/// Describes the \a failure of the current attempt, for the log.
+std::string CallerSession::failureText(AttemptFailure failure) const
 {
     static constexpr std::array<std::string_view, 5> Names {
         "not sent", "broken off", "invalid answer", "withheld", nameOf(AttemptEnd::BrokenOnWay)};
+    if (m_brokenOnWay)
+        return std::string(nameOf(AttemptEnd::BrokenOnWay));
+    if (failure == AttemptFailure::InvalidAnswer && m_exchange)
+        return InvalidAnswerPrefix + m_exchange->invalidReason();
+    return std::string(Names[static_cast<std::size_t>(failure)]);
+}
+
+void CallerSession::exchangeFailed(AttemptFailure failure)
+{
     m_connectionEnd = m_exchange ? m_exchange->connectionEnd() : ConnectionEnd::None;
     m_brokenOnWay = m_exchange && m_exchange->isEndedByForwarder();
     const bool mayHaveArrived = failure == AttemptFailure::Broken
                                 || failure == AttemptFailure::InvalidAnswer
                                 || failure == AttemptFailure::ForwarderLost;
-    addToTrail(std::string(m_brokenOnWay ? nameOf(AttemptEnd::BrokenOnWay)
-                                         : Names[static_cast<std::size_t>(failure)])
-               + (mayHaveArrived ? " (" + wayText() + ")" : ""));
+    const std::string text = failureText(failure);
+    addToTrail(text + (mayHaveArrived ? " (" + wayText() + ")" : ""));
     if (mayHaveArrived)
-        logBrokenAttempt();
+        logBrokenAttempt(text);
     abandonAttempt();
     if (!m_flight)
         return;
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -118,7 +118,8 @@
     std::string contentDigest();
     std::vector<std::string> promptParts(std::string_view service);
     std::string loggedParts() const;
-    void logBrokenAttempt() const;
+    std::string failureText(AttemptFailure failure) const;
+    void logBrokenAttempt(std::string_view failure) const;
     std::string wayText() const;
     void addEndFields(const FlightEnd &end, Time now, std::vector<LogField> &fields) const;
     void logOutcome(std::string_view outcome, int status, std::string_view reason,
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -23,6 +23,8 @@
 /// deadline.
 constexpr std::size_t MaxSkippedAnswers = 32;
 constexpr Duration KeepAliveMargin {500'000};
+/// Of a reason why an answer is none: it may repeat a field of the answer.
+constexpr std::size_t MaxReasonBytes = 80;
 
 /// The timeout in the Keep-Alive field of \a head, less a margin.
 std::optional<Duration> keepAliveTimeout(const MessageHead &head)
@@ -317,8 +319,10 @@
 /// Why the exchange fails when its connection ends within the answer.
 AttemptFailure Exchange::failureAtEnd()
 {
-    if (m_reader->failure() != MessageReader::Failure::None && m_reader->started())
+    if (m_reader->failure() != MessageReader::Failure::None && m_reader->started()) {
+        m_invalidReason = m_reader->failureReason();
         return AttemptFailure::InvalidAnswer;
+    }
     if (!m_connection->isForwarderLost())
         return AttemptFailure::Broken;
     // Otherwise the next attempt might be forwarded by an instance that has ended.
@@ -346,13 +350,13 @@
     if (m_skipsAnswer) {
         if (++m_skippedAnswers <= MaxSkippedAnswers)
             return true;
-        fail(AttemptFailure::InvalidAnswer);
+        failInvalid("too many interim answers, or answers to other requests");
         return false;
     }
     if (const auto idleTimeout = keepAliveTimeout(head))
         m_connection->idleTimeout = *idleTimeout;
-    if (head.find("Content-Encoding")) {
-        fail(AttemptFailure::InvalidAnswer);
+    if (const auto coding = head.find("Content-Encoding")) {
+        failInvalid("content coding " + std::string(*coding));
         return false;
     }
     m_incremental = m_handler->headReceived(*m_reader);
@@ -365,7 +369,7 @@
         const std::size_t consumed = m_reader->consume(m_connection->unread);
         m_connection->unread.erase(0, consumed);
         if (m_reader->failure() != MessageReader::Failure::None)
-            return fail(AttemptFailure::InvalidAnswer);
+            return failInvalid(m_reader->failureReason());
         if (!m_reader->headDone())
             return;
         if (!m_headProcessed) {
@@ -413,6 +417,13 @@
     handler->exchangeFailed(m_mayHaveSent ? failure : AttemptFailure::NotSent);
 }
 
+void Exchange::failInvalid(std::string reason)
+{
+    m_invalidReason = std::move(reason);
+    m_invalidReason.resize(std::min(m_invalidReason.size(), MaxReasonBytes));
+    fail(AttemptFailure::InvalidAnswer);
+}
+
 void Exchange::cancel()
 {
     m_handler = nullptr;
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -186,6 +186,9 @@
     /// How the connection ended on which the request was sent.
     ConnectionEnd connectionEnd() const { return m_connectionEnd; }
 
+    /// Why the answer is none, if the exchange failed with AttemptFailure::InvalidAnswer.
+    const std::string &invalidReason() const { return m_invalidReason; }
+
     /// Whether the instance that forwarded the connection ended it before the endpoint did.
     bool isEndedByForwarder() const { return m_endedByForwarder; }
 
@@ -207,6 +210,7 @@
     void complete();
     void resetReader();
     void fail(AttemptFailure failure);
+    void failInvalid(std::string reason);
     void closeConnection();
 
     ConnectionPool &m_pool;
@@ -220,6 +224,7 @@
     bool m_connectionRefused = false;
     bool m_forwarded = false;
     bool m_endedByForwarder = false;
+    std::string m_invalidReason;
     ConnectionEnd m_connectionEnd = ConnectionEnd::None;
     bool m_reused = false; ///< the connection was taken from the pool
     std::uint64_t m_sentBefore = 0; ///< bytes of earlier requests on the connection
--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -1,5 +1,7 @@
 #include "httpmessage.h"
 
+#include <balsamloft/answerrules.h>
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -70,6 +72,7 @@
     std::uint64_t bodyBytes = 0; ///< received, including those that were removed from `body`
     std::uint64_t announcedBytes = 0; ///< length of the body, if the head tells it
     std::uint64_t fieldBytes = 0; ///< of names and values
+    std::string invalid; ///< what in the head is not valid, if Beast would take it
     bool headDone = false;
 };
 
@@ -111,9 +114,13 @@
             error = http::error::bad_version;
     }
     void on_response_impl(int code, boost::beast::string_view /*reason*/, int /*version*/,
-                          error_code & /*error*/) override
+                          error_code &error) override
     {
         m_message.head.status = code;
+        if (isHttpStatus(static_cast<unsigned>(code)))
+            return;
+        m_message.invalid = describeStatus(static_cast<unsigned>(code));
+        error = http::error::bad_status;
     }
     void on_field_impl(http::field /*field*/, boost::beast::string_view name,
                        boost::beast::string_view value, error_code & /*error*/) override
@@ -199,6 +206,7 @@
     Parser<true> request {message};
     Parser<false> response {message};
     Failure failure = Failure::None;
+    std::string failureReason;
     bool started = false;
 
     template<typename Function>
@@ -212,6 +220,13 @@
         failure = error == http::error::header_limit ? Failure::HeaderTooLarge
                   : error == http::error::body_limit ? Failure::BodyTooLarge
                                                      : Failure::Malformed;
+        failureReason = message.invalid.empty() ? error.message() : message.invalid;
+    }
+
+    void setTooLarge(Failure tooLarge)
+    {
+        failure = tooLarge;
+        failureReason = tooLarge == Failure::HeaderTooLarge ? "head too large" : "body too large";
     }
 
     /// Fails if the head, or a line or trailer section of a chunked body, is too long. \a kept
@@ -220,7 +235,7 @@
     void checkKept(std::size_t kept)
     {
         if (kept + (message.headDone ? 0 : headBytes) > limits.headerBytes)
-            failure = Failure::HeaderTooLarge;
+            setTooLarge(Failure::HeaderTooLarge);
     }
 };
 
@@ -254,7 +269,7 @@
             impl.awaitsChunk = impl.message.headDone && error == http::error::need_more;
             impl.consumedBytes += count;
             if (impl.consumedBytes - impl.message.bodyBytes > maxFraming(impl.limits))
-                impl.failure = Failure::BodyTooLarge;
+                impl.setTooLarge(Failure::BodyTooLarge);
             if (!impl.message.headDone)
                 impl.headBytes += count;
             if (error == http::error::need_more || (!error && count == 0)) {
@@ -309,6 +324,11 @@
     return m_impl->failure;
 }
 
+const std::string &MessageReader::failureReason() const
+{
+    return m_impl->failureReason;
+}
+
 bool MessageReader::started() const
 {
     return m_impl->started;
--- a/src/entry/httpmessage.h
+++ b/src/entry/httpmessage.h
@@ -69,9 +69,9 @@
 };
 
 /// Reads one message from bytes that arrive in pieces. A message with both Content-Length and
-/// Transfer-Encoding is malformed, as is everything else that Beast rejects. This prevents
-/// request smuggling: bytes that this process takes for a body could be a second request to
-/// the endpoint.
+/// Transfer-Encoding is malformed, as is an answer whose status is none of HTTP, and everything
+/// else that Beast rejects. This prevents request smuggling: bytes that this process takes for a
+/// body could be a second request to the endpoint.
 class MessageReader
 {
 public:
@@ -99,6 +99,9 @@
     bool done() const;
     Failure failure() const;
 
+    /// What the message fails for, for the log; empty: it does not fail.
+    const std::string &failureReason() const;
+
     /// Whether bytes of the message have arrived.
     bool started() const;
 
--- a/src/entry/httpmessage_test.cpp
+++ b/src/entry/httpmessage_test.cpp
@@ -1,5 +1,7 @@
 #include "httpmessage.h"
 
+#include "../fakes/brokenanswers.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -237,3 +239,39 @@
         CHECK(reader.bodyBytes() <= std::max<std::size_t>(2 * sent, 32'768));
     }
 }
+
+namespace {
+
+/// Reads \a text as an answer whose connection is closed behind it.
+MessageReader readAnswer(std::string_view text)
+{
+    MessageReader reader(MessageReader::Kind::Response, {});
+    reader.consume(text);
+    reader.connectionClosed();
+    return reader;
+}
+
+} // namespace
+
+// Guards against an answer of an endpoint in trouble that a caller gets with a status that HTTP
+// does not have.
+TEST_CASE("an answer has a status from 100 to 599")
+{
+    for (unsigned status = 0; status <= 999; ++status) {
+        const std::string text = fakes::statusText(status);
+        CAPTURE(text);
+        const std::string line = "HTTP/1.1 " + text;
+        for (const std::string &answer : {fakes::answerWith(line + " "),
+                                          fakes::answerWith(line + " X"), line + " \r\n\r\nhi"}) {
+            MessageReader reader = readAnswer(answer);
+            const bool valid = status >= 100 && status <= 599;
+            CHECK(reader.done() == valid);
+            CHECK((reader.failure() == MessageReader::Failure::None) == valid);
+            CHECK((!valid || reader.head().status == int(status)));
+        }
+    }
+    for (const fakes::BrokenAnswer &each : fakes::answersWithBrokenStatus()) {
+        INFO(each.name);
+        CHECK(readAnswer(each.bytes).failure() == MessageReader::Failure::Malformed);
+    }
+}
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -1,5 +1,6 @@
 #include <balsamloft/httpclient.h>
 
+#include <balsamloft/answerrules.h>
 #include <balsamloft/httprequest.h>
 
 #include <boost/asio/connect.hpp>
@@ -49,6 +50,13 @@
     return error != asio::error::would_block;
 }
 
+/// Whether the parser failed for bytes that are no answer, rather than for their end.
+bool isInvalidAnswer(const beast::error_code &error)
+{
+    return error.category() == http::make_error_code(http::error::bad_status).category()
+           && error != http::error::partial_message && error != http::error::end_of_stream;
+}
+
 } // namespace
 
 struct HttpClient::Shared
@@ -87,6 +95,7 @@
 
 private:
     void displace() override { } // its progress is up to the endpoint
+    std::string invalidHead() const;
     bool holdAnswer();
     bool takeIdleConnection();
     void connect();
@@ -231,12 +240,24 @@
                                   return;
                               if (error)
                                   return self->fail(error, true);
+                              if (const std::string invalid = self->invalidHead(); !invalid.empty())
+                                  return self->fail(HttpFailure::Kind::Broken,
+                                                    InvalidAnswerPrefix + invalid);
                               if (self->m_parser->is_done())
                                   return self->answerRead();
                               self->readSomeIfHeld();
                           });
 }
 
+/// What makes the head that has arrived that of no answer, although Beast takes it; empty: nothing.
+std::string HttpClient::Call::invalidHead() const
+{
+    const unsigned status = m_parser->get().result_int();
+    if (!m_parser->is_header_done() || isHttpStatus(status))
+        return {};
+    return describeStatus(status);
+}
+
 bool HttpClient::Call::holdAnswer()
 {
     const std::uint64_t bytes = std::max<std::uint64_t>(m_parser->get().body().capacity(),
@@ -293,7 +314,7 @@
     if (!sent)
         return fail(HttpFailure::Kind::NotSent, error.message());
     fail(error == beast::error::timeout ? HttpFailure::Kind::TimedOut : HttpFailure::Kind::Broken,
-         error.message());
+         (isInvalidAnswer(error) ? InvalidAnswerPrefix : "") + error.message());
 }
 
 void HttpClient::Call::fail(HttpFailure::Kind kind, std::string reason)
--- a/src/libweb/httpclient_test.cpp
+++ b/src/libweb/httpclient_test.cpp
@@ -2,6 +2,7 @@
 
 #include <balsamloft/httpclient.h>
 
+#include "../fakes/brokenanswers.h"
 #include "../fakes/cutanswers.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -59,6 +60,29 @@
     CHECK_FALSE(fixture.get().response);
 }
 
+// Guards against an answer of an endpoint in trouble that a caller gets with a status that HTTP
+// does not have, or for whose status the caller waits in vain.
+TEST_CASE("an answer has a final status up to 599")
+{
+    for (unsigned status = 0; status <= 999; ++status) {
+        const bool interim = status >= 100 && status < 200;
+        const std::string text = statusText(status);
+        CAPTURE(text);
+        Fixture fixture;
+        fixture.endpoint.addAnswer(answerWith("HTTP/1.1 " + text + " X"), Ending::Close);
+        const HttpResult result = fixture.get();
+        CHECK(result.response.has_value() == (status >= 200 && status <= 599));
+        CHECK((!result.response || result.response->result_int() == status));
+        CHECK((result.response || interim || result.failure.reason.starts_with("invalid answer")));
+    }
+    for (const BrokenAnswer &each : answersWithBrokenStatus()) {
+        INFO(each.name);
+        Fixture fixture;
+        fixture.endpoint.addAnswer(each.bytes, Ending::Close);
+        CHECK_FALSE(fixture.get().response);
+    }
+}
+
 TEST_CASE("no answer that breaks off is taken for whole, whatever byte it ends at")
 {
     const Ending ending = GENERATE(Ending::Close, Ending::Reset);
--- a/testsuite/cut-answers/cut_answers_test.cpp
+++ b/testsuite/cut-answers/cut_answers_test.cpp
@@ -2,7 +2,7 @@
 // another instance.
 
 #include "../../src/fakes/cutanswers.h"
-#include "../entry/entryharness.h"
+#include "answersite.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,12 +13,6 @@
 
 namespace {
 
-constexpr std::string_view Configuration =
-    R"({"version":1,"keys":{},"services":[{"name":"plain"},{"name":"model","layers":4}],"routes":[
-       {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"plain"},
-       {"name":"unsafe","host":"h","prefix":"/unsafe/","kind":"unsafe","attempts":1,"service":"plain"},
-       {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","attempts":4,"service":"model"}]})";
-
 RawAnswer::Then action(Ending ending)
 {
     return ending == Ending::Close   ? RawAnswer::Then::Close
@@ -26,104 +20,6 @@
                                      : RawAnswer::Then::Keep;
 }
 
-/// An instance that reaches the endpoints itself, or only by way of a second instance.
-class Site
-{
-public:
-    Site(bool forwarded, RawServer::Handler cutAnswer)
-        : m_cutAnswer(std::move(cutAnswer))
-    {
-        m_store.put("configuration", "current", std::string(Configuration));
-        std::map<std::string, std::string> unreachable;
-        for (const std::string id : {"e1", "e2", "m1", "m2"})
-            unreachable[addEndpoint(id)] = freeAddress();
-        startInstance(forwarded ? m_store.addView(unreachable) : m_store.address());
-        if (forwarded)
-            startInstance(m_store.address());
-        CHECK(waitUntil([&] {
-            return post("/safe/x").starts_with("HTTP/1.1 200")
-                   && post("/stream/x").starts_with("HTTP/1.1 200");
-        }));
-    }
-
-    /// Sends a request with an id of its own to the first instance.
-    std::string post(const std::string &path)
-    {
-        m_id = "r" + std::to_string(++m_requests);
-        return exchange(m_callers,
-                        "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + m_id
-                            + "\r\nDeadline-Ms: 3000\r\nTokens: 10,10\r\nContent-Length: "
-                            + std::to_string(m_id.size()) + "\r\n\r\n" + m_id,
-                        completeAnswer);
-    }
-
-    /// The id of the last request.
-    const std::string &lastId() const { return m_id; }
-
-    /// How often endpoints received the last request.
-    std::size_t received() const
-    {
-        std::size_t count = 0;
-        for (const auto &each : m_endpoints)
-            for (const std::string &request : each->requests())
-                count += headerOf(request, "Request-Id") == m_id ? 1 : 0;
-        return count;
-    }
-
-private:
-    std::string addEndpoint(const std::string &id)
-    {
-        m_endpoints.push_back(std::make_unique<RawServer>(
-            [this](const std::string &request) { return answer(request); }));
-        std::string address = m_endpoints.back()->address();
-        const bool model = id[0] == 'm';
-        m_store.put("endpoints", id,
-                    R"({"service":")" + std::string(model ? "model" : "plain") + R"(","address":")"
-                        + address + R"(","domain":"d0","kind":"card")"
-                        + (model ? R"(,"layers":[0,4]})" : "}"));
-        return address;
-    }
-
-    RawAnswer answer(const std::string &request)
-    {
-        if (request.starts_with("GET /state"))
-            return {okAnswer(request, R"({"layers":[0,4],"orders":1})")};
-        if (request.find("/cut ") != std::string::npos)
-            return m_cutAnswer(request);
-        if (request.starts_with("POST /stream"))
-            return {streamHead(request) + chunk(event(1)) + "0\r\n\r\n"};
-        return {okAnswer(request, "done")};
-    }
-
-    void startInstance(const std::string &store)
-    {
-        const std::string number = std::to_string(m_processes.size());
-        const std::string callers = freeAddress();
-        if (m_processes.empty())
-            m_callers = callers;
-        m_processes.push_back(std::make_unique<Process>(
-            "balsamloft-entry-standin",
-            std::vector<std::string> {"--name=entry-" + number, "--domain=d" + number,
-                                      "--listen=" + callers, "--ready_listen=" + freeAddress(),
-                                      "--peer_listen=" + freeAddress(),
-                                      "--forward_listen=" + freeAddress(), "--store=" + store,
-                                      "--grace_s=4", "--retry_slack=10000", "--log_all"}));
-    }
-
-    RawServer::Handler m_cutAnswer;
-    FakeStore m_store;
-    std::vector<std::unique_ptr<RawServer>> m_endpoints;
-    std::string m_callers;
-    std::vector<std::unique_ptr<Process>> m_processes;
-    std::string m_id;
-    int m_requests = 0;
-};
-
-std::string bodyOf(const std::string &answer)
-{
-    return answer.substr(answer.find("\r\n\r\n") + 4);
-}
-
 } // namespace
 
 // Guards against an answer that ends with its connection and follows one to an earlier request: its
@@ -131,7 +27,7 @@
 TEST_CASE("an answer that is reset behind one to an earlier request is not passed on", "[process]")
 {
     const bool forwarded = GENERATE(false, true);
-    Site site(forwarded, [](const std::string &request) -> RawAnswer {
+    AnswerSite site(forwarded, [](const std::string &request) -> RawAnswer {
         return {"HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nSeal: s\r\nContent-Length: 2\r\n\r\nhi"
                 "HTTP/1.1 200 OK\r\nRequest-Id: "
                     + headerOf(request, "Request-Id") + "\r\nSeal: s\r\n\r\nfirst half",
@@ -148,7 +44,7 @@
     const Ending ending = GENERATE(Ending::Close, Ending::Reset);
     AnswerShape shape;
     std::size_t sent = 0;
-    Site site(forwarded, [&](const std::string &request) -> RawAnswer {
+    AnswerSite site(forwarded, [&](const std::string &request) -> RawAnswer {
         return {shape.to(headerOf(request, "Request-Id")).bytes.substr(0, sent), action(ending)};
     });
     std::size_t total = 0;
@@ -214,7 +110,7 @@
     const int cutAttempt = GENERATE(1, 2);
     std::size_t sent = 0;
     std::atomic<int> attempts {0};
-    Site site(forwarded, [&](const std::string &request) -> RawAnswer {
+    AnswerSite site(forwarded, [&](const std::string &request) -> RawAnswer {
         const int attempt = ++attempts;
         const std::string whole = restOfStream(request, chunked);
         if (attempt < cutAttempt)
