An answer without a length that is reset within the upload is not complete

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. Callers got that part as a complete answer; for streams without a length the same, if the part ended with a whole event.

Cause: the system reports a reset once, to whoever asks first. The write that runs meanwhile got it, and Exchange::writeFinished() drops write errors, since an endpoint may answer before it has read the whole request. The read that followed got an end of file, which counted as an orderly close and completed the answer.

Change: a connection remembers its first error, whoever saw it. Only if that is the end of file did the endpoint close in an orderly way; only then is an answer without a length complete. Answers with a length or in chunks that arrived whole are passed on as before. `connection_end` in the log now says reset for these attempts, not eof.

Ruled out: failing the attempt at the write error. The bytes that were received are still read, and an answer with a framing counts. Others that could take the error of a connection (the look at an idle connection before it is reused) drop the connection if they see one; the acknowledgment checks and poll() don't take it.

--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -54,6 +54,12 @@
 
 } // namespace
 
+void PooledConnection::recordError(const boost::system::error_code &error)
+{
+    if (!firstError)
+        firstError = error;
+}
+
 void PooledConnection::received(std::size_t count)
 {
     if (!channel) {
@@ -244,6 +250,8 @@
     // A write error does not fail the exchange: an endpoint may answer before it has read the
     // complete request, and such an answer is valid.
     m_requestWritten = !error;
+    if (m_connection)
+        m_connection->recordError(error);
 }
 
 void Exchange::read()
@@ -261,17 +269,19 @@
     if (!m_handler)
         return;
     m_pool.reads += 1;
+    m_connection->recordError(error);
     m_connection->received(count);
-    const bool ended = m_forwarded ? m_connection->isClosedInOrder() : error == asio::error::eof;
+    const bool ended = m_forwarded ? m_connection->isClosedInOrder()
+                                   : m_connection->firstError == asio::error::eof;
     if (error || ended || m_connection->isEnded() || m_connection->isGarbled()) {
-        recordEnd(error, ended);
+        recordEnd(ended);
         process();
         if (!m_handler)
             return;
         if (ended && !m_reader->started() && wasNotForwarded())
             return fail(AttemptFailure::Withheld);
         // Only an orderly close completes an answer without a length. After a reset, the answer may
-        // be truncated.
+        // be truncated, whether the reset was seen by a read or by the write of the request.
         if (ended)
             m_reader->connectionClosed();
         if (m_reader->done() && !m_skipsAnswer)
@@ -306,10 +316,10 @@
     std::exchange(m_handler, nullptr)->answerNotHeld();
 }
 
-void Exchange::recordEnd(const boost::system::error_code &error, bool ended)
+void Exchange::recordEnd(bool ended)
 {
     const bool reported = m_connection->isEnded() && !ended;
-    m_connectionEnd = reported ? ConnectionEnd::Reset : connectionEndOf(error, ended);
+    m_connectionEnd = reported ? ConnectionEnd::Reset : connectionEndOf(m_connection->firstError, ended);
     // An instance of an earlier release passes a reset of the endpoint on, as one of its own.
     m_endedByForwarder =
         m_forwarded && !ended && !reported
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -27,6 +27,10 @@
     {
     }
 
+    /// Remembers \a error if it is the first one of the connection. The system reports a reset only
+    /// once, to whoever reads or writes next. A read behind a write that got it sees an orderly end.
+    void recordError(const boost::system::error_code &error);
+
     /// Handles \a count bytes in `buffer`: appends those of the called process to `unread`.
     void received(std::size_t count);
 
@@ -52,6 +56,7 @@
     std::optional<std::uint64_t> forwardedBytes() const;
 
     boost::asio::ip::tcp::socket socket;
+    boost::system::error_code firstError; ///< of a read or write
     AcknowledgmentLimit acknowledgment;
     std::string endpoint; ///< id
     std::string forwardedBy; ///< name of the instance that forwards it; empty: direct
@@ -198,7 +203,7 @@
     void send();
     bool replaceIfEnded();
     bool wasNotForwarded() const;
-    void recordEnd(const boost::system::error_code &error, bool ended);
+    void recordEnd(bool ended);
     AttemptFailure failureAtEnd();
     void writeFinished(const boost::system::error_code &error);
     void read();
--- a/src/entry/cutexchange_test.cpp
+++ b/src/entry/cutexchange_test.cpp
@@ -7,6 +7,8 @@
 
 #include "../fakes/cutanswers.h"
 
+#include <boost/asio/write.hpp>
+
 #include <catch2/catch.hpp>
 
 namespace asio = boost::asio;
@@ -144,6 +146,58 @@
     }
 }
 
+namespace {
+
+/// Gives an exchange with a long upload \a answer, and resets its connection while the upload waits
+/// for the endpoint to read on. If \a pause, the exchange reads the answer before the reset.
+Recorder resetWithinUpload(std::string_view answer, bool pause)
+{
+    constexpr std::size_t BodyBytes = 16'000'000; // more than the system holds
+    asio::io_context context;
+    ConnectionPool pool(context);
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    ExchangeSettings settings;
+    settings.endpoint = "e1";
+    settings.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    settings.requestIdName = "Request-Id";
+    settings.requestId = std::string(Id);
+    const auto exchange =
+        std::make_shared<Exchange>(pool, std::move(settings), std::string(Request),
+                                   std::make_shared<const std::string>(BodyBytes, 'x'));
+    Recorder recorder;
+    exchange->start(recorder, steadyNow());
+    asio::ip::tcp::socket endpoint = acceptor.accept();
+    context.poll();
+    asio::write(endpoint, asio::buffer(answer));
+    if (pause)
+        context.poll();
+    endpoint.set_option(asio::socket_base::linger(true, 0));
+    endpoint.close();
+    while (!recorder.isFinished())
+        context.run_one();
+    return recorder;
+}
+
+} // namespace
+
+// Guards against a part of an answer that is taken for whole: the write of the request learns of the
+// reset, and the read then sees an orderly end.
+TEST_CASE("no answer that is reset within its request's upload is passed on as whole")
+{
+    const bool pause = GENERATE(false, true);
+    for (const AnswerShape &each : answerShapes()) {
+        const AnswerShape shape = each.to(Id);
+        for (std::size_t sent = 0; sent <= shape.bytes.size(); ++sent) {
+            INFO(shape.name << ", " << sent << " of " << shape.bytes.size() << " bytes, pause "
+                            << pause);
+            const Recorder recorder = resetWithinUpload(shape.bytes.substr(0, sent), pause);
+            checkOutcome(recorder, shape, sent, Ending::Reset);
+            CHECK(recorder.failed.has_value()
+                  == !shape.wholeContent(sent, Ending::Reset).has_value());
+        }
+    }
+}
+
 TEST_CASE("an answer to an earlier request that breaks off is not passed on")
 {
     const Ending ending = GENERATE(Ending::Close, Ending::Reset);
