A process no longer ends when an answer is complete within its request's upload

What callers saw: an endpoint that answered a long upload before it had read it, with a complete answer, could end the process that had called it, or make it stand still for ever, with all requests in progress there.

Cause: Exchange::complete() destroyed the connection unless it was reusable, while the write of the request was in progress. If a part of the write had just succeeded, its handler went on with the socket that was gone, and wrote to freed memory. A debugger showed the traffic thread waiting for a mutex in the allocator's memory, below the write of a request.

Change: such a connection is closed, not destroyed; it lives as long as the exchange, which the write keeps alive. cancel() and fail() did so already. HttpClient reads only behind its write, and keeps the connection with the call.

--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -411,9 +411,10 @@
     // is not reused either if the request was not written completely: the endpoint would parse the
     // next request as the rest of this request.
     const bool reusable = m_connection->unread.empty() && m_requestWritten && m_reader->keepAlive();
-    PooledConnectionPtr connection = std::move(m_connection);
-    if (reusable && connection->socket.is_open() && !connection->isEnded())
-        m_pool.put(std::move(connection), steadyNow());
+    if (reusable && m_connection->socket.is_open() && !m_connection->isEnded())
+        m_pool.put(std::move(m_connection), steadyNow());
+    else
+        closeConnection(); // not destroyed: the write of the request may still use it
     handler->answerReceived(*m_reader);
 }
 
--- a/src/entry/cutexchange_test.cpp
+++ b/src/entry/cutexchange_test.cpp
@@ -148,40 +148,57 @@
 
 namespace {
 
+/// An exchange with an upload that is longer than the system holds, before an endpoint that does
+/// not read it.
+struct LongUpload
+{
+    explicit LongUpload(std::size_t bodyBytes)
+    {
+        ExchangeSettings settings;
+        settings.endpoint = "e1";
+        settings.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        settings.requestIdName = "Request-Id";
+        settings.requestId = std::string(Id);
+        exchange = std::make_shared<Exchange>(pool, std::move(settings), std::string(Request),
+                                              std::make_shared<const std::string>(bodyBytes, 'x'));
+        exchange->start(recorder, steadyNow());
+        endpoint = acceptor.accept();
+    }
+
+    void finish()
+    {
+        while (!recorder.isFinished())
+            context.run_one();
+        exchange.reset();
+    }
+
+    asio::io_context context;
+    ConnectionPool pool {context};
+    asio::ip::tcp::acceptor acceptor {context, {asio::ip::address_v4::loopback(), 0}};
+    asio::ip::tcp::socket endpoint {context};
+    Recorder recorder;
+    std::shared_ptr<Exchange> exchange;
+};
+
 /// Gives an exchange with a long upload \a answer, and resets its connection while the upload waits
 /// for the endpoint to read on. If \a pause, the exchange reads the answer before the reset.
 Recorder resetWithinUpload(std::string_view answer, bool pause)
 {
-    constexpr std::size_t BodyBytes = 16'000'000; // more than the system holds
-    asio::io_context context;
-    ConnectionPool pool(context);
-    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-    ExchangeSettings settings;
-    settings.endpoint = "e1";
-    settings.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-    settings.requestIdName = "Request-Id";
-    settings.requestId = std::string(Id);
-    const auto exchange =
-        std::make_shared<Exchange>(pool, std::move(settings), std::string(Request),
-                                   std::make_shared<const std::string>(BodyBytes, 'x'));
-    Recorder recorder;
-    exchange->start(recorder, steadyNow());
-    asio::ip::tcp::socket endpoint = acceptor.accept();
-    context.poll();
-    asio::write(endpoint, asio::buffer(answer));
+    LongUpload upload(16'000'000);
+    upload.context.poll();
+    asio::write(upload.endpoint, asio::buffer(answer));
     if (pause)
-        context.poll();
-    endpoint.set_option(asio::socket_base::linger(true, 0));
-    endpoint.close();
-    while (!recorder.isFinished())
-        context.run_one();
-    return recorder;
+        upload.context.poll();
+    upload.endpoint.set_option(asio::socket_base::linger(true, 0));
+    upload.endpoint.close();
+    upload.finish();
+    return upload.recorder;
 }
 
 } // namespace
 
-// Guards against a part of an answer that is taken for whole: the write of the request learns of the
-// reset, and the read then sees an orderly end.
+// Guards against a part of an answer that is taken for whole: the write of the request learns of
+// the reset, and the read then sees an orderly end.
 TEST_CASE("no answer that is reset within its request's upload is passed on as whole")
 {
     const bool pause = GENERATE(false, true);
@@ -198,6 +215,24 @@
     }
 }
 
+// Guards against a process that ends by itself: its write went on with a connection that was gone.
+TEST_CASE("the write of a request outlives an answer that is complete before it")
+{
+    constexpr std::size_t BodyBytes = 16'000'000;
+    constexpr int MaxHandlers = 1000;
+    const AnswerShape shape = answerShapes().front().to(Id);
+    for (int handlers = 0; handlers < 20; ++handlers) {
+        INFO("answered behind " << handlers << " handlers");
+        LongUpload upload(BodyBytes);
+        for (int i = 0; i < handlers; ++i)
+            upload.context.run_one();
+        asio::write(upload.endpoint, asio::buffer(shape.bytes));
+        upload.finish();
+        CHECK(upload.recorder.body == shape.content);
+        for (int i = 0; i < MaxHandlers && upload.context.poll_one() > 0; ++i) { }
+    }
+}
+
 TEST_CASE("an answer to an earlier request that breaks off is not passed on")
 {
     const Ending ending = GENERATE(Ending::Close, Ending::Reset);
