An instance that forwards tells of a reset within an upload

What callers saw: the same as with a direct connection. A part of an answer without a length, cut by a reset while the upload went on, came by way of another instance as a complete answer, or as a complete stream.

Cause: ConnectionForwarder dropped the error of its write to the endpoint, as Exchange had, and took the end of file behind it for an orderly close, which the calling instance believes.

Change: the forwarder remembers the first error of the endpoint's connection, and reports a failure (Endpoint-Failure, or a reset to an earlier release) unless that is an orderly end. Where an end of file is read during a write, it is judged once more behind the handlers that are queued, in the forwarder and in Exchange: the handler of a write that took a reset before that read is among them.

Ruled out: reading the state of the connection from the system (TCP_INFO), since it tells a reset behind an orderly end from one without no better.

--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -337,13 +337,23 @@
     void forward(asio::const_buffer bytes)
     {
         m_awaitsAnswer = true;
+        m_forwarding = true;
         recordProgress(bytes.size());
         m_forwardedBytes += bytes.size();
         asio::async_write(m_endpoint, bytes, bind(&Connection::writtenToEndpoint));
     }
 
+    /// The system reports a reset only once. A read behind a write that got it sees an orderly end.
+    void recordEndpointError(const error_code &error)
+    {
+        if (!m_endpointError)
+            m_endpointError = error;
+    }
+
     void writtenToEndpoint(const error_code &error, std::size_t /*count*/)
     {
+        m_forwarding = false;
+        recordEndpointError(error);
         // The endpoint may have answered before it closed, so its answer is still read.
         if (!error)
             readFromInstance();
@@ -360,10 +370,8 @@
     {
         if (m_ending)
             return;
-        if (error == asio::error::eof || (error && isIdle()))
-            return end();
         if (error)
-            return endpointFailed(error);
+            return endpointEnded(error);
         m_awaitsAnswer = false;
         m_answeredAt = steadyNow();
         const std::string_view bytes(m_toInstance.data(), count);
@@ -373,10 +381,33 @@
         writeToInstance(std::move(chunk));
     }
 
+    void endpointEnded(const error_code &error)
+    {
+        if (error == asio::error::eof && m_forwarding) {
+            // If the write took a reset in front of this read, its handler is already queued.
+            asio::post(m_forwarder.m_context,
+                       [self = shared_from_this(), error] { self->endAfter(error); });
+            return;
+        }
+        endAfter(error);
+    }
+
+    void endAfter(const error_code &error)
+    {
+        if (m_ending)
+            return;
+        recordEndpointError(error);
+        if (m_endpointError == asio::error::eof || isIdle())
+            return end();
+        endpointFailed();
+    }
+
     /// Any error but a reset is a failure of the link to the endpoint, which is not reported.
-    void endpointFailed(const error_code &error)
+    void endpointFailed()
     {
-        if (!reportsFailure() || error != asio::error::connection_reset)
+        const bool reset = m_endpointError == asio::error::connection_reset
+                           || m_endpointError == asio::error::broken_pipe;
+        if (!reportsFailure() || !reset)
             return close(false);
         m_endpointFailed = true;
         end();
@@ -439,6 +470,8 @@
     bool m_connected = false; ///< to the endpoint
     bool m_writing = false; ///< to the instance, before the end
     bool m_ending = false;
+    bool m_forwarding = false; ///< bytes are being written to the endpoint
+    error_code m_endpointError; ///< the first one of a read or write
     bool m_endpointFailed = false; ///< it broke the connection
     std::uint64_t m_forwardedBytes = 0; ///< to the endpoint
     std::string m_text; ///< being written to the instance
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -239,6 +239,7 @@
     m_sentBefore = std::exchange(m_connection->sentBytes,
                                  m_connection->sentBytes + asio::buffer_size(request));
     m_pool.writes += 1;
+    m_writing = true;
     asio::async_write(m_connection->socket, request,
                       [self = shared_from_this()](const boost::system::error_code &error,
                                                   std::size_t) { self->writeFinished(error); });
@@ -249,6 +250,7 @@
 {
     // A write error does not fail the exchange: an endpoint may answer before it has read the
     // complete request, and such an answer is valid.
+    m_writing = false;
     m_requestWritten = !error;
     if (m_connection)
         m_connection->recordError(error);
@@ -269,31 +271,44 @@
     if (!m_handler)
         return;
     m_pool.reads += 1;
-    m_connection->recordError(error);
     m_connection->received(count);
-    const bool ended = m_forwarded ? m_connection->isClosedInOrder()
-                                   : m_connection->firstError == asio::error::eof;
-    if (error || ended || m_connection->isEnded() || m_connection->isGarbled()) {
-        recordEnd(ended);
-        process();
-        if (!m_handler)
-            return;
-        if (ended && !m_reader->started() && wasNotForwarded())
-            return fail(AttemptFailure::Withheld);
-        // Only an orderly close completes an answer without a length. After a reset, the answer may
-        // be truncated, whether the reset was seen by a read or by the write of the request.
-        if (ended)
-            m_reader->connectionClosed();
-        if (m_reader->done() && !m_skipsAnswer)
-            return complete();
-        m_pool.endedByForwarder += m_endedByForwarder ? 1 : 0;
-        return fail(failureAtEnd());
+    if (error == asio::error::eof && m_writing) {
+        // If the write took a reset in front of this read, its handler is already queued.
+        asio::post(m_pool.context(),
+                   [self = shared_from_this(), error] { self->connectionEnded(error); });
+        return;
     }
+    if (error || m_connection->isEnded() || m_connection->isGarbled())
+        return connectionEnded(error);
     process();
     if (m_handler && m_connection)
         readIfHeld(steadyNow());
 }
 
+/// The connection has ended, or a forwarded one has been told to have.
+void Exchange::connectionEnded(const boost::system::error_code &error)
+{
+    if (!m_handler)
+        return;
+    m_connection->recordError(error);
+    const bool ended = m_forwarded ? m_connection->isClosedInOrder()
+                                   : m_connection->firstError == asio::error::eof;
+    recordEnd(ended);
+    process();
+    if (!m_handler)
+        return;
+    if (ended && !m_reader->started() && wasNotForwarded())
+        return fail(AttemptFailure::Withheld);
+    // Only an orderly close completes an answer without a length. After a reset, the answer may be
+    // truncated, whether the reset was seen by a read or by the write of the request.
+    if (ended)
+        m_reader->connectionClosed();
+    if (m_reader->done() && !m_skipsAnswer)
+        return complete();
+    m_pool.endedByForwarder += m_endedByForwarder ? 1 : 0;
+    fail(failureAtEnd());
+}
+
 std::uint64_t Exchange::heldBytes()
 {
     const std::uint64_t body = m_incremental ? m_reader->body().capacity() : m_reader->bodyBytes();
@@ -319,7 +334,8 @@
 void Exchange::recordEnd(bool ended)
 {
     const bool reported = m_connection->isEnded() && !ended;
-    m_connectionEnd = reported ? ConnectionEnd::Reset : connectionEndOf(m_connection->firstError, ended);
+    m_connectionEnd =
+        reported ? ConnectionEnd::Reset : connectionEndOf(m_connection->firstError, ended);
     // An instance of an earlier release passes a reset of the endpoint on, as one of its own.
     m_endedByForwarder =
         m_forwarded && !ended && !reported
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -28,7 +28,8 @@
     }
 
     /// Remembers \a error if it is the first one of the connection. The system reports a reset only
-    /// once, to whoever reads or writes next. A read behind a write that got it sees an orderly end.
+    /// once, to whoever reads or writes next. A read behind a write that got it sees an orderly
+    /// end.
     void recordError(const boost::system::error_code &error);
 
     /// Handles \a count bytes in `buffer`: appends those of the called process to `unread`.
@@ -210,6 +211,7 @@
     void readIfHeld(Time now);
     std::uint64_t heldBytes();
     void readFinished(const boost::system::error_code &error, std::size_t count);
+    void connectionEnded(const boost::system::error_code &error);
     void process();
     bool processHead();
     void complete();
@@ -233,6 +235,7 @@
     ConnectionEnd m_connectionEnd = ConnectionEnd::None;
     bool m_reused = false; ///< the connection was taken from the pool
     std::uint64_t m_sentBefore = 0; ///< bytes of earlier requests on the connection
+    bool m_writing = false; ///< the request
     bool m_requestWritten = false; ///< it was passed to the system
     bool m_requestSent = false; ///< no part of it waits in the system
     bool m_mayHaveSent = false; ///< bytes of the request may have been sent
--- a/testsuite/cut-answers/answersite.h
+++ b/testsuite/cut-answers/answersite.h
@@ -13,6 +13,7 @@
 class AnswerSite
 {
 public:
+    /// \a cutAnswer handles the requests whose path ends with "/cut".
     AnswerSite(bool forwarded, RawServer::Handler cutAnswer)
         : m_cutAnswer(std::move(cutAnswer))
     {
@@ -29,14 +30,19 @@
         }));
     }
 
-    /// Sends a request with an id of its own to the first instance.
-    std::string post(const std::string &path)
+    /// Endpoints read this much of the body of a request before they give their cut answer.
+    void setBodyToRead(std::size_t bytes) { m_bodyToRead = bytes; }
+
+    /// Sends a request with an id of its own, and a body of at least \a bodyBytes, to the first
+    /// instance.
+    std::string post(const std::string &path, std::size_t bodyBytes = 0)
     {
         m_id = "r" + std::to_string(++m_requests);
+        const std::string body = m_id + std::string(bodyBytes, 'x');
         return exchange(m_callers,
                         "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + m_id
                             + "\r\nDeadline-Ms: 3000\r\nTokens: 10,10\r\nContent-Length: "
-                            + std::to_string(m_id.size()) + "\r\n\r\n" + m_id,
+                            + std::to_string(body.size()) + "\r\n\r\n" + body,
                         completeAnswer);
     }
 
@@ -46,11 +52,9 @@
     /// How often endpoints received the last request.
     std::size_t received() const
     {
-        std::size_t count = 0;
-        for (const auto &each : m_endpoints)
-            for (const std::string &request : each->requests())
-                count += headerOf(request, "Request-Id") == m_id ? 1 : 0;
-        return count;
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_received.find(m_id);
+        return it == m_received.end() ? 0 : it->second;
     }
 
 private:
@@ -63,7 +67,11 @@
     std::string addEndpoint(const std::string &id)
     {
         m_endpoints.push_back(std::make_unique<RawServer>(
-            [this](const std::string &request) { return answer(request); }));
+            [this](const std::string &request) { return answer(request); },
+            [this](const std::string &head) {
+                const bool cut = head.find("/cut ") != std::string::npos;
+                return cut ? m_bodyToRead.load() : std::string::npos;
+            }));
         std::string address = m_endpoints.back()->address();
         const bool model = id[0] == 'm';
         m_store.put("endpoints", id,
@@ -77,6 +85,10 @@
     {
         if (request.starts_with("GET /state"))
             return {okAnswer(request, R"({"layers":[0,4],"orders":1})")};
+        {
+            const std::lock_guard lock(m_mutex);
+            m_received[headerOf(request, "Request-Id")] += 1;
+        }
         if (request.find("/cut ") != std::string::npos)
             return m_cutAnswer(request);
         if (request.starts_with("POST /stream"))
@@ -100,6 +112,9 @@
     }
 
     RawServer::Handler m_cutAnswer;
+    std::atomic<std::size_t> m_bodyToRead {std::string::npos};
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::size_t> m_received; ///< requests by their id
     FakeStore m_store;
     std::vector<std::unique_ptr<RawServer>> m_endpoints;
     std::string m_callers;
--- a/testsuite/cut-answers/cut_answers_test.cpp
+++ b/testsuite/cut-answers/cut_answers_test.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace balsamloft::testsuite;
 using balsamloft::fakes::AnswerShape;
 using balsamloft::fakes::answerShapes;
@@ -136,3 +138,113 @@
     }
     CHECK(complete * 2 >= Longest);
 }
+
+namespace {
+
+/// Sizes of an upload, drawn anew by draw().
+class DrawnUpload
+{
+public:
+    void draw()
+    {
+        bytes = std::uniform_int_distribution<std::size_t>(50'000, 2'000'000)(m_random);
+        read = std::uniform_int_distribution<std::size_t>(0, 4)(m_random) * 64'000;
+    }
+
+    std::size_t bytes = 0;
+    std::size_t read = 0; ///< by the endpoint, before it answers
+
+private:
+    static constexpr unsigned Seed = 89;
+    std::mt19937 m_random {Seed};
+};
+
+constexpr int UploadPlays = 20;
+
+/// An answer, or a part of one.
+struct UploadAnswer
+{
+    std::string name;
+    std::string fields; ///< besides those that prove it
+    std::string body;
+    bool isWhole = false;
+};
+
+const std::vector<UploadAnswer> UploadAnswers = {
+    {"without a length", "", "first half"},
+    {"with a length", "Content-Length: 20\r\n", "first half"},
+    {"in chunks", "Transfer-Encoding: chunked\r\n", chunk("first half")},
+    {"whole, with a length", "Content-Length: 10\r\n", "whole text", true},
+    {"whole, in chunks", "Transfer-Encoding: chunked\r\n", chunk("whole text") + "0\r\n\r\n", true},
+};
+
+std::string provenHead(const std::string &request, const std::string &fields)
+{
+    return "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: " + headerOf(request, "Request-Id") + "\r\n"
+           + fields + "\r\n";
+}
+
+} // namespace
+
+// Guards against a part of an answer that a caller gets for whole: the write of the request learned
+// of the reset, and the read then saw an orderly end.
+TEST_CASE("no part of an answer that is reset within a long upload is passed on", "[process]")
+{
+    const bool forwarded = GENERATE(false, true);
+    const std::string path = GENERATE("/safe/cut", "/unsafe/cut");
+    UploadAnswer current;
+    AnswerSite site(forwarded, [&](const std::string &request) -> RawAnswer {
+        return {provenHead(request, current.fields) + current.body, RawAnswer::Then::Reset};
+    });
+    DrawnUpload upload;
+    std::size_t reached = 0;
+    for (int play = 0; play < UploadPlays; ++play)
+        for (const UploadAnswer &each : UploadAnswers) {
+            current = each;
+            upload.draw();
+            site.setBodyToRead(upload.read);
+            const std::string answer = site.post(path, upload.bytes);
+            INFO(each.name << ", upload of " << upload.bytes << ", " << upload.read << " read, "
+                           << path << ", forwarded " << forwarded << ", play " << play);
+            INFO(answer);
+            const bool passed = answer.starts_with("HTTP/1.1 200");
+            CHECK((passed ? each.isWhole && bodyOf(answer) == "whole text"
+                          : answer.starts_with("HTTP/1.1 50")));
+            CHECK((site.received() <= 1 || path == "/safe/cut"));
+            reached += site.received() > 0 ? 1 : 0;
+        }
+    CHECK(reached * 2 >= UploadPlays * UploadAnswers.size());
+}
+
+// Guards against the same with a stream without a length whose last event is whole.
+TEST_CASE("a stream that is reset within a long upload goes on or ends visibly", "[process]")
+{
+    const bool forwarded = GENERATE(false, true);
+    std::size_t eventsBeforeReset = 0;
+    AnswerSite site(forwarded, [&](const std::string &request) -> RawAnswer {
+        if (!headerOf(request, "Last-Event-Id").empty())
+            return {restOfStream(request, true)};
+        std::string events;
+        for (std::size_t i = 1; i <= eventsBeforeReset; ++i)
+            events += event(static_cast<int>(i));
+        return {provenHead(request, "Content-Type: text/event-stream\r\n") + events,
+                RawAnswer::Then::Reset};
+    });
+    const std::string all = event(1) + event(2) + event(3);
+    DrawnUpload upload;
+    std::size_t complete = 0;
+    for (int play = 0; play < UploadPlays; ++play)
+        for (eventsBeforeReset = 1; eventsBeforeReset <= 2; ++eventsBeforeReset) {
+            upload.draw();
+            site.setBodyToRead(upload.read);
+            const std::string answer = site.post("/stream/cut", upload.bytes);
+            INFO(eventsBeforeReset << " events, upload of " << upload.bytes << ", " << upload.read
+                                   << " read, forwarded " << forwarded << ", play " << play);
+            INFO(answer);
+            const bool ended = answer.starts_with("HTTP/1.1 200") && completeAnswer(answer);
+            CHECK((!ended || eventsOf(answer) == all));
+            CHECK_FALSE(answer.empty());
+            complete += ended ? 1 : 0;
+        }
+    CHECK(complete > 0);
+}
--- a/testsuite/entry/rawserver.cpp
+++ b/testsuite/entry/rawserver.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace balsamloft::testsuite {
@@ -26,21 +27,11 @@
     return listener;
 }
 
-/// Length of the first complete request in \a text; 0: not complete yet.
-std::size_t requestLength(const std::string &text)
-{
-    const std::size_t head = text.find("\r\n\r\n");
-    if (head == std::string::npos)
-        return 0;
-    const std::size_t at = text.find("Content-Length: ");
-    const std::size_t body = at < head ? std::stoul(text.substr(at + 16)) : 0;
-    return text.size() >= head + 4 + body ? head + 4 + body : 0;
-}
-
 } // namespace
 
-RawServer::RawServer(Handler handler)
+RawServer::RawServer(Handler handler, BodyToRead bodyToRead)
     : m_handler(std::move(handler))
+    , m_bodyToRead(std::move(bodyToRead))
     , m_listener(listenAtFreePort(m_port))
     , m_acceptor([this] { accept(); })
 {
@@ -86,6 +77,19 @@
     }
 }
 
+/// Length of the first request in \a text as far as it is to be read; 0: not read so far yet.
+std::size_t RawServer::requestLength(const std::string &text) const
+{
+    const std::size_t head = text.find("\r\n\r\n");
+    if (head == std::string::npos)
+        return 0;
+    const std::size_t at = text.find("Content-Length: ");
+    std::size_t body = at < head ? std::stoul(text.substr(at + 16)) : 0;
+    if (m_bodyToRead)
+        body = std::min(body, m_bodyToRead(text.substr(0, head)));
+    return text.size() >= head + 4 + body ? head + 4 + body : 0;
+}
+
 void RawServer::serve(int socket)
 {
     std::string in;
--- a/testsuite/entry/rawserver.h
+++ b/testsuite/entry/rawserver.h
@@ -31,8 +31,11 @@
 {
 public:
     using Handler = std::function<RawAnswer(const std::string &request)>;
+    /// How much of the body of a request with \a head is read before the request is handled.
+    using BodyToRead = std::function<std::size_t(const std::string &head)>;
 
-    explicit RawServer(Handler handler);
+    /// By default, bodies are read whole.
+    explicit RawServer(Handler handler, BodyToRead bodyToRead = {});
     ~RawServer();
 
     std::string address() const;
@@ -47,9 +50,11 @@
 private:
     void accept();
     void serve(int socket);
+    std::size_t requestLength(const std::string &text) const;
     void sendEndless(int socket, const RawAnswer &answer);
 
     Handler m_handler;
+    BodyToRead m_bodyToRead;
     int m_port = 0; // set by the initializer of m_listener
     int m_listener = -1;
     std::atomic<bool> m_stop {false};
