A body that was coded for the transfer in another way than in chunks is refused

What callers saw: "Transfer-Encoding: x" or "gzip" without a length, and "gzip, chunked", "chunked, chunked" or codings in two fields, came as a plain 200 with the coded bytes; the coding's name was dropped, as it concerns one connection. So the body was not the endpoint's. The same behind balsamloftd.

Cause: Beast decodes chunks, and ignores every other coding in the field.

Change: one rule, isReadableTransferCoding(), beside that of statuses: one field with `chunked`, or none. Nobody asks for another coding (no TE is sent). In MessageReader it holds for requests as well: "Transfer-Encoding: x" of a request left its body to be taken for the next request, and "gzip, chunked" passed on bytes without the name of their coding. `identity`, which HTTP has no more, is refused too.

Names of fields held before, on every reader, and nothing is changed for them: each byte in a name (beginning, middle, end) and 10 broken lines, in httpmessage_test, httpclient_test, and with real processes, directly, forwarded and behind balsamloftd. Their tests stay. So do those of interim answers, whose fields are not passed on.

HttpServer (requests to balsamloftd) still ignores such codings of requests.

--- a/src/entry/connectionforwarder_test.cpp
+++ b/src/entry/connectionforwarder_test.cpp
@@ -118,8 +118,8 @@
 
 } // namespace
 
-// Guards against a reset of the endpoint that is told as an orderly close: the write to the endpoint
-// learns of it, and the read then sees an orderly end.
+// Guards against a reset of the endpoint that is told as an orderly close: the write to the
+// endpoint learns of it, and the read then sees an orderly end.
 TEST_CASE("an endpoint that resets a connection within an upload is told to have failed")
 {
     ForwardedConnection connection;
--- a/src/entry/httpmessage.cpp
+++ b/src/entry/httpmessage.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <charconv>
 #include <limits>
+#include <utility>
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
@@ -74,6 +75,7 @@
     std::uint64_t fieldBytes = 0; ///< of names and values
     std::string invalid; ///< what in the head is not valid, if Beast would take it
     bool headDone = false;
+    bool hasTransferCoding = false;
 };
 
 /// Bytes that frame a chunk of one byte: one digit and two line ends.
@@ -122,9 +124,16 @@
         m_message.invalid = describeStatus(static_cast<unsigned>(code));
         error = http::error::bad_status;
     }
-    void on_field_impl(http::field /*field*/, boost::beast::string_view name,
-                       boost::beast::string_view value, error_code & /*error*/) override
+    void on_field_impl(http::field field, boost::beast::string_view name,
+                       boost::beast::string_view value, error_code &error) override
     {
+        if (field == http::field::transfer_encoding && !m_message.headDone
+            && (std::exchange(m_message.hasTransferCoding, true)
+                || !isReadableTransferCoding({value.data(), value.size()}))) {
+            m_message.invalid = "transfer coding " + std::string(value);
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
         // If trailer fields were treated as header fields, a caller could use them to set values
         // such as the team.
         auto &fields = m_message.headDone ? m_message.trailers : m_message.head.fields;
--- a/src/entry/httpmessage.h
+++ b/src/entry/httpmessage.h
@@ -68,10 +68,11 @@
     std::uint64_t bodyBytes = DefaultMaxBodyBytes;
 };
 
-/// Reads one message from bytes that arrive in pieces. A message with both Content-Length and
-/// Transfer-Encoding is malformed, as is an answer whose status is none of HTTP, and everything
-/// else that Beast rejects. This prevents request smuggling: bytes that this process takes for a
-/// body could be a second request to the endpoint.
+/// Reads one message from bytes that arrive in pieces. Malformed is a message with both
+/// Content-Length and Transfer-Encoding, one whose body was coded in another way than in chunks, an
+/// answer whose status is none of HTTP, and everything else that Beast rejects. This prevents
+/// request smuggling: bytes that this process takes for a body could be a second request to the
+/// endpoint.
 class MessageReader
 {
 public:
--- a/src/entry/httpmessage_test.cpp
+++ b/src/entry/httpmessage_test.cpp
@@ -275,3 +275,64 @@
         CHECK(readAnswer(each.bytes).failure() == MessageReader::Failure::Malformed);
     }
 }
+
+// Guards against an answer that a caller gets with a line in its head that is no field.
+TEST_CASE("an answer whose head has a line that is no field is malformed")
+{
+    for (unsigned byte = 0; byte <= 255; ++byte) {
+        if (byte == ':' || byte == '\n')
+            continue;
+        const std::string name(1, static_cast<char>(byte));
+        for (const std::string &line :
+             {name + "X: v\r\n", "X" + name + "Y: v\r\n", "X" + name + ": v\r\n"}) {
+            CAPTURE(byte, line);
+            const MessageReader reader = readAnswer(fakes::answerWith("HTTP/1.1 200 OK", line));
+            // A line that begins with a blank continues the value before it.
+            const bool continues = (byte == ' ' || byte == '\t') && line[0] == name[0];
+            const bool valid = continues || fakes::isNameByte(static_cast<unsigned char>(byte));
+            CHECK(reader.done() == valid);
+            CHECK((valid || reader.failure() == MessageReader::Failure::Malformed));
+        }
+    }
+    for (const fakes::BrokenAnswer &each : fakes::answersWithBrokenField()) {
+        INFO(each.name);
+        CHECK(readAnswer(each.bytes).failure() == MessageReader::Failure::Malformed);
+    }
+}
+
+// Guards against an answer whose caller gets the coded bytes, without the name of the coding.
+TEST_CASE(
+    "an answer whose body was coded for the transfer in another way than in chunks is malformed")
+{
+    for (const fakes::BrokenAnswer &each : fakes::answersWithUnknownCoding()) {
+        INFO(each.name);
+        CHECK(readAnswer(each.bytes).failure() == MessageReader::Failure::Malformed);
+    }
+    MessageReader chunked =
+        readAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: \tChunked \r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+    CHECK(chunked.done());
+    CHECK(chunked.body() == "hi");
+}
+
+// Guards against a request behind whose head its body is taken for the next request.
+TEST_CASE(
+    "a request whose body was coded for the transfer in another way than in chunks is malformed")
+{
+    for (const std::string coding : {"x", "gzip, chunked", "chunked, gzip"}) {
+        CAPTURE(coding);
+        CHECK(failureOf("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding
+                        + "\r\n\r\n0\r\n\r\n")
+              == MessageReader::Failure::Malformed);
+    }
+}
+
+TEST_CASE("fields of an interim answer are not added to the answer behind it")
+{
+    MessageReader reader(MessageReader::Kind::Response, {});
+    std::string unread =
+        "HTTP/1.1 103 Early Hints\r\nX: hint\r\n\r\n" + fakes::answerWith("HTTP/1.1 200 OK");
+    reader.consumeFrom(unread);
+    REQUIRE(reader.done());
+    CHECK(reader.head().status == 103);
+    CHECK(unread == fakes::answerWith("HTTP/1.1 200 OK"));
+}
--- a/src/include/balsamloft/answerrules.h
+++ b/src/include/balsamloft/answerrules.h
@@ -1,10 +1,11 @@
 /// \file
-/// What makes the head of an answer valid, for all that read answers of other processes.
+/// What makes the head of a message valid beyond its syntax, for all that read answers of other
+/// processes.
 
 #pragma once
 
-#include <algorithm>
 #include <string>
+#include <string_view>
 
 namespace balsamloft {
 
@@ -18,12 +19,12 @@
 }
 
 /// Describes a \a status that is none, as it stands in its answer.
-inline std::string describeStatus(unsigned status)
-{
-    constexpr std::size_t Digits = 3;
-    const std::string text = std::to_string(status);
-    return "status " + std::string(Digits - std::min(Digits, text.size()), '0') + text;
-}
+std::string describeStatus(unsigned status);
+
+/// Whether a body can be read whose message has one Transfer-Encoding field, with \a value. Beast
+/// decodes chunks and ignores all other codings: whoever forwards the body without the field would
+/// pass on bytes that are not the sender's.
+bool isReadableTransferCoding(std::string_view value);
 
 /// Begins the reason of a failure whose cause is an answer that is none in HTTP.
 inline constexpr char InvalidAnswerPrefix[] = "invalid answer: ";
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -252,10 +252,17 @@
 /// What makes the head that has arrived that of no answer, although Beast takes it; empty: nothing.
 std::string HttpClient::Call::invalidHead() const
 {
-    const unsigned status = m_parser->get().result_int();
-    if (!m_parser->is_header_done() || isHttpStatus(status))
+    if (!m_parser->is_header_done())
         return {};
-    return describeStatus(status);
+    const HttpResponse &answer = m_parser->get();
+    if (!isHttpStatus(answer.result_int()))
+        return describeStatus(answer.result_int());
+    const auto [coding, end] = answer.equal_range(http::field::transfer_encoding);
+    if (coding == end)
+        return {};
+    const std::string_view value(coding->value().data(), coding->value().size());
+    const bool readable = std::next(coding) == end && isReadableTransferCoding(value);
+    return readable ? std::string() : "transfer coding " + std::string(value);
 }
 
 bool HttpClient::Call::holdAnswer()
--- a/src/libweb/httpclient_test.cpp
+++ b/src/libweb/httpclient_test.cpp
@@ -19,10 +19,22 @@
 struct Fixture
 {
     /// Sends a request, waits for its result, and returns it.
-    HttpResult get()
+    HttpResult get() { return send(HttpRequest(http::verb::get, "/x", 11), {}); }
+
+    /// The same with a body of \a bodyBytes.
+    HttpResult post(std::size_t bodyBytes)
+    {
+        const auto body = std::make_shared<const std::string>(bodyBytes, 'x');
+        HttpClient::Options options;
+        options.body = *body;
+        options.bodyOwner = body;
+        return send(HttpRequest(http::verb::post, "/x", 11), std::move(options));
+    }
+
+    HttpResult send(HttpRequest request, HttpClient::Options options)
     {
         std::optional<HttpResult> received;
-        client.send(endpoint.address(), HttpRequest(http::verb::get, "/x", 11), {},
+        client.send(endpoint.address(), std::move(request), std::move(options),
                     [&](HttpResult result) { received = std::move(result); });
         while (!received)
             context.run_one();
@@ -83,6 +95,21 @@
     }
 }
 
+// Guards against an answer of an endpoint in trouble that a caller gets with a line in its head
+// that is no field, or with a body that was coded and is not the endpoint's.
+TEST_CASE("an answer whose head has a line that is no field, or an unknown coding, is a failure")
+{
+    for (const auto &list : {answersWithBrokenField(), answersWithUnknownCoding()})
+        for (const BrokenAnswer &each : list) {
+            INFO(each.name);
+            Fixture fixture;
+            fixture.endpoint.addAnswer(each.bytes, Ending::Close);
+            const HttpResult result = fixture.get();
+            CHECK_FALSE(result.response);
+            CHECK(result.failure.reason.starts_with("invalid answer: "));
+        }
+}
+
 TEST_CASE("no answer that breaks off is taken for whole, whatever byte it ends at")
 {
     const Ending ending = GENERATE(Ending::Close, Ending::Reset);
@@ -101,6 +128,27 @@
     }
 }
 
+// Guards against a part of an answer that is taken for whole: the write of the request learns of
+// the reset, and the read then sees an orderly end.
+TEST_CASE("no answer that is reset within its request's upload is taken for whole")
+{
+    constexpr int Plays = 20;
+    const std::size_t bodyBytes = GENERATE(20'000, 300'000, 1'000'000, 6'000'000);
+    for (const AnswerShape &shape : answerShapes()) {
+        for (int play = 0; play < Plays; ++play) {
+            const std::size_t sent =
+                shape.bodyBegin + (shape.bytes.size() - shape.bodyBegin) * play / Plays;
+            INFO(shape.name << ", " << sent << " of " << shape.bytes.size() << " bytes, upload of "
+                            << bodyBytes);
+            Fixture fixture;
+            fixture.endpoint.addAnswer(shape.bytes.substr(0, sent), Ending::Reset);
+            const HttpResult result = fixture.post(bodyBytes);
+            const auto whole = shape.wholeContent(sent, Ending::Reset);
+            CHECK((!result.response || (whole && result.response->body() == *whole)));
+        }
+    }
+}
+
 TEST_CASE("bytes behind an answer are not taken for the next one")
 {
     for (const AnswerShape &shape : answerShapes()) {
--- a/testsuite/broken-answers/broken_answers_test.cpp
+++ b/testsuite/broken-answers/broken_answers_test.cpp
@@ -60,8 +60,8 @@
     fleet.configure();
     for (const BrokenAnswer &each : answers) {
         current = each;
-        const Reply reply =
-            send(fleet.daemon("i1").callers, "GET", "/services/s/records", {}, Fleet::teamHeaders());
+        const Reply reply = send(fleet.daemon("i1").callers, "GET", "/services/s/records", {},
+                                 Fleet::teamHeaders());
         INFO(each.name << ": " << reply.status << " " << reply.body);
         CHECK(reply.status >= 500);
         CHECK(reply.status < 600);
@@ -82,3 +82,26 @@
 {
     checkRefusedByDaemon(answersWithBrokenStatus());
 }
+
+// Guards against an answer that a caller gets with a line in its head that is no field, or with a
+// body that is not the endpoint's.
+TEST_CASE("an answer whose head has a line that is no field reaches no caller", "[process]")
+{
+    checkRefused(answersWithBrokenField());
+}
+
+TEST_CASE("balsamloftd passes on no answer whose head has a line that is no field", "[process]")
+{
+    checkRefusedByDaemon(answersWithBrokenField());
+}
+
+// Guards against an answer whose caller gets the coded bytes, without the name of the coding.
+TEST_CASE("an answer whose body was coded for the transfer reaches no caller", "[process]")
+{
+    checkRefused(answersWithUnknownCoding());
+}
+
+TEST_CASE("balsamloftd passes on no answer whose body was coded for the transfer", "[process]")
+{
+    checkRefusedByDaemon(answersWithUnknownCoding());
+}
