balsamloftd: content that was coded is not passed on without the name of its coding

What callers saw: an answer of a plain service with a Content-Encoding came as a 200 with the coded bytes and no Content-Encoding.

Cause: of an answer's fields, balsamloftd passes on only the type. It forwarded the callers' Accept-Encoding, so a sound service could answer so as well.

Change: Accept-Encoding is not forwarded, and HttpClient refuses an answer with a Content-Encoding, as balsamloft-entry does. Ruled out: passing the field on, since answers that are kept for repeated keys hold no fields but the type.

--- a/src/fakes/brokenanswers.cpp
+++ b/src/fakes/brokenanswers.cpp
@@ -90,6 +90,13 @@
     return result;
 }
 
+std::vector<BrokenAnswer> answersWithCodedContent()
+{
+    return {{"content coding gzip", answerWith(Ok, "Content-Encoding: gzip\r\n")},
+            {"content coding gzip, without a length",
+             codedAnswer("Content-Encoding: gzip\r\n", "hi"), true}};
+}
+
 bool isNameByte(unsigned char byte)
 {
     constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
--- a/src/fakes/brokenanswers.h
+++ b/src/fakes/brokenanswers.h
@@ -29,6 +29,9 @@
 /// Answers whose body was coded for the transfer in a way that a reader does not undo.
 std::vector<BrokenAnswer> answersWithUnknownCoding();
 
+/// Answers whose content was coded, although nobody asked for that.
+std::vector<BrokenAnswer> answersWithCodedContent();
+
 /// A head with a status line, or field lines, of the test's choice, and a body of two bytes.
 std::string answerWith(std::string_view statusLine, std::string_view fieldLines = {});
 
--- a/src/libweb/callerapi.cpp
+++ b/src/libweb/callerapi.cpp
@@ -125,6 +125,7 @@
 bool isDroppedHeader(http::field field)
 {
     switch (field) {
+    case http::field::accept_encoding: // content that was coded is not passed on
     case http::field::authorization:
     case http::field::connection:
     case http::field::host:
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -257,6 +257,8 @@
     const HttpResponse &answer = m_parser->get();
     if (!isHttpStatus(answer.result_int()))
         return describeStatus(answer.result_int());
+    if (const auto content = answer[http::field::content_encoding]; !content.empty())
+        return "content coding " + std::string(content);
     const auto [coding, end] = answer.equal_range(http::field::transfer_encoding);
     if (coding == end)
         return {};
--- a/src/libweb/httpclient_test.cpp
+++ b/src/libweb/httpclient_test.cpp
@@ -99,7 +99,8 @@
 // that is no field, or with a body that was coded and is not the endpoint's.
 TEST_CASE("an answer whose head has a line that is no field, or an unknown coding, is a failure")
 {
-    for (const auto &list : {answersWithBrokenField(), answersWithUnknownCoding()})
+    for (const auto &list :
+         {answersWithBrokenField(), answersWithUnknownCoding(), answersWithCodedContent()})
         for (const BrokenAnswer &each : list) {
             INFO(each.name);
             Fixture fixture;
--- a/testsuite/broken-answers/broken_answers_test.cpp
+++ b/testsuite/broken-answers/broken_answers_test.cpp
@@ -105,3 +105,14 @@
 {
     checkRefusedByDaemon(answersWithUnknownCoding());
 }
+
+// Guards against an answer whose caller gets coded content without the name of the coding.
+TEST_CASE("an answer whose content was coded reaches no caller", "[process]")
+{
+    checkRefused(answersWithCodedContent());
+}
+
+TEST_CASE("balsamloftd passes on no answer whose content was coded", "[process]")
+{
+    checkRefusedByDaemon(answersWithCodedContent());
+}
