Answers of endpoints to a process's own calls have a bound of their own

What was seen: engines in trouble that answered the question for their state with bytes without end took up to 8 MB each of the instance that asked, and nobody counted the sum: 120 of them took 889 MB of a machine of 160 (bodies without a length; 114 MB in chunks; x86-64). The process would have ended, and with it the requests of all other clients there.

Cause: TimedCall read states with the limits of any answer, which must stand above the largest legal one of the store or another instance, and held them outside of the account.

Change: states, orders, changes of paths and notices may take 64 KB; a state has some hundred bytes, one of an engine that lists its stalled requests some thousand. Those above 4 KB are counted in the account as the use `endpoint`, which has an eighth of it. Answers of the store and of other instances keep their limit. In balsamloftd the same bound holds for states, checks and cancellations, which could take 16 MB each; steps and calls keep theirs.

Other kinds of endless answers, and those to callers' requests, were held before; their tests stay.

--- a/src/balsamloftd/controlplane.cpp
+++ b/src/balsamloftd/controlplane.cpp
@@ -87,7 +87,7 @@
     , m_membership(membershipSettings(settings, incarnation), seed ^ 0x5bd1e995U)
     , m_lease(leaseSettings(settings, incarnation))
     , m_placement(placementSettings(settings))
-    , m_engineClient(m_context)
+    , m_engineClient(m_context, {.maxBodyBytes = MaxEndpointStateBytes})
     , m_admin(std::make_unique<AdminServer>(*this))
 {
 }
--- a/src/balsamloftd/trafficworker.cpp
+++ b/src/balsamloftd/trafficworker.cpp
@@ -408,6 +408,7 @@
     const json::object body {{"request", globalId(cancel.request)}, {"attempt", cancel.attempt}};
     HttpClient::Options cancelOptions;
     cancelOptions.timeout = CancelTimeout;
+    cancelOptions.maxBodyBytes = MaxEndpointStateBytes;
     m_client.send(m_router.loads().state(cancel.endpoint).address,
                   engineRequest(http::verb::post, "/v1/cancel", json::serialize(body)),
                   cancelOptions, [](const HttpResult &) {});
@@ -559,6 +560,7 @@
 {
     HttpClient::Options probeOptions;
     probeOptions.timeout = m_settings.probeTimeout;
+    probeOptions.maxBodyBytes = MaxEndpointStateBytes;
     probeOptions.freshConnection = true;
     const EndpointId endpoint = probe.endpoint;
     m_client.send(m_router.loads().state(endpoint).address,
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -4,8 +4,6 @@
 #include "connector.h"
 #include "sockets.h"
 
-#include <balsamloft/resourceaccount.h>
-
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -158,7 +156,7 @@
 
 void Exchange::resetReader()
 {
-    m_reader.emplace(MessageReader::Kind::Response, MessageLimits {});
+    m_reader.emplace(MessageReader::Kind::Response, m_settings.answerLimits);
     m_headProcessed = false;
     m_incremental = false;
     m_skipsAnswer = false;
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -9,6 +9,7 @@
 
 #include <balsamloft/endpointlinks.h>
 #include <balsamloft/relay.h>
+#include <balsamloft/resourceaccount.h>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -93,6 +94,11 @@
     void prune(const FleetSnapshot &fleet, Time now);
     boost::asio::io_context &context() { return m_context; }
 
+    /// Counts the answers to calls of this process itself among \a resources. Without it, they are
+    /// not counted.
+    void useResources(ResourceGroupPtr resources) { m_resources = std::move(resources); }
+    const ResourceGroupPtr &resources() const { return m_resources; }
+
     /// Lets \a links decide how connections are opened. Without it, all are direct.
     void useLinks(EndpointLinks &links) { m_links = &links; }
     EndpointLinks *links() { return m_links; }
@@ -111,6 +117,7 @@
 private:
     boost::asio::io_context &m_context;
     EndpointLinks *m_links = nullptr;
+    ResourceGroupPtr m_resources;
     std::map<std::string, std::vector<PooledConnectionPtr>> m_idle;
 };
 
@@ -155,6 +162,7 @@
     bool freshConnection = false;
     std::string_view requestIdName; ///< header field that the endpoint echoes
     std::string requestId; ///< empty: not checked
+    MessageLimits answerLimits {};
 };
 
 class Connector;
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -153,6 +153,7 @@
     , m_random(std::hash<std::string> {}(settings.name))
 {
     m_engines.useLinks(m_links);
+    m_engines.useResources(std::make_shared<ResourceGroup>(&state.resources));
     if (settings.admission)
         m_loads.emplace(settings.domain);
     for (std::size_t i = 0; i < SharedTableCount; ++i) {
--- a/src/entry/timedcall.cpp
+++ b/src/entry/timedcall.cpp
@@ -3,6 +3,8 @@
 #include "clock.h"
 #include "connector.h"
 
+#include <balsamloft/answerrules.h>
+
 #include <algorithm>
 
 namespace balsamloft {
@@ -10,6 +12,8 @@
 namespace {
 
 constexpr int TimerRunsPerLimit = 4;
+/// Smaller answers are part of what the process needs itself.
+constexpr std::uint64_t OrdinaryBytes = 4 * 1024;
 
 } // namespace
 
@@ -26,6 +30,9 @@
 void TimedCall::start()
 {
     m_startedAt = steadyNow();
+    ResourceHolder &holder = *this;
+    if (const ResourceGroupPtr &resources = m_exchange->pool().resources())
+        m_hold.emplace(resources, ResourceUse::Endpoint, holder, m_startedAt);
     m_exchange->start(*this, m_startedAt);
     armTimer();
 }
@@ -66,6 +73,7 @@
 void TimedCall::cancel()
 {
     m_finished = true;
+    m_hold.reset();
     m_timer.cancel();
     m_exchange->cancel();
 }
@@ -80,6 +88,11 @@
     return false;
 }
 
+bool TimedCall::mayHold(std::uint64_t bytes)
+{
+    return !m_hold || bytes <= OrdinaryBytes || m_hold->growTo(bytes, steadyNow());
+}
+
 bool TimedCall::headReceived(MessageReader & /*answer*/)
 {
     m_lastReadAt = steadyNow();
@@ -111,19 +124,26 @@
     if (std::exchange(m_finished, true))
         return;
     const auto self = shared_from_this();
+    m_hold.reset();
     m_timer.cancel();
     m_outcome.forwarded = m_exchange->isForwarded();
     m_callback(std::move(m_outcome));
 }
 
+ExchangeSettings endpointCallSettings(std::string endpoint, std::string address)
+{
+    ExchangeSettings settings;
+    settings.endpoint = std::move(endpoint);
+    settings.address = std::move(address);
+    settings.answerLimits.bodyBytes = MaxEndpointStateBytes;
+    return settings;
+}
+
 void startCall(ConnectionPool &pool, const std::string &endpoint, const std::string &address,
                const OutgoingCall &call, Duration timeout, TimedCall::Callback callback)
 {
-    ExchangeSettings settings;
-    settings.endpoint = endpoint;
-    settings.address = address;
-    std::make_shared<TimedCall>(pool, std::move(settings), formatRequest(call, address), timeout,
-                                std::move(callback))
+    std::make_shared<TimedCall>(pool, endpointCallSettings(endpoint, address),
+                                formatRequest(call, address), timeout, std::move(callback))
         ->start();
 }
 
--- a/src/entry/timedcall.h
+++ b/src/entry/timedcall.h
@@ -29,7 +29,9 @@
 /// event loop does not run does not count towards the limits. An empty request
 /// only tests whether a connection can be opened; CallOutcome::mayHaveArrived then tells whether
 /// the test succeeded.
-class TimedCall : public std::enable_shared_from_this<TimedCall>, private ExchangeHandler
+class TimedCall : public std::enable_shared_from_this<TimedCall>,
+                  private ExchangeHandler,
+                  private ResourceHolder
 {
 public:
     using Callback = std::function<void(CallOutcome)>;
@@ -44,6 +46,8 @@
 
 private:
     bool maySend() override;
+    bool mayHold(std::uint64_t bytes) override;
+    void displace() override { } // its progress is up to the called process
     bool headReceived(MessageReader &answer) override;
     void bodyReceived(MessageReader &answer) override;
     void exchangeFailed(AttemptFailure failure) override;
@@ -61,13 +65,18 @@
     Duration m_lateTime {}; ///< sum of the delays with which the timer ran
     bool m_connectOnly;
     Callback m_callback;
+    std::optional<ResourceHold> m_hold; ///< of the answer, if the pool counts answers
     std::shared_ptr<Exchange> m_exchange;
     CallOutcome m_outcome;
     bool m_finished = false;
 };
 
-/// Sends \a call to the endpoint with the id \a endpoint at \a address, on a pooled connection
-/// if there is one.
+/// The settings of an exchange that asks the endpoint with the id \a endpoint at \a address for
+/// something short.
+ExchangeSettings endpointCallSettings(std::string endpoint, std::string address);
+
+/// Sends \a call, whose answer is short, to the endpoint or instance with the id \a endpoint at \a
+/// address, on a pooled connection if there is one.
 void startCall(ConnectionPool &pool, const std::string &endpoint, const std::string &address,
                const OutgoingCall &call, Duration timeout, TimedCall::Callback callback);
 
--- a/src/entry/trafficserver.cpp
+++ b/src/entry/trafficserver.cpp
@@ -81,6 +81,7 @@
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
     m_pool.useLinks(m_links);
+    m_pool.useResources(m_resources);
     m_lingering.setLimit(state.resources.maxConnections(ResourceUse::Request) / 4);
 }
 
@@ -333,9 +334,7 @@
         return;
     const bool plain = isPlainService(query.endpoint);
     const Time sentAt = steadyNow();
-    ExchangeSettings settings;
-    settings.endpoint = query.endpoint;
-    settings.address = query.address;
+    ExchangeSettings settings = endpointCallSettings(query.endpoint, query.address);
     settings.freshConnection = true;
     auto call = std::make_shared<TimedCall>(
         m_pool, std::move(settings),
--- a/src/include/balsamloft/answerrules.h
+++ b/src/include/balsamloft/answerrules.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,10 @@
 /// pass on bytes that are not the sender's.
 bool isReadableTransferCoding(std::string_view value);
 
+/// Longest body of an endpoint's answer to a call of this process itself, in bytes. A state takes
+/// some hundred bytes, and that of an engine which names each stalled request some thousand.
+inline constexpr std::uint64_t MaxEndpointStateBytes = 64U << 10U;
+
 /// Begins the reason of a failure whose cause is an answer that is none in HTTP.
 inline constexpr char InvalidAnswerPrefix[] = "invalid answer: ";
 
--- a/src/include/balsamloft/httpclient.h
+++ b/src/include/balsamloft/httpclient.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <balsamloft/answerrules.h>
 #include <balsamloft/httpserver.h>
 
 #include <deque>
@@ -62,6 +63,7 @@
     struct Options
     {
         Duration timeout {10'000'000}; ///< from send() to the complete answer
+        std::uint64_t maxBodyBytes = 0; ///< of the answer; 0: as set for the client
         bool freshConnection = false; ///< open a new connection instead of reusing an idle one
         /// Sent as the body in place of the request's own. It stays valid as long as `bodyOwner`.
         std::string_view body {};
--- a/src/include/balsamloft/resourceaccount.h
+++ b/src/include/balsamloft/resourceaccount.h
@@ -21,10 +21,11 @@
     Answer, ///< answers that callers have not read yet
     Instance, ///< other instances
     Operator, ///< operators, and the load balancer's checks
+    Endpoint, ///< answers of endpoints to calls of this process itself
 };
 
-inline constexpr std::array<std::string_view, 4> ResourceUseNames {"request", "answer", "instance",
-                                                                   "operator"};
+inline constexpr std::array<std::string_view, 5> ResourceUseNames {"request", "answer", "instance",
+                                                                   "operator", "endpoint"};
 
 /// What a process may hold for its clients.
 struct ResourceLimits
--- a/src/libbalsamloft/resourceaccount.cpp
+++ b/src/libbalsamloft/resourceaccount.cpp
@@ -36,6 +36,7 @@
     {.largeBytes = 0.75, .bytes = 0.875, .connections = 0},
     {.largeBytes = 0.25, .bytes = 0.25, .connections = 0.2},
     {.largeBytes = 0.375, .bytes = 0.375, .connections = 0.0625},
+    {.largeBytes = 0.125, .bytes = 0.125, .connections = 0},
 }};
 constexpr double LargeShare = 0.75;
 constexpr Duration RefusingTime {1'000'000};
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -226,7 +226,8 @@
 {
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->body_limit(m_shared->settings.maxBodyBytes);
+    m_parser->body_limit(m_options.maxBodyBytes > 0 ? m_options.maxBodyBytes
+                                                    : m_shared->settings.maxBodyBytes);
     if (m_request.method() == http::verb::head)
         m_parser->skip(true);
     readSome();
--- a/src/libweb/httpclient_test.cpp
+++ b/src/libweb/httpclient_test.cpp
@@ -150,6 +150,25 @@
     }
 }
 
+// Guards against memory that grows with what an endpoint in trouble sends to a check.
+TEST_CASE("an answer that is longer than its call allows is a failure")
+{
+    constexpr std::size_t Limit = 1000;
+    const std::size_t length = GENERATE(1000, 1001, 5'000'000);
+    const bool framed = GENERATE(true, false);
+    Fixture fixture;
+    fixture.endpoint.addAnswer(
+        "HTTP/1.1 200 OK\r\n"
+            + (framed ? "Content-Length: " + std::to_string(length) + "\r\n" : std::string())
+            + "\r\n" + std::string(length, 'a'),
+        Ending::Close);
+    HttpClient::Options options;
+    options.maxBodyBytes = Limit;
+    const HttpResult result =
+        fixture.send(HttpRequest(http::verb::get, "/x", 11), std::move(options));
+    CHECK(result.response.has_value() == (length <= Limit));
+}
+
 TEST_CASE("bytes behind an answer are not taken for the next one")
 {
     for (const AnswerShape &shape : answerShapes()) {
--- a/testsuite/endless-answers/endless_answers_test.cpp
+++ b/testsuite/endless-answers/endless_answers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <fstream>
 
 using namespace balsamloft::testsuite;
@@ -220,3 +221,38 @@
         std::fprintf(stderr, "query      %-30s %6zu KiB, %zu requests\n", each.name.c_str(),
                      peakMemory(entry.process->id()) / 1024, endless->requests().size());
 }
+
+// Guards against memory that grows with the number of engines in trouble.
+TEST_CASE("many engines whose states never end cost bounded memory", "[process]")
+{
+    constexpr std::size_t MaxMemory = 160U << 20U; // the smallest machine of a site
+    constexpr int Engines = 120;
+    const std::string name = GENERATE("body without a length", "chunks", "header section");
+    const auto each = std::find_if(Answers.begin(), Answers.end(),
+                                   [&](const Endless &answer) { return answer.name == name; });
+    RawAnswer answer {each->fields};
+    while (answer.endless.size() < 32'000)
+        answer.endless += each->repeated;
+    EntryHarness entry(true, "30000", {"--memory_mb=160"});
+    std::vector<std::unique_ptr<RawServer>> endless;
+    for (int i = 0; i < Engines; ++i) {
+        endless.push_back(std::make_unique<RawServer>([&](const std::string &) { return answer; }));
+        entry.store.put("endpoints", "m" + std::to_string(i),
+                        R"({"service":"model","address":")" + endless.back()->address()
+                            + R"(","domain":"d","kind":"card","layers":[0,4]})");
+    }
+    const auto closed = [&] {
+        int count = 0;
+        for (const auto &server : endless)
+            count += server->closedByPeer();
+        return count;
+    };
+    CHECK(waitUntil([&] { return closed() >= 3 * Engines || !entry.process->running(); }));
+    CHECK(entry.process->running());
+    CHECK(entry.isReady());
+    const std::size_t peak = peakMemory(entry.process->id());
+    CHECK(peak > 0);
+    CHECK(peak < MaxMemory);
+    if (std::getenv("ENDLESS_FIGURES"))
+        std::fprintf(stderr, "states     %-30s %6zu KiB\n", name.c_str(), peak / 1024);
+}
