--- a/src/fakes/standinprotocol.cpp
+++ b/src/fakes/standinprotocol.cpp
@@ -39,8 +39,11 @@
     const json::value *value = object.if_contains("layers");
     if (!value || !value->is_array() || value->get_array().size() != 2)
         return {};
-    return {value->get_array()[0].to_number<std::uint32_t>(),
-            value->get_array()[1].to_number<std::uint32_t>()};
+    boost::system::error_code beginError;
+    boost::system::error_code endError;
+    const LayerRange layers {value->get_array()[0].to_number<std::uint32_t>(beginError),
+                             value->get_array()[1].to_number<std::uint32_t>(endError)};
+    return beginError || endError || layers.end < layers.begin ? LayerRange {} : layers;
 }
 
 RequestLimits requestLimits(const json::object &object)
