Times in rows of other writers don't overflow

What could happen: a time near the ends of its range, in a row of crashes or of trials, overflowed when it was converted to microseconds. One in the far future became one in the past, and differences of such times overflowed again.

Change: timeFromMilliseconds() clamps to 2^50 ms, far beyond each time in use.

--- a/src/entry/rowfields.cpp
+++ b/src/entry/rowfields.cpp
@@ -1,9 +1,18 @@
 #include "rowfields.h"
 
+#include <algorithm>
+
 namespace json = boost::json;
 
 namespace balsamloft {
 
+namespace {
+
+/// Far beyond each time that is used, and far from where differences of times overflow.
+constexpr std::int64_t MaxMilliseconds = std::int64_t(1) << 50U;
+
+} // namespace
+
 std::optional<json::object> parseRow(const StoreRow &row)
 {
     boost::system::error_code error;
@@ -26,7 +35,8 @@
 
 Time timeFromMilliseconds(std::int64_t milliseconds)
 {
-    return Time(std::chrono::milliseconds(milliseconds));
+    return Time(
+        std::chrono::milliseconds(std::clamp(milliseconds, -MaxMilliseconds, MaxMilliseconds)));
 }
 
 std::int64_t toMilliseconds(Time time)
