A fuzz target and a corpus for answers

Whole and byte by byte, an answer is read alike; what is accepted has a status of HTTP, names of fields that are names, and values without line ends and NUL.

--- a/src/libweb/fuzzcases.cpp
+++ b/src/libweb/fuzzcases.cpp
@@ -1,5 +1,8 @@
 #include "fuzzcases.h"
 
+#include "../entry/httpmessage.h"
+
+#include <balsamloft/answerrules.h>
 #include <balsamloft/callerapi.h>
 #include <balsamloft/configmanager.h>
 #include <balsamloft/enginewire.h>
@@ -108,6 +111,41 @@
 
 namespace {
 
+/// What becomes of an answer that arrives in pieces of \a pieceBytes.
+std::optional<std::string> readAnswer(std::string_view bytes, std::size_t pieceBytes)
+{
+    MessageReader reader(MessageReader::Kind::Response, {4096, 65536});
+    std::string unread;
+    while (!bytes.empty() && !reader.done()) {
+        const std::string_view piece = bytes.substr(0, pieceBytes);
+        unread += piece;
+        bytes.remove_prefix(piece.size());
+        reader.consumeFrom(unread);
+    }
+    reader.connectionClosed();
+    if (!reader.done() || reader.failure() != MessageReader::Failure::None)
+        return std::nullopt;
+    require(isHttpStatus(static_cast<unsigned>(reader.head().status)));
+    for (const HeaderField &field : reader.head().fields) {
+        require(!field.name.empty());
+        require(field.name.find_first_of(" \t\r\n:") == std::string::npos);
+        require(field.value.find_first_of(std::string_view("\r\n\0", 3)) == std::string::npos);
+    }
+    return std::to_string(reader.head().status) + reader.body();
+}
+
+} // namespace
+
+void answer(std::string_view bytes)
+{
+    const auto whole = readAnswer(bytes, std::max<std::size_t>(1, bytes.size()));
+    const auto inBytes = readAnswer(bytes, 1);
+    // A long head that arrives at once is read before its length is seen.
+    require(!whole || !inBytes || *whole == *inBytes);
+}
+
+namespace {
+
 /// A client that holds something until it is displaced.
 struct HoldingClient : private ResourceHolder
 {
--- a/src/libweb/fuzzcases.h
+++ b/src/libweb/fuzzcases.h
@@ -22,6 +22,10 @@
 /// message.
 void messages(std::string_view bytes);
 
+/// Parses \a bytes as an answer of an endpoint, whole and byte by byte, up to its end and to that
+/// of its connection.
+void answer(std::string_view bytes);
+
 /// Takes \a bytes as steps of clients that hold memory and connections. Each step is three bytes:
 /// the client, what it does, and how much.
 void resources(std::string_view bytes);
--- a/src/libweb/fuzzcases_test.cpp
+++ b/src/libweb/fuzzcases_test.cpp
@@ -17,6 +17,7 @@
         const char *folder;
         void (*run)(std::string_view);
     } cases[] = {{"testsuite/corpora/callerRequest", fuzz::callerRequest},
+                 {"testsuite/corpora/answer", fuzz::answer},
                  {"testsuite/corpora/document", fuzz::document},
                  {"platform/corpora/engineEntry", fuzz::engineEntry},
                  {"testsuite/corpora/messages", fuzz::messages},
