--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -344,7 +344,7 @@
 AttemptFailure Exchange::failureAtEnd()
 {
     if (m_reader->failure() != MessageReader::Failure::None && m_reader->started()) {
-        m_invalidReason = m_reader->failureReason();
+        recordInvalid(m_reader->failureReason());
         return AttemptFailure::InvalidAnswer;
     }
     if (!m_connection->isForwarderLost())
@@ -442,10 +442,14 @@
     handler->exchangeFailed(m_mayHaveSent ? failure : AttemptFailure::NotSent);
 }
 
-void Exchange::failInvalid(std::string reason)
+void Exchange::recordInvalid(std::string_view reason)
 {
-    m_invalidReason = std::move(reason);
-    m_invalidReason.resize(std::min(m_invalidReason.size(), MaxReasonBytes));
+    m_invalidReason = reason.substr(0, MaxReasonBytes);
+}
+
+void Exchange::failInvalid(std::string_view reason)
+{
+    recordInvalid(reason);
     fail(AttemptFailure::InvalidAnswer);
 }
 
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -225,7 +225,8 @@
     void complete();
     void resetReader();
     void fail(AttemptFailure failure);
-    void failInvalid(std::string reason);
+    void recordInvalid(std::string_view reason);
+    void failInvalid(std::string_view reason);
     void closeConnection();
 
     ConnectionPool &m_pool;
--- a/src/fakes/brokenanswers.cpp
+++ b/src/fakes/brokenanswers.cpp
@@ -10,8 +10,8 @@
 constexpr std::string_view Proof = "Request-Id: %\r\nSeal: s\r\n";
 constexpr std::string_view Ok = "HTTP/1.1 200 OK";
 
-/// A body of the length of Body in front of which \a coding was applied.
-std::string codedAnswer(const std::string &fields, const std::string &body)
+/// An answer whose framing is up to \a fields, which are whole lines, and \a body.
+std::string framedAnswer(const std::string &fields, const std::string &body)
 {
     return std::string(Ok) + "\r\n" + std::string(Proof) + fields + "\r\n" + body;
 }
@@ -45,9 +45,9 @@
         const std::string text = statusText(status);
         result.push_back({"status " + text, answerWith("HTTP/1.1 " + text + " X")});
         result.push_back({"status " + text + ", events",
-                          codedAnswer("Content-Type: text/event-stream\r\n"
-                                      "Transfer-Encoding: chunked\r\n",
-                                      "12\r\nid: 1\ndata: last\n\n\r\n0\r\n\r\n")});
+                          framedAnswer("Content-Type: text/event-stream\r\n"
+                                       "Transfer-Encoding: chunked\r\n",
+                                       "12\r\nid: 1\ndata: last\n\n\r\n0\r\n\r\n")});
         boost::replace_first(result.back().bytes, " 200 ", " " + text + " ");
         result.push_back({"status " + text + ", without a length",
                           "HTTP/1.1 " + text + " \r\n" + std::string(Proof) + "\r\nhi", true});
@@ -65,7 +65,7 @@
           "Content-Length : 1", "Transfer-Encoding : chunked", "X\rY: v"}) {
         result.push_back({"field line '" + line + "'", answerWith(Ok, line + "\r\n")});
         result.push_back({"field line '" + line + "', without a length",
-                          codedAnswer(line + "\r\n", "hi"), true});
+                          framedAnswer(line + "\r\n", "hi"), true});
     }
     result.push_back({"field line with NUL", answerWith(Ok, std::string("X\0Y: v\r\n", 8))});
     result.push_back(
@@ -80,13 +80,13 @@
     std::vector<BrokenAnswer> result;
     for (const std::string coding : {"x", "gzip", "chunked, gzip"})
         result.push_back({"transfer coding " + coding,
-                          codedAnswer("Transfer-Encoding: " + coding + "\r\n", chunks), true});
+                          framedAnswer("Transfer-Encoding: " + coding + "\r\n", chunks), true});
     for (const std::string coding : {"gzip, chunked", "x,chunked", "chunked, chunked"})
         result.push_back({"transfer coding " + coding,
-                          codedAnswer("Transfer-Encoding: " + coding + "\r\n", chunks)});
+                          framedAnswer("Transfer-Encoding: " + coding + "\r\n", chunks)});
     result.push_back(
         {"transfer codings in two fields",
-         codedAnswer("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunks)});
+         framedAnswer("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunks)});
     return result;
 }
 
@@ -94,7 +94,7 @@
 {
     return {{"content coding gzip", answerWith(Ok, "Content-Encoding: gzip\r\n")},
             {"content coding gzip, without a length",
-             codedAnswer("Content-Encoding: gzip\r\n", "hi"), true}};
+             framedAnswer("Content-Encoding: gzip\r\n", "hi"), true}};
 }
 
 bool isNameByte(unsigned char byte)
--- a/testsuite/odd-entries/odd_entries_test.cpp
+++ b/testsuite/odd-entries/odd_entries_test.cpp
@@ -45,14 +45,14 @@
         engineWith(R"("more":)" + nested(100'000)),
         engineWith(R"("more":")" + std::string(200'000, 'x') + "\""),
     };
-    for (const std::string address : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:-1", "127.0.0.1:0",
-                                      "127.0.0.1:65536", "127.0.0.1:99999",
-                                      "127.0.0.1:99999999999999999999", "localhost:80", "::1:80",
-                                      "127.0.0.1:8x", "\\u0001\\n:80"})
+    for (const std::string address :
+         {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:-1", "127.0.0.1:0", "127.0.0.1:65536",
+          "127.0.0.1:99999", "127.0.0.1:99999999999999999999", "localhost:80", "::1:80",
+          "127.0.0.1:8x", "\\u0001\\n:80"})
         values.push_back(engineAt(address));
-    for (const std::string number : {"-1", "1e400", "-1e400", "1000000000000000000000000000000",
-                                     "9223372036854775807", "18446744073709551615", "1.5",
-                                     "\"4\"", "null", "[]"})
+    for (const std::string number :
+         {"-1", "1e400", "-1e400", "1000000000000000000000000000000", "9223372036854775807",
+          "18446744073709551615", "1.5", "\"4\"", "null", "[]"})
         for (const std::string name : {"slots", "started", "cold_ms"})
             values.push_back(engineWith("\"" + name + "\":" + number));
     for (const std::string layers : {"[0,4294967296]", "[-1,4]", "[0,1e400]", "[4,0]", "[0]", "[]",
@@ -68,10 +68,10 @@
 {
     std::vector<std::string> values;
     for (const std::string number : {"9223372036854775807", "-9223372036854775808", "1e400", "-1"})
-        for (const std::string row : {R"({"at_ms":#,"by":"x"})",
-                                      R"({"at":"e1","by":"x","until_ms":#,"tries":#})",
-                                      R"({"holder":"x","until_ms":#,"fencing":#})",
-                                      R"({"domain":"d","seen_ms":#,"address":"127.0.0.1:1"})"})
+        for (const std::string row :
+             {R"({"at_ms":#,"by":"x"})", R"({"at":"e1","by":"x","until_ms":#,"tries":#})",
+              R"({"holder":"x","until_ms":#,"fencing":#})",
+              R"({"domain":"d","seen_ms":#,"address":"127.0.0.1:1"})"})
             values.push_back(boost::replace_all_copy(row, "#", number));
     return values;
 }
@@ -98,11 +98,10 @@
         const std::string id = "sound-" + std::to_string(++m_sound);
         m_entry.store.put("endpoints", id, engineAt(m_engine.address()));
         const std::size_t before = m_engine.requests().size();
-        const bool asked = waitUntil([&] {
-            return !m_entry.process->running() || m_engine.requests().size() > before;
-        });
-        const bool serves = asked && m_entry.process->running()
-                            && m_entry.answersWith("/stream/x", "0\r\n\r\n");
+        const bool asked = waitUntil(
+            [&] { return !m_entry.process->running() || m_engine.requests().size() > before; });
+        const bool serves =
+            asked && m_entry.process->running() && m_entry.answersWith("/stream/x", "0\r\n\r\n");
         m_entry.store.drop("endpoints", id);
         return serves;
     }
