Reading the change again: one piece for the first error of a connection

Exchange and the instance that forwards had each written the same twice: to remember the first error, to judge an orderly end behind the handlers that are queued, and to tell a reset, for which callers' writes had a third copy. Now connectionerrors.h has FirstError, handleEndOfRead() and isReset(). No change of behaviour: exchange_test, connectionforwarder_test, timedcall_test; cut answers, and eight plays in a row of the two tests of resets within uploads, pass.

--- a/src/entry/calleranswers.cpp
+++ b/src/entry/calleranswers.cpp
@@ -2,6 +2,7 @@
 
 #include "callersession.h"
 #include "clock.h"
+#include "connectionerrors.h"
 #include "decisionlog.h"
 #include "fieldtext.h"
 #include "trafficserver.h"
@@ -204,7 +205,7 @@
     m_bodyBeingWritten = {};
     if (m_outputBeingWritten.capacity() > OrdinaryAnswerBytes)
         m_outputBeingWritten = {};
-    if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
+    if (isReset(error))
         return close(CloseCause::CallerEnded);
     if (error)
         return close(CloseCause::WriteFailed);
--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "acknowledgmentlimit.h"
 #include "clock.h"
+#include "connectionerrors.h"
 #include "sockets.h"
 
 #include <boost/asio/write.hpp>
@@ -343,17 +344,10 @@
         asio::async_write(m_endpoint, bytes, bind(&Connection::writtenToEndpoint));
     }
 
-    /// The system reports a reset only once. A read behind a write that got it sees an orderly end.
-    void recordEndpointError(const error_code &error)
-    {
-        if (!m_endpointError)
-            m_endpointError = error;
-    }
-
     void writtenToEndpoint(const error_code &error, std::size_t /*count*/)
     {
         m_forwarding = false;
-        recordEndpointError(error);
+        m_endpointError.record(error);
         // The endpoint may have answered before it closed, so its answer is still read.
         if (!error)
             readFromInstance();
@@ -371,7 +365,9 @@
         if (m_ending)
             return;
         if (error)
-            return endpointEnded(error);
+            return handleEndOfRead(
+                m_forwarder.m_context, error, m_forwarding,
+                [self = shared_from_this(), error] { self->endpointEnded(error); });
         m_awaitsAnswer = false;
         m_answeredAt = steadyNow();
         const std::string_view bytes(m_toInstance.data(), count);
@@ -382,22 +378,11 @@
     }
 
     void endpointEnded(const error_code &error)
-    {
-        if (error == asio::error::eof && m_forwarding) {
-            // If the write took a reset in front of this read, its handler is already queued.
-            asio::post(m_forwarder.m_context,
-                       [self = shared_from_this(), error] { self->endAfter(error); });
-            return;
-        }
-        endAfter(error);
-    }
-
-    void endAfter(const error_code &error)
     {
         if (m_ending)
             return;
-        recordEndpointError(error);
-        if (m_endpointError == asio::error::eof || isIdle())
+        m_endpointError.record(error);
+        if (m_endpointError.isOrderlyEnd() || isIdle())
             return end();
         endpointFailed();
     }
@@ -405,9 +390,7 @@
     /// Any error but a reset is a failure of the link to the endpoint, which is not reported.
     void endpointFailed()
     {
-        const bool reset = m_endpointError == asio::error::connection_reset
-                           || m_endpointError == asio::error::broken_pipe;
-        if (!reportsFailure() || !reset)
+        if (!reportsFailure() || !isReset(m_endpointError.code()))
             return close(false);
         m_endpointFailed = true;
         end();
@@ -471,7 +454,7 @@
     bool m_writing = false; ///< to the instance, before the end
     bool m_ending = false;
     bool m_forwarding = false; ///< bytes are being written to the endpoint
-    error_code m_endpointError; ///< the first one of a read or write
+    FirstError m_endpointError;
     bool m_endpointFailed = false; ///< it broke the connection
     std::uint64_t m_forwardedBytes = 0; ///< to the endpoint
     std::string m_text; ///< being written to the instance
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -43,7 +43,7 @@
 {
     if (ended || error == asio::error::eof)
         return ConnectionEnd::Eof;
-    if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
+    if (isReset(error))
         return ConnectionEnd::Reset;
     if (error == asio::error::timed_out)
         return ConnectionEnd::TimedOut;
@@ -52,12 +52,6 @@
 
 } // namespace
 
-void PooledConnection::recordError(const boost::system::error_code &error)
-{
-    if (!firstError)
-        firstError = error;
-}
-
 void PooledConnection::received(std::size_t count)
 {
     if (!channel) {
@@ -251,7 +245,7 @@
     m_writing = false;
     m_requestWritten = !error;
     if (m_connection)
-        m_connection->recordError(error);
+        m_connection->firstError.record(error);
 }
 
 void Exchange::read()
@@ -270,14 +264,10 @@
         return;
     m_pool.reads += 1;
     m_connection->received(count);
-    if (error == asio::error::eof && m_writing) {
-        // If the write took a reset in front of this read, its handler is already queued.
-        asio::post(m_pool.context(),
-                   [self = shared_from_this(), error] { self->connectionEnded(error); });
-        return;
-    }
     if (error || m_connection->isEnded() || m_connection->isGarbled())
-        return connectionEnded(error);
+        return handleEndOfRead(
+            m_pool.context(), error, m_writing,
+            [self = shared_from_this(), error] { self->connectionEnded(error); });
     process();
     if (m_handler && m_connection)
         readIfHeld(steadyNow());
@@ -288,9 +278,9 @@
 {
     if (!m_handler)
         return;
-    m_connection->recordError(error);
-    const bool ended = m_forwarded ? m_connection->isClosedInOrder()
-                                   : m_connection->firstError == asio::error::eof;
+    m_connection->firstError.record(error);
+    const bool ended =
+        m_forwarded ? m_connection->isClosedInOrder() : m_connection->firstError.isOrderlyEnd();
     recordEnd(ended);
     process();
     if (!m_handler)
@@ -333,7 +323,7 @@
 {
     const bool reported = m_connection->isEnded() && !ended;
     m_connectionEnd =
-        reported ? ConnectionEnd::Reset : connectionEndOf(m_connection->firstError, ended);
+        reported ? ConnectionEnd::Reset : connectionEndOf(m_connection->firstError.code(), ended);
     // An instance of an earlier release passes a reset of the endpoint on, as one of its own.
     m_endedByForwarder =
         m_forwarded && !ended && !reported
--- a/src/entry/connectionpool.h
+++ b/src/entry/connectionpool.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "acknowledgmentlimit.h"
+#include "connectionerrors.h"
 #include "connectionforwarder.h"
 #include "httpmessage.h"
 
@@ -28,11 +29,6 @@
     {
     }
 
-    /// Remembers \a error if it is the first one of the connection. The system reports a reset only
-    /// once, to whoever reads or writes next. A read behind a write that got it sees an orderly
-    /// end.
-    void recordError(const boost::system::error_code &error);
-
     /// Handles \a count bytes in `buffer`: appends those of the called process to `unread`.
     void received(std::size_t count);
 
@@ -58,7 +54,7 @@
     std::optional<std::uint64_t> forwardedBytes() const;
 
     boost::asio::ip::tcp::socket socket;
-    boost::system::error_code firstError; ///< of a read or write
+    FirstError firstError;
     AcknowledgmentLimit acknowledgment;
     std::string endpoint; ///< id
     std::string forwardedBy; ///< name of the instance that forwards it; empty: direct
