Reading the change again: the head of an answer is checked once

HttpClient looked for the codings of a head again behind each read of its body; now only when the head has arrived. What an interim status is stood in three places, beside the rule of statuses, and the size up to which an answer is not held apart in three others; each stands once. Formats a header that was added unformatted.

--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -17,9 +17,6 @@
 
 class TrafficServer;
 
-/// Answers up to this size need no more than what is held for each connection.
-inline constexpr std::uint64_t OrdinaryAnswerBytes = 4 * 1024;
-
 /// Reads the requests of a caller one after another, submits each to the relay, and writes the
 /// answer.
 class CallerSession : public std::enable_shared_from_this<CallerSession>,
--- a/src/entry/connectionerrors.h
+++ b/src/entry/connectionerrors.h
@@ -18,8 +18,8 @@
            || error == boost::asio::error::broken_pipe;
 }
 
-/// The first error of a connection, whoever saw it. The system reports a reset only once, to whoever
-/// reads or writes next; a read behind a write that got it sees an orderly end.
+/// The first error of a connection, whoever saw it. The system reports a reset only once, to
+/// whoever reads or writes next; a read behind a write that got it sees an orderly end.
 class FirstError
 {
 public:
@@ -37,8 +37,8 @@
 };
 
 /// Calls \a handle for a connection whose read ended with \a error. If it is an orderly end while a
-/// write is in progress, \a handle is called later: the handler of a write that took a reset in front
-/// of the read is queued by now, and has recorded it by then.
+/// write is in progress, \a handle is called later: the handler of a write that took a reset in
+/// front of the read is queued by now, and has recorded it by then.
 template<typename Function>
 void handleEndOfRead(boost::asio::io_context &context, const boost::system::error_code &error,
                      bool writing, Function handle)
--- a/src/entry/connectionforwarder.cpp
+++ b/src/entry/connectionforwarder.cpp
@@ -5,6 +5,8 @@
 #include "connectionerrors.h"
 #include "sockets.h"
 
+#include <balsamloft/answerrules.h>
+
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -422,7 +424,7 @@
             m_forwarder.m_policy.forwardedAnswer(m_id, m_answer->head());
     }
 
-    bool isInterim() { return m_answer->head().status < 200; }
+    bool isInterim() { return isInterimStatus(static_cast<unsigned>(m_answer->head().status)); }
 
     /// Begins the next answer if an interim one is complete, or if bytes follow one: it may have
     /// been to an earlier request. If the connection counted as idle behind such an answer, a reset
--- a/src/entry/connectionpool.cpp
+++ b/src/entry/connectionpool.cpp
@@ -4,6 +4,8 @@
 #include "connector.h"
 #include "sockets.h"
 
+#include <balsamloft/answerrules.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -358,9 +360,8 @@
     if (m_pool.links() && !m_forwarded)
         m_pool.links()->recordDirectData(steadyNow());
     const auto echoed = head.find(m_settings.requestIdName);
-    const bool interim = head.status >= 100 && head.status < 200;
-    m_skipsAnswer =
-        interim || (!m_settings.requestId.empty() && echoed && *echoed != m_settings.requestId);
+    m_skipsAnswer = isInterimStatus(static_cast<unsigned>(head.status))
+                    || (!m_settings.requestId.empty() && echoed && *echoed != m_settings.requestId);
     if (m_skipsAnswer) {
         if (++m_skippedAnswers <= MaxSkippedAnswers)
             return true;
--- a/src/entry/timedcall.cpp
+++ b/src/entry/timedcall.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr int TimerRunsPerLimit = 4;
-/// Smaller answers are part of what the process needs itself.
-constexpr std::uint64_t OrdinaryBytes = 4 * 1024;
 
 } // namespace
 
@@ -90,7 +88,7 @@
 
 bool TimedCall::mayHold(std::uint64_t bytes)
 {
-    return !m_hold || bytes <= OrdinaryBytes || m_hold->growTo(bytes, steadyNow());
+    return !m_hold || bytes <= OrdinaryAnswerBytes || m_hold->growTo(bytes, steadyNow());
 }
 
 bool TimedCall::headReceived(MessageReader & /*answer*/)
--- a/src/include/balsamloft/answerrules.h
+++ b/src/include/balsamloft/answerrules.h
@@ -19,6 +19,13 @@
     return status >= First && status <= Last;
 }
 
+/// Whether an answer with \a status, which is one of HTTP, precedes the answer to the request.
+constexpr bool isInterimStatus(unsigned status)
+{
+    constexpr unsigned FirstFinal = 200;
+    return status < FirstFinal;
+}
+
 /// Describes a \a status that is none, as it stands in its answer.
 std::string describeStatus(unsigned status);
 
--- a/src/include/balsamloft/resourceaccount.h
+++ b/src/include/balsamloft/resourceaccount.h
@@ -57,6 +57,10 @@
 /// Memory up to this size is granted from a part of the account that larger amounts can't take.
 inline constexpr std::uint64_t SmallHoldBytes = 64 * 1024;
 
+/// Answers up to this size are not held apart: what is held for the connection of a caller, and
+/// what the process needs itself, are enough for them.
+inline constexpr std::uint64_t OrdinaryAnswerBytes = 4 * 1024;
+
 /// A client that moved less than ProgressBytes in StallTime may be displaced by one that needs what
 /// it holds. Nobody is displaced while there is enough for all.
 inline constexpr Duration StallTime {1'000'000};
--- a/src/libweb/httpclient.cpp
+++ b/src/libweb/httpclient.cpp
@@ -19,15 +19,11 @@
 
 namespace {
 
-/// Lower statuses are those of interim answers.
-constexpr unsigned FirstFinalStatus = 200;
 /// Without a limit, an endless series of interim answers would occupy the request until its
 /// deadline.
 constexpr std::size_t MaxInterimAnswers = 32;
 
 constexpr Duration HoldRetryInterval {100'000};
-/// Smaller answers are held with the connections of their callers.
-constexpr std::uint64_t OrdinaryBytes = 4 * 1024;
 
 struct Connection
 {
@@ -96,6 +92,7 @@
 private:
     void displace() override { } // its progress is up to the endpoint
     std::string invalidHead() const;
+    bool failIfHeadInvalid();
     bool holdAnswer();
     bool takeIdleConnection();
     void connect();
@@ -235,26 +232,34 @@
 
 void HttpClient::Call::readSome()
 {
-    http::async_read_some(m_connection->stream, m_buffer, *m_parser,
-                          [self = shared_from_this()](beast::error_code error, std::size_t) {
-                              if (!self->m_callback)
-                                  return;
-                              if (error)
-                                  return self->fail(error, true);
-                              if (const std::string invalid = self->invalidHead(); !invalid.empty())
-                                  return self->fail(HttpFailure::Kind::Broken,
-                                                    InvalidAnswerPrefix + invalid);
-                              if (self->m_parser->is_done())
-                                  return self->answerRead();
-                              self->readSomeIfHeld();
-                          });
+    const bool hadHead = m_parser->is_header_done();
+    http::async_read_some(
+        m_connection->stream, m_buffer, *m_parser,
+        [self = shared_from_this(), hadHead](beast::error_code error, std::size_t) {
+            if (!self->m_callback)
+                return;
+            if (error)
+                return self->fail(error, true);
+            if (!hadHead && self->m_parser->is_header_done() && self->failIfHeadInvalid())
+                return;
+            if (self->m_parser->is_done())
+                return self->answerRead();
+            self->readSomeIfHeld();
+        });
+}
+
+/// \return whether the call failed.
+bool HttpClient::Call::failIfHeadInvalid()
+{
+    const std::string invalid = invalidHead();
+    if (!invalid.empty())
+        fail(HttpFailure::Kind::Broken, InvalidAnswerPrefix + invalid);
+    return !invalid.empty();
 }
 
 /// What makes the head that has arrived that of no answer, although Beast takes it; empty: nothing.
 std::string HttpClient::Call::invalidHead() const
 {
-    if (!m_parser->is_header_done())
-        return {};
     const HttpResponse &answer = m_parser->get();
     if (!isHttpStatus(answer.result_int()))
         return describeStatus(answer.result_int());
@@ -272,7 +277,7 @@
 {
     const std::uint64_t bytes = std::max<std::uint64_t>(m_parser->get().body().capacity(),
                                                         m_parser->content_length().value_or(0));
-    return bytes <= OrdinaryBytes || m_hold.growTo(bytes, steadyNow());
+    return bytes <= OrdinaryAnswerBytes || m_hold.growTo(bytes, steadyNow());
 }
 
 /// Reads on if the answer may be held so far, else later.
@@ -298,7 +303,7 @@
 /// request on the connection would get the answer to this one.
 void HttpClient::Call::answerRead()
 {
-    if (m_parser->get().result_int() >= FirstFinalStatus)
+    if (!isInterimStatus(m_parser->get().result_int()))
         return complete();
     if (++m_interimAnswers > MaxInterimAnswers)
         return fail(HttpFailure::Kind::Broken, "too many interim answers");
