--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 9))'
-python3 - review/common-2/standins.py review/4/run.py <<'CHECK'
+python3 - review/common-2/standins.py review/4/run.py review/5/run.py <<'CHECK'
 import sys
 for path in sys.argv[1:]:
     compile(open(path, encoding="utf-8").read(), path, "exec")
