--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -22,9 +22,15 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port that no connection gets by itself, so that it stays free until the entry takes it."""
+    while True:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 async def read_message(reader):
